--- a/src/coordination/claim-client.ts
+++ b/src/coordination/edge/claim-client.ts
@@ -1,12 +1,12 @@
-import { createLine } from '../base/line.js';
-import type { Claim, ClaimAnswer, ClaimEnd } from '../protocol/messages.js';
-import { majorityOf, memberId, membersMark } from '../state/belief.js';
-import type { Belief } from '../state/belief.js';
-import type { Member } from '../state/entry.js';
-import type { RunKey } from '../state/run-key.js';
-import { pause } from '../transport/clock.js';
-import type { Clock } from '../transport/clock.js';
-import type { Peers } from './peers.js';
+import { createLine } from '../../base/line.js';
+import type { Claim, ClaimAnswer, ClaimEnd } from '../../protocol/messages.js';
+import { majorityOf, memberId, membersMark } from '../../state/belief.js';
+import type { Belief } from '../../state/belief.js';
+import type { Member } from '../../state/entry.js';
+import type { RunKey } from '../../state/run-key.js';
+import { pause } from '../../transport/clock.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Peers } from '../members/peers.js';
 
 export type ClaimOutcome =
   | { readonly tag: 'claimed' }
--- a/src/coordination/flights.ts
+++ b/src/coordination/edge/flights.ts
@@ -1,5 +1,5 @@
-import type { WorkerRow, WorkerTable } from '../state/worker-table.js';
-import type { Clock } from '../transport/clock.js';
+import type { WorkerRow, WorkerTable } from '../../state/worker-table.js';
+import type { Clock } from '../../transport/clock.js';
 
 export type Flight = {
   readonly row: WorkerRow;
--- a/src/coordination/list-source.ts
+++ b/src/coordination/edge/list-source.ts
@@ -1,13 +1,13 @@
-import { err, ok } from '../base/result.js';
-import type { Result } from '../base/result.js';
-import type { Message, NodeInfo } from '../protocol/messages.js';
-import type { Listed } from '../protocol/platform-wire.js';
-import type { Clock } from '../transport/clock.js';
-import { shuffled } from '../transport/rng.js';
-import type { Rng } from '../transport/rng.js';
-import type { CloudFault, PlatformClient } from './cloud-client.js';
-import type { Membership } from './membership.js';
-import type { Peers } from './peers.js';
+import { err, ok } from '../../base/result.js';
+import type { Result } from '../../base/result.js';
+import type { Message, NodeInfo } from '../../protocol/messages.js';
+import type { Listed } from '../../protocol/platform-wire.js';
+import type { Clock } from '../../transport/clock.js';
+import { shuffled } from '../../transport/rng.js';
+import type { Rng } from '../../transport/rng.js';
+import type { CloudFault, PlatformClient } from '../scaling/cloud-client.js';
+import type { Membership } from '../members/membership.js';
+import type { Peers } from '../members/peers.js';
 
 export type SeenList = { readonly workers: readonly Listed[]; readonly ageMs: number; readonly secondHand: boolean };
 
--- a/src/coordination/sluice-door.ts
+++ b/src/coordination/edge/sluice-door.ts
@@ -1,15 +1,15 @@
-import type { Failure, PlaceAsk, Submit } from '../protocol/origin-wire.js';
-import { EDGE_FITNESS_PATH, PLACE_PATH, readPlace, readSubmit, REQUESTS_PATH, TICKET_HEADER } from '../protocol/origin-wire.js';
-import { mappingSubject, noteIn } from '../state/aim-counts.js';
-import type { CountTable, Ended } from '../state/aim-counts.js';
-import { readRunKey, runKey } from '../state/run-key.js';
-import type { RunKey } from '../state/run-key.js';
-import { createBurntTickets, readTicket } from '../state/ticket.js';
-import type { Ticket } from '../state/ticket.js';
-import type { Clock } from '../transport/clock.js';
-import type { HttpReply, HttpRequest, Route } from '../transport/http.js';
+import type { Failure, PlaceAsk, Submit } from '../../protocol/origin-wire.js';
+import { EDGE_FITNESS_PATH, PLACE_PATH, readPlace, readSubmit, REQUESTS_PATH, TICKET_HEADER } from '../../protocol/origin-wire.js';
+import { mappingSubject, noteIn } from '../../state/aim-counts.js';
+import type { CountTable, Ended } from '../../state/aim-counts.js';
+import { readRunKey, runKey } from '../../state/run-key.js';
+import type { RunKey } from '../../state/run-key.js';
+import { createBurntTickets, readTicket } from '../../state/ticket.js';
+import type { Ticket } from '../../state/ticket.js';
+import type { Clock } from '../../transport/clock.js';
+import type { HttpReply, HttpRequest, Route } from '../../transport/http.js';
 import type { AnswerLine, Dispatcher } from './dispatcher.js';
-import type { Follower } from './follower.js';
+import type { Follower } from '../ledger/follower.js';
 import { shed, sluiceId, TICKET_LIFE_MS } from './placer.js';
 import type { Placer, SluiceSelf } from './placer.js';
 
--- a/src/coordination/worker-watch.ts
+++ b/src/coordination/edge/worker-watch.ts
@@ -1,10 +1,10 @@
-import type { WorkerRow, WorkerTable } from '../state/worker-table.js';
-import { FITNESS_PATH, readFitness } from '../protocol/worker-wire.js';
-import type { Listed } from '../protocol/platform-wire.js';
-import { every } from '../transport/clock.js';
-import type { Clock } from '../transport/clock.js';
-import type { Caller } from '../transport/http.js';
-import type { Log } from '../transport/log.js';
+import type { WorkerRow, WorkerTable } from '../../state/worker-table.js';
+import { FITNESS_PATH, readFitness } from '../../protocol/worker-wire.js';
+import type { Listed } from '../../protocol/platform-wire.js';
+import { every } from '../../transport/clock.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Caller } from '../../transport/http.js';
+import type { Log } from '../../transport/log.js';
 import type { ListSource } from './list-source.js';
 
 export type WorkerWatch = {
--- a/src/coordination/aim-keeper.ts
+++ b/src/coordination/ledger/aim-keeper.ts
@@ -1,12 +1,12 @@
-import type { MessageOf } from '../protocol/messages.js';
-import { createAimBook } from '../state/aim-book.js';
-import type { Minute } from '../state/aim-book.js';
-import { CHANGES_SUBJECT, noteIn } from '../state/aim-counts.js';
-import type { CountTable } from '../state/aim-counts.js';
-import { every } from '../transport/clock.js';
-import type { Clock } from '../transport/clock.js';
+import type { MessageOf } from '../../protocol/messages.js';
+import { createAimBook } from '../../state/aim-book.js';
+import type { Minute } from '../../state/aim-book.js';
+import { CHANGES_SUBJECT, noteIn } from '../../state/aim-counts.js';
+import type { CountTable } from '../../state/aim-counts.js';
+import { every } from '../../transport/clock.js';
+import type { Clock } from '../../transport/clock.js';
 import type { Ledger } from './ledger.js';
-import type { Peers } from './peers.js';
+import type { Peers } from '../members/peers.js';
 
 export type AimMinutes = { readonly by: string; readonly now: number; readonly minutes: readonly Minute[] };
 
--- a/src/coordination/follower.ts
+++ b/src/coordination/ledger/follower.ts
@@ -1,16 +1,16 @@
-import { createEvents } from '../base/events.js';
-import { isTable } from '../base/is-table.js';
-import { parsedJson } from '../base/parsed-json.js';
-import type { Message, MessageOf } from '../protocol/messages.js';
-import { emptyBelief, foldBatch, isBelief, majorityOf } from '../state/belief.js';
-import type { Belief } from '../state/belief.js';
-import { createSharedTime } from '../state/shared-time.js';
-import { every } from '../transport/clock.js';
-import type { Clock, Wakeup } from '../transport/clock.js';
-import type { Disk } from '../transport/disk.js';
-import type { Log } from '../transport/log.js';
-import type { Address } from '../transport/wire.js';
-import type { Peer, Peers } from './peers.js';
+import { createEvents } from '../../base/events.js';
+import { isTable } from '../../base/is-table.js';
+import { parsedJson } from '../../base/parsed-json.js';
+import type { Message, MessageOf } from '../../protocol/messages.js';
+import { emptyBelief, foldBatch, isBelief, majorityOf } from '../../state/belief.js';
+import type { Belief } from '../../state/belief.js';
+import { createSharedTime } from '../../state/shared-time.js';
+import { every } from '../../transport/clock.js';
+import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Disk } from '../../transport/disk.js';
+import type { Log } from '../../transport/log.js';
+import type { Address } from '../../transport/wire.js';
+import type { Peer, Peers } from '../members/peers.js';
 
 export type FollowerEvents = { readonly moved: { readonly slot: number } };
 
--- a/src/coordination/lease.ts
+++ b/src/coordination/ledger/lease.ts
@@ -1,12 +1,12 @@
-import { majorityOf, memberId } from '../state/belief.js';
-import { askGrant, createLeaseBook, dropGrant } from '../state/lease-book.js';
-import type { Message, MessageOf } from '../protocol/messages.js';
-import type { Clock } from '../transport/clock.js';
-import { pause } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
-import type { Rng } from '../transport/rng.js';
+import { majorityOf, memberId } from '../../state/belief.js';
+import { askGrant, createLeaseBook, dropGrant } from '../../state/lease-book.js';
+import type { Message, MessageOf } from '../../protocol/messages.js';
+import type { Clock } from '../../transport/clock.js';
+import { pause } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { Rng } from '../../transport/rng.js';
 import type { Ledger } from './ledger.js';
-import type { Peers } from './peers.js';
+import type { Peers } from '../members/peers.js';
 
 export type Lease = {
   readonly fence: () => number | null;
--- a/src/coordination/life.ts
+++ b/src/coordination/ledger/life.ts
@@ -1,7 +1,7 @@
-import { isTable } from '../base/is-table.js';
-import { parsedJson } from '../base/parsed-json.js';
-import type { Disk } from '../transport/disk.js';
-import type { Log } from '../transport/log.js';
+import { isTable } from '../../base/is-table.js';
+import { parsedJson } from '../../base/parsed-json.js';
+import type { Disk } from '../../transport/disk.js';
+import type { Log } from '../../transport/log.js';
 
 const LIFE_FILE = 'life.json';
 const STEPS_IN_A_LIFE = 4_096;
--- a/src/coordination/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -1,12 +1,12 @@
-import type { Message, MessageOf } from '../protocol/messages.js';
-import { memberId, majorityOf } from '../state/belief.js';
-import { mergeReport } from '../state/reports.js';
-import type { Reports } from '../state/reports.js';
-import { every, pause } from '../transport/clock.js';
-import type { Clock, Wakeup } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
+import type { Message, MessageOf } from '../../protocol/messages.js';
+import { memberId, majorityOf } from '../../state/belief.js';
+import { mergeReport } from '../../state/reports.js';
+import type { Reports } from '../../state/reports.js';
+import { every, pause } from '../../transport/clock.js';
+import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
 import type { Ledger } from './ledger.js';
-import type { Peer, Peers } from './peers.js';
+import type { Peer, Peers } from '../members/peers.js';
 
 export type Push = {
   readonly reports: () => Reports;
--- a/src/coordination/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -1,16 +1,16 @@
-import { ok } from '../base/result.js';
-import type { Result } from '../base/result.js';
-import { createLine } from '../base/line.js';
-import { accept, createAcceptor, highestAccepted, prepare, raiseFloor, restoreSlot, slotOf } from '../state/acceptor.js';
-import type { Acceptor, SlotState, Vote } from '../state/acceptor.js';
-import type { Ballot } from '../state/ballot.js';
-import { emptyBelief, foldBatch } from '../state/belief.js';
-import type { Belief, Outcome } from '../state/belief.js';
-import type { Batch } from '../state/entry.js';
-import type { SlotBatch } from '../protocol/messages.js';
-import type { Disk } from '../transport/disk.js';
-import { openRing } from '../transport/ring.js';
-import type { RingFault, RingShape } from '../transport/ring.js';
+import { ok } from '../../base/result.js';
+import type { Result } from '../../base/result.js';
+import { createLine } from '../../base/line.js';
+import { accept, createAcceptor, highestAccepted, prepare, raiseFloor, restoreSlot, slotOf } from '../../state/acceptor.js';
+import type { Acceptor, SlotState, Vote } from '../../state/acceptor.js';
+import type { Ballot } from '../../state/ballot.js';
+import { emptyBelief, foldBatch } from '../../state/belief.js';
+import type { Belief, Outcome } from '../../state/belief.js';
+import type { Batch } from '../../state/entry.js';
+import type { SlotBatch } from '../../protocol/messages.js';
+import type { Disk } from '../../transport/disk.js';
+import { openRing } from '../../transport/ring.js';
+import type { RingFault, RingShape } from '../../transport/ring.js';
 
 export type StoreCommand =
   | { readonly tag: 'prepare'; readonly slot: number; readonly ballot: Ballot }
--- a/src/coordination/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -1,13 +1,13 @@
-import { createEvents } from '../base/events.js';
-import type { Message, MessageOf, NodeInfo } from '../protocol/messages.js';
-import { isUp, mergeNode } from '../state/members.js';
-import type { Members } from '../state/members.js';
-import { every } from '../transport/clock.js';
-import type { Clock } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
-import { shuffled } from '../transport/rng.js';
-import type { Rng } from '../transport/rng.js';
-import type { Address } from '../transport/wire.js';
+import { createEvents } from '../../base/events.js';
+import type { Message, MessageOf, NodeInfo } from '../../protocol/messages.js';
+import { isUp, mergeNode } from '../../state/members.js';
+import type { Members } from '../../state/members.js';
+import { every } from '../../transport/clock.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import { shuffled } from '../../transport/rng.js';
+import type { Rng } from '../../transport/rng.js';
+import type { Address } from '../../transport/wire.js';
 import type { Peers } from './peers.js';
 
 export type MembershipEvents = { readonly changed: { readonly node: NodeInfo } };
--- a/src/coordination/moved-heads.ts
+++ b/src/coordination/members/moved-heads.ts
@@ -1,6 +1,6 @@
-import type { NodeInfo } from '../protocol/messages.js';
-import type { Belief } from '../state/belief.js';
-import { isUp } from '../state/members.js';
+import type { NodeInfo } from '../../protocol/messages.js';
+import type { Belief } from '../../state/belief.js';
+import { isUp } from '../../state/members.js';
 import type { Membership } from './membership.js';
 import type { Peers } from './peers.js';
 
--- a/src/coordination/peers.test.ts
+++ b/src/coordination/members/peers.test.ts
@@ -3,9 +3,9 @@
 import { once } from 'node:events';
 import { createPeers } from './peers.js';
 import type { Peers } from './peers.js';
-import { createClock } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
-import { createTcpWire, splitAddress } from '../transport/wire.js';
+import { createClock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import { createTcpWire, splitAddress } from '../../transport/wire.js';
 
 const said: string[] = [];
 const log: Log = { info: () => {}, warn: (t) => said.push(t), error: () => {} };
--- a/src/coordination/peers.ts
+++ b/src/coordination/members/peers.ts
@@ -1,10 +1,10 @@
-import { err, ok } from '../base/result.js';
-import type { Result } from '../base/result.js';
-import { readFrame } from '../protocol/messages.js';
-import type { Message, MessageKind, MessageOf } from '../protocol/messages.js';
-import type { Clock, Wakeup } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
-import type { Address, Conn, Listener, Wire, WireFault } from '../transport/wire.js';
+import { err, ok } from '../../base/result.js';
+import type { Result } from '../../base/result.js';
+import { readFrame } from '../../protocol/messages.js';
+import type { Message, MessageKind, MessageOf } from '../../protocol/messages.js';
+import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { Address, Conn, Listener, Wire, WireFault } from '../../transport/wire.js';
 
 export type PeerFault =
   | { readonly tag: 'peerUnreachable'; readonly address: Address }
--- a/src/coordination/cloud-client.ts
+++ b/src/coordination/scaling/cloud-client.ts
@@ -1,12 +1,12 @@
-import { err, ok } from '../base/result.js';
-import type { Result } from '../base/result.js';
-import { MACHINES_PATH, PRICES_PATH, readMachine, readMachines, readNoCapacity, readPrices } from '../protocol/cloud-wire.js';
-import type { CloudOrder, Machine } from '../protocol/cloud-wire.js';
-import { readWorkerList, WORKERS_PATH } from '../protocol/platform-wire.js';
-import type { Listed } from '../protocol/platform-wire.js';
-import type { Price } from '../state/scaler-decide.js';
-import type { Caller } from '../transport/http.js';
-import type { Address } from '../transport/wire.js';
+import { err, ok } from '../../base/result.js';
+import type { Result } from '../../base/result.js';
+import { MACHINES_PATH, PRICES_PATH, readMachine, readMachines, readNoCapacity, readPrices } from '../../protocol/cloud-wire.js';
+import type { CloudOrder, Machine } from '../../protocol/cloud-wire.js';
+import { readWorkerList, WORKERS_PATH } from '../../protocol/platform-wire.js';
+import type { Listed } from '../../protocol/platform-wire.js';
+import type { Price } from '../../state/scaler-decide.js';
+import type { Caller } from '../../transport/http.js';
+import type { Address } from '../../transport/wire.js';
 
 export type CloudFault = { readonly tag: 'noCapacity' } | { readonly tag: 'cloudSilent' } | { readonly tag: 'cloudNonsense'; readonly detail: string };
 
--- a/src/operator/aims.ts
+++ b/src/operator/aims.ts
@@ -1,4 +1,4 @@
-import type { AimMinutes } from '../coordination/aim-keeper.js';
+import type { AimMinutes } from '../coordination/ledger/aim-keeper.js';
 import { isTable } from '../base/is-table.js';
 import { addCounts, CHANGES_SUBJECT, noCounts } from '../state/aim-counts.js';
 import { reportAim } from '../state/aim-report.js';
--- a/src/programs/daemons.ts
+++ b/src/programs/daemons.ts
@@ -2,7 +2,7 @@
 import type { ArgsDef } from 'citty';
 import { HEADGATE_SHAPES, startHeadgate } from '../coordination/headgate.js';
 import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
-import { startSluice } from '../coordination/sluice.js';
+import { startSluice } from '../coordination/edge/sluice.js';
 import type { Result } from '../base/result.js';
 import { compose, T } from './composition.js';
 import { EXIT } from './exit-codes.js';
--- a/src/state/settings-tree.ts
+++ b/src/state/settings-tree.ts
@@ -1,5 +1,6 @@
 import { isTable } from '../base/is-table.js';
 import type { Change } from './entry.js';
+import type { Serving } from './serving.js';
 
 export type Settings = {
   readonly zones?: readonly string[];
@@ -33,6 +34,7 @@
   readonly deployment: Settings;
   readonly regions: Readonly<Record<string, Branch>>;
   readonly mappings?: Readonly<Record<string, Mapping>>;
+  readonly serving?: Serving;
 };
 
 export type Resolved = {
