Hollow sluices: many to a process, and a count of what the wire carries

A hollow sluice is the product's own startSluice with a door that nothing listens at, so nothing is copied. An optional meter in the TCP wire counts frames, bytes and conns by kind, peer's role and distance; without it nothing changes.

--- /dev/null
+++ b/src/basin/hollow.ts
@@ -0,0 +1,154 @@
+import { err, ok } from '../base/result.js';
+import type { Result } from '../base/result.js';
+import { startSluice } from '../coordination/edge/sluice.js';
+import type { Sluice } from '../coordination/edge/sluice.js';
+import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
+import { WORKERS_PATH, readWorkerList } from '../protocol/platform-wire.js';
+import type { Listed } from '../protocol/platform-wire.js';
+import { FITNESS_PATH } from '../protocol/worker-wire.js';
+import { every, pause } from '../transport/clock.js';
+import type { Clock } from '../transport/clock.js';
+import type { Caller, Door, HttpAnswer, HttpCall, HttpFault, HttpReply, Route } from '../transport/http.js';
+import { newId } from '../transport/rng.js';
+import type { Address, Listener, WireFault } from '../transport/wire.js';
+
+export type HollowPart = {
+  readonly tally: () => { readonly sluices: number; readonly serving: number; readonly islanded: number; readonly leastEpoch: number; readonly inForceAt: Readonly<Record<number, number>>; readonly islandedMost: number };
+  readonly restart: (count: number) => Promise<void>;
+  readonly stop: () => Promise<void>;
+};
+
+export type HollowSluice = Pick<NodeIdentity, 'name' | 'zone' | 'region' | 'listen' | 'http' | 'seeds' | 'platform' | 'cloud'>;
+
+const LOOK_MS = 20;
+const STARTS_EVERY_MS = 20;
+
+// A door without callers: nothing listens, so all that a sluice does is control.
+export function hollowDoor(): Door {
+  async function open(address: Address): Promise<Result<Listener, WireFault>> {
+    return ok({ address, close: nothing });
+  }
+  return { open };
+}
+async function nothing(): Promise<void> {
+  return undefined;
+}
+
+// Workers' fitness is answered from the list last read through this caller, so that hollow workers need no conns.
+export function hollowWorkers(caller: Caller): Caller {
+  const listed = new Map<Address, Listed>();
+  async function call(c: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
+    const known = c.path === FITNESS_PATH ? listed.get(c.address) : undefined;
+    if (known) return ok(answer({ id: known.id, incarnation: known.machine, model: known.model, state: known.state, running: 0, readyForMs: 60_000 }));
+    const got = await caller.call(c);
+    if (c.path === WORKERS_PATH && got.ok) {
+      const read = readWorkerList(got.value.body);
+      if (read.ok) for (const w of read.value.workers) listed.set(w.address, w);
+    }
+    return got;
+  }
+  return { call };
+}
+function answer(body: unknown): HttpAnswer {
+  return { status: 200, headers: {}, body, lines: noLines(), abandon: idle };
+}
+async function* noLines(): AsyncGenerator<never> {
+  return;
+}
+function idle(): void {
+  return undefined;
+}
+
+// Doors of one process reach each other without a conn; all other calls go out.
+export function localDoors(door: Door, caller: Caller): { readonly door: Door; readonly caller: Caller } {
+  const opened = new Map<Address, readonly Route[]>();
+  async function open(address: Address, routes: readonly Route[]): Promise<Result<Listener, WireFault>> {
+    const got = await door.open(address, routes);
+    if (got.ok) opened.set(address, routes);
+    return got;
+  }
+  async function call(c: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
+    const route = opened.get(c.address)?.find(isIt);
+    if (!route) return caller.call(c);
+    const reply: HttpReply = await route.handle({ method: c.method, path: c.path, params: {}, query: {}, headers: {}, body: c.body, gone: never });
+    return ok({ ...answer(reply.body ?? null), status: reply.status });
+    function isIt(r: Route): boolean {
+      return r.method === c.method && r.path === c.path;
+    }
+  }
+  return { door: { open }, caller: { call } };
+}
+function never(): boolean {
+  return false;
+}
+
+export async function startHollowSluices(wanted: readonly HollowSluice[], depsOf: (of: HollowSluice) => NodeDeps, clock: Clock): Promise<Result<HollowPart, WireFault>> {
+  type Held = { readonly of: HollowSluice; sluice: Sluice | null };
+  const held: Held[] = [];
+  const inForceAt: Record<number, number> = {};
+  let least = 0;
+  let islandedMost = 0;
+
+  async function start(h: Held): Promise<Result<null, WireFault>> {
+    const deps = depsOf(h.of);
+    const id: NodeIdentity = { ...h.of, run: newId(deps.rng, 'run'), advertised: h.of.listen, httpListen: h.of.http };
+    const got = await startSluice(id, deps);
+    if (!got.ok) return got;
+    h.sluice = got.value;
+    return ok(null);
+  }
+  for (const of of wanted) {
+    const h: Held = { of, sluice: null };
+    held.push(h);
+    const got = await start(h);
+    if (!got.ok) return err(got.fault);
+    await pause(clock, STARTS_EVERY_MS);
+  }
+
+  function look(): void {
+    let now = Infinity;
+    let islanded = 0;
+    for (const h of held) {
+      const v = h.sluice?.view();
+      if (!v) continue;
+      now = Math.min(now, v.epoch);
+      if (v.islanded) islanded += 1;
+    }
+    islandedMost = Math.max(islandedMost, islanded);
+    if (now === Infinity || now <= least) return;
+    least = now;
+    inForceAt[now] = clock.wall();
+    for (const old of Object.keys(inForceAt)) if (Object.keys(inForceAt).length > 200) delete inForceAt[Number(old)];
+  }
+  const looking = every(clock, LOOK_MS, look);
+
+  function tally(): ReturnType<HollowPart['tally']> {
+    let serving = 0;
+    let islanded = 0;
+    for (const h of held) {
+      const v = h.sluice?.view();
+      if (v?.serving) serving += 1;
+      if (v?.islanded) islanded += 1;
+    }
+    return { sluices: held.length, serving, islanded, leastEpoch: least, inForceAt, islandedMost };
+  }
+
+  let next = 0;
+  async function restart(count: number): Promise<void> {
+    for (let i = 0; i < count && held.length > 0; i += 1) {
+      const h = held[next % held.length] as Held;
+      next += 1;
+      const old = h.sluice;
+      h.sluice = null;
+      await old?.stop();
+      await start(h);
+    }
+  }
+  async function stop(): Promise<void> {
+    looking.cancel();
+    const all: Promise<void>[] = [];
+    for (const h of held) if (h.sluice) all.push(h.sluice.stop());
+    await Promise.all(all);
+  }
+  return ok({ tally, restart, stop });
+}
--- /dev/null
+++ b/src/basin/tally.ts
@@ -0,0 +1,86 @@
+import { isTable } from '../base/is-table.js';
+import type { Caller, HttpAnswer, HttpCall, HttpFault } from '../transport/http.js';
+import type { Result } from '../base/result.js';
+import type { Address, WireMeter } from '../transport/wire.js';
+
+export type Place = { readonly role: string; readonly zone: string; readonly region: string };
+export type Places = Readonly<Record<Address, Place>>;
+
+export type TallyRow = { n: number; bytes: number };
+export type TallyTable = Readonly<Record<string, Readonly<TallyRow>>>;
+
+export type Tally = {
+  readonly meterOf: (own: Place) => WireMeter;
+  readonly countedCaller: (own: Place, caller: Caller) => Caller;
+  readonly rows: () => TallyTable;
+};
+
+const HEADERS_BYTES = 300;
+const WEIGHED_EACH = 16;
+
+export function distance(a: Place, b: Place): 'inZone' | 'betweenZones' | 'betweenRegions' {
+  if (a.region !== b.region) return 'betweenRegions';
+  return a.zone === b.zone ? 'inZone' : 'betweenZones';
+}
+
+function kindOf(body: unknown): string {
+  if (!isTable(body) || !isTable(body['m'])) return 'unknown';
+  return String(body['m']['kind']);
+}
+
+// Frames are counted by the end that dialled, so that each counts once in a fleet.
+export function createTally(places: Places): Tally {
+  const rows: Record<string, TallyRow> = {};
+  const weights = new Map<string, { calls: number; bytes: number }>();
+
+  function add(key: string, n: number, bytes: number): void {
+    const row = rows[key];
+    if (row) {
+      row.n += n;
+      row.bytes += bytes;
+    } else rows[key] = { n, bytes };
+  }
+
+  function keyOf(own: Place, peer: Address, what: string): string {
+    const there = places[peer];
+    return `${own.role} ${there?.role ?? 'unknown'} ${there ? distance(own, there) : 'betweenRegions'} ${what}`;
+  }
+
+  function meterOf(own: Place): WireMeter {
+    function frame(way: 'out' | 'in', peer: Address, dialled: boolean, bytes: number, body: unknown): void {
+      if (dialled) add(keyOf(own, peer, `${way} ${kindOf(body)}`), 1, bytes);
+    }
+    function conns(peer: Address, dialled: boolean, step: 1 | -1): void {
+      if (!dialled) return;
+      add(keyOf(own, peer, 'conns open'), step, 0);
+      if (step === 1) add(keyOf(own, peer, 'conns dialled'), 1, 0);
+    }
+    return { frame, conns };
+  }
+
+  function weigh(key: string, body: unknown): number {
+    const w = weights.get(key) ?? { calls: 0, bytes: 0 };
+    if (w.calls % WEIGHED_EACH === 0) w.bytes = body === undefined ? 0 : JSON.stringify(body).length;
+    w.calls += 1;
+    weights.set(key, w);
+    return w.bytes + HEADERS_BYTES;
+  }
+
+  function countedCaller(own: Place, caller: Caller): Caller {
+    async function call(c: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
+      const path = c.path.replace(/\?.*$/, '').replace(/\/[^/]*\d[^/]*$/, '/:id');
+      const out = keyOf(own, c.address, `out ${c.method}:${path}`);
+      add(out, 1, weigh(out, c.body));
+      const got = await caller.call(c);
+      const back = keyOf(own, c.address, `in ${c.method}:${path}`);
+      if (got.ok) add(back, 1, weigh(back, c.stream ? undefined : got.value.body));
+      return got;
+    }
+    return { call };
+  }
+
+  function table(): TallyTable {
+    return rows;
+  }
+  return { meterOf, countedCaller, rows: table };
+}
--- a/src/programs/basin.ts
+++ b/src/programs/basin.ts
@@ -20,6 +20,7 @@
 import { switchesAt } from '../transport/switch-file.js';
 import { EXIT } from './exit-codes.js';
 import { complain, flagsFit, leave, leaveUsage, onStop, say } from './flags.js';
+import { HOLLOW_ARGS, runHollow } from './hollow.js';
 import type { Lab } from './settings.js';
 
 type Ctx = { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> };
@@ -203,6 +204,7 @@
     platform: defineCommand({ meta: { name: 'platform', description: 'The list of workers' }, args: PLATFORM_ARGS, run: runPlatform }),
     cloud: defineCommand({ meta: { name: 'cloud', description: 'The cloud API' }, args: CLOUD_ARGS, run: runCloud }),
     origin: defineCommand({ meta: { name: 'origin', description: 'Callers' }, args: ORIGIN_ARGS, run: runOriginCommand }),
+    hollow: defineCommand({ meta: { name: 'hollow', description: 'Many sluices without traffic, or many workers, in one process' }, args: HOLLOW_ARGS, run: runHollow }),
     check: defineCommand({ meta: { name: 'check', description: 'Compares the journals against the rules' }, args: CHECK_ARGS, run: runCheck }),
   },
 });
--- a/src/programs/composition.ts
+++ b/src/programs/composition.ts
@@ -22,6 +22,8 @@
 import { switchesAt } from '../transport/switch-file.js';
 import type { Switches } from '../transport/switch-file.js';
 import type { Lab, NodeSettings } from './settings.js';
+import type { Place } from '../basin/tally.js';
+import { placeAt, tallyInto } from './tally-file.js';
 
 export const T = {
   settings: Symbol.for('settings'),
@@ -41,20 +43,32 @@
 const DIAL_MS = 1_000;
 const CONNECT_MS = 1_000;
 
+function nothing(): null {
+  return null;
+}
+function isSlow(lab: Lab | null): lab is Lab {
+  return lab !== null && (lab.switches !== undefined || Object.keys(lab.delayMs).length > 0);
+}
+
 export function compose(settings: NodeSettings): Container {
   const box = new Container({ defaultScope: 'Singleton' });
   const { lab } = settings;
+  const tally = lab?.tally ? tallyInto(lab.tally, nothing) : null;
+  function ownPlace(): Place {
+    return lab?.tally ? placeAt(lab.tally, settings.advertise) : { role: 'unknown', zone: settings.zone, region: settings.region };
+  }
 
   function makeLogs(): LogRoot {
     return createLogRoot(settings.logLevel);
   }
   function makeWire(): Wire {
-    const wire = createTcpWire(box.get<LogRoot>(T.logs).part('wire'), DIAL_MS);
-    return lab ? slowWire(wire, box.get<Clock>(T.clock), pathsOf(lab)) : wire;
+    const wire = createTcpWire(box.get<LogRoot>(T.logs).part('wire'), DIAL_MS, tally && tally.meterOf(ownPlace()));
+    return isSlow(lab) ? slowWire(wire, box.get<Clock>(T.clock), pathsOf(lab)) : wire;
   }
   function makeCaller(): Caller {
-    const caller = createGotCaller(CONNECT_MS);
-    return lab ? slowCaller(caller, box.get<Clock>(T.clock), pathsOf(lab)) : caller;
+    const got = createGotCaller(CONNECT_MS);
+    const caller = tally ? tally.countedCaller(ownPlace(), got) : got;
+    return isSlow(lab) ? slowCaller(caller, box.get<Clock>(T.clock), pathsOf(lab)) : caller;
   }
   function makePolicies(): readonly Policy[] {
     const kept: Policy[] = [];
--- /dev/null
+++ b/src/programs/hollow.ts
@@ -0,0 +1,103 @@
+import { readFileSync } from 'node:fs';
+import { createInterface } from 'node:readline';
+import type { ArgsDef } from 'citty';
+import { startBasinCloud } from '../basin/cloud.js';
+import { hollowDoor, hollowWorkers, localDoors, startHollowSluices } from '../basin/hollow.js';
+import type { HollowPart, HollowSluice } from '../basin/hollow.js';
+import { startBasinPlatform } from '../basin/platform.js';
+import type { Place } from '../basin/tally.js';
+import { startBasinWorker, WORKER_DEFAULTS } from '../basin/worker.js';
+import type { NodeDeps } from '../coordination/node.js';
+import { POLICIES } from '../state/policies.js';
+import { createGotCaller } from '../transport/caller.js';
+import { createClock } from '../transport/clock.js';
+import { createExpressDoor } from '../transport/door.js';
+import { createNoJournal } from '../transport/journal.js';
+import { createLogRoot } from '../transport/log.js';
+import { createOsRng } from '../transport/rng.js';
+import { createTcpWire } from '../transport/wire.js';
+import { EXIT } from './exit-codes.js';
+import { complain, flagsFit, leave, leaveUsage } from './flags.js';
+import { tallyInto } from './tally-file.js';
+import type { TallySettings } from './tally-file.js';
+
+type HollowWorker = { readonly id: string; readonly zone: string; readonly region: string; readonly http: string };
+type Prices = Readonly<Record<string, { readonly spot: number; readonly onDemand: number }>>;
+
+export type HollowPlan = {
+  readonly tally: TallySettings;
+  readonly wholeProbes: boolean;
+  readonly sluices: readonly HollowSluice[];
+  readonly outside?: { readonly platform: string; readonly cloud: string; readonly prices: Prices; readonly workers: readonly HollowWorker[] };
+};
+
+export const HOLLOW_ARGS = {
+  plan: { type: 'string', required: true, description: 'File that names the sluices and workers of this process (made by tools/capacity.mjs)' },
+} as const satisfies ArgsDef;
+
+const DIAL_MS = 1_000;
+
+export async function runHollow(ctx: { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> }): Promise<void> {
+  if (!flagsFit(ctx.rawArgs, HOLLOW_ARGS)) return leaveUsage();
+  const plan = JSON.parse(readFileSync(String(ctx.args['plan']), 'utf8')) as HollowPlan;
+  const clock = createClock();
+  const logs = createLogRoot('error');
+  let part: HollowPart | null = null;
+  function extra(): unknown {
+    return part?.tally() ?? null;
+  }
+  const tally = tallyInto(plan.tally, extra);
+
+  if (plan.outside && !(await startOutside(plan.outside))) return leave(EXIT.cannotListen);
+  if (plan.sluices.length > 0) {
+    const started = await startHollowSluices(plan.sluices, depsOf, clock);
+    if (!started.ok) {
+      complain(`hollow sluices could not start: ${JSON.stringify(started.fault)}`);
+      process.exit(EXIT.cannotListen);
+    }
+    part = started.value;
+  }
+
+  function depsOf(of: HollowSluice): NodeDeps {
+    const own: Place = { role: 'sluice', zone: of.zone, region: of.region };
+    const counted = tally.countedCaller(own, createGotCaller(DIAL_MS));
+    return {
+      clock,
+      rng: createOsRng(),
+      wire: createTcpWire(logs.part('wire'), DIAL_MS, tally.meterOf(own)),
+      door: hollowDoor(),
+      caller: plan.wholeProbes ? counted : tally.countedCaller(own, hollowWorkers(createGotCaller(DIAL_MS))),
+      disk: null,
+      logs,
+      policies: POLICIES,
+    };
+  }
+
+  async function startOutside(o: NonNullable<HollowPlan['outside']>): Promise<boolean> {
+    const local = localDoors(createExpressDoor(logs.part('basin')), createGotCaller(DIAL_MS));
+    const journal = createNoJournal();
+    const deps = { clock, rng: createOsRng(), door: local.door, caller: local.caller, journal };
+    const platform = await startBasinPlatform(o.platform, clock, local.door, journal);
+    const cloud = await startBasinCloud({ address: o.cloud, platform: o.platform, prices: o.prices }, deps);
+    let all = platform.ok && cloud.ok;
+    for (const w of o.workers) {
+      const got = await startBasinWorker({ ...WORKER_DEFAULTS, id: w.id, zone: w.zone, region: w.region, address: w.http, platform: o.platform, cloud: o.cloud, fixedModel: null }, deps);
+      all &&= got.ok;
+    }
+    return all;
+  }
+
+  async function obey(line: string): Promise<void> {
+    const [verb, count] = line.split(' ');
+    if (verb === 'restart') await part?.restart(Number(count ?? 1));
+  }
+  function heard(line: string): void {
+    void obey(line);
+  }
+  function gone(): void {
+    process.exit(EXIT.ok);
+  }
+  createInterface({ input: process.stdin }).on('line', heard).on('close', gone);
+  process.on('SIGTERM', gone);
+  process.on('SIGINT', gone);
+}
--- a/src/programs/settings.ts
+++ b/src/programs/settings.ts
@@ -22,7 +22,7 @@
   readonly lab: Lab | null;
 };
 
-export type Lab = { readonly zones: Readonly<Record<string, string>>; readonly delayMs: Readonly<Record<string, number>>; readonly withoutPolicy?: string; readonly switches?: string };
+export type Lab = { readonly zones: Readonly<Record<string, string>>; readonly delayMs: Readonly<Record<string, number>>; readonly withoutPolicy?: string; readonly switches?: string; readonly tally?: { readonly file: string; readonly places: string } };
 
 export type SettingsFault = { readonly key: string; readonly expected: string; readonly found: string };
 
@@ -66,7 +66,7 @@
   platform: Address,
   cloud: Address,
   logLevel: text('one of silent, error, warn, info', isLevel),
-  lab: t.intersection([t.type({ zones: t.record(t.string, t.string), delayMs: t.record(t.string, t.number) }), t.partial({ withoutPolicy: t.string, switches: t.string })], 'a table with zones and delayMs'),
+  lab: t.intersection([t.type({ zones: t.record(t.string, t.string), delayMs: t.record(t.string, t.number) }), t.partial({ withoutPolicy: t.string, switches: t.string, tally: t.type({ file: t.string, places: t.string }) })], 'a table with zones and delayMs'),
 };
 const REQUIRED = ['name', 'zone', 'region', 'listen', 'http', 'seeds', 'platform'] as const;
 
--- /dev/null
+++ b/src/programs/tally-file.ts
@@ -0,0 +1,27 @@
+import { readFileSync, renameSync, writeFileSync } from 'node:fs';
+import { createTally } from '../basin/tally.js';
+import type { Place, Places, Tally } from '../basin/tally.js';
+
+export type TallySettings = { readonly file: string; readonly places: string };
+
+const WRITE_MS = 250;
+
+export function readPlaces(path: string): Places {
+  return JSON.parse(readFileSync(path, 'utf8')) as Places;
+}
+
+export function tallyInto(s: TallySettings, extra: () => unknown): Tally {
+  const tally = createTally(readPlaces(s.places));
+  function write(): void {
+    const { rss, heapUsed } = process.memoryUsage();
+    writeFileSync(`${s.file}.new`, JSON.stringify({ at: performance.now(), pid: process.pid, rss, heapUsed, cpu: process.cpuUsage(), rows: tally.rows(), extra: extra() }));
+    renameSync(`${s.file}.new`, s.file);
+  }
+  setInterval(write, WRITE_MS).unref();
+  write();
+  return tally;
+}
+
+export function placeAt(tally: TallySettings, address: string): Place {
+  return readPlaces(tally.places)[address] ?? { role: 'unknown', zone: '', region: '' };
+}
--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -28,6 +28,11 @@
   readonly dial: (address: Address) => Promise<Result<Conn, WireFault>>;
 };
 
+export type WireMeter = {
+  readonly frame: (way: 'out' | 'in', peer: Address, dialled: boolean, bytes: number, body: unknown) => void;
+  readonly conns: (peer: Address, dialled: boolean, step: 1 | -1) => void;
+};
+
 export type HostPort = { readonly host: string; readonly port: number };
 
 export function splitAddress(address: Address): HostPort | null {
@@ -41,8 +46,9 @@
 const MAX_FRAME = 64 * 1024 * 1024;
 const MAX_UNSENT = 64 * 1024 * 1024;
 
-export function createTcpWire(log: Log, dialTimeoutMs: number): Wire {
-  function wrap(sock: Socket, peer: Address): Conn {
+export function createTcpWire(log: Log, dialTimeoutMs: number, meter: WireMeter | null = null): Wire {
+  function wrap(sock: Socket, peer: Address, dialled: boolean): Conn {
+    meter?.conns(peer, dialled, 1);
     let events: ConnEvents | null = null;
     let parts: string[] = [];
     let size = 0;
@@ -55,6 +61,7 @@
       if (done) return;
       done = true;
       sock.destroy();
+      meter?.conns(peer, dialled, -1);
       events?.closed();
     }
     function garbage(why: string): void {
@@ -70,6 +77,7 @@
         garbage('a frame was not JSON');
         return;
       }
+      meter?.frame('in', peer, dialled, text.length + 1, body);
       events?.frame(body);
     }
     function data(chunk: string | Buffer): void {
@@ -97,7 +105,9 @@
 
     function send(body: unknown): void {
       if (done) return;
-      sock.write(`${JSON.stringify(body)}\n`);
+      const text = `${JSON.stringify(body)}\n`;
+      meter?.frame('out', peer, dialled, text.length, body);
+      sock.write(text);
       if (sock.writableLength > MAX_UNSENT) garbage('the peer reads too slowly');
     }
     function attach(to: ConnEvents): void {
@@ -120,7 +130,7 @@
           open.delete(sock);
         }
         sock.on('close', gone);
-        onConn(wrap(sock, `${sock.remoteAddress ?? '?'}:${sock.remotePort ?? 0}`));
+        onConn(wrap(sock, `${sock.remoteAddress ?? '?'}:${sock.remotePort ?? 0}`, false));
       }
       const server: Server = createServer(accept);
       function failed(): void {
@@ -156,7 +166,7 @@
         sock.setTimeout(0);
         sock.off('error', failed);
         sock.off('timeout', failed);
-        resolve(ok(wrap(sock, address)));
+        resolve(ok(wrap(sock, address, true)));
       }
       sock.setTimeout(dialTimeoutMs);
       sock.once('timeout', failed);
