--- a/src/protocol/aims.ts
+++ b/src/protocol/aims.ts
@@ -5,7 +5,7 @@
 import type { Aim, Measure } from '../state/aim-report.js';
 import { BOUNDS_MS } from '../state/aim-counts.js';
 import type { Configuration } from '../state/settings-tree.js';
-import type { ConfigFault } from './configuration.js';
+import type { ConfigFault } from './codecs.js';
 
 const Measures = t.keyof({ success: null, firstPiece: null, whole: null, changeInForce: null, shed: null }, 'one of success, firstPiece, whole, changeInForce, shed');
 const KEYS = ['name', 'measure', 'model', 'mapping', 'objective', 'withinMs', 'window'] as const;
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -3,41 +3,8 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type { Configuration, Settings } from '../state/settings-tree.js';
-
-export type ConfigFault = { readonly path: string; readonly expected: string; readonly found: string };
-
-function ranged(name: string, low: number, high: number, whole: boolean): t.Type<number> {
-  function is(u: unknown): u is number {
-    return typeof u === 'number' && u >= low && u <= high && (!whole || Number.isInteger(u));
-  }
-  function validate(u: unknown, c: t.Context): t.Validation<number> {
-    return is(u) ? t.success(u) : t.failure(u, c);
-  }
-  function same(n: number): number {
-    return n;
-  }
-  return new t.Type<number>(`${name} from ${low} to ${high}`, is, validate, same);
-}
-
-function whole(low: number, high: number): t.Type<number> {
-  return ranged('a whole number', low, high, true);
-}
-function real(low: number, high: number): t.Type<number> {
-  return ranged('a number', low, high, false);
-}
-
-const NAME = /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/;
-function isName(u: unknown): u is string {
-  return typeof u === 'string' && NAME.test(u);
-}
-function validateName(u: unknown, c: t.Context): t.Validation<string> {
-  return isName(u) ? t.success(u) : t.failure(u, c);
-}
-function sameName(s: string): string {
-  return s;
-}
-const Name = new t.Type<string>('a name of letters, digits, dot, dash or underscore', isName, validateName, sameName);
-const Names = t.readonlyArray(Name, 'a list of names');
+import { faultAt, faultsIn, isName, Name, Names, real, whole } from './codecs.js';
+import type { ConfigFault } from './codecs.js';
 
 const SETTING_CODECS = {
   zones: Names,
@@ -65,25 +32,13 @@
 const BranchShape = { settings: true, models: true };
 const TopShape = { zones: true, deployment: true, regions: true, mappings: true };
 
-function shown(u: unknown): string {
-  const text = u === undefined ? 'nothing' : JSON.stringify(u);
-  return text.length > 80 ? `${text.slice(0, 77)}...` : text;
-}
-
 export function readConfiguration(doc: unknown): Result<Configuration, readonly ConfigFault[]> {
   const faults: ConfigFault[] = [];
   function fault(path: readonly string[], expected: string, found: unknown): void {
-    faults.push({ path: `/${path.join('/')}`, expected, found: shown(found) });
+    faults.push(faultAt(path, expected, found));
   }
   function check(path: readonly string[], codec: t.Mixed, value: unknown): void {
-    const read = codec.decode(value);
-    if (read._tag === 'Right') return;
-    for (const e of read.left) {
-      const inner: string[] = [];
-      for (const c of e.context.slice(1)) inner.push(c.key);
-      const last = e.context[e.context.length - 1];
-      fault([...path, ...inner], last ? last.type.name : codec.name, e.value);
-    }
+    faults.push(...faultsIn(path, codec, value));
   }
   function table(path: readonly string[], value: unknown, known: Readonly<Record<string, unknown>> | null): Record<string, unknown> {
     if (value === undefined) return {};
