A served configuration is checked, each fault with path, expectation and what was found

Mappings by host and prefix, traits of models and limits are a part of the configuration; the check refuses unknown models, shared places, shares that sum to 0, a deadline of 0 and prefixes without their slashes.

--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -5,6 +5,7 @@
 import type { Configuration, Settings } from '../state/settings-tree.js';
 import { faultAt, faultsIn, isName, Name, Names, real, whole } from './codecs.js';
 import type { ConfigFault } from './codecs.js';
+import { readServing } from './serving.js';
 
 const SETTING_CODECS = {
   zones: Names,
@@ -30,7 +31,7 @@
 } as const satisfies Record<keyof Settings, t.Mixed>;
 
 const BranchShape = { settings: true, models: true };
-const TopShape = { zones: true, deployment: true, regions: true, mappings: true };
+const TopShape = { zones: true, deployment: true, regions: true, mappings: true, serving: true };
 
 export function readConfiguration(doc: unknown): Result<Configuration, readonly ConfigFault[]> {
   const faults: ConfigFault[] = [];
@@ -100,6 +101,10 @@
     if (!modelHome.has(String(mapping['model']))) fault(['mappings', name, 'model'], 'a model named under /regions', mapping['model']);
     if (mapping['kind'] !== undefined && typeof mapping['kind'] !== 'string') fault(['mappings', name, 'kind'], 'a kind of request', mapping['kind']);
   }
+  if (top['serving'] !== undefined) {
+    const serving = readServing(top['serving'], ['serving']);
+    if (!serving.ok) faults.push(...serving.fault);
+  }
   if (faults.length > 0) return err(faults);
   return ok({
     ...(doc as Configuration),
--- /dev/null
+++ b/src/protocol/serving.ts
@@ -0,0 +1,124 @@
+import * as t from 'io-ts';
+import { isTable } from '../base/is-table.js';
+import { err, ok } from '../base/result.js';
+import type { Result } from '../base/result.js';
+import type { DoorMapping, EngineTraits, ModelTraits, OriginLimits, Serving, Share } from '../state/serving.js';
+import { faultAt, faultsIn, real, text, whole } from './codecs.js';
+import type { ConfigFault } from './codecs.js';
+
+const MOST = Number.MAX_SAFE_INTEGER;
+const MOST_NAME = 256;
+
+function isFilled(s: string): boolean {
+  return s !== '' && s.length <= MOST_NAME && s !== '__proto__';
+}
+function isHost(s: string): boolean {
+  return isFilled(s) && !/[\s/]/.test(s);
+}
+function isPrefix(s: string): boolean {
+  return s.startsWith('/') && s.endsWith('/');
+}
+function isPath(s: string): boolean {
+  return s.startsWith('/');
+}
+function above(u: unknown): u is number {
+  return typeof u === 'number' && u > 0 && u <= MOST;
+}
+function validateAbove(u: unknown, c: t.Context): t.Validation<number> {
+  return above(u) ? t.success(u) : t.failure(u, c);
+}
+
+const Filled = text(`a text of up to ${MOST_NAME} letters`, isFilled);
+const Above = new t.Type<number>('a number above 0', above, validateAbove, t.identity);
+const Amount = real(0, MOST);
+const Count = whole(0, MOST);
+const Flag = new t.Type<boolean>('true or false', t.boolean.is, t.boolean.validate, t.identity);
+const Table = new t.Type<Record<string, unknown>>('a table', isTable, validateTable, t.identity);
+function validateTable(u: unknown, c: t.Context): t.Validation<Record<string, unknown>> {
+  return isTable(u) ? t.success(u) : t.failure(u, c);
+}
+function orNull<A>(codec: t.Type<A>): t.Type<A | null> {
+  function is(u: unknown): u is A | null {
+    return u === null || codec.is(u);
+  }
+  function validate(u: unknown, c: t.Context): t.Validation<A | null> {
+    return u === null ? t.success(u) : (codec.validate(u, c) as t.Validation<A | null>);
+  }
+  return new t.Type<A | null>(`${codec.name}, or null`, is, validate, t.identity);
+}
+
+type Codecs<T> = { readonly [K in Exclude<keyof T, 'extra'>]-?: t.Mixed };
+
+const SHARE: Codecs<Share> = { model: Filled, share: Amount };
+const MAPPING: Codecs<DoorMapping> = {
+  at: Count,
+  host: text('a host', isHost),
+  prefix: text('a path that begins and ends with a slash', isPrefix),
+  kind: t.keyof({ repeatable: null, once: null, stream: null }, 'one of repeatable, once, stream'),
+  resumable: Flag,
+  pinned: Flag,
+  rank: orNull(Count),
+  deadlineMs: Above,
+  aimMs: orNull(Above),
+  pauseMs: orNull(Above),
+  dispatches: whole(1, 1_000),
+  shares: t.readonlyArray(t.type(SHARE, 'a share'), 'a list of shares'),
+  split: Flag,
+  homes: t.readonlyArray(Filled, 'a list of regions'),
+};
+const ENGINE: Codecs<EngineTraits> = { batch: whole(1, MOST), kvTokens: Amount };
+const MODEL: Codecs<ModelTraits> = {
+  at: Count,
+  fitnessPath: text('a path', isPath),
+  maxConns: whole(1, MOST),
+  coldS: Amount,
+  coldRateS: Amount,
+  engine: orNull(t.type(ENGINE, 'a table of batch and kvTokens')),
+};
+const LIMITS: Codecs<OriginLimits> = { headerBytes: Above, bodyBytes: Amount, headerMs: Above, idleMs: Above };
+const Mapping = t.type(MAPPING, 'a mapping');
+const Model = t.type(MODEL, 'a model');
+const Limits = t.type(LIMITS, 'a table of limits');
+const Numbered = whole(1, MOST);
+
+export function readServing(u: unknown, path: readonly string[] = []): Result<Serving, readonly ConfigFault[]> {
+  const faults: ConfigFault[] = [];
+  function fault(at: readonly string[], expected: string, found: unknown): void {
+    faults.push(faultAt([...path, ...at], expected, found));
+  }
+  function check(at: readonly string[], codec: t.Mixed, value: unknown): boolean {
+    const found = faultsIn([...path, ...at], codec, value);
+    faults.push(...found);
+    return found.length === 0;
+  }
+  function items<T>(key: string, value: unknown, codec: t.Mixed): [string, T][] {
+    const out: [string, T][] = [];
+    if (!check([key], Table, value)) return out;
+    for (const [name, item] of Object.entries(value as Record<string, unknown>)) {
+      if (!isFilled(name)) fault([key, name], Filled.name, name);
+      else if (check([key, name], codec, item)) out.push([name, item as T]);
+    }
+    return out;
+  }
+
+  if (!check([], Table, u)) return err(faults);
+  const top = u as Record<string, unknown>;
+  check(['number'], Numbered, top['number']);
+  check(['limits'], Limits, top['limits']);
+  items<ModelTraits>('models', top['models'], Model);
+  const models = isTable(top['models']) ? top['models'] : {};
+  const taken = new Map<string, string>();
+  for (const [name, mapping] of items<DoorMapping>('mappings', top['mappings'], Mapping)) {
+    const place = `${mapping.host.toLowerCase()} ${mapping.prefix}`;
+    const other = taken.get(place);
+    if (other !== undefined) fault(['mappings', name, 'prefix'], `a host and prefix that ${other} does not have`, place);
+    taken.set(place, name);
+    let sum = 0;
+    for (const [i, share] of mapping.shares.entries()) {
+      sum += share.share;
+      if (!Object.hasOwn(models, share.model)) fault(['mappings', name, 'shares', String(i), 'model'], 'a model named under models', share.model);
+    }
+    if (!(sum > 0)) fault(['mappings', name, 'shares'], 'shares that add up to more than 0', mapping.shares);
+  }
+  return faults.length > 0 ? err(faults) : ok(u as Serving);
+}
