An opaque door: requests by host and path, relayed unchanged to one worker

The platform's origins know no tickets. A door by host and prefix places each request by prompt tokens not kept, usage and distance, dispatches it to one worker, passes events as they come, resumes a resumable stream inside one answer, and never says not run of what may have run. Found by its first test: places were looked up before the ones chosen just before were held, so thirty requests at once went to one cold worker; place and hold are one step now.

--- /dev/null
+++ b/src/coordination/edge/relay.test.ts
@@ -0,0 +1,224 @@
+import { expect, test } from '@jest/globals';
+import { OPEN_WORDS as W } from '../../protocol/open-words.js';
+import { createDispatchBudget } from '../../state/dispatch-budget.js';
+import { createDoorTable } from '../../state/door-table.js';
+import { EDGE_TUNING } from '../../state/edge-tuning.js';
+import { DEFAULT_LIMITS } from '../../state/serving.js';
+import type { DoorMapping, Serving } from '../../state/serving.js';
+import { createWorkerBook } from '../../state/worker-book.js';
+import type { WorkerEntry } from '../../state/worker-entry.js';
+import { createWorld } from '../../sim/world.js';
+import { createQuietLog } from '../../transport/log.js';
+import type { OpenRequest, Outlets, RawHeaders, SendEvents, Sending } from '../../transport/open-http.js';
+import { createRng } from '../../transport/rng.js';
+import { createRelay } from './relay.js';
+
+const MAPPING: DoorMapping = {
+  at: 0, host: 'a.example', prefix: '/x/', kind: 'repeatable', resumable: false, pinned: false, rank: 0, deadlineMs: 5_000, aimMs: 800, pauseMs: null,
+  dispatches: 2, shares: [{ model: 'm', share: 1 }], split: false, homes: [],
+};
+
+type Sending2 = { readonly what: Sending; readonly events: SendEvents; cut: boolean };
+type Answer = { status: number; headers: RawHeaders; body: string; ended: boolean; cut: boolean };
+
+function entry(id: string, zone = 'z1', region = 'r1', over: Partial<WorkerEntry> = {}): WorkerEntry {
+  return { id, model: 'm', address: `10.0.0.1:${id.length}`, zone, region, release: '', places: 4, leaving: false, remainingMs: null, coldMs: 0, ...over };
+}
+
+async function rig(mapping: Partial<DoorMapping>, entries: readonly WorkerEntry[]) {
+  const world = createWorld(7);
+  const proc = world.begin(world.host('edge', 'z1'));
+  const clock = world.clockOf(proc);
+  const sent: Sending2[] = [];
+  const outlets: Outlets = {
+    send: (what, events) => {
+      const s: Sending2 = { what, events, cut: false };
+      sent.push(s);
+      return { cut: () => { s.cut = true; } };
+    },
+    open: () => 0, idle: () => 0, forget: () => undefined, made: () => 0, stop: () => undefined,
+  };
+  const serving: Serving = {
+    number: 1, mappings: { r: { ...MAPPING, ...mapping } }, limits: DEFAULT_LIMITS,
+    models: { m: { at: 0, fitnessPath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
+  };
+  const table = createDoorTable(serving);
+  const book = createWorkerBook({ zone: 'z1', region: 'r1' }, EDGE_TUNING);
+  book.takeList(entries, clock.mono());
+  const budget = createDispatchBudget({ ratio: 0.2, slack: 50, windowMs: 10_000 });
+  let closing = false;
+  const relay = createRelay({ words: W, tuning: EDGE_TUNING, book, budget, outlets, clock, rng: createRng(1), log: createQuietLog().part('t'), table: () => table, closing: () => closing });
+  function ask(headers: Record<string, string> = {}): { answer: Answer; leave: () => void } {
+    const answer: Answer = { status: 0, headers: [], body: '', ended: false, cut: false };
+    const watchers: (() => void)[] = [];
+    let gone = false;
+    const all: Record<string, string> = { host: 'a.example', [W.dispatchId]: 'q1', ...headers };
+    const req: OpenRequest = {
+      method: 'POST', target: '/x/1', headers: Object.entries(all).flat(), get: (n) => all[n] ?? null,
+      body: () => Promise.resolve({ ok: true, value: Buffer.from('hi') }),
+      answerer: {
+        head: (s, h) => { answer.status = s; answer.headers = h; },
+        write: (b) => { answer.body += b.toString(); },
+        end: () => { answer.ended = true; },
+        cut: () => { answer.cut = true; },
+        gone: () => gone,
+        onGone: (fn) => { watchers.push(fn); },
+      },
+    };
+    relay.handle(req);
+    return { answer, leave: () => { gone = true; for (const fn of watchers) fn(); } };
+  }
+  return { world, relay, sent, ask, book, close: () => { closing = true; } };
+}
+
+function sealed(s: Sending2, body: string, id = 'q1'): void {
+  const h = { [W.dispatchId]: id, [W.seal]: 's' } as Record<string, string>;
+  s.events.head(200, Object.entries(h).flat(), (n) => h[n] ?? null);
+  s.events.data(Buffer.from(body));
+}
+function notRun(s: Sending2): void {
+  const h = { [W.dispatchId]: 'q1', [W.notRun]: '1' } as Record<string, string>;
+  s.events.head(503, Object.entries(h).flat(), (n) => h[n] ?? null);
+  s.events.end();
+}
+
+test('a sealed whole answer is passed with its seal', async () => {
+  const r = await rig({}, [entry('w')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  sealed(r.sent[0]!, 'out');
+  expect(answer.status).toBe(0);
+  r.sent[0]!.events.end();
+  await r.world.advance(1);
+  expect(answer).toMatchObject({ status: 200, body: 'out', ended: true, cut: false });
+  expect(answer.headers).toContain(W.seal);
+});
+
+test('an answer for somebody else, without seal or encoded is never passed as a success', async () => {
+  for (const spoil of [{ [W.dispatchId]: 'q9', [W.seal]: 's' }, { [W.dispatchId]: 'q1' }, { [W.dispatchId]: 'q1', [W.seal]: 's', 'content-encoding': 'gzip' }] as Record<string, string>[]) {
+    const r = await rig({ kind: 'once', dispatches: 3 }, [entry('w'), entry('vv')]);
+    const { answer } = r.ask();
+    await r.world.advance(1);
+    r.sent[0]!.events.head(200, Object.entries(spoil).flat(), (n) => spoil[n] ?? null);
+    await r.world.advance(1);
+    expect(answer.status).toBe(502);
+    expect(r.sent).toHaveLength(1);
+    expect(r.sent[0]!.cut).toBe(true);
+  }
+});
+
+test('a request that may run once goes to a second worker only on the word that it was not run', async () => {
+  const r = await rig({ kind: 'once' }, [entry('w'), entry('vv')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  notRun(r.sent[0]!);
+  await r.world.advance(1);
+  expect(r.sent).toHaveLength(2);
+  expect(r.sent[1]!.what.address).not.toBe(r.sent[0]!.what.address);
+  r.sent[1]!.events.failed({ tag: 'broken' });
+  await r.world.advance(1);
+  expect(r.sent).toHaveLength(2);
+  expect(answer.status).toBe(502);
+});
+
+test('what may have run is never told as not run', async () => {
+  const r = await rig({ kind: 'once' }, [entry('w')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  const h = { [W.dispatchId]: 'q1' } as Record<string, string>;
+  r.sent[0]!.events.head(503, Object.entries(h).flat(), (n) => h[n] ?? null);
+  r.sent[0]!.events.end();
+  await r.world.advance(1);
+  expect(answer.status).toBe(502);
+});
+
+test('a refusal comes at once, with a time to come back, when the dispatches are used up', async () => {
+  const r = await rig({ dispatches: 1 }, [entry('w')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  notRun(r.sent[0]!);
+  await r.world.advance(1);
+  expect(answer.status).toBe(503);
+  expect(answer.headers.join(' ')).toContain('Retry-After');
+});
+
+test('a resumable stream goes on at another worker after the last event, under one head', async () => {
+  const r = await rig({ kind: 'stream', resumable: true }, [entry('w'), entry('vv')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  sealed(r.sent[0]!, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda');
+  r.sent[0]!.events.failed({ tag: 'broken' });
+  await r.world.advance(1);
+  expect(r.sent).toHaveLength(2);
+  const h = r.sent[1]!.what.headers;
+  expect(h[h.indexOf(W.lastEvent) + 1]).toBe('2');
+  sealed(r.sent[1]!, 'id: 3\ndata: c\n\n');
+  r.sent[1]!.events.end();
+  await r.world.advance(1);
+  expect(answer).toMatchObject({ status: 200, body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n', ended: true, cut: false });
+});
+
+test('a stream that may not be resumed is cut, never ended, when its worker breaks off', async () => {
+  const r = await rig({ kind: 'stream' }, [entry('w'), entry('vv')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  sealed(r.sent[0]!, 'id: 1\ndata: a\n\n');
+  r.sent[0]!.events.failed({ tag: 'broken' });
+  await r.world.advance(1);
+  expect(answer).toMatchObject({ ended: false, cut: true });
+  expect(r.sent).toHaveLength(1);
+});
+
+test('an event that is told twice ends a stream rather than reach its origin', async () => {
+  const r = await rig({ kind: 'stream' }, [entry('w')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  sealed(r.sent[0]!, 'id: 1\ndata: a\n\nid: 1\ndata: a\n\n');
+  await r.world.advance(1);
+  expect(answer).toMatchObject({ body: 'id: 1\ndata: a\n\n', ended: false, cut: true });
+});
+
+test('homes, leaving workers and evacuated zones bind the choice', async () => {
+  const r = await rig({ homes: ['r2'] }, [entry('w'), entry('vv', 'z2', 'r2', { leaving: true }), entry('uuu', 'z3', 'r2')]);
+  const one = r.ask();
+  await r.world.advance(1);
+  expect(r.sent[0]!.what.address).toBe('10.0.0.1:3');
+  r.book.takeZones({ z3: 4 }, () => [], 0, () => 0);
+  const two = r.ask();
+  await r.world.advance(400);
+  expect(r.sent).toHaveLength(1);
+  expect(two.answer.status).toBe(503);
+  expect(one.answer.status).toBe(0);
+});
+
+test('a cold worker gets no more than its rate allows this sluice', async () => {
+  const r = await rig({ aimMs: 100 }, [entry('w', 'z1', 'r1', { coldMs: 60_000, places: 500 })]);
+  r.book.sharers(4);
+  const asked = Array.from({ length: 30 }, () => r.ask());
+  await r.world.advance(60);
+  expect(r.sent.length).toBe(4);
+  expect(asked.filter((a) => a.answer.status === 503)).toHaveLength(26);
+});
+
+test('a request waits for a free place, the more urgent first, and goes when one is free', async () => {
+  const r = await rig({}, [entry('w', 'z1', 'r1', { places: 1 })]);
+  r.ask();
+  await r.world.advance(1);
+  r.ask();
+  await r.world.advance(50);
+  expect(r.sent).toHaveLength(1);
+  sealed(r.sent[0]!, 'out');
+  r.sent[0]!.events.end();
+  await r.world.advance(30);
+  expect(r.sent).toHaveLength(2);
+});
+
+test('an origin that leaves ends the work of its worker', async () => {
+  const r = await rig({}, [entry('w')]);
+  const { leave } = r.ask();
+  await r.world.advance(1);
+  leave();
+  expect(r.sent[0]!.cut).toBe(true);
+  await r.world.advance(10);
+  expect(r.relay.tally().open).toBe(0);
+});
--- /dev/null
+++ b/src/coordination/edge/relay.ts
@@ -0,0 +1,510 @@
+import type { OpenWords } from '../../protocol/open-words.js';
+import { createEventSplitter } from '../../state/event-splitter.js';
+import type { EventSplitter } from '../../state/event-splitter.js';
+import type { Door, DoorTable } from '../../state/door-table.js';
+import type { DispatchBudget } from '../../state/dispatch-budget.js';
+import type { EdgeTuning } from '../../state/edge-tuning.js';
+import type { Part } from '../../state/kept-parts.js';
+import type { DoorMapping } from '../../state/serving.js';
+import type { BookRow, Hold, PlaceAsk, WorkerBook } from '../../state/worker-book.js';
+import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { OpenRequest, Outlets, RawHeaders, SendFault, Sent } from '../../transport/open-http.js';
+import type { Rng } from '../../transport/rng.js';
+
+export type RelayDeps = {
+  readonly words: OpenWords;
+  readonly tuning: EdgeTuning;
+  readonly book: WorkerBook;
+  readonly budget: DispatchBudget;
+  readonly outlets: Outlets;
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly log: Log;
+  readonly table: () => DoorTable | null;
+  readonly closing: () => boolean;
+};
+
+export type RelayTally = {
+  requests: Record<string, number>;
+  shed: number;
+  dispatched: number;
+  retried: number;
+  resumed: number;
+  cut: number;
+  open: number;
+  waiting: number;
+};
+
+export type Relay = { readonly handle: (req: OpenRequest) => void; readonly wake: () => void; readonly tally: () => RelayTally };
+
+const HOP = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'expect', 'proxy-authenticate', 'proxy-authorization']);
+const MOST_HELD = 1_048_576;
+
+type End =
+  | { readonly tag: 'done' }
+  | { readonly tag: 'gone' }
+  | { readonly tag: 'late' }
+  | { readonly tag: 'notRun'; readonly status: number; readonly afterS: number }
+  | { readonly tag: 'neverSent' }
+  | { readonly tag: 'unknown' }
+  | { readonly tag: 'passedPart' }
+  | { readonly tag: 'answered'; readonly status: number; readonly headers: RawHeaders; readonly body: Buffer };
+
+type Job = {
+  readonly req: OpenRequest;
+  readonly door: Door;
+  readonly model: string;
+  readonly body: Buffer;
+  readonly repeatable: boolean;
+  readonly stream: boolean;
+  readonly id: string;
+  readonly until: number;
+  readonly cameAt: number;
+  readonly parts: readonly Part[];
+  readonly tokens: number;
+  readonly outTokens: number;
+  readonly avoid: Set<string>;
+  dispatches: number;
+  headPassed: boolean;
+  lastEvent: number | null;
+  offered: boolean;
+};
+
+type Taken = { readonly row: BookRow; readonly hold: Hold };
+
+type Waiter = { readonly job: Job; readonly go: (taken: Taken | null) => void; readonly until: number; wakeup: Wakeup };
+
+export function createRelay(deps: RelayDeps): Relay {
+  const { words, tuning, book, budget, outlets, clock, rng } = deps;
+  const counts: RelayTally = { requests: {}, shed: 0, dispatched: 0, retried: 0, resumed: 0, cut: 0, open: 0, waiting: 0 };
+  const line: Waiter[] = [];
+
+  function refuse(req: OpenRequest, status: number, tag: string, afterS: number | null): void {
+    const body = Buffer.from(JSON.stringify({ error: { tag } }));
+    const head = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
+    if (afterS !== null) head.push('Retry-After', afterS.toFixed(2));
+    if (deps.closing() || status === 413) head.push('Connection', 'close');
+    req.answerer.head(status, head);
+    req.answerer.write(body);
+    req.answerer.end();
+  }
+  function shed(job: Job, tag: string, afterS: number): void {
+    counts.shed += 1;
+    refuse(job.req, 503, tag, afterS);
+  }
+
+  function handle(req: OpenRequest): void {
+    void serve(req);
+  }
+
+  async function serve(req: OpenRequest): Promise<void> {
+    const cameAt = clock.mono();
+    const table = deps.table();
+    if (!table) {
+      counts.shed += 1;
+      refuse(req, 503, 'notReady', 0.3);
+      return;
+    }
+    const path = req.target.split('?', 1)[0] ?? '/';
+    const door = table.match(req.get('host') ?? '', path);
+    const got = await req.body(table.serving.limits.bodyBytes);
+    if (!got.ok) {
+      if (got.fault.tag === 'bodyTooLarge') refuse(req, 413, 'bodyTooLarge', null);
+      return;
+    }
+    if (!door) {
+      refuse(req, 404, 'noMapping', null);
+      return;
+    }
+    const id = req.get(words.dispatchId);
+    if (id === null || id === '') {
+      refuse(req, 400, 'noDispatchId', null);
+      return;
+    }
+    const job = jobOf(req, door, id, got.value, cameAt);
+    counts.requests[job.model] = (counts.requests[job.model] ?? 0) + 1;
+    counts.open += 1;
+    await run(job);
+    counts.open -= 1;
+  }
+
+  function jobOf(req: OpenRequest, door: Door, id: string, body: Buffer, cameAt: number): Job {
+    const m = door.mapping;
+    const given = Number(req.get(words.deadline) ?? NaN);
+    const left = Math.min(m.deadlineMs, Number.isFinite(given) && given > 0 ? given : m.deadlineMs);
+    const [tokens, out] = tokensOf(req.get(words.tokens));
+    const stream = m.kind === 'stream';
+    return {
+      req, door, model: shareOf(m, rng), body, id, cameAt, stream,
+      repeatable: m.kind === 'repeatable' || (stream && m.resumable),
+      until: cameAt + left,
+      parts: partsOf(req.get(words.prefix)),
+      tokens, outTokens: out, avoid: new Set(), dispatches: 0, headPassed: false, lastEvent: numberOr(req.get(words.lastEvent)), offered: false,
+    };
+  }
+
+  function askOf(job: Job): PlaceAsk {
+    const m = job.door.mapping;
+    return {
+      model: job.model, traits: deps.table()?.traits(job.model) ?? null, parts: job.parts, tokens: job.tokens, outTokens: job.outTokens,
+      bytes: job.body.length, homes: m.homes, pinned: m.pinned, avoid: job.avoid, now: clock.mono(),
+    };
+  }
+
+  async function run(job: Job): Promise<void> {
+    const { req } = job;
+    const aim = job.door.mapping.aimMs ?? 2_000;
+    budget.arrived(job.model, clock.mono());
+    for (;;) {
+      if (req.answerer.gone()) return;
+      const taken = await placed(job, aim);
+      if (req.answerer.gone()) {
+        taken?.hold.end();
+        return;
+      }
+      if (!taken) {
+        giveUp(job, 'full', 0.15 + 0.25 * rng.next());
+        return;
+      }
+      if (job.dispatches > 0) {
+        budget.spend(job.model, clock.mono());
+        counts.retried += 1;
+      }
+      const sentAt = clock.mono();
+      const { row } = taken;
+      const end = await dispatch(job, taken);
+      if (end.tag === 'done' || end.tag === 'gone') return;
+      if (end.tag !== 'neverSent') job.dispatches += 1;
+      else if (clock.mono() - sentAt > 50) job.offered = job.offered || false;
+      if (end.tag === 'late') {
+        giveUp(job, 'late', null);
+        return;
+      }
+      if (end.tag === 'passedPart' && !(job.stream && job.repeatable)) {
+        counts.cut += 1;
+        req.answerer.cut();
+        return;
+      }
+      job.avoid.add(row.entry.id);
+      const left = job.until - clock.mono();
+      const again =
+        left > 30 &&
+        (end.tag === 'neverSent' ||
+          ((end.tag === 'notRun' || job.repeatable) && job.dispatches < job.door.mapping.dispatches && budget.may(job.model, clock.mono())));
+      if (again) {
+        if (end.tag === 'passedPart') counts.resumed += 1;
+        continue;
+      }
+      if (end.tag === 'answered') pass(job, end.status, end.headers, end.body);
+      else if (end.tag === 'notRun') giveUp(job, 'workerFull', Math.max(0.1, end.afterS));
+      else if (end.tag === 'neverSent') giveUp(job, 'unreachable', 0.2);
+      else giveUp(job, 'unknown', null);
+      return;
+    }
+  }
+
+  function giveUp(job: Job, tag: string, afterS: number | null): void {
+    const { answerer } = job.req;
+    if (job.headPassed) {
+      counts.cut += 1;
+      answerer.cut();
+      return;
+    }
+    if (afterS !== null) shed(job, tag, afterS);
+    else refuse(job.req, tag === 'late' ? 504 : 502, tag, null);
+  }
+
+  function pass(job: Job, status: number, headers: RawHeaders, body: Buffer): void {
+    const { answerer } = job.req;
+    if (job.headPassed) {
+      counts.cut += 1;
+      answerer.cut();
+      return;
+    }
+    const promises = status === 503 || status === 429 || status === 408 || status === 421;
+    answerer.head(promises ? 502 : status, [...cleaned(headers), 'Content-Length', String(body.length), ...(deps.closing() ? ['Connection', 'close'] : [])]);
+    answerer.write(body);
+    answerer.end();
+  }
+
+  function take(job: Job): Taken | 'busy' | 'none' {
+    const ask = askOf(job);
+    const got = book.place(ask);
+    return got.tag === 'row' ? { row: got.row, hold: book.begin(got.row, ask) } : got.tag;
+  }
+
+  function placed(job: Job, aim: number): Promise<Taken | null> {
+    const first = line.length === 0 ? take(job) : null;
+    if (first !== null && typeof first === 'object') return Promise.resolve(first);
+    if (first === 'none' && job.avoid.size > 0) {
+      job.avoid.clear();
+      const second = take(job);
+      if (typeof second === 'object') return Promise.resolve(second);
+    }
+    if (line.length >= tuning.lineMost) return Promise.resolve(null);
+    const now = clock.mono();
+    const until = Math.min(job.until - 20, job.dispatches === 0 && !job.headPassed ? Math.max(job.cameAt + aim * tuning.lineShare, now) : now + 400);
+    function start(resolve: (taken: Taken | null) => void): void {
+      function go(taken: Taken | null): void {
+        w.wakeup.cancel();
+        const i = line.indexOf(w);
+        if (i >= 0) line.splice(i, 1);
+        counts.waiting = line.length;
+        resolve(taken);
+      }
+      function late(): void {
+        go(null);
+      }
+      const w: Waiter = { job, go, until, wakeup: clock.wakeup(Math.max(0, until - now), late) };
+      const rank = rankOf(job);
+      let at = line.length;
+      while (at > 0 && rankOf((line[at - 1] as Waiter).job) > rank) at -= 1;
+      line.splice(at, 0, w);
+      counts.waiting = line.length;
+      job.req.answerer.onGone(late);
+      wake();
+    }
+    return new Promise(start);
+  }
+
+  let waking = false;
+  function wake(): void {
+    if (waking) return;
+    waking = true;
+    for (const w of [...line]) {
+      const got = take(w.job);
+      if (typeof got === 'object') w.go(got);
+    }
+    waking = false;
+  }
+  function tick(): void {
+    if (line.length > 0) wake();
+    clock.wakeup(25, tick);
+  }
+  tick();
+
+  function dispatch(job: Job, taken: Taken): Promise<End> {
+    const { req } = job;
+    const { row, hold } = taken;
+    counts.dispatched += 1;
+    const left = job.until - clock.mono();
+    const headers = outbound(job, row, left);
+    function start(resolve: (end: End) => void): void {
+      let status = 0;
+      let raw: RawHeaders = [];
+      let parts: Buffer[] = [];
+      let size = 0;
+      let splitter: EventSplitter | null = null;
+      let over = false;
+      const deadline = clock.wakeup(Math.max(1, left), late);
+      let sent: Sent | null = null;
+
+      function finish(end: End): void {
+        if (over) return;
+        over = true;
+        deadline.cancel();
+        hold.end();
+        resolve(end);
+        wake();
+      }
+      function late(): void {
+        finish({ tag: 'late' });
+        sent?.cut();
+      }
+      function originGone(): void {
+        if (over) return;
+        finish({ tag: 'gone' });
+        sent?.cut();
+      }
+      function spoilt(): void {
+        book.failed(row, clock.mono());
+        finish(job.headPassed ? { tag: 'passedPart' } : { tag: 'unknown' });
+        sent?.cut();
+      }
+
+      function head(s: number, h: RawHeaders, get: (name: string) => string | null): void {
+        if (over) return;
+        status = s;
+        raw = h;
+        const coldMs = Number(get(words.coldMs) ?? 0);
+        if (coldMs > 0) book.cold(row, clock.mono(), coldMs);
+        if (get(words.dispatchId) !== job.id && !(s === 421 || get(words.notRun) !== null)) {
+          spoilt();
+          return;
+        }
+        if (get('content-encoding') !== null) {
+          spoilt();
+          return;
+        }
+        if (s === 421 || get(words.notRun) !== null) {
+          if (s === 421) book.moved(row);
+          else book.full(row, clock.mono(), 60);
+          notRunAfter = numberOr(get('retry-after')) ?? 0.2;
+          return;
+        }
+        if (s >= 200 && s < 300) {
+          if (get(words.seal) === null) {
+            spoilt();
+            return;
+          }
+          if (job.stream) splitter = createEventSplitter();
+        }
+      }
+      let notRunAfter: number | null = null;
+
+      function data(chunk: Buffer): void {
+        if (over) return;
+        if (!splitter) {
+          size += chunk.length;
+          parts.push(chunk);
+          if (size > MOST_HELD) spoilt();
+          return;
+        }
+        const events = splitter.take(chunk);
+        if (events.length === 0) return;
+        hold.read();
+        passHead();
+        for (const e of events) {
+          if (e.id !== null) {
+            if (job.lastEvent !== null && e.id <= job.lastEvent) {
+              spoilt();
+              return;
+            }
+            job.lastEvent = e.id;
+          }
+          req.answerer.write(e.bytes);
+        }
+      }
+      function passHead(): void {
+        if (job.headPassed) return;
+        job.headPassed = true;
+        req.answerer.head(status, [...cleaned(raw), ...(deps.closing() ? ['Connection', 'close'] : [])]);
+      }
+      function end(): void {
+        if (over) return;
+        if (notRunAfter !== null) {
+          finish({ tag: 'notRun', status, afterS: notRunAfter });
+          return;
+        }
+        if (splitter) {
+          const rest = splitter.rest();
+          if (rest.length > 0) {
+            spoilt();
+            return;
+          }
+          book.served(row);
+          passHead();
+          req.answerer.end();
+          finish({ tag: 'done' });
+          return;
+        }
+        const body = Buffer.concat(parts);
+        parts = [];
+        if (status >= 200 && status < 300) {
+          book.served(row);
+          pass(job, status, raw, body);
+          finish({ tag: 'done' });
+          return;
+        }
+        if (status >= 500) book.failed(row, clock.mono());
+        finish({ tag: 'answered', status, headers: raw, body });
+      }
+      function failed(fault: SendFault): void {
+        if (over) return;
+        if (fault.tag === 'neverSent') {
+          book.failed(row, clock.mono());
+          finish({ tag: 'neverSent' });
+          return;
+        }
+        if (fault.tag === 'closedUnread') {
+          finish({ tag: 'neverSent' });
+          return;
+        }
+        if (notRunAfter !== null) {
+          finish({ tag: 'notRun', status, afterS: notRunAfter });
+          return;
+        }
+        spoilt();
+      }
+      req.answerer.onGone(originGone);
+      sent = outlets.send(
+        { address: row.entry.address, method: req.method, target: req.target, headers, body: job.body.length > 0 || hasBody(req) ? job.body : null, connectMs: Math.min(left, tuning.connectMs) },
+        { head, data, end, failed },
+      );
+      if (over) sent.cut();
+    }
+    return new Promise(start);
+  }
+
+  function outbound(job: Job, row: BookRow, left: number): string[] {
+    const out: string[] = [];
+    const { headers } = job.req;
+    for (let i = 0; i + 1 < headers.length; i += 2) {
+      const name = headers[i] as string;
+      const low = name.toLowerCase();
+      if (HOP.has(low) || low === words.deadline || low === words.expectWorker || low === words.urgency) continue;
+      if (low === words.lastEvent && job.headPassed) continue;
+      out.push(name, headers[i + 1] as string);
+    }
+    out.push(words.deadline, String(Math.max(1, Math.floor(left))), words.expectWorker, row.entry.id);
+    const rank = job.door.mapping.rank;
+    if (rank !== null) out.push(words.urgency, String(Math.max(0, Math.min(9, rank))));
+    if (job.headPassed && job.lastEvent !== null) out.push(words.lastEvent, String(job.lastEvent));
+    return out;
+  }
+
+  function tally(): RelayTally {
+    return counts;
+  }
+  return { handle, wake, tally };
+}
+
+function hasBody(req: OpenRequest): boolean {
+  return req.get('content-length') !== null || req.get('transfer-encoding') !== null;
+}
+
+function rankOf(job: Job): number {
+  return job.door.mapping.rank ?? 5;
+}
+
+function cleaned(headers: RawHeaders): string[] {
+  const out: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string;
+    if (!HOP.has(name.toLowerCase())) out.push(name, headers[i + 1] as string);
+  }
+  return out;
+}
+
+function shareOf(m: DoorMapping, rng: Rng): string {
+  let sum = 0;
+  for (const s of m.shares) sum += s.share;
+  let at = rng.next() * sum;
+  for (const s of m.shares) {
+    at -= s.share;
+    if (at < 0) return s.model;
+  }
+  return m.shares[m.shares.length - 1]?.model ?? '';
+}
+
+function tokensOf(text: string | null): [number, number] {
+  const [a, b] = (text ?? '').split(',');
+  return [numberOr(a ?? null) ?? 0, numberOr(b ?? null) ?? 0];
+}
+
+function partsOf(text: string | null): Part[] {
+  const out: Part[] = [];
+  for (const piece of (text ?? '').split(',')) {
+    const at = piece.lastIndexOf(':');
+    const tokens = Number(piece.slice(at + 1));
+    if (at > 0 && Number.isFinite(tokens)) out.push({ id: piece.slice(0, at).trim(), tokens });
+  }
+  return out;
+}
+
+function numberOr(text: string | null): number | null {
+  if (text === null || text.trim() === '') return null;
+  const n = Number(text);
+  return Number.isFinite(n) ? n : null;
+}
--- /dev/null
+++ b/src/state/door-table.ts
@@ -0,0 +1,38 @@
+import type { DoorMapping, ModelTraits, Serving } from './serving.js';
+
+export type Door = { readonly name: string; readonly mapping: DoorMapping };
+
+export type DoorTable = {
+  readonly serving: Serving;
+  readonly match: (host: string, path: string) => Door | null;
+  readonly traits: (model: string) => ModelTraits | null;
+};
+
+export function createDoorTable(serving: Serving): DoorTable {
+  const hosts = new Map<string, Map<string, Door>>();
+  for (const [name, mapping] of Object.entries(serving.mappings)) {
+    const host = mapping.host.toLowerCase();
+    const of = hosts.get(host) ?? new Map<string, Door>();
+    hosts.set(host, of);
+    of.set(mapping.prefix, { name, mapping });
+  }
+
+  function match(host: string, path: string): Door | null {
+    const of = hosts.get(bare(host));
+    if (!of) return null;
+    for (let cut = path.lastIndexOf('/'); cut >= 0; cut = cut === 0 ? -1 : path.lastIndexOf('/', cut - 1)) {
+      const found = of.get(path.slice(0, cut + 1));
+      if (found) return found;
+    }
+    return null;
+  }
+  function traits(model: string): ModelTraits | null {
+    return Object.hasOwn(serving.models, model) ? (serving.models[model] as ModelTraits) : null;
+  }
+  return { serving, match, traits };
+}
+
+function bare(host: string): string {
+  const at = host.lastIndexOf(':');
+  return (at > 0 && /^\d+$/.test(host.slice(at + 1)) ? host.slice(0, at) : host).toLowerCase();
+}
--- /dev/null
+++ b/src/transport/line-log.ts
@@ -0,0 +1,20 @@
+import type { Log, LogRoot } from './log.js';
+
+export function createLineLog(): LogRoot {
+  function part(prefix: string): Log {
+    function line(level: string, text: string): void {
+      process.stderr.write(`${new Date().toISOString()} ${level} [${prefix}] ${text}\n`);
+    }
+    function info(text: string): void {
+      line('info ', text);
+    }
+    function warn(text: string): void {
+      line('warn ', text);
+    }
+    function error(text: string): void {
+      line('error', text);
+    }
+    return { info, warn, error };
+  }
+  return { part };
+}
--- /dev/null
+++ b/src/transport/open-door.ts
@@ -0,0 +1,126 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { err, ok } from '../base/result.js';
+import type { Result } from '../base/result.js';
+import { closeServer, portOf } from './close-server.js';
+import type { Answerer, BodyFault, OpenDoor, OpenLimits, OpenListener, OpenRequest, RawHeaders } from './open-http.js';
+import { splitAddress } from './wire.js';
+import type { Address, WireFault } from './wire.js';
+
+const MOST_HEADER = 65_536;
+const CHECK_MS = 1_000;
+
+function answererOf(res: ServerResponse): Answerer {
+  const watchers: (() => void)[] = [];
+  let over = false;
+  function closed(): void {
+    if (over || res.writableFinished) return;
+    over = true;
+    for (const fn of watchers) fn();
+  }
+  res.on('close', closed);
+  function nothing(): void {}
+  res.on('error', nothing);
+
+  function head(status: number, headers: RawHeaders): void {
+    if (res.headersSent || res.destroyed) return;
+    res.sendDate = false;
+    res.writeHead(status, headers as unknown as string[]);
+  }
+  function write(data: Buffer): void {
+    if (!res.destroyed) res.write(data);
+  }
+  function end(): void {
+    if (!res.destroyed) res.end();
+  }
+  function cut(): void {
+    res.destroy();
+  }
+  function gone(): boolean {
+    return over || res.destroyed;
+  }
+  function onGone(fn: () => void): void {
+    watchers.push(fn);
+  }
+  return { head, write, end, cut, gone, onGone };
+}
+
+function requestOf(req: IncomingMessage, res: ServerResponse): OpenRequest {
+  function get(name: string): string | null {
+    const v = req.headers[name];
+    return typeof v === 'string' ? v : null;
+  }
+  function body(most: number): Promise<Result<Buffer, BodyFault>> {
+    function start(resolve: (r: Result<Buffer, BodyFault>) => void): void {
+      const parts: Buffer[] = [];
+      let size = 0;
+      let done = false;
+      function finish(r: Result<Buffer, BodyFault>): void {
+        if (done) return;
+        done = true;
+        resolve(r);
+      }
+      function data(chunk: Buffer): void {
+        size += chunk.length;
+        if (size > most) finish(err({ tag: 'bodyTooLarge' }));
+        else parts.push(chunk);
+      }
+      function end(): void {
+        finish(ok(parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts)));
+      }
+      function gone(): void {
+        finish(err({ tag: 'originGone' }));
+      }
+      req.on('data', data);
+      req.on('end', end);
+      req.on('close', gone);
+      req.on('error', gone);
+    }
+    return new Promise(start);
+  }
+  return { method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders, get, body, answerer: answererOf(res) };
+}
+
+export function createOpenDoor(): OpenDoor {
+  function open(address: Address, handle: (req: OpenRequest) => void): Promise<Result<OpenListener, WireFault>> {
+    const hp = splitAddress(address);
+    if (!hp) return Promise.resolve(err({ tag: 'badAddress', address }));
+    const target = hp;
+    function onRequest(req: IncomingMessage, res: ServerResponse): void {
+      handle(requestOf(req, res));
+    }
+    const server: Server = createServer({ maxHeaderSize: MOST_HEADER, connectionsCheckingInterval: CHECK_MS, noDelay: true, requestTimeout: 0 }, onRequest);
+    server.keepAliveTimeout = 15_000;
+    function onConn(sock: Socket): void {
+      function nothing(): void {}
+      sock.on('error', nothing);
+    }
+    server.on('connection', onConn);
+    function start(resolve: (r: Result<OpenListener, WireFault>) => void): void {
+      function bad(): void {
+        resolve(err({ tag: 'addressInUse', address }));
+      }
+      function drop(): void {
+        server.closeAllConnections();
+      }
+      function close(): Promise<void> {
+        return closeServer(server, drop);
+      }
+      function closeIdle(): void {
+        server.closeIdleConnections();
+      }
+      function limit(limits: OpenLimits): void {
+        server.headersTimeout = limits.headerMs;
+        server.keepAliveTimeout = limits.idleMs;
+      }
+      function ready(): void {
+        resolve(ok({ address: `${target.host}:${portOf(server, target.port)}`, close, closeIdle, limit }));
+      }
+      server.once('error', bad);
+      server.listen({ port: target.port, host: target.host, backlog: 511 }, ready);
+    }
+    return new Promise(start);
+  }
+  return { open };
+}
--- /dev/null
+++ b/src/transport/open-http.ts
@@ -0,0 +1,62 @@
+import type { Result } from '../base/result.js';
+import type { Address, Listener, WireFault } from './wire.js';
+
+export type RawHeaders = readonly string[];
+
+export type BodyFault = { readonly tag: 'bodyTooLarge' } | { readonly tag: 'originGone' };
+
+export type Answerer = {
+  readonly head: (status: number, headers: RawHeaders) => void;
+  readonly write: (data: Buffer) => void;
+  readonly end: () => void;
+  readonly cut: () => void;
+  readonly gone: () => boolean;
+  readonly onGone: (fn: () => void) => void;
+};
+
+export type OpenRequest = {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: RawHeaders;
+  readonly get: (name: string) => string | null;
+  readonly body: (most: number) => Promise<Result<Buffer, BodyFault>>;
+  readonly answerer: Answerer;
+};
+
+export type OpenLimits = { readonly headerMs: number; readonly idleMs: number };
+
+export type OpenListener = Listener & { readonly closeIdle: () => void; readonly limit: (limits: OpenLimits) => void };
+
+export type OpenDoor = { readonly open: (address: Address, handle: (req: OpenRequest) => void) => Promise<Result<OpenListener, WireFault>> };
+
+export type SendFault =
+  | { readonly tag: 'neverSent' }
+  | { readonly tag: 'closedUnread' }
+  | { readonly tag: 'broken' };
+
+export type SendEvents = {
+  readonly head: (status: number, headers: RawHeaders, get: (name: string) => string | null) => void;
+  readonly data: (chunk: Buffer) => void;
+  readonly end: () => void;
+  readonly failed: (fault: SendFault) => void;
+};
+
+export type Sending = {
+  readonly address: Address;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer | null;
+  readonly connectMs: number;
+};
+
+export type Sent = { readonly cut: () => void };
+
+export type Outlets = {
+  readonly send: (what: Sending, events: SendEvents) => Sent;
+  readonly open: (address: Address) => number;
+  readonly idle: (address: Address) => number;
+  readonly forget: (address: Address) => void;
+  readonly made: () => number;
+  readonly stop: () => void;
+};
--- /dev/null
+++ b/src/transport/outlets.ts
@@ -0,0 +1,205 @@
+import { request } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { createConnection } from 'node:net';
+import type { Socket } from 'node:net';
+import type { Clock } from './clock.js';
+import type { Outlets, SendEvents, SendFault, Sending, Sent } from './open-http.js';
+import { splitAddress } from './wire.js';
+import type { Address } from './wire.js';
+
+type Idle = { readonly sock: Socket; readonly until: number; readonly drop: () => void };
+type Place = { open: number; readonly idle: Idle[]; keepMs: number };
+
+const KEEP_MS = 20_000;
+const KEEP_MARGIN_MS = 700;
+const SWEEP_MS = 500;
+
+function nothing(): void {}
+
+export function createOutlets(clock: Clock): Outlets {
+  const places = new Map<Address, Place>();
+  let dialled = 0;
+
+  function placeOf(address: Address): Place {
+    const have = places.get(address);
+    if (have) return have;
+    const made: Place = { open: 0, idle: [], keepMs: KEEP_MS };
+    places.set(address, made);
+    return made;
+  }
+
+  function rest(at: Place, sock: Socket): void {
+    function drop(): void {
+      sock.off('data', drop);
+      sock.off('end', drop);
+      sock.off('close', drop);
+      const i = at.idle.indexOf(idle);
+      if (i >= 0) at.idle.splice(i, 1);
+      sock.destroy();
+    }
+    const idle: Idle = { sock, until: clock.mono() + at.keepMs - KEEP_MARGIN_MS, drop };
+    sock.on('data', drop);
+    sock.on('end', drop);
+    sock.on('close', drop);
+    at.idle.push(idle);
+  }
+
+  function taken(at: Place): Socket | null {
+    const now = clock.mono();
+    for (;;) {
+      const idle = at.idle.pop();
+      if (!idle) return null;
+      idle.sock.off('data', idle.drop);
+      idle.sock.off('end', idle.drop);
+      idle.sock.off('close', idle.drop);
+      if (idle.until > now && !idle.sock.destroyed && idle.sock.readableLength === 0) return idle.sock;
+      idle.sock.destroy();
+    }
+  }
+
+  function send(what: Sending, events: SendEvents): Sent {
+    const at = placeOf(what.address);
+    let over = false;
+    let sock: Socket | null = taken(at);
+    const reused = sock !== null;
+    let req: ClientRequest | null = null;
+    let res: IncomingMessage | null = null;
+
+    function fail(fault: SendFault): void {
+      if (over) return;
+      over = true;
+      sock?.destroy();
+      events.failed(fault);
+    }
+    function broke(e?: { readonly code?: string }): void {
+      const unread = reused && res === null && e?.code === 'ECONNRESET' && req !== null && !req.writableFinished;
+      fail(unread ? { tag: 'closedUnread' } : { tag: 'broken' });
+    }
+
+    function onResponse(r: IncomingMessage): void {
+      if (over) {
+        r.resume();
+        return;
+      }
+      res = r;
+      const keep = r.headers['keep-alive'];
+      const told = typeof keep === 'string' ? /timeout=(\d+)/.exec(keep) : null;
+      if (told) at.keepMs = Number(told[1]) * 1_000;
+      function get(name: string): string | null {
+        const v = r.headers[name];
+        return typeof v === 'string' ? v : null;
+      }
+      function data(chunk: Buffer): void {
+        if (!over) events.data(chunk);
+      }
+      function end(): void {
+        if (over) return;
+        if (!r.complete) {
+          broke();
+          return;
+        }
+        over = true;
+        events.end();
+      }
+      r.on('data', data);
+      r.on('end', end);
+      r.on('aborted', broke);
+      r.on('error', broke);
+      events.head(r.statusCode ?? 0, r.rawHeaders, get);
+    }
+
+    function go(s: Socket): void {
+      if (over) {
+        s.destroy();
+        return;
+      }
+      sock = s;
+      function own(): Socket {
+        return s;
+      }
+      const headers = [...what.headers, 'Connection', 'keep-alive'];
+      if (what.body !== null) headers.push('Content-Length', String(what.body.length));
+      req = request({ method: what.method, path: what.target, headers: headers as unknown as Record<string, string>, createConnection: own, setHost: false });
+      req.on('response', onResponse);
+      req.on('error', broke);
+      function free(): void {
+        if (s.destroyed || !over) s.destroy();
+        else rest(at, s);
+      }
+      s.once('free', free);
+      req.end(what.body ?? undefined);
+    }
+
+    function dial(): void {
+      const hp = splitAddress(what.address);
+      if (!hp) {
+        fail({ tag: 'neverSent' });
+        return;
+      }
+      dialled += 1;
+      at.open += 1;
+      const s = createConnection({ host: hp.host, port: hp.port, noDelay: true });
+      sock = s;
+      s.on('error', nothing);
+      function closed(): void {
+        at.open -= 1;
+        if (at.open === 0 && at.idle.length === 0) places.delete(what.address);
+      }
+      s.once('close', closed);
+      function late(): void {
+        s.destroy();
+        fail({ tag: 'neverSent' });
+      }
+      const wakeup = clock.wakeup(what.connectMs, late);
+      function refused(): void {
+        wakeup.cancel();
+        fail({ tag: 'neverSent' });
+      }
+      function connected(): void {
+        wakeup.cancel();
+        s.off('error', refused);
+        s.off('close', refused);
+        go(s);
+      }
+      s.once('error', refused);
+      s.once('close', refused);
+      s.once('connect', connected);
+    }
+
+    if (sock) go(sock);
+    else dial();
+
+    function cut(): void {
+      if (over) return;
+      over = true;
+      req?.destroy();
+      sock?.destroy();
+    }
+    return { cut };
+  }
+
+  function sweep(): void {
+    const now = clock.mono();
+    for (const at of places.values()) for (const idle of [...at.idle]) if (idle.until <= now) idle.drop();
+    sweeping = clock.wakeup(SWEEP_MS, sweep);
+  }
+  let sweeping = clock.wakeup(SWEEP_MS, sweep);
+
+  function open(address: Address): number {
+    return places.get(address)?.open ?? 0;
+  }
+  function idleAt(address: Address): number {
+    return places.get(address)?.idle.length ?? 0;
+  }
+  function forget(address: Address): void {
+    for (const idle of [...(places.get(address)?.idle ?? [])]) idle.drop();
+  }
+  function made(): number {
+    return dialled;
+  }
+  function stop(): void {
+    sweeping.cancel();
+    for (const at of places.values()) for (const idle of [...at.idle]) idle.drop();
+  }
+  return { send, open, idle: idleAt, forget, made, stop };
+}
