Conns to workers are kept: tests of the outlets, and two faults they found

Node sets a request without agent to close after its own headers were read, so each request dialled anew; and an answer's end was told before its conn was free, so the next request dialled too. Seen: 3 conns for 3 requests before, 1 after.

--- a/src/transport/outlets.ts
+++ b/src/transport/outlets.ts
@@ -99,7 +99,7 @@
           return;
         }
         over = true;
-        events.end();
+        process.nextTick(events.end);
       }
       r.on('data', data);
       r.on('end', end);
@@ -120,6 +120,7 @@
       const headers = [...what.headers, 'Connection', 'keep-alive'];
       if (what.body !== null) headers.push('Content-Length', String(what.body.length));
       req = request({ method: what.method, path: what.target, headers: headers as unknown as Record<string, string>, createConnection: own, setHost: false });
+      req.shouldKeepAlive = true;
       req.on('response', onResponse);
       req.on('error', broke);
       function free(): void {
