Seeds found the ledger by themselves at the first start of all

A deployment without an operator who runs 'valve found' needs its first headgates to found. They agree slot zero by a ballot among the seeds as the first start named them, kept on disk: a majority of disks that have been there from the start, so a blank machine beside an old ledger has no vote, and one killed in the middle is finished by the next in turn. Two-phase commit was ruled out: with some members committed and the proposer's disk gone it either stands still or founds again. A round counts votes early once a majority is out of reach. Claims and scaler can be off; rings are sized from the disk.

--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -11,9 +11,10 @@
 import type { Rng } from '../transport/rng.js';
 import type { Address, WireFault } from '../transport/wire.js';
 import { createAimKeeper } from './ledger/aim-keeper.js';
-import { createClaims } from './ledger/claims.js';
+import { createClaims, noClaims } from './ledger/claims.js';
 import { createCloudClient, createPlatformClient } from './scaling/cloud-client.js';
 import { createLease } from './ledger/lease.js';
+import type { Lease } from './ledger/lease.js';
 import { nextLife } from './ledger/life.js';
 import { createLedger } from './ledger/ledger.js';
 import type { Ledger } from './ledger/ledger.js';
@@ -26,6 +27,7 @@
 import { createPeers } from './members/peers.js';
 import { createPush } from './ledger/push.js';
 import { createScaler } from './scaling/scaler.js';
+import type { Scaler } from './scaling/scaler.js';
 
 export type Headgate = { readonly wire: Address; readonly http: Address; readonly ledger: Ledger; readonly claimsReady: () => boolean; readonly holdsScaler: () => boolean; readonly stop: () => Promise<void> };
 
@@ -33,37 +35,54 @@
 
 const IDENTITY_FILE = 'identity.json';
 
-async function incarnationOf(disk: Disk, rng: Rng): Promise<Result<string, DiskFault | { readonly tag: 'identityUnreadable' }>> {
+type Identity = { readonly incarnation: string; readonly founders: readonly Address[] | null };
+
+async function identityOf(id: NodeIdentity, disk: Disk, rng: Rng): Promise<Result<Identity, DiskFault | { readonly tag: 'identityUnreadable' }>> {
   const kept = await disk.load(IDENTITY_FILE);
   if (!kept.ok) return kept;
   if (kept.value) {
     const read = parsedIdentity(kept.value.toString());
     return read === null ? err({ tag: 'identityUnreadable' }) : ok(read);
   }
-  const incarnation = newId(rng, 'i');
-  const saved = await disk.replace(IDENTITY_FILE, Buffer.from(JSON.stringify({ incarnation })));
-  return saved.ok ? ok(incarnation) : saved;
+  const founds = id.founding === true && id.seeds.includes(id.advertised);
+  const made: Identity = { incarnation: newId(rng, 'i'), founders: founds ? id.seeds : null };
+  const saved = await disk.replace(IDENTITY_FILE, Buffer.from(JSON.stringify(made)));
+  return saved.ok ? ok(made) : saved;
 }
 
-function parsedIdentity(text: string): string | null {
+function parsedIdentity(text: string): Identity | null {
   const v = parsedJson(text);
-  return isTable(v) && typeof v['incarnation'] === 'string' && v['incarnation'] !== '' ? v['incarnation'] : null;
+  if (!isTable(v) || typeof v['incarnation'] !== 'string' || v['incarnation'] === '') return null;
+  const founders = v['founders'];
+  return { incarnation: v['incarnation'], founders: Array.isArray(founders) ? founders.map(String) : null };
 }
 
 export type HeadgateShapes = { readonly ledger: RingShape; readonly claims: RingShape };
 
+const MB = 1_048_576;
+
 export const HEADGATE_SHAPES: HeadgateShapes = {
-  ledger: { name: 'ledger', files: 6, fileBytes: 8 * 1_048_576, snapshotBytes: 48 * 1_048_576 },
-  claims: { name: 'claims', files: 6, fileBytes: 4 * 1_048_576, snapshotBytes: 70 * 1_048_576 },
+  ledger: { name: 'ledger', files: 6, fileBytes: 8 * MB, snapshotBytes: 48 * MB },
+  claims: { name: 'claims', files: 6, fileBytes: 4 * MB, snapshotBytes: 70 * MB },
 };
 
-export async function startHeadgate(id: NodeIdentity, deps: NodeDeps, shapes: HeadgateShapes): Promise<Result<Headgate, HeadgateFault>> {
+export function shapesFor(diskBytes: number): HeadgateShapes {
+  const unit = Math.max(MB / 4, Math.min(8 * MB, Math.floor(diskBytes / 64)));
+  return {
+    ledger: { name: 'ledger', files: 4, fileBytes: unit, snapshotBytes: 3 * unit },
+    claims: { name: 'claims', files: 4, fileBytes: unit, snapshotBytes: 8 * unit },
+  };
+}
+
+export async function startHeadgate(id: NodeIdentity, deps: NodeDeps, given?: HeadgateShapes): Promise<Result<Headgate, HeadgateFault>> {
   const { clock, rng, logs, caller, disk } = deps;
   const log = logs.part('headgate');
   if (!disk) return err({ tag: 'noDisk' });
-  const incarnation = await incarnationOf(disk, rng);
-  if (!incarnation.ok) return incarnation;
-  const self: Member = { name: id.name, incarnation: incarnation.value, address: id.advertised };
+  const shapes = given ?? (id.diskBytes === undefined ? HEADGATE_SHAPES : shapesFor(id.diskBytes));
+  const identity = await identityOf(id, disk, rng);
+  if (!identity.ok) return identity;
+  const { incarnation, founders } = identity.value;
+  const self: Member = { name: id.name, incarnation, address: id.advertised };
   const peers = createPeers(deps.wire, clock, logs.part('peers'));
   const node: NodeInfo = {
     name: id.name,
@@ -80,17 +99,17 @@
   function mayRejoin(): boolean {
     return true;
   }
-  const made = await createLedger({ clock, rng, peers, disk, log: logs.part('ledger'), shape: shapes.ledger, self, seeds: id.seeds, mayRejoin });
+  const made = await createLedger({ clock, rng, peers, disk, log: logs.part('ledger'), shape: shapes.ledger, self, seeds: id.seeds, founders, mayRejoin });
   if (!made.ok) return made;
   const ledger = made.value;
-  const claims = await createClaims(ledger, peers, disk, shapes.claims, clock, logs.part('claims'));
+  const claims = id.claims === false ? ok(noClaims()) : await createClaims(ledger, peers, disk, shapes.claims, clock, logs.part('claims'));
   if (!claims.ok) {
     ledger.stop();
     return claims;
   }
   const push = createPush(ledger, peers, clock, logs.part('push'));
   const aims = createAimKeeper(ledger, peers, clock);
-  const lease = createLease(SCALER_DUTY, ledger, peers, clock, rng, logs.part('lease'));
+  const lease = id.cloud === null ? null : createLease(SCALER_DUTY, ledger, peers, clock, rng, logs.part('lease'));
   const opened = await peers.open(id.listen);
   if (!opened.ok) return opened;
   function contacts(): Set<Address> {
@@ -100,20 +119,23 @@
   }
   const membership = createMembership(node, contacts, peers, clock, rng, logs.part('members'));
   followMovedHeads(membership, ledger.belief, peers);
-  const scaler = createScaler({
-    ledger,
-    lease,
-    push,
-    cloud: createCloudClient(caller, id.cloud),
-    platform: createPlatformClient(caller, id.platform),
-    caller,
-    clock,
-    rng,
-    log: logs.part('scaler'),
-  });
+  const scaler = lease && id.cloud !== null ? startScaler(lease, id.cloud) : null;
+  function startScaler(held: Lease, cloud: Address): Scaler {
+    return createScaler({
+      ledger,
+      lease: held,
+      push,
+      cloud: createCloudClient(caller, cloud),
+      platform: createPlatformClient(caller, id.platform),
+      caller,
+      clock,
+      rng,
+      log: logs.part('scaler'),
+    });
+  }
 
   function holdsScaler(): boolean {
-    return lease.fence() !== null;
+    return lease !== null && lease.fence() !== null;
   }
 
   function status(): unknown {
@@ -196,8 +218,8 @@
   log.info(`Headgate ${memberId(self)} at ${served.address}, peers at ${opened.value.address}.`);
 
   async function stopAll(): Promise<void> {
-    scaler.stop();
-    lease.stop();
+    scaler?.stop();
+    lease?.stop();
     membership.leave();
     membership.stop();
     push.stop();
--- a/src/coordination/ledger/claims.ts
+++ b/src/coordination/ledger/claims.ts
@@ -56,6 +56,17 @@
   return out;
 }
 
+export function noClaims(): Claims {
+  function ready(): boolean {
+    return false;
+  }
+  function size(): number {
+    return 0;
+  }
+  function stop(): void {}
+  return { ready, size, stop };
+}
+
 export async function createClaims(ledger: Ledger, peers: Peers, disk: Disk, shape: RingShape, clock: Clock, log: Log): Promise<Result<Claims, RingFault>> {
   const opened = await openRing(disk, shape);
   if (!opened.ok) return opened;
--- /dev/null
+++ b/src/coordination/ledger/founding.test.ts
@@ -0,0 +1,51 @@
+import { describe, expect, test } from '@jest/globals';
+import { createSimCore } from '../../sim/sim-core.js';
+import type { SimCore } from '../../sim/sim-core.js';
+
+const THREE = ['h1', 'h2', 'h3'];
+const THREE_OF_FIVE = { headgates: 5, seeds: 3, regionMs: 35 };
+
+function ledgers(core: SimCore): string[] {
+  const found = new Set<string>();
+  for (const n of core.nodes) found.add(n.headgate?.ledger.belief().ledger ?? '');
+  return [...found];
+}
+
+describe('founding at the first start of all', () => {
+  test.each([1, 2, 3, 4, 5, 6])('three seeds found one ledger within two seconds, and take an order (seed %i)', async (seed) => {
+    const core = createSimCore(seed);
+    core.startAll();
+    expect(await core.until(2_000, () => core.whole(THREE))).toBe(true);
+    expect((await core.order('h2', 'a')).result).toMatchObject({ ok: true, value: { outcome: { tag: 'applied' } } });
+    expect(await core.evacuatedAt('h3')).toEqual(['a']);
+    expect(core.broken).toEqual([]);
+  });
+
+  test.each([1, 2, 3])('one seed alone founds its own (seed %i)', async (seed) => {
+    const core = createSimCore(seed, { headgates: 1, seeds: 1, regionMs: 35 });
+    core.startAll();
+    expect(await core.until(2_000, () => core.whole(['h1']))).toBe(true);
+  });
+
+  test.each([1, 2, 3, 4])('a headgate that is not among the seeds founds nothing (seed %i)', async (seed) => {
+    const core = createSimCore(seed, THREE_OF_FIVE);
+    for (const name of ['h4', 'h5', 'h1']) core.start(name);
+    await core.world.advance(6_000);
+    expect(ledgers(core)).toEqual(['']);
+    expect(core.broken).toEqual([]);
+  });
+
+  test.each([1, 2, 3, 4])('blank machines beside an old ledger found nothing (seed %i)', async (seed) => {
+    const core = createSimCore(seed);
+    core.startAll();
+    expect(await core.until(2_000, () => core.whole(THREE))).toBe(true);
+    for (const name of THREE) core.kill(name);
+    for (const name of ['h1', 'h2']) core.wipe(name);
+    for (const name of ['h1', 'h2']) core.start(name);
+    await core.world.advance(10_000);
+    expect(ledgers(core)).toEqual(['']);
+    core.start('h3');
+    await core.world.advance(5_000);
+    expect(core.broken).toEqual([]);
+  });
+});
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -3,8 +3,6 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf, SlotBatch } from '../../protocol/messages.js';
-import { compareBallots } from '../../state/ballot.js';
-import type { Ballot } from '../../state/ballot.js';
 import { isBelief, majorityOf, memberId, operationOf } from '../../state/belief.js';
 import type { Belief, Outcome } from '../../state/belief.js';
 import type { Act, Batch, Entry, Member } from '../../state/entry.js';
@@ -17,6 +15,10 @@
 import type { Rng } from '../../transport/rng.js';
 import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
+import { createFounding, foundedEntry } from './founding.js';
+import { poll } from './poll.js';
+import type { Votes } from './poll.js';
+import { runRound } from './round.js';
 import { openStore } from './store.js';
 import type { StoreCommand } from './store.js';
 
@@ -60,6 +62,7 @@
   readonly shape: RingShape;
   readonly self: Member;
   readonly seeds: readonly Address[];
+  readonly founders: readonly Address[] | null;
   readonly mayRejoin: (old: Member) => boolean;
 };
 
@@ -67,13 +70,6 @@
 const STANDING_MS = 500;
 const DANGLING_MS = 1_000;
 
-type RoundEnd =
-  | { readonly tag: 'chosen'; readonly batch: Batch }
-  | { readonly tag: 'outbid'; readonly round: number }
-  | { readonly tag: 'behind' }
-  | { readonly tag: 'noMajority' }
-  | { readonly tag: 'cannotWrite'; readonly fault: RingFault };
-
 type Proposal = { readonly entry: Entry; readonly until: number };
 
 export async function createLedger(deps: LedgerDeps): Promise<Result<Ledger, RingFault>> {
@@ -108,7 +104,6 @@
   }
 
   async function vote(command: Extract<StoreCommand, { tag: 'prepare' | 'accept' }>): Promise<Message> {
-    if (!isMember()) return { kind: 'cannotVote' };
     const answer = await store.put(command);
     if (answer.tag === 'cannotWrite') {
       noteBlocked(answer.fault);
@@ -134,83 +129,15 @@
     blockedBy = fault;
   }
 
-  function poll(ask: (m: Member) => Promise<Message | null>, enough: (votes: ReadonlyMap<string, Message>) => boolean): Promise<ReadonlyMap<string, Message>> {
-    const members = belief().members;
-    function start(resolve: (votes: ReadonlyMap<string, Message>) => void): void {
-      const votes = new Map<string, Message>();
-      let open = members.length;
-      if (open === 0) resolve(votes);
-      async function one(m: Member): Promise<void> {
-        const got = await ask(m);
-        open -= 1;
-        if (got) votes.set(memberId(m), got);
-        if (open === 0 || enough(votes)) resolve(votes);
-      }
-      for (const m of members) void one(m);
-    }
-    return new Promise(start);
+  async function askMember(m: Member, message: Message): Promise<Message | null> {
+    if (memberId(m) === me) return ownAnswer(message);
+    const got = await peers.call(m.address, message, VOTE_WAIT_MS);
+    if (!got.ok) return null;
+    const a = got.value;
+    return 'voter' in a && a.voter !== memberId(m) ? null : a;
   }
-
-  function askMember(message: Message, own: () => Promise<Message>): (m: Member) => Promise<Message | null> {
-    async function ask(m: Member): Promise<Message | null> {
-      if (memberId(m) === me) return own();
-      const got = await peers.call(m.address, message, VOTE_WAIT_MS);
-      if (!got.ok) return null;
-      const a = got.value;
-      return 'voter' in a && a.voter !== memberId(m) ? null : a;
-    }
-    return ask;
-  }
-
-  async function round(slot: number, ballot: Ballot, mine: Batch): Promise<RoundEnd> {
-    const need = majorityOf(belief().members);
-    function settled(kind: Message['kind']): (votes: ReadonlyMap<string, Message>) => boolean {
-      function check(votes: ReadonlyMap<string, Message>): boolean {
-        let n = 0;
-        for (const v of votes.values()) {
-          if (v.kind === 'outbid' || v.kind === 'alreadyChosen') return true;
-          if (v.kind === kind) n += 1;
-        }
-        return n >= need;
-      }
-      return check;
-    }
-    function obstacle(votes: ReadonlyMap<string, Message>): RoundEnd | null {
-      let top = 0;
-      for (const v of votes.values()) {
-        if (v.kind === 'alreadyChosen') return { tag: 'behind' };
-        if (v.kind === 'outbid') top = Math.max(top, v.by.round);
-      }
-      return top > 0 ? { tag: 'outbid', round: top } : null;
-    }
-    function tally(votes: ReadonlyMap<string, Message>, kind: Message['kind']): number {
-      let n = 0;
-      for (const v of votes.values()) if (v.kind === kind) n += 1;
-      return n;
-    }
-
-    const ledger = belief().ledger;
-    function ownPromise(): Promise<Message> {
-      return vote({ tag: 'prepare', slot, ballot });
-    }
-    const promises = await poll(askMember({ kind: 'prepare', ledger, slot, ballot }, ownPromise), settled('promised'));
-    if (tally(promises, 'promised') < need) {
-      if (blockedBy) return { tag: 'cannotWrite', fault: blockedBy };
-      return obstacle(promises) ?? { tag: 'noMajority' };
-    }
-    let best: MessageOf<'promised'>['accepted'] = null;
-    for (const v of promises.values()) {
-      if (v.kind !== 'promised' || !v.accepted) continue;
-      if (!best || compareBallots(v.accepted.ballot, best.ballot) > 0) best = v.accepted;
-    }
-    const batch = best ? best.batch : mine;
-    function ownAccept(): Promise<Message> {
-      return vote({ tag: 'accept', slot, ballot, batch });
-    }
-    const accepts = await poll(askMember({ kind: 'accept', ledger, slot, ballot, batch }, ownAccept), settled('accepted'));
-    if (tally(accepts, 'accepted') >= need) return { tag: 'chosen', batch };
-    if (blockedBy) return { tag: 'cannotWrite', fault: blockedBy };
-    return obstacle(accepts) ?? { tag: 'noMajority' };
+  function ownAnswer(message: Message): Promise<Message> | Message {
+    return message.kind === 'prepare' || message.kind === 'accept' ? onVote(message) : standing();
   }
 
   async function learn(slot: number, batch: Batch): Promise<void> {
@@ -239,15 +166,17 @@
     catching = false;
   }
 
-  async function catchUpFromAny(): Promise<void> {
-    for (const m of belief().members) if (memberId(m) !== me) await catchUp(m.address);
+  async function catchUpFrom(ahead: readonly Member[]): Promise<void> {
+    for (const m of ahead) if (memberId(m) !== me) await catchUp(m.address);
   }
 
   async function decideSlot(batch: Batch, until: number): Promise<Result<null, ProposeFault>> {
     let top = 0;
     for (let tries = 0; clock.mono() < until; tries += 1) {
       const slot = belief().slot + 1;
-      const end = await round(slot, { round: top + 1, by: `${me}/${newId(rng, 'b')}` }, batch);
+      const b = belief();
+      const who = { ledger: b.ledger, members: b.members, need: majorityOf(b.members) };
+      const end = await runRound(who, slot, { round: top + 1, by: `${me}/${newId(rng, 'b')}` }, batch, askMember);
       if (end.tag === 'chosen') {
         await learn(slot, end.batch);
         spread(slot, end.batch);
@@ -255,9 +184,9 @@
         top = 0;
         continue;
       }
-      if (end.tag === 'cannotWrite') return err(end);
+      if (blockedBy) return err({ tag: 'cannotWrite', fault: blockedBy });
       if (end.tag === 'behind') {
-        await catchUpFromAny();
+        await catchUpFrom(end.ahead);
         if (belief().slot >= slot) top = 0;
         else await pause(clock, 20);
         continue;
@@ -307,13 +236,13 @@
     if (!isMember()) return false;
     const need = majorityOf(belief().members);
     let top = -1;
-    async function own(): Promise<Message> {
-      return standing();
+    function ask(m: Member): Promise<Message | null> {
+      return askMember(m, { kind: 'standingAsk' });
     }
-    function heardMost(votes: ReadonlyMap<string, Message>): boolean {
+    function heardMost(votes: Votes): boolean {
       return votes.size >= need;
     }
-    const votes = await poll(askMember({ kind: 'standingAsk' }, own), heardMost);
+    const votes = await poll(belief().members, ask, heardMost);
     if (votes.size < need) return false;
     for (const v of votes.values()) {
       if (v.kind !== 'standing') continue;
@@ -331,10 +260,10 @@
     return { kind: 'standing', ledger: belief().ledger, voter: me, address: self.address, learned: belief().slot, top: store.top() };
   }
 
-  function founding(m: MessageOf<'found'>): Promise<Message> | Message {
+  function onFound(m: MessageOf<'found'>): Promise<Message> | Message {
     const b = belief();
     const same = b.ledger === m.ledger;
-    if (b.ledger !== '' && !same) return { kind: 'foundAnswer', agreed: false, member: self };
+    if (deps.founders || (b.ledger !== '' && !same)) return { kind: 'foundAnswer', agreed: false, member: self };
     if (!m.commit || same) return { kind: 'foundAnswer', agreed: true, member: self };
     return commitFounding(m.slotZero);
   }
@@ -348,7 +277,7 @@
     const id = newId(rng, 'ledger');
     async function ask(address: Address, batch: Batch, commit: boolean): Promise<Result<Member, FoundFault>> {
       const m: MessageOf<'found'> = { kind: 'found', ledger: id, slotZero: batch, commit };
-      const got = address === self.address ? ok(await founding(m)) : await peers.call(address, m, VOTE_WAIT_MS);
+      const got = address === self.address ? ok(await onFound(m)) : await peers.call(address, m, VOTE_WAIT_MS);
       if (!got.ok || got.value.kind !== 'foundAnswer') return err({ tag: 'memberSilent', address });
       if (!got.value.agreed) return err({ tag: 'alreadyFounded', member: got.value.member.name });
       return ok(got.value.member);
@@ -359,15 +288,9 @@
       if (!got.ok) return got;
       members.push(got.value);
     }
-    const entry: Entry = {
-      id: newId(rng, 'op'),
-      author: self.name,
-      wall: clock.wall(),
-      cause: 'The operator founded the ledger.',
-      act: { tag: 'founded', ledger: id, ticketKey: newId(rng, 'key') + newId(rng, ''), members },
-    };
+    const slotZero = foundedEntry(self, id, members, 'The operator founded the ledger.', clock, rng);
     for (const address of addresses) {
-      const got = await ask(address, { id: blank.id, entries: [entry] }, true);
+      const got = await ask(address, slotZero, true);
       if (!got.ok) return got;
     }
     return ok({ slot: 0, outcome: { tag: 'applied' } });
@@ -452,12 +375,14 @@
   }
 
   function onVote(m: MessageOf<'prepare'> | MessageOf<'accept'>): Promise<Message> | Message {
-    if (m.ledger !== belief().ledger) return { kind: 'cannotVote' };
+    const voter = m.ledger === founding.ballotOf ? m.slot === 0 : m.ledger === belief().ledger && isMember();
+    if (!voter) return { kind: 'cannotVote' };
     if (m.kind === 'prepare') return vote({ tag: 'prepare', slot: m.slot, ballot: m.ballot });
     return vote({ tag: 'accept', slot: m.slot, ballot: m.ballot, batch: m.batch });
   }
   function onLearned(m: MessageOf<'learned'>): null {
-    if (m.ledger === belief().ledger && m.slot === belief().slot + 1) void learn(m.slot, m.batch);
+    const blank = belief().ledger === '' && m.slot === 0 && m.ledger === founding.ballotOf;
+    if ((blank || m.ledger === belief().ledger) && m.slot === belief().slot + 1) void learn(m.slot, m.batch);
     return null;
   }
   function onStanding(m: MessageOf<'standing'>): null {
@@ -477,17 +402,25 @@
   peers.on('standingAsk', standing);
   peers.on('standing', onStanding);
   peers.on('fetch', onFetch);
-  peers.on('found', founding);
+  peers.on('found', onFound);
   peers.on('rejoin', rejoin);
 
   function beat(): void {
     void watchOnce();
   }
+  function ledgerName(): string {
+    return belief().ledger;
+  }
+  function learnZero(batch: Batch): Promise<void> {
+    return learn(0, batch);
+  }
+  const founding = createFounding({ clock, rng, peers, log, self, founders: deps.founders, ledgerName, askVote: askMember, learnZero, seek: beat });
   const beating: Wakeup = every(clock, STANDING_MS, beat);
   beat();
 
   function stop(): void {
     stopped = true;
+    founding.stop();
     beating.cancel();
   }
   return ok({ belief, events, propose, settle, since: store.recent, found, isMember, writable: store.writable, top: store.top, self, stop });
--- /dev/null
+++ b/src/coordination/ledger/poll.ts
@@ -0,0 +1,22 @@
+import type { Message } from '../../protocol/messages.js';
+import { memberId } from '../../state/belief.js';
+import type { Member } from '../../state/entry.js';
+
+export type Votes = ReadonlyMap<string, Message>;
+export type AskMember = (m: Member, message: Message) => Promise<Message | null>;
+
+export function poll(members: readonly Member[], ask: (m: Member) => Promise<Message | null>, enough: (votes: Votes, open: number) => boolean): Promise<Votes> {
+  function start(resolve: (votes: Votes) => void): void {
+    const votes = new Map<string, Message>();
+    let open = members.length;
+    if (open === 0) resolve(votes);
+    async function one(m: Member): Promise<void> {
+      const got = await ask(m);
+      open -= 1;
+      if (got) votes.set(memberId(m), got);
+      if (open === 0 || enough(votes, open)) resolve(votes);
+    }
+    for (const m of members) void one(m);
+  }
+  return new Promise(start);
+}
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -28,5 +28,8 @@
   readonly http: Address;
   readonly seeds: readonly Address[];
   readonly platform: Address;
-  readonly cloud: Address;
+  readonly cloud: Address | null;
+  readonly founding?: boolean;
+  readonly diskBytes?: number;
+  readonly claims?: boolean;
 };
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -4,6 +4,8 @@
 import { ListedShape } from './platform-wire.js';
 import { CountsShape } from '../state/aim-counts.js';
 import { BatchShape, MemberShape } from '../state/entry.js';
+import { ListNumberShape } from '../state/list-book.js';
+import { WorkerEntryShape } from '../state/worker-entry.js';
 
 const Str = Type.String({ minLength: 1, maxLength: 256 });
 const Num = Type.Number();
@@ -72,6 +74,8 @@
   Type.Object({ kind: Type.Literal('fetched'), belief: Type.Optional(Type.Unknown()), batches: Type.Array(SlotBatchShape) }),
   Type.Object({ kind: Type.Literal('found'), ledger: Str, slotZero: BatchShape, commit: Type.Boolean() }),
   Type.Object({ kind: Type.Literal('foundAnswer'), agreed: Type.Boolean(), member: MemberShape }),
+  Type.Object({ kind: Type.Literal('foundingAsk'), founders: Str }),
+  Type.Object({ kind: Type.Literal('foundingAnswer'), member: MemberShape, ledger: Type.String(), votes: Type.Boolean() }),
   Type.Object({ kind: Type.Literal('rejoin'), ledger: Str, member: MemberShape }),
   Type.Object({ kind: Type.Literal('done'), agreed: Type.Boolean() }),
   Type.Object({ kind: Type.Literal('leaseAsk'), ledger: Str, duty: Str, holder: Str, termMs: Num, round: Type.Integer() }),
@@ -89,6 +93,10 @@
   Type.Object({ kind: Type.Literal('outlived'), reporter: Str, incarnation: Type.Integer() }),
   Type.Object({ kind: Type.Literal('reports'), reports: Type.Array(ReportShape) }),
   Type.Object({ kind: Type.Literal('counts'), reporter: Str, incarnation: Type.Integer(), totals: Type.Record(Type.String(), CountsShape) }),
+  Type.Object({ kind: Type.Literal('listFollow'), number: Type.Union([ListNumberShape, Type.Null()]) }),
+  Type.Object({ kind: Type.Literal('listWhole'), number: ListNumberShape, ageMs: Num, sinceMs: Type.Optional(Num), entries: Type.Array(WorkerEntryShape) }),
+  Type.Object({ kind: Type.Literal('listChange'), number: ListNumberShape, base: ListNumberShape, ageMs: Num, told: Type.Array(WorkerEntryShape), gone: Type.Array(Str) }),
+  Type.Object({ kind: Type.Literal('listBeat'), number: Type.Union([ListNumberShape, Type.Null()]), ageMs: Type.Union([Num, Type.Null()]), sinceMs: Type.Optional(Num), silent: Type.Optional(Type.Boolean()) }),
   Type.Object({ kind: Type.Literal('listAsk') }),
   Type.Object({ kind: Type.Literal('listTold'), ageMs: Type.Union([Num, Type.Null()]), workers: Type.Array(ListedShape) }),
   Type.Object({ kind: Type.Literal('probe'), from: NodeShape, news: Type.Array(NodeShape) }),
--- /dev/null
+++ b/src/sim/sim-core.ts
@@ -0,0 +1,218 @@
+import { startHeadgate } from '../coordination/headgate.js';
+import type { Headgate } from '../coordination/headgate.js';
+import type { Agreed, ProposeFault } from '../coordination/ledger/ledger.js';
+import type { Result } from '../base/result.js';
+import { POLICIES } from '../state/policies.js';
+import { createQuietLog } from '../transport/log.js';
+import type { LogRoot } from '../transport/log.js';
+import { createRng, newId } from '../transport/rng.js';
+import type { Rng } from '../transport/rng.js';
+import { createPlatter, loseDisk, losePower, simDisk } from './sim-disk.js';
+import type { Platter } from './sim-disk.js';
+import { createSimHttp } from './sim-http.js';
+import { createSimNet } from './sim-wire.js';
+import { createWorld } from './world.js';
+import type { Host, World } from './world.js';
+
+export type CoreNode = { readonly name: string; readonly host: Host; readonly wire: string; readonly platter: Platter; founding: boolean; headgate: Headgate | null };
+
+export type CoreShape = { readonly headgates: number; readonly seeds: number; readonly regionMs: number };
+
+export type Ordered = { readonly result: Result<Agreed, ProposeFault> | null; readonly tookMs: number };
+
+export type SimCore = {
+  readonly world: World;
+  readonly nodes: readonly CoreNode[];
+  readonly node: (name: string) => CoreNode;
+  readonly add: (name: string) => CoreNode;
+  readonly seeds: (names: readonly string[]) => void;
+  readonly start: (name: string) => void;
+  readonly startAll: () => void;
+  readonly kill: (name: string) => void;
+  readonly powerLoss: (name: string) => void;
+  readonly wipe: (name: string) => void;
+  readonly cutOff: (names: readonly string[]) => void;
+  readonly order: (name: string, zone: string, waitMs?: number) => Promise<Ordered>;
+  readonly evacuatedAt: (name: string) => Promise<readonly string[] | null>;
+  readonly members: (name: string) => readonly string[];
+  readonly whole: (names: readonly string[]) => boolean;
+  readonly until: (limitMs: number, test: () => boolean) => Promise<boolean>;
+  readonly finish: <T>(work: Promise<T>, limitMs: number) => Promise<T | null>;
+  readonly sent: () => { readonly frames: number; readonly bytes: number };
+  readonly broken: readonly string[];
+};
+
+const DISK_BYTES = 16 * 1_048_576;
+
+export function createSimCore(seed: number, shape: CoreShape = { headgates: 3, seeds: 3, regionMs: 35 }, logs: LogRoot = createQuietLog()): SimCore {
+  const world = createWorld(seed);
+  const net = createSimNet(world);
+  const http = createSimHttp(world, ignored);
+  const nodes: CoreNode[] = [];
+  const chosen = new Map<number, string>();
+  const broken: string[] = [];
+  let ledger = '';
+  let port = 7_000;
+  let procs = 0;
+  let seeds: readonly string[] = [];
+  function ignored(): void {}
+
+  function address(): string {
+    port += 1;
+    return `10.0.0.${port - 7_000}:${port}`;
+  }
+  function add(name: string): CoreNode {
+    const zone = `zone-${name}`;
+    const made: CoreNode = { name, host: world.host(name, zone), wire: address(), platter: createPlatter(), founding: false, headgate: null };
+    for (const n of nodes) world.setDelay(n.host.zone, zone, shape.regionMs);
+    nodes.push(made);
+    return made;
+  }
+  for (let i = 1; i <= shape.headgates; i += 1) add(`h${i}`).founding = true;
+  setSeeds(nodes.slice(0, shape.seeds).map(nameOf));
+
+  function nameOf(n: CoreNode): string {
+    return n.name;
+  }
+  function node(name: string): CoreNode {
+    return nodes.find(isIt) as CoreNode;
+    function isIt(n: CoreNode): boolean {
+      return n.name === name;
+    }
+  }
+  function setSeeds(names: readonly string[]): void {
+    seeds = names.map(wireOf);
+  }
+  function wireOf(name: string): string {
+    return node(name).wire;
+  }
+  function procRng(): Rng {
+    procs += 1;
+    return createRng(Math.imul(seed, 7_919) + procs * 104_729);
+  }
+
+  async function startOne(n: CoreNode): Promise<void> {
+    const proc = world.begin(n.host);
+    const rng = procRng();
+    const deps = {
+      clock: world.clockOf(proc),
+      rng,
+      wire: net.wireOf(proc),
+      door: http.doorOf(proc),
+      caller: http.callerOf(proc),
+      disk: simDisk(n.platter, proc, world),
+      logs,
+      policies: POLICIES,
+    };
+    const identity = {
+      name: n.name,
+      run: newId(rng, 'run'),
+      zone: n.host.zone,
+      region: n.host.zone,
+      listen: n.wire,
+      advertised: n.wire,
+      httpListen: `${n.wire}0`,
+      http: `${n.wire}0`,
+      seeds,
+      platform: '10.0.9.9:1',
+      cloud: null,
+      founding: n.founding,
+      diskBytes: DISK_BYTES,
+      claims: false,
+    };
+    const started = await startHeadgate(identity, deps);
+    if (!world.alive(proc)) return;
+    if (!started.ok) {
+      broken.push(`${n.name} did not start: ${started.fault.tag}`);
+      return;
+    }
+    n.headgate = started.value;
+    watch(n.name, started.value);
+  }
+  function watch(name: string, headgate: Headgate): void {
+    function folded(e: { readonly slot: number; readonly batch: unknown }): void {
+      const text = JSON.stringify(e.batch);
+      const held = chosen.get(e.slot);
+      if (held === undefined) chosen.set(e.slot, text);
+      else if (held !== text) broken.push(`${name} folded another batch into slot ${e.slot}`);
+      oneLedger();
+    }
+    function oneLedger(): void {
+      const own = headgate.ledger.belief().ledger;
+      if (ledger === '') ledger = own;
+      else if (ledger !== own) broken.push(`${name} follows a second ledger`);
+    }
+    headgate.ledger.events.on('folded', folded);
+    headgate.ledger.events.on('adopted', oneLedger);
+  }
+
+  function start(name: string): void {
+    void startOne(node(name));
+  }
+  function startAll(): void {
+    for (const n of nodes) if (!n.host.running) start(n.name);
+  }
+  function kill(name: string): void {
+    const n = node(name);
+    world.kill(n.host);
+    n.headgate = null;
+    n.founding = false;
+  }
+  function powerLoss(name: string): void {
+    node(name).host.powered = false;
+    kill(name);
+    losePower(node(name).platter, world);
+  }
+  function wipe(name: string): void {
+    loseDisk(node(name).platter);
+  }
+  function cutOff(names: readonly string[]): void {
+    for (const a of nodes) {
+      for (const b of nodes) if (names.includes(a.name) !== names.includes(b.name)) world.cut(a.name, b.name);
+    }
+  }
+
+  async function finish<T>(work: Promise<T>, limitMs: number): Promise<T | null> {
+    const box: { value: T | null; done: boolean } = { value: null, done: false };
+    function settled(v: T): void {
+      box.value = v;
+      box.done = true;
+    }
+    void work.then(settled);
+    function isDone(): boolean {
+      return box.done;
+    }
+    await world.until(limitMs, isDone);
+    return box.value;
+  }
+
+  async function order(name: string, zone: string, waitMs = 1_500): Promise<Ordered> {
+    const from = world.now();
+    const at = node(name).headgate;
+    const work = at ? at.ledger.propose({ id: `order-${zone}`, cause: 'A test evacuates.', act: { tag: 'evacuation', zone, begun: true } }, waitMs) : null;
+    const result = work && (await finish(work, 30_000));
+    return { result, tookMs: Math.round(world.now() - from) };
+  }
+  async function evacuatedAt(name: string): Promise<readonly string[] | null> {
+    const at = node(name).headgate;
+    if (!at || !(await finish(at.ledger.settle(1_500), 30_000))) return null;
+    return Object.keys(at.ledger.belief().evacuated).sort();
+  }
+  function members(name: string): readonly string[] {
+    return (node(name).headgate?.ledger.belief().members ?? []).map(nameOfMember).sort();
+  }
+  function nameOfMember(m: { readonly name: string }): string {
+    return m.name;
+  }
+  function whole(names: readonly string[]): boolean {
+    for (const name of names) {
+      const at = node(name).headgate;
+      if (!at?.ledger.isMember() || members(name).join() !== [...names].sort().join()) return false;
+    }
+    return true;
+  }
+  function until(limitMs: number, test: () => boolean): Promise<boolean> {
+    return world.until(limitMs, test);
+  }
+  return { world, nodes, node, add, seeds: setSeeds, start, startAll, kill, powerLoss, wipe, cutOff, order, evacuatedAt, members, whole, until, finish, sent: net.sent, broken };
+}
