A new holder of the scaler's duty believes two lists that a ready machine is gone

The new holder had seen no list of the cloud before, so it waited out the list's lag (30 s) for each machine it missed, also for those handed over long ago, whose worker the platform listed no more. One model kept three orders in each zone, all ready by the ledger, none on a running machine. Now a ready order whose machine is in neither list is lost at once; without the platform's list, or while it is only placed, the lag is waited out as before.

--- a/src/state/scaler-decide.test.ts
+++ b/src/state/scaler-decide.test.ts
@@ -178,6 +178,18 @@
     expect(decide(s, neverSeen).filter((d) => d.act.tag === 'orderLost').length).toBe(3);
   });
 
+  test('a new holder waits out the lag of the cloud for no machine whose worker the platform lists no more', () => {
+    const s = stage(2, 1);
+    turns(s, 4);
+    const [gone, ...held] = ordersOf(s.belief, 'm').map((o) => o.machine ?? '');
+    expect(s.belief.orders[ordersOf(s.belief, 'm')[0]?.id ?? '']?.status).toBe('ready');
+    const successor = { ...s, memory: new Map(), seen: new Set<string>() };
+    const workers = held.map((machine) => ({ id: `w-${machine}`, machine, state: 'ready' as const }));
+    const lostBy = (over: Partial<Sight>) => decide(successor, { machines: [], ...over }).filter((d) => d.act.tag === 'orderLost').map((d) => (d.act.tag === 'orderLost' ? s.belief.orders[d.act.order]?.machine : null));
+    expect(lostBy({ workers })).toEqual([gone]);
+    expect(lostBy({ workers: null })).toEqual([]);
+  });
+
   test('the target follows the rate after the hold time, and surplus spot is drained', () => {
     const s = stage(1, 1, { holdS: 3 });
     turns(s, 4);
--- a/src/state/scaler-decide.ts
+++ b/src/state/scaler-decide.ts
@@ -191,7 +191,7 @@
     if (sight.machines) {
       let seen: SeenMachine | null = null;
       for (const m of sight.machines) if (m.id === order.machine) seen = m;
-      if (!seen && !sight.seenBefore.has(order.machine) && placedForMs(order) < LIST_LAG_MS) return null;
+      if (!seen && !sight.seenBefore.has(order.machine) && !isUnlisted(order) && placedForMs(order) < LIST_LAG_MS) return null;
       if (!seen || seen.state === 'gone') return 'The cloud reports the machine gone.';
       if (seen.state === 'reclaiming') return 'The cloud is reclaiming the machine.';
     }
@@ -200,6 +200,10 @@
     return null;
   }
 
+  function isUnlisted(order: Order): boolean {
+    return order.status === 'ready' && sight.workers !== null && workerOf(order) === null;
+  }
+
   function spotPrice(zone: string): number {
     return sight.prices[zone]?.spot ?? Number.MAX_VALUE;
   }
