tools/capacity: what control costs at a size, on real conns and real headgates

Starts headgates as the product's own program, hollow sluices (one process a zone) and hollow workers, and measures a quiet window, changes one by one and in a burst, restarts and the loss of a zone: processor time and memory from /proc, messages and bytes by duty and by distance from the wire's meter, processor time by duty from sampled stacks (--profile).

--- /dev/null
+++ b/tools/capacity/figures.mjs
@@ -0,0 +1,109 @@
+export const DUTIES = {
+  probing: ['probe', 'probeFor', 'probeAnswer'],
+  following: ['follow', 'changes', 'followed', 'beat'],
+  reporting: ['reports', 'outlived'],
+  counts: ['counts'],
+  leases: ['leaseAsk', 'leaseAnswer', 'leaseDrop'],
+  ledger: ['prepare', 'accept', 'promised', 'accepted', 'outbid', 'alreadyChosen', 'cannotVote', 'learned', 'standingAsk', 'standing', 'fetch', 'fetched', 'found', 'foundAnswer', 'rejoin', 'done'],
+  claims: ['claim', 'claimAnswer', 'claimEnds', 'claimsAsk', 'claimsPage'],
+  list: ['listAsk', 'listTold', 'GET:/v1/workers'],
+  workers: ['GET:/v1/fitness'],
+  scaler: ['POST:/v1/machines', 'GET:/v1/machines', 'GET:/v1/prices'],
+};
+const DUTY_OF = new Map(Object.entries(DUTIES).flatMap(([duty, kinds]) => kinds.map((k) => [k, duty])));
+export const DISTANCES = ['inZone', 'betweenZones', 'betweenRegions'];
+
+export function dutyOf(kind) {
+  return DUTY_OF.get(kind) ?? (kind.startsWith('list') ? 'list' : kind.includes('/v1/') ? 'scaler' : 'other');
+}
+
+function minus(a, b) {
+  const out = {};
+  for (const [key, row] of Object.entries(b ?? {})) {
+    const was = a?.[key] ?? { n: 0, bytes: 0 };
+    out[key] = { n: row.n - was.n, bytes: row.bytes - was.bytes };
+  }
+  return out;
+}
+
+function duty(table, role, name) {
+  table[role] ??= {};
+  table[role][name] ??= { messages: 0, bytes: 0, sent: 0, received: 0, inZone: 0, betweenZones: 0, betweenRegions: 0 };
+  return table[role][name];
+}
+
+export function between(a, b) {
+  const counts = {};
+  const rss = {};
+  const roles = {};
+  const duties = {};
+  const conns = {};
+  const dialled = {};
+  const s = (b.at - a.at) / 1000;
+  for (const now of b.parts) {
+    const was = a.parts.find((p) => p.name === now.name);
+    if (!was?.proc || !now.proc) continue;
+    counts[now.role] = (counts[now.role] ?? 0) + now.count;
+    rss[now.role] ??= [];
+    rss[now.role].push({ rss: now.proc.rss, heap: now.tally?.heapUsed ?? null, count: now.count });
+    roles[now.role] ??= { cpuS: 0, procs: [] };
+    roles[now.role].cpuS += now.proc.cpuS - was.proc.cpuS;
+    roles[now.role].procs.push(Number(((1000 * (now.proc.cpuS - was.proc.cpuS)) / s / now.count).toFixed(3)));
+    const span = (now.tally.at - was.tally.at) / 1000;
+    for (const [key, d] of Object.entries(minus(was.tally.rows, now.tally.rows))) {
+      const [own, peer, distance, way, kind] = key.split(' ');
+      if (way === 'conns') {
+        if (kind === 'open') for (const role of [own, peer]) conns[role] = (conns[role] ?? 0) + now.tally.rows[key].n;
+        else for (const role of [own, peer]) dialled[role] = (dialled[role] ?? 0) + d.n / span;
+        continue;
+      }
+      if (d.n === 0) continue;
+      for (const [role, sends] of [[own, way === 'out'], [peer, way === 'in']]) {
+        const row = duty(duties, role, dutyOf(kind));
+        row.messages += d.n / span;
+        row.bytes += d.bytes / span;
+        row[sends ? 'sent' : 'received'] += d.bytes / span;
+        row[distance] += d.bytes / span;
+      }
+    }
+  }
+  for (const [role, table] of Object.entries(duties)) {
+    const n = counts[role] ?? 1;
+    for (const row of Object.values(table)) for (const key of Object.keys(row)) row[key] = Number((row[key] / n).toFixed(3));
+    roles[role] ??= { cpuS: 0, procs: [] };
+  }
+  const out = {};
+  for (const [role, r] of Object.entries(roles)) {
+    const n = counts[role] ?? 1;
+    const table = duties[role] ?? {};
+    const sum = (key) => Object.values(table).reduce((x, row) => x + row[key], 0);
+    out[role] = { count: counts[role] ?? null, cpuMsS: (1000 * r.cpuS) / s / n, procs: r.procs, messagesS: sum('messages'), bytesS: sum('bytes'), conns: (conns[role] ?? 0) / n, dialsS: (dialled[role] ?? 0) / n, rss: rss[role] ?? [], duties: table };
+  }
+  return { seconds: Number(s.toFixed(2)), fromNs: a.ns, toNs: b.ns, roles: out };
+}
+
+export function perNode(window) {
+  const s = window.roles.sluice;
+  return { nodeBytesS: s.bytesS, nodeMessagesS: s.messagesS, nodeCpuMsS: s.cpuMsS };
+}
+
+// The straight line of least squares, with the spread of its slope.
+export function slopeOf(points) {
+  const n = points.length;
+  if (n < 2) return null;
+  const mx = points.reduce((a, p) => a + p[0], 0) / n;
+  const my = points.reduce((a, p) => a + p[1], 0) / n;
+  const sxx = points.reduce((a, p) => a + (p[0] - mx) ** 2, 0);
+  if (sxx === 0) return null;
+  const slope = points.reduce((a, p) => a + (p[0] - mx) * (p[1] - my), 0) / sxx;
+  const base = my - slope * mx;
+  const rest = points.reduce((a, p) => a + (p[1] - base - slope * p[0]) ** 2, 0);
+  const spread = n > 2 ? Math.sqrt(rest / (n - 2) / sxx) : null;
+  function at(x) {
+    return base + slope * x;
+  }
+  function errorAt(x) {
+    return n > 2 ? Math.sqrt((rest / (n - 2)) * (1 / n + (x - mx) ** 2 / sxx)) : null;
+  }
+  return { slope, base, spread, n, at, errorAt };
+}
--- /dev/null
+++ b/tools/capacity/profile.mjs
@@ -0,0 +1,68 @@
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+const FILES = [
+  [/basin\/(tally|hollow)\.js|programs\/(tally-file|hollow)\.js/, () => 'measuring'],
+  [/members\/membership\.js|state\/members\.js/, () => 'probing'],
+  [/edge\/worker-watch\.js/, (f) => (/probe/i.test(f) ? 'workers' : 'list')],
+  [/state\/worker-(table|pools)\.js|edge\/list-|list-/, () => 'list'],
+  [/ledger\/push\.js/, (f) => (/report|gossip|merge/i.test(f) ? 'reporting' : 'following')],
+  [/state\/reports\.js/, () => 'reporting'],
+  [/edge\/sluice\.js/, () => 'reporting'],
+  [/ledger\/follower\.js|state\/shared-time\.js/, () => 'following'],
+  [/ledger\/lease\.js|state\/lease-book\.js/, () => 'leases'],
+  [/ledger\/(aim-keeper)\.js|state\/aim-/, () => 'counts'],
+  [/ledger\/(operator-door)\.js|settings-tree\.js|protocol\/configuration\.js/, () => 'configuration'],
+  [/scaling\/|state\/(scaler-decide|zone-sets|target|rates)\.js/, () => 'scaler'],
+  [/ledger\/claims\.js|state\/claim-table\.js/, () => 'claims'],
+  [/ledger\/(ledger|store)\.js|transport\/(ring|disk)\.js|state\/(belief|acceptor|entry)\.js/, () => 'ledger'],
+  [/edge\/|state\//, () => 'edge'],
+];
+const OUTER = [
+  [/transport\/wire\.js|members\/peers\.js|protocol\/messages\.js/, 'wire'],
+  [/transport\/(caller|door)\.js|node_modules\/(got|express|body-parser|keyv|cacheable|responselike|http-|@szmarczak|@sindresorhus|router|finalhandler|send)|node:(_http|http)|undici/, 'http'],
+];
+
+function dutyOfStack(nodes, parent, id) {
+  let outer = null;
+  for (let at = id; at !== undefined; at = parent.get(at)) {
+    const { url, functionName } = nodes.get(at).callFrame;
+    if (functionName === '(garbage collector)') return 'collecting';
+    if (functionName === '(program)') return 'kernel and runtime';
+    if (functionName === '(idle)') return null;
+    for (const [test, name] of FILES) if (test.test(url)) return name(functionName);
+    if (outer === null) for (const [test, name] of OUTER) if (test.test(url)) outer = name;
+  }
+  return outer ?? 'kernel and runtime';
+}
+
+export function dutyShares(folder, parts, fromNs, toNs) {
+  const roles = {};
+  for (const p of parts) {
+    let prof;
+    try {
+      prof = JSON.parse(readFileSync(join(folder, `${p.name}.cpuprofile`), 'utf8'));
+    } catch {
+      continue;
+    }
+    const nodes = new Map(prof.nodes.map((n) => [n.id, n]));
+    const parent = new Map();
+    for (const n of prof.nodes) for (const c of n.children ?? []) parent.set(c, n.id);
+    const known = new Map();
+    roles[p.role] ??= { count: 0, ms: {} };
+    roles[p.role].count += p.count;
+    let at = prof.startTime;
+    for (let i = 0; i < prof.samples.length; i += 1) {
+      at += prof.timeDeltas[i];
+      if (at * 1000 < fromNs || at * 1000 > toNs) continue;
+      const id = prof.samples[i];
+      if (!known.has(id)) known.set(id, dutyOfStack(nodes, parent, id));
+      const duty = known.get(id);
+      if (duty !== null) roles[p.role].ms[duty] = (roles[p.role].ms[duty] ?? 0) + prof.timeDeltas[i] / 1000;
+    }
+  }
+  const s = (toNs - fromNs) / 1e9;
+  const out = {};
+  for (const [role, { count, ms }] of Object.entries(roles)) out[role] = Object.fromEntries(Object.entries(ms).sort((a, b) => b[1] - a[1]).map(([duty, t]) => [duty, Number((t / s / count).toFixed(3))]));
+  return out;
+}
