--- a/src/state/settings-tree.test.ts
+++ b/src/state/settings-tree.test.ts
@@ -35,6 +35,16 @@
     }
   });
 
+  test('neither the tree nor the changes are touched, and what did not change is the same branch', () => {
+    const base = { a: { x: 1, y: { z: 2 } }, b: { x: 1 } };
+    const changes = [{ path: ['a', 'y'], value: { z: 3 } }, { path: ['a', 'y', 'w'], value: 4 }, { path: ['a', 'x'] }];
+    const kept = structuredClone({ base, changes });
+    const made = withChanges(base, changes) as typeof base;
+    expect(made).toEqual({ a: { y: { z: 3, w: 4 } }, b: { x: 1 } });
+    expect({ base, changes }).toEqual(kept);
+    expect(made.b).toBe(base.b);
+  });
+
   test('a hostile key stays a plain key', () => {
     const made = withChanges({}, [{ path: ['__proto__', 'polluted'], value: 1 }]) as Record<string, unknown>;
     expect(({} as Record<string, unknown>)['polluted']).toBeUndefined();
--- a/src/state/settings-tree.ts
+++ b/src/state/settings-tree.ts
@@ -139,27 +139,30 @@
 }
 
 export function withChanges(base: unknown, changes: readonly Change[]): unknown {
-  let root = structuredClone(base);
+  const copies = new Set<unknown>();
+  function copied(at: unknown): Record<string, unknown> {
+    if (copies.has(at)) return at as Record<string, unknown>;
+    const made: Record<string, unknown> = isTable(at) ? { ...at } : {};
+    copies.add(made);
+    return made;
+  }
+  let root = base;
   for (const change of changes) {
     if (change.path.length === 0) {
-      root = structuredClone(change.value);
+      root = change.value;
       continue;
     }
-    if (!isTable(root)) root = {};
-    let at = root as Record<string, unknown>;
+    let at = copied(root);
+    root = at;
     for (const step of change.path.slice(0, -1)) {
       const down = own(at, step);
-      if (isTable(down)) {
-        at = down;
-        continue;
-      }
-      const made: Record<string, unknown> = {};
-      define(at, step, made);
+      const made = copied(down);
+      if (made !== down) define(at, step, made);
       at = made;
     }
     const leaf = change.path[change.path.length - 1] as string;
     if (change.value === undefined) delete at[leaf];
-    else define(at, leaf, structuredClone(change.value));
+    else define(at, leaf, change.value);
   }
   return root;
 }
