A directory of sluices: ready ones of the origin's zone, else its region, else the next

Sluices tell the headgates their door, place and readiness in the reports they send anyway. Who is not ready or unheard for 2 s is left out (a report passes other headgates at most each second, so 1.5 s would leave out the sound ones at a jitter); where none is heard, those last told as ready. Of more than 64 each host has its own by rendezvous, so that an answer is stable and all are used alike.

--- /dev/null
+++ b/src/coordination/edge/directory.ts
@@ -0,0 +1,54 @@
+import { hash32 } from '../../base/digest.js';
+import type { Address } from '../../transport/wire.js';
+
+export type ToldSluice = { readonly name: string; readonly zone: string; readonly region: string; readonly http: Address; readonly ready: boolean; readonly heardAgoMs: number };
+
+export type Origin = { readonly host: string; readonly zone: string; readonly region: string };
+
+export type DirectoryTuning = { readonly unheardMs: number; readonly forgottenMs: number; readonly most: number; readonly fewestShare: number };
+
+export const DIRECTORY_TUNING: DirectoryTuning = { unheardMs: 2_000, forgottenMs: 30_000, most: 64, fewestShare: 0.5 };
+
+type Ranked = { readonly http: Address; readonly rank: number };
+
+// The ready sluices of the origin's zone; of its whole region where the zone has lost more than its share; of the next regions where none is left.
+export function addressesFor(told: readonly ToldSluice[], origin: Origin, nearRegions: readonly string[], tuning: DirectoryTuning = DIRECTORY_TUNING): Address[] {
+  const heard = told.filter(isHeard);
+  const serving = heard.length > 0 ? heard : told.filter(isReady);
+  return someOf(nearest(), origin, tuning.most);
+
+  function isReady(s: ToldSluice): boolean {
+    return s.ready;
+  }
+  function isHeard(s: ToldSluice): boolean {
+    return s.ready && s.heardAgoMs <= tuning.unheardMs;
+  }
+  function inZone(s: ToldSluice): boolean {
+    return s.zone === origin.zone && s.region === origin.region;
+  }
+  function isMissed(s: ToldSluice): boolean {
+    return inZone(s) && s.heardAgoMs <= tuning.forgottenMs;
+  }
+  function nearest(): readonly ToldSluice[] {
+    const zone = serving.filter(inZone);
+    if (zone.length > 0 && zone.length >= tuning.fewestShare * told.filter(isMissed).length) return zone;
+    for (const region of [origin.region, ...nearRegions]) {
+      const found: ToldSluice[] = [];
+      for (const s of serving) if (s.region === region) found.push(s);
+      if (found.length > 0) return found;
+    }
+    return serving;
+  }
+}
+
+function someOf(sluices: readonly ToldSluice[], origin: Origin, most: number): Address[] {
+  const ranked: Ranked[] = [];
+  for (const s of sluices) ranked.push({ http: s.http, rank: hash32(`${origin.host} ${origin.zone} ${s.name}`) });
+  ranked.sort(byRank);
+  const out: Address[] = [];
+  for (const r of ranked.slice(0, most)) out.push(r.http);
+  return out;
+}
+function byRank(a: Ranked, b: Ranked): number {
+  return a.rank - b.rank;
+}
--- a/src/coordination/edge/sluice.ts
+++ b/src/coordination/edge/sluice.ts
@@ -72,6 +72,7 @@
   follower.events.on('moved', onMoved);
   onMoved();
 
+  let taking = true;
   let count = 0;
   const counts: CountTable = {};
   let incarnation = life;
@@ -94,6 +95,10 @@
       retried: t.retried,
       slot: follower.belief().slot,
       fitness: watch.verdicts(),
+      http: id.http,
+      ready: taking && ready(),
+      zone: id.zone,
+      region: id.region,
     };
     follower.tellAll({ kind: 'reports', reports: [told] });
     if (count % COUNTS_EVERY === 0) follower.tellAll({ kind: 'counts', reporter: id.name, incarnation, totals: counts });
@@ -156,6 +161,8 @@
   async function stop(): Promise<void> {
     log.info('Stops taking requests.');
     dispatcher.stopTaking();
+    taking = false;
+    report();
     membership.leave();
     for (let waited = 0; dispatcher.tally().inFlight > 0 && waited < STOP_WAIT_MS; waited += 100) await pause(clock, 100);
     report();
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -41,6 +41,10 @@
   retried: Type.Integer(),
   slot: Slot,
   fitness: Type.Record(Type.String(), Type.Union([Type.Literal('fit'), Type.Literal('unfit')])),
+  http: Str,
+  ready: Type.Boolean(),
+  zone: Str,
+  region: Str,
 });
 
 export type Report = Static<typeof ReportShape>;
