--- a/src/coordination/edge/directory.ts
+++ b/src/coordination/edge/directory.ts
@@ -1,13 +1,15 @@
 import { hash32 } from '../../base/digest.js';
+import type { Reports } from '../../state/reports.js';
+import type { Clock } from '../../transport/clock.js';
 import type { Address } from '../../transport/wire.js';
 
 export type ToldSluice = { readonly name: string; readonly zone: string; readonly region: string; readonly http: Address; readonly ready: boolean; readonly heardAgoMs: number };
 
 export type Origin = { readonly host: string; readonly zone: string; readonly region: string };
 
-export type DirectoryTuning = { readonly unheardMs: number; readonly forgottenMs: number; readonly most: number; readonly fewestShare: number };
+export type DirectoryTuning = { readonly unheardMs: number; readonly forgottenMs: number; readonly warmMs: number; readonly most: number; readonly fewestShare: number };
 
-export const DIRECTORY_TUNING: DirectoryTuning = { unheardMs: 2_000, forgottenMs: 30_000, most: 64, fewestShare: 0.5 };
+export const DIRECTORY_TUNING: DirectoryTuning = { unheardMs: 2_000, forgottenMs: 30_000, warmMs: 700, most: 64, fewestShare: 0.5 };
 
 type Ranked = { readonly http: Address; readonly rank: number };
 
@@ -52,3 +54,30 @@
 function byRank(a: Ranked, b: Ranked): number {
   return a.rank - b.rank;
 }
+
+export type Told = { readonly reports: () => Reports; readonly heardAt: (name: string) => number | null };
+
+export type Directory = { readonly addressesFor: (origin: Origin) => Address[] };
+
+// A headgate that has just come up hears its sluices one after another; it names none until all had time to tell.
+export function createDirectory(told: Told, region: string, clock: Clock, tuning: DirectoryTuning = DIRECTORY_TUNING): Directory {
+  let firstAt: number | null = null;
+
+  function rows(now: number): ToldSluice[] {
+    const out: ToldSluice[] = [];
+    for (const r of told.reports().values()) {
+      const at = told.heardAt(r.reporter);
+      if (at !== null) out.push({ name: r.reporter, zone: r.zone, region: r.region, http: r.http, ready: r.ready, heardAgoMs: now - at });
+    }
+    return out;
+  }
+  function forOrigin(origin: Origin): Address[] {
+    const now = clock.mono();
+    const sluices = rows(now);
+    if (sluices.length > 0) firstAt ??= now;
+    for (const s of sluices) if (firstAt !== null) firstAt = Math.min(firstAt, now - s.heardAgoMs);
+    if (firstAt === null || now - firstAt < tuning.warmMs) return [];
+    return addressesFor(sluices, origin, [region], tuning);
+  }
+  return { addressesFor: forOrigin };
+}
--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -9,7 +9,7 @@
 import type { RingFault, RingShape } from '../transport/ring.js';
 import { newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
-import type { Address, WireFault } from '../transport/wire.js';
+import type { Address, Listener, WireFault } from '../transport/wire.js';
 import { createAimKeeper } from './ledger/aim-keeper.js';
 import { createClaims, noClaims } from './ledger/claims.js';
 import { createCloudClient, createPlatformClient } from './scaling/cloud-client.js';
@@ -26,10 +26,11 @@
 import { operatorRoutes } from './ledger/operator-door.js';
 import { createPeers } from './members/peers.js';
 import { createPush } from './ledger/push.js';
+import type { Push } from './ledger/push.js';
 import { createScaler } from './scaling/scaler.js';
 import type { Scaler } from './scaling/scaler.js';
 
-export type Headgate = { readonly wire: Address; readonly http: Address; readonly ledger: Ledger; readonly claimsReady: () => boolean; readonly holdsScaler: () => boolean; readonly stop: () => Promise<void> };
+export type Headgate = { readonly wire: Address; readonly http: Address; readonly push: Pick<Push, 'reports' | 'heardAt' | 'quorate'>; readonly ledger: Ledger; readonly claimsReady: () => boolean; readonly holdsScaler: () => boolean; readonly stop: () => Promise<void> };
 
 export type HeadgateFault = WireFault | RingFault | { readonly tag: 'noDisk' } | { readonly tag: 'identityUnreadable' };
 
@@ -209,13 +210,16 @@
     for (const [model, z] of Object.entries(b.zoneSets)) m.set('millfield_zones_preemptive', 'Zones avoided for spot', z.preemptive.length, { model });
   }
 
-  const door = await deps.door.open(id.httpListen, [...operatorRoutes({ ledger, push, aims, clock, status }), metricsRoute(meter)]);
-  if (!door.ok) {
+  function openDoor(): Promise<Result<Listener, WireFault>> {
+    return deps.door.open(id.httpListen, [...operatorRoutes({ ledger, push, aims, clock, status }), metricsRoute(meter)]);
+  }
+  const door = id.operatorDoor === false ? null : await openDoor();
+  if (door && !door.ok) {
     await stopAll();
     return door;
   }
-  const served = door.value;
-  log.info(`Headgate ${memberId(self)} at ${served.address}, peers at ${opened.value.address}.`);
+  const served = door?.value ?? null;
+  log.info(`Headgate ${memberId(self)} at ${served?.address ?? 'no door of its own'}, peers at ${opened.value.address}.`);
 
   async function stopAll(): Promise<void> {
     scaler?.stop();
@@ -229,9 +233,9 @@
     await peers.close();
   }
   async function stop(): Promise<void> {
-    await served.close();
+    await served?.close();
     await stopAll();
     log.info('Stopped.');
   }
-  return ok({ wire: opened.value.address, http: served.address, ledger, claimsReady: claims.value.ready, holdsScaler, stop });
+  return ok({ wire: opened.value.address, http: served?.address ?? id.http, push, ledger, claimsReady: claims.value.ready, holdsScaler, stop });
 }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -32,4 +32,5 @@
   readonly founding?: boolean;
   readonly diskBytes?: number;
   readonly claims?: boolean;
+  readonly operatorDoor?: boolean;
 };
