The core's members change through the ledger: added, replaced, shed

A new machine of unknown name found no place in the ledger, and a group of four kept a dead member for good. A joiner now takes the place of a member that a majority doesn't hear and that doesn't answer at that moment, else it is added; a group of even size sheds a member dead for over 5 s, and one that is told to end leaves by itself, since four bear no more than three. One whose place was taken comes back under a new identity. Nobody is added beside a silent member, as that would take the headroom of the next loss. Members ask each other's standing once for all uses; a chosen slot is told by its batch's id, not its body; a catch-up, a call and a proposal no longer wait for a silent machine, and a proposal answers at its own deadline.

--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -4,7 +4,6 @@
 import type { Result } from '../base/result.js';
 import type { NodeInfo } from '../protocol/messages.js';
 import { memberId, SCALER_DUTY } from '../state/belief.js';
-import type { Member } from '../state/entry.js';
 import type { Disk, DiskFault } from '../transport/disk.js';
 import type { RingFault, RingShape } from '../transport/ring.js';
 import { newId } from '../transport/rng.js';
@@ -47,10 +46,14 @@
   }
   const founds = id.founding === true && id.seeds.includes(id.advertised);
   const made: Identity = { incarnation: newId(rng, 'i'), founders: founds ? id.seeds : null };
-  const saved = await disk.replace(IDENTITY_FILE, Buffer.from(JSON.stringify(made)));
+  const saved = await saveIdentity(disk, made);
   return saved.ok ? ok(made) : saved;
 }
 
+function saveIdentity(disk: Disk, identity: Identity): Promise<Result<null, DiskFault>> {
+  return disk.replace(IDENTITY_FILE, Buffer.from(JSON.stringify(identity)));
+}
+
 function parsedIdentity(text: string): Identity | null {
   const v = parsedJson(text);
   if (!isTable(v) || typeof v['incarnation'] !== 'string' || v['incarnation'] === '') return null;
@@ -83,7 +86,7 @@
   const identity = await identityOf(id, disk, rng);
   if (!identity.ok) return identity;
   const { incarnation, founders } = identity.value;
-  const self: Member = { name: id.name, incarnation, address: id.advertised };
+  const self: { name: string; incarnation: string; address: Address } = { name: id.name, incarnation, address: id.advertised };
   const peers = createPeers(deps.wire, clock, logs.part('peers'));
   const node: NodeInfo = {
     name: id.name,
@@ -97,10 +100,13 @@
     status: 'alive',
   };
 
-  function mayRejoin(): boolean {
-    return true;
+  async function renew(): Promise<boolean> {
+    const next = newId(rng, 'i');
+    const saved = await saveIdentity(disk as Disk, { incarnation: next, founders: null });
+    if (saved.ok) self.incarnation = next;
+    return saved.ok;
   }
-  const made = await createLedger({ clock, rng, peers, disk, log: logs.part('ledger'), shape: shapes.ledger, self, seeds: id.seeds, founders, mayRejoin });
+  const made = await createLedger({ clock, rng, peers, disk, log: logs.part('ledger'), shape: shapes.ledger, self, seeds: id.seeds, founders, renew });
   if (!made.ok) return made;
   const ledger = made.value;
   const claims = id.claims === false ? ok(noClaims()) : await createClaims(ledger, peers, disk, shapes.claims, clock, logs.part('claims'));
@@ -234,6 +240,7 @@
   }
   async function stop(): Promise<void> {
     await served?.close();
+    await ledger.leave();
     await stopAll();
     log.info('Stopped.');
   }
--- a/src/coordination/ledger/claims.ts
+++ b/src/coordination/ledger/claims.ts
@@ -71,7 +71,9 @@
   const opened = await openRing(disk, shape);
   if (!opened.ok) return opened;
   const { ring, snapshot, records } = opened.value;
-  const me = memberId(ledger.self);
+  function me(): string {
+    return memberId(ledger.self);
+  }
   const table = createClaimTable(Math.min(MOST_CLAIMS, Math.floor((shape.snapshotBytes - HEAD_ROOM) / CLAIM_RECORD)));
   let readyFor = '';
   let lived = 0;
@@ -104,7 +106,7 @@
   }
 
   function ready(): boolean {
-    return ledger.isMember() && (readyFor === me || ledger.belief().claimants.includes(me));
+    return ledger.isMember() && (readyFor === me() || ledger.belief().claimants.includes(me()));
   }
 
   async function work(commands: readonly Command[]): Promise<readonly (ClaimAnswer[] | null)[]> {
@@ -165,7 +167,7 @@
   async function onClaim(m: MessageOf<'claim'>): Promise<Message> {
     if (m.ledger !== ledger.belief().ledger || !ready() || m.members !== membersMark(ledger.belief().members)) return { kind: 'cannotVote' };
     const answers = await line.put({ tag: 'claim', claims: m.claims });
-    return answers ? { kind: 'claimAnswer', voter: me, answers } : { kind: 'cannotVote' };
+    return answers ? { kind: 'claimAnswer', voter: me(), answers } : { kind: 'cannotVote' };
   }
   async function onEnds(m: MessageOf<'claimEnds'>): Promise<Message> {
     if (m.ledger !== ledger.belief().ledger || !ready()) return { kind: 'cannotVote' };
@@ -174,7 +176,7 @@
   function onAsk(m: MessageOf<'claimsAsk'>): Message {
     if (!mayAnswer(m.ledger) || !knowsMember(m.asker)) return { kind: 'cannotVote' };
     const page = table.page(m.from, PAGE);
-    return { kind: 'claimsPage', voter: me, forgotten: table.forgotten() as [number, number][], records: page.records.toString('base64'), next: page.next };
+    return { kind: 'claimsPage', voter: me(), forgotten: table.forgotten() as [number, number][], records: page.records.toString('base64'), next: page.next };
   }
   function knowsMember(id: string): boolean {
     for (const m of ledger.belief().members) if (memberId(m) === id) return true;
@@ -189,7 +191,7 @@
     const found: Buffer[] = [];
     const forgotten: HourRange[] = [];
     for (let from = 0; from >= 0; ) {
-      const got = await peers.call(m.address, { kind: 'claimsAsk', ledger: ledger.belief().ledger, asker: me, from }, 5_000);
+      const got = await peers.call(m.address, { kind: 'claimsAsk', ledger: ledger.belief().ledger, asker: me(), from }, 5_000);
       if (!got.ok || got.value.kind !== 'claimsPage' || got.value.voter !== memberId(m)) return null;
       forgotten.push(...got.value.forgotten);
       found.push(Buffer.from(got.value.records, 'base64'));
@@ -207,14 +209,14 @@
     const forgotten: HourRange[] = [];
     let answered = 0;
     for (const m of members) {
-      if (memberId(m) === me) continue;
+      if (memberId(m) === me()) continue;
       const told = await readAll(m);
       if (!told) continue;
       answered += 1;
       forgotten.push(...told.forgotten);
       found.push(...told.records);
     }
-    if (answered >= need && (await line.put({ tag: 'rebuild', member: me, forgotten, records: found }))) {
+    if (answered >= need && (await line.put({ tag: 'rebuild', member: me(), forgotten, records: found }))) {
       log.info(`Claims were rebuilt from ${answered} others: ${table.size()} held.`);
     }
     rebuilding = false;
--- a/src/coordination/ledger/founding.ts
+++ b/src/coordination/ledger/founding.ts
@@ -92,7 +92,7 @@
     }
     if (end.tag !== 'chosen') return;
     await deps.learnZero(end.batch);
-    for (const m of blank) if (!isSelf(m)) void peers.tell(m.address, { kind: 'learned', ledger: of, slot: 0, batch: end.batch });
+    for (const m of blank) if (!isSelf(m)) void peers.tell(m.address, { kind: 'learned', ledger: of, slot: 0, batch: end.batch.id, at: self.address });
     log.info(`Founded the ledger with ${blank.length} headgates.`);
   }
   function isSelf(m: Member): boolean {
--- /dev/null
+++ b/src/coordination/ledger/joining.ts
@@ -0,0 +1,167 @@
+import type { Result } from '../../base/result.js';
+import type { Message, MessageOf } from '../../protocol/messages.js';
+import { memberId, MOST_MEMBERS } from '../../state/belief.js';
+import type { Belief } from '../../state/belief.js';
+import type { Act, Member } from '../../state/entry.js';
+import type { Log } from '../../transport/log.js';
+import { shuffled } from '../../transport/rng.js';
+import type { Rng } from '../../transport/rng.js';
+import type { Address } from '../../transport/wire.js';
+import type { Peers } from '../members/peers.js';
+import type { Agreed, Draft, ProposeFault } from './ledger.js';
+import type { Standings } from './standings.js';
+
+export type Joining = { readonly turn: () => Promise<void>; readonly leave: () => Promise<void> };
+
+export type JoiningDeps = {
+  readonly rng: Rng;
+  readonly peers: Peers;
+  readonly log: Log;
+  readonly self: Member;
+  readonly seeds: readonly Address[];
+  readonly belief: () => Belief;
+  readonly standings: Standings;
+  readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
+  readonly settle: (waitMs: number) => Promise<boolean>;
+  readonly catchUp: (from: Address) => Promise<void>;
+  readonly renew: () => Promise<boolean>;
+};
+
+const ASK_MS = 600;
+const AGREE_MS = 1_500;
+const ADMIT_MS = 2_500;
+const DEAD_MS = 5_500;
+const IN_TURN_MS = 1_500;
+const LEAVE_MS = 1_000;
+
+export function createJoining(deps: JoiningDeps): Joining {
+  const { rng, peers, log, self, belief, standings, propose } = deps;
+  let former = belief().ledger !== '';
+
+  function held(): Member | null {
+    for (const m of belief().members) if (memberId(m) === memberId(self)) return m;
+    return null;
+  }
+
+  async function agree(cause: string, act: Act): Promise<boolean> {
+    const got = await propose({ cause, act }, AGREE_MS);
+    return got.ok && got.value.outcome.tag === 'applied';
+  }
+
+  async function answers(m: Member): Promise<boolean> {
+    if (memberId(m) === memberId(self)) return true;
+    const got = await peers.call(m.address, { kind: 'standingAsk' }, ASK_MS);
+    return got.ok && got.value.kind === 'standing' && got.value.voter === memberId(m);
+  }
+  async function silentNow(): Promise<Member[]> {
+    const members = belief().members;
+    const heard = await Promise.all(members.map(answers));
+    const out: Member[] = [];
+    for (let i = 0; i < members.length; i += 1) if (!heard[i]) out.push(members[i] as Member);
+    return out;
+  }
+
+  async function admission(joiner: Member): Promise<Act | null> {
+    for (const old of belief().members) if (old.name === joiner.name) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
+    for (const old of belief().members) if (old.address === joiner.address) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
+    const silent = await silentNow();
+    if (silent.length === 0) return belief().members.length < MOST_MEMBERS ? { tag: 'memberAdded', member: joiner } : null;
+    for (const old of silent) if (standings.mostUnheard(memberId(old))) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
+    return null;
+  }
+
+  async function onRejoin(m: MessageOf<'rejoin'>): Promise<Message> {
+    if (m.ledger !== belief().ledger || !held()) return { kind: 'done', agreed: false };
+    for (const old of belief().members) if (memberId(old) === memberId(m.member) && old.address === m.member.address) return { kind: 'done', agreed: true };
+    const act = await admission(m.member);
+    if (!act) return { kind: 'done', agreed: false };
+    const cause = act.tag === 'memberAdded' ? `${m.member.name} joined.` : `${m.member.name} came new, or at a new address.`;
+    return { kind: 'done', agreed: await agree(cause, act) };
+  }
+  peers.on('rejoin', onRejoin);
+
+  async function tellOwnAddress(): Promise<void> {
+    if (await agree(`${self.name} serves at a new address.`, { tag: 'memberReplaced', old: memberId(self), member: { ...self } })) log.info(`Known at ${self.address}.`);
+  }
+
+  async function standingsOf(targets: Iterable<Address>): Promise<MessageOf<'standing'>[]> {
+    const out: MessageOf<'standing'>[] = [];
+    async function one(to: Address): Promise<void> {
+      const got = await peers.call(to, { kind: 'standingAsk' }, ASK_MS);
+      if (!got.ok || got.value.kind !== 'standing' || got.value.ledger === '') return;
+      if (belief().ledger === '' || got.value.ledger === belief().ledger) out.push(got.value);
+      else log.error(`${to} belongs to another ledger; it is ignored.`);
+    }
+    const asks: Promise<void>[] = [];
+    for (const to of targets) asks.push(one(to));
+    await Promise.all(asks);
+    return out.sort(furthestFirst);
+  }
+  function furthestFirst(a: MessageOf<'standing'>, b: MessageOf<'standing'>): number {
+    return b.learned - a.learned;
+  }
+
+  async function seek(): Promise<void> {
+    const targets = new Set<Address>(deps.seeds);
+    for (const m of belief().members) targets.add(m.address);
+    targets.delete(self.address);
+    const heard = await standingsOf(targets);
+    const best = heard[0];
+    if (!best) return;
+    if (best.learned > belief().slot) await deps.catchUp(best.address);
+    if (held()?.address === self.address) return;
+    if (former && !held()) {
+      if (!(await deps.renew())) return;
+      former = false;
+      log.info(`No longer a member; joins anew as ${memberId(self)}.`);
+    }
+    const doors: Address[] = [];
+    for (const m of belief().members) for (const h of heard) if (h.address === m.address) doors.push(m.address);
+    for (const to of shuffled(rng, doors).slice(0, 2)) {
+      const asked = await peers.call(to, { kind: 'rejoin', ledger: belief().ledger, member: { ...self } }, ADMIT_MS);
+      if (!asked.ok || asked.value.kind !== 'done' || !asked.value.agreed) continue;
+      await deps.catchUp(to);
+      if (held()?.address === self.address) log.info(`Joined the ledger as ${memberId(self)}.`);
+      return;
+    }
+  }
+
+  function turnOf(): number {
+    let n = 0;
+    for (const m of belief().members) {
+      if (memberId(m) === memberId(self)) return n;
+      if (standings.hears(memberId(m))) n += 1;
+    }
+    return n;
+  }
+
+  async function shedDead(): Promise<void> {
+    if (belief().members.length % 2 !== 0) return;
+    for (const m of belief().members) {
+      const id = memberId(m);
+      if (id === memberId(self) || standings.unheardMs(id) < DEAD_MS + IN_TURN_MS * turnOf() || !standings.mostUnheard(id)) continue;
+      if (await agree(`${m.name} has been dead, and ${belief().members.length} members bear no more than one fewer.`, { tag: 'memberRemoved', old: id })) log.info(`${id} is no longer a member.`);
+      return;
+    }
+  }
+
+  function inTouch(): boolean {
+    let n = 1;
+    for (const m of belief().members) if (memberId(m) !== memberId(self) && standings.hears(memberId(m))) n += 1;
+    return 2 * n > belief().members.length;
+  }
+
+  async function turn(): Promise<void> {
+    const mine = held();
+    if (mine) former = true;
+    if (mine && mine.address !== self.address && (await deps.settle(AGREE_MS)) && held()) await tellOwnAddress();
+    if (held()?.address === self.address && inTouch()) await shedDead();
+    else await seek();
+  }
+
+  async function leave(): Promise<void> {
+    if (!held() || belief().members.length % 2 !== 0) return;
+    await propose({ cause: `${self.name} was told to end.`, act: { tag: 'memberRemoved', old: memberId(self) } }, LEAVE_MS);
+  }
+  return { turn, leave };
+}
--- a/src/coordination/ledger/lease.ts
+++ b/src/coordination/ledger/lease.ts
@@ -19,7 +19,9 @@
 const RENEW_MS = 1_000;
 
 export function createLease(duty: string, ledger: Ledger, peers: Peers, clock: Clock, rng: Rng, log: Log): Lease {
-  const me = memberId(ledger.self);
+  function me(): string {
+    return memberId(ledger.self);
+  }
   const book = createLeaseBook(clock.mono(), LEASE_TERM_MS);
   let until = 0;
   let held: number | null = null;
@@ -28,7 +30,7 @@
 
   function onAsk(m: MessageOf<'leaseAsk'>): Message {
     const mine = m.ledger === ledger.belief().ledger && ledger.isMember() && m.termMs <= LEASE_TERM_MS;
-    return { kind: 'leaseAnswer', voter: me, granted: mine && askGrant(book, m, clock.mono()) };
+    return { kind: 'leaseAnswer', voter: me(), granted: mine && askGrant(book, m, clock.mono()) };
   }
   function onDrop(m: MessageOf<'leaseDrop'>): null {
     if (m.ledger === ledger.belief().ledger) dropGrant(book, m.duty, m.holder, m.round);
@@ -50,10 +52,10 @@
   async function askMajority(): Promise<boolean> {
     const b = ledger.belief();
     round += 1;
-    const ask: MessageOf<'leaseAsk'> = { kind: 'leaseAsk', ledger: b.ledger, duty, holder: me, termMs: LEASE_TERM_MS, round };
+    const ask: MessageOf<'leaseAsk'> = { kind: 'leaseAsk', ledger: b.ledger, duty, holder: me(), termMs: LEASE_TERM_MS, round };
     let granted = 0;
     async function one(address: string, id: string): Promise<void> {
-      if (id === me) {
+      if (id === me()) {
         const own = onAsk(ask);
         if (own.kind === 'leaseAnswer' && own.granted) granted += 1;
         return;
@@ -69,9 +71,9 @@
 
   function dropAll(): void {
     const b = ledger.belief();
-    const drop: MessageOf<'leaseDrop'> = { kind: 'leaseDrop', ledger: b.ledger, duty, holder: me, round };
+    const drop: MessageOf<'leaseDrop'> = { kind: 'leaseDrop', ledger: b.ledger, duty, holder: me(), round };
     for (const m of b.members) {
-      if (memberId(m) === me) onDrop(drop);
+      if (memberId(m) === me()) onDrop(drop);
       else void peers.tell(m.address, drop);
     }
   }
@@ -95,7 +97,7 @@
     const record = ledger.belief().leases[duty];
     if (!expired && held !== null && record?.fence === held) return;
     held = null;
-    const taken = await ledger.propose({ cause: `A majority granted the ${duty} lease.`, act: { tag: 'leaseTaken', duty, holder: me } }, RENEW_MS * 2);
+    const taken = await ledger.propose({ cause: `A majority granted the ${duty} lease.`, act: { tag: 'leaseTaken', duty, holder: me() } }, RENEW_MS * 2);
     if (taken.ok && taken.value.outcome.tag === 'applied') {
       held = taken.value.slot;
       log.info(`Holds the ${duty} lease with fence ${held}.`);
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -6,7 +6,7 @@
 import { isBelief, majorityOf, memberId, operationOf } from '../../state/belief.js';
 import type { Belief, Outcome } from '../../state/belief.js';
 import type { Act, Batch, Entry, Member } from '../../state/entry.js';
-import { pause, every } from '../../transport/clock.js';
+import { every, pause, within } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
 import type { Disk } from '../../transport/disk.js';
 import type { Log } from '../../transport/log.js';
@@ -16,9 +16,11 @@
 import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
 import { createFounding, foundedEntry } from './founding.js';
+import { createJoining } from './joining.js';
 import { poll } from './poll.js';
-import type { Votes } from './poll.js';
+import type { AskMember, Votes } from './poll.js';
 import { runRound } from './round.js';
+import { createStandings, STANDING_MS } from './standings.js';
 import { openStore } from './store.js';
 import type { StoreCommand } from './store.js';
 
@@ -49,7 +51,9 @@
   readonly isMember: () => boolean;
   readonly writable: () => boolean;
   readonly top: () => number;
+  readonly heardAt: (id: string) => number | null;
   readonly self: Member;
+  readonly leave: () => Promise<void>;
   readonly stop: () => void;
 };
 
@@ -63,11 +67,12 @@
   readonly self: Member;
   readonly seeds: readonly Address[];
   readonly founders: readonly Address[] | null;
-  readonly mayRejoin: (old: Member) => boolean;
+  readonly renew: () => Promise<boolean>;
 };
 
-const VOTE_WAIT_MS = 1_500;
-const STANDING_MS = 500;
+const VOTE_WAIT_MS = 1_000;
+const SLICE_MS = 1_000;
+const HELP_AFTER_MS = 150;
 const DANGLING_MS = 1_000;
 
 type Proposal = { readonly entry: Entry; readonly until: number };
@@ -75,10 +80,9 @@
 export async function createLedger(deps: LedgerDeps): Promise<Result<Ledger, RingFault>> {
   const { clock, rng, peers, log, self } = deps;
   const events = createEvents<LedgerEvents>();
-  const me = memberId(self);
   let blockedBy: RingFault | null = null;
   let danglingSince = -1;
-  let catching = false;
+  const catching = new Map<Address, Promise<void>>();
   let stopped = false;
 
   function onFold(slot: number, batch: Batch, outcomes: readonly Outcome[]): void {
@@ -94,12 +98,11 @@
   function belief(): Belief {
     return store.belief();
   }
-  function addressCurrent(): boolean {
-    for (const m of belief().members) if (memberId(m) === me) return m.address === self.address;
-    return false;
+  function me(): string {
+    return memberId(self);
   }
   function isMember(): boolean {
-    for (const m of belief().members) if (memberId(m) === me) return true;
+    for (const m of belief().members) if (memberId(m) === me()) return true;
     return false;
   }
 
@@ -114,13 +117,13 @@
     const v = answer.vote;
     switch (v.tag) {
       case 'promised':
-        return { kind: 'promised', voter: me, accepted: v.accepted };
+        return { kind: 'promised', voter: me(), accepted: v.accepted };
       case 'accepted':
-        return { kind: 'accepted', voter: me };
+        return { kind: 'accepted', voter: me() };
       case 'outbid':
-        return { kind: 'outbid', voter: me, by: v.by };
+        return { kind: 'outbid', voter: me(), by: v.by };
       case 'alreadyChosen':
-        return { kind: 'alreadyChosen', voter: me };
+        return { kind: 'alreadyChosen', voter: me() };
     }
   }
 
@@ -129,15 +132,18 @@
     blockedBy = fault;
   }
 
-  async function askMember(m: Member, message: Message): Promise<Message | null> {
-    if (memberId(m) === me) return ownAnswer(message);
-    const got = await peers.call(m.address, message, VOTE_WAIT_MS);
-    if (!got.ok) return null;
-    const a = got.value;
-    return 'voter' in a && a.voter !== memberId(m) ? null : a;
+  function asker(until: number): AskMember {
+    async function ask(m: Member, message: Message): Promise<Message | null> {
+      if (memberId(m) === me()) return ownAnswer(message);
+      const got = await peers.call(m.address, message, Math.min(VOTE_WAIT_MS, until - clock.mono()));
+      if (!got.ok) return null;
+      const a = got.value;
+      return 'voter' in a && a.voter !== memberId(m) ? null : a;
+    }
+    return ask;
   }
   function ownAnswer(message: Message): Promise<Message> | Message {
-    return message.kind === 'prepare' || message.kind === 'accept' ? onVote(message) : standing();
+    return message.kind === 'prepare' || message.kind === 'accept' ? onVote(message) : standings.own();
   }
 
   async function learn(slot: number, batch: Batch): Promise<void> {
@@ -147,36 +153,51 @@
 
   function spread(slot: number, batch: Batch): void {
     for (const m of belief().members) {
-      if (memberId(m) !== me) void peers.tell(m.address, { kind: 'learned', ledger: belief().ledger, slot, batch });
+      if (memberId(m) !== me()) void peers.tell(m.address, { kind: 'learned', ledger: belief().ledger, slot, batch: batch.id, at: self.address });
     }
   }
 
-  async function catchUp(from: Address): Promise<void> {
-    if (catching) return;
-    catching = true;
+  function catchUp(from: Address): Promise<void> {
+    const under = catching.get(from);
+    if (under) return under;
+    function done(): void {
+      catching.delete(from);
+    }
+    const made = fetchAll(from).then(done);
+    catching.set(from, made);
+    return made;
+  }
+  async function fetchAll(from: Address): Promise<void> {
     for (let i = 0; i < 64; i += 1) {
       const at = belief().slot;
       const got = await peers.call(from, { kind: 'fetch', ledger: belief().ledger, from: at + 1 }, 2 * VOTE_WAIT_MS);
-      if (!got.ok || got.value.kind !== 'fetched') break;
+      if (!got.ok || got.value.kind !== 'fetched') return;
       const { batches, belief: whole } = got.value;
       if (isBelief(whole)) await store.put({ tag: 'adopt', belief: whole });
       for (const b of batches) await learn(b.slot, b.batch);
-      if (belief().slot === at) break;
+      if (belief().slot === at) return;
     }
-    catching = false;
   }
-
   async function catchUpFrom(ahead: readonly Member[]): Promise<void> {
-    for (const m of ahead) if (memberId(m) !== me) await catchUp(m.address);
+    const asks: Promise<void>[] = [];
+    for (const m of ahead) if (memberId(m) !== me()) asks.push(catchUp(m.address));
+    if (asks.length > 0) await Promise.race(asks);
+  }
+
+  async function slotDone(slot: number, waitMs: number): Promise<void> {
+    const until = clock.mono() + waitMs;
+    while (belief().slot < slot && clock.mono() < until) await pause(clock, Math.min(15, until - clock.mono()));
   }
 
   async function decideSlot(batch: Batch, until: number): Promise<Result<null, ProposeFault>> {
     let top = 0;
+    let tookMs = 0;
     for (let tries = 0; clock.mono() < until; tries += 1) {
       const slot = belief().slot + 1;
+      const from = clock.mono();
       const b = belief();
       const who = { ledger: b.ledger, members: b.members, need: majorityOf(b.members) };
-      const end = await runRound(who, slot, { round: top + 1, by: `${me}/${newId(rng, 'b')}` }, batch, askMember);
+      const end = await runRound(who, slot, { round: top + 1, by: `${me()}/${newId(rng, 'b')}` }, batch, asker(until));
       if (end.tag === 'chosen') {
         await learn(slot, end.batch);
         spread(slot, end.batch);
@@ -192,17 +213,20 @@
         continue;
       }
       if (end.tag === 'outbid') top = Math.max(top, end.round);
-      await pause(clock, 10 + rng.next() * Math.min(400, 30 * (tries + 1)));
+      tookMs = Math.max(tookMs, clock.mono() - from);
+      await slotDone(slot, Math.min(until - clock.mono(), 10 + tookMs + rng.next() * Math.min(400, (tookMs + 20) * (tries + 1))));
     }
     return err({ tag: 'noMajority' });
   }
 
   async function work(proposals: readonly Proposal[]): Promise<readonly Result<Agreed, ProposeFault>[]> {
+    const now = clock.mono();
     const fresh: Entry[] = [];
-    let until = 0;
+    let until = now;
     for (const p of proposals) {
-      if (!operationOf(belief(), p.entry.id)) fresh.push(p.entry);
-      until = Math.max(until, p.until);
+      if (p.until <= now || operationOf(belief(), p.entry.id)) continue;
+      fresh.push(p.entry);
+      until = Math.min(now + SLICE_MS, Math.max(until, p.until));
     }
     let failed: ProposeFault | null = null;
     if (fresh.length > 0) {
@@ -229,37 +253,43 @@
       act: draft.act,
       ...(draft.fence === undefined ? {} : { fence: draft.fence }),
     };
-    return line.put({ entry, until: clock.mono() + waitMs });
+    return agreedWithin(entry, clock.mono() + waitMs);
+  }
+  async function agreedWithin(entry: Entry, until: number): Promise<Result<Agreed, ProposeFault>> {
+    for (;;) {
+      const got = (await within(clock, until - clock.mono(), line.put({ entry, until }))) ?? err({ tag: 'noMajority' });
+      if (got.ok || got.fault.tag !== 'noMajority' || clock.mono() >= until) return got;
+    }
   }
 
   async function settle(waitMs: number): Promise<boolean> {
     if (!isMember()) return false;
+    const until = clock.mono() + waitMs;
     const need = majorityOf(belief().members);
+    const askUntil = asker(until);
     let top = -1;
     function ask(m: Member): Promise<Message | null> {
-      return askMember(m, { kind: 'standingAsk' });
+      return askUntil(m, { kind: 'standingAsk' });
     }
-    function heardMost(votes: Votes): boolean {
-      return votes.size >= need;
+    function heardMost(votes: Votes, open: number): boolean {
+      return votes.size >= need || votes.size + open < need;
     }
     const votes = await poll(belief().members, ask, heardMost);
     if (votes.size < need) return false;
+    const ahead: Promise<void>[] = [];
     for (const v of votes.values()) {
       if (v.kind !== 'standing') continue;
       top = Math.max(top, v.top);
-      if (v.learned > belief().slot) await catchUp(v.address);
+      if (v.learned > belief().slot) ahead.push(catchUp(v.address));
     }
-    const until = clock.mono() + waitMs;
+    if (ahead.length > 0) await within(clock, until - clock.mono(), Promise.all(ahead));
+    await slotDone(top, Math.min(HELP_AFTER_MS, until - clock.mono()));
     while (belief().slot < top && clock.mono() < until) {
       await decideSlot({ id: newId(rng, 'batch'), entries: [] }, until);
     }
     return belief().slot >= top;
   }
 
-  function standing(): MessageOf<'standing'> {
-    return { kind: 'standing', ledger: belief().ledger, voter: me, address: self.address, learned: belief().slot, top: store.top() };
-  }
-
   function onFound(m: MessageOf<'found'>): Promise<Message> | Message {
     const b = belief();
     const same = b.ledger === m.ledger;
@@ -296,67 +326,9 @@
     return ok({ slot: 0, outcome: { tag: 'applied' } });
   }
 
-  async function rejoin(m: MessageOf<'rejoin'>): Promise<Message> {
-    if (m.ledger !== belief().ledger || !isMember()) return { kind: 'done', agreed: false };
-    for (const old of belief().members) {
-      if (old.name !== m.member.name) continue;
-      if (memberId(old) === memberId(m.member) && old.address === m.member.address) return { kind: 'done', agreed: true };
-      if (memberId(old) !== memberId(m.member) && !deps.mayRejoin(old)) return { kind: 'done', agreed: false };
-      const agreed = await propose(
-        {
-          cause: `${m.member.name} came back as a new incarnation or at a new address.`,
-          act: { tag: 'memberReplaced', old: memberId(old), member: m.member },
-        },
-        5_000,
-      );
-      return { kind: 'done', agreed: agreed.ok && agreed.value.outcome.tag === 'applied' };
-    }
-    return { kind: 'done', agreed: false };
-  }
-
-  async function tellOwnAddress(): Promise<void> {
-    await propose({ cause: `${self.name} serves at a new address.`, act: { tag: 'memberReplaced', old: me, member: self } }, 5_000);
-    if (addressCurrent()) log.info(`Known at ${self.address}.`);
-  }
-
-  async function seekLedger(): Promise<void> {
-    if (isMember()) {
-      await settle(VOTE_WAIT_MS);
-      if (!addressCurrent()) await tellOwnAddress();
-      if (addressCurrent()) return;
-    }
-    const known = belief().members;
-    const targets = new Set<Address>(deps.seeds);
-    for (const m of known) targets.add(m.address);
-    targets.delete(self.address);
-    for (const to of targets) {
-      const got = await peers.call(to, { kind: 'standingAsk' }, VOTE_WAIT_MS);
-      if (!got.ok || got.value.kind !== 'standing' || got.value.ledger === '') continue;
-      if (belief().ledger !== '' && got.value.ledger !== belief().ledger) {
-        log.error(`${to} belongs to another ledger; it is ignored.`);
-        continue;
-      }
-      if (got.value.learned > belief().slot) await catchUp(to);
-      if (addressCurrent()) return;
-      const asked = await peers.call(to, { kind: 'rejoin', ledger: belief().ledger, member: self }, 6_000);
-      if (asked.ok && asked.value.kind === 'done' && asked.value.agreed) {
-        await catchUp(to);
-        if (addressCurrent()) log.info(`Joined the ledger as ${me}.`);
-        return;
-      }
-    }
-  }
-
   async function watch(): Promise<void> {
-    if (stopped) return;
-    if (!addressCurrent()) {
-      await seekLedger();
-      if (!isMember()) return;
-    }
-    for (const m of belief().members) {
-      if (memberId(m) !== me) void peers.tell(m.address, standing());
-    }
-    if (store.top() <= belief().slot) {
+    await joining.turn();
+    if (!isMember() || store.top() <= belief().slot) {
       danglingSince = -1;
       return;
     }
@@ -382,11 +354,10 @@
   }
   function onLearned(m: MessageOf<'learned'>): null {
     const blank = belief().ledger === '' && m.slot === 0 && m.ledger === founding.ballotOf;
-    if ((blank || m.ledger === belief().ledger) && m.slot === belief().slot + 1) void learn(m.slot, m.batch);
-    return null;
-  }
-  function onStanding(m: MessageOf<'standing'>): null {
-    if (m.ledger === belief().ledger && m.ledger !== '' && m.learned > belief().slot) void catchUp(m.address);
+    if (!blank && (m.ledger !== belief().ledger || m.slot <= belief().slot)) return null;
+    const accepted = store.accepted(m.slot);
+    if (m.slot === belief().slot + 1 && accepted?.id === m.batch) void learn(m.slot, accepted);
+    else void catchUp(m.at);
     return null;
   }
   function onFetch(m: MessageOf<'fetch'>): Message {
@@ -399,22 +370,27 @@
   peers.on('prepare', onVote);
   peers.on('accept', onVote);
   peers.on('learned', onLearned);
-  peers.on('standingAsk', standing);
-  peers.on('standing', onStanding);
   peers.on('fetch', onFetch);
   peers.on('found', onFound);
-  peers.on('rejoin', rejoin);
 
   function beat(): void {
+    if (stopped) return;
+    standings.ask();
     void watchOnce();
   }
+  function isAhead(address: Address): void {
+    void catchUp(address);
+  }
+  const standings = createStandings({ clock, peers, self, belief, top: store.top, isAhead });
+  peers.on('standingAsk', standings.own);
+  const joining = createJoining({ rng, peers, log, self, seeds: deps.seeds, belief, standings, propose, settle, catchUp, renew: deps.renew });
   function ledgerName(): string {
     return belief().ledger;
   }
   function learnZero(batch: Batch): Promise<void> {
     return learn(0, batch);
   }
-  const founding = createFounding({ clock, rng, peers, log, self, founders: deps.founders, ledgerName, askVote: askMember, learnZero, seek: beat });
+  const founding = createFounding({ clock, rng, peers, log, self, founders: deps.founders, ledgerName, askVote: asker(Infinity), learnZero, seek: beat });
   const beating: Wakeup = every(clock, STANDING_MS, beat);
   beat();
 
@@ -423,5 +399,5 @@
     founding.stop();
     beating.cancel();
   }
-  return ok({ belief, events, propose, settle, since: store.recent, found, isMember, writable: store.writable, top: store.top, self, stop });
+  return ok({ belief, events, propose, settle, since: store.recent, found, isMember, writable: store.writable, top: store.top, heardAt: standings.heardAt, self, leave: joining.leave, stop });
 }
--- a/src/coordination/ledger/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -29,7 +29,6 @@
   const acked = new Map<string, number>();
   const heard = new Map<string, number>();
   const reports: Reports = new Map();
-  const membersHeard = new Map<string, number>();
   const noting = new Set<string>();
 
   function serve(f: Follower): void {
@@ -92,19 +91,13 @@
     if (!ledger.isMember() || !ledger.writable()) return false;
     let n = 0;
     for (const m of ledger.belief().members) {
-      const at = membersHeard.get(memberId(m));
-      if (memberId(m) === memberId(ledger.self) || (at !== undefined && clock.mono() - at < QUORATE_MS)) n += 1;
+      const at = ledger.heardAt(memberId(m));
+      if (memberId(m) === memberId(ledger.self) || (at !== null && clock.mono() - at < QUORATE_MS)) n += 1;
     }
     return n >= majorityOf(ledger.belief().members);
   }
 
-  async function probe(address: string, id: string): Promise<void> {
-    const got = await peers.call(address, { kind: 'standingAsk' }, BEAT_MS * 2);
-    if (got.ok && got.value.kind === 'standing' && got.value.voter === id) membersHeard.set(id, clock.mono());
-  }
-
   function beat(): void {
-    for (const m of ledger.belief().members) if (memberId(m) !== memberId(ledger.self)) void probe(m.address, memberId(m));
     for (const f of followers.values()) {
       serve(f);
       f.peer.tell(beatMessage(f.nonce));
--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -1,7 +1,7 @@
 import { ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import { createLine } from '../../base/line.js';
-import { accept, createAcceptor, highestAccepted, prepare, raiseFloor, restoreSlot, slotOf } from '../../state/acceptor.js';
+import { accept, acceptedAt, createAcceptor, highestAccepted, prepare, raiseFloor, restoreSlot, slotOf } from '../../state/acceptor.js';
 import type { Acceptor, SlotState, Vote } from '../../state/acceptor.js';
 import type { Ballot } from '../../state/ballot.js';
 import { emptyBelief, foldBatch } from '../../state/belief.js';
@@ -29,6 +29,7 @@
   readonly belief: () => Belief;
   readonly recent: (from: number) => readonly SlotBatch[] | null;
   readonly top: () => number;
+  readonly accepted: (slot: number) => Batch | null;
   readonly writable: () => boolean;
 };
 
@@ -156,8 +157,11 @@
   function top(): number {
     return Math.max(belief.slot, highestAccepted(acc));
   }
+  function accepted(slot: number): Batch | null {
+    return acceptedAt(acc, slot)?.batch ?? null;
+  }
   function writable(): boolean {
     return canWrite;
   }
-  return ok({ put: line.put, belief: believed, recent: since, top, writable });
+  return ok({ put: line.put, belief: believed, recent: since, top, accepted, writable });
 }
--- a/src/coordination/members/peers.ts
+++ b/src/coordination/members/peers.ts
@@ -133,7 +133,9 @@
 
   async function call(to: Address, m: Message, waitMs: number): Promise<Result<Message, PeerFault>> {
     const until = clock.mono() + waitMs;
-    const link = await linkWithin(to, waitMs);
+    const joined = links.has(to);
+    let link = await linkWithin(to, waitMs);
+    if (!link && joined && clock.mono() < until) link = await linkWithin(to, until - clock.mono());
     if (!link || link.closed) return err({ tag: 'peerUnreachable', address: to });
     const held = link;
     const left = until - clock.mono();
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -13,6 +13,8 @@
 import { createSimNet } from './sim-wire.js';
 import { createWorld } from './world.js';
 import type { Host, World } from './world.js';
+import type { Clock } from '../transport/clock.js';
+import type { Wire } from '../transport/wire.js';
 
 export type CoreNode = { readonly name: string; readonly host: Host; readonly wire: string; readonly platter: Platter; founding: boolean; headgate: Headgate | null };
 
@@ -25,10 +27,12 @@
   readonly nodes: readonly CoreNode[];
   readonly node: (name: string) => CoreNode;
   readonly add: (name: string) => CoreNode;
+  readonly lab: (name: string) => { readonly wire: Wire; readonly clock: Clock };
   readonly seeds: (names: readonly string[]) => void;
   readonly start: (name: string) => void;
   readonly startAll: () => void;
   readonly kill: (name: string) => void;
+  readonly end: (name: string) => Promise<void>;
   readonly powerLoss: (name: string) => void;
   readonly wipe: (name: string) => void;
   readonly cutOff: (names: readonly string[]) => void;
@@ -146,6 +150,10 @@
     headgate.ledger.events.on('adopted', oneLedger);
   }
 
+  function lab(name: string): { readonly wire: Wire; readonly clock: Clock } {
+    const proc = world.begin(world.host(name, `zone-${name}`));
+    return { wire: net.wireOf(proc), clock: world.clockOf(proc) };
+  }
   function start(name: string): void {
     void startOne(node(name));
   }
@@ -158,6 +166,11 @@
     n.headgate = null;
     n.founding = false;
   }
+  async function end(name: string): Promise<void> {
+    const stopping = node(name).headgate?.stop();
+    if (stopping) await finish(stopping, 8_000);
+    kill(name);
+  }
   function powerLoss(name: string): void {
     node(name).host.powered = false;
     kill(name);
@@ -214,5 +227,5 @@
   function until(limitMs: number, test: () => boolean): Promise<boolean> {
     return world.until(limitMs, test);
   }
-  return { world, nodes, node, add, seeds: setSeeds, start, startAll, kill, powerLoss, wipe, cutOff, order, evacuatedAt, members, whole, until, finish, sent: net.sent, broken };
+  return { world, nodes, node, add, lab, seeds: setSeeds, start, startAll, kill, end, powerLoss, wipe, cutOff, order, evacuatedAt, members, whole, until, finish, sent: net.sent, broken };
 }
--- a/src/state/acceptor.ts
+++ b/src/state/acceptor.ts
@@ -48,6 +48,10 @@
   if (slot >= acc.floor) acc.slots.set(slot, state);
 }
 
+export function acceptedAt(acc: Acceptor, slot: number): Accepted | null {
+  return acc.slots.get(slot)?.accepted ?? null;
+}
+
 export function highestAccepted(acc: Acceptor): number {
   let top = -1;
   for (const [slot, st] of acc.slots) if (st.accepted && slot > top) top = slot;
--- a/src/state/belief.ts
+++ b/src/state/belief.ts
@@ -38,6 +38,7 @@
 };
 
 export const SCALER_DUTY = 'scaler';
+export const MOST_MEMBERS = 9;
 const CLOSED_KEPT = 2_000;
 const OPERATIONS_KEPT = 1_024;
 
@@ -110,6 +111,19 @@
   return { slot, status, author: entry.author, fence: entry.fence ?? 0, cause: entry.cause, wall: entry.wall };
 }
 
+function placeOf(b: Belief, id: string): number {
+  for (let i = 0; i < b.members.length; i += 1) if (memberId(b.members[i] as Member) === id) return i;
+  return -1;
+}
+
+function stands(b: Belief, member: Member, besides: number): boolean {
+  for (let i = 0; i < b.members.length; i += 1) {
+    const m = b.members[i] as Member;
+    if (i !== besides && (m.name === member.name || m.address === member.address)) return true;
+  }
+  return false;
+}
+
 function foldAct(b: Belief, slot: number, entry: Entry, act: Act): Outcome {
   switch (act.tag) {
     case 'founded': {
@@ -123,13 +137,21 @@
     case 'headgateUp':
       return APPLIED;
     case 'memberReplaced': {
-      const at = b.members.findIndex(isOld);
-      if (at < 0) return { tag: 'unfit', why: 'member' };
+      const at = placeOf(b, act.old);
+      if (at < 0 || stands(b, act.member, at)) return { tag: 'unfit', why: 'member' };
       b.members = [...b.members.slice(0, at), act.member, ...b.members.slice(at + 1)];
       return APPLIED;
-      function isOld(m: Member): boolean {
-        return memberId(m) === (act as { old: string }).old;
-      }
+    }
+    case 'memberAdded': {
+      if (b.members.length >= MOST_MEMBERS || stands(b, act.member, -1)) return { tag: 'unfit', why: 'member' };
+      b.members = [...b.members, act.member];
+      return APPLIED;
+    }
+    case 'memberRemoved': {
+      const at = placeOf(b, act.old);
+      if (at < 0 || b.members.length % 2 !== 0) return { tag: 'unfit', why: 'member' };
+      b.members = [...b.members.slice(0, at), ...b.members.slice(at + 1)];
+      return APPLIED;
     }
     case 'claimsReopened': {
       b.claimants = [...act.members];
--- a/src/state/entry.ts
+++ b/src/state/entry.ts
@@ -17,6 +17,8 @@
   Type.Object({ tag: Type.Literal('founded'), ledger: Str, ticketKey: Str, members: Type.Array(MemberShape) }),
   Type.Object({ tag: Type.Literal('headgateUp'), name: Str, incarnation: Str }),
   Type.Object({ tag: Type.Literal('memberReplaced'), old: Str, member: MemberShape }),
+  Type.Object({ tag: Type.Literal('memberAdded'), member: MemberShape }),
+  Type.Object({ tag: Type.Literal('memberRemoved'), old: Str }),
   Type.Object({ tag: Type.Literal('claimsReopened'), members: Type.Array(Str) }),
   Type.Object({ tag: Type.Literal('configured'), base: Slot, changes: Type.Array(ChangeShape) }),
   Type.Object({ tag: Type.Literal('evacuation'), zone: Str, begun: Type.Boolean() }),
--- a/src/transport/clock.ts
+++ b/src/transport/clock.ts
@@ -32,6 +32,21 @@
   return new Promise<void>(start);
 }
 
+export function within<T>(clock: Clock, ms: number, work: Promise<T>): Promise<T | null> {
+  function start(resolve: (value: T | null) => void): void {
+    function late(): void {
+      resolve(null);
+    }
+    const wakeup = clock.wakeup(ms, late);
+    function done(value: T): void {
+      wakeup.cancel();
+      resolve(value);
+    }
+    void work.then(done);
+  }
+  return new Promise(start);
+}
+
 export function every(clock: Clock, ms: number, fn: () => void): Wakeup {
   let stopped = false;
   let next: Wakeup = clock.wakeup(ms, tick);
