--- /dev/null
+++ b/src/sim/sim-ledger.ts
@@ -0,0 +1,76 @@
+import { err, ok } from '../base/result.js';
+import type { Result } from '../base/result.js';
+import type { Agreed, Draft, Ledger, ProposeFault } from '../coordination/ledger/ledger.js';
+import { emptyBelief, foldBatch } from '../state/belief.js';
+import type { Belief, Outcome } from '../state/belief.js';
+import type { Act, Entry } from '../state/entry.js';
+import { pause } from '../transport/clock.js';
+import type { Clock } from '../transport/clock.js';
+import { createWorld } from './world.js';
+import type { World } from './world.js';
+
+export type SimLedger = {
+  readonly world: World;
+  readonly clock: Clock;
+  readonly belief: Belief;
+  readonly entryBytes: readonly number[];
+  readonly fold: (id: string, act: Act) => Agreed;
+  readonly ledgerAfter: (ms: number) => Pick<Ledger, 'belief' | 'settle' | 'propose'>;
+  readonly cut: (on: boolean) => void;
+  readonly deaf: (on: boolean) => void;
+  readonly run: <T>(work: Promise<T>, limitMs?: number) => Promise<T | null>;
+};
+
+// One agreed ledger that several doors share: a proposal takes its way there, is folded, and is answered after the way back.
+export function createSimLedger(seed: number): SimLedger {
+  const world = createWorld(seed);
+  const clock = world.clockOf(world.begin(world.host('core', 'a')));
+  const belief = emptyBelief();
+  const entryBytes: number[] = [];
+  let isCut = false;
+  let isDeaf = false;
+  let proposals = 0;
+
+  function fold(id: string, act: Act): Agreed {
+    const entry: Entry = { id, author: 'sim', wall: 0, cause: 'A test proposed it.', act };
+    entryBytes.push(JSON.stringify(entry).length);
+    const outcomes = foldBatch(belief, belief.slot + 1, { id: `batch-${belief.slot}`, entries: [entry] });
+    return { slot: belief.slot, outcome: outcomes[0] as Outcome };
+  }
+  function believed(): Belief {
+    return belief;
+  }
+  async function settle(): Promise<boolean> {
+    await pause(clock, isCut ? 60_000 : 10);
+    return !isCut;
+  }
+  function ledgerAfter(ms: number): Pick<Ledger, 'belief' | 'settle' | 'propose'> {
+    async function propose(draft: Draft, waitMs: number): Promise<Result<Agreed, ProposeFault>> {
+      await pause(clock, ms);
+      proposals += 1;
+      const done = fold(draft.id ?? `op-${proposals}`, draft.act);
+      await pause(clock, isDeaf ? waitMs : ms);
+      return isDeaf ? err({ tag: 'noMajority' }) : ok(done);
+    }
+    return { belief: believed, settle, propose };
+  }
+  function cut(on: boolean): void {
+    isCut = on;
+  }
+  function deaf(on: boolean): void {
+    isDeaf = on;
+  }
+  async function run<T>(work: Promise<T>, limitMs = 10_000): Promise<T | null> {
+    const got: T[] = [];
+    function settled(value: T): void {
+      got.push(value);
+    }
+    function isDone(): boolean {
+      return got.length > 0;
+    }
+    void work.then(settled);
+    await world.until(limitMs, isDone);
+    return got[0] ?? null;
+  }
+  return { world, clock, belief, entryBytes, fold, ledgerAfter, cut, deaf, run };
+}
