A conn that owes an answer for 1.2 s is closed and dialled anew

A machine without power says nothing, and Node.js has no user timeout: three calls of their full wait had to fail before a conn was given up. A conn now owes an answer from the first quick call on, any byte settles it, and one that was itself frozen does not blame its peer. Conns nobody uses are closed after 20 s, inbound ones after 45 s, so that a vanished peer's don't stay. TCP keep-alive was ruled out: its shortest from Node.js takes 11 s.

--- a/src/coordination/members/peers.ts
+++ b/src/coordination/members/peers.ts
@@ -25,9 +25,20 @@
 };
 
 type Waiting = { readonly done: (m: Message | null) => void; readonly wakeup: Wakeup };
-type Link = { readonly conn: Conn; readonly peer: Peer; readonly waiting: Map<number, Waiting>; closed: boolean; silences: number };
+type Link = {
+  readonly conn: Conn;
+  readonly peer: Peer;
+  readonly waiting: Map<number, Waiting>;
+  readonly owe: () => void;
+  closed: boolean;
+  held: boolean;
+};
 
-const SILENCES_BEFORE_REDIAL = 3;
+export const SILENT_MS = 1_200;
+const STOOD_STILL_MS = 600;
+const SLOW_CALL_MS = 1_500;
+const IDLE_OUT_MS = 20_000;
+const IDLE_IN_MS = 45_000;
 
 export function createPeers(wire: Wire, clock: Clock, log: Log): Peers {
   const handlers = new Map<MessageKind, Handler<MessageKind>>();
@@ -39,20 +50,54 @@
   let nextId = 1;
   let stopped = false;
 
-  function linkOf(conn: Conn, onGone: () => void): Link {
+  function linkOf(conn: Conn, idleMs: number, onGone: () => void): Link {
     const watchers: (() => void)[] = [];
     const waiting = new Map<number, Waiting>();
+    let owedSince: number | null = null;
+    let silence: Wakeup | null = null;
+    let usedAt = clock.mono();
+    let idle: Wakeup = clock.wakeup(idleMs, checkIdle);
+
+    function owe(): void {
+      usedAt = clock.mono();
+      if (owedSince !== null) return;
+      owedSince = usedAt;
+      silence = clock.wakeup(SILENT_MS, checkSilence);
+    }
+    function heard(): void {
+      usedAt = clock.mono();
+      owedSince = null;
+      silence?.cancel();
+    }
+    function checkSilence(): void {
+      if (owedSince === null || link.closed) return;
+      if (clock.mono() - owedSince < SILENT_MS + STOOD_STILL_MS) {
+        conn.close();
+        return;
+      }
+      owedSince = null;
+      owe();
+    }
+    function checkIdle(): void {
+      if (link.closed) return;
+      const left = usedAt + idleMs - clock.mono();
+      if (left <= 0 && !link.held) conn.close();
+      else idle = clock.wakeup(Math.max(1_000, left), checkIdle);
+    }
     function tell(m: Message): void {
+      usedAt = clock.mono();
       conn.send({ t: 'tell', m });
     }
     function onClosed(fn: () => void): void {
       if (link.closed) fn();
       else watchers.push(fn);
     }
-    const link: Link = { conn, peer: { tell, onClosed, close: conn.close }, waiting, closed: false, silences: 0 };
+    const link: Link = { conn, peer: { tell, onClosed, close: conn.close }, waiting, owe, closed: false, held: false };
     function closed(): void {
       if (link.closed) return;
       link.closed = true;
+      silence?.cancel();
+      idle.cancel();
       onGone();
       for (const w of waiting.values()) {
         w.wakeup.cancel();
@@ -62,6 +107,7 @@
       for (const fn of watchers) fn();
     }
     function frame(body: unknown): void {
+      heard();
       const f = readFrame(body);
       if (!f) {
         log.warn(`Conn to ${conn.peer} ended: a frame had no known shape.`);
@@ -85,7 +131,7 @@
       const m = await given;
       if (m) conn.send({ t: 'answer', id, m });
     }
-    conn.attach({ frame, closed });
+    conn.attach({ frame, closed, heard });
     return link;
   }
 
@@ -100,7 +146,7 @@
       links.delete(to);
       live.delete(to);
     }
-    const link = linkOf(dialled.value, gone);
+    const link = linkOf(dialled.value, IDLE_OUT_MS, gone);
     if (!link.closed) live.set(to, link);
     return link;
   }
@@ -145,17 +191,14 @@
     function ask(done: (m: Message | null) => void): void {
       function late(): void {
         held.waiting.delete(id);
-        held.silences += 1;
-        if (held.silences >= SILENCES_BEFORE_REDIAL) held.conn.close();
         done(null);
       }
       held.waiting.set(id, { done, wakeup: clock.wakeup(left, late) });
       held.conn.send({ t: 'call', id, m });
+      if (waitMs <= SLOW_CALL_MS) held.owe();
     }
     const got = await new Promise<Message | null>(ask);
-    if (!got) return err({ tag: 'peerSilent', address: to });
-    held.silences = 0;
-    return ok(got);
+    return got ? ok(got) : err({ tag: 'peerSilent', address: to });
   }
 
   async function tell(to: Address, m: Message): Promise<boolean> {
@@ -168,6 +211,7 @@
   async function hold(to: Address): Promise<Result<Peer, PeerFault>> {
     const link = await linkTo(to);
     if (!link || link.closed) return err({ tag: 'peerUnreachable', address: to });
+    link.held = true;
     return ok(link.peer);
   }
 
@@ -181,7 +225,7 @@
       function gone(): void {
         if (link) inbound.delete(link);
       }
-      link = linkOf(conn, gone);
+      link = linkOf(conn, IDLE_IN_MS, gone);
       inbound.add(link);
     }
     const opened = await wire.listen(address, accept);
--- a/src/state/belief.test.ts
+++ b/src/state/belief.test.ts
@@ -67,6 +67,20 @@
     expect(b.members.map((m) => m.address)).toEqual(['a:1', 'b:9', 'c:1']);
   });
 
+  test('members are added once each, nine at most, and removed only from a group of even size', () => {
+    const b = founded();
+    const member = (name: string) => ({ name, incarnation: '1', address: `${name}:1` });
+    const unfit = { tag: 'unfit', why: 'member' };
+    expect(fold(b, entry({ tag: 'memberRemoved', old: 'c#1' }))).toEqual([unfit]);
+    expect(fold(b, entry({ tag: 'memberAdded', member: member('d') }), entry({ tag: 'memberAdded', member: member('d') }))).toEqual([applied, unfit]);
+    expect(fold(b, entry({ tag: 'memberAdded', member: { ...member('e'), address: 'a:1' } }))).toEqual([unfit]);
+    expect(fold(b, entry({ tag: 'memberReplaced', old: 'a#1', member: member('d') }))).toEqual([unfit]);
+    expect(fold(b, entry({ tag: 'memberRemoved', old: 'a#1' }), entry({ tag: 'memberRemoved', old: 'b#1' }))).toEqual([applied, unfit]);
+    expect(b.members.map((m) => m.name)).toEqual(['b', 'c', 'd']);
+    for (const name of ['e', 'f', 'g', 'h', 'i', 'j']) expect(fold(b, entry({ tag: 'memberAdded', member: member(name) }))).toEqual([applied]);
+    expect(fold(b, entry({ tag: 'memberAdded', member: member('k') }))).toEqual([unfit]);
+  });
+
   test('a belief told or kept is looked at before it is taken', () => {
     expect(isBelief(JSON.parse(JSON.stringify(founded())))).toBe(true);
     for (const u of [null, 7, [], {}, { ...founded(), orders: [] }, { ...founded(), slot: 'x' }]) expect(isBelief(u)).toBe(false);
--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -12,7 +12,7 @@
   | { readonly tag: 'addressInUse'; readonly address: Address }
   | { readonly tag: 'badAddress'; readonly address: Address };
 
-export type ConnEvents = { readonly frame: (body: unknown) => void; readonly closed: () => void };
+export type ConnEvents = { readonly frame: (body: unknown) => void; readonly closed: () => void; readonly heard?: () => void };
 
 export type Conn = {
   readonly peer: Address;
@@ -81,6 +81,7 @@
       events?.frame(body);
     }
     function data(chunk: string | Buffer): void {
+      events?.heard?.();
       const pieces = chunk.toString().split('\n');
       for (let i = 0; i < pieces.length; i += 1) {
         const piece = pieces[i] as string;
