The test of a frozen node hears its peer only after the thaw

The simulator hands a thawed node what arrived before its timers, so the guard was not tried; the answer now comes after the thaw. Seen to fail without the guard.

--- a/src/coordination/members/silent-peers.test.ts
+++ b/src/coordination/members/silent-peers.test.ts
@@ -67,8 +67,10 @@
     const link = await heldLink(r);
     void r.a.call('b:1', ASK, 500);
     r.world.freeze(r.near);
+    r.world.cut('b', 'a');
     await r.world.advance(5_000);
     r.world.thaw(r.near);
+    r.world.heal('b', 'a');
     await r.world.advance(300);
     expect(link.closedAt).toBe(0);
     expect(await finish(r.world, r.a.call('b:1', ASK, 500))).toEqual({ ok: true, value: DONE });
