--- a/src/coordination/edge/sluice.ts
+++ b/src/coordination/edge/sluice.ts
@@ -144,7 +144,7 @@
     }
   }
 
-  const routes = [...sluiceRoutes({ self, ready, follower, placer, dispatcher, clock, status, counts }), metricsRoute(meter)];
+  const routes = [...sluiceRoutes({ self, ready, follower, placer, dispatcher, clock, status, counts }), metricsRoute(deps.meters(), meter)];
   const door = await deps.door.open(id.httpListen, routes);
   if (!door.ok) {
     await peers.close();
--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -217,7 +217,7 @@
   }
 
   function openDoor(): Promise<Result<Listener, WireFault>> {
-    return deps.door.open(id.httpListen, [...operatorRoutes({ ledger, push, aims, clock, status }), metricsRoute(meter)]);
+    return deps.door.open(id.httpListen, [...operatorRoutes({ ledger, push, aims, clock, status }), metricsRoute(deps.meters(), meter)]);
   }
   const door = id.operatorDoor === false ? null : await openDoor();
   if (door && !door.ok) {
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -3,6 +3,7 @@
 import type { Disk } from '../transport/disk.js';
 import type { Caller, Door } from '../transport/http.js';
 import type { LogRoot } from '../transport/log.js';
+import type { Meters } from '../transport/meters.js';
 import type { Rng } from '../transport/rng.js';
 import type { Address, Wire } from '../transport/wire.js';
 
@@ -15,6 +16,7 @@
   readonly disk: Disk | null;
   readonly logs: LogRoot;
   readonly policies: readonly Policy[];
+  readonly meters: () => Meters;
 };
 
 export type NodeIdentity = {
--- a/src/programs/composition.ts
+++ b/src/programs/composition.ts
@@ -15,6 +15,7 @@
 import type { Caller, Door } from '../transport/http.js';
 import { createLogRoot } from '../transport/log.js';
 import type { LogRoot } from '../transport/log.js';
+import { createMeters } from '../transport/meters.js';
 import { createOsRng, newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import { createTcpWire } from '../transport/wire.js';
@@ -102,6 +103,7 @@
       disk: box.get<Disk | null>(T.disk),
       logs: box.get<LogRoot>(T.logs),
       policies: box.get<readonly Policy[]>(T.policies),
+      meters: createMeters,
     };
   }
   function makeIdentity(): NodeIdentity {
--- a/src/programs/hollow.ts
+++ b/src/programs/hollow.ts
@@ -14,6 +14,7 @@
 import { createExpressDoor } from '../transport/door.js';
 import { createNoJournal } from '../transport/journal.js';
 import { createLogRoot } from '../transport/log.js';
+import { createMeters } from '../transport/meters.js';
 import { createOsRng } from '../transport/rng.js';
 import { createTcpWire } from '../transport/wire.js';
 import { EXIT } from './exit-codes.js';
@@ -70,6 +71,7 @@
       disk: null,
       logs,
       policies: POLICIES,
+      meters: createMeters,
     };
   }
 
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -1,6 +1,8 @@
 import { Type } from '@sinclair/typebox';
-import type { Static } from '@sinclair/typebox';
+import type { Static, TSchema } from '@sinclair/typebox';
 import { TypeCompiler } from '@sinclair/typebox/compiler';
+import type { TypeCheck } from '@sinclair/typebox/compiler';
+import { isTable } from '../base/is-table.js';
 import { ListedShape } from './platform-wire.js';
 import { CountsShape } from '../state/aim-counts.js';
 import { BatchShape, MemberShape } from '../state/entry.js';
@@ -118,8 +120,26 @@
 ]);
 export type Frame = Static<typeof FrameShape>;
 
-const checker = TypeCompiler.Compile(FrameShape);
+const shapes = new Map<unknown, TSchema>();
+for (const shape of MessageShape.anyOf) shapes.set(shape.properties.kind.const, shape);
+const checkers = new Map<unknown, TypeCheck<TSchema>>();
 
 export function readFrame(body: unknown): Frame | null {
-  return checker.Check(body) ? body : null;
+  if (!isTable(body) || !isMessage(body['m'])) return null;
+  const { t, id } = body;
+  return t === 'tell' || ((t === 'call' || t === 'answer') && Number.isInteger(id)) ? (body as Frame) : null;
 }
+function isMessage(u: unknown): boolean {
+  if (!isTable(u)) return false;
+  const { kind } = u;
+  let checker = checkers.get(kind);
+  if (!checker) {
+    const shape = shapes.get(kind);
+    if (!shape) return false;
+    checker = TypeCompiler.Compile(shape);
+    checkers.set(kind, checker);
+  }
+  return checker.Check(u);
+}
+
+// Each kind's check is made when the first of its kind comes: making them all takes a third of a start.
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -5,6 +5,7 @@
 import { POLICIES } from '../state/policies.js';
 import { createQuietLog } from '../transport/log.js';
 import type { LogRoot } from '../transport/log.js';
+import { createMeters } from '../transport/meters.js';
 import { createRng, newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import { createPlatter, loseDisk, losePower, simDisk } from './sim-disk.js';
@@ -107,6 +108,7 @@
       disk: simDisk(n.platter, proc, world),
       logs,
       policies: POLICIES,
+      meters: createMeters,
     };
     const identity = {
       name: n.name,
--- a/src/sim/sim-disk.ts
+++ b/src/sim/sim-disk.ts
@@ -50,8 +50,8 @@
   }
 
   function fileOf(name: string, file: File): DiskFile {
-    function read(): Promise<Result<Buffer, DiskFault>> {
-      return Promise.resolve(ok(Buffer.from(file.current)));
+    function read(length = file.current.length): Promise<Result<Buffer, DiskFault>> {
+      return Promise.resolve(ok(Buffer.from(file.current.subarray(0, length))));
     }
     function write(at: number, data: Buffer): Promise<Result<null, DiskFault>> {
       if (platter.failing) return Promise.resolve(broken(name));
--- a/src/sim/sim-fleet.ts
+++ b/src/sim/sim-fleet.ts
@@ -19,6 +19,7 @@
 import type { Journal } from '../transport/journal.js';
 import { createQuietLog } from '../transport/log.js';
 import type { LogRoot } from '../transport/log.js';
+import { createMeters } from '../transport/meters.js';
 import { createRng, newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import { createPlatter, loseDisk, losePower, simDisk } from './sim-disk.js';
@@ -130,6 +131,7 @@
       disk: platter ? simDisk(platter, proc, world) : null,
       logs,
       policies,
+      meters: createMeters,
     };
   }
 
--- a/src/transport/disk.ts
+++ b/src/transport/disk.ts
@@ -9,7 +9,7 @@
   | { readonly tag: 'diskFull'; readonly file: string };
 
 export type DiskFile = {
-  readonly read: () => Promise<Result<Buffer, DiskFault>>;
+  readonly read: (length?: number) => Promise<Result<Buffer, DiskFault>>;
   readonly write: (at: number, data: Buffer) => Promise<Result<null, DiskFault>>;
   readonly sync: () => Promise<Result<null, DiskFault>>;
 };
@@ -55,12 +55,12 @@
   }
 
   function fileOf(name: string, fh: FileHandle, size: number): DiskFile {
-    function read(): Promise<Result<Buffer, DiskFault>> {
+    function read(length = size): Promise<Result<Buffer, DiskFault>> {
       async function go(): Promise<Buffer> {
-        const buf = Buffer.alloc(size);
+        const buf = Buffer.alloc(Math.min(length, size));
         let at = 0;
-        while (at < size) {
-          const { bytesRead } = await fh.read(buf, at, size - at, at);
+        while (at < buf.length) {
+          const { bytesRead } = await fh.read(buf, at, buf.length - at, at);
           if (bytesRead === 0) break;
           at += bytesRead;
         }
--- a/src/transport/ring.ts
+++ b/src/transport/ring.ts
@@ -77,6 +77,27 @@
   }
 }
 
+async function snapshotIn(file: DiskFile, area: number): Promise<Result<Found | null, DiskFault>> {
+  const head = await file.read(HEAD);
+  if (!head.ok) return head;
+  if (head.value.length < HEAD || head.value.readUInt32BE(0) !== MAGIC) return ok(null);
+  const whole = await file.read(HEAD + head.value.readUInt32BE(4));
+  return whole.ok ? ok(unpacked(whole.value, area, 0)) : whole;
+}
+
+const ZEROS = Buffer.alloc(4_096);
+
+function endOf(buf: Buffer): number {
+  let end = buf.length;
+  for (;;) {
+    const from = Math.max(0, end - ZEROS.length);
+    if (end === 0 || buf.compare(ZEROS, 0, end - from, from, end) !== 0) break;
+    end = from;
+  }
+  while (end > 0 && buf[end - 1] === 0) end -= 1;
+  return end;
+}
+
 function bySeq(a: Found, b: Found): number {
   return a.seq - b.seq;
 }
@@ -84,29 +105,31 @@
 export async function openRing(disk: Disk, shape: RingShape): Promise<Result<Opened, RingFault>> {
   const files: DiskFile[] = [];
   const areas: DiskFile[] = [];
-  const bufs: Buffer[] = [];
   for (let i = 0; i < shape.files; i += 1) {
     const file = await disk.preallocated(`${shape.name}-${i}`, shape.fileBytes);
     if (!file.ok) return file;
     files.push(file.value);
-    const buf = await file.value.read();
-    if (!buf.ok) return buf;
-    bufs.push(buf.value);
   }
   let best: Found | null = null;
   for (let i = 0; i < 2; i += 1) {
     const file = await disk.preallocated(`${shape.name}-snapshot-${i}`, shape.snapshotBytes);
     if (!file.ok) return file;
     areas.push(file.value);
-    const buf = await file.value.read();
-    if (!buf.ok) return buf;
-    const found = unpacked(buf.value, i, 0);
-    if (found && (!best || found.seq > best.seq || (found.seq === best.seq && found.gen > best.gen))) best = found;
+    const found = await snapshotIn(file.value, i);
+    if (!found.ok) return found;
+    const f = found.value;
+    if (f && (!best || f.seq > best.seq || (f.seq === best.seq && f.gen > best.gen))) best = f;
   }
 
   const covers = best ? best.gen : 0;
+  const ends: number[] = [];
   const all: Found[] = [];
-  for (let i = 0; i < bufs.length; i += 1) all.push(...recordsIn(bufs[i] as Buffer, i, covers));
+  for (const [i, file] of files.entries()) {
+    const buf = await file.read();
+    if (!buf.ok) return buf;
+    all.push(...recordsIn(buf.value, i, covers));
+    ends.push(endOf(buf.value));
+  }
   all.sort(bySeq);
   const records: Buffer[] = [];
   let seq = best ? best.seq : 0;
@@ -121,14 +144,14 @@
     }
   }
   let gen = last ? last.gen : covers;
-  for (let i = 0; i < bufs.length; i += 1) {
+  for (let i = 0; i < files.length; i += 1) {
     const from = last && last.file === i ? last.next : 0;
     let torn = false;
     for (const rec of all) if (rec.file === i && rec.seq > seq) torn = true;
     if (!torn && last?.file !== i) continue;
-    const rest = (bufs[i] as Buffer).subarray(from);
-    if (rest.every(isZero)) continue;
-    const wiped = await (files[i] as DiskFile).write(from, Buffer.alloc(rest.length));
+    const end = ends[i] as number;
+    if (end <= from) continue;
+    const wiped = await (files[i] as DiskFile).write(from, Buffer.alloc(end - from));
     if (!wiped.ok) return wiped;
     const synced = await (files[i] as DiskFile).sync();
     if (!synced.ok) return synced;
@@ -206,7 +229,3 @@
   }
   return ok({ ring: { append, compact, crowded, usedFiles }, snapshot: best ? best.payload : null, records });
 }
-
-function isZero(byte: number): boolean {
-  return byte === 0;
-}
