An outbid proposer waits for the winner; nothing is proposed that others brought in

Three orders at the same moment on a core of three regions duelled: the pause after an outbid round was shorter than the winner's accept phase, each went on until its own ballot won even when another had carried its batch, and an emptied slot was opened after a reading. The pause is now half as long again as the round that lost, and ends as soon as the slot is learned.

--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -189,10 +189,11 @@
     while (belief().slot < slot && clock.mono() < until) await pause(clock, Math.min(15, until - clock.mono()));
   }
 
-  async function decideSlot(batch: Batch, until: number): Promise<Result<null, ProposeFault>> {
+  async function decide(batch: Batch, until: number, isDone: () => boolean): Promise<Result<null, ProposeFault>> {
     let top = 0;
     let tookMs = 0;
     for (let tries = 0; clock.mono() < until; tries += 1) {
+      if (isDone()) return ok(null);
       const slot = belief().slot + 1;
       const from = clock.mono();
       const b = belief();
@@ -201,7 +202,6 @@
       if (end.tag === 'chosen') {
         await learn(slot, end.batch);
         spread(slot, end.batch);
-        if (end.batch.id === batch.id) return ok(null);
         top = 0;
         continue;
       }
@@ -214,9 +214,9 @@
       }
       if (end.tag === 'outbid') top = Math.max(top, end.round);
       tookMs = Math.max(tookMs, clock.mono() - from);
-      await slotDone(slot, Math.min(until - clock.mono(), 10 + tookMs + rng.next() * Math.min(400, (tookMs + 20) * (tries + 1))));
+      await slotDone(slot, Math.min(until - clock.mono(), 10 + 1.5 * tookMs + rng.next() * (tookMs + 10) * Math.min(3, tries + 1)));
     }
-    return err({ tag: 'noMajority' });
+    return isDone() ? ok(null) : err({ tag: 'noMajority' });
   }
 
   async function work(proposals: readonly Proposal[]): Promise<readonly Result<Agreed, ProposeFault>[]> {
@@ -228,9 +228,13 @@
       fresh.push(p.entry);
       until = Math.min(now + SLICE_MS, Math.max(until, p.until));
     }
+    function allFolded(): boolean {
+      for (const e of fresh) if (!operationOf(belief(), e.id)) return false;
+      return true;
+    }
     let failed: ProposeFault | null = null;
     if (fresh.length > 0) {
-      const decided = await decideSlot({ id: newId(rng, 'batch'), entries: fresh }, until);
+      const decided = await decide({ id: newId(rng, 'batch'), entries: fresh }, until, allFolded);
       if (!decided.ok) failed = decided.fault;
     }
     const out: Result<Agreed, ProposeFault>[] = [];
@@ -284,10 +288,11 @@
     }
     if (ahead.length > 0) await within(clock, until - clock.mono(), Promise.all(ahead));
     await slotDone(top, Math.min(HELP_AFTER_MS, until - clock.mono()));
-    while (belief().slot < top && clock.mono() < until) {
-      await decideSlot({ id: newId(rng, 'batch'), entries: [] }, until);
+    function atTop(): boolean {
+      return belief().slot >= top;
     }
-    return belief().slot >= top;
+    await decide({ id: newId(rng, 'batch'), entries: [] }, until, atTop);
+    return atTop();
   }
 
   function onFound(m: MessageOf<'found'>): Promise<Message> | Message {
@@ -326,16 +331,19 @@
     return ok({ slot: 0, outcome: { tag: 'applied' } });
   }
 
+  function isSettled(): boolean {
+    return store.top() <= belief().slot;
+  }
   async function watch(): Promise<void> {
     await joining.turn();
-    if (!isMember() || store.top() <= belief().slot) {
+    if (!isMember() || isSettled()) {
       danglingSince = -1;
       return;
     }
     if (danglingSince < 0) danglingSince = clock.mono();
     else if (clock.mono() - danglingSince > DANGLING_MS) {
       danglingSince = -1;
-      await decideSlot({ id: newId(rng, 'batch'), entries: [] }, clock.mono() + VOTE_WAIT_MS);
+      await decide({ id: newId(rng, 'batch'), entries: [] }, clock.mono() + VOTE_WAIT_MS, isSettled);
     }
   }
   let watching = false;
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -125,6 +125,7 @@
       founding: n.founding,
       diskBytes: DISK_BYTES,
       claims: false,
+      operatorDoor: false,
     };
     const started = await startHeadgate(identity, deps);
     if (!world.alive(proc)) return;
