An order that no ring record can hold is refused before a vote; past slots in memory are bounded

An entry over a ring file was accepted in memory, could not be written, and from then on every proposer found it as accepted and failed on it again: the ledger stood still until all headgates were restarted. It is now refused at the proposer, and orders that together pass a record go one after another. Past slots kept for those who lag were 2,048 whatever their size; they are now bounded at 2 MB as well. Seen: three tests, each failing before.

--- /dev/null
+++ b/src/coordination/ledger/ledger.test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from '@jest/globals';
+import { createSimCore } from '../../sim/sim-core.js';
+import type { SimCore } from '../../sim/sim-core.js';
+
+const THREE = ['h1', 'h2', 'h3'];
+
+async function founded(seed: number): Promise<SimCore> {
+  const core = createSimCore(seed);
+  core.startAll();
+  expect(await core.until(4_000, () => core.whole(THREE))).toBe(true);
+  return core;
+}
+async function change(core: SimCore, at: string, base: number, bytes: number): Promise<unknown> {
+  const ledger = core.node(at).headgate?.ledger;
+  const act = { tag: 'configured' as const, base, changes: [{ path: ['deployment', 'note'], value: 'x'.repeat(bytes) }] };
+  return core.finish(Promise.resolve(ledger?.propose({ cause: 'A test.', act }, 1_500)), 5_000);
+}
+
+test('an order that no record can hold is refused, and harms no later one', async () => {
+  const core = await founded(1);
+  expect(await change(core, 'h1', 0, 300_000)).toMatchObject({ ok: false, fault: { tag: 'cannotWrite', fault: { tag: 'recordTooLarge' } } });
+  for (const name of THREE) expect((await core.order(name, name)).result?.ok).toBe(true);
+});
+
+test('orders that together pass a record are taken one after another', async () => {
+  const core = await founded(2);
+  const ledger = core.node('h1').headgate?.ledger;
+  const all = ['a', 'b', 'c'].map((zone) =>
+    Promise.resolve(ledger?.propose({ id: zone, cause: 'A test.', act: { tag: 'configured', base: 0, changes: [{ path: ['deployment', zone], value: 'x'.repeat(150_000) }] } }, 1_500)),
+  );
+  const got = await core.finish(Promise.all(all), 5_000);
+  expect(got?.map((r) => r?.ok)).toEqual([true, true, true]);
+});
+
+test('what is kept in memory of past slots is bounded in bytes; a member that lacks more takes the whole belief', async () => {
+  const core = await founded(3);
+  core.kill('h3');
+  let base = 0;
+  for (let n = 0; n < 40; n += 1) {
+    const got = (await change(core, 'h1', base, 100_000)) as { readonly ok: boolean; readonly value: { readonly slot: number } };
+    expect(got.ok).toBe(true);
+    base = got.value.slot;
+  }
+  const ledger = core.node('h1').headgate?.ledger;
+  expect(ledger?.since(1)).toBeNull();
+  expect(JSON.stringify(ledger?.since(base - 5)).length).toBeGreaterThan(500_000);
+  core.start('h3');
+  expect(await core.until(3_000, () => core.node('h3').headgate?.ledger.belief().slot === base)).toBe(true);
+  core.kill('h1');
+  core.start('h1');
+  await core.until(2_000, () => core.node('h1').headgate !== null);
+  expect(core.node('h1').headgate?.ledger.belief().epoch).toBe(base);
+  expect(core.broken).toEqual([]);
+});
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -74,8 +74,9 @@
 const SLICE_MS = 1_000;
 const HELP_AFTER_MS = 150;
 const DANGLING_MS = 1_000;
+const RECORD_ROOM = 4_096;
 
-type Proposal = { readonly entry: Entry; readonly until: number };
+type Proposal = { readonly entry: Entry; readonly bytes: number; readonly until: number };
 
 export async function createLedger(deps: LedgerDeps): Promise<Result<Ledger, RingFault>> {
   const { clock, rng, peers, log, self } = deps;
@@ -94,6 +95,7 @@
   const opened = await openStore(deps.disk, deps.shape, onFold, onAdopt);
   if (!opened.ok) return opened;
   const store = opened.value;
+  const mostBytes = deps.shape.fileBytes - RECORD_ROOM;
 
   function belief(): Belief {
     return store.belief();
@@ -223,8 +225,10 @@
     const now = clock.mono();
     const fresh: Entry[] = [];
     let until = now;
+    let total = 0;
     for (const p of proposals) {
-      if (p.until <= now || operationOf(belief(), p.entry.id)) continue;
+      if (p.until <= now || operationOf(belief(), p.entry.id) || total + p.bytes > mostBytes) continue;
+      total += p.bytes;
       fresh.push(p.entry);
       until = Math.min(now + SLICE_MS, Math.max(until, p.until));
     }
@@ -257,11 +261,13 @@
       act: draft.act,
       ...(draft.fence === undefined ? {} : { fence: draft.fence }),
     };
-    return agreedWithin(entry, clock.mono() + waitMs);
+    const bytes = Buffer.byteLength(JSON.stringify(entry));
+    if (bytes > mostBytes) return Promise.resolve(err({ tag: 'cannotWrite', fault: { tag: 'recordTooLarge', bytes } }));
+    return agreedWithin(entry, bytes, clock.mono() + waitMs);
   }
-  async function agreedWithin(entry: Entry, until: number): Promise<Result<Agreed, ProposeFault>> {
+  async function agreedWithin(entry: Entry, bytes: number, until: number): Promise<Result<Agreed, ProposeFault>> {
     for (;;) {
-      const got = (await within(clock, until - clock.mono(), line.put({ entry, until }))) ?? err({ tag: 'noMajority' });
+      const got = (await within(clock, until - clock.mono(), line.put({ entry, bytes, until }))) ?? err({ tag: 'noMajority' });
       if (got.ok || got.fault.tag !== 'noMajority' || clock.mono() >= until) return got;
     }
   }
--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -40,6 +40,7 @@
 type Snapshot = { readonly belief: Belief; readonly slots: readonly (readonly [number, SlotState])[] };
 
 const RECENT_KEPT = 2_048;
+const RECENT_BYTES = 2 * 1_048_576;
 
 function encoded(value: Saved | Snapshot): Buffer {
   return Buffer.from(JSON.stringify(value));
@@ -59,9 +60,26 @@
   let recent: SlotBatch[] = [];
   let canWrite = true;
 
-  function remember(slot: number, batch: Batch): void {
+  const sizes = new Map<number, number>();
+  let bytes = 0;
+  function remember(slot: number, batch: Batch, size: number): void {
     recent.push({ slot, batch });
-    if (recent.length > 2 * RECENT_KEPT) recent = recent.slice(-RECENT_KEPT);
+    sizes.set(slot, size);
+    bytes += size;
+    if (recent.length <= 2 * RECENT_KEPT && bytes <= RECENT_BYTES) return;
+    let drop = 0;
+    while (recent.length - drop > 1 && (recent.length - drop > RECENT_KEPT || bytes > RECENT_BYTES / 2)) {
+      const oldest = (recent[drop] as SlotBatch).slot;
+      bytes -= sizes.get(oldest) ?? 0;
+      sizes.delete(oldest);
+      drop += 1;
+    }
+    recent = recent.slice(drop);
+  }
+  function forgetRecent(): void {
+    recent = [];
+    sizes.clear();
+    bytes = 0;
   }
 
   if (snapshot) {
@@ -76,11 +94,11 @@
     else if (saved.slot === belief.slot + 1) {
       foldBatch(belief, saved.slot, saved.batch);
       raiseFloor(acc, saved.slot + 1);
-      remember(saved.slot, saved.batch);
+      remember(saved.slot, saved.batch, rec.length);
     }
   }
 
-  function decide(command: StoreCommand, write: (saved: Saved) => void): StoreAnswer {
+  function decide(command: StoreCommand, write: (saved: Saved) => number): StoreAnswer {
     switch (command.tag) {
       case 'prepare': {
         const vote = prepare(acc, command.slot, command.ballot);
@@ -96,8 +114,7 @@
         if (command.slot !== belief.slot + 1) return { tag: 'outOfOrder' };
         const outcomes = foldBatch(belief, command.slot, command.batch);
         raiseFloor(acc, command.slot + 1);
-        remember(command.slot, command.batch);
-        write({ t: 'chosen', slot: command.slot, batch: command.batch });
+        remember(command.slot, command.batch, write({ t: 'chosen', slot: command.slot, batch: command.batch }));
         onFold(command.slot, command.batch, outcomes);
         return { tag: 'folded', outcomes };
       }
@@ -105,7 +122,7 @@
         if (command.belief.slot <= belief.slot) return { tag: 'outOfOrder' };
         belief = structuredClone(command.belief);
         raiseFloor(acc, belief.slot + 1);
-        recent = [];
+        forgetRecent();
         onAdopt();
         return { tag: 'folded', outcomes: [] };
       }
@@ -120,8 +137,10 @@
     const answers: StoreAnswer[] = [];
     const writes: Buffer[] = [];
     let adopted = false;
-    function write(saved: Saved): void {
-      writes.push(encoded(saved));
+    function write(saved: Saved): number {
+      const record = encoded(saved);
+      writes.push(record);
+      return record.length;
     }
     for (const command of commands) {
       answers.push(decide(command, write));
