A sluice follows one headgate, which attests for a majority

Now a sluice follows one (own zone, else region, else any; shared out by hash), holds a conn to a standby and turns to it after 1 s without an attested beat; lost for 1.5 s it seeks all at once, as before. Safety: a headgate attests only what a majority told it in answer to asks of the last second (attest.ts), each told top folded, and echoes only a number that the sluice sent before those asks; the sluice counts its freshness from the sending of that number, so an entry chosen before it is in its belief. Whoever has not that within 2.5 s is islanded. Wall time told is the members' median. Reports go to the followed one as differences with a base count (a gap is asked for whole); headgates gossip rows they were told directly, and relay others' to one in turn. Confirmations are gathered for 20 ms and told on.

--- a/src/coordination/edge/sluice.ts
+++ b/src/coordination/edge/sluice.ts
@@ -17,7 +17,7 @@
 import { metricsRoute } from '../metrics-door.js';
 import type { NodeDeps, NodeIdentity } from '../node.js';
 import { createListSource } from './list-source.js';
-import { followMovedHeads } from '../members/moved-heads.js';
+import { followMovedHeads, spotsOf } from '../members/moved-heads.js';
 import { createPeers } from '../members/peers.js';
 import { createPlacer } from './placer.js';
 import type { Placer, SluiceSelf } from './placer.js';
@@ -53,6 +53,7 @@
   const node: NodeInfo = { ...self, role: 'sluice', incarnation: life, address: id.advertised, status: 'alive' };
   const membership = createMembership(node, follower.headgates, peers, clock, rng, logs.part('members'));
   followMovedHeads(membership, follower.belief, peers);
+  follower.knowSpots(spotsOf(membership));
   const placer = createPlacer({ self, ready, follower, membership, table, policies: deps.policies, clock, rng });
   const claims = createClaimClient(follower.belief, peers, clock);
   const dispatcher = createDispatcher({ ready, placer, table, claims, caller, clock, rng, log: logs.part('dispatch') });
--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -24,6 +24,7 @@
 import { followMovedHeads } from './members/moved-heads.js';
 import { operatorRoutes } from './ledger/operator-door.js';
 import { createPeers } from './members/peers.js';
+import { createAttest } from './ledger/attest.js';
 import { createPush } from './ledger/push.js';
 import type { Push } from './ledger/push.js';
 import { createScaler } from './scaling/scaler.js';
@@ -114,7 +115,8 @@
     ledger.stop();
     return claims;
   }
-  const push = createPush(ledger, peers, clock, logs.part('push'));
+  const attest = createAttest(ledger, peers, clock);
+  const push = createPush(ledger, attest, peers, clock, logs.part('push'));
   const aims = createAimKeeper(ledger, peers, clock);
   const lease = id.cloud === null ? null : createLease(SCALER_DUTY, ledger, peers, clock, rng, logs.part('lease'));
   const opened = await peers.open(id.listen);
@@ -233,6 +235,7 @@
     membership.leave();
     membership.stop();
     push.stop();
+    attest.stop();
     aims.stop();
     if (claims.ok) claims.value.stop();
     ledger.stop();
--- a/src/coordination/ledger/follower.ts
+++ b/src/coordination/ledger/follower.ts
@@ -1,9 +1,12 @@
 import { createEvents } from '../../base/events.js';
 import { isTable } from '../../base/is-table.js';
 import { parsedJson } from '../../base/parsed-json.js';
-import type { Message, MessageOf } from '../../protocol/messages.js';
-import { emptyBelief, foldBatch, isBelief, majorityOf } from '../../state/belief.js';
+import type { Message, MessageOf, Report } from '../../protocol/messages.js';
+import { emptyBelief, foldBatch, isBelief } from '../../state/belief.js';
 import type { Belief } from '../../state/belief.js';
+import { ranked, steps } from '../../state/candidates.js';
+import type { Candidate, Spot } from '../../state/candidates.js';
+import { differenceTo } from '../../state/reports.js';
 import { createSharedTime } from '../../state/shared-time.js';
 import { every } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
@@ -22,13 +25,22 @@
   readonly sharedNow: () => number;
   readonly events: { readonly on: <K extends keyof FollowerEvents>(name: K, fn: (e: FollowerEvents[K]) => void) => void };
   readonly headgates: () => readonly Address[];
+  readonly followed: () => Address | null;
+  readonly knowSpots: (spotOf: (name: string) => Spot | null) => void;
   readonly tellAll: (m: Message) => void;
   readonly stop: () => void;
 };
 
 export type FollowerSelf = { readonly name: string; readonly zone: string; readonly region: string };
 
-const FOLLOW_MS = 500;
+const TICK_MS = 100;
+const ATTEND_MS = 700;
+const SILENT_MS = 1_000;
+const LOST_MS = 1_500;
+const SEEK_MS = 500;
+const FAILED_MS = 10_000;
+const NEARER_MS = 5_000;
+const NONCES_KEPT = 16;
 const GAP_MS = 1_500;
 const ISLANDED_MS = 2_500;
 const KEEP_FILE = 'belief.json';
@@ -45,16 +57,30 @@
 ): Promise<Follower> {
   const events = createEvents<FollowerEvents>();
   const held = new Map<Address, Peer>();
-  const heads = new Set<Address>(seeds);
+  const dialling = new Set<Address>();
+  const asked = new Set<Address>();
+  const failedAt = new Map<Address, number>();
+  const told = new Map<Address, Map<string, Report>>();
+  const nonces = new Map<number, number>();
   const time = createSharedTime();
+  let spotOf: (name: string) => Spot | null = nowhere;
+  let followed: Address | null = null;
+  let standby: Address | null = null;
+  let nearer: Address | null = null;
+  let attestedAt = clock.mono();
+  let touchedAt = attestedAt;
+  let soughtAt = 0;
+  let attendedAt = 0;
+  let lookedAt = 0;
   let belief = emptyBelief();
   let floor = -1;
   let heardAt: number | null = null;
   let wasIslanded = false;
-  let nonce = 1;
+  let nonce = 0;
+  let firstNonce = 1;
   let lastTurn = clock.mono();
   let wokeAt = lastTurn;
-  const tops = new Map<string, number>();
+  let stopped = false;
   let savingFloor = false;
   let savedFloor = -1;
   let savedSlot = -1;
@@ -87,28 +113,135 @@
     return isBelief(b) ? b : null;
   }
 
+  function nextNonce(): number {
+    nonce += 1;
+    nonces.set(nonce, clock.mono());
+    for (const old of nonces.keys()) if (nonces.size > NONCES_KEPT) nonces.delete(old);
+    return nonce;
+  }
   function followMessage(): MessageOf<'follow'> {
-    return { kind: 'follow', name: self.name, zone: self.zone, region: self.region, ledger: belief.ledger, from: belief.slot + 1, nonce };
+    return { kind: 'follow', name: self.name, zone: self.zone, region: self.region, ledger: belief.ledger, from: belief.slot + 1, nonce: nextNonce() };
   }
 
-  function targets(): Set<Address> {
-    const out = new Set<Address>(belief.members.length > 0 ? [] : heads);
-    for (const m of belief.members) out.add(m.address);
-    for (const s of seeds) out.add(s);
-    return out;
+  function candidates(): Candidate[] {
+    const now = clock.mono();
+    const out: Candidate[] = [];
+    const known = new Set<Address>();
+    function add(address: Address, name: string | null): void {
+      if (known.has(address)) return;
+      known.add(address);
+      const at = failedAt.get(address);
+      out.push({ address, name, spot: name === null ? null : spotOf(name), failed: at !== undefined && now - at < FAILED_MS });
+    }
+    for (const m of belief.members) add(m.address, m.name);
+    for (const s of seeds) add(s, null);
+    return ranked(self, out);
   }
 
-  async function ensure(to: Address): Promise<void> {
-    if (held.has(to)) return;
+  async function dial(to: Address): Promise<Peer | null> {
+    const have = held.get(to);
+    if (have) return have;
+    if (dialling.has(to)) return null;
+    dialling.add(to);
     const got = await peers.hold(to);
-    if (!got.ok || held.has(to)) return;
-    const peer = got.value;
-    held.set(to, peer);
+    dialling.delete(to);
+    if (!got.ok) {
+      failedAt.set(to, clock.mono());
+      return null;
+    }
+    held.set(to, got.value);
+    got.value.onClosed(gone);
+    return got.value;
     function gone(): void {
       held.delete(to);
+      told.delete(to);
+      failedAt.set(to, clock.mono());
+      if (to === followed) turnOnFailure();
+    }
+  }
+  function turnOnFailure(): void {
+    if (stopped) return;
+    for (const c of candidates()) if (!c.failed) return turnAway();
+  }
+
+  async function ask(to: Address): Promise<void> {
+    asked.add(to);
+    const had = held.has(to);
+    const peer = await dial(to);
+    if (stopped || !asked.has(to)) return;
+    if (peer) peer.tell(followMessage());
+    else if (!had && !dialling.has(to) && to === followed) turnOnFailure();
+  }
+
+  function turnAway(): void {
+    if (followed !== null) failedAt.set(followed, clock.mono());
+    nearer = null;
+    attestedAt = clock.mono();
+    const order = candidates();
+    for (const c of order) {
+      if (c.address === followed && order.length > 1) continue;
+      followed = c.address;
+      break;
+    }
+    if (followed !== null) void ask(followed);
+    chooseStandby();
+  }
+
+  function chooseStandby(): void {
+    const was = standby;
+    standby = null;
+    for (const c of candidates()) {
+      if (c.address === followed || c.failed) continue;
+      standby = c.address;
+      break;
     }
-    peer.onClosed(gone);
-    peer.tell(followMessage());
+    if (standby !== null) void dial(standby);
+    if (was !== null && was !== standby) letGo(was);
+  }
+
+  function letGo(address: Address): void {
+    if (address === followed || address === standby || address === nearer || asked.has(address)) return;
+    held.delete(address);
+    told.delete(address);
+  }
+
+  function unfollow(address: Address): void {
+    asked.delete(address);
+    held.get(address)?.tell({ kind: 'unfollow', name: self.name });
+    letGo(address);
+  }
+
+  function settleOn(address: Address): void {
+    followed = address;
+    nearer = null;
+    failedAt.delete(address);
+    for (const other of [...asked]) if (other !== address) unfollow(other);
+    chooseStandby();
+  }
+
+  function attend(): void {
+    attendedAt = clock.mono();
+    const m: Message = { kind: 'attend', name: self.name, nonce: nextNonce() };
+    for (const to of asked) held.get(to)?.tell(m);
+  }
+
+  function seekAnyone(): void {
+    soughtAt = clock.mono();
+    for (const c of candidates()) if (!asked.has(c.address) || !held.has(c.address)) void ask(c.address);
+  }
+
+  function seekNearer(): void {
+    lookedAt = clock.mono();
+    const [best] = candidates();
+    const now = nameOf(followed);
+    if (!best || best.failed || best.spot?.up !== true || best.address === followed || now === null) return;
+    if (steps(self, best.spot) >= steps(self, spotOf(now))) return;
+    nearer = best.address;
+    void ask(nearer);
+  }
+  function nameOf(address: Address | null): string | null {
+    for (const m of belief.members) if (m.address === address) return m.name;
+    return null;
   }
 
   function noteTurn(): void {
@@ -119,26 +252,28 @@
     log.warn(`Stood still for ${Math.round(gap)} ms; serves again once it has fresh news.`);
     heardAt = null;
     wasIslanded = false;
-    nonce += 1;
+    firstNonce = nonce + 1;
     wokeAt = now;
-    tops.clear();
-    for (const p of held.values()) p.tell(followMessage());
+    attestedAt = now;
+    for (const to of asked) held.get(to)?.tell(followMessage());
   }
 
   function tick(): void {
     noteTurn();
-    const wanted = targets();
-    for (const to of wanted) void ensure(to);
-    for (const [to, peer] of held) {
-      if (wanted.has(to)) continue;
-      held.delete(to);
-      peer.close();
+    const now = clock.mono();
+    if (followed === null || now - attestedAt > SILENT_MS) turnAway();
+    if (now - touchedAt > LOST_MS && now - soughtAt >= SEEK_MS) seekAnyone();
+    if (now - attendedAt >= ATTEND_MS) attend();
+    if (now - lookedAt >= NEARER_MS) {
+      nearer = null;
+      seekNearer();
+      chooseStandby();
     }
-    const now = islanded();
-    if (now !== wasIslanded) log.warn(now ? 'No headgate is heard; serves its own region only.' : 'Headgates are heard again.');
-    wasIslanded = now;
+    const alone = islanded();
+    if (alone !== wasIslanded) log.warn(alone ? 'No headgate is heard; serves its own region only.' : 'Headgates are heard again.');
+    wasIslanded = alone;
   }
-  const ticking: Wakeup = every(clock, FOLLOW_MS, tick);
+  const ticking: Wakeup = every(clock, TICK_MS, tick);
   tick();
 
   function accepts(ledger: string): boolean {
@@ -167,33 +302,45 @@
     for (const m of belief.members) names.add(m.name);
     time.keepOnly(names);
     events.emit('moved', { slot: belief.slot });
-    for (const p of held.values()) p.tell({ kind: 'followed', name: self.name, slot: belief.slot });
+    for (const to of asked) held.get(to)?.tell({ kind: 'followed', name: self.name, slot: belief.slot });
     void saveFloor();
     return null;
   }
 
+  function addressOf(peer: Peer): Address | null {
+    for (const [address, p] of held) if (p === peer) return address;
+    return null;
+  }
+
   function onBeat(m: MessageOf<'beat'>, peer: Peer): null {
     noteTurn();
-    if (!accepts(m.ledger) || m.ledger === '' || m.echo !== nonce) return null;
-    time.hear(m.from, m.wall, clock.mono());
-    if (m.slot > belief.slot) {
-      peer.tell(followMessage());
+    const from = addressOf(peer);
+    if (from === null || !asked.has(from)) {
+      peer.tell({ kind: 'unfollow', name: self.name });
       return null;
     }
-    if (m.quorate && belief.ledger !== '' && (heardAt !== null || hasAllNews(m.from, m.top))) heardAt = clock.mono();
+    if (!accepts(m.ledger) || m.ledger === '') return null;
+    time.hear(m.from, m.wall, clock.mono());
+    if (m.slot > belief.slot) peer.tell(followMessage());
+    const sentAt = m.echo >= firstNonce ? nonces.get(m.echo) : undefined;
+    if (!m.quorate || sentAt === undefined || belief.ledger === '' || belief.slot < Math.max(m.top, floor)) return null;
+    heardAt = Math.max(heardAt ?? 0, sentAt);
+    touchedAt = clock.mono();
+    noteAttested(from);
+    attend();
     return null;
   }
 
-  function hasAllNews(from: string, top: number): boolean {
-    tops.set(from, top);
-    let heard = 0;
-    for (const m of belief.members) {
-      const at = tops.get(m.name);
-      if (at === undefined) continue;
-      if (at > belief.slot) return false;
-      heard += 1;
+  function noteAttested(from: Address): void {
+    const now = clock.mono();
+    if (from === followed) {
+      attestedAt = now;
+      if (nearer === null && asked.size > 1) settleOn(from);
+      return;
     }
-    return heard >= majorityOf(belief.members) && belief.slot >= floor;
+    if (from !== nearer && now - attestedAt <= SILENT_MS / 2) return;
+    attestedAt = now;
+    settleOn(from);
   }
 
   async function saveFloor(): Promise<void> {
@@ -245,14 +392,41 @@
     return time.now(clock.mono(), clock.wall());
   }
   function headgates(): readonly Address[] {
-    return [...targets()];
+    const out = new Set<Address>(followed === null ? [] : [followed]);
+    for (const c of candidates()) out.add(c.address);
+    return [...out];
+  }
+  function following(): Address | null {
+    return followed;
+  }
+  function knowSpots(of: (name: string) => Spot | null): void {
+    spotOf = of;
   }
   function tellAll(m: Message): void {
-    for (const p of held.values()) p.tell(m);
+    if (followed === null) return;
+    held.get(followed)?.tell(m.kind === 'reports' ? { ...m, reports: m.reports.map(differs) } : m);
   }
+  function differs(row: Report): Report {
+    const rows = told.get(followed as Address) ?? new Map<string, Report>();
+    told.set(followed as Address, rows);
+    const out = differenceTo(rows.get(row.reporter), row);
+    rows.set(row.reporter, row);
+    return out;
+  }
+  function onReportsAsk(m: MessageOf<'reportsAsk'>, peer: Peer): null {
+    const from = addressOf(peer);
+    for (const name of m.reporters) if (from !== null) told.get(from)?.delete(name);
+    return null;
+  }
+  peers.on('reportsAsk', onReportsAsk);
   function stop(): void {
+    stopped = true;
     ticking.cancel();
     keeping.cancel();
   }
-  return { belief: believed, fresh, islanded, wokeAt: woke, sharedNow, events, headgates, tellAll, stop };
+  return { belief: believed, fresh, islanded, wokeAt: woke, sharedNow, events, headgates, followed: following, knowSpots, tellAll, stop };
+}
+
+function nowhere(): null {
+  return null;
 }
--- a/src/coordination/ledger/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -1,10 +1,12 @@
-import type { Message, MessageOf } from '../../protocol/messages.js';
+import type { MessageOf, Report } from '../../protocol/messages.js';
 import { memberId, majorityOf } from '../../state/belief.js';
-import { mergeReport } from '../../state/reports.js';
+import { differenceTo, mergeReport } from '../../state/reports.js';
 import type { Reports } from '../../state/reports.js';
+import type { Member } from '../../state/entry.js';
 import { every, pause } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
+import type { Attest } from './attest.js';
 import type { Ledger } from './ledger.js';
 import type { Peer, Peers } from '../members/peers.js';
 
@@ -18,18 +20,27 @@
   readonly stop: () => void;
 };
 
-type Follower = { readonly name: string; readonly zone: string; readonly region: string; readonly peer: Peer; readonly nonce: number; sent: number };
+type Asked = { readonly nonce: number; readonly at: number };
+type Follower = { readonly name: string; readonly zone: string; readonly region: string; readonly peer: Peer; asked: Asked[]; attested: number; heardAt: number; beatAt: number; sent: number };
 
 const BEAT_MS = 500;
 const QUORATE_MS = 2_000;
 const GOSSIP_MS = 1_000;
+const CONFIRMED_MS = 20;
+const FOLLOWER_SILENT_MS = 5_000;
+const NONCES_KEPT = 8;
 
-export function createPush(ledger: Ledger, peers: Peers, clock: Clock, log: Log): Push {
+export function createPush(ledger: Ledger, attest: Attest, peers: Peers, clock: Clock, log: Log): Push {
   const followers = new Map<string, Follower>();
   const acked = new Map<string, number>();
   const heard = new Map<string, number>();
   const reports: Reports = new Map();
   const noting = new Set<string>();
+  const told = new Map<string, Map<string, Report>>();
+  const due = new Map<string, Set<string>>();
+  let confirmed: Record<string, number> = {};
+  let confirming = false;
+  let relays = 0;
 
   function serve(f: Follower): void {
     const b = ledger.belief();
@@ -56,12 +67,15 @@
       peer.close();
       return null;
     }
-    const f: Follower = { name: m.name, zone: m.zone, region: m.region, peer, nonce: m.nonce, sent: m.ledger === '' ? -1 : m.from - 1 };
     const before = followers.get(m.name);
+    const now = clock.mono();
+    const asked = before?.peer === peer ? [...before.asked] : [];
+    const f: Follower = { name: m.name, zone: m.zone, region: m.region, peer, asked: asked.slice(-NONCES_KEPT), attested: 0, heardAt: now, beatAt: 0, sent: m.ledger === '' ? -1 : m.from - 1 };
+    f.asked.push({ nonce: m.nonce, at: now });
     followers.set(m.name, f);
     if (before?.peer !== peer) peer.onClosed(gone);
     serve(f);
-    peer.tell(beatMessage(m.nonce));
+    attest.askSoon();
     void note(m);
     return null;
     function gone(): void {
@@ -69,23 +83,99 @@
     }
   }
 
+  function onAttend(m: MessageOf<'attend'>, peer: Peer): null {
+    const f = followers.get(m.name);
+    if (!f || f.peer !== peer) return null;
+    f.heardAt = clock.mono();
+    f.asked = [...f.asked.slice(-NONCES_KEPT), { nonce: m.nonce, at: f.heardAt }];
+    return null;
+  }
+  function onUnfollow(m: MessageOf<'unfollow'>, peer: Peer): null {
+    if (followers.get(m.name)?.peer === peer) followers.delete(m.name);
+    return null;
+  }
+
+  function noteConfirmed(name: string, slot: number): boolean {
+    if ((acked.get(name) ?? -1) >= slot) return false;
+    acked.set(name, slot);
+    return true;
+  }
   function onFollowed(m: MessageOf<'followed'>): null {
-    acked.set(m.name, Math.max(acked.get(m.name) ?? -1, m.slot));
+    if (!noteConfirmed(m.name, m.slot)) return null;
+    confirmed[m.name] = m.slot;
+    if (!confirming) clock.wakeup(CONFIRMED_MS, relayConfirmed);
+    confirming = true;
     return null;
   }
+  function relayConfirmed(): void {
+    confirming = false;
+    const slots = confirmed;
+    confirmed = {};
+    for (const m of others()) void peers.tell(m.address, { kind: 'confirmed', slots });
+  }
+  function onConfirmed(m: MessageOf<'confirmed'>): null {
+    for (const [name, slot] of Object.entries(m.slots)) noteConfirmed(name, slot);
+    return null;
+  }
+  function others(): Member[] {
+    const out: Member[] = [];
+    for (const m of ledger.belief().members) if (memberId(m) !== memberId(ledger.self)) out.push(m);
+    return out;
+  }
 
   function onReports(m: MessageOf<'reports'>, peer: Peer): null {
+    const missed: string[] = [];
     for (const r of m.reports) {
       const have = reports.get(r.reporter);
-      if (mergeReport(reports, r)) heard.set(r.reporter, clock.mono());
+      const step = mergeReport(reports, r);
+      if (step === 'merged') {
+        heard.set(r.reporter, clock.mono());
+        if (m.by === undefined) markDue(r.reporter, others());
+        else markDue(r.reporter, relayTo(m.by));
+      } else if (step === 'gap') missed.push(r.reporter);
       else if (have && have.run !== r.run && have.incarnation >= r.incarnation) peer.tell({ kind: 'outlived', reporter: r.reporter, incarnation: have.incarnation });
     }
+    if (missed.length > 0) peer.tell({ kind: 'reportsAsk', by: ledger.self.name, reporters: missed });
+    return null;
+  }
+  function relayTo(by: string): Member[] {
+    const rest: Member[] = [];
+    for (const m of others()) if (m.name !== by) rest.push(m);
+    const one = rest[relays % Math.max(1, rest.length)];
+    return one ? [one] : [];
+  }
+  function markDue(reporter: string, to: readonly Member[]): void {
+    for (const m of to) {
+      const names = due.get(m.name) ?? new Set<string>();
+      names.add(reporter);
+      due.set(m.name, names);
+    }
+  }
+  function onReportsAsk(m: MessageOf<'reportsAsk'>): null {
+    for (const name of m.reporters) {
+      told.get(m.by)?.delete(name);
+      for (const to of others()) if (to.name === m.by) markDue(name, [to]);
+    }
     return null;
   }
 
-  function beatMessage(echo: number): Message {
-    return { kind: 'beat', from: ledger.self.name, ledger: ledger.belief().ledger, slot: ledger.belief().slot, top: ledger.top(), quorate: quorate(), wall: clock.wall(), echo };
+  function attestedOf(f: Follower): { readonly echo: number; readonly top: number } {
+    const a = attest.newest();
+    let echo = 0;
+    for (const q of f.asked) if (a && q.at <= a.asOf) echo = Math.max(echo, q.nonce);
+    return { echo, top: a?.top ?? ledger.top() };
   }
+  function tellBeat(f: Follower): void {
+    const b = ledger.belief();
+    const { echo, top } = attestedOf(f);
+    f.attested = echo;
+    f.beatAt = clock.mono();
+    f.peer.tell({ kind: 'beat', from: ledger.self.name, ledger: b.ledger, slot: b.slot, top, quorate: echo > 0, wall: attest.sharedNow(), echo });
+  }
+  function onTold(): void {
+    for (const f of followers.values()) if (f.attested === 0 && attestedOf(f).echo > 0) tellBeat(f);
+  }
+  attest.events.on('told', onTold);
 
   function quorate(): boolean {
     if (!ledger.isMember() || !ledger.writable()) return false;
@@ -98,26 +188,44 @@
   }
 
   function beat(): void {
-    for (const f of followers.values()) {
+    const now = clock.mono();
+    for (const f of [...followers.values()]) {
+      if (now - f.heardAt > FOLLOWER_SILENT_MS) {
+        followers.delete(f.name);
+        continue;
+      }
       serve(f);
-      f.peer.tell(beatMessage(f.nonce));
+      tellBeat(f);
       void note(f);
     }
   }
   const beating: Wakeup = every(clock, BEAT_MS, beat);
 
   function gossip(): void {
-    const fresh = [];
-    for (const r of reports.values()) if (clock.mono() - (heard.get(r.reporter) ?? 0) < 3 * GOSSIP_MS) fresh.push(r);
-    if (fresh.length === 0) return;
-    for (const m of ledger.belief().members) {
-      if (memberId(m) !== memberId(ledger.self)) void peers.tell(m.address, { kind: 'reports', reports: fresh });
+    relays += 1;
+    for (const m of others()) {
+      const names = due.get(m.name);
+      if (names && names.size > 0) void tellRows(m, names);
+      due.delete(m.name);
+    }
+  }
+  async function tellRows(m: Member, names: ReadonlySet<string>): Promise<void> {
+    const before = told.get(m.name) ?? new Map<string, Report>();
+    told.set(m.name, before);
+    const rows: Report[] = [];
+    for (const name of names) {
+      const row = reports.get(name);
+      if (!row) continue;
+      rows.push(differenceTo(before.get(name), row));
+      before.set(name, row);
     }
+    if (!(await peers.tell(m.address, { kind: 'reports', by: ledger.self.name, reports: rows }))) told.delete(m.name);
   }
   const gossiping: Wakeup = every(clock, GOSSIP_MS, gossip);
 
   function onFolded(): void {
     for (const f of followers.values()) serve(f);
+    onTold();
   }
   ledger.events.on('folded', onFolded);
   ledger.events.on('adopted', onFolded);
@@ -142,7 +250,11 @@
   }
 
   peers.on('follow', onFollow);
+  peers.on('attend', onAttend);
+  peers.on('unfollow', onUnfollow);
   peers.on('followed', onFollowed);
+  peers.on('confirmed', onConfirmed);
+  peers.on('reportsAsk', onReportsAsk);
   peers.on('reports', onReports);
 
   function reportTable(): Reports {
--- a/src/coordination/members/moved-heads.ts
+++ b/src/coordination/members/moved-heads.ts
@@ -1,5 +1,6 @@
 import type { NodeInfo } from '../../protocol/messages.js';
 import type { Belief } from '../../state/belief.js';
+import type { Spot } from '../../state/candidates.js';
 import { isUp } from '../../state/members.js';
 import type { Membership } from './membership.js';
 import type { Peers } from './peers.js';
@@ -11,3 +12,11 @@
   }
   membership.events.on('changed', onChanged);
 }
+
+export function spotsOf(membership: Membership): (name: string) => Spot | null {
+  function spot(name: string): Spot | null {
+    const node = membership.get(name);
+    return node && { zone: node.zone, region: node.region, up: node.status === 'alive' };
+  }
+  return spot;
+}
--- a/tools/capacity/plan.mjs
+++ b/tools/capacity/plan.mjs
@@ -75,5 +75,6 @@
     const name = `sluices-${p.at.zone}`;
     hollow.push({ name, role: 'sluice', at: p.at, count: p.sluices.length, tally: tally(name).file, args: ['basin', 'hollow', '--plan', written(name, { tally: tally(name), wholeProbes, sluices: p.sluices })] });
   }
-  return { folder, zones, heads, seeds, children, hollow, platform, cloud, configuration: configurationOf(zones, workers, tenants) };
+  const ordered = Math.floor(0.97 * MODELS * Math.max(1, Math.floor((workers * 0.9) / MODELS)));
+  return { folder, ordered, zones, heads, seeds, children, hollow, platform, cloud, configuration: configurationOf(zones, workers, tenants) };
 }
--- a/tools/capacity/run.mjs
+++ b/tools/capacity/run.mjs
@@ -65,7 +65,7 @@
     say(`${nodes} sluices serve after ${((performance.now() - startedAt) / 1000).toFixed(1)} s`);
     const ordered = await until('workers', 60, async () => {
       const { orders } = (await ask(head, '/v1/orders')).body;
-      return orders.filter((o) => o.status === 'ready').length >= workers * 0.85;
+      return orders.filter((o) => o.status === 'ready').length >= plan.ordered;
     }).catch(() => null);
     await sleep(SETTLE_S * 1000);
 
