--- a/tools/fleet.mjs
+++ b/tools/fleet.mjs
@@ -3,10 +3,9 @@
 import { existsSync, mkdirSync, openSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import { join, resolve } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { alive, BIN, isOurs, leave, leaveWhenCut, onLeave, ROOT, runNode, runs, startChild, stopNodes } from './children.mjs';
 import { SHAPES } from './shapes.mjs';
 
-const ROOT = resolve(import.meta.dirname, '..');
-const BIN = join(ROOT, 'dist/programs/main.js');
 const [, , verb, shapeName = 'kutfo', ...rest] = process.argv;
 const FOLDER = resolve(process.env.FLEET_FOLDER ?? join(ROOT, '.fleet'));
 const BASE = Number(process.env.FLEET_PORT ?? 21000);
@@ -43,22 +42,6 @@
   saveSwitches({ ...s, fullDisks: [...s.fullDisks, name] });
 }
 
-function alive(pid) {
-  try {
-    process.kill(pid, 0);
-    return !readFileSync(`/proc/${pid}/stat`, 'utf8').includes(') Z ');
-  } catch {
-    return false;
-  }
-}
-function isOurs(node) {
-  try {
-    return readFileSync(`/proc/${node.pid}/cmdline`, 'utf8').includes(BIN);
-  } catch {
-    return false;
-  }
-}
-
 function launch(node) {
   const out = openSync(join(FOLDER, 'logs', `${node.name}.log`), 'a');
   const child = spawn(process.execPath, [BIN, ...node.args], { stdio: ['ignore', out, out], detached: true });
@@ -127,32 +110,31 @@
 }
 
 function valve(state, args) {
-  return new Promise((done) => {
-    const child = spawn(process.execPath, [BIN, 'valve', ...args, '--core', state.core], { stdio: 'inherit' });
-    child.on('exit', done);
-  });
+  return runNode(BIN, ['valve', ...args, '--core', state.core]);
 }
 
 async function start() {
   const shape = SHAPES[shapeName];
   if (!shape) usage(`shape: expected one of ${Object.keys(SHAPES).join(', ')}; found ${shapeName}`);
-  if (existsSync(statePath()) && loadState().nodes.some((n) => n.pid && alive(n.pid) && isOurs(n))) usage('a fleet is running; stop it first');
+  if (existsSync(statePath()) && loadState().nodes.some(runs)) usage('a fleet is running; stop it first');
   if (!existsSync(BIN)) usage('build first: npm run build');
   rmSync(FOLDER, { recursive: true, force: true });
   for (const d of ['logs', 'settings', 'journals', 'data']) mkdirSync(join(FOLDER, d), { recursive: true });
   const state = plan(shape);
+  let whole = false;
+  onLeave(() => (whole ? null : stopNodes(state.nodes)));
   saveSwitches({ cuts: [], fullDisks: [] });
   writeFileSync(state.labFile, JSON.stringify(state.lab));
   for (const node of state.nodes) {
     if (node.settings) writeFileSync(node.file, JSON.stringify(node.settings, null, 2));
-    node.pid = launch(node);
     delete node.settings;
+    node.pid = launch(node);
+    saveState(state);
   }
-  saveState(state);
   const heads = state.nodes.filter((n) => n.role === 'headgate');
   const up = await until('headgates', 30, async () => (await Promise.all(heads.map((h) => get(h.http, '/v1/status')))).length === heads.length);
-  if (!up) process.exit(1);
-  if ((await valve(state, ['found', '--members', state.members])) !== 0) process.exit(1);
+  if (!up) await leave(1);
+  if ((await valve(state, ['found', '--members', state.members])) !== 0) await leave(1);
   const first = heads[0].http;
   await until('sluices', 20, async () => Object.keys((await get(first, '/v1/status')).sluices).length === state.nodes.filter((n) => n.role === 'sluice').length);
   if ((await valve(state, ['apply', join(ROOT, shape.configuration)])) !== 0) process.stderr.write('the configuration was not confirmed\n');
@@ -161,19 +143,10 @@
     const open = orders.filter((o) => ['intended', 'placed', 'ready'].includes(o.status) && o.kind === 'spot');
     return open.length > 0 && open.every((o) => o.status === 'ready');
   });
+  whole = true;
   process.stdout.write(`${ready ? 'The fleet serves' : 'The fleet is up'}; core ${state.core}; sluices ${state.sluices}\n`);
 }
 
-function stop() {
-  const state = loadState();
-  for (const node of state.nodes) {
-    if (!node.pid || !alive(node.pid) || !isOurs(node)) continue;
-    process.kill(node.pid, 'SIGCONT');
-    process.kill(node.pid, node.role === 'sluice' || node.role === 'headgate' ? 'SIGTERM' : 'SIGKILL');
-  }
-  return until('the end of all processes', 20, async () => state.nodes.every((n) => !n.pid || !alive(n.pid)));
-}
-
 function nodeNamed(state, name) {
   const node = state.nodes.find((n) => n.name === name);
   if (!node) usage(`name: expected one of ${state.nodes.map((n) => n.name).join(', ')}; found ${name}`);
@@ -224,7 +197,7 @@
         const near = state.nodes.filter((n) => n.role === 'sluice').sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
         const args = ['basin', 'origin', '--name', `origin-${zone}`, '--zone', zone, '--lab', state.labFile, '--sluices', near.map((n) => n.http).join(','), '--once', shape.fixed.model, '--models', shape.models.join(','), '--rate', rate, '--seconds', seconds, '--journal', join(FOLDER, 'journals', `origin-${zone}.jsonl`)];
         if (shape.homes) args.push('--kind', shape.kind);
-        const child = spawn(process.execPath, [BIN, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+        const child = startChild(process.execPath, [BIN, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
         let out = '';
         child.stdout.on('data', (d) => (out += d));
         child.on('exit', () => done([zone, out.trim()]));
@@ -243,21 +216,21 @@
   }
 }
 
-function check() {
+async function check() {
   const state = loadState();
   const shape = SHAPES[state.shape];
-  const args = [BIN, 'basin', 'check', join(FOLDER, 'journals')];
+  const args = ['basin', 'check', join(FOLDER, 'journals')];
   if (shape.homes) args.push('--homes', `${shape.kind}=${shape.homes.join('+')}`);
-  const child = spawn(process.execPath, args, { stdio: 'inherit' });
-  child.on('exit', (code) => process.exit(code ?? 1));
+  await leave(await runNode(BIN, args));
 }
 
 function status() {
   for (const n of loadState().nodes) process.stdout.write(`${n.name.padEnd(20)} ${String(n.pid).padEnd(8)} ${n.pid && alive(n.pid) ? 'runs' : 'gone'}\n`);
 }
 
+leaveWhenCut(2_000);
 if (verb === 'start') await start();
-else if (verb === 'stop') await stop();
+else if (verb === 'stop') await stopNodes(loadState().nodes);
 else if (verb === 'status') status();
 else if (verb === 'load') await load();
 else if (verb === 'kill') signal(shapeName, 'SIGKILL');
@@ -269,5 +242,5 @@
 else if (verb === 'fill') fill(shapeName);
 else if (verb === 'heal') saveSwitches({ cuts: [], fullDisks: [] });
 else if (verb === 'move') move(shapeName);
-else if (verb === 'check') check();
+else if (verb === 'check') await check();
 else usage(`verb: found ${verb}`);
--- a/tools/runbooks.mjs
+++ b/tools/runbooks.mjs
@@ -1,19 +1,17 @@
 #!/usr/bin/env node
-import { spawn } from 'node:child_process';
 import { existsSync, readFileSync, rmSync } from 'node:fs';
-import { join, resolve } from 'node:path';
+import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { parse } from 'yaml';
+import { BIN, leave, leaveWhenCut, onLeave, ROOT, runNode, startChild, stopFleet } from './children.mjs';
 
-const ROOT = resolve(import.meta.dirname, '..');
-const BIN = join(ROOT, 'dist/programs/main.js');
 const FOLDER = join(ROOT, '.fleet-runbooks');
 const env = { ...process.env, FLEET_FOLDER: FOLDER, FLEET_PORT: '25000' };
 const only = process.argv[2];
 const results = [];
 
 function run(file, args, stdio = ['ignore', 'ignore', 'inherit']) {
-  return new Promise((done) => spawn(process.execPath, [file, ...args], { env, stdio }).on('exit', (code) => done(code ?? 1)));
+  return runNode(file, args, { env, stdio });
 }
 function fleet(...args) {
   return run(join(ROOT, 'tools/fleet.mjs'), args);
@@ -106,14 +104,16 @@
   return existsSync(record) ? readFileSync(record, 'utf8').split('\n').filter(Boolean).map((l) => JSON.parse(l)) : [];
 }
 async function interrupted(args, record) {
-  const child = spawn(process.execPath, [BIN, ...args], { env, stdio: ['pipe', 'ignore', 'ignore'] });
+  const child = startChild(process.execPath, [BIN, ...args], { env, stdio: ['pipe', 'ignore', 'ignore'] });
   for (let i = 0; i < 400 && steps(record).length === 0; i += 1) await sleep(50);
   await sleep(200);
   child.kill('SIGKILL');
   return steps(record).length;
 }
 
-if ((await fleet('start', 'kutfo')) !== 0) process.exit(1);
+leaveWhenCut();
+if ((await fleet('start', 'kutfo')) !== 0) await leave(1);
+onLeave(() => stopFleet(FOLDER));
 for (const [name, play] of plays) {
   if (only && only !== name) continue;
   const record = join(FOLDER, `${name}.jsonl`);
@@ -145,4 +145,4 @@
 await fleet('stop');
 process.stdout.write('| runbook | interrupted, then resumed | steps done before | changes made twice | s, resumed | without a majority |\n| --- | --- | --- | --- | --- | --- |\n');
 for (const [name, end, before, twice, s] of results) process.stdout.write(`| ${name} | ${end} | ${before} | ${twice} | ${s} | ${unmet[name]} |\n`);
-process.exit(results.every((r) => r[1] === 'done' && r[2] > 0 && r[3] === 0) && Object.values(unmet).every((u) => u.startsWith('refused')) ? 0 : 1);
+await leave(results.every((r) => r[1] === 'done' && r[2] > 0 && r[3] === 0) && Object.values(unmet).every((u) => u.startsWith('refused')) ? 0 : 1);
