--- a/tools/children.test.mjs
+++ b/tools/children.test.mjs
@@ -27,7 +27,7 @@
 const plain = startChild(process.execPath, ['-e', ${JSON.stringify(FOREVER)}]);
 const deaf = startChild(process.execPath, ['-e', ${JSON.stringify(DEAF)}], { stdio: ['ignore', 'pipe', 'ignore'] });
 deaf.stdout.once('data', () => {
-  process.stdout.write(plain.pid + ' ' + deaf.pid + '\\n');
+  process.stdout.write([process.pid, plain.pid, deaf.pid].join(' ') + '\\n');
   if (process.argv[2] === 'ends') void leave(0);
   if (process.argv[2] === 'fails') throw new Error('on purpose');
   setInterval(() => process.stdout.write('still at it\\n'), 20);
@@ -56,7 +56,7 @@
 }
 function pidsOf(line) {
   const pids = line.split(' ').map(Number);
-  expect(pids).toHaveLength(2);
+  expect(pids).toHaveLength(3);
   seen.push(...pids);
   return pids;
 }
