Usage of all sluices weighs on a place; prompts go where their parts are kept, abroad too

Now sluices tell running, unread and KV tokens to the headgate that they follow, headgates sum and tell back; the keeper of a prompt's parts is found by rendezvous over all workers its homes allow, and a place is priced in ms: tokens to read, backlog, crowd by its square, the way, bytes abroad. Requests that come while a sluice opens wait for it instead of being refused.

--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -48,6 +48,7 @@
 export type OpenSluice = { readonly front: Address; readonly ready: () => boolean; readonly tally: () => RelayTally; readonly drain: (longestMs: number) => Promise<void>; readonly stop: () => Promise<void> };
 
 const REPORT_MS = 500;
+const USAGE_MS = 300;
 const LINGER_MS = 3_000;
 const LAST_CALL_MS = 1_500;
 
@@ -140,6 +141,23 @@
     follower.tellAll({ kind: 'reports', reports: [told] });
   }
   const reporting = every(clock, REPORT_MS, report);
+  let told = 0;
+  let quiet = true;
+  function tellUsage(): void {
+    const rows = book.usage();
+    const nothing = Object.keys(rows).length === 0;
+    if (nothing && quiet) return;
+    quiet = nothing;
+    told += 1;
+    follower.tellAll({ kind: 'usage', told: { name: id.name, run: id.run, count: told, rows } });
+  }
+  const telling = every(clock, USAGE_MS, tellUsage);
+  function onCrowd(m: MessageOf<'crowd'>): null {
+    book.takeCrowd(m.rows);
+    relay.wake();
+    return null;
+  }
+  peers.on('crowd', onCrowd);
   let wasReady = false;
   function look(): void {
     const now = ready();
@@ -168,6 +186,7 @@
   }
   async function stop(): Promise<void> {
     reporting.cancel();
+    telling.cancel();
     looking.cancel();
     feed.stop();
     membership.stop();
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -7,6 +7,7 @@
 import type { Part } from '../../state/kept-parts.js';
 import type { DoorMapping } from '../../state/serving.js';
 import type { BookRow, Hold, PlaceAsk, WorkerBook } from '../../state/worker-book.js';
+import { pause } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import type { OpenRequest, Outlets, RawHeaders, SendFault, Sent } from '../../transport/open-http.js';
@@ -40,6 +41,7 @@
 
 const HOP = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'expect', 'proxy-authenticate', 'proxy-authorization']);
 const MOST_HELD = 1_048_576;
+const OPENING_LOOK_MS = 20;
 
 type End =
   | { readonly tag: 'done' }
@@ -76,7 +78,7 @@
 type Waiter = { readonly job: Job; readonly go: (taken: Taken | null) => void; readonly until: number; wakeup: Wakeup };
 
 export function createRelay(deps: RelayDeps): Relay {
-  const { words, tuning, book, budget, outlets, clock, rng } = deps;
+  const { words, tuning, book, budget, outlets, clock, rng, log } = deps;
   const counts: RelayTally = { requests: {}, shed: 0, dispatched: 0, retried: 0, resumed: 0, cut: 0, open: 0, waiting: 0 };
   const line: Waiter[] = [];
 
@@ -100,10 +102,10 @@
 
   async function serve(req: OpenRequest): Promise<void> {
     const cameAt = clock.mono();
-    const table = deps.table();
+    const table = deps.table() ?? (await opened(req));
     if (!table) {
       counts.shed += 1;
-      refuse(req, 503, 'notReady', 0.3);
+      refuse(req, 503, 'notReady', 0.5);
       return;
     }
     const path = req.target.split('?', 1)[0] ?? '/';
@@ -129,6 +131,16 @@
     counts.open -= 1;
   }
 
+  async function opened(req: OpenRequest): Promise<DoorTable | null> {
+    const until = clock.mono() + tuning.openingMs;
+    while (clock.mono() < until && !req.answerer.gone()) {
+      await pause(clock, OPENING_LOOK_MS);
+      const table = deps.table();
+      if (table) return table;
+    }
+    return null;
+  }
+
   function jobOf(req: OpenRequest, door: Door, id: string, body: Buffer, cameAt: number): Job {
     const m = door.mapping;
     const given = Number(req.get(words.deadline) ?? NaN);
@@ -297,6 +309,7 @@
       let size = 0;
       let splitter: EventSplitter | null = null;
       let over = false;
+      let heardAt = clock.mono();
       const deadline = clock.wakeup(Math.max(1, left), late);
       let sent: Sent | null = null;
 
@@ -309,6 +322,7 @@
         wake();
       }
       function late(): void {
+        if (!over) log.warn(`${row.entry.id} gave ${job.door.name} ${job.id} no end in ${Math.round(left)} ms: status ${status}, last event ${job.lastEvent ?? 'none'}, silent for ${Math.round(clock.mono() - heardAt)} ms.`);
         finish({ tag: 'late' });
         sent?.cut();
       }
@@ -355,6 +369,7 @@
 
       function data(chunk: Buffer): void {
         if (over) return;
+        heardAt = clock.mono();
         if (!splitter) {
           size += chunk.length;
           parts.push(chunk);
@@ -427,10 +442,13 @@
         }
         spoilt();
       }
+      function connected(ms: number): void {
+        book.took(row, ms);
+      }
       req.answerer.onGone(originGone);
       sent = outlets.send(
         { address: row.entry.address, method: req.method, target: req.target, headers, body: job.body.length > 0 || hasBody(req) ? job.body : null, connectMs: Math.min(left, tuning.connectMs) },
-        { head, data, end, failed },
+        { connected, head, data, end, failed },
       );
       if (over) sent.cut();
     }
--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -24,9 +24,11 @@
 import { followMovedHeads } from './members/moved-heads.js';
 import { operatorRoutes } from './ledger/operator-door.js';
 import { createPeers } from './members/peers.js';
+import { createCrowdRelay } from './ledger/crowd-relay.js';
 import { createAttest } from './ledger/attest.js';
 import { createPush } from './ledger/push.js';
 import type { Push } from './ledger/push.js';
+import { createListDuty } from './scaling/list-duty.js';
 import { createScaler } from './scaling/scaler.js';
 import type { Scaler } from './scaling/scaler.js';
 
@@ -117,6 +119,7 @@
   }
   const attest = createAttest(ledger, peers, clock);
   const push = createPush(ledger, attest, peers, clock, logs.part('push'));
+  const crowd = createCrowdRelay(ledger, peers, clock);
   const aims = createAimKeeper(ledger, peers, clock);
   const lease = id.cloud === null ? null : createLease(SCALER_DUTY, ledger, peers, clock, rng, logs.part('lease'));
   const opened = await peers.open(id.listen);
@@ -128,6 +131,12 @@
   }
   const membership = createMembership(node, contacts, peers, clock, rng, logs.part('members'));
   followMovedHeads(membership, ledger.belief, peers);
+  function heads(): Set<Address> {
+    const out = new Set<Address>(ledger.belief().members.length > 0 ? [] : id.seeds);
+    for (const m of ledger.belief().members) out.add(m.address);
+    return out;
+  }
+  const list = deps.listReader ? createListDuty({ self: id.advertised, reader: deps.listReader, heads, peers, clock, rng, log: logs.part('list') }) : null;
   const scaler = lease && id.cloud !== null ? startScaler(lease, id.cloud) : null;
   function startScaler(held: Lease, cloud: Address): Scaler {
     return createScaler({
@@ -231,10 +240,12 @@
 
   async function stopAll(): Promise<void> {
     scaler?.stop();
+    list?.stop();
     lease?.stop();
     membership.leave();
     membership.stop();
     push.stop();
+    crowd.stop();
     attest.stop();
     aims.stop();
     if (claims.ok) claims.value.stop();
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -5,6 +5,7 @@
 import { isTable } from '../base/is-table.js';
 import { ListedShape } from './platform-wire.js';
 import { CountsShape } from '../state/aim-counts.js';
+import { ToldUsageShape, UsageRowsShape } from '../state/crowd.js';
 import { BatchShape, MemberShape } from '../state/entry.js';
 import { ListNumberShape } from '../state/list-book.js';
 import { WorkerEntryShape } from '../state/worker-entry.js';
@@ -32,6 +33,11 @@
 
 export type NodeInfo = Static<typeof NodeShape>;
 
+export const NodeNewsShape = Type.Pick(NodeShape, ['name', 'run', 'incarnation', 'status']);
+export type NodeNews = Static<typeof NodeNewsShape>;
+
+const NewsShape = Type.Array(Type.Union([NodeShape, NodeNewsShape]));
+
 export const ReportShape = Type.Object({
   reporter: Str,
   run: Str,
@@ -109,11 +115,14 @@
   Type.Object({ kind: Type.Literal('listWhole'), number: ListNumberShape, ageMs: Num, sinceMs: Type.Optional(Num), entries: Type.Array(WorkerEntryShape) }),
   Type.Object({ kind: Type.Literal('listChange'), number: ListNumberShape, base: ListNumberShape, ageMs: Num, told: Type.Array(WorkerEntryShape), gone: Type.Array(Str) }),
   Type.Object({ kind: Type.Literal('listBeat'), number: Type.Union([ListNumberShape, Type.Null()]), ageMs: Type.Union([Num, Type.Null()]), sinceMs: Type.Optional(Num), silent: Type.Optional(Type.Boolean()) }),
+  Type.Object({ kind: Type.Literal('usage'), told: ToldUsageShape }),
+  Type.Object({ kind: Type.Literal('usages'), all: Type.Array(ToldUsageShape) }),
+  Type.Object({ kind: Type.Literal('crowd'), rows: UsageRowsShape }),
   Type.Object({ kind: Type.Literal('listAsk') }),
   Type.Object({ kind: Type.Literal('listTold'), ageMs: Type.Union([Num, Type.Null()]), workers: Type.Array(ListedShape) }),
-  Type.Object({ kind: Type.Literal('probe'), from: NodeShape, news: Type.Array(NodeShape) }),
-  Type.Object({ kind: Type.Literal('probeFor'), target: Str, news: Type.Array(NodeShape) }),
-  Type.Object({ kind: Type.Literal('probeAnswer'), reached: Type.Boolean(), news: Type.Array(NodeShape) }),
+  Type.Object({ kind: Type.Literal('probe'), from: NodeNewsShape, all: Type.Optional(Type.Boolean()), news: NewsShape }),
+  Type.Object({ kind: Type.Literal('probeFor'), target: Str, news: NewsShape }),
+  Type.Object({ kind: Type.Literal('probeAnswer'), reached: Type.Boolean(), stranger: Type.Optional(Type.Boolean()), from: Type.Optional(NodeNewsShape), news: NewsShape }),
 ]);
 export type Message = Static<typeof MessageShape>;
 export type MessageKind = Message['kind'];
@@ -130,11 +139,6 @@
 for (const shape of MessageShape.anyOf) shapes.set(shape.properties.kind.const, shape);
 const checkers = new Map<unknown, TypeCheck<TSchema>>();
 
-export function readFrame(body: unknown): Frame | null {
-  if (!isTable(body) || !isMessage(body['m'])) return null;
-  const { t, id } = body;
-  return t === 'tell' || ((t === 'call' || t === 'answer') && Number.isInteger(id)) ? (body as Frame) : null;
-}
 function isMessage(u: unknown): boolean {
   if (!isTable(u)) return false;
   const { kind } = u;
@@ -149,3 +153,8 @@
 }
 
 // Each kind's check is made when the first of its kind comes: making them all takes a third of a start.
+export function readFrame(body: unknown): Frame | null {
+  if (!isTable(body) || !isMessage(body['m'])) return null;
+  const { t, id } = body;
+  return t === 'tell' || ((t === 'call' || t === 'answer') && Number.isInteger(id)) ? (body as Frame) : null;
+}
--- /dev/null
+++ b/src/state/crowd.ts
@@ -0,0 +1,41 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+
+export const UsageRowsShape = Type.Record(Type.String(), Type.Tuple([Type.Integer(), Type.Integer(), Type.Integer()]));
+export type UsageRows = Static<typeof UsageRowsShape>;
+
+export const ToldUsageShape = Type.Object({ name: Type.String(), run: Type.String(), count: Type.Integer(), rows: UsageRowsShape });
+export type ToldUsage = Static<typeof ToldUsageShape>;
+
+type Held = { readonly told: ToldUsage; readonly at: number };
+
+export type Crowd = {
+  readonly take: (told: ToldUsage, now: number) => boolean;
+  readonly sums: (now: number) => UsageRows;
+};
+
+export function createCrowd(staleMs: number): Crowd {
+  const held = new Map<string, Held>();
+
+  function take(told: ToldUsage, now: number): boolean {
+    const have = held.get(told.name);
+    if (have && have.told.run === told.run && have.told.count >= told.count) return false;
+    held.set(told.name, { told, at: now });
+    return true;
+  }
+  function sums(now: number): UsageRows {
+    const out: UsageRows = {};
+    for (const [name, h] of held) {
+      if (now - h.at > staleMs) {
+        held.delete(name);
+        continue;
+      }
+      for (const [id, [running, unread, kv]] of Object.entries(h.told.rows)) {
+        const had = out[id];
+        out[id] = had ? [had[0] + running, had[1] + unread, had[2] + kv] : [running, unread, kv];
+      }
+    }
+    return out;
+  }
+  return { take, sums };
+}
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -1,7 +1,19 @@
 export type EdgeTuning = {
   readonly tokensPerMs: number;
   readonly farMs: number;
-  readonly crossRegionMs: number;
+  readonly bytesPerMs: number;
+  readonly bytesPerToken: number;
+  readonly spreadLeast: number;
+  readonly spreadShare: number;
+  readonly sharedMs: number;
+  readonly stallTokens: number;
+  readonly stallMs: number;
+  readonly kvShare: number;
+  readonly kvMs: number;
+  readonly overMs: number;
+  readonly crowdedMs: number;
+  readonly coldMs: number;
+  readonly failMs: number;
   readonly crossZoneMs: number;
   readonly preemptiveMs: number;
   readonly knownTokens: number;
@@ -9,6 +21,7 @@
   readonly connGuard: number;
   readonly connectMs: number;
   readonly retryMs: number;
+  readonly openingMs: number;
   readonly lineMost: number;
   readonly lineShare: number;
   readonly coldOver: number;
@@ -21,7 +34,19 @@
 export const EDGE_TUNING: EdgeTuning = {
   tokensPerMs: 40,
   farMs: 80,
-  crossRegionMs: 250,
+  bytesPerMs: 1_100,
+  bytesPerToken: 12,
+  spreadLeast: 2,
+  spreadShare: 0.34,
+  sharedMs: 0.03,
+  stallTokens: 16_000,
+  stallMs: 12,
+  kvShare: 0.9,
+  kvMs: 800,
+  overMs: 400,
+  crowdedMs: 150,
+  coldMs: 60,
+  failMs: 50,
   crossZoneMs: 20,
   preemptiveMs: 60,
   knownTokens: 150_000,
@@ -29,6 +54,7 @@
   connGuard: 0.85,
   connectMs: 600,
   retryMs: 250,
+  openingMs: 1_200,
   lineMost: 200,
   lineShare: 0.22,
   coldOver: 1.5,
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -4,6 +4,7 @@
 import type { KeptParts, Part } from './kept-parts.js';
 import { createRateGuard } from './rate-guard.js';
 import type { RateGuard } from './rate-guard.js';
+import type { UsageRows } from './crowd.js';
 import type { ModelTraits } from './serving.js';
 import type { WorkerEntry } from './worker-entry.js';
 
@@ -17,12 +18,17 @@
   running: number;
   unread: number;
   kv: number;
+  others: Usage;
+  told: Usage;
   fails: number;
   badUntil: number;
   fullUntil: number;
   kept: KeptParts;
 };
 
+export type Usage = { readonly running: number; readonly unread: number; readonly kv: number };
+const NO_USAGE: Usage = { running: 0, unread: 0, kv: 0 };
+
 export type PlaceAsk = {
   readonly model: string;
   readonly traits: ModelTraits | null;
@@ -55,6 +61,9 @@
   readonly cold: (row: BookRow, now: number, ms: number) => void;
   readonly rows: () => Iterable<BookRow>;
   readonly sharers: (n: number) => void;
+  readonly usage: () => UsageRows;
+  readonly takeCrowd: (rows: UsageRows) => void;
+  readonly took: (row: BookRow, ms: number) => void;
 };
 
 export type BookSelf = { readonly zone: string; readonly region: string };
@@ -66,13 +75,14 @@
   let byModel = new Map<string, BookRow[]>();
   let evacuated: Readonly<Record<string, number>> = {};
   let preemptiveOf: (model: string) => readonly string[] = none;
+  const away = new Map<string, number>();
   let sharing = 1;
   let listed = false;
 
   function freshRow(entry: WorkerEntry): BookRow {
     return {
       entry, present: true, leaving: entry.leaving, leaveBy: null, coldUntil: 0, cold: createRateGuard(COLD_WINDOW_MS),
-      running: 0, unread: 0, kv: 0, fails: 0, badUntil: 0, fullUntil: 0, kept: createKeptParts(tuning.knownTokens),
+      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, fullUntil: 0, kept: createKeptParts(tuning.knownTokens),
     };
   }
 
@@ -135,24 +145,41 @@
     return Math.min(batch, conns);
   }
 
-  function cost(row: BookRow, ask: PlaceAsk, best: BookRow | null): number {
-    const known = ask.pinned ? Math.max(row.kept.known(ask.parts), row === best ? sharedTokens(ask.parts) : 0) : 0;
+  function cost(row: BookRow, ask: PlaceAsk, home: BookRow | null): number {
+    const known = ask.pinned ? Math.max(row.kept.known(ask.parts), row === home ? sharedTokens(ask.parts) : 0) : 0;
     const unread = Math.max(0, ask.tokens - known);
-    let ms = (unread + row.unread) / tuning.tokensPerMs;
-    const places = placesOf(row, ask);
-    ms += (row.running / places) * (ask.tokens > 0 ? 40 : 120);
-    if (row.entry.region !== self.region) ms += tuning.farMs + tuning.crossRegionMs;
+    const running = row.running + row.others.running;
+    const backlog = row.unread + row.others.unread;
+    let ms = (unread + backlog) / tuning.tokensPerMs;
+    if (ask.tokens > 0) {
+      ms += Math.max(0, sharedTokens(ask.parts) - known) * tuning.sharedMs;
+      if (unread + backlog > tuning.stallTokens) ms += running * tuning.stallMs;
+      const kvTokens = ask.traits?.engine?.kvTokens ?? 0;
+      const kv = row.kv + row.others.kv + ask.tokens + ask.outTokens;
+      if (kvTokens > 0 && kv > kvTokens * tuning.kvShare) ms += tuning.kvMs * (kv / kvTokens);
+    }
+    const over = running + 1 - row.entry.places;
+    if (row.entry.places > 0 && over > 0) ms += tuning.overMs * (1 + over);
+    else ms += (running / Math.max(1, row.entry.places)) ** 2 * tuning.crowdedMs;
+    if (row.entry.region !== self.region) ms += awayMs(row) + (ask.bytes + ask.outTokens * tuning.bytesPerToken) / tuning.bytesPerMs;
     else if (row.entry.zone !== self.zone) ms += tuning.crossZoneMs;
-    if (row.coldUntil > ask.now) ms += 60;
+    if (row.coldUntil > ask.now) ms += tuning.coldMs;
     if (preemptiveOf(ask.model).includes(row.entry.zone)) ms += tuning.preemptiveMs;
-    ms += row.fails * 50;
-    return ms;
+    return ms + row.fails * tuning.failMs;
+  }
+
+  function awayMs(row: BookRow): number {
+    return away.get(row.entry.region) ?? tuning.farMs;
+  }
+  function took(row: BookRow, ms: number): void {
+    const { region } = row.entry;
+    const had = away.get(region);
+    away.set(region, had === undefined ? ms : Math.min(had * 1.02, ms));
   }
 
   function place(ask: PlaceAsk): Placed {
     const list = byModel.get(ask.model) ?? [];
-    const key = ask.parts.length > 1 ? (ask.parts[ask.parts.length - 2] as Part).id : '';
-    const best = key === '' ? null : rendezvous(list, ask, key);
+    const home = ask.pinned ? homeOf(list, ask) : null;
     let found: BookRow | null = null;
     let least = Infinity;
     let any = false;
@@ -162,7 +189,7 @@
       if (row.badUntil > ask.now || row.fullUntil > ask.now) continue;
       if (row.fails > 0 && row.running > 0) continue;
       if (row.running >= placesOf(row, ask) || !coldRoom(row, ask)) continue;
-      const ms = cost(row, ask, best);
+      const ms = cost(row, ask, home);
       if (ms < least) {
         least = ms;
         found = row;
@@ -172,18 +199,16 @@
     return any || !listed ? { tag: 'busy' } : { tag: 'none' };
   }
 
-  function rendezvous(list: readonly BookRow[], ask: PlaceAsk, key: string): BookRow | null {
-    let top: BookRow | null = null;
-    let high = -1;
-    for (const row of list) {
-      if (!usable(row, ask) || row.entry.region !== self.region || row.badUntil > ask.now) continue;
-      const h = hash32(`${key}|${row.entry.id}`);
-      if (h > high) {
-        high = h;
-        top = row;
-      }
-    }
-    return top;
+  function homeOf(list: readonly BookRow[], ask: PlaceAsk): BookRow | null {
+    const shared = ask.parts.length - 1;
+    if (shared < 1) return null;
+    const open: BookRow[] = [];
+    for (const row of list) if (usable(row, ask) && row.badUntil <= ask.now) open.push(row);
+    const first = ask.parts[0] as Part;
+    if (shared === 1) return highest(open, first.id);
+    const few = Math.max(tuning.spreadLeast, Math.ceil(open.length * tuning.spreadShare));
+    const group = open.length <= few ? open : ranked(open, first.id).slice(0, few);
+    return highest(group, (ask.parts[shared - 1] as Part).id);
   }
 
   function begin(row: BookRow, ask: PlaceAsk): Hold {
@@ -228,13 +253,54 @@
   function cold(row: BookRow, now: number, ms: number): void {
     row.coldUntil = Math.max(row.coldUntil, now + ms);
   }
+  function usage(): UsageRows {
+    const out: UsageRows = {};
+    for (const row of rows.values()) {
+      row.told = { running: row.running, unread: Math.round(row.unread), kv: Math.round(row.kv) };
+      if (row.running > 0) out[row.entry.id] = [row.told.running, row.told.unread, row.told.kv];
+    }
+    return out;
+  }
+  function takeCrowd(sums: UsageRows): void {
+    for (const row of rows.values()) {
+      const sum = sums[row.entry.id];
+      row.others = sum
+        ? { running: Math.max(0, sum[0] - row.told.running), unread: Math.max(0, sum[1] - row.told.unread), kv: Math.max(0, sum[2] - row.told.kv) }
+        : NO_USAGE;
+    }
+  }
   function all(): Iterable<BookRow> {
     return rows.values();
   }
   function sharers(n: number): void {
     sharing = Math.max(1, n);
   }
-  return { takeList, takeZones, place, begin, failed, served, full, moved, cold, rows: all, sharers };
+  return { takeList, takeZones, place, begin, failed, served, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
+}
+
+type Ranked = { readonly hash: number; readonly row: BookRow };
+
+function byHash(a: Ranked, b: Ranked): number {
+  return b.hash - a.hash;
+}
+function ranked(rows: readonly BookRow[], key: string): BookRow[] {
+  const all: Ranked[] = [];
+  for (const row of rows) all.push({ hash: hash32(`${key}|${row.entry.id}`), row });
+  return all.sort(byHash).map(rowOf);
+}
+function rowOf(r: Ranked): BookRow {
+  return r.row;
+}
+function highest(rows: readonly BookRow[], key: string): BookRow | null {
+  let top: BookRow | null = null;
+  let high = -1;
+  for (const row of rows) {
+    const h = hash32(`${key}|${row.entry.id}`);
+    if (h <= high) continue;
+    high = h;
+    top = row;
+  }
+  return top;
 }
 
 function sharedTokens(parts: readonly Part[]): number {
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -35,6 +35,7 @@
   | { readonly tag: 'broken' };
 
 export type SendEvents = {
+  readonly connected?: (ms: number) => void;
   readonly head: (status: number, headers: RawHeaders, get: (name: string) => string | null) => void;
   readonly data: (chunk: Buffer) => void;
   readonly end: () => void;
--- a/src/transport/outlets.ts
+++ b/src/transport/outlets.ts
@@ -138,6 +138,7 @@
         return;
       }
       dialled += 1;
+      const from = clock.mono();
       at.open += 1;
       const s = createConnection({ host: hp.host, port: hp.port, noDelay: true });
       sock = s;
@@ -160,6 +161,7 @@
         wakeup.cancel();
         s.off('error', refused);
         s.off('close', refused);
+        events.connected?.(clock.mono() - from);
         go(s);
       }
       s.once('error', refused);
