A lease is renewed when a majority granted it, and asked for only when one's own book allows

The holder waited for every member each turn, so one silent member took a second of each term; and members without the lease asked all others about once a second only to be refused.

--- a/src/coordination/ledger/lease.ts
+++ b/src/coordination/ledger/lease.ts
@@ -1,12 +1,15 @@
 import { majorityOf, memberId } from '../../state/belief.js';
 import { askGrant, createLeaseBook, dropGrant } from '../../state/lease-book.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
+import type { Member } from '../../state/entry.js';
 import type { Clock } from '../../transport/clock.js';
 import { pause } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import type { Rng } from '../../transport/rng.js';
 import type { Ledger } from './ledger.js';
 import type { Peers } from '../members/peers.js';
+import { poll } from './poll.js';
+import type { Votes } from './poll.js';
 
 export type Lease = {
   readonly fence: () => number | null;
@@ -49,24 +52,31 @@
     return record && record.fence === held ? held : null;
   }
 
-  async function askMajority(): Promise<boolean> {
+  async function askMajority(): Promise<'granted' | 'refused' | 'notAsked'> {
     const b = ledger.belief();
     round += 1;
     const ask: MessageOf<'leaseAsk'> = { kind: 'leaseAsk', ledger: b.ledger, duty, holder: me(), termMs: LEASE_TERM_MS, round };
-    let granted = 0;
-    async function one(address: string, id: string): Promise<void> {
-      if (id === me()) {
-        const own = onAsk(ask);
-        if (own.kind === 'leaseAnswer' && own.granted) granted += 1;
-        return;
-      }
-      const got = await peers.call(address, ask, RENEW_MS);
-      if (got.ok && got.value.kind === 'leaseAnswer' && got.value.voter === id && got.value.granted) granted += 1;
+    const need = majorityOf(b.members);
+    const own = onAsk(ask);
+    if (!isGrant(own)) return 'notAsked';
+    async function one(m: Member): Promise<Message | null> {
+      if (memberId(m) === me()) return own;
+      const got = await peers.call(m.address, ask, RENEW_MS);
+      return got.ok && got.value.kind === 'leaseAnswer' && got.value.voter === memberId(m) ? got.value : null;
+    }
+    function decided(votes: Votes, open: number): boolean {
+      const granted = grantsIn(votes);
+      return granted >= need || granted + open < need;
     }
-    const asks: Promise<void>[] = [];
-    for (const m of b.members) asks.push(one(m.address, memberId(m)));
-    await Promise.all(asks);
-    return granted >= majorityOf(b.members);
+    return grantsIn(await poll(b.members, one, decided)) >= need ? 'granted' : 'refused';
+  }
+  function isGrant(m: Message): boolean {
+    return m.kind === 'leaseAnswer' && m.granted;
+  }
+  function grantsIn(votes: Votes): number {
+    let n = 0;
+    for (const v of votes.values()) if (isGrant(v)) n += 1;
+    return n;
   }
 
   function dropAll(): void {
@@ -85,8 +95,9 @@
     }
     const askedAt = clock.mono();
     const expired = leftMs() <= 0;
-    if (!(await askMajority())) {
-      if (clock.mono() > until) dropAll();
+    const asked = await askMajority();
+    if (asked !== 'granted') {
+      if (asked === 'refused' && clock.mono() > until) dropAll();
       if (held !== null && leftMs() <= 0) {
         log.warn(`The ${duty} lease ended.`);
         held = null;
