--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -44,7 +44,7 @@
   kvShare: 0.9,
   kvMs: 800,
   overMs: 400,
-  crowdedMs: 150,
+  crowdedMs: 300,
   coldMs: 60,
   failMs: 50,
   crossZoneMs: 20,
