What state and protocol both need belongs to state; the worker's row is its own

Cause: state imported types of protocol in eight places; worker-pools and worker-table imported each other. Reports, claims, seals, listed workers and fitness stand in state with their shapes, as entries and list numbers do; messages and wires import them. worker-row holds the row, which the table and its pools both read. No behaviour changes.

--- a/src/basin/hollow.ts
+++ b/src/basin/hollow.ts
@@ -4,7 +4,7 @@
 import type { Sluice } from '../coordination/edge/sluice.js';
 import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
 import { WORKERS_PATH, readWorkerList } from '../protocol/platform-wire.js';
-import type { Listed } from '../protocol/platform-wire.js';
+import type { Listed } from '../state/listed.js';
 import { FITNESS_PATH } from '../protocol/worker-wire.js';
 import { every, pause } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
--- a/src/coordination/edge/claim-client.ts
+++ b/src/coordination/edge/claim-client.ts
@@ -1,5 +1,5 @@
 import { createLine } from '../../base/line.js';
-import type { Claim, ClaimAnswer, ClaimEnd } from '../../protocol/messages.js';
+import type { Claim, ClaimAnswer, ClaimEnd } from '../../state/claim.js';
 import { majorityOf, memberId, membersMark } from '../../state/belief.js';
 import type { Belief } from '../../state/belief.js';
 import type { Member } from '../../state/entry.js';
--- a/src/coordination/edge/flights.ts
+++ b/src/coordination/edge/flights.ts
@@ -1,4 +1,5 @@
-import type { WorkerRow, WorkerTable } from '../../state/worker-table.js';
+import type { WorkerRow } from '../../state/worker-row.js';
+import type { WorkerTable } from '../../state/worker-table.js';
 import type { Clock } from '../../transport/clock.js';
 
 export type Flight = {
--- a/src/coordination/edge/list-source.ts
+++ b/src/coordination/edge/list-source.ts
@@ -1,7 +1,7 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import type { Message, NodeInfo } from '../../protocol/messages.js';
-import type { Listed } from '../../protocol/platform-wire.js';
+import type { Listed } from '../../state/listed.js';
 import type { Clock } from '../../transport/clock.js';
 import { shuffled } from '../../transport/rng.js';
 import type { Rng } from '../../transport/rng.js';
--- a/src/coordination/edge/worker-watch.ts
+++ b/src/coordination/edge/worker-watch.ts
@@ -1,6 +1,7 @@
-import type { WorkerRow, WorkerTable } from '../../state/worker-table.js';
+import type { WorkerRow } from '../../state/worker-row.js';
+import type { WorkerTable } from '../../state/worker-table.js';
 import { FITNESS_PATH, readFitness } from '../../protocol/worker-wire.js';
-import type { Listed } from '../../protocol/platform-wire.js';
+import type { Listed } from '../../state/listed.js';
 import { every } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Caller } from '../../transport/http.js';
--- a/src/coordination/ledger/follower.ts
+++ b/src/coordination/ledger/follower.ts
@@ -1,7 +1,8 @@
 import { createEvents } from '../../base/events.js';
 import { isTable } from '../../base/is-table.js';
 import { parsedJson } from '../../base/parsed-json.js';
-import type { Message, MessageOf, Report } from '../../protocol/messages.js';
+import type { Message, MessageOf } from '../../protocol/messages.js';
+import type { Report } from '../../state/report.js';
 import { emptyBelief, foldBatch, isBelief } from '../../state/belief.js';
 import type { Belief } from '../../state/belief.js';
 import { ranked, steps } from '../../state/candidates.js';
--- a/src/coordination/ledger/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -1,4 +1,5 @@
-import type { MessageOf, Report } from '../../protocol/messages.js';
+import type { MessageOf } from '../../protocol/messages.js';
+import type { Report } from '../../state/report.js';
 import { memberId, majorityOf } from '../../state/belief.js';
 import { differenceTo, mergeReport } from '../../state/reports.js';
 import type { Reports } from '../../state/reports.js';
--- a/src/coordination/scaling/cloud-client.ts
+++ b/src/coordination/scaling/cloud-client.ts
@@ -3,7 +3,7 @@
 import { MACHINES_PATH, PRICES_PATH, readMachine, readMachines, readNoCapacity, readPrices } from '../../protocol/cloud-wire.js';
 import type { CloudOrder, Machine } from '../../protocol/cloud-wire.js';
 import { readWorkerList, WORKERS_PATH } from '../../protocol/platform-wire.js';
-import type { Listed } from '../../protocol/platform-wire.js';
+import type { Listed } from '../../state/listed.js';
 import type { Price } from '../../state/scaler-decide.js';
 import type { Caller } from '../../transport/http.js';
 import type { Address } from '../../transport/wire.js';
--- a/src/coordination/scaling/scaler.ts
+++ b/src/coordination/scaling/scaler.ts
@@ -9,7 +9,7 @@
 import type { Rate } from '../../state/target.js';
 import type { Machine } from '../../protocol/cloud-wire.js';
 import { FITNESS_PATH, readFitness } from '../../protocol/worker-wire.js';
-import type { Listed } from '../../protocol/platform-wire.js';
+import type { Listed } from '../../state/listed.js';
 import { pause } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Caller } from '../../transport/http.js';
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -3,11 +3,13 @@
 import { TypeCompiler } from '@sinclair/typebox/compiler';
 import type { TypeCheck } from '@sinclair/typebox/compiler';
 import { isTable } from '../base/is-table.js';
-import { ListedShape } from './platform-wire.js';
 import { CountsShape } from '../state/aim-counts.js';
+import { ClaimAnswerShape, ClaimEndShape, ClaimShape } from '../state/claim.js';
 import { ToldUsageShape, UsageRowsShape } from '../state/crowd.js';
 import { BatchShape, MemberShape } from '../state/entry.js';
 import { ListNumberShape } from '../state/list-book.js';
+import { ListedShape } from '../state/listed.js';
+import { ReportShape } from '../state/report.js';
 import { WorkerEntryShape } from '../state/worker-entry.js';
 
 const Str = Type.String({ minLength: 1, maxLength: 256 });
@@ -38,41 +40,6 @@
 
 const NewsShape = Type.Array(Type.Union([NodeShape, NodeNewsShape]));
 
-export const ReportShape = Type.Object({
-  reporter: Str,
-  run: Str,
-  incarnation: Type.Integer(),
-  count: Type.Integer(),
-  requests: Type.Record(Type.String(), Type.Integer()),
-  shed: Type.Integer(),
-  dispatched: Type.Integer(),
-  retried: Type.Integer(),
-  slot: Slot,
-  since: Type.Optional(Type.Integer()),
-  gone: Type.Optional(Type.Array(Str)),
-  fitness: Type.Record(Type.String(), Type.Union([Type.Literal('fit'), Type.Literal('unfit')])),
-  http: Str,
-  ready: Type.Boolean(),
-  zone: Str,
-  region: Str,
-});
-
-export type Report = Static<typeof ReportShape>;
-
-export const ClaimShape = Type.Object({ key: Str, by: Str, born: Num });
-export type Claim = Static<typeof ClaimShape>;
-
-export const ClaimEndShape = Type.Object({ key: Str, by: Str, born: Num, outcome: Type.Union([Type.Literal('released'), Type.Literal('answered')]) });
-export type ClaimEnd = Static<typeof ClaimEndShape>;
-
-export const ClaimAnswerShape = Type.Union([
-  Type.Object({ tag: Type.Literal('claimed') }),
-  Type.Object({ tag: Type.Literal('taken'), answered: Type.Boolean() }),
-  Type.Object({ tag: Type.Literal('full') }),
-  Type.Object({ tag: Type.Literal('tooOld') }),
-]);
-export type ClaimAnswer = Static<typeof ClaimAnswerShape>;
-
 export const MessageShape = Type.Union([
   Type.Object({ kind: Type.Literal('prepare'), ledger: Str, slot: Slot, ballot: BallotShape }),
   Type.Object({ kind: Type.Literal('accept'), ledger: Str, slot: Slot, ballot: BallotShape, batch: BatchShape }),
--- a/src/protocol/origin-wire.ts
+++ b/src/protocol/origin-wire.ts
@@ -1,7 +1,8 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 import { readerOf } from './read-shape.js';
-import { PartShape, PieceShape, SealShape } from './worker-wire.js';
+import { PieceShape, SealShape } from '../state/seal.js';
+import { PartShape } from './worker-wire.js';
 
 const Id = Type.String({ minLength: 1, maxLength: 128 });
 const Tokens = Type.Integer({ minimum: 0, maximum: 10_000_000 });
--- a/src/protocol/platform-wire.ts
+++ b/src/protocol/platform-wire.ts
@@ -1,21 +1,6 @@
 import { Type } from '@sinclair/typebox';
-import type { Static } from '@sinclair/typebox';
+import { ListedShape } from '../state/listed.js';
 import { readerOf } from './read-shape.js';
 
-const Str = Type.String({ minLength: 1, maxLength: 256 });
-
-export const ListedShape = Type.Object({
-  id: Str,
-  machine: Str,
-  address: Str,
-  model: Str,
-  zone: Str,
-  region: Str,
-  kind: Type.Union([Type.Literal('spot'), Type.Literal('onDemand'), Type.Literal('fixed')]),
-  state: Type.Union([Type.Literal('loading'), Type.Literal('ready'), Type.Literal('draining')]),
-  remainingMs: Type.Optional(Type.Number()),
-});
-export type Listed = Static<typeof ListedShape>;
-
 export const readWorkerList = readerOf(Type.Object({ workers: Type.Array(ListedShape) }));
 export const WORKERS_PATH = '/v1/workers';
--- a/src/protocol/worker-wire.ts
+++ b/src/protocol/worker-wire.ts
@@ -1,5 +1,7 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { FitnessShape } from '../state/fitness.js';
+import { PieceShape, SealShape } from '../state/seal.js';
 import { readerOf } from './read-shape.js';
 
 const Id = Type.String({ minLength: 1, maxLength: 256 });
@@ -21,12 +23,6 @@
 });
 export type Run = Static<typeof RunShape>;
 
-export const SealShape = Type.Object({ requestId: Id, dispatchId: Id, pieces: Type.Integer({ minimum: 0 }), digest: Type.String() });
-export type Seal = Static<typeof SealShape>;
-
-export const PieceShape = Type.Object({ n: Type.Integer({ minimum: 0 }), text: Type.String() });
-export type Piece = Static<typeof PieceShape>;
-
 export const WholeShape = Type.Object({ pieces: Type.Array(PieceShape), seal: SealShape });
 export type Whole = Static<typeof WholeShape>;
 
@@ -38,17 +34,6 @@
 
 export const NotRunShape = Type.Object({ notRun: Type.Literal(true), requestId: Id, dispatchId: Id });
 
-export const FitnessShape = Type.Object({
-  id: Id,
-  incarnation: Id,
-  model: Type.String(),
-  state: Type.Union([Type.Literal('idle'), Type.Literal('loading'), Type.Literal('ready'), Type.Literal('draining')]),
-  remainingMs: Type.Optional(Type.Number()),
-  running: Type.Integer({ minimum: 0 }),
-  readyForMs: Type.Number({ minimum: 0 }),
-});
-export type Fitness = Static<typeof FitnessShape>;
-
 export const readRun = readerOf(RunShape);
 export const readWhole = readerOf(WholeShape);
 export const readStreamLine = readerOf(StreamLineShape);
--- a/src/state/claim-table.ts
+++ b/src/state/claim-table.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Claim, ClaimAnswer, ClaimEnd } from '../protocol/messages.js';
+import type { Claim, ClaimAnswer, ClaimEnd } from './claim.js';
 import { createHourRanges } from './hour-ranges.js';
 import type { HourRange } from './hour-ranges.js';
 
--- a/src/state/rates.ts
+++ b/src/state/rates.ts
@@ -1,4 +1,4 @@
-import type { Report } from '../protocol/messages.js';
+import type { Report } from './report.js';
 import type { Rate } from './target.js';
 
 type Sample = { readonly at: number; readonly totals: Readonly<Record<string, number>>; readonly whole: boolean };
--- /dev/null
+++ b/src/state/report.ts
@@ -0,0 +1,26 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+
+const Str = Type.String({ minLength: 1, maxLength: 256 });
+const Slot = Type.Integer({ minimum: -1 });
+
+export const ReportShape = Type.Object({
+  reporter: Str,
+  run: Str,
+  incarnation: Type.Integer(),
+  count: Type.Integer(),
+  requests: Type.Record(Type.String(), Type.Integer()),
+  shed: Type.Integer(),
+  dispatched: Type.Integer(),
+  retried: Type.Integer(),
+  slot: Slot,
+  since: Type.Optional(Type.Integer()),
+  gone: Type.Optional(Type.Array(Str)),
+  fitness: Type.Record(Type.String(), Type.Union([Type.Literal('fit'), Type.Literal('unfit')])),
+  http: Str,
+  ready: Type.Boolean(),
+  zone: Str,
+  region: Str,
+});
+
+export type Report = Static<typeof ReportShape>;
--- a/src/state/reports.test.ts
+++ b/src/state/reports.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import type { Report } from '../protocol/messages.js';
+import type { Report } from './report.js';
 import { differenceTo, mergeReport } from './reports.js';
 import type { Reports } from './reports.js';
 
--- a/src/state/reports.ts
+++ b/src/state/reports.ts
@@ -1,4 +1,4 @@
-import type { Report } from '../protocol/messages.js';
+import type { Report } from './report.js';
 
 export type Reports = Map<string, Report>;
 
--- a/src/state/seal.ts
+++ b/src/state/seal.ts
@@ -1,6 +1,15 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
 import { createHash } from 'node:crypto';
 import type { Hash } from 'node:crypto';
-import type { Piece, Seal } from '../protocol/worker-wire.js';
+
+const Id = Type.String({ minLength: 1, maxLength: 256 });
+
+export const SealShape = Type.Object({ requestId: Id, dispatchId: Id, pieces: Type.Integer({ minimum: 0 }), digest: Type.String() });
+export type Seal = Static<typeof SealShape>;
+
+export const PieceShape = Type.Object({ n: Type.Integer({ minimum: 0 }), text: Type.String() });
+export type Piece = Static<typeof PieceShape>;
 
 export type SealFault = 'foreign' | 'pieceOutOfTurn' | 'pieceCount' | 'digest';
 
--- a/src/state/worker-pools.test.ts
+++ b/src/state/worker-pools.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import { createWorkerPools, LOOKED_AT } from './worker-pools.js';
 import type { PoolAsk } from './worker-pools.js';
-import type { WorkerRow } from './worker-table.js';
+import type { WorkerRow } from './worker-row.js';
 
 function rows(n: number): WorkerRow[] {
   return Array.from({ length: n }, (_, ix) => ({ ix, listed: { id: `w${ix}`, model: 'm', zone: `z${ix % 6}`, region: `r${ix % 3}` } }) as WorkerRow);
--- a/src/state/worker-pools.ts
+++ b/src/state/worker-pools.ts
@@ -1,5 +1,5 @@
 import { hash32 } from '../base/digest.js';
-import type { WorkerRow } from './worker-table.js';
+import type { WorkerRow } from './worker-row.js';
 
 export type PoolAsk = {
   readonly model: string;
--- /dev/null
+++ b/src/state/worker-row.ts
@@ -0,0 +1,42 @@
+import type { Listed } from './listed.js';
+
+export type WorkerRow = {
+  readonly ix: number;
+  listed: Listed;
+  present: boolean;
+  leaving: boolean;
+  leaveBy: number | null;
+  incarnation: string | null;
+  answeredAt: number | null;
+  silences: number;
+  freshMs: number;
+  ready: boolean;
+  readyAt: number;
+  reported: number;
+  others: number;
+  window: number;
+  inFlight: number;
+};
+
+const ANSWER_FRESH_MS = 3_500;
+export const WIDEST = 1_024;
+
+export function freshRow(ix: number, listed: Listed): WorkerRow {
+  return {
+    ix,
+    listed,
+    present: true,
+    leaving: false,
+    leaveBy: null,
+    incarnation: null,
+    answeredAt: null,
+    silences: 0,
+    freshMs: ANSWER_FRESH_MS,
+    ready: false,
+    readyAt: 0,
+    reported: 0,
+    others: 0,
+    window: WIDEST,
+    inFlight: 0,
+  };
+}
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -1,32 +1,16 @@
-import type { Listed } from '../protocol/platform-wire.js';
-import type { Fitness } from '../protocol/worker-wire.js';
 import type { Belief } from './belief.js';
 import type { Candidate } from './candidate.js';
 import type { Order } from './order.js';
+import type { Fitness } from './fitness.js';
 import { createIndices } from './indices.js';
+import type { Listed } from './listed.js';
 import { createPrefixTable } from './prefix-table.js';
 import type { PrefixTable } from './prefix-table.js';
 import type { Resolved } from './settings-tree.js';
 import { createWorkerPools } from './worker-pools.js';
 import type { Picked } from './worker-pools.js';
-
-export type WorkerRow = {
-  readonly ix: number;
-  listed: Listed;
-  present: boolean;
-  leaving: boolean;
-  leaveBy: number | null;
-  incarnation: string | null;
-  answeredAt: number | null;
-  silences: number;
-  freshMs: number;
-  ready: boolean;
-  readyAt: number;
-  reported: number;
-  others: number;
-  window: number;
-  inFlight: number;
-};
+import { freshRow, WIDEST } from './worker-row.js';
+import type { WorkerRow } from './worker-row.js';
 
 export type WorkerTable = {
   readonly takeList: (list: readonly Listed[], now: number) => void;
@@ -58,9 +42,7 @@
   readonly whole: boolean;
 };
 
-const ANSWER_FRESH_MS = 3_500;
 const SILENCES_UNFIT = 2;
-const WIDEST = 1_024;
 const NARROWED_BY = 0.7;
 
 export function createWorkerTable(): WorkerTable {
@@ -101,26 +83,6 @@
     applyBelief();
   }
 
-  function freshRow(ix: number, listed: Listed): WorkerRow {
-    return {
-      ix,
-      listed,
-      present: true,
-      leaving: false,
-      leaveBy: null,
-      incarnation: null,
-      answeredAt: null,
-      silences: 0,
-      freshMs: ANSWER_FRESH_MS,
-      ready: false,
-      readyAt: 0,
-      reported: 0,
-      others: 0,
-      window: WIDEST,
-      inFlight: 0,
-    };
-  }
-
   function markLeaving(row: WorkerRow, remainingMs: number | undefined, now: number): void {
     row.leaving = true;
     if (remainingMs === undefined) return;
