--- a/src/coordination/edge/list-source.ts
+++ b/src/coordination/edge/list-source.ts
@@ -1,6 +1,7 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
-import type { Message, NodeInfo } from '../../protocol/messages.js';
+import type { Message } from '../../protocol/messages.js';
+import type { NodeInfo } from '../../state/node-info.js';
 import type { Listed } from '../../state/listed.js';
 import type { Clock } from '../../transport/clock.js';
 import { shuffled } from '../../transport/rng.js';
--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -1,6 +1,7 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
-import type { MessageOf, NodeInfo } from '../../protocol/messages.js';
+import type { MessageOf } from '../../protocol/messages.js';
+import type { NodeInfo } from '../../state/node-info.js';
 import type { Report } from '../../state/report.js';
 import type { OpenWords } from '../../protocol/open-words.js';
 import { createDispatchBudget } from '../../state/dispatch-budget.js';
--- a/src/coordination/edge/placer.ts
+++ b/src/coordination/edge/placer.ts
@@ -1,7 +1,7 @@
 import { hash32 } from '../../base/digest.js';
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
-import type { NodeInfo } from '../../protocol/messages.js';
+import type { NodeInfo } from '../../state/node-info.js';
 import type { Failure, PlaceAsk, Placed, ShedReason } from '../../protocol/origin-wire.js';
 import type { Candidate, PlaceContext } from '../../state/candidate.js';
 import { placeAmong } from '../../state/policies.js';
--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -2,7 +2,7 @@
 import { parsedJson } from '../base/parsed-json.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { NodeInfo } from '../protocol/messages.js';
+import type { NodeInfo } from '../state/node-info.js';
 import { memberId, SCALER_DUTY } from '../state/belief.js';
 import type { Disk, DiskFault } from '../transport/disk.js';
 import type { RingFault, RingShape } from '../transport/ring.js';
--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -1,5 +1,6 @@
 import { createEvents } from '../../base/events.js';
-import type { Message, MessageOf, NodeInfo } from '../../protocol/messages.js';
+import type { Message, MessageOf } from '../../protocol/messages.js';
+import type { NodeInfo } from '../../state/node-info.js';
 import { isUp, mergeNode } from '../../state/members.js';
 import type { Members } from '../../state/members.js';
 import { every } from '../../transport/clock.js';
--- a/src/coordination/members/moved-heads.ts
+++ b/src/coordination/members/moved-heads.ts
@@ -1,4 +1,4 @@
-import type { NodeInfo } from '../../protocol/messages.js';
+import type { NodeInfo } from '../../state/node-info.js';
 import type { Belief } from '../../state/belief.js';
 import type { Spot } from '../../state/candidates.js';
 import { isUp } from '../../state/members.js';
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -9,6 +9,7 @@
 import { BatchShape, MemberShape } from '../state/entry.js';
 import { ListNumberShape } from '../state/list-book.js';
 import { ListedShape } from '../state/listed.js';
+import { NodeNewsShape, NodeShape } from '../state/node-info.js';
 import { ReportShape } from '../state/report.js';
 import { WorkerEntryShape } from '../state/worker-entry.js';
 
@@ -21,23 +22,6 @@
 export const SlotBatchShape = Type.Object({ slot: Slot, batch: BatchShape });
 export type SlotBatch = Static<typeof SlotBatchShape>;
 
-export const NodeShape = Type.Object({
-  name: Str,
-  role: Type.Union([Type.Literal('sluice'), Type.Literal('headgate')]),
-  run: Str,
-  incarnation: Type.Integer({ minimum: 0 }),
-  address: Str,
-  http: Type.String(),
-  zone: Str,
-  region: Str,
-  status: Type.Union([Type.Literal('alive'), Type.Literal('suspect'), Type.Literal('dead'), Type.Literal('left')]),
-});
-
-export type NodeInfo = Static<typeof NodeShape>;
-
-export const NodeNewsShape = Type.Pick(NodeShape, ['name', 'run', 'incarnation', 'status']);
-export type NodeNews = Static<typeof NodeNewsShape>;
-
 const NewsShape = Type.Array(Type.Union([NodeShape, NodeNewsShape]));
 
 export const MessageShape = Type.Union([
--- a/src/state/members.ts
+++ b/src/state/members.ts
@@ -1,4 +1,4 @@
-import type { NodeInfo } from '../protocol/messages.js';
+import type { NodeInfo } from './node-info.js';
 
 export type Members = Map<string, NodeInfo>;
 
--- /dev/null
+++ b/src/state/node-info.ts
@@ -0,0 +1,21 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+
+const Str = Type.String({ minLength: 1, maxLength: 256 });
+
+export const NodeShape = Type.Object({
+  name: Str,
+  role: Type.Union([Type.Literal('sluice'), Type.Literal('headgate')]),
+  run: Str,
+  incarnation: Type.Integer({ minimum: 0 }),
+  address: Str,
+  http: Type.String(),
+  zone: Str,
+  region: Str,
+  status: Type.Union([Type.Literal('alive'), Type.Literal('suspect'), Type.Literal('dead'), Type.Literal('left')]),
+});
+
+export type NodeInfo = Static<typeof NodeShape>;
+
+export const NodeNewsShape = Type.Pick(NodeShape, ['name', 'run', 'incarnation', 'status']);
+export type NodeNews = Static<typeof NodeNewsShape>;
