--- a/src/coordination/ledger/joining.ts
+++ b/src/coordination/ledger/joining.ts
@@ -8,7 +8,7 @@
 import type { Rng } from '../../transport/rng.js';
 import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
-import type { Agreed, Draft, ProposeFault } from './ledger.js';
+import type { Agreed, Draft, ProposeFault } from './proposal.js';
 import type { Standings } from './standings.js';
 
 export type Joining = { readonly turn: () => Promise<void>; readonly leave: () => Promise<void> };
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -19,6 +19,7 @@
 import { createJoining } from './joining.js';
 import { poll } from './poll.js';
 import type { AskMember, Votes } from './poll.js';
+import type { Agreed, Draft, ProposeFault } from './proposal.js';
 import { runRound } from './round.js';
 import { createStandings, STANDING_MS } from './standings.js';
 import { openStore } from './store.js';
@@ -29,14 +30,6 @@
   readonly adopted: { readonly slot: number };
 };
 
-export type ProposeFault =
-  | { readonly tag: 'noMajority' }
-  | { readonly tag: 'notFounded' }
-  | { readonly tag: 'cannotWrite'; readonly fault: RingFault };
-
-export type Draft = { readonly id?: string; readonly cause: string; readonly act: Act; readonly fence?: number };
-export type Agreed = { readonly slot: number; readonly outcome: Outcome };
-
 export type FoundFault =
   | { readonly tag: 'alreadyFounded'; readonly member: string }
   | { readonly tag: 'memberSilent'; readonly address: Address };
--- /dev/null
+++ b/src/coordination/ledger/proposal.ts
@@ -0,0 +1,11 @@
+import type { Outcome } from '../../state/belief.js';
+import type { Act } from '../../state/entry.js';
+import type { RingFault } from '../../transport/ring.js';
+
+export type ProposeFault =
+  | { readonly tag: 'noMajority' }
+  | { readonly tag: 'notFounded' }
+  | { readonly tag: 'cannotWrite'; readonly fault: RingFault };
+
+export type Draft = { readonly id?: string; readonly cause: string; readonly act: Act; readonly fence?: number };
+export type Agreed = { readonly slot: number; readonly outcome: Outcome };
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -1,6 +1,6 @@
 import { startHeadgate } from '../coordination/headgate.js';
 import type { Headgate } from '../coordination/headgate.js';
-import type { Agreed, ProposeFault } from '../coordination/ledger/ledger.js';
+import type { Agreed, ProposeFault } from '../coordination/ledger/proposal.js';
 import type { Result } from '../base/result.js';
 import { POLICIES } from '../state/policies.js';
 import { createQuietLog } from '../transport/log.js';
--- a/src/sim/sim-ledger.ts
+++ b/src/sim/sim-ledger.ts
@@ -1,6 +1,7 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { Agreed, Draft, Ledger, ProposeFault } from '../coordination/ledger/ledger.js';
+import type { Ledger } from '../coordination/ledger/ledger.js';
+import type { Agreed, Draft, ProposeFault } from '../coordination/ledger/proposal.js';
 import { emptyBelief, foldBatch } from '../state/belief.js';
 import type { Belief, Outcome } from '../state/belief.js';
 import type { Act, Entry } from '../state/entry.js';
