--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -5,7 +5,7 @@
 import type { Message, MessageOf, SlotBatch } from '../../protocol/messages.js';
 import { isBelief, majorityOf, memberId, operationOf } from '../../state/belief.js';
 import type { Belief, Outcome } from '../../state/belief.js';
-import type { Act, Batch, Entry, Member } from '../../state/entry.js';
+import type { Batch, Entry, Member } from '../../state/entry.js';
 import { every, pause, within } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
 import type { Disk } from '../../transport/disk.js';
