Members' standings are asked once, for the ledger and the attestation alike

The ledger and the attestation asked each member every 500 ms, each for itself. The attestation now takes what the ledger heard, with the moment it was asked for.

--- a/src/coordination/ledger/attest.ts
+++ b/src/coordination/ledger/attest.ts
@@ -1,11 +1,10 @@
 import { createEvents } from '../../base/events.js';
 import { majorityOf, memberId } from '../../state/belief.js';
-import type { Member } from '../../state/entry.js';
 import { createSharedTime } from '../../state/shared-time.js';
 import { every } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
-import type { Peers } from '../members/peers.js';
 import type { Ledger } from './ledger.js';
+import type { HeardStanding } from './standings.js';
 
 export type Attestation = { readonly asOf: number; readonly top: number };
 
@@ -19,49 +18,43 @@
 
 type Told = { readonly askedAt: number; readonly top: number };
 
-const ASK_MS = 500;
-const ASK_WAIT_MS = 1_000;
+const TURN_MS = 500;
 const TOGETHER_MS = 5;
 const OLDEST_MS = 1_000;
 
-export function createAttest(ledger: Ledger, peers: Peers, clock: Clock): Attest {
+export function createAttest(ledger: Ledger, clock: Clock): Attest {
   const events = createEvents<{ readonly told: null }>();
   const told = new Map<string, Told>();
   const time = createSharedTime();
   let soon = false;
 
-  function others(): Member[] {
-    const out: Member[] = [];
-    for (const m of ledger.belief().members) if (memberId(m) !== memberId(ledger.self)) out.push(m);
-    return out;
+  function isOwn(id: string): boolean {
+    return id === memberId(ledger.self);
   }
 
-  async function askOne(m: Member): Promise<void> {
-    const askedAt = clock.mono();
-    const got = await peers.call(m.address, { kind: 'standingAsk' }, ASK_WAIT_MS);
-    if (!got.ok || got.value.kind !== 'standing' || got.value.voter !== memberId(m) || got.value.ledger !== ledger.belief().ledger) return;
-    if (got.value.wall !== undefined) time.hear(m.name, got.value.wall, clock.mono());
-    const have = told.get(memberId(m));
+  function onHeard(e: HeardStanding): void {
+    const { member, askedAt, standing } = e;
+    if (standing.wall !== undefined) time.hear(member.name, standing.wall, clock.mono());
+    const have = told.get(memberId(member));
     if (have && have.askedAt >= askedAt) return;
-    told.set(memberId(m), { askedAt, top: got.value.top });
+    told.set(memberId(member), { askedAt, top: standing.top });
     events.emit('told', null);
   }
+  ledger.events.on('heard', onHeard);
 
-  function ask(): void {
+  function turn(): void {
     const names = new Set<string>([ledger.self.name]);
-    const ids = new Set<string>([memberId(ledger.self)]);
-    for (const m of others()) {
+    const ids = new Set<string>();
+    for (const m of ledger.belief().members) {
       names.add(m.name);
       ids.add(memberId(m));
-      void askOne(m);
     }
     time.keepOnly(names);
     time.hear(ledger.self.name, clock.wall(), clock.mono());
     for (const id of told.keys()) if (!ids.has(id)) told.delete(id);
-    told.set(memberId(ledger.self), { askedAt: clock.mono(), top: ledger.top() });
     if (ids.size === 1) events.emit('told', null);
   }
-  const asking = every(clock, ASK_MS, ask);
+  const turning = every(clock, TURN_MS, turn);
 
   function askSoon(): void {
     if (soon) return;
@@ -69,7 +62,8 @@
     clock.wakeup(TOGETHER_MS, now);
     function now(): void {
       soon = false;
-      ask();
+      turn();
+      ledger.askStandings();
     }
   }
 
@@ -78,7 +72,7 @@
     if (!ledger.isMember() || !ledger.writable()) return null;
     const known: Told[] = [];
     for (const m of b.members) {
-      const t = told.get(memberId(m));
+      const t = isOwn(memberId(m)) ? { askedAt: clock.mono(), top: ledger.top() } : told.get(memberId(m));
       if (t && t.top <= b.slot) known.push(t);
     }
     const need = majorityOf(b.members);
@@ -94,7 +88,7 @@
   function sharedNow(): number {
     return time.now(clock.mono(), clock.wall());
   }
-  return { newest, askSoon, sharedNow, events, stop: asking.cancel };
+  return { newest, askSoon, sharedNow, events, stop: turning.cancel };
 }
 
 function latestFirst(a: Told, b: Told): number {
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -22,12 +22,14 @@
 import type { Agreed, Draft, ProposeFault } from './proposal.js';
 import { runRound } from './round.js';
 import { createStandings, STANDING_MS } from './standings.js';
+import type { HeardStanding } from './standings.js';
 import { openStore } from './store.js';
 import type { StoreCommand } from './store.js';
 
 export type LedgerEvents = {
   readonly folded: { readonly slot: number; readonly batch: Batch; readonly outcomes: readonly Outcome[] };
   readonly adopted: { readonly slot: number };
+  readonly heard: HeardStanding;
 };
 
 export type FoundFault =
@@ -45,6 +47,7 @@
   readonly writable: () => boolean;
   readonly top: () => number;
   readonly heardAt: (id: string) => number | null;
+  readonly askStandings: () => void;
   readonly self: Member;
   readonly leave: () => Promise<void>;
   readonly stop: () => void;
@@ -385,10 +388,11 @@
     standings.ask();
     void watchOnce();
   }
-  function isAhead(address: Address): void {
-    void catchUp(address);
+  function onHeard(heard: HeardStanding): void {
+    if (heard.standing.learned > belief().slot) void catchUp(heard.standing.address);
+    events.emit('heard', heard);
   }
-  const standings = createStandings({ clock, peers, self, belief, top: store.top, isAhead });
+  const standings = createStandings({ clock, peers, self, belief, top: store.top, onHeard });
   peers.on('standingAsk', standings.own);
   const joining = createJoining({ rng, peers, log, self, seeds: deps.seeds, belief, standings, propose, settle, catchUp, renew: deps.renew });
   function ledgerName(): string {
@@ -406,5 +410,5 @@
     founding.stop();
     beating.cancel();
   }
-  return ok({ belief, events, propose, settle, since: store.recent, found, isMember, writable: store.writable, top: store.top, heardAt: standings.heardAt, self, leave: joining.leave, stop });
+  return ok({ belief, events, propose, settle, since: store.recent, found, isMember, writable: store.writable, top: store.top, heardAt: standings.heardAt, askStandings: standings.ask, self, leave: joining.leave, stop });
 }
--- a/src/coordination/ledger/standings.ts
+++ b/src/coordination/ledger/standings.ts
@@ -3,7 +3,6 @@
 import type { Belief } from '../../state/belief.js';
 import type { Member } from '../../state/entry.js';
 import type { Clock } from '../../transport/clock.js';
-import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
 
 export type Standings = {
@@ -21,9 +20,11 @@
   readonly self: Member;
   readonly belief: () => Belief;
   readonly top: () => number;
-  readonly isAhead: (address: Address) => void;
+  readonly onHeard: (heard: HeardStanding) => void;
 };
 
+export type HeardStanding = { readonly member: Member; readonly askedAt: number; readonly standing: MessageOf<'standing'> };
+
 type Heard = { readonly at: number; readonly unheard: readonly string[] };
 
 export const STANDING_MS = 500;
@@ -86,7 +87,7 @@
     if (!got.ok || got.value.kind !== 'standing' || got.value.voter !== memberId(m)) return;
     if (askedAt < since) return;
     heard.set(memberId(m), { at: askedAt, unheard: got.value.unheard ?? [] });
-    if (got.value.ledger === deps.belief().ledger && got.value.learned > deps.belief().slot) deps.isAhead(m.address);
+    if (got.value.ledger === deps.belief().ledger) deps.onHeard({ member: m, askedAt, standing: got.value });
   }
 
   function ask(): void {
