--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,7 +45,7 @@
   layer('base', ...TOP, 'coordination', 'state', 'protocol', 'transport'),
   layer('transport', ...TOP, 'coordination', 'state', 'protocol'),
   layer('protocol', ...TOP, 'coordination', 'transport'),
-  layer('state', ...TOP, 'coordination', 'transport'),
+  layer('state', ...TOP, 'coordination', 'protocol', 'transport'),
   layer('coordination', ...TOP),
   {
     files: ['src/**/*.test.ts'],
