Silent workers are found by dialling; their resumable streams go on elsewhere

Now a worker quiet for 0.5 s with work under way is dialled; out of reach, it gets nothing until a dial succeeds, its resumable streams go on elsewhere within the budget, and the others of its zone are dialled before they get more. What may run once stays where it is.

--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -30,13 +30,14 @@
   const proc = world.begin(world.host('edge', 'z1'));
   const clock = world.clockOf(proc);
   const sent: Sending2[] = [];
+  const checks: { address: string; done: (reached: boolean) => void }[] = [];
   const outlets: Outlets = {
     send: (what, events) => {
       const s: Sending2 = { what, events, cut: false };
       sent.push(s);
       return { cut: () => { s.cut = true; } };
     },
-    open: () => 0, idle: () => 0, forget: () => undefined, made: () => 0, stop: () => undefined,
+    check: (address, _waitMs, done) => { checks.push({ address, done }); }, open: () => 0, idle: () => 0, forget: () => undefined, made: () => 0, stop: () => undefined,
   };
   const serving: Serving = {
     number: 1, mappings: { r: { ...MAPPING, ...mapping } }, limits: DEFAULT_LIMITS,
@@ -68,7 +69,7 @@
     relay.handle(req);
     return { answer, leave: () => { gone = true; for (const fn of watchers) fn(); } };
   }
-  return { world, relay, sent, ask, book, close: () => { closing = true; } };
+  return { world, relay, sent, checks, ask, book, close: () => { closing = true; } };
 }
 
 function sealed(s: Sending2, body: string, id = 'q1'): void {
@@ -222,3 +223,52 @@
   await r.world.advance(10);
   expect(r.relay.tally().open).toBe(0);
 });
+
+test('a stream goes on elsewhere when its worker falls silent and cannot be reached', async () => {
+  const r = await rig({ kind: 'stream', resumable: true }, [entry('w'), entry('vv', 'z2')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  sealed(r.sent[0]!, 'id: 1\ndata: a\n\n');
+  await r.world.advance(400);
+  expect(r.checks).toHaveLength(0);
+  await r.world.advance(250);
+  expect(r.checks).toHaveLength(1);
+  r.checks[0]!.done(false);
+  await r.world.advance(1);
+  expect(r.sent).toHaveLength(2);
+  sealed(r.sent[1]!, 'id: 2\ndata: b\n\n');
+  r.sent[1]!.events.end();
+  await r.world.advance(1);
+  expect(answer).toMatchObject({ body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', ended: true });
+});
+
+test('a quiet worker that can be reached keeps its stream; one that may run once stays with a silent worker', async () => {
+  const slow = await rig({ kind: 'stream', resumable: true }, [entry('w'), entry('vv')]);
+  slow.ask();
+  await slow.world.advance(700);
+  slow.checks[0]!.done(true);
+  await slow.world.advance(500);
+  expect(slow.sent).toHaveLength(1);
+  const once = await rig({ kind: 'once' }, [entry('w'), entry('vv', 'z2')]);
+  const { answer } = once.ask();
+  await once.world.advance(700);
+  once.checks[0]!.done(false);
+  await once.world.advance(100);
+  expect(once.sent).toHaveLength(1);
+  expect(answer.status).toBe(0);
+});
+
+test('workers of a zone with one out of reach are looked at before they get more', async () => {
+  const r = await rig({}, [entry('w'), entry('vv'), entry('uuu', 'z2')]);
+  r.ask();
+  await r.world.advance(1);
+  r.sent[0]!.events.failed({ tag: 'neverSent' });
+  await r.world.advance(1);
+  expect(r.sent.map((s) => s.what.address)).toEqual([r.sent[0]!.what.address, '10.0.0.1:3']);
+  expect(r.checks).toHaveLength(1);
+  r.checks[0]!.done(true);
+  r.ask();
+  r.ask();
+  await r.world.advance(1);
+  expect(r.sent.slice(2).map((s) => s.what.address)).toContain(r.checks[0]!.address);
+});
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -13,6 +13,9 @@
 import type { OpenRequest, Outlets, RawHeaders, SendFault, Sent } from '../../transport/open-http.js';
 import type { Rng } from '../../transport/rng.js';
 
+import { createSilenceWatch } from './silence-watch.js';
+import type { WatchedFlight } from './silence-watch.js';
+
 export type RelayDeps = {
   readonly words: OpenWords;
   readonly tuning: EdgeTuning;
@@ -81,6 +84,7 @@
   const { words, tuning, book, budget, outlets, clock, rng, log } = deps;
   const counts: RelayTally = { requests: {}, shed: 0, dispatched: 0, retried: 0, resumed: 0, cut: 0, open: 0, waiting: 0 };
   const line: Waiter[] = [];
+  const watch = createSilenceWatch({ book, outlets, clock, log, silentMs: tuning.silentMs, onReached: wake });
 
   function refuse(req: OpenRequest, status: number, tag: string, afterS: number | null): void {
     const body = Buffer.from(JSON.stringify({ error: { tag } }));
@@ -308,8 +312,10 @@
       let parts: Buffer[] = [];
       let size = 0;
       let splitter: EventSplitter | null = null;
+      let notRunAfter: number | null = null;
       let over = false;
-      let heardAt = clock.mono();
+      const flight: WatchedFlight = { sentAt: clock.mono(), heardAt: 0, onSilent };
+      watch.begin(row, flight);
       const deadline = clock.wakeup(Math.max(1, left), late);
       let sent: Sent | null = null;
 
@@ -317,12 +323,13 @@
         if (over) return;
         over = true;
         deadline.cancel();
+        watch.end(row, flight);
         hold.end();
         resolve(end);
         wake();
       }
       function late(): void {
-        if (!over) log.warn(`${row.entry.id} gave ${job.door.name} ${job.id} no end in ${Math.round(left)} ms: status ${status}, last event ${job.lastEvent ?? 'none'}, silent for ${Math.round(clock.mono() - heardAt)} ms.`);
+        if (!over) log.warn(`${row.entry.id} gave ${job.door.name} ${job.id} no end in ${Math.round(left)} ms: status ${status}, last event ${job.lastEvent ?? 'none'}, silent for ${Math.round(clock.mono() - Math.max(flight.heardAt, flight.sentAt))} ms.`);
         finish({ tag: 'late' });
         sent?.cut();
       }
@@ -331,6 +338,11 @@
         finish({ tag: 'gone' });
         sent?.cut();
       }
+      function onSilent(): void {
+        if (over || !job.repeatable || job.dispatches + 1 >= job.door.mapping.dispatches || !budget.may(job.model, clock.mono())) return;
+        finish(job.headPassed ? { tag: 'passedPart' } : { tag: 'unknown' });
+        sent?.cut();
+      }
       function spoilt(): void {
         book.failed(row, clock.mono());
         finish(job.headPassed ? { tag: 'passedPart' } : { tag: 'unknown' });
@@ -365,11 +377,9 @@
           if (job.stream) splitter = createEventSplitter();
         }
       }
-      let notRunAfter: number | null = null;
-
       function data(chunk: Buffer): void {
         if (over) return;
-        heardAt = clock.mono();
+        flight.heardAt = clock.mono();
         if (!splitter) {
           size += chunk.length;
           parts.push(chunk);
@@ -428,7 +438,7 @@
       function failed(fault: SendFault): void {
         if (over) return;
         if (fault.tag === 'neverSent') {
-          book.failed(row, clock.mono());
+          watch.unreached(row);
           finish({ tag: 'neverSent' });
           return;
         }
@@ -447,7 +457,7 @@
       }
       req.answerer.onGone(originGone);
       sent = outlets.send(
-        { address: row.entry.address, method: req.method, target: req.target, headers, body: job.body.length > 0 || hasBody(req) ? job.body : null, connectMs: Math.min(left, tuning.connectMs) },
+        { address: row.entry.address, method: req.method, target: req.target, headers, body: job.body.length > 0 || hasBody(req) ? job.body : null, connectMs: Math.min(left, book.connectMs(row)) },
         { connected, head, data, end, failed },
       );
       if (over) sent.cut();
--- /dev/null
+++ b/src/coordination/edge/silence-watch.ts
@@ -0,0 +1,97 @@
+import type { BookRow, WorkerBook } from '../../state/worker-book.js';
+import { every } from '../../transport/clock.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { Outlets } from '../../transport/open-http.js';
+
+export type WatchedFlight = { readonly sentAt: number; heardAt: number; readonly onSilent: () => void };
+
+export type SilenceWatch = {
+  readonly begin: (row: BookRow, flight: WatchedFlight) => void;
+  readonly end: (row: BookRow, flight: WatchedFlight) => void;
+  readonly unreached: (row: BookRow) => void;
+  readonly stop: () => void;
+};
+
+export type SilenceWatchDeps = { readonly book: WorkerBook; readonly outlets: Outlets; readonly clock: Clock; readonly log: Log; readonly silentMs: number; readonly onReached: () => void };
+
+const LOOK_MS = 100;
+const RECHECK_MS = 1_500;
+
+export function createSilenceWatch(deps: SilenceWatchDeps): SilenceWatch {
+  const { book, outlets, clock, log } = deps;
+  const flights = new Map<BookRow, Set<WatchedFlight>>();
+  const checking = new Set<BookRow>();
+  const spokenFor = new Map<BookRow, number>();
+
+  function begin(row: BookRow, flight: WatchedFlight): void {
+    const of = flights.get(row) ?? new Set<WatchedFlight>();
+    flights.set(row, of);
+    of.add(flight);
+  }
+  function end(row: BookRow, flight: WatchedFlight): void {
+    const of = flights.get(row);
+    of?.delete(flight);
+    if (of?.size === 0) {
+      flights.delete(row);
+      spokenFor.delete(row);
+    }
+  }
+
+  function quietMs(of: ReadonlySet<WatchedFlight>, now: number): number {
+    let least = Infinity;
+    for (const f of of) least = Math.min(least, now - Math.max(f.sentAt, f.heardAt));
+    return least;
+  }
+
+  function check(row: BookRow): void {
+    if (checking.has(row)) return;
+    checking.add(row);
+    function done(reached: boolean): void {
+      checking.delete(row);
+      const now = clock.mono();
+      if (reached) {
+        spokenFor.set(row, now);
+        if (row.unproven) {
+          book.reached(row);
+          deps.onReached();
+        }
+        return;
+      }
+      const first = !row.unproven;
+      book.silent(row, now);
+      if (!first) return;
+      log.warn(`${row.entry.id} in ${row.entry.zone} can't be reached.`);
+      suspectZone(row);
+      for (const f of [...(flights.get(row) ?? [])]) f.onSilent();
+    }
+    outlets.check(row.entry.address, book.connectMs(row), done);
+  }
+
+  function suspectZone(row: BookRow): void {
+    for (const other of book.rows()) {
+      if (other === row || other.unproven || !other.present || other.entry.zone !== row.entry.zone) continue;
+      const of = flights.get(other);
+      if (of && quietMs(of, clock.mono()) < deps.silentMs / 2) continue;
+      other.unproven = true;
+      check(other);
+    }
+  }
+
+  function unreached(row: BookRow): void {
+    const first = !row.unproven;
+    book.silent(row, clock.mono());
+    if (first) suspectZone(row);
+  }
+
+  function look(): void {
+    const now = clock.mono();
+    for (const [row, of] of flights) {
+      if (quietMs(of, now) < deps.silentMs || now - (spokenFor.get(row) ?? -RECHECK_MS) < RECHECK_MS) continue;
+      if (!row.unproven) check(row);
+    }
+    for (const row of book.rows()) if (row.unproven && row.present && row.badUntil <= now) check(row);
+  }
+  const looking = every(clock, LOOK_MS, look);
+  return { begin, end, unreached, stop: looking.cancel };
+}
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -20,6 +20,8 @@
   readonly coldGuard: number;
   readonly connGuard: number;
   readonly connectMs: number;
+  readonly connectLeastMs: number;
+  readonly silentMs: number;
   readonly retryMs: number;
   readonly openingMs: number;
   readonly lineMost: number;
@@ -53,6 +55,8 @@
   coldGuard: 0.8,
   connGuard: 0.85,
   connectMs: 600,
+  connectLeastMs: 240,
+  silentMs: 500,
   retryMs: 250,
   openingMs: 1_200,
   lineMost: 200,
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -22,6 +22,7 @@
   told: Usage;
   fails: number;
   badUntil: number;
+  unproven: boolean;
   fullUntil: number;
   kept: KeptParts;
 };
@@ -55,7 +56,10 @@
   readonly place: (ask: PlaceAsk) => Placed;
   readonly begin: (row: BookRow, ask: PlaceAsk) => Hold;
   readonly failed: (row: BookRow, now: number) => void;
+  readonly silent: (row: BookRow, now: number) => void;
+  readonly reached: (row: BookRow) => void;
   readonly served: (row: BookRow) => void;
+  readonly connectMs: (row: BookRow) => number;
   readonly full: (row: BookRow, now: number, forMs: number) => void;
   readonly moved: (row: BookRow) => void;
   readonly cold: (row: BookRow, now: number, ms: number) => void;
@@ -82,7 +86,7 @@
   function freshRow(entry: WorkerEntry): BookRow {
     return {
       entry, present: true, leaving: entry.leaving, leaveBy: null, coldUntil: 0, cold: createRateGuard(COLD_WINDOW_MS),
-      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, fullUntil: 0, kept: createKeptParts(tuning.knownTokens),
+      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, fullUntil: 0, kept: createKeptParts(tuning.knownTokens),
     };
   }
 
@@ -186,7 +190,7 @@
     for (const row of list) {
       if (!usable(row, ask)) continue;
       any = true;
-      if (row.badUntil > ask.now || row.fullUntil > ask.now) continue;
+      if (row.unproven || row.badUntil > ask.now || row.fullUntil > ask.now) continue;
       if (row.fails > 0 && row.running > 0) continue;
       if (row.running >= placesOf(row, ask) || !coldRoom(row, ask)) continue;
       const ms = cost(row, ask, home);
@@ -203,7 +207,7 @@
     const shared = ask.parts.length - 1;
     if (shared < 1) return null;
     const open: BookRow[] = [];
-    for (const row of list) if (usable(row, ask) && row.badUntil <= ask.now) open.push(row);
+    for (const row of list) if (usable(row, ask) && !row.unproven && row.badUntil <= ask.now) open.push(row);
     const first = ask.parts[0] as Part;
     if (shared === 1) return highest(open, first.id);
     const few = Math.max(tuning.spreadLeast, Math.ceil(open.length * tuning.spreadShare));
@@ -241,9 +245,23 @@
     row.badUntil = now + Math.min(4_000, 125 * 2 ** row.fails);
     row.kept.clear();
   }
+  function silent(row: BookRow, now: number): void {
+    row.fails += 1;
+    row.unproven = true;
+    row.badUntil = now + Math.min(2_000, 250 * 2 ** row.fails);
+  }
+  function reached(row: BookRow): void {
+    row.unproven = false;
+    row.badUntil = 0;
+    row.fails = 0;
+  }
   function served(row: BookRow): void {
     row.fails = 0;
   }
+  function connectMs(row: BookRow): number {
+    const way = row.entry.region === self.region ? 5 : awayMs(row);
+    return Math.min(tuning.connectMs, tuning.connectLeastMs + 3 * way);
+  }
   function full(row: BookRow, now: number, forMs: number): void {
     row.fullUntil = Math.max(row.fullUntil, now + forMs);
   }
@@ -275,7 +293,7 @@
   function sharers(n: number): void {
     sharing = Math.max(1, n);
   }
-  return { takeList, takeZones, place, begin, failed, served, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
+  return { takeList, takeZones, place, begin, failed, silent, reached, served, connectMs, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
 }
 
 type Ranked = { readonly hash: number; readonly row: BookRow };
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -55,6 +55,7 @@
 
 export type Outlets = {
   readonly send: (what: Sending, events: SendEvents) => Sent;
+  readonly check: (address: Address, waitMs: number, done: (reached: boolean) => void) => void;
   readonly open: (address: Address) => number;
   readonly idle: (address: Address) => number;
   readonly forget: (address: Address) => void;
--- a/src/transport/outlets.ts
+++ b/src/transport/outlets.ts
@@ -14,8 +14,6 @@
 const KEEP_MARGIN_MS = 700;
 const SWEEP_MS = 500;
 
-function nothing(): void {}
-
 export function createOutlets(clock: Clock): Outlets {
   const places = new Map<Address, Place>();
   let dialled = 0;
@@ -57,6 +55,50 @@
     }
   }
 
+  function dial(address: Address, at: Place, waitMs: number, done: (sock: Socket | null) => void): Socket | null {
+    const hp = splitAddress(address);
+    if (!hp) {
+      done(null);
+      return null;
+    }
+    dialled += 1;
+    at.open += 1;
+    const s = createConnection({ host: hp.host, port: hp.port, noDelay: true });
+    let settled = false;
+    function settle(got: Socket | null): void {
+      if (settled) return;
+      settled = true;
+      wakeup.cancel();
+      if (!got) s.destroy();
+      done(got);
+    }
+    function closed(): void {
+      at.open -= 1;
+      if (at.open === 0 && at.idle.length === 0) places.delete(address);
+      settle(null);
+    }
+    function refused(): void {
+      settle(null);
+    }
+    function connected(): void {
+      settle(s);
+    }
+    const wakeup = clock.wakeup(waitMs, refused);
+    s.on('error', refused);
+    s.once('close', closed);
+    s.once('connect', connected);
+    return s;
+  }
+
+  function check(address: Address, waitMs: number, done: (reached: boolean) => void): void {
+    const at = placeOf(address);
+    function dialledTo(s: Socket | null): void {
+      if (s) rest(at, s);
+      done(s !== null);
+    }
+    dial(address, at, waitMs, dialledTo);
+  }
+
   function send(what: Sending, events: SendEvents): Sent {
     const at = placeOf(what.address);
     let over = false;
@@ -131,46 +173,21 @@
       req.end(what.body ?? undefined);
     }
 
-    function dial(): void {
-      const hp = splitAddress(what.address);
-      if (!hp) {
-        fail({ tag: 'neverSent' });
-        return;
-      }
-      dialled += 1;
+    function dialSending(): void {
       const from = clock.mono();
-      at.open += 1;
-      const s = createConnection({ host: hp.host, port: hp.port, noDelay: true });
-      sock = s;
-      s.on('error', nothing);
-      function closed(): void {
-        at.open -= 1;
-        if (at.open === 0 && at.idle.length === 0) places.delete(what.address);
-      }
-      s.once('close', closed);
-      function late(): void {
-        s.destroy();
-        fail({ tag: 'neverSent' });
-      }
-      const wakeup = clock.wakeup(what.connectMs, late);
-      function refused(): void {
-        wakeup.cancel();
-        fail({ tag: 'neverSent' });
-      }
-      function connected(): void {
-        wakeup.cancel();
-        s.off('error', refused);
-        s.off('close', refused);
+      function done(s: Socket | null): void {
+        if (!s) {
+          fail({ tag: 'neverSent' });
+          return;
+        }
         events.connected?.(clock.mono() - from);
         go(s);
       }
-      s.once('error', refused);
-      s.once('close', refused);
-      s.once('connect', connected);
+      sock = dial(what.address, at, what.connectMs, done);
     }
 
     if (sock) go(sock);
-    else dial();
+    else dialSending();
 
     function cut(): void {
       if (over) return;
@@ -204,5 +221,5 @@
     sweeping.cancel();
     for (const at of places.values()) for (const idle of [...at.idle]) idle.drop();
   }
-  return { send, open, idle: idleAt, forget, made, stop };
+  return { send, check, open, idle: idleAt, forget, made, stop };
 }
