--- a/eslint.config.js
+++ b/eslint.config.js
@@ -27,7 +27,7 @@
   { ignores: ['dist/', 'node_modules/', '.fleet/'] },
   ...tseslint.configs.recommended,
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
     rules: {
       'no-restricted-syntax': ['error', ...onlyDeclarations],
       eqeqeq: 'error',
@@ -39,7 +39,7 @@
     },
   },
   {
-    files: ['src/transport/**/*.ts', 'src/programs/**/*.ts'],
+    files: ['src/transport/**/*.ts', 'src/programs/**/*.ts', 'platform/**/*.ts'],
     rules: { 'no-restricted-imports': 'off', 'no-restricted-globals': 'off', 'no-restricted-properties': 'off' },
   },
   layer('base', ...TOP, 'coordination', 'state', 'protocol', 'transport'),
@@ -48,7 +48,7 @@
   layer('state', ...TOP, 'coordination', 'protocol', 'transport'),
   layer('coordination', ...TOP),
   {
-    files: ['src/**/*.test.ts'],
+    files: ['src/**/*.test.ts', 'platform/**/*.test.ts'],
     rules: { 'no-restricted-syntax': 'off', 'no-restricted-imports': 'off', 'no-restricted-globals': ['error', 'setTimeout', 'setInterval'] },
   },
 );
