The scaler decides also where a platform orders by itself; its list is the outcome

Cause: without a cloud no scaler ran, so zones taken at short notice were never demoted and the ledger told nothing of workers wanted. Ruled out: a cloud client that pretends (its rules rest on a cloud's word), and zone sets alone (a new holder begins anew). One turn is one entry of steps, each with its cause, under the scaler's fence; none is written when nothing moved. Zone sets, mixture, target and rates are the code of the cloud's path, of which only the rate's observation moved into its own file.

--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -29,6 +29,7 @@
 import { createPush } from './ledger/push.js';
 import type { Push } from './ledger/push.js';
 import { createListDuty } from './scaling/list-duty.js';
+import { createObserver } from './scaling/observer.js';
 import { createScaler } from './scaling/scaler.js';
 import type { Scaler } from './scaling/scaler.js';
 
@@ -119,9 +120,9 @@
   }
   const attest = createAttest(ledger, clock);
   const push = createPush(ledger, attest, peers, clock, logs.part('push'));
-  const crowd = createCrowdRelay(ledger, peers, clock);
+  const crowd = createCrowdRelay(ledger, peers, clock, rng);
   const aims = createAimKeeper(ledger, peers, clock);
-  const lease = id.cloud === null ? null : createLease(SCALER_DUTY, ledger, peers, clock, rng, logs.part('lease'));
+  const lease = id.cloud === null && !deps.listReader ? null : createLease(SCALER_DUTY, ledger, peers, clock, rng, logs.part('lease'));
   const opened = await peers.open(id.listen);
   if (!opened.ok) return opened;
   function contacts(): Set<Address> {
@@ -138,6 +139,7 @@
   }
   const list = deps.listReader ? createListDuty({ self: id.advertised, reader: deps.listReader, heads, peers, clock, rng, log: logs.part('list') }) : null;
   const scaler = lease && id.cloud !== null ? startScaler(lease, id.cloud) : null;
+  const observer = lease && list && id.cloud === null ? createObserver({ ledger, lease, push, feed: list.feed, zones: id.zones ?? [], clock, rng, log: logs.part('scaler') }) : null;
   function startScaler(held: Lease, cloud: Address): Scaler {
     return createScaler({
       ledger,
@@ -240,6 +242,7 @@
 
   async function stopAll(): Promise<void> {
     scaler?.stop();
+    observer?.stop();
     list?.stop();
     lease?.stop();
     membership.leave();
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -37,4 +37,5 @@
   readonly diskBytes?: number;
   readonly claims?: boolean;
   readonly operatorDoor?: boolean;
+  readonly zones?: readonly string[];
 };
--- a/src/coordination/scaling/scaler.ts
+++ b/src/coordination/scaling/scaler.ts
@@ -1,7 +1,6 @@
 import type { Act } from '../../state/entry.js';
 import type { Order } from '../../state/order.js';
 import { isOpen } from '../../state/order.js';
-import { createRateWindow } from '../../state/rates.js';
 import { resolveAll } from '../../state/settings-tree.js';
 import type { Resolved } from '../../state/settings-tree.js';
 import { decideModel, noteLaunchFailed } from '../../state/scaler-decide.js';
@@ -20,6 +19,7 @@
 import type { Lease } from '../ledger/lease.js';
 import type { Ledger } from '../ledger/ledger.js';
 import type { Push } from '../ledger/push.js';
+import { createRateWatch, REPORT_FRESH_MS } from './rate-watch.js';
 
 export type Scaler = { readonly stop: () => void };
 
@@ -38,14 +38,13 @@
 const TICK_MS = 1_000;
 const PRICES_MS = 30_000;
 const DEAD_MS = 8_000;
-const REPORT_FRESH_MS = 4_000;
 const ORPHAN_GRACE_MS = 10_000;
 const ACTION_LEFT_MS = 2_200;
 const MOST_SEEN = 10_000;
 
 export function createScaler(deps: ScalerDeps): Scaler {
   const { ledger, lease, push, cloud, platform, caller, clock, rng, log } = deps;
-  const rates = createRateWindow();
+  const rates = createRateWatch(ledger, push, clock);
   let memory: ScalerMemory = new Map();
   let prices: Record<string, Price> = {};
   let pricesAt: number | null = null;
@@ -111,16 +110,6 @@
     return out;
   }
 
-  function observeRates(): void {
-    const now = clock.mono();
-    let whole = true;
-    for (const name of Object.keys(ledger.belief().sluices)) {
-      const at = push.heardAt(name);
-      if (at === null || now - at > REPORT_FRESH_MS) whole = false;
-    }
-    rates.observe(now, push.reports().values(), whole);
-  }
-
   function nextOrderId(): string {
     return newId(rng, 'order');
   }
@@ -233,7 +222,7 @@
   }
 
   async function turn(fence: number): Promise<void> {
-    observeRates();
+    rates.observe();
     await pollPrices();
     const owner = ledger.belief().ledger;
     const asOf = ledger.belief().slot;
--- a/src/programs/gauge.ts
+++ b/src/programs/gauge.ts
@@ -65,7 +65,7 @@
   return a.name < b.name ? -1 : 1;
 }
 
-function ordersText(body: unknown): string {
+export function ordersText(body: unknown): string {
   const b = body as { readonly orders: readonly Order[] };
   const rows: string[] = [];
   for (const o of b.orders) {
@@ -75,10 +75,18 @@
   return rows.join('\n') || 'No orders.';
 }
 
-function ledgerText(body: unknown): string {
-  const b = body as { readonly batches: readonly { readonly slot: number; readonly batch: { readonly entries: readonly { readonly author: string; readonly cause: string; readonly wall: number; readonly act: { readonly tag: string } }[] } }[] };
+type ShownStep = { readonly cause: string; readonly act: { readonly tag: string } };
+type ShownEntry = ShownStep & { readonly author: string; readonly wall: number; readonly act: { readonly tag: string; readonly steps?: readonly ShownStep[] } };
+
+export function ledgerText(body: unknown): string {
+  const b = body as { readonly batches: readonly { readonly slot: number; readonly batch: { readonly entries: readonly ShownEntry[] } }[] };
   const rows: string[] = [];
-  for (const s of b.batches) for (const e of s.batch.entries) rows.push(`${pad(s.slot, 6)} ${new Date(e.wall).toISOString()} ${pad(e.author, 12)} ${pad(e.act.tag, 16)} ${e.cause}`);
+  for (const s of b.batches) {
+    for (const e of s.batch.entries) {
+      rows.push(`${pad(s.slot, 6)} ${new Date(e.wall).toISOString()} ${pad(e.author, 12)} ${pad(e.act.tag, 16)} ${e.cause}`);
+      for (const step of e.act.steps ?? []) rows.push(`${' '.repeat(32)} ${pad(step.act.tag, 16)} ${step.cause}`);
+    }
+  }
   return rows.join('\n');
 }
 
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -1,4 +1,5 @@
 import { startHeadgate } from '../coordination/headgate.js';
+import type { ListReader } from '../coordination/edge/list-feed.js';
 import type { Headgate } from '../coordination/headgate.js';
 import type { Agreed, ProposeFault } from '../coordination/ledger/proposal.js';
 import type { Result } from '../base/result.js';
@@ -15,20 +16,30 @@
 import { createWorld } from './world.js';
 import type { Host, World } from './world.js';
 import type { Clock } from '../transport/clock.js';
+import type { Caller } from '../transport/http.js';
 import type { Wire } from '../transport/wire.js';
 
 export type CoreNode = { readonly name: string; readonly host: Host; readonly wire: string; readonly platter: Platter; founding: boolean; headgate: Headgate | null };
 
-export type CoreShape = { readonly headgates: number; readonly seeds: number; readonly regionMs: number };
+export type CoreShape = {
+  readonly headgates: number;
+  readonly seeds: number;
+  readonly regionMs: number;
+  readonly zones?: readonly string[];
+  readonly listReader?: (clock: Clock, host: Host) => ListReader;
+  readonly operatorDoor?: boolean;
+};
 
 export type Ordered = { readonly result: Result<Agreed, ProposeFault> | null; readonly tookMs: number };
 
+export type Lab = { readonly wire: Wire; readonly clock: Clock; readonly caller: Caller };
+
 export type SimCore = {
   readonly world: World;
   readonly nodes: readonly CoreNode[];
   readonly node: (name: string) => CoreNode;
   readonly add: (name: string) => CoreNode;
-  readonly lab: (name: string) => { readonly wire: Wire; readonly clock: Clock };
+  readonly lab: (name: string) => Lab;
   readonly seeds: (names: readonly string[]) => void;
   readonly start: (name: string) => void;
   readonly startAll: () => void;
@@ -109,6 +120,7 @@
       logs,
       policies: POLICIES,
       meters: createMeters,
+      listReader: shape.listReader?.(world.clockOf(proc), n.host) ?? null,
     };
     const identity = {
       name: n.name,
@@ -125,7 +137,8 @@
       founding: n.founding,
       diskBytes: DISK_BYTES,
       claims: false,
-      operatorDoor: false,
+      operatorDoor: shape.operatorDoor ?? false,
+      ...(shape.zones ? { zones: shape.zones } : {}),
     };
     const started = await startHeadgate(identity, deps);
     if (!world.alive(proc)) return;
@@ -153,9 +166,9 @@
     headgate.ledger.events.on('adopted', oneLedger);
   }
 
-  function lab(name: string): { readonly wire: Wire; readonly clock: Clock } {
+  function lab(name: string): Lab {
     const proc = world.begin(world.host(name, `zone-${name}`));
-    return { wire: net.wireOf(proc), clock: world.clockOf(proc) };
+    return { wire: net.wireOf(proc), clock: world.clockOf(proc), caller: http.callerOf(proc) };
   }
   function start(name: string): void {
     void startOne(node(name));
--- a/src/state/belief.ts
+++ b/src/state/belief.ts
@@ -212,6 +212,19 @@
       return moveOrder(b, slot, entry, act.order, 'released', null);
     case 'orphanReleased':
       return APPLIED;
+    case 'ordersAdopted': {
+      for (const a of act.adopted) {
+        if (b.orders[a.order]) continue;
+        const events = [eventOf(slot, entry, 'placed')];
+        if (a.ready) events.push(eventOf(slot, entry, 'ready'));
+        b.orders[a.order] = { id: a.order, model: act.model, zone: a.zone, kind: act.kind, accelerator: 'any', status: a.ready ? 'ready' : 'placed', machine: a.machine, events };
+      }
+      return APPLIED;
+    }
+    case 'decided': {
+      for (const step of act.steps) foldAct(b, slot, { ...entry, cause: step.cause }, step.act);
+      return APPLIED;
+    }
     case 'zonesMoved': {
       b.zoneSets[act.model] = { active: act.active, preemptive: act.preemptive };
       return APPLIED;
--- a/src/state/entry.ts
+++ b/src/state/entry.ts
@@ -13,6 +13,25 @@
 export const KindShape = Type.Union([Type.Literal('spot'), Type.Literal('onDemand')]);
 export type Kind = Static<typeof KindShape>;
 
+const AdoptedShape = Type.Object({ order: Str, zone: Str, machine: Str, ready: Type.Boolean() });
+
+const SCALER_ACTS = [
+  Type.Object({ tag: Type.Literal('orderIntended'), order: Str, model: Str, zone: Str, kind: KindShape, accelerator: Type.String() }),
+  Type.Object({ tag: Type.Literal('orderPlaced'), order: Str, machine: Str }),
+  Type.Object({ tag: Type.Literal('orderReady'), order: Str }),
+  Type.Object({ tag: Type.Literal('orderFailed'), order: Str }),
+  Type.Object({ tag: Type.Literal('orderLost'), order: Str, preempted: Type.Boolean() }),
+  Type.Object({ tag: Type.Literal('orderDraining'), order: Str }),
+  Type.Object({ tag: Type.Literal('orderReleased'), order: Str }),
+  Type.Object({ tag: Type.Literal('orphanReleased'), machine: Str }),
+  Type.Object({ tag: Type.Literal('zonesMoved'), model: Str, active: Type.Array(Str), preemptive: Type.Array(Str) }),
+  Type.Object({ tag: Type.Literal('targetChanged'), model: Str, target: Slot }),
+  Type.Object({ tag: Type.Literal('ordersAdopted'), model: Str, kind: KindShape, adopted: Type.Array(AdoptedShape) }),
+] as const;
+
+export const StepShape = Type.Object({ cause: Type.String({ maxLength: 1024 }), act: Type.Union([...SCALER_ACTS]) });
+export type Step = Static<typeof StepShape>;
+
 export const ActShape = Type.Union([
   Type.Object({ tag: Type.Literal('founded'), ledger: Str, ticketKey: Str, members: Type.Array(MemberShape) }),
   Type.Object({ tag: Type.Literal('headgateUp'), name: Str, incarnation: Str }),
@@ -25,16 +44,8 @@
   Type.Object({ tag: Type.Literal('sluiceKnown'), name: Str, zone: Str, region: Str }),
   Type.Object({ tag: Type.Literal('sluiceForgotten'), name: Str }),
   Type.Object({ tag: Type.Literal('leaseTaken'), duty: Str, holder: Str }),
-  Type.Object({ tag: Type.Literal('orderIntended'), order: Str, model: Str, zone: Str, kind: KindShape, accelerator: Type.String() }),
-  Type.Object({ tag: Type.Literal('orderPlaced'), order: Str, machine: Str }),
-  Type.Object({ tag: Type.Literal('orderReady'), order: Str }),
-  Type.Object({ tag: Type.Literal('orderFailed'), order: Str }),
-  Type.Object({ tag: Type.Literal('orderLost'), order: Str, preempted: Type.Boolean() }),
-  Type.Object({ tag: Type.Literal('orderDraining'), order: Str }),
-  Type.Object({ tag: Type.Literal('orderReleased'), order: Str }),
-  Type.Object({ tag: Type.Literal('orphanReleased'), machine: Str }),
-  Type.Object({ tag: Type.Literal('zonesMoved'), model: Str, active: Type.Array(Str), preemptive: Type.Array(Str) }),
-  Type.Object({ tag: Type.Literal('targetChanged'), model: Str, target: Slot }),
+  ...SCALER_ACTS,
+  Type.Object({ tag: Type.Literal('decided'), steps: Type.Array(StepShape, { minItems: 1 }) }),
 ]);
 export type Act = Static<typeof ActShape>;
 
--- /dev/null
+++ b/src/state/observed-orders.ts
@@ -0,0 +1,257 @@
+import type { Belief } from './belief.js';
+import type { Kind, Step } from './entry.js';
+import { decideMixture } from './mixture.js';
+import { counts } from './order.js';
+import type { Order } from './order.js';
+import { ordersOf } from './scaler-decide.js';
+import { resolveModel } from './settings-tree.js';
+import type { Configuration, Resolved } from './settings-tree.js';
+import { stepTarget } from './target.js';
+import type { Hold, Rate } from './target.js';
+import type { WorkerEntry } from './worker-entry.js';
+import { alignZones, handleLaunch, handlePreemption, initialZones, selectNextZone } from './zone-sets.js';
+import type { ZoneSets } from './zone-sets.js';
+
+export type ObservedRule = { readonly model: string; readonly zones: readonly string[]; readonly values: Resolved };
+
+export type ObservedSight = {
+  readonly now: number;
+  readonly list: readonly WorkerEntry[];
+  readonly rate: Rate | null;
+  readonly dead: ReadonlySet<string>;
+  readonly planned: ReadonlySet<string>;
+};
+
+export type ObservedMemory = { hold: Hold | null; readonly intendedSince: Map<string, number>; readonly goneSince: Map<string, number> };
+
+const MOST_STEPS = 8;
+const MOST_ADOPTED = 100;
+const VANISHED_MS = 1_500;
+const PLACE_HELD_S = 10;
+
+export function observedMemory(): ObservedMemory {
+  return { hold: null, intendedSince: new Map(), goneSince: new Map() };
+}
+
+export function observedRules(cfg: Configuration, zones: readonly string[]): ObservedRule[] {
+  const out: ObservedRule[] = [];
+  for (const [model, traits] of Object.entries(cfg.serving?.models ?? {})) {
+    if (traits.engine === null) continue;
+    const { values, levels } = resolveModel(cfg, regionOf(cfg, model), model);
+    if (!values.scaled) continue;
+    const qTar = levels.qTar === 'default' ? Math.max(values.qTar, traits.engine.batch / PLACE_HELD_S) : values.qTar;
+    const enabled = levels.zones === 'default' ? zones : values.zones;
+    out.push({ model, zones: enabled, values: { ...values, qTar } });
+  }
+  return out;
+}
+
+function regionOf(cfg: Configuration, model: string): string {
+  for (const [region, branch] of Object.entries(cfg.regions)) if (branch.models?.[model]) return region;
+  return '';
+}
+
+export function decideRetired(belief: Belief, configured: ReadonlySet<string>, list: readonly WorkerEntry[]): Step[] {
+  const listed = new Set<string | null>();
+  for (const w of list) listed.add(w.id);
+  const steps: Step[] = [];
+  for (const order of Object.values(belief.orders)) {
+    if (configured.has(order.model) || listed.has(order.machine) || steps.length >= MOST_STEPS) continue;
+    steps.push({ cause: `${order.model} is served no more.`, act: { tag: 'orderReleased', order: order.id } });
+  }
+  return steps;
+}
+
+export function decideObserved(rule: ObservedRule, belief: Belief, sight: ObservedSight, memory: ObservedMemory, nextOrderId: () => string): Step[] {
+  const { model, values } = rule;
+  const steps: Step[] = [];
+  const zones: string[] = [];
+  for (const z of rule.zones) if (belief.evacuated[z] === undefined) zones.push(z);
+  const before = belief.zoneSets[model];
+  let sets: ZoneSets = before ? alignZones(before, zones) : initialZones(zones);
+  let why = before ? 'The enabled zones changed.' : 'The model is new: all enabled zones are active.';
+  const listed = new Map<string, WorkerEntry>();
+  for (const w of sight.list) if (w.model === model) listed.set(w.id, w);
+  let standing: Order[] = [];
+
+  const target = decideTarget();
+  const held = noteSince();
+  settleHeld();
+  takeNew();
+  decideKind('spot', zones.length === 0 ? 0 : target + values.nExtra);
+  decideKind('onDemand', zones.length === 0 ? 0 : decideMixture(target, values.nExtra, readySpot()).onDemand);
+  if (!before || !sameMembers(before, sets)) {
+    steps.unshift({ cause: why, act: { tag: 'zonesMoved', model, active: [...sets.active], preemptive: [...sets.preemptive] } });
+  }
+  return steps;
+
+  function full(): boolean {
+    return steps.length >= MOST_STEPS;
+  }
+
+  function decideTarget(): number {
+    const known = belief.targets[model];
+    if (known === undefined) {
+      steps.push({ cause: 'The model starts at its lowest target.', act: { tag: 'targetChanged', model, target: values.minTarget } });
+      return values.minTarget;
+    }
+    const step = stepTarget(known, sight.rate, { qTar: values.qTar, holdMs: values.holdS * 1_000, minTarget: values.minTarget, maxTarget: values.maxTarget }, memory.hold, sight.now);
+    memory.hold = step.hold;
+    if (step.target !== known) {
+      const shown = sight.rate === null ? 'unknown' : sight.rate.perSecond.toFixed(2);
+      steps.push({ cause: `Rate ${shown}/s over ${values.windowS}s against ${values.qTar}/s a worker.`, act: { tag: 'targetChanged', model, target: step.target } });
+    }
+    return step.target;
+  }
+
+  function noteSince(): Order[] {
+    const orders = ordersOf(belief, model);
+    const open = new Set<string>();
+    for (const o of orders) open.add(o.id);
+    for (const since of [memory.intendedSince, memory.goneSince]) for (const id of since.keys()) if (!open.has(id)) since.delete(id);
+    for (const o of orders) {
+      if (o.status === 'intended' && !memory.intendedSince.has(o.id)) memory.intendedSince.set(o.id, sight.now);
+      if (o.machine === null || listed.has(o.machine)) memory.goneSince.delete(o.id);
+      else if (!memory.goneSince.has(o.id)) memory.goneSince.set(o.id, sight.now);
+    }
+    return orders;
+  }
+  function forMs(since: ReadonlyMap<string, number>, order: Order): number {
+    return sight.now - (since.get(order.id) ?? sight.now);
+  }
+
+  function lose(order: Order, cause: string): void {
+    const preempted = order.kind === 'spot';
+    steps.push({ cause, act: { tag: 'orderLost', order: order.id, preempted } });
+    if (preempted) demote(order.zone, `A spot worker was lost in ${order.zone}.`);
+  }
+  function demote(zone: string, cause: string): void {
+    const moved = handlePreemption(sets, zone);
+    if (moved !== sets) why = cause;
+    sets = moved;
+  }
+  function launched(kind: Kind, zone: string): void {
+    const moved = kind === 'spot' ? handleLaunch(sets, zone) : sets;
+    if (moved !== sets) why = `A launch became ready in ${zone}.`;
+    sets = moved;
+  }
+
+  function settleHeld(): void {
+    for (const order of held) if (!settled(order) && counts(order)) standing.push(order);
+  }
+  function settled(order: Order): boolean {
+    if (full()) return false;
+    if (order.machine === null) return settledIntended(order);
+    const w = listed.get(order.machine);
+    if (!w) return settledGone(order);
+    if (order.status === 'draining') return true;
+    if (w.leaving && w.remainingMs !== null) lose(order, `Taken away at short notice: ${Math.round(w.remainingMs)} ms were left.`);
+    else if (w.leaving) steps.push({ cause: 'The platform empties the worker in order.', act: { tag: 'orderDraining', order: order.id } });
+    else if (sight.dead.has(w.id)) lose(order, 'Listed, but for long no sluice finds it fit.');
+    else if (order.status === 'placed' && w.coldMs === 0) {
+      steps.push({ cause: 'The worker is listed as serving, and warm.', act: { tag: 'orderReady', order: order.id } });
+      launched(order.kind, order.zone);
+      standing.push({ ...order, status: 'ready' });
+    } else return false;
+    return true;
+  }
+  function settledIntended(order: Order): boolean {
+    if (!zones.includes(order.zone)) steps.push({ cause: `${order.zone} is not enabled.`, act: { tag: 'orderReleased', order: order.id } });
+    else if (forMs(memory.intendedSince, order) > values.launchTimeoutS * 1_000) {
+      steps.push({ cause: `Nothing came of it within ${values.launchTimeoutS}s.`, act: { tag: 'orderFailed', order: order.id } });
+      if (order.kind === 'spot') demote(order.zone, `A launch in ${order.zone} never came.`);
+    } else return false;
+    return true;
+  }
+  function settledGone(order: Order): boolean {
+    if (forMs(memory.goneSince, order) < VANISHED_MS) return false;
+    if (order.status === 'draining' || sight.planned.has(order.machine as string)) {
+      steps.push({ cause: 'Emptied in order, and gone from the list.', act: { tag: 'orderReleased', order: order.id } });
+    } else lose(order, 'Gone from the list without notice.');
+    return true;
+  }
+
+  function takeNew(): void {
+    const taken = new Set<string | null>();
+    for (const o of held) taken.add(o.machine);
+    const adopted: { order: string; zone: string; machine: string; ready: boolean }[] = [];
+    for (const w of listed.values()) {
+      if (taken.has(w.id) || w.leaving || sight.dead.has(w.id)) continue;
+      const order = oldestIntended(w.zone);
+      if (order) place(order, w);
+      else if (adopted.length < MOST_ADOPTED) adopted.push({ order: `found-${w.id}`, zone: w.zone, machine: w.id, ready: w.coldMs === 0 });
+    }
+    if (adopted.length === 0) return;
+    const cause = before ? 'Appeared in the list without an order of ours.' : 'Stood in the list when the model was first looked at.';
+    steps.push({ cause, act: { tag: 'ordersAdopted', model, kind: 'spot', adopted } });
+    for (const a of adopted) {
+      standing.push({ id: a.order, model, zone: a.zone, kind: 'spot', accelerator: 'any', status: a.ready ? 'ready' : 'placed', machine: a.machine, events: [] });
+      if (a.ready) launched('spot', a.zone);
+    }
+  }
+  function oldestIntended(zone: string): Order | null {
+    let best: Order | null = null;
+    for (const o of standing) if (o.status === 'intended' && o.zone === zone && (best === null || firstSlot(o) < firstSlot(best))) best = o;
+    return best;
+  }
+  function place(order: Order, w: WorkerEntry): void {
+    if (full()) return;
+    const ready = w.coldMs === 0;
+    steps.push({ cause: `${w.id} appeared in ${w.zone}.`, act: { tag: 'orderPlaced', order: order.id, machine: w.id } });
+    if (ready) {
+      steps.push({ cause: 'The worker is listed as serving, and warm.', act: { tag: 'orderReady', order: order.id } });
+      launched(order.kind, order.zone);
+    }
+    standing = standing.map(moved);
+    function moved(o: Order): Order {
+      return o.id === order.id ? { ...o, status: ready ? 'ready' : 'placed', machine: w.id } : o;
+    }
+  }
+
+  function ofKind(kind: Kind): Order[] {
+    const out: Order[] = [];
+    for (const o of standing) if (o.kind === kind && zones.includes(o.zone)) out.push(o);
+    return out;
+  }
+  function readySpot(): number {
+    let n = 0;
+    for (const o of ofKind('spot')) if (o.status === 'ready') n += 1;
+    return n;
+  }
+
+  function decideKind(kind: Kind, wanted: number): void {
+    const list = ofKind(kind);
+    const occupied = new Set<string>();
+    for (const o of list) occupied.add(o.zone);
+    const from: ZoneSets = kind === 'spot' ? sets : { active: zones, preemptive: [] };
+    for (let n = list.length; n < wanted && !full(); n += 1) {
+      const zone = kind === 'spot' ? selectNextZone(from, rule.zones, occupied, samePrice) : (zones[0] ?? null);
+      if (zone === null) return;
+      occupied.add(zone);
+      const cause = kind === 'spot' ? `Spot ${n + 1} of ${wanted} (target ${target} + extra ${values.nExtra}).` : `Fallback ${n + 1} of ${wanted}: ${readySpot()} spot ready of ${target + values.nExtra}.`;
+      steps.push({ cause, act: { tag: 'orderIntended', order: nextOrderId(), model, zone, kind, accelerator: values.accelerators[0] ?? 'any' } });
+    }
+    let over = list.length - wanted;
+    for (const o of [...list].sort(firstToGo)) {
+      if (over <= 0 || full()) return;
+      over -= 1;
+      if (o.status === 'intended') steps.push({ cause: `Only ${wanted} are wanted; withdrawn.`, act: { tag: 'orderReleased', order: o.id } });
+      else if (kind === 'onDemand') steps.push({ cause: `Enough spot is ready: ${readySpot()} of ${target + values.nExtra}.`, act: { tag: 'orderDraining', order: o.id } });
+    }
+  }
+}
+
+function sameMembers(a: ZoneSets, b: ZoneSets): boolean {
+  return [...a.active].sort().join() === [...b.active].sort().join() && [...a.preemptive].sort().join() === [...b.preemptive].sort().join();
+}
+function samePrice(): number {
+  return 1;
+}
+function firstSlot(order: Order): number {
+  return order.events[0]?.slot ?? Number.MAX_SAFE_INTEGER;
+}
+function firstToGo(a: Order, b: Order): number {
+  const ra = a.status === 'intended' ? 0 : 1;
+  const rb = b.status === 'intended' ? 0 : 1;
+  return ra !== rb ? ra - rb : firstSlot(b) - firstSlot(a);
+}
