A cold worker's rate is held by few owners where shares would fall below two

Now where a share would be under two, the owners are drawn by rendezvous from the sluices that the ledger names, near ones first, and the others send nothing. Headgates tell one another sums of usage, not each sluice's; a worker without a conn costs 10 ms more.

--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -51,6 +51,7 @@
 
 const REPORT_MS = 500;
 const USAGE_MS = 300;
+const USAGE_KEPT_MS = 800;
 const LINGER_MS = 3_000;
 const LAST_CALL_MS = 1_500;
 
@@ -65,7 +66,7 @@
   const node: NodeInfo = { name: id.name, run: id.run, zone: id.zone, region: id.region, http: id.front, role: 'sluice', incarnation: life, address: id.listen, status: 'alive' };
   const membership = createMembership(node, follower.headgates, peers, clock, rng, logs.part('members'));
   followMovedHeads(membership, follower.belief, peers);
-  const book = createWorkerBook({ zone: id.zone, region: id.region }, tuning);
+  const book = createWorkerBook({ name: id.name, zone: id.zone, region: id.region, held: deps.outlets.idle }, tuning);
   const budget = createDispatchBudget({ ratio: tuning.retryRatio, slack: tuning.retrySlack, windowMs: tuning.retryWindowMs });
   const feed = deps.feed(peers, follower.headgates);
   let table: DoorTable | null = null;
@@ -98,9 +99,8 @@
       return (table?.traits(model)?.coldS ?? 0) * 1_000;
     }
     book.takeZones(b.evacuated, preemptive, clock.mono(), coldMs);
-    const n = Object.keys(b.sluices).length;
-    book.sharers(n);
-    budget.sharers(n);
+    book.sharers(b.sluices);
+    budget.sharers(Object.keys(b.sluices).length);
     relay.wake();
   }
   follower.events.on('moved', onMoved);
@@ -144,12 +144,18 @@
   }
   const reporting = every(clock, REPORT_MS, report);
   let told = 0;
+  let toldAt = 0;
+  let lastTold = '';
   let quiet = true;
   function tellUsage(): void {
     const rows = book.usage();
     const nothing = Object.keys(rows).length === 0;
-    if (nothing && quiet) return;
+    const text = JSON.stringify(rows);
+    const now = clock.mono();
+    if ((nothing && quiet) || (text === lastTold && now - toldAt < USAGE_KEPT_MS)) return;
     quiet = nothing;
+    lastTold = text;
+    toldAt = now;
     told += 1;
     follower.tellAll({ kind: 'usage', told: { name: id.name, run: id.run, count: told, rows } });
   }
--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -44,7 +44,7 @@
     models: { m: { at: 0, fitnessPath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
   };
   const table = createDoorTable(serving);
-  const book = createWorkerBook({ zone: 'z1', region: 'r1' }, EDGE_TUNING);
+  const book = createWorkerBook({ name: 's0', zone: 'z1', region: 'r1', held: () => 1 }, EDGE_TUNING);
   book.takeList(entries, clock.mono());
   const budget = createDispatchBudget({ ratio: 0.2, slack: 50, windowMs: 10_000 });
   let closing = false;
@@ -194,7 +194,7 @@
 
 test('a cold worker gets no more than its rate allows this sluice', async () => {
   const r = await rig({ aimMs: 100 }, [entry('w', 'z1', 'r1', { coldMs: 60_000, places: 500 })]);
-  r.book.sharers(4);
+  r.book.sharers(Object.fromEntries(['s0', 's1', 's2', 's3'].map((n) => [n, { region: 'r1' }])));
   const asked = Array.from({ length: 30 }, () => r.ask());
   await r.world.advance(60);
   expect(r.sent.length).toBe(4);
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -67,13 +67,13 @@
   Type.Object({ kind: Type.Literal('listChange'), number: ListNumberShape, base: ListNumberShape, ageMs: Num, told: Type.Array(WorkerEntryShape), gone: Type.Array(Str) }),
   Type.Object({ kind: Type.Literal('listBeat'), number: Type.Union([ListNumberShape, Type.Null()]), ageMs: Type.Union([Num, Type.Null()]), sinceMs: Type.Optional(Num), silent: Type.Optional(Type.Boolean()) }),
   Type.Object({ kind: Type.Literal('usage'), told: ToldUsageShape }),
-  Type.Object({ kind: Type.Literal('usages'), all: Type.Array(ToldUsageShape) }),
+  Type.Object({ kind: Type.Literal('usages'), told: ToldUsageShape }),
   Type.Object({ kind: Type.Literal('crowd'), rows: UsageRowsShape }),
   Type.Object({ kind: Type.Literal('listAsk') }),
   Type.Object({ kind: Type.Literal('listTold'), ageMs: Type.Union([Num, Type.Null()]), workers: Type.Array(ListedShape) }),
   Type.Object({ kind: Type.Literal('probe'), from: NodeNewsShape, all: Type.Optional(Type.Boolean()), news: NewsShape }),
   Type.Object({ kind: Type.Literal('probeFor'), target: Str, news: NewsShape }),
-  Type.Object({ kind: Type.Literal('probeAnswer'), reached: Type.Boolean(), stranger: Type.Optional(Type.Boolean()), from: Type.Optional(NodeNewsShape), news: NewsShape }),
+  Type.Object({ kind: Type.Literal('probeAnswer'), reached: Type.Boolean(), stranger: Type.Optional(Type.Boolean()), sum: Type.Optional(Type.Integer()), from: Type.Optional(NodeNewsShape), news: NewsShape }),
 ]);
 export type Message = Static<typeof MessageShape>;
 export type MessageKind = Message['kind'];
--- a/src/state/crowd.ts
+++ b/src/state/crowd.ts
@@ -31,11 +31,21 @@
         continue;
       }
       for (const [id, [running, unread, kv]] of Object.entries(h.told.rows)) {
-        const had = out[id];
-        out[id] = had ? [had[0] + running, had[1] + unread, had[2] + kv] : [running, unread, kv];
+        addTo(out, id, [running, unread, kv]);
       }
     }
     return out;
   }
   return { take, sums };
 }
+
+function addTo(out: UsageRows, id: string, [running, unread, kv]: [number, number, number]): void {
+  const had = out[id];
+  out[id] = had ? [had[0] + running, had[1] + unread, had[2] + kv] : [running, unread, kv];
+}
+
+export function sumOf(a: UsageRows, b: UsageRows): UsageRows {
+  const out: UsageRows = { ...a };
+  for (const [id, row] of Object.entries(b)) addTo(out, id, row);
+  return out;
+}
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -12,6 +12,7 @@
   readonly kvMs: number;
   readonly overMs: number;
   readonly crowdedMs: number;
+  readonly dialMs: number;
   readonly coldMs: number;
   readonly failMs: number;
   readonly crossZoneMs: number;
@@ -47,6 +48,7 @@
   kvMs: 800,
   overMs: 400,
   crowdedMs: 300,
+  dialMs: 10,
   coldMs: 60,
   failMs: 50,
   crossZoneMs: 20,
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -25,6 +25,7 @@
   unproven: boolean;
   fullUntil: number;
   kept: KeptParts;
+  owners: { readonly of: Readonly<Record<string, Sharer>>; readonly names: readonly string[] } | null;
 };
 
 export type Usage = { readonly running: number; readonly unread: number; readonly kv: number };
@@ -64,15 +65,18 @@
   readonly moved: (row: BookRow) => void;
   readonly cold: (row: BookRow, now: number, ms: number) => void;
   readonly rows: () => Iterable<BookRow>;
-  readonly sharers: (n: number) => void;
+  readonly sharers: (sluices: Readonly<Record<string, Sharer>>) => void;
   readonly usage: () => UsageRows;
   readonly takeCrowd: (rows: UsageRows) => void;
   readonly took: (row: BookRow, ms: number) => void;
 };
 
-export type BookSelf = { readonly zone: string; readonly region: string };
+export type Sharer = { readonly region: string };
+
+export type BookSelf = { readonly name: string; readonly zone: string; readonly region: string; readonly held: (address: string) => number };
 
 const COLD_WINDOW_MS = 1_150;
+const LEAST_SHARE = 2;
 
 export function createWorkerBook(self: BookSelf, tuning: EdgeTuning): WorkerBook {
   const rows = new Map<string, BookRow>();
@@ -81,12 +85,13 @@
   let preemptiveOf: (model: string) => readonly string[] = none;
   const away = new Map<string, number>();
   let sharing = 1;
+  let sluices: Readonly<Record<string, Sharer>> = {};
   let listed = false;
 
   function freshRow(entry: WorkerEntry): BookRow {
     return {
       entry, present: true, leaving: entry.leaving, leaveBy: null, coldUntil: 0, cold: createRateGuard(COLD_WINDOW_MS),
-      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, fullUntil: 0, kept: createKeptParts(tuning.knownTokens),
+      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, fullUntil: 0, kept: createKeptParts(tuning.knownTokens), owners: null,
     };
   }
 
@@ -137,10 +142,26 @@
 
   function coldRoom(row: BookRow, ask: PlaceAsk): boolean {
     if (row.coldUntil <= ask.now || !ask.traits || ask.traits.coldRateS <= 0) return true;
-    return row.cold.room(ask.now, coldShare(ask.traits));
+    return row.cold.room(ask.now, coldShare(row, ask.traits));
+  }
+  function coldShare(row: BookRow, t: ModelTraits): number {
+    const whole = Math.floor((t.coldRateS * tuning.coldOver + tuning.coldSlack) * tuning.coldGuard);
+    if (whole >= LEAST_SHARE * sharing) return Math.max(1, Math.floor(whole / sharing));
+    const owners = ownersOf(row, Math.max(1, Math.floor(whole / LEAST_SHARE)));
+    return owners.includes(self.name) ? Math.max(1, Math.floor(whole / owners.length)) : 0;
   }
-  function coldShare(t: ModelTraits): number {
-    return Math.max(1, Math.floor((t.coldRateS * tuning.coldOver + tuning.coldSlack) * tuning.coldGuard / sharing));
+  function ownersOf(row: BookRow, most: number): readonly string[] {
+    if (row.owners && row.owners.of === sluices) return row.owners.names;
+    const ranks: { readonly name: string; readonly near: boolean; readonly hash: number }[] = [];
+    for (const [name, s] of Object.entries(sluices)) ranks.push({ name, near: s.region === row.entry.region, hash: hash32(`${row.entry.id}|${name}`) });
+    ranks.sort(nearFirst);
+    const names: string[] = [];
+    for (const r of ranks.slice(0, most)) names.push(r.name);
+    row.owners = { of: sluices, names };
+    return names;
+  }
+  function nearFirst(a: { readonly near: boolean; readonly hash: number }, b: { readonly near: boolean; readonly hash: number }): number {
+    return Number(b.near) - Number(a.near) || b.hash - a.hash;
   }
 
   function placesOf(row: BookRow, ask: PlaceAsk): number {
@@ -167,6 +188,7 @@
     else ms += (running / Math.max(1, row.entry.places)) ** 2 * tuning.crowdedMs;
     if (row.entry.region !== self.region) ms += awayMs(row) + (ask.bytes + ask.outTokens * tuning.bytesPerToken) / tuning.bytesPerMs;
     else if (row.entry.zone !== self.zone) ms += tuning.crossZoneMs;
+    if (self.held(row.entry.address) === 0) ms += tuning.dialMs;
     if (row.coldUntil > ask.now) ms += tuning.coldMs;
     if (preemptiveOf(ask.model).includes(row.entry.zone)) ms += tuning.preemptiveMs;
     return ms + row.fails * tuning.failMs;
@@ -274,7 +296,7 @@
   function usage(): UsageRows {
     const out: UsageRows = {};
     for (const row of rows.values()) {
-      row.told = { running: row.running, unread: Math.round(row.unread), kv: Math.round(row.kv) };
+      row.told = { running: row.running, unread: rounded(row.unread, 100), kv: rounded(row.kv, 1_000) };
       if (row.running > 0) out[row.entry.id] = [row.told.running, row.told.unread, row.told.kv];
     }
     return out;
@@ -290,8 +312,9 @@
   function all(): Iterable<BookRow> {
     return rows.values();
   }
-  function sharers(n: number): void {
-    sharing = Math.max(1, n);
+  function sharers(known: Readonly<Record<string, Sharer>>): void {
+    sluices = { ...known };
+    sharing = Math.max(1, Object.keys(known).length);
   }
   return { takeList, takeZones, place, begin, failed, silent, reached, served, connectMs, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
 }
@@ -326,6 +349,9 @@
   for (let i = 0; i < parts.length - 1; i += 1) n += (parts[i] as Part).tokens;
   return n;
 }
+function rounded(n: number, step: number): number {
+  return Math.round(n / step) * step;
+}
 function none(): readonly string[] {
   return [];
 }
