--- a/tools/site.mjs
+++ b/tools/site.mjs
@@ -17,7 +17,7 @@
   const at = args.indexOf(`--${name}`);
   return at >= 0 && args.splice(at, 1).length > 0;
 }
-const perS = option('rate', 30);
+const perS = option('rate', 60);
 const seed = option('seed', 1);
 const built = flag('built');
 const deploy = args.indexOf('--deploy');
