Workers that spoil a part of their answers are avoided by all; forgotten conns teach

Cause: fails were reset by any good answer and each sluice judged alone; with 73 sluices one sees a worker once in tens of seconds. Sluices now tell, with their usage, how many runs of each worker ended and how many of them badly in the last 8 to 16 s; the summed share raises the price of a place, so that such a worker gets little, keeps a trickle as its trial, and no worker is ever shut out by this alone. Health answers are not asked. A reset on a conn that rested teaches all conns of the sluice to rest for half as long; it is unlearned slowly.

--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -148,7 +148,7 @@
   let lastTold = '';
   let quiet = true;
   function tellUsage(): void {
-    const rows = book.usage();
+    const rows = book.usage(clock.mono());
     const nothing = Object.keys(rows).length === 0;
     const text = JSON.stringify(rows);
     const now = clock.mono();
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -344,7 +344,7 @@
         sent?.cut();
       }
       function spoilt(): void {
-        book.failed(row, clock.mono());
+        book.spoilt(row, clock.mono());
         finish(job.headPassed ? { tag: 'passedPart' } : { tag: 'unknown' });
         sent?.cut();
       }
@@ -418,7 +418,7 @@
             spoilt();
             return;
           }
-          book.served(row);
+          book.served(row, clock.mono());
           passHead();
           req.answerer.end();
           finish({ tag: 'done' });
@@ -427,12 +427,12 @@
         const body = Buffer.concat(parts);
         parts = [];
         if (status >= 200 && status < 300) {
-          book.served(row);
+          book.served(row, clock.mono());
           pass(job, status, raw, body);
           finish({ tag: 'done' });
           return;
         }
-        if (status >= 500) book.failed(row, clock.mono());
+        if (status >= 500 && status !== 504) book.spoilt(row, clock.mono());
         finish({ tag: 'answered', status, headers: raw, body });
       }
       function failed(fault: SendFault): void {
--- a/src/state/crowd.ts
+++ b/src/state/crowd.ts
@@ -1,7 +1,7 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 
-export const UsageRowsShape = Type.Record(Type.String(), Type.Tuple([Type.Integer(), Type.Integer(), Type.Integer()]));
+export const UsageRowsShape = Type.Record(Type.String(), Type.Tuple([Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer()]));
 export type UsageRows = Static<typeof UsageRowsShape>;
 
 export const ToldUsageShape = Type.Object({ name: Type.String(), run: Type.String(), count: Type.Integer(), rows: UsageRowsShape });
@@ -30,18 +30,18 @@
         held.delete(name);
         continue;
       }
-      for (const [id, [running, unread, kv]] of Object.entries(h.told.rows)) {
-        addTo(out, id, [running, unread, kv]);
-      }
+      for (const [id, row] of Object.entries(h.told.rows)) addTo(out, id, row);
     }
     return out;
   }
   return { take, sums };
 }
 
-function addTo(out: UsageRows, id: string, [running, unread, kv]: [number, number, number]): void {
+export type UsageRow = UsageRows[string];
+
+function addTo(out: UsageRows, id: string, row: UsageRow): void {
   const had = out[id];
-  out[id] = had ? [had[0] + running, had[1] + unread, had[2] + kv] : [running, unread, kv];
+  out[id] = had ? [had[0] + row[0], had[1] + row[1], had[2] + row[2], had[3] + row[3], had[4] + row[4]] : [...row];
 }
 
 export function sumOf(a: UsageRows, b: UsageRows): UsageRows {
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -15,6 +15,9 @@
   readonly dialMs: number;
   readonly coldMs: number;
   readonly failMs: number;
+  readonly runsMs: number;
+  readonly spoiltLeast: number;
+  readonly spoiltMs: number;
   readonly crossZoneMs: number;
   readonly preemptiveMs: number;
   readonly knownTokens: number;
@@ -51,6 +54,9 @@
   dialMs: 10,
   coldMs: 60,
   failMs: 50,
+  runsMs: 16_000,
+  spoiltLeast: 2,
+  spoiltMs: 2_000,
   crossZoneMs: 20,
   preemptiveMs: 60,
   knownTokens: 150_000,
--- a/src/state/worker-book.test.ts
+++ b/src/state/worker-book.test.ts
@@ -60,7 +60,7 @@
   const parts = [{ id: 'rules', tokens: 500 }, { id: 'own', tokens: 100 }];
   const first = b!.place(ask({ parts, tokens: 600, pinned: true }));
   const id = first.tag === 'row' ? first.row.entry.id : '';
-  b!.takeCrowd({ [id]: [60, 30_000, 100_000] });
+  b!.takeCrowd({ [id]: [60, 30_000, 100_000, 0, 9] });
   const next = b!.place(ask({ parts, tokens: 600, pinned: true }));
   expect(next.tag === 'row' && next.row.entry.id).not.toBe(id);
 });
@@ -76,3 +76,31 @@
   b!.takeZones({}, () => [], 100, () => 3_000);
   for (const row of b!.rows()) expect(row.coldUntil).toBe(row.entry.zone === 'y' ? 3_100 : 0);
 });
+
+test('a worker that spoils a part of what it runs is avoided by all, and taken again once it holds', () => {
+  const [a, b] = books(2, [entry('w0'), entry('w1')]);
+  const row = [...a!.rows()].find((r) => r.entry.id === 'w0')!;
+  for (let i = 0; i < 6; i += 1) {
+    if (i % 2 === 0) a!.spoilt(row, 100);
+    else a!.served(row, 100);
+  }
+  b!.takeCrowd(a!.usage(200));
+  for (const book of [a!, b!]) {
+    for (let i = 0; i < 20; i += 1) {
+      const got = book.place(ask({ now: 2_000 }));
+      expect(got.tag === 'row' && got.row.entry.id).toBe('w1');
+      if (got.tag === 'row') book.begin(got.row, ask({ now: 2_000 })).end();
+    }
+  }
+  for (let i = 0; i < 60; i += 1) a!.served(row, 9_000);
+  expect(a!.usage(30_000)['w0']).toBeUndefined();
+});
+
+test('one bad answer on a calm day does not make a worker avoided', () => {
+  const [a] = books(1, [entry('w0')]);
+  const row = [...a!.rows()][0]!;
+  for (let i = 0; i < 30; i += 1) a!.served(row, 50);
+  a!.spoilt(row, 60);
+  const got = a!.place(ask({ now: 1_000 }));
+  expect(got.tag === 'row' && got.waitMs).toBeLessThan(100);
+});
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -4,6 +4,8 @@
 import type { KeptParts, Part } from './kept-parts.js';
 import { createRateGuard } from './rate-guard.js';
 import type { RateGuard } from './rate-guard.js';
+import { createRunCounts } from './run-counts.js';
+import type { RunCounts } from './run-counts.js';
 import type { UsageRows } from './crowd.js';
 import type { ModelTraits } from './serving.js';
 import type { WorkerEntry } from './worker-entry.js';
@@ -25,11 +27,12 @@
   unproven: boolean;
   fullUntil: number;
   kept: KeptParts;
+  runs: RunCounts;
   owners: { readonly of: Readonly<Record<string, Sharer>>; readonly names: readonly string[] } | null;
 };
 
-export type Usage = { readonly running: number; readonly unread: number; readonly kv: number };
-const NO_USAGE: Usage = { running: 0, unread: 0, kv: 0 };
+export type Usage = { readonly running: number; readonly unread: number; readonly kv: number; readonly bad: number; readonly ran: number };
+const NO_USAGE: Usage = { running: 0, unread: 0, kv: 0, bad: 0, ran: 0 };
 
 export type PlaceAsk = {
   readonly model: string;
@@ -57,16 +60,17 @@
   readonly place: (ask: PlaceAsk) => Placed;
   readonly begin: (row: BookRow, ask: PlaceAsk) => Hold;
   readonly failed: (row: BookRow, now: number) => void;
+  readonly spoilt: (row: BookRow, now: number) => void;
   readonly silent: (row: BookRow, now: number) => void;
   readonly reached: (row: BookRow) => void;
-  readonly served: (row: BookRow) => void;
+  readonly served: (row: BookRow, now: number) => void;
   readonly connectMs: (row: BookRow) => number;
   readonly full: (row: BookRow, now: number, forMs: number) => void;
   readonly moved: (row: BookRow) => void;
   readonly cold: (row: BookRow, now: number, ms: number) => void;
   readonly rows: () => Iterable<BookRow>;
   readonly sharers: (sluices: Readonly<Record<string, Sharer>>) => void;
-  readonly usage: () => UsageRows;
+  readonly usage: (now: number) => UsageRows;
   readonly takeCrowd: (rows: UsageRows) => void;
   readonly took: (row: BookRow, ms: number) => void;
 };
@@ -91,7 +95,7 @@
   function freshRow(entry: WorkerEntry): BookRow {
     return {
       entry, present: true, leaving: entry.leaving, leaveBy: null, coldUntil: 0, cold: createRateGuard(COLD_WINDOW_MS),
-      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, fullUntil: 0, kept: createKeptParts(tuning.knownTokens), owners: null,
+      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, fullUntil: 0, kept: createKeptParts(tuning.knownTokens), runs: createRunCounts(tuning.runsMs), owners: null,
     };
   }
 
@@ -191,7 +195,7 @@
     if (self.held(row.entry.address) === 0) ms += tuning.dialMs;
     if (row.coldUntil > ask.now) ms += tuning.coldMs;
     if (preemptiveOf(ask.model).includes(row.entry.zone)) ms += tuning.preemptiveMs;
-    return ms + row.fails * tuning.failMs;
+    return ms + row.fails * tuning.failMs + spoilShare(row, ask.now) * tuning.spoiltMs;
   }
 
   function awayMs(row: BookRow): number {
@@ -277,9 +281,19 @@
     row.badUntil = 0;
     row.fails = 0;
   }
-  function served(row: BookRow): void {
+  function spoilt(row: BookRow, now: number): void {
+    row.runs.note(now, true);
+    failed(row, now);
+  }
+  function served(row: BookRow, now: number): void {
+    row.runs.note(now, false);
     row.fails = 0;
   }
+  function spoilShare(row: BookRow, now: number): number {
+    const bad = row.runs.bad(now) + row.others.bad;
+    const ran = row.runs.ran(now) + row.others.ran;
+    return bad < tuning.spoiltLeast ? 0 : bad / Math.max(1, ran);
+  }
   function connectMs(row: BookRow): number {
     const way = row.entry.region === self.region ? 5 : awayMs(row);
     return Math.min(tuning.connectMs, tuning.connectLeastMs + 3 * way);
@@ -293,20 +307,19 @@
   function cold(row: BookRow, now: number, ms: number): void {
     row.coldUntil = Math.max(row.coldUntil, now + ms);
   }
-  function usage(): UsageRows {
+  function usage(now: number): UsageRows {
     const out: UsageRows = {};
     for (const row of rows.values()) {
-      row.told = { running: row.running, unread: rounded(row.unread, 100), kv: rounded(row.kv, 1_000) };
-      if (row.running > 0) out[row.entry.id] = [row.told.running, row.told.unread, row.told.kv];
+      row.told = { running: row.running, unread: rounded(row.unread, 100), kv: rounded(row.kv, 1_000), bad: row.runs.bad(now), ran: row.runs.ran(now) };
+      const { running, unread, kv, bad, ran } = row.told;
+      if (running > 0 || bad > 0) out[row.entry.id] = [running, unread, kv, bad, ran];
     }
     return out;
   }
   function takeCrowd(sums: UsageRows): void {
     for (const row of rows.values()) {
       const sum = sums[row.entry.id];
-      row.others = sum
-        ? { running: Math.max(0, sum[0] - row.told.running), unread: Math.max(0, sum[1] - row.told.unread), kv: Math.max(0, sum[2] - row.told.kv) }
-        : NO_USAGE;
+      row.others = sum ? beyond(sum, row.told) : NO_USAGE;
     }
   }
   function all(): Iterable<BookRow> {
@@ -316,7 +329,7 @@
     sluices = { ...known };
     sharing = Math.max(1, Object.keys(known).length);
   }
-  return { takeList, takeZones, place, begin, failed, silent, reached, served, connectMs, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
+  return { takeList, takeZones, place, begin, failed, spoilt, silent, reached, served, connectMs, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
 }
 
 type Ranked = { readonly hash: number; readonly row: BookRow };
@@ -349,6 +362,15 @@
   for (let i = 0; i < parts.length - 1; i += 1) n += (parts[i] as Part).tokens;
   return n;
 }
+function beyond(sum: UsageRows[string], told: Usage): Usage {
+  return {
+    running: Math.max(0, sum[0] - told.running),
+    unread: Math.max(0, sum[1] - told.unread),
+    kv: Math.max(0, sum[2] - told.kv),
+    bad: Math.max(0, sum[3] - told.bad),
+    ran: Math.max(0, sum[4] - told.ran),
+  };
+}
 function rounded(n: number, step: number): number {
   return Math.round(n / step) * step;
 }
--- a/src/transport/outlets.test.ts
+++ b/src/transport/outlets.test.ts
@@ -132,3 +132,28 @@
   cut = true;
   expect((await ask(o, opened.value.address)).fault).toEqual({ tag: 'broken' });
 });
+
+test('a conn that its worker forgot teaches to let conns rest for less', async () => {
+  let forget = false;
+  const at = await raw((sock) => {
+    if (forget) sock.resetAndDestroy();
+    else sock.write(OK);
+  });
+  let now = 0;
+  const clock = { ...createClock(), mono: () => now };
+  const o = createOutlets(clock);
+  open.push({ close: o.stop });
+  await ask(o, at);
+  now = 4_000;
+  forget = true;
+  expect((await ask(o, at)).fault).toEqual({ tag: 'broken' });
+  forget = false;
+  await ask(o, at);
+  const before = o.made();
+  now += 2_600;
+  await ask(o, at);
+  expect(o.made()).toBe(before + 1);
+  now += 1_000;
+  await ask(o, at);
+  expect(o.made()).toBe(before + 1);
+});
--- a/src/transport/outlets.ts
+++ b/src/transport/outlets.ts
@@ -7,16 +7,20 @@
 import { splitAddress } from './wire.js';
 import type { Address } from './wire.js';
 
-type Idle = { readonly sock: Socket; readonly until: number; readonly drop: () => void };
+type Idle = { readonly sock: Socket; readonly from: number; readonly until: number; readonly drop: () => void };
 type Place = { open: number; readonly idle: Idle[]; keepMs: number };
 
 const KEEP_MS = 20_000;
 const KEEP_MARGIN_MS = 700;
 const SWEEP_MS = 500;
+const LEARNED_LEAST_MS = 400;
+const LEARNED_FROM_MS = 100;
+const RELEARN = 1.02;
 
 export function createOutlets(clock: Clock): Outlets {
   const places = new Map<Address, Place>();
   let dialled = 0;
+  let learnedMs = KEEP_MS;
 
   function placeOf(address: Address): Place {
     const have = places.get(address);
@@ -35,14 +39,20 @@
       if (i >= 0) at.idle.splice(i, 1);
       sock.destroy();
     }
-    const idle: Idle = { sock, until: clock.mono() + at.keepMs - KEEP_MARGIN_MS, drop };
+    const from = clock.mono();
+    const idle: Idle = { sock, from, until: from + Math.min(at.keepMs - KEEP_MARGIN_MS, learnedMs), drop };
     sock.on('data', drop);
     sock.on('end', drop);
     sock.on('close', drop);
     at.idle.push(idle);
   }
 
-  function taken(at: Place): Socket | null {
+  function forgotten(restedMs: number): void {
+    learnedMs = Math.max(LEARNED_LEAST_MS, Math.min(learnedMs, restedMs / 2));
+    for (const at of places.values()) for (const idle of [...at.idle]) if (clock.mono() - idle.from > learnedMs) idle.drop();
+  }
+
+  function taken(at: Place): Idle | null {
     const now = clock.mono();
     for (;;) {
       const idle = at.idle.pop();
@@ -50,7 +60,7 @@
       idle.sock.off('data', idle.drop);
       idle.sock.off('end', idle.drop);
       idle.sock.off('close', idle.drop);
-      if (idle.until > now && !idle.sock.destroyed && idle.sock.readableLength === 0) return idle.sock;
+      if (idle.until > now && now - idle.from < learnedMs && !idle.sock.destroyed && idle.sock.readableLength === 0) return idle;
       idle.sock.destroy();
     }
   }
@@ -102,8 +112,10 @@
   function send(what: Sending, events: SendEvents): Sent {
     const at = placeOf(what.address);
     let over = false;
-    let sock: Socket | null = taken(at);
-    const reused = sock !== null;
+    const idle = taken(at);
+    const restedMs = idle ? clock.mono() - idle.from : 0;
+    const reused = idle !== null;
+    let sock: Socket | null = idle?.sock ?? null;
     let req: ClientRequest | null = null;
     let res: IncomingMessage | null = null;
 
@@ -114,6 +126,7 @@
       events.failed(fault);
     }
     function broke(e?: { readonly code?: string }): void {
+      if (reused && res === null && restedMs > LEARNED_FROM_MS && e?.code === 'ECONNRESET') forgotten(restedMs);
       const unread = reused && res === null && e?.code === 'ECONNRESET' && req !== null && !req.writableFinished;
       fail(unread ? { tag: 'closedUnread' } : { tag: 'broken' });
     }
@@ -199,6 +212,7 @@
   }
 
   function sweep(): void {
+    learnedMs = Math.min(KEEP_MS, learnedMs * RELEARN);
     const now = clock.mono();
     for (const at of places.values()) for (const idle of [...at.idle]) if (idle.until <= now) idle.drop();
     sweeping = clock.wakeup(SWEEP_MS, sweep);
