A conn closed under a run-once request is no proof that it was not read

Such a request ends as unknown now; a repeatable one still goes on elsewhere without a dispatch counted. The test failed before.

--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -272,3 +272,15 @@
   await r.world.advance(1);
   expect(r.sent.slice(2).map((s) => s.what.address)).toContain(r.checks[0]!.address);
 });
+
+test('a conn that closed under a request which may run once is no proof that it was not read', async () => {
+  for (const [kind, dispatches] of [['once', 1], ['repeatable', 2]] as const) {
+    const r = await rig({ kind, dispatches: 3 }, [entry('w'), entry('vv')]);
+    const { answer } = r.ask();
+    await r.world.advance(1);
+    r.sent[0]!.events.failed({ tag: 'closedUnread' });
+    await r.world.advance(1);
+    expect(r.sent).toHaveLength(dispatches);
+    expect(answer.status).toBe(kind === 'once' ? 502 : 0);
+  }
+});
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -442,7 +442,7 @@
           finish({ tag: 'neverSent' });
           return;
         }
-        if (fault.tag === 'closedUnread') {
+        if (fault.tag === 'closedUnread' && job.repeatable) {
           finish({ tag: 'neverSent' });
           return;
         }
