--- a/tools/site.mjs
+++ b/tools/site.mjs
@@ -23,19 +23,21 @@
 const deploy = args.indexOf('--deploy');
 const deployFile = deploy < 0 ? join(ROOT, 'deploy/system.toml') : resolve(args.splice(deploy, 2)[1]);
 const list = flag('list');
+const clean = flag('clean');
 
 const folder = mkdtempSync(join(tmpdir(), 'millfield-run-'));
 onLeave(() => rmSync(folder, { recursive: true, force: true }));
 const outfile = join(folder, 'run.mjs');
 await build({ entryPoints: [join(ROOT, 'platform/standin/run.ts')], outfile, bundle: true, platform: 'node', format: 'esm', target: 'node20', logLevel: 'warning' });
-const { runScenarios, scenarioNames } = await import(pathToFileURL(outfile).href);
+const { deployBuild, runScenarios, scenarioNames } = await import(pathToFileURL(outfile).href);
 const names = scenarioNames();
 const unknown = args.filter((a) => !names.includes(a));
 if (list || unknown.length > 0) {
-  process.stdout.write(`use: node tools/site.mjs [--rate N] [--seed N] [--built] [--deploy FILE] [scenario...]\nscenarios: ${names.join(', ')}\n`);
+  process.stdout.write(`use: node tools/site.mjs [--rate N] [--seed N] [--built | --clean] [--deploy FILE] [scenario...]\nscenarios: ${names.join(', ')}\n`);
   await leave(list ? 0 : 2);
 }
-if (!built && (await run(process.execPath, ['platform/build.mjs'], { cwd: ROOT, stdio: 'inherit' })) !== 0) await leave(1);
+const [command, ...how] = clean ? ['sh', '-c', deployBuild(deployFile)] : [process.execPath, 'platform/build.mjs'];
+if (!built && (await run(command, how, { cwd: ROOT, stdio: 'inherit' })) !== 0) await leave(1);
 
 let site = null;
 onLeave(() => site?.stop());
