Probing costs a node the same at any size; news is bounded in bytes

Probes and answers carried whole node rows (own one twice) and up to 12 more: 20.7 KB a node and second at 100 nodes shortly after a start. Now a probe tells name, run, incarnation and status; whole rows go only to those who don't know the node, and news up to 1,000 bytes a message, dead and suspect ones in brief. Three of four probes stay in the region. What was learned in bulk is not spread again; a sum over the live ones, told in answers, finds what spreading missed.

--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -1,7 +1,7 @@
 import { createEvents } from '../../base/events.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
-import type { NodeInfo } from '../../state/node-info.js';
-import { isUp, mergeNode } from '../../state/members.js';
+import type { NodeInfo, NodeNews } from '../../state/node-info.js';
+import { briefNews, isUp, mergeNode, sumOf, wholeNews } from '../../state/members.js';
 import type { Members } from '../../state/members.js';
 import { every } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
@@ -26,7 +26,9 @@
 const INDIRECT_MS = 600;
 const HELPERS = 3;
 const SUSPECT_MS = 2_500;
-const NEWS_SHARED = 12;
+const NEWS_BYTES = 1_000;
+const FAR_EACH = 4;
+const COMPARE_MS = 10_000;
 const FORGET_MS = 600_000;
 
 export function createMembership(self: NodeInfo, contacts: () => Iterable<Address>, peers: Peers, clock: Clock, rng: Rng, log: Log): Membership {
@@ -35,24 +37,30 @@
   const shares = new Map<string, number>();
   const suspectAt = new Map<string, number>();
   const goneAt = new Map<string, number>();
-  let round: string[] = [];
+  const rounds: Record<'near' | 'far', string[]> = { near: [], far: [] };
   let turns = 0;
+  let introduced = false;
+  let sum: number | null = null;
+  let comparedAt = clock.mono();
 
   function own(): NodeInfo {
     return members.get(self.name) ?? self;
   }
 
-  function take(news: readonly NodeInfo[]): void {
-    for (const n of news) {
+  function take(news: readonly (NodeInfo | NodeNews)[], all = false): void {
+    for (const told of news) {
+      const n = wholeNews(members, self.name, told);
+      if (!n || (!isUp(n) && !members.has(n.name))) continue;
       const step = mergeNode(members, self.name, n);
       if (step.refuted) log.warn(`Was held for ${n.status}; refutes it.`);
       if (!step.changed) continue;
-      noteStatus(members.get(n.name) as NodeInfo);
+      noteStatus(members.get(n.name) as NodeInfo, !all);
     }
   }
 
-  function noteStatus(node: NodeInfo): void {
-    shares.set(node.name, 0);
+  function noteStatus(node: NodeInfo, spread = true): void {
+    sum = null;
+    if (spread) shares.set(node.name, 0);
     if (node.status === 'suspect') {
       if (!suspectAt.has(node.name)) suspectAt.set(node.name, clock.mono());
     } else suspectAt.delete(node.name);
@@ -62,16 +70,20 @@
     events.emit('changed', { node });
   }
 
-  function news(): NodeInfo[] {
-    const names = [...shares.keys()].sort(fewestFirst).slice(0, NEWS_SHARED);
-    const limit = 3 * Math.ceil(Math.log2(members.size + 2));
-    const out: NodeInfo[] = [own()];
+  function news(): (NodeInfo | NodeNews)[] {
+    const names = [...shares.keys()].sort(fewestFirst);
+    const limit = 2 + Math.ceil(1.5 * Math.log2(members.size + 2));
+    const out: (NodeInfo | NodeNews)[] = [];
+    let bytes = 0;
     for (const name of names) {
+      const node = members.get(name);
+      const told = node?.status === 'alive' ? node : node && briefNews(node);
+      bytes += told ? JSON.stringify(told).length : 0;
+      if (bytes > NEWS_BYTES) break;
       const n = (shares.get(name) ?? 0) + 1;
       if (n > limit) shares.delete(name);
       else shares.set(name, n);
-      const node = members.get(name);
-      if (node && name !== self.name) out.push(node);
+      if (told) out.push(told);
     }
     return out;
     function fewestFirst(a: string, b: string): number {
@@ -84,15 +96,17 @@
   }
 
   function onProbe(m: MessageOf<'probe'>): Message {
-    const stranger = !members.has(m.from.name);
-    take([m.from, ...m.news]);
-    return { kind: 'probeAnswer', reached: true, news: stranger ? everything() : withHeld(m.from) };
-  }
-  function withHeld(from: NodeInfo): NodeInfo[] {
-    const held = members.get(from.name);
-    const out = news();
-    if (held && (held.status !== 'alive' || held.run !== from.run)) out.push(held);
-    return out;
+    take(m.news, m.all === true && m.news.length > 1);
+    take([m.from]);
+    const held = members.get(m.from.name);
+    const stranger = held?.run !== m.from.run;
+    const out = m.all === true ? everything() : news();
+    if (held && (held.status !== 'alive' || stranger)) out.push(held);
+    if (m.all !== true && (stranger || m.news.some(introduces))) out.push(own());
+    return { kind: 'probeAnswer', reached: true, from: briefNews(own()), sum: ownSum(), ...(stranger ? { stranger } : {}), news: out };
+    function introduces(n: NodeInfo | NodeNews): boolean {
+      return n.name === m.from.name && 'address' in n;
+    }
   }
   async function onProbeFor(m: MessageOf<'probeFor'>): Promise<Message> {
     take(m.news);
@@ -104,11 +118,30 @@
   peers.on('probeFor', onProbeFor);
 
   async function probe(to: Address, waitMs: number): Promise<boolean> {
-    const got = await peers.call(to, { kind: 'probe', from: own(), news: news() }, waitMs);
+    const all = introduced ? {} : { all: true };
+    const got = await peers.call(to, { kind: 'probe', from: briefNews(own()), ...all, news: introduced ? news() : [own(), ...news()] }, waitMs);
     if (!got.ok || got.value.kind !== 'probeAnswer') return false;
-    take(got.value.news);
+    take(got.value.news, !introduced);
+    introduced = true;
+    if (got.value.from) take([got.value.from]);
+    const unknown = got.value.from !== undefined && members.get(got.value.from.name)?.run !== got.value.from.run;
+    if (got.value.stranger === true || unknown) void introduce(to);
+    else if (got.value.sum !== undefined && got.value.sum !== ownSum() && shares.size === 0 && clock.mono() - comparedAt > COMPARE_MS) void compare(to);
     return true;
   }
+  function ownSum(): number {
+    sum ??= sumOf(members);
+    return sum;
+  }
+  async function compare(to: Address): Promise<void> {
+    comparedAt = clock.mono();
+    const got = await peers.call(to, { kind: 'probe', from: briefNews(own()), all: true, news: everything() }, INDIRECT_MS);
+    if (got.ok && got.value.kind === 'probeAnswer') take(got.value.news, true);
+  }
+  async function introduce(to: Address): Promise<void> {
+    const got = await peers.call(to, { kind: 'probe', from: briefNews(own()), news: [own()] }, 2 * DIRECT_MS);
+    if (got.ok && got.value.kind === 'probeAnswer') take(got.value.news);
+  }
 
   async function askHelpers(target: NodeInfo): Promise<boolean> {
     const others: NodeInfo[] = [];
@@ -128,16 +161,25 @@
   }
 
   function nextTarget(): NodeInfo | null {
-    for (;;) {
-      const name = round.pop();
-      if (name === undefined) break;
+    const order = turns % FAR_EACH === 0 ? (['far', 'near'] as const) : (['near', 'far'] as const);
+    for (const which of order) {
+      const node = nextOf(which);
+      if (node) return node;
+    }
+    return null;
+  }
+  function nextOf(which: 'near' | 'far'): NodeInfo | null {
+    function isOf(n: NodeInfo): boolean {
+      return n.name !== self.name && isUp(n) && (n.region === self.region) === (which === 'near');
+    }
+    for (let name = rounds[which].pop(); name !== undefined; name = rounds[which].pop()) {
       const node = members.get(name);
-      if (node && isUp(node)) return node;
+      if (node && isOf(node)) return node;
     }
     const up: string[] = [];
-    for (const n of members.values()) if (n.name !== self.name && isUp(n)) up.push(n.name);
-    round = shuffled(rng, up);
-    const name = round.pop();
+    for (const n of members.values()) if (isOf(n)) up.push(n.name);
+    rounds[which] = shuffled(rng, up);
+    const name = rounds[which].pop();
     return name === undefined ? null : (members.get(name) ?? null);
   }
 
@@ -153,6 +195,7 @@
     for (const [name, at] of goneAt) {
       if (now - at < FORGET_MS) continue;
       members.delete(name);
+      sum = null;
       goneAt.delete(name);
       shares.delete(name);
     }
@@ -195,7 +238,7 @@
   function leave(): void {
     const gone: NodeInfo = { ...own(), status: 'left' };
     for (const n of members.values()) {
-      if (n.name !== self.name && isUp(n)) void peers.tell(n.address, { kind: 'probe', from: gone, news: [] });
+      if (n.name !== self.name && isUp(n)) void peers.tell(n.address, { kind: 'probe', from: briefNews(gone), news: [] });
     }
   }
   return { all: everything, get, events, leave, stop: ticking.cancel };
--- a/src/state/members.ts
+++ b/src/state/members.ts
@@ -1,4 +1,4 @@
-import type { NodeInfo } from './node-info.js';
+import type { NodeInfo, NodeNews } from './node-info.js';
 
 export type Members = Map<string, NodeInfo>;
 
@@ -25,6 +25,27 @@
   return { changed: true, refuted: false };
 }
 
+export function wholeNews(members: Members, self: string, news: NodeInfo | NodeNews): NodeInfo | null {
+  if ('address' in news) return news;
+  const held = members.get(news.name);
+  return held && (held.run === news.run || news.name === self) ? { ...held, ...news } : null;
+}
+
+export function briefNews(node: NodeInfo): NodeNews {
+  return { name: node.name, run: node.run, incarnation: node.incarnation, status: node.status };
+}
+
+export function sumOf(members: Members): number {
+  let sum = 0;
+  for (const n of members.values()) if (isUp(n)) sum = (sum + mark(`${n.name} ${n.run} ${n.incarnation}`)) >>> 0;
+  return sum;
+}
+function mark(text: string): number {
+  let h = 0x811c9dc5;
+  for (let i = 0; i < text.length; i += 1) h = Math.imul(h ^ text.charCodeAt(i), 0x01000193);
+  return h >>> 0;
+}
+
 export function isUp(node: NodeInfo): boolean {
   return node.status === 'alive' || node.status === 'suspect';
 }
