--- a/src/coordination/edge/silence-watch.ts
+++ b/src/coordination/edge/silence-watch.ts
@@ -53,7 +53,7 @@
       if (reached) {
         spokenFor.set(row, now);
         if (row.unproven) {
-          book.reached(row);
+          book.reached(row, now);
           deps.onReached();
         }
         return;
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -12,6 +12,9 @@
   readonly kvMs: number;
   readonly overMs: number;
   readonly crowdedMs: number;
+  readonly doubtMs: number;
+  readonly doubtFromMs: number;
+  readonly doubtForMs: number;
   readonly dialMs: number;
   readonly coldMs: number;
   readonly failMs: number;
@@ -51,6 +54,9 @@
   kvMs: 800,
   overMs: 400,
   crowdedMs: 300,
+  doubtMs: 300,
+  doubtFromMs: 700,
+  doubtForMs: 2_000,
   dialMs: 10,
   coldMs: 60,
   failMs: 50,
--- a/src/state/worker-book.test.ts
+++ b/src/state/worker-book.test.ts
@@ -104,3 +104,17 @@
   const got = a!.place(ask({ now: 1_000 }));
   expect(got.tag === 'row' && got.waitMs).toBeLessThan(100);
 });
+
+test('a worker that was out of reach may be another life: others go first until the list had time to tell', () => {
+  const [b] = books(1, [entry('w0'), entry('w1')]);
+  const row = [...b!.rows()].find((r) => r.entry.id === 'w0')!;
+  b!.silent(row, 100);
+  b!.reached(row, 3_000);
+  for (let i = 0; i < 10; i += 1) {
+    const got = b!.place(ask({ now: 3_100 }));
+    expect(got.tag === 'row' && got.row.entry.id).toBe('w1');
+    if (got.tag === 'row') b!.begin(got.row, ask({ now: 3_100 }));
+  }
+  const later = b!.place(ask({ now: 6_000 }));
+  expect(later.tag === 'row' && later.row.entry.id).toBe('w0');
+});
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -25,6 +25,8 @@
   fails: number;
   badUntil: number;
   unproven: boolean;
+  silentSince: number;
+  doubtUntil: number;
   fullUntil: number;
   kept: KeptParts;
   runs: RunCounts;
@@ -62,7 +64,7 @@
   readonly failed: (row: BookRow, now: number) => void;
   readonly spoilt: (row: BookRow, now: number) => void;
   readonly silent: (row: BookRow, now: number) => void;
-  readonly reached: (row: BookRow) => void;
+  readonly reached: (row: BookRow, now: number) => void;
   readonly served: (row: BookRow, now: number) => void;
   readonly connectMs: (row: BookRow) => number;
   readonly full: (row: BookRow, now: number, forMs: number) => void;
@@ -95,7 +97,7 @@
   function freshRow(entry: WorkerEntry): BookRow {
     return {
       entry, present: true, leaving: entry.leaving, leaveBy: null, coldUntil: 0, cold: createRateGuard(COLD_WINDOW_MS),
-      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, fullUntil: 0, kept: createKeptParts(tuning.knownTokens), runs: createRunCounts(tuning.runsMs), owners: null,
+      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, silentSince: 0, doubtUntil: 0, fullUntil: 0, kept: createKeptParts(tuning.knownTokens), runs: createRunCounts(tuning.runsMs), owners: null,
     };
   }
 
@@ -194,6 +196,7 @@
     else if (row.entry.zone !== self.zone) ms += tuning.crossZoneMs;
     if (self.held(row.entry.address) === 0) ms += tuning.dialMs;
     if (row.coldUntil > ask.now) ms += tuning.coldMs;
+    if (row.doubtUntil > ask.now) ms += tuning.doubtMs;
     if (preemptiveOf(ask.model).includes(row.entry.zone)) ms += tuning.preemptiveMs;
     return ms + row.fails * tuning.failMs + spoilShare(row, ask.now) * tuning.spoiltMs;
   }
@@ -273,10 +276,13 @@
   }
   function silent(row: BookRow, now: number): void {
     row.fails += 1;
+    if (!row.unproven || row.silentSince === 0) row.silentSince = now;
     row.unproven = true;
     row.badUntil = now + Math.min(2_000, 250 * 2 ** row.fails);
   }
-  function reached(row: BookRow): void {
+  function reached(row: BookRow, now: number): void {
+    if (row.silentSince > 0 && now - row.silentSince > tuning.doubtFromMs) row.doubtUntil = now + tuning.doubtForMs;
+    row.silentSince = 0;
     row.unproven = false;
     row.badUntil = 0;
     row.fails = 0;
