--- a/src/coordination/scaling/list-duty.test.ts
+++ b/src/coordination/scaling/list-duty.test.ts
@@ -184,14 +184,32 @@
     room.world.freeze(old.host);
     await room.world.advance(7_000);
     const now = reader(room);
+    const thawed = room.world.now();
     room.world.thaw(old.host);
     await room.world.advance(500);
     const from = room.world.now();
     await room.world.advance(5_000);
     expect(reader(room)).toBe(now);
+    expect(room.calls.filter((c) => c.at > thawed && c.by === old.host.name)).toEqual([]);
     expect(callsSince(room, from)).toEqual({ heads: 5, edges: 0, readers: 1 });
   });
 
+  test('a reader that wakes and reaches no other at first, yet hears one, lets it read on', async () => {
+    const room = await started(15);
+    const old = reader(room);
+    room.world.freeze(old.host);
+    await room.world.advance(4_000);
+    const now = reader(room);
+    for (const h of room.heads) if (h !== old) room.world.cut(old.host.name, h.host.name);
+    const thawed = room.world.now();
+    room.world.thaw(old.host);
+    await room.world.advance(800);
+    room.world.healAll();
+    await room.world.advance(4_000);
+    expect(reader(room)).toBe(now);
+    expect(room.calls.filter((c) => c.at > thawed && c.by === old.host.name)).toEqual([]);
+  });
+
   test('what a frozen sluice finds waiting at waking does not pass for fresh', async () => {
     const room = await started(10);
     const edge = room.edges[0] as Edge;
--- a/src/coordination/scaling/list-duty.ts
+++ b/src/coordination/scaling/list-duty.ts
@@ -41,6 +41,7 @@
   const events = createEvents<ListFeedEvents>();
   const followers = new Map<Peer, number>();
   let highest = 0;
+  let heardOfAt: number | null = null;
   let reading = false;
   let stopped = false;
   let busy = false;
@@ -94,6 +95,7 @@
   }
   function onMissed(e: { readonly number: ListNumber }): void {
     highest = Math.max(highest, e.number[0]);
+    heardOfAt = clock.mono();
     void askAround();
   }
   function onOutrun(e: { readonly peer: Peer }): void {
@@ -199,6 +201,7 @@
     if (!reading) await askAround();
     if (stopped) return;
     if (!reading && news.fresh()) armTakeover();
+    else if (!reading && heardOfAt !== null && clock.mono() - heardOfAt < pace.freshMs) arm(pace.askMs);
     else await readOnce();
     busy = false;
   }
--- a/src/coordination/scaling/observer.ts
+++ b/src/coordination/scaling/observer.ts
@@ -118,7 +118,8 @@
     if (!first || !mayAct(fence)) return;
     const cause = steps.length === 1 ? first.cause : `${steps.length} decisions: ${first.cause}`.slice(0, CAUSE_LENGTH);
     const got = await ledger.propose({ cause, act: { tag: 'decided', steps }, fence }, PROPOSE_MS);
-    if (got.ok && got.value.outcome.tag !== 'applied') log.warn(`Decisions did not count (${got.value.outcome.tag}).`);
+    if (got.ok && got.value.outcome.tag === 'applied') log.info(cause);
+    else if (got.ok) log.warn(`Decisions did not count (${got.value.outcome.tag}).`);
   }
 
   async function run(): Promise<void> {
