--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -95,6 +95,9 @@
     req.answerer.write(body);
     req.answerer.end();
   }
+  function backIn(share: number): number {
+    return (tuning.backMs * share * (0.75 + 0.5 * rng.next())) / 1_000;
+  }
   function shed(job: Job, tag: string, afterS: number): void {
     counts.shed += 1;
     refuse(job.req, 503, tag, afterS);
@@ -109,7 +112,7 @@
     const table = deps.table() ?? (await opened(req));
     if (!table) {
       counts.shed += 1;
-      refuse(req, 503, 'notReady', 0.5);
+      refuse(req, 503, 'notReady', backIn(0.5));
       return;
     }
     const path = req.target.split('?', 1)[0] ?? '/';
@@ -180,7 +183,7 @@
         return;
       }
       if (!taken) {
-        giveUp(job, 'full', 0.15 + 0.25 * rng.next());
+        giveUp(job, 'full', backIn(1));
         return;
       }
       if (job.dispatches > 0) {
@@ -213,8 +216,8 @@
         continue;
       }
       if (end.tag === 'answered') pass(job, end.status, end.headers, end.body);
-      else if (end.tag === 'notRun') giveUp(job, 'workerFull', Math.max(0.1, end.afterS));
-      else if (end.tag === 'neverSent') giveUp(job, 'unreachable', 0.2);
+      else if (end.tag === 'notRun') giveUp(job, 'workerFull', Math.max(end.afterS, backIn(0.75)));
+      else if (end.tag === 'neverSent') giveUp(job, 'unreachable', backIn(0.75));
       else giveUp(job, 'unknown', null);
       return;
     }
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -30,6 +30,7 @@
   readonly connectLeastMs: number;
   readonly silentMs: number;
   readonly retryMs: number;
+  readonly backMs: number;
   readonly openingMs: number;
   readonly lineMost: number;
   readonly lineShare: number;
@@ -72,6 +73,7 @@
   connectLeastMs: 240,
   silentMs: 500,
   retryMs: 250,
+  backMs: 1_200,
   openingMs: 1_200,
   lineMost: 200,
   lineShare: 0.22,
