A member votes on a slot only once it holds all before it; four shed a dead one after 3 s

A lagging acceptor accepted slot n+1 without n. If n's other holder was then replaced, an acknowledged entry stood on one disk. It fetches from the proposer first, and has no vote until then. A group of four with a dead member bears no further loss, so it sheds after 3 s instead of 5.5.

--- a/src/coordination/ledger/joining.ts
+++ b/src/coordination/ledger/joining.ts
@@ -30,8 +30,8 @@
 const ASK_MS = 600;
 const AGREE_MS = 1_500;
 const ADMIT_MS = 2_500;
-const DEAD_MS = 5_500;
-const IN_TURN_MS = 1_500;
+const DEAD_MS = 3_000;
+const IN_TURN_MS = 1_000;
 const LEAVE_MS = 1_000;
 
 export function createJoining(deps: JoiningDeps): Joining {
--- a/src/coordination/ledger/ledger.test.ts
+++ b/src/coordination/ledger/ledger.test.ts
@@ -52,3 +52,19 @@
   expect(core.node('h1').headgate?.ledger.belief().epoch).toBe(base);
   expect(core.broken).toEqual([]);
 });
+
+test.each([1, 2, 3, 4, 5, 6])('one that lags learns what came before it accepts: its disk alone then tells all (seed %i)', async (seed) => {
+  const core = await founded(20 + seed);
+  await core.world.advance(1_500);
+  core.world.cut('h2', 'h3');
+  core.world.cut('h3', 'h2');
+  expect((await core.order('h3', 'a')).result?.ok).toBe(true);
+  await core.until(1_000, () => core.node('h1').headgate?.ledger.belief().evacuated['a'] !== undefined);
+  expect((await core.order('h1', 'b')).result?.ok).toBe(true);
+  core.powerLoss('h3');
+  core.powerLoss('h1');
+  core.powerLoss('h2');
+  core.start('h2');
+  await core.until(1_000, () => core.node('h2').headgate !== null);
+  expect(Object.keys(core.node('h2').headgate?.ledger.belief().evacuated ?? {})).toContain('a');
+});
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -3,6 +3,7 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf, SlotBatch } from '../../protocol/messages.js';
+import type { Ballot } from '../../state/ballot.js';
 import { isBelief, majorityOf, memberId, operationOf } from '../../state/belief.js';
 import type { Belief, Outcome } from '../../state/belief.js';
 import type { Batch, Entry, Member } from '../../state/entry.js';
@@ -70,6 +71,7 @@
 const SLICE_MS = 1_000;
 const HELP_AFTER_MS = 150;
 const DANGLING_MS = 1_000;
+const LEARN_WAIT_MS = 400;
 const RECORD_ROOM = 4_096;
 
 type Proposal = { readonly entry: Entry; readonly bytes: number; readonly until: number };
@@ -356,9 +358,18 @@
     watching = false;
   }
 
-  function onVote(m: MessageOf<'prepare'> | MessageOf<'accept'>): Promise<Message> | Message {
+  async function learnUpTo(slot: number, ballot: Ballot): Promise<void> {
+    for (const m of belief().members) {
+      if (memberId(m) === me() || !ballot.by.startsWith(`${memberId(m)}/`)) continue;
+      await within(clock, LEARN_WAIT_MS, catchUp(m.address));
+      if (belief().slot < slot) await within(clock, LEARN_WAIT_MS, catchUp(m.address));
+    }
+  }
+
+  async function onVote(m: MessageOf<'prepare'> | MessageOf<'accept'>): Promise<Message> {
+    if (m.ledger === belief().ledger && m.slot > belief().slot + 1) await learnUpTo(m.slot - 1, m.ballot);
     const voter = m.ledger === founding.ballotOf ? m.slot === 0 : m.ledger === belief().ledger && isMember();
-    if (!voter) return { kind: 'cannotVote' };
+    if (!voter || m.slot > belief().slot + 1) return { kind: 'cannotVote' };
     if (m.kind === 'prepare') return vote({ tag: 'prepare', slot: m.slot, ballot: m.ballot });
     return vote({ tag: 'accept', slot: m.slot, ballot: m.ballot, batch: m.batch });
   }
--- a/src/coordination/ledger/standings.test.ts
+++ b/src/coordination/ledger/standings.test.ts
@@ -10,4 +10,5 @@
   await core.world.advance(20_000);
   const { frames, bytes } = core.sent();
   expect((frames - before.frames) / 20).toBeLessThan(40);
+  expect((bytes - before.bytes) / 20).toBeLessThan(8_000);
 });
