--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -51,6 +51,8 @@
 
 const REPORT_MS = 500;
 const USAGE_MS = 300;
+const LOOK_MS = 250;
+const LOOK_OPENING_MS = 20;
 const USAGE_KEPT_MS = 800;
 const LINGER_MS = 3_000;
 const LAST_CALL_MS = 1_500;
@@ -175,7 +177,14 @@
       report();
     }
   }
-  const looking = every(clock, 50, look);
+  let looking = clock.wakeup(LOOK_OPENING_MS, lookAgain);
+  function lookAgain(): void {
+    look();
+    looking = clock.wakeup(wasReady ? LOOK_MS : LOOK_OPENING_MS, lookAgain);
+  }
+  function stopLooking(): void {
+    looking.cancel();
+  }
   log.info(`Opaque door at ${id.front}, peers at ${opened.value.address}.`);
 
   async function drain(longestMs: number): Promise<void> {
@@ -195,7 +204,7 @@
   async function stop(): Promise<void> {
     reporting.cancel();
     telling.cancel();
-    looking.cancel();
+    stopLooking();
     feed.stop();
     membership.stop();
     follower.stop();
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -45,6 +45,7 @@
 const HOP = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'expect', 'proxy-authenticate', 'proxy-authorization']);
 const MOST_HELD = 1_048_576;
 const OPENING_LOOK_MS = 20;
+const LINE_LOOK_MS = 25;
 
 type End =
   | { readonly tag: 'done' }
@@ -280,6 +281,7 @@
       let at = line.length;
       while (at > 0 && rankOf((line[at - 1] as Waiter).job) > rank) at -= 1;
       line.splice(at, 0, w);
+      arm();
       counts.waiting = line.length;
       job.req.answerer.onGone(late);
       wake();
@@ -297,11 +299,18 @@
     }
     waking = false;
   }
+  let ticking = false;
   function tick(): void {
-    if (line.length > 0) wake();
-    clock.wakeup(25, tick);
+    ticking = false;
+    if (line.length === 0) return;
+    wake();
+    arm();
+  }
+  function arm(): void {
+    if (ticking) return;
+    ticking = true;
+    clock.wakeup(LINE_LOOK_MS, tick);
   }
-  tick();
 
   function dispatch(job: Job, taken: Taken): Promise<End> {
     const { req } = job;
--- a/src/coordination/edge/silence-watch.ts
+++ b/src/coordination/edge/silence-watch.ts
@@ -1,5 +1,4 @@
 import type { BookRow, WorkerBook } from '../../state/worker-book.js';
-import { every } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import type { Outlets } from '../../transport/open-http.js';
@@ -28,6 +27,7 @@
     const of = flights.get(row) ?? new Set<WatchedFlight>();
     flights.set(row, of);
     of.add(flight);
+    arm();
   }
   function end(row: BookRow, flight: WatchedFlight): void {
     const of = flights.get(row);
@@ -60,6 +60,7 @@
       }
       const first = !row.unproven;
       book.silent(row, now);
+      arm();
       if (!first) return;
       log.warn(`${row.entry.id} in ${row.entry.zone} can't be reached.`);
       suspectZone(row);
@@ -82,6 +83,7 @@
     const first = !row.unproven;
     book.silent(row, clock.mono());
     if (first) suspectZone(row);
+    arm();
   }
 
   function look(): void {
@@ -90,8 +92,27 @@
       if (quietMs(of, now) < deps.silentMs || now - (spokenFor.get(row) ?? -RECHECK_MS) < RECHECK_MS) continue;
       if (!row.unproven) check(row);
     }
-    for (const row of book.rows()) if (row.unproven && row.present && row.badUntil <= now) check(row);
+    let open = flights.size > 0;
+    for (const row of book.rows()) {
+      if (!row.unproven || !row.present) continue;
+      open = true;
+      if (row.badUntil <= now) check(row);
+    }
+    if (open) arm();
+  }
+  let looking = false;
+  let stopped = false;
+  function turn(): void {
+    looking = false;
+    if (!stopped) look();
+  }
+  function arm(): void {
+    if (looking) return;
+    looking = true;
+    clock.wakeup(LOOK_MS, turn);
+  }
+  function stop(): void {
+    stopped = true;
   }
-  const looking = every(clock, LOOK_MS, look);
-  return { begin, end, unreached, stop: looking.cancel };
+  return { begin, end, unreached, stop };
 }
