capacity: slopes and plots from the recorded runs; times on the monotonic clock

The wall clock of the machine stepped back by 50 s in a run, and changes came out as in force before they were asked for; they are now told on the clock that all processes share.

--- a/src/basin/hollow.ts
+++ b/src/basin/hollow.ts
@@ -117,7 +117,7 @@
     islandedMost = Math.max(islandedMost, islanded);
     if (now === Infinity || now <= least) return;
     least = now;
-    inForceAt[now] = clock.wall();
+    inForceAt[now] = clock.mono();
     for (const old of Object.keys(inForceAt)) if (Object.keys(inForceAt).length > 200) delete inForceAt[Number(old)];
   }
   const looking = every(clock, LOOK_MS, look);
--- a/tools/capacity.mjs
+++ b/tools/capacity.mjs
@@ -5,6 +5,7 @@
 import { join, resolve } from 'node:path';
 import { defineCommand, runMain, showUsage } from 'citty';
 import { runOnce } from './capacity/run.mjs';
+import { slopes, slopeTable } from './capacity/slopes.mjs';
 
 const ROOT = resolve(import.meta.dirname, '..');
 
@@ -100,10 +101,39 @@
   process.exit(0);
 }
 
+const READ_ARGS = {
+  runs: { type: 'string', default: 'docs/runs', description: 'Folder of the records' },
+  only: { type: 'string', default: 'after', description: 'Start of the names of the records taken' },
+  json: { type: 'boolean', default: false, description: 'Print as JSON' },
+};
+const PLOT_ARGS = { runs: READ_ARGS.runs, out: { type: 'string', default: 'docs/plots', description: 'Folder that the plots are written to' } };
+
+async function recordsIn(folder, only) {
+  const { records } = await import('./capacity/plots.mjs');
+  if (!existsSync(resolve(ROOT, folder))) refuse(`flag --runs: expected a folder with records; found ${JSON.stringify(folder)}`);
+  const all = records(resolve(ROOT, folder)).filter((r) => r.name.startsWith(only));
+  if (all.length === 0) refuse(`flag --runs: expected records named ${only}...; found none in ${JSON.stringify(folder)}`);
+  return all;
+}
+
+async function tellSlopes(ctx) {
+  const a = checked(ctx.rawArgs, ctx.args, READ_ARGS);
+  const rows = slopes(await recordsIn(a.runs, a.only));
+  process.stdout.write(a.json ? `${JSON.stringify(rows, null, 1)}\n` : `${slopeTable(rows)}\n`);
+}
+
+async function drawPlots(ctx) {
+  const a = checked(ctx.rawArgs, ctx.args, PLOT_ARGS);
+  const { plot } = await import('./capacity/plots.mjs');
+  for (const name of await plot(await recordsIn(a.runs, ''), resolve(ROOT, a.out))) process.stdout.write(`${a.out}/${name}.svg\n`);
+}
+
 const main = defineCommand({
   meta: { name: 'capacity', description: 'What control costs at a size: hollow sluices and workers against real headgates on loopback' },
   subCommands: {
     run: defineCommand({ meta: { name: 'run', description: 'One or more measured runs' }, args: RUN_ARGS, run }),
+    slopes: defineCommand({ meta: { name: 'slopes', description: 'Straight lines through the recorded runs, and what they give at the design size' }, args: READ_ARGS, run: tellSlopes }),
+    plots: defineCommand({ meta: { name: 'plots', description: 'Draws the plots of docs/CAPACITY.md from the recorded runs' }, args: PLOT_ARGS, run: drawPlots }),
   },
 });
 
--- a/tools/capacity/figures.mjs
+++ b/tools/capacity/figures.mjs
@@ -1,7 +1,7 @@
 export const DUTIES = {
   probing: ['probe', 'probeFor', 'probeAnswer'],
-  following: ['follow', 'changes', 'followed', 'beat'],
-  reporting: ['reports', 'outlived'],
+  following: ['follow', 'attend', 'unfollow', 'changes', 'followed', 'confirmed', 'beat'],
+  reporting: ['reports', 'reportsAsk', 'outlived', 'usage', 'usages', 'crowd'],
   counts: ['counts'],
   leases: ['leaseAsk', 'leaseAnswer', 'leaseDrop'],
   ledger: ['prepare', 'accept', 'promised', 'accepted', 'outbid', 'alreadyChosen', 'cannotVote', 'learned', 'standingAsk', 'standing', 'fetch', 'fetched', 'found', 'foundAnswer', 'rejoin', 'done'],
@@ -39,13 +39,14 @@
   const duties = {};
   const conns = {};
   const dialled = {};
+  const kinds = {};
   const s = (b.at - a.at) / 1000;
   for (const now of b.parts) {
     const was = a.parts.find((p) => p.name === now.name);
     if (!was?.proc || !now.proc) continue;
     counts[now.role] = (counts[now.role] ?? 0) + now.count;
     rss[now.role] ??= [];
-    rss[now.role].push({ rss: now.proc.rss, heap: now.tally?.heapUsed ?? null, count: now.count });
+    rss[now.role].push({ rss: now.proc.rss, heap: now.tally?.heapUsed ?? null, count: now.count, cpuMsS: Number(((1000 * (now.proc.cpuS - was.proc.cpuS)) / s).toFixed(2)) });
     roles[now.role] ??= { cpuS: 0, procs: [] };
     roles[now.role].cpuS += now.proc.cpuS - was.proc.cpuS;
     roles[now.role].procs.push(Number(((1000 * (now.proc.cpuS - was.proc.cpuS)) / s / now.count).toFixed(3)));
@@ -59,6 +60,10 @@
       }
       if (d.n === 0) continue;
       for (const [role, sends] of [[own, way === 'out'], [peer, way === 'in']]) {
+        const name = `${role} ${kind}`;
+        kinds[name] ??= [0, 0];
+        kinds[name][0] += d.n / span;
+        kinds[name][1] += d.bytes / span;
         const row = duty(duties, role, dutyOf(kind));
         row.messages += d.n / span;
         row.bytes += d.bytes / span;
@@ -79,7 +84,8 @@
     const sum = (key) => Object.values(table).reduce((x, row) => x + row[key], 0);
     out[role] = { count: counts[role] ?? null, cpuMsS: (1000 * r.cpuS) / s / n, procs: r.procs, messagesS: sum('messages'), bytesS: sum('bytes'), conns: (conns[role] ?? 0) / n, dialsS: (dialled[role] ?? 0) / n, rss: rss[role] ?? [], duties: table };
   }
-  return { seconds: Number(s.toFixed(2)), fromNs: a.ns, toNs: b.ns, roles: out };
+  for (const [name, row] of Object.entries(kinds)) kinds[name] = row.map((x) => Number((x / (counts[name.split(' ')[0]] ?? 1)).toFixed(3)));
+  return { kinds, seconds: Number(s.toFixed(2)), fromNs: a.ns, toNs: b.ns, roles: out };
 }
 
 export function perNode(window) {
--- /dev/null
+++ b/tools/capacity/plots.mjs
@@ -0,0 +1,70 @@
+import { mkdirSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parse, View } from 'vega';
+import { compile } from 'vega-lite';
+
+export function records(folder) {
+  const out = [];
+  for (const file of readdirSync(folder).sort()) if (/^capacity-.*\.json$/.test(file)) out.push({ file, ...JSON.parse(readFileSync(join(folder, file), 'utf8')) });
+  return out;
+}
+
+function which(r) {
+  return r.name.startsWith('before') ? 'before' : 'now';
+}
+function role(r, name) {
+  return r.quiet.roles[name];
+}
+function bytesOf(r, name, duties) {
+  let sum = 0;
+  for (const [duty, d] of Object.entries(role(r, name).duties)) if (duties.includes(duty)) sum += d.bytes;
+  return sum;
+}
+function memoryOf(r, name) {
+  const rows = role(r, name).rss;
+  return rows.reduce((n, p) => n + p.rss, 0) / rows.length / 1e6;
+}
+function points(all, x, y) {
+  return all.flatMap((r) => {
+    const value = y(r);
+    return value === null || value === undefined || Number.isNaN(value) ? [] : [{ x: x(r), y: value, run: which(r) }];
+  });
+}
+function series(all, x, parts) {
+  return all.flatMap((r) => Object.entries(parts).flatMap(([name, y]) => [{ x: x(r), y: y(r), run: name }]));
+}
+const nodes = (r) => r.options.nodes;
+const workers = (r) => r.options.workers;
+
+const CONTROL = ['probing', 'following', 'reporting', 'counts'];
+
+export const PLOTS = {
+  'sluice-bytes': { title: 'A sluice: bytes a second for probing, following, reporting and counts', x: 'nodes', y: 'bytes a second', of: (all) => points(all, nodes, (r) => bytesOf(r, 'sluice', CONTROL)), limit: 5_000 },
+  'sluice-duties': { title: 'A sluice now: bytes a second by duty', x: 'nodes', y: 'bytes a second', of: (all) => series(all.filter((r) => which(r) === 'now'), nodes, Object.fromEntries([...CONTROL, 'list', 'workers'].map((d) => [d, (r) => bytesOf(r, 'sluice', [d])]))) },
+  'sluice-processor': { title: 'A sluice: processor time', x: 'nodes', y: 'ms a second', of: (all) => points(all, nodes, (r) => role(r, 'sluice').cpuMsS), limit: 10 },
+  'sluice-list': { title: "A sluice: bytes a second for reading the platform's list itself", x: 'workers', y: 'bytes a second', of: (all) => points(all, workers, (r) => bytesOf(r, 'sluice', ['list'])) },
+  'headgate-bytes': { title: 'A headgate: bytes a second', x: 'nodes', y: 'bytes a second', of: (all) => points(all, nodes, (r) => role(r, 'headgate').bytesS) },
+  'headgate-processor': { title: 'A headgate: processor time', x: 'nodes', y: 'ms a second', of: (all) => points(all, nodes, (r) => role(r, 'headgate').cpuMsS) },
+  'headgate-memory': { title: 'A headgate: memory resident', x: 'nodes', y: 'MB', of: (all) => points(all, nodes, (r) => memoryOf(r, 'headgate')) },
+  'in-force': { title: 'A change one by one, until in force everywhere', x: 'nodes', y: 'ms', of: (all) => all.flatMap((r) => r.changes.filter((c) => c.inForceMs !== null).map((c) => ({ x: nodes(r), y: c.inForceMs, run: which(r) }))), limit: 8_000, log: true },
+};
+
+export async function plot(all, folder) {
+  mkdirSync(folder, { recursive: true });
+  const made = [];
+  for (const [name, p] of Object.entries(PLOTS)) {
+    const values = p.of(all);
+    const xs = { field: 'x', type: 'quantitative', title: p.x };
+    const ys = { field: 'y', type: 'quantitative', title: p.y, ...(p.log ? { scale: { type: 'log' } } : {}) };
+    const layer = [
+      { mark: { type: 'point', filled: true, size: 40 }, encoding: { x: xs, y: ys, color: { field: 'run', type: 'nominal', title: null } } },
+      { mark: { type: 'line', opacity: 0.6 }, encoding: { x: xs, y: { ...ys, aggregate: 'mean' }, color: { field: 'run', type: 'nominal', title: null } } },
+    ];
+    if (p.limit !== undefined) layer.push({ data: { values: [{ y: p.limit }] }, mark: { type: 'rule', strokeDash: [4, 3] }, encoding: { y: { field: 'y', type: 'quantitative' } } });
+    const spec = compile({ $schema: 'https://vega.github.io/schema/vega-lite/v5.json', title: p.title, width: 420, height: 220, background: 'white', data: { values }, layer }).spec;
+    const svg = await new View(parse(spec), { renderer: 'none' }).toSVG();
+    writeFileSync(join(folder, `${name}.svg`), `${svg}\n`);
+    made.push(name);
+  }
+  return made;
+}
--- a/tools/capacity/run.mjs
+++ b/tools/capacity/run.mjs
@@ -88,20 +88,20 @@
     let value = 100;
     async function change(at, base) {
       value = value >= 9_000 ? 101 : value + 1;
-      const wall = Date.now();
+      const from = hostMs();
       const got = await ask(heads[at % heads.length].http, '/v1/configuration/amend', { base, changes: [{ path: ['deployment', 'lineLimit'], value }] });
-      return { status: got.status, epoch: got.body?.epoch ?? null, wall, ackMs: Date.now() - wall };
+      return { status: got.status, epoch: got.body?.epoch ?? null, from, ackMs: Math.round(hostMs() - from) };
     }
     function inForceMs(c, left = edges) {
       let last = 0;
       for (const p of left) {
         if (p.gone) continue;
-        const seen = tallyOf(p)?.extra?.inForceAt ?? {};
-        const at = Object.entries(seen).filter(([e]) => Number(e) >= c.epoch).map(([, t]) => t);
+        const t = tallyOf(p);
+        const at = Object.entries(t?.extra?.inForceAt ?? {}).filter(([e]) => Number(e) >= c.epoch).map(([, ms]) => ms - t.at + t.hostMs);
         if (at.length === 0) return null;
         last = Math.max(last, Math.min(...at));
       }
-      return last - c.wall;
+      return Math.round(last - c.from);
     }
     async function changed(list, n, pauseMs) {
       let base = await epochNow();
@@ -164,6 +164,9 @@
   }
 }
 
+function hostMs() {
+  return Number(process.hrtime.bigint()) / 1e6;
+}
 function short(c) {
   return { status: c.status, ackMs: c.ackMs, inForceMs: c.inForceMs };
 }
