gauge reads status, orders and ledger at the operator's address on the platform too

Cause: a headgate opens no door of its own there, so nobody could ask the ledger who decided what. The product's read-only routes answer beside the platform's calls.

--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -8,6 +8,7 @@
 import type { RingFault, RingShape } from '../transport/ring.js';
 import { newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
+import type { Route } from '../transport/http.js';
 import type { Address, Listener, WireFault } from '../transport/wire.js';
 import { createAimKeeper } from './ledger/aim-keeper.js';
 import { createClaims, noClaims } from './ledger/claims.js';
@@ -33,7 +34,7 @@
 import { createScaler } from './scaling/scaler.js';
 import type { Scaler } from './scaling/scaler.js';
 
-export type Headgate = { readonly wire: Address; readonly http: Address; readonly push: Pick<Push, 'reports' | 'heardAt' | 'quorate'>; readonly ledger: Ledger; readonly claimsReady: () => boolean; readonly holdsScaler: () => boolean; readonly stop: () => Promise<void> };
+export type Headgate = { readonly wire: Address; readonly http: Address; readonly push: Pick<Push, 'reports' | 'heardAt' | 'quorate'>; readonly ledger: Ledger; readonly claimsReady: () => boolean; readonly holdsScaler: () => boolean; readonly reads: readonly Route[]; readonly stop: () => Promise<void> };
 
 export type HeadgateFault = WireFault | RingFault | { readonly tag: 'noDisk' } | { readonly tag: 'identityUnreadable' };
 
@@ -229,8 +230,9 @@
     for (const [model, z] of Object.entries(b.zoneSets)) m.set('millfield_zones_preemptive', 'Zones avoided for spot', z.preemptive.length, { model });
   }
 
+  const routes = operatorRoutes({ ledger, push, aims, clock, status });
   function openDoor(): Promise<Result<Listener, WireFault>> {
-    return deps.door.open(id.httpListen, [...operatorRoutes({ ledger, push, aims, clock, status }), metricsRoute(deps.meters(), meter)]);
+    return deps.door.open(id.httpListen, [...routes, metricsRoute(deps.meters(), meter)]);
   }
   const door = id.operatorDoor === false ? null : await openDoor();
   if (door && !door.ok) {
@@ -261,5 +263,9 @@
     await stopAll();
     log.info('Stopped.');
   }
-  return ok({ wire: opened.value.address, http: served?.address ?? id.http, push, ledger, claimsReady: claims.value.ready, holdsScaler, stop });
+  return ok({ wire: opened.value.address, http: served?.address ?? id.http, push, ledger, claimsReady: claims.value.ready, holdsScaler, reads: routes.filter(isRead), stop });
+}
+
+function isRead(route: Route): boolean {
+  return route.method === 'GET';
 }
