A headgate just started does not take old news of the list for new

The simulated clocks of all nodes counted from one zero, which hid it: in this test each headgate's now counts from its own start.

--- a/src/coordination/edge/list-news.ts
+++ b/src/coordination/edge/list-news.ts
@@ -105,7 +105,7 @@
     const after = book.number();
     const contents = before === null || (after !== null && compareNumbers(before, after) !== 0);
     const advanced = (book.asOf() ?? 0) - readBefore > pace.everyMs / 2;
-    if (m.ageMs !== null && m.kind !== 'listChange' && m.sinceMs !== undefined) heardAt = Math.max(heardAt ?? 0, now - m.sinceMs);
+    if (m.ageMs !== null && m.kind !== 'listChange' && m.sinceMs !== undefined) heardAt = Math.max(heardAt ?? Number.NEGATIVE_INFINITY, now - m.sinceMs);
     else if (contents || advanced) heardAt = clock.mono();
     if (contents || advanced || silentNews) events.emit('taken', { message: m, contents });
     return end;
--- a/src/coordination/scaling/list-duty.test.ts
+++ b/src/coordination/scaling/list-duty.test.ts
@@ -6,6 +6,7 @@
 import { createWorld } from '../../sim/world.js';
 import type { Host, Proc, World } from '../../sim/world.js';
 import type { WorkerEntry } from '../../state/worker-entry.js';
+import type { Clock } from '../../transport/clock.js';
 import { createQuietLog } from '../../transport/log.js';
 import { createRng } from '../../transport/rng.js';
 import type { ListFault, ListFeed, ListReader } from '../edge/list-feed.js';
@@ -68,12 +69,15 @@
   }
   function startHead(h: Head): void {
     const proc = world.begin(h.host);
+    const begun = world.now();
+    const ofWorld = world.clockOf(proc);
+    const clock: Clock = { ...ofWorld, mono: () => ofWorld.mono() - begun };
     h.duty = createListDuty({
       self: h.address,
       reader: readerOf(proc),
       heads: () => room.heads.map((x) => x.address),
       peers: peersOf(proc, h.address),
-      clock: world.clockOf(proc),
+      clock,
       rng: createRng(seed * 31 + h.host.life * 7 + Number(h.host.name.slice(5))),
       log: createQuietLog().part('list'),
     });
@@ -194,6 +198,20 @@
     expect(callsSince(room, from)).toEqual({ heads: 5, edges: 0, readers: 1 });
   });
 
+  test.each([30, 31, 32, 33])('a reader that is back soon after its death does not hold up the next one (seed %i)', async (seed) => {
+    const room = await started(seed);
+    const old = reader(room);
+    const before = room.calls.length;
+    await room.world.until(2_000, () => room.calls.length > before);
+    const last = room.world.now();
+    await room.world.advance(100);
+    room.world.kill(old.host);
+    await room.world.advance(500);
+    room.startHead(old);
+    expect(await room.world.until(5_000, () => room.calls.some((c) => c.at > last))).toBe(true);
+    expect(room.world.now() - last).toBeLessThan(1_700);
+  });
+
   test('a reader that wakes and reaches no other at first, yet hears one, lets it read on', async () => {
     const room = await started(15);
     const old = reader(room);
