In a large fleet a lost worker is dialled by eight sluices, not by all

Cause: on the grown sites each of 73 sluices dialled every worker of a zone with one out of reach, and each lost one again every 2 s. Now eight owners, near ones first, dial each 2 s, the others by their number seldom, or at once when usage tells that others ran something there; workers without a conn of this sluice wait for their use.

--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -163,7 +163,7 @@
   }
   const telling = every(clock, USAGE_MS, tellUsage);
   function onCrowd(m: MessageOf<'crowd'>): null {
-    book.takeCrowd(m.rows);
+    book.takeCrowd(m.rows, clock.mono());
     relay.wake();
     return null;
   }
--- a/src/coordination/edge/silence-watch.ts
+++ b/src/coordination/edge/silence-watch.ts
@@ -72,6 +72,7 @@
   function suspectZone(row: BookRow): void {
     for (const other of book.rows()) {
       if (other === row || other.unproven || !other.present || other.entry.zone !== row.entry.zone) continue;
+      if (!book.fewSharers() && other.running === 0 && outlets.open(other.entry.address) === 0) continue;
       const of = flights.get(other);
       if (of && quietMs(of, clock.mono()) < deps.silentMs / 2) continue;
       other.unproven = true;
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -29,6 +29,8 @@
   readonly connectMs: number;
   readonly connectLeastMs: number;
   readonly silentMs: number;
+  readonly redialMs: number;
+  readonly redialers: number;
   readonly retryMs: number;
   readonly backMs: number;
   readonly openingMs: number;
@@ -72,6 +74,8 @@
   connectMs: 600,
   connectLeastMs: 240,
   silentMs: 500,
+  redialMs: 2_000,
+  redialers: 8,
   retryMs: 250,
   backMs: 1_200,
   openingMs: 1_200,
--- a/src/state/worker-book.test.ts
+++ b/src/state/worker-book.test.ts
@@ -60,7 +60,7 @@
   const parts = [{ id: 'rules', tokens: 500 }, { id: 'own', tokens: 100 }];
   const first = b!.place(ask({ parts, tokens: 600, pinned: true }));
   const id = first.tag === 'row' ? first.row.entry.id : '';
-  b!.takeCrowd({ [id]: [60, 30_000, 100_000, 0, 9] });
+  b!.takeCrowd({ [id]: [60, 30_000, 100_000, 0, 9] }, 0);
   const next = b!.place(ask({ parts, tokens: 600, pinned: true }));
   expect(next.tag === 'row' && next.row.entry.id).not.toBe(id);
 });
@@ -84,7 +84,7 @@
     if (i % 2 === 0) a!.spoilt(row, 100);
     else a!.served(row, 100);
   }
-  b!.takeCrowd(a!.usage(200));
+  b!.takeCrowd(a!.usage(200), 200);
   for (const book of [a!, b!]) {
     for (let i = 0; i < 20; i += 1) {
       const got = book.place(ask({ now: 2_000 }));
@@ -118,3 +118,19 @@
   const later = b!.place(ask({ now: 6_000 }));
   expect(later.tag === 'row' && later.row.entry.id).toBe('w0');
 });
+
+test('a lost worker is dialled by few of many sluices often, by the others seldom, unless others ran something there', () => {
+  const all = books(73, [entry('w')]);
+  let soon = 0;
+  for (const b of all) {
+    const row = [...b.rows()][0]!;
+    for (let i = 0; i < 8; i += 1) b.silent(row, 1_000);
+    if (row.badUntil <= 3_000) soon += 1;
+    else {
+      expect(row.badUntil).toBeGreaterThan(10_000);
+      b.takeCrowd({ w: [1, 0, 0, 0, 1] }, 4_000);
+      expect(row.badUntil).toBe(4_000);
+    }
+  }
+  expect(soon).toBe(EDGE_TUNING.redialers);
+});
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -30,7 +30,7 @@
   fullUntil: number;
   kept: KeptParts;
   runs: RunCounts;
-  owners: { readonly of: Readonly<Record<string, Sharer>>; readonly names: readonly string[] } | null;
+  owners: { readonly of: Readonly<Record<string, Sharer>>; readonly most: number; readonly names: readonly string[] } | null;
 };
 
 export type Usage = { readonly running: number; readonly unread: number; readonly kv: number; readonly bad: number; readonly ran: number };
@@ -67,13 +67,14 @@
   readonly reached: (row: BookRow, now: number) => void;
   readonly served: (row: BookRow, now: number) => void;
   readonly connectMs: (row: BookRow) => number;
+  readonly fewSharers: () => boolean;
   readonly full: (row: BookRow, now: number, forMs: number) => void;
   readonly moved: (row: BookRow) => void;
   readonly cold: (row: BookRow, now: number, ms: number) => void;
   readonly rows: () => Iterable<BookRow>;
   readonly sharers: (sluices: Readonly<Record<string, Sharer>>) => void;
   readonly usage: (now: number) => UsageRows;
-  readonly takeCrowd: (rows: UsageRows) => void;
+  readonly takeCrowd: (rows: UsageRows, now: number) => void;
   readonly took: (row: BookRow, ms: number) => void;
 };
 
@@ -157,13 +158,13 @@
     return owners.includes(self.name) ? Math.max(1, Math.floor(whole / owners.length)) : 0;
   }
   function ownersOf(row: BookRow, most: number): readonly string[] {
-    if (row.owners && row.owners.of === sluices) return row.owners.names;
+    if (row.owners && row.owners.of === sluices && row.owners.most === most) return row.owners.names;
     const ranks: { readonly name: string; readonly near: boolean; readonly hash: number }[] = [];
     for (const [name, s] of Object.entries(sluices)) ranks.push({ name, near: s.region === row.entry.region, hash: hash32(`${row.entry.id}|${name}`) });
     ranks.sort(nearFirst);
     const names: string[] = [];
     for (const r of ranks.slice(0, most)) names.push(r.name);
-    row.owners = { of: sluices, names };
+    row.owners = { of: sluices, most, names };
     return names;
   }
   function nearFirst(a: { readonly near: boolean; readonly hash: number }, b: { readonly near: boolean; readonly hash: number }): number {
@@ -278,7 +279,14 @@
     row.fails += 1;
     if (!row.unproven || row.silentSince === 0) row.silentSince = now;
     row.unproven = true;
-    row.badUntil = now + Math.min(2_000, 250 * 2 ** row.fails);
+    row.badUntil = now + Math.min(redialMs(row), 250 * 2 ** row.fails);
+  }
+  function fewSharers(): boolean {
+    return sharing <= tuning.redialers;
+  }
+  function redialMs(row: BookRow): number {
+    if (fewSharers() || ownersOf(row, tuning.redialers).includes(self.name)) return tuning.redialMs;
+    return (tuning.redialMs * sharing) / tuning.redialers;
   }
   function reached(row: BookRow, now: number): void {
     if (row.silentSince > 0 && now - row.silentSince > tuning.doubtFromMs) row.doubtUntil = now + tuning.doubtForMs;
@@ -322,10 +330,12 @@
     }
     return out;
   }
-  function takeCrowd(sums: UsageRows): void {
+  function takeCrowd(sums: UsageRows, now: number): void {
     for (const row of rows.values()) {
       const sum = sums[row.entry.id];
+      const before = row.others;
       row.others = sum ? beyond(sum, row.told) : NO_USAGE;
+      if (row.unproven && row.others.ran > before.ran && row.others.bad <= before.bad) row.badUntil = Math.min(row.badUntil, now);
     }
   }
   function all(): Iterable<BookRow> {
@@ -335,7 +345,7 @@
     sluices = { ...known };
     sharing = Math.max(1, Object.keys(known).length);
   }
-  return { takeList, takeZones, place, begin, failed, spoilt, silent, reached, served, connectMs, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
+  return { takeList, takeZones, place, begin, failed, spoilt, silent, reached, served, connectMs, fewSharers, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
 }
 
 type Ranked = { readonly hash: number; readonly row: BookRow };
