News is told four times by each node; what it misses, the sum finds

After a start of all, 100 nodes were still telling news at 8.2 KB a node and second, each item 15 times by each node. capacity: rest before the measurement is a setting, and a slow start is told.

--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -27,6 +27,7 @@
 const HELPERS = 3;
 const SUSPECT_MS = 2_500;
 const NEWS_BYTES = 1_000;
+const TIMES_TOLD = 4;
 const FAR_EACH = 4;
 const COMPARE_MS = 10_000;
 const FORGET_MS = 600_000;
@@ -72,7 +73,6 @@
 
   function news(): (NodeInfo | NodeNews)[] {
     const names = [...shares.keys()].sort(fewestFirst);
-    const limit = 2 + Math.ceil(1.5 * Math.log2(members.size + 2));
     const out: (NodeInfo | NodeNews)[] = [];
     let bytes = 0;
     for (const name of names) {
@@ -81,7 +81,7 @@
       bytes += told ? JSON.stringify(told).length : 0;
       if (bytes > NEWS_BYTES) break;
       const n = (shares.get(name) ?? 0) + 1;
-      if (n > limit) shares.delete(name);
+      if (n >= TIMES_TOLD) shares.delete(name);
       else shares.set(name, n);
       if (told) out.push(told);
     }
--- a/tools/capacity.mjs
+++ b/tools/capacity.mjs
@@ -13,6 +13,7 @@
   nodes: { default: '10', least: 1, most: 400, description: 'Hollow sluices' },
   workers: { default: '30', least: 1, most: 1_000, description: 'Hollow workers' },
   headgates: { default: '3', least: 1, most: 9, description: 'Headgates (real processes)' },
+  settle: { default: '8', least: 0, most: 300, description: 'Seconds of rest before the quiet measurement' },
   seconds: { default: '12', least: 2, most: 60, description: 'Length of the quiet measurement' },
   changes: { default: '8', least: 0, most: 60, description: 'Configuration changes, one by one' },
   burst: { default: '20', least: 0, most: 200, description: 'Configuration changes without a pause' },
--- a/tools/capacity/run.mjs
+++ b/tools/capacity/run.mjs
@@ -5,7 +5,6 @@
 import { planOf } from './plan.mjs';
 import { dutyShares } from './profile.mjs';
 
-const SETTLE_S = 8;
 
 async function ask(address, path, body, waitMs = 12_000) {
   const init = body === undefined ? {} : { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) };
@@ -23,7 +22,7 @@
 }
 
 export async function runOnce(options, say) {
-  const { nodes, workers, headgates, seconds, changes, burst, restarts, zoneLoss, profile, bin, folder, port, tenants, wholeProbes } = options;
+  const { nodes, workers, headgates, settle, seconds, changes, burst, restarts, zoneLoss, profile, bin, folder, port, tenants, wholeProbes } = options;
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
   const plan = planOf({ folder, nodes, workers, headgates, port, wholeProbes, tenants });
@@ -61,13 +60,14 @@
     for (const h of plan.hollow) parts.push(children.start(h));
     const edges = parts.filter((p) => p.role === 'sluice');
     const serving = () => edges.reduce((n, p) => n + (tallyOf(p)?.extra?.serving ?? 0), 0);
-    const servingS = await until('all sluices serving', 90, () => serving() === nodes);
+    const starting = setInterval(() => say(`${serving()} sluices serve`), 5_000);
+    const servingS = await until('all sluices serving', 120, () => serving() === nodes).finally(() => clearInterval(starting));
     say(`${nodes} sluices serve after ${((performance.now() - startedAt) / 1000).toFixed(1)} s`);
     const ordered = await until('workers', 60, async () => {
       const { orders } = (await ask(head, '/v1/orders')).body;
       return orders.filter((o) => o.status === 'ready').length >= plan.ordered;
     }).catch(() => null);
-    await sleep(SETTLE_S * 1000);
+    await sleep(settle * 1000);
 
     function snapshot() {
       return { at: performance.now(), ns: Number(process.hrtime.bigint()), load: null, parts: parts.filter((p) => !p.gone).map((p) => ({ name: p.name, role: p.role, count: p.count, proc: procOf(p.pid), tally: tallyOf(p) })) };
@@ -160,7 +160,7 @@
     const memoryMost = children.memory();
     await children.end();
     const shares = profile ? dutyShares(folder, parts, quiet.fromNs, quiet.toNs) : null;
-    return { options: { nodes, workers, headgates, seconds, changes, burst, restarts, zoneLoss, profile, tenants, wholeProbes }, startedS: servingS, orderedS: ordered, memoryMost, processes: parts.length, quiet, changes: single.map(short), withChanges, burst: row.map(short), burstS, withBurst, withRestarts, lost, shares, perNode: perNode(quiet) };
+    return { options: { nodes, workers, headgates, settle, seconds, changes, burst, restarts, zoneLoss, profile, tenants, wholeProbes }, startedS: servingS, orderedS: ordered, memoryMost, processes: parts.length, quiet, changes: single.map(short), withChanges, burst: row.map(short), burstS, withBurst, withRestarts, lost, shares, perNode: perNode(quiet) };
   }
 }
 
