Hollow sluices of a process share one reading of the list

With 350 sluices each reading 600 workers a second, the platform's stand-in, one process, was the limit: 268 of 350 came to serve, the rest had no list. That each reads for itself is counted as before, and told as what doesn't carry.

--- a/src/basin/hollow.ts
+++ b/src/basin/hollow.ts
@@ -21,6 +21,7 @@
 export type HollowSluice = Pick<NodeIdentity, 'name' | 'zone' | 'region' | 'listen' | 'http' | 'seeds' | 'platform' | 'cloud'>;
 
 const LOOK_MS = 20;
+const SHARED_MS = 900;
 const STARTS_EVERY_MS = 20;
 
 // A door without callers: nothing listens, so all that a sluice does is control.
@@ -34,16 +35,26 @@
   return undefined;
 }
 
-// Workers' fitness is answered from the list last read through this caller, so that hollow workers need no conns.
-export function hollowWorkers(caller: Caller): Caller {
+// The sluices of a process share one reading of the list each second, and workers' fitness is answered from it, so that hollow workers need no conns.
+export function hollowWorkers(caller: Caller, clock: Clock): Caller {
   const listed = new Map<Address, Listed>();
+  let reading: Promise<Result<HttpAnswer, HttpFault>> | null = null;
+  let readAt = 0;
   async function call(c: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
     const known = c.path === FITNESS_PATH ? listed.get(c.address) : undefined;
     if (known) return ok(answer({ id: known.id, incarnation: known.machine, model: known.model, state: known.state, running: 0, readyForMs: 60_000 }));
+    if (c.path !== WORKERS_PATH) return caller.call(c);
+    if (reading === null || clock.mono() - readAt > SHARED_MS) {
+      readAt = clock.mono();
+      reading = read(c);
+    }
+    return reading;
+  }
+  async function read(c: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
     const got = await caller.call(c);
-    if (c.path === WORKERS_PATH && got.ok) {
-      const read = readWorkerList(got.value.body);
-      if (read.ok) for (const w of read.value.workers) listed.set(w.address, w);
+    if (got.ok) {
+      const list = readWorkerList(got.value.body);
+      if (list.ok) for (const w of list.value.workers) listed.set(w.address, w);
     }
     return got;
   }
--- a/src/programs/hollow.ts
+++ b/src/programs/hollow.ts
@@ -48,6 +48,7 @@
     return part?.tally() ?? null;
   }
   const tally = tallyInto(plan.tally, extra);
+  const shared = hollowWorkers(createGotCaller(DIAL_MS), clock);
 
   if (plan.outside && !(await startOutside(plan.outside))) return leave(EXIT.cannotListen);
   if (plan.sluices.length > 0) {
@@ -67,7 +68,7 @@
       rng: createOsRng(),
       wire: createTcpWire(logs.part('wire'), DIAL_MS, tally.meterOf(own)),
       door: hollowDoor(),
-      caller: plan.wholeProbes ? counted : tally.countedCaller(own, hollowWorkers(createGotCaller(DIAL_MS))),
+      caller: plan.wholeProbes ? counted : tally.countedCaller(own, shared),
       disk: null,
       logs,
       policies: POLICIES,
