A request with none of its workers in reach is told to come back after a third of its time

Origins keep to a time of up to a third of what they have left; such a request is refused at once as before and told 0.3 of it. Busy workers still mean about a second.

--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -284,3 +284,17 @@
     expect(answer.status).toBe(kind === 'once' ? 502 : 0);
   }
 });
+
+test('with no worker of its homes in reach a request is told at once to come back much later than when all are busy', async () => {
+  async function told(entries: readonly WorkerEntry[], first: boolean): Promise<number> {
+    const r = await rig({ aimMs: 100, homes: ['r2'], deadlineMs: 15_000 }, entries);
+    if (first) r.ask();
+    await r.world.advance(1);
+    const { answer } = r.ask();
+    await r.world.advance(60);
+    expect(answer.status).toBe(503);
+    return Number(answer.headers[answer.headers.indexOf('Retry-After') + 1]);
+  }
+  expect(await told([entry('w')], false)).toBeGreaterThan(4);
+  expect(await told([entry('w', 'z2', 'r2', { places: 1 })], true)).toBeLessThan(2);
+});
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -184,7 +184,8 @@
         return;
       }
       if (!taken) {
-        giveUp(job, 'full', backIn(1));
+        const none = book.place(askOf(job)).tag === 'none';
+        giveUp(job, none ? 'noneInReach' : 'full', none ? Math.max(backIn(1), (tuning.awayShare * (job.until - clock.mono())) / 1_000) : backIn(1));
         return;
       }
       if (job.dispatches > 0) {
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -33,6 +33,7 @@
   readonly redialers: number;
   readonly retryMs: number;
   readonly backMs: number;
+  readonly awayShare: number;
   readonly openingMs: number;
   readonly lineMost: number;
   readonly lineShare: number;
@@ -78,6 +79,7 @@
   redialers: 8,
   retryMs: 250,
   backMs: 1_200,
+  awayShare: 0.3,
   openingMs: 1_200,
   lineMost: 200,
   lineShare: 0.22,
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -219,7 +219,7 @@
     let any = false;
     for (const row of list) {
       if (!usable(row, ask)) continue;
-      any = true;
+      if (!row.unproven) any = true;
       if (row.unproven || row.badUntil > ask.now || row.fullUntil > ask.now) continue;
       if (row.fails > 0 && row.running > 0) continue;
       if (row.running >= placesOf(row, ask) || !coldRoom(row, ask)) continue;
