Tests of the door and of the package give the same verdict on a busy machine

Only the test of the wait uses that door now. The packed package was sought from a folder whose parents held another package.json of the same name, which Node takes for the package itself; the caller's folder has its own now. Expectations are unchanged.

--- a/src/programs/package.test.ts
+++ b/src/programs/package.test.ts
@@ -1,6 +1,6 @@
 import { afterAll, beforeAll, describe, expect, test } from '@jest/globals';
 import { execFileSync } from 'node:child_process';
-import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync } from 'node:fs';
+import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { dirname, join, resolve } from 'node:path';
 
@@ -13,6 +13,7 @@
   folder = mkdtempSync(join(tmpdir(), 'millfield-'));
   const at = join(folder, 'node_modules', 'millfield');
   mkdirSync(at, { recursive: true });
+  writeFileSync(join(folder, 'package.json'), JSON.stringify({ name: 'caller', private: true }));
   const source = join(folder, 'source');
   for (const part of ['package.json', 'README.md', 'LICENSE', 'docs', 'examples']) cpSync(join(ROOT, part), join(source, part), { recursive: true });
   execFileSync(process.execPath, [join(ROOT, 'node_modules/typescript/bin/tsc'), '-p', 'tsconfig.build.json', '--outDir', join(source, 'dist')], { cwd: ROOT });
@@ -30,7 +31,7 @@
   return execFileSync(process.execPath, args, { cwd: folder, encoding: 'utf8', env: { PATH: process.env['PATH'] ?? '' } });
 }
 
-describe('the packed package, in an empty folder', () => {
+describe('the packed package, in a folder of a caller', () => {
   test('gives millfield/flume to a caller', () => {
     expect(node('--input-type=module', '-e', "import { createFlume } from 'millfield/flume'; console.log(typeof createFlume({ sluices: [] }).send)").trim()).toBe('function');
   });
--- a/src/transport/door.test.ts
+++ b/src/transport/door.test.ts
@@ -9,6 +9,7 @@
 import type { Result } from '../base/result.js';
 
 let door: Listener;
+let hasty: Listener;
 let read = 0;
 const caller = createGotCaller(1_000);
 
@@ -42,12 +43,16 @@
   { method: 'GET', path: '/text', handle: () => Promise.resolve({ status: 200, text: 'plain' }) },
 ];
 
+async function opened(bodyWaitMs?: number): Promise<Listener> {
+  const got = await createExpressDoor(createQuietLog().part('door'), bodyWaitMs).open('127.0.0.1:0', routes);
+  if (!got.ok) throw new Error(got.fault.tag);
+  return got.value;
+}
 beforeAll(async () => {
-  const opened = await createExpressDoor(createQuietLog().part('door'), 300).open('127.0.0.1:0', routes);
-  if (!opened.ok) throw new Error(opened.fault.tag);
-  door = opened.value;
+  door = await opened();
+  hasty = await opened(300);
 });
-afterAll(() => door.close());
+afterAll(() => Promise.all([door.close(), hasty.close()]));
 
 function post(path: string, body: unknown, headers = {}): Promise<Result<HttpAnswer, HttpFault>> {
   return caller.call({ method: 'POST', address: door.address, path, body, headers, timeoutMs: 3_000 });
@@ -74,7 +79,7 @@
   });
   function raw(text: string, hangUp: boolean): Promise<string> {
     return new Promise((done) => {
-      const at = splitAddress(door.address);
+      const at = splitAddress(hasty.address);
       const sock = createConnection({ host: at?.host ?? '', port: at?.port ?? 0 });
       let told = '';
       sock.on('data', (chunk) => (told += String(chunk)));
