--- a/tools/capacity/children.mjs
+++ b/tools/capacity/children.mjs
@@ -9,13 +9,14 @@
 
 export function createChildren(bin, folder, profile) {
   const running = new Map();
-  let ending = false;
+  let ending = null;
 
   function start(child) {
     if (running.size >= PROCESSES_LIMIT) throw new Error(`more than ${PROCESSES_LIMIT} processes`);
     const out = openSync(join(folder, `${child.name}.log`), 'a');
     const flags = profile ? ['--cpu-prof', `--cpu-prof-dir=${folder}`, `--cpu-prof-name=${child.name}.cpuprofile`, '--cpu-prof-interval', '1000'] : [];
-    const proc = spawn(process.execPath, [...flags, bin, ...child.args], { stdio: ['pipe', out, out] });
+    const small = child.role === 'headgate' ? [] : ['--max-old-space-size=320', '--max-semi-space-size=8'];
+    const proc = spawn(process.execPath, [...flags, ...small, bin, ...child.args], { stdio: ['pipe', out, out] });
     proc.stdin.on('error', () => {});
     const held = { ...child, proc, pid: proc.pid, gone: false };
     proc.on('exit', () => {
@@ -30,9 +31,11 @@
     if (!child.gone) child.proc.stdin.write(`${line}\n`);
   }
 
-  async function end() {
-    if (ending) return;
-    ending = true;
+  function end() {
+    ending ??= endAll();
+    return ending;
+  }
+  async function endAll() {
     const left = [...running.values()];
     for (const c of left) c.proc.kill('SIGTERM');
     for (let i = 0; i < 100 && left.some((c) => !c.gone); i += 1) await sleep(100);
@@ -46,7 +49,7 @@
 
   function memory() {
     let all = 0;
-    for (const c of running.values()) all += procOf(c.pid)?.rss ?? 0;
+    for (const c of running.values()) all += procOf(c.pid)?.own ?? 0;
     return all;
   }
   function withinMemory() {
@@ -60,7 +63,7 @@
     const stat = readFileSync(`/proc/${pid}/stat`, 'utf8').replace(/^.*\) /, '').split(' ');
     const status = readFileSync(`/proc/${pid}/status`, 'utf8');
     const kb = (key) => Number(new RegExp(`^${key}:\\s+(\\d+)`, 'm').exec(status)?.[1] ?? 0) * 1024;
-    return { cpuS: (Number(stat[11]) + Number(stat[12])) / TICKS_A_SECOND, rss: kb('VmRSS'), peak: kb('VmHWM') };
+    return { cpuS: (Number(stat[11]) + Number(stat[12])) / TICKS_A_SECOND, rss: kb('VmRSS'), own: kb('RssAnon'), peak: kb('VmHWM') };
   } catch {
     return null;
   }
