--- /dev/null
+++ b/src/coordination/edge/open-sluice.test.ts
@@ -0,0 +1,109 @@
+import { expect, test } from '@jest/globals';
+import { OPEN_WORDS as W } from '../../protocol/open-words.js';
+import { createSimCore } from '../../sim/sim-core.js';
+import { EDGE_TUNING } from '../../state/edge-tuning.js';
+import { DEFAULT_LIMITS } from '../../state/serving.js';
+import type { Serving } from '../../state/serving.js';
+import { createQuietLog } from '../../transport/log.js';
+import type { OpenRequest, Outlets, SendEvents } from '../../transport/open-http.js';
+import { createRng } from '../../transport/rng.js';
+import { startOpenSluice } from './open-sluice.js';
+
+const SERVING: Serving = {
+  number: 1, limits: DEFAULT_LIMITS,
+  mappings: { r: { at: 0, host: 'a.example', prefix: '/x/', kind: 'once', resumable: false, pinned: false, rank: 0, deadlineMs: 20_000, aimMs: 800, pauseMs: null, dispatches: 1, shares: [{ model: 'm', share: 1 }], split: false, homes: [] } },
+  models: { m: { at: 0, fitnessPath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
+};
+
+async function rig(seed: number) {
+  const core = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: 20 });
+  core.startAll();
+  const names = core.nodes.map((n) => n.name);
+  expect(await core.until(20_000, () => core.whole(names))).toBe(true);
+  core.world.host('s1', 'zone-h1');
+  const { wire, clock } = core.lab('s1');
+  const sent: SendEvents[] = [];
+  const outlets: Outlets = {
+    send: (_what, events) => { sent.push(events); return { cut: () => undefined }; },
+    check: () => undefined, open: () => 0, idle: () => 0, forget: () => undefined, made: () => 0, stop: () => undefined,
+  };
+  const doors: ((req: OpenRequest) => void)[] = [];
+  let listed = true;
+  let tellList = (): void => undefined;
+  const started = startOpenSluice(
+    { name: 's1', run: 'run-1', zone: 'zone-h1', region: 'zone-h1', listen: '10.0.1.1:9000', front: '10.0.1.1:80', seeds: core.nodes.map((n) => n.wire) },
+    {
+      clock, rng: createRng(seed), wire, logs: createQuietLog(), words: W, tuning: EDGE_TUNING, outlets,
+      door: { open: (address, handle) => { doors.push(handle); return Promise.resolve({ ok: true, value: { address, close: () => Promise.resolve(), closeIdle: () => undefined, limit: () => undefined } }); } },
+      feed: () => ({
+        entries: () => [{ id: 'w', model: 'm', address: '10.0.0.9:1', zone: 'zone-h1', region: 'zone-h1', release: '', places: 4, leaving: false, remainingMs: null, coldMs: 0 }],
+        asOf: () => (listed ? clock.mono() : null), events: { on: (_name, fn) => { tellList = fn as () => void; } }, stop: () => undefined,
+      }),
+    },
+  );
+  const got = await core.finish(started, 5_000);
+  if (!got?.ok) throw new Error('did not start');
+  const sluice = got.value;
+  tellList();
+  const answers: { status: number; headers: string[]; ended: boolean }[] = [];
+  function ask(path = '/x/1'): void {
+    const answer = { status: 0, headers: [] as string[], ended: false };
+    answers.push(answer);
+    const all: Record<string, string> = { host: 'a.example', [W.dispatchId]: `q${answers.length}` };
+    doors[0]?.({
+      method: 'POST', target: path, headers: Object.entries(all).flat(), get: (n) => all[n] ?? null,
+      body: () => Promise.resolve({ ok: true, value: Buffer.from('hi') }),
+      answerer: { head: (s, h) => { answer.status = s; answer.headers = [...h]; }, write: () => undefined, end: () => { answer.ended = true; }, cut: () => undefined, gone: () => false, onGone: () => undefined },
+    });
+  }
+  function answer(i: number): void {
+    const h = { [W.dispatchId]: `q${i + 1}`, [W.seal]: 's' } as Record<string, string>;
+    sent[i]?.head(200, Object.entries(h).flat(), (n) => h[n] ?? null);
+    sent[i]?.data(Buffer.from('out'));
+    sent[i]?.end();
+  }
+  async function configure(): Promise<void> {
+    const ledger = core.node('h1').headgate!.ledger;
+    const work = ledger.propose({ id: 'first', cause: 'A test configures.', act: { tag: 'configured', base: ledger.belief().epoch, changes: [{ path: ['serving'], value: SERVING }] } }, 2_000);
+    expect((await core.finish(work, 10_000))?.ok).toBe(true);
+  }
+  return { core, sluice, sent, answers, ask, answer, configure, list: (on: boolean) => { listed = on; } };
+}
+
+test.each([1, 2])('a sluice that is told to stop names itself unready at once, and ends only when all that it took is answered (seed %i)', async (seed) => {
+  const r = await rig(seed);
+  await r.configure();
+  expect(await r.core.until(5_000, () => r.sluice.ready())).toBe(true);
+  r.ask();
+  await r.core.world.advance(10);
+  expect(r.sent).toHaveLength(1);
+  let ended = false;
+  void r.sluice.drain(8_000).then(() => { ended = true; });
+  expect(r.sluice.ready()).toBe(false);
+  await r.core.world.advance(5_000);
+  expect(ended).toBe(false);
+  r.answer(0);
+  await r.core.world.advance(200);
+  expect(r.answers[0]).toMatchObject({ status: 200, ended: true });
+  expect(r.answers[0]!.headers).toContain('Connection');
+  expect(ended).toBe(true);
+});
+
+test('what comes before the first configuration waits for it, and is not denied', async () => {
+  const r = await rig(3);
+  r.ask();
+  await r.core.world.advance(300);
+  expect(r.answers[0]!.status).toBe(0);
+  await r.configure();
+  expect(await r.core.until(900, () => r.sent.length === 1)).toBe(true);
+});
+
+test('what comes while no list or configuration is known is told to come back, never that there is no mapping', async () => {
+  const r = await rig(4);
+  r.list(false);
+  r.ask();
+  await r.core.world.advance(3_000);
+  expect(r.answers[0]!.status).toBe(503);
+  expect(r.answers[0]!.headers).toContain('Retry-After');
+  expect(r.sent).toHaveLength(0);
+});
--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -298,3 +298,42 @@
   expect(await told([entry('w')], false)).toBeGreaterThan(4);
   expect(await told([entry('w', 'z2', 'r2', { places: 1 })], true)).toBeLessThan(2);
 });
+
+test('a request goes on unchanged, under its own id, to the one worker that it names', async () => {
+  const r = await rig({ kind: 'once' }, [entry('w')]);
+  r.ask({ 'x-own': 'kept', 'connection': 'close', [W.expectWorker]: 'somebody' });
+  await r.world.advance(1);
+  const { what } = r.sent[0]!;
+  const sent = new Map<string, string>();
+  for (let i = 0; i + 1 < what.headers.length; i += 2) sent.set(what.headers[i]!, what.headers[i + 1]!);
+  expect({ method: what.method, target: what.target, body: what.body?.toString() }).toEqual({ method: 'POST', target: '/x/1', body: 'hi' });
+  expect(sent.get('host')).toBe('a.example');
+  expect(sent.get(W.dispatchId)).toBe('q1');
+  expect(sent.get('x-own')).toBe('kept');
+  expect(sent.has('connection')).toBe(false);
+  expect(sent.get(W.expectWorker)).toBe('w');
+});
+
+test('a worker that is another by now gets nothing more, and the request goes elsewhere as not run', async () => {
+  const r = await rig({ kind: 'once' }, [entry('w'), entry('vv')]);
+  r.ask();
+  await r.world.advance(1);
+  const moved = r.sent[0]!.what.address;
+  r.sent[0]!.events.head(421, [], () => null);
+  r.sent[0]!.events.end();
+  await r.world.advance(1);
+  for (let i = 0; i < 4; i += 1) r.ask();
+  await r.world.advance(1);
+  expect(r.sent.length).toBeGreaterThan(2);
+  expect(r.sent.slice(1).map((s) => s.what.address)).not.toContain(moved);
+});
+
+test('a stream whose worker ends in the middle of an event is cut, not ended', async () => {
+  const r = await rig({ kind: 'stream' }, [entry('w')]);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  sealed(r.sent[0]!, 'id: 1\ndata: a\n\nid: 2\nda');
+  r.sent[0]!.events.end();
+  await r.world.advance(1);
+  expect(answer).toMatchObject({ body: 'id: 1\ndata: a\n\n', ended: false, cut: true });
+});
--- /dev/null
+++ b/src/coordination/ledger/follower.test.ts
@@ -0,0 +1,77 @@
+import { expect, test } from '@jest/globals';
+import type { Message, MessageKind, MessageOf } from '../../protocol/messages.js';
+import { emptyBelief } from '../../state/belief.js';
+import { createWorld } from '../../sim/world.js';
+import { createQuietLog } from '../../transport/log.js';
+import type { Peer, Peers } from '../members/peers.js';
+import { createFollower } from './follower.js';
+
+const HEAD = '10.0.0.1:1';
+
+async function rig() {
+  const world = createWorld(3);
+  const host = world.host('edge', 'z1');
+  const clock = world.clockOf(world.begin(host));
+  const handlers = new Map<MessageKind, (m: never, peer: Peer) => unknown>();
+  const told: Message[] = [];
+  const peer: Peer = { tell: (m) => { told.push(m); }, onClosed: () => undefined, close: () => undefined };
+  const peers: Peers = {
+    open: () => Promise.resolve({ ok: true, value: { address: '', close: () => Promise.resolve() } }),
+    on: (kind, handler) => { handlers.set(kind, handler as never); },
+    call: (to) => Promise.resolve({ ok: false, fault: { tag: 'peerSilent', address: to } }),
+    tell: () => Promise.resolve(true),
+    hold: () => Promise.resolve({ ok: true, value: peer }),
+    knownAt: () => undefined,
+    close: () => Promise.resolve(),
+  };
+  const follower = await createFollower({ name: 's1', zone: 'z1', region: 'r1' }, [HEAD], peers, clock, null, createQuietLog().part('follow'));
+  await world.advance(5);
+  function hear(m: Message): void {
+    handlers.get(m.kind)?.(m as never, peer);
+  }
+  function believe(slot: number, zones: readonly string[]): void {
+    const evacuated = Object.fromEntries(zones.map((z) => [z, slot]));
+    hear({ kind: 'changes', ledger: 'l1', belief: { ...emptyBelief(), slot, ledger: 'l1', evacuated }, batches: [] } as MessageOf<'changes'>);
+  }
+  function beat(top: number, echo: number): void {
+    hear({ kind: 'beat', from: 'h1', ledger: 'l1', slot: follower.belief().slot, top, quorate: true, wall: clock.wall(), echo });
+  }
+  function newestNonce(): number {
+    return Math.max(...told.map((m) => ('nonce' in m ? m.nonce : 0)));
+  }
+  return { world, host, follower, believe, beat, newestNonce };
+}
+
+test('news of an older slot never takes the place of newer news', async () => {
+  const { follower, believe } = await rig();
+  believe(7, ['z9']);
+  believe(3, []);
+  expect(follower.belief()).toMatchObject({ slot: 7, evacuated: { z9: 7 } });
+});
+
+test('an attestation counts only once all that it attests has been folded', async () => {
+  const { follower, believe, beat, newestNonce } = await rig();
+  believe(3, []);
+  beat(5, newestNonce());
+  expect(follower.fresh()).toBe(false);
+  believe(5, ['z9']);
+  beat(5, newestNonce());
+  expect(follower.fresh()).toBe(true);
+});
+
+test('after a freeze an attestation that was asked for before it makes nothing fresh', async () => {
+  const { world, host, follower, believe, beat, newestNonce } = await rig();
+  believe(3, []);
+  const before = newestNonce();
+  beat(3, before);
+  expect(follower.fresh()).toBe(true);
+  world.freeze(host);
+  await world.advance(2_000);
+  world.thaw(host);
+  await world.advance(1);
+  beat(3, before);
+  expect(follower.fresh()).toBe(false);
+  await world.advance(200);
+  beat(3, newestNonce());
+  expect(follower.fresh()).toBe(true);
+});
--- /dev/null
+++ b/src/state/dispatch-budget.test.ts
@@ -0,0 +1,39 @@
+import { expect, test } from '@jest/globals';
+import { createRng } from '../transport/rng.js';
+import { createDispatchBudget } from './dispatch-budget.js';
+
+const BOUNDS = { ratio: 0.2, slack: 52, windowMs: 10_000 };
+
+function mostIn(times: readonly number[], from: number): number {
+  return times.filter((t) => t > from - BOUNDS.windowMs && t <= from).length;
+}
+
+test.each([[1, 1], [6, 2], [7, 3], [60, 4]])('further dispatches of %i sluices together stay inside the bound in every window (seed %i)', (n, seed) => {
+  const rng = createRng(seed);
+  const budgets = Array.from({ length: n }, () => createDispatchBudget(BOUNDS));
+  for (const b of budgets) b.sharers(n);
+  const first: number[] = [];
+  const further: number[] = [];
+  for (let now = 0; now < 30_000; now += 10) {
+    const b = budgets[Math.floor(rng.next() * n)]!;
+    const crowd = now > 10_000 && now < 12_000;
+    if (crowd || rng.next() < 0.3) {
+      b.arrived('m', now);
+      first.push(now);
+    }
+    for (let k = 0; k < 3; k += 1) {
+      if (!b.may('m', now)) continue;
+      b.spend('m', now);
+      further.push(now);
+    }
+  }
+  expect(further.length).toBeGreaterThan(0);
+  for (const at of further) expect(mostIn(further, at)).toBeLessThanOrEqual(BOUNDS.ratio * mostIn(first, at) + BOUNDS.slack);
+});
+
+test('what one model spends is not taken from another', () => {
+  const b = createDispatchBudget(BOUNDS);
+  for (let i = 0; i < 100 && b.may('m', 0); i += 1) b.spend('m', 0);
+  expect(b.may('m', 0)).toBe(false);
+  expect(b.may('n', 0)).toBe(true);
+});
