Revert "Reports tell only what changed; headgates pass on readiness at once"

The cause inside the change is not found; one thing seen in reading is that the sluice hands the same table of request counts to each report, so that a difference by identity finds nothing changed. What it would save (bytes among headgates at 100 nodes and more) is in docs/CAPACITY.md.

--- a/src/coordination/ledger/follower.ts
+++ b/src/coordination/ledger/follower.ts
@@ -2,12 +2,12 @@
 import { isTable } from '../../base/is-table.js';
 import { parsedJson } from '../../base/parsed-json.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
-import type { Report, ToldReport } from '../../state/report.js';
+import type { Report } from '../../state/report.js';
 import { emptyBelief, foldBatch, isBelief } from '../../state/belief.js';
 import type { Belief } from '../../state/belief.js';
 import { ranked, steps } from '../../state/candidates.js';
 import type { Candidate, Spot } from '../../state/candidates.js';
-import { differenceTo, isChange } from '../../state/reports.js';
+import { differenceTo } from '../../state/reports.js';
 import { createSharedTime } from '../../state/shared-time.js';
 import { every } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
@@ -408,8 +408,7 @@
     if (followed === null) return;
     held.get(followed)?.tell(m.kind === 'reports' ? { ...m, reports: m.reports.map(differs) } : m);
   }
-  function differs(row: ToldReport): ToldReport {
-    if (isChange(row)) return row;
+  function differs(row: Report): Report {
     const rows = told.get(followed as Address) ?? new Map<string, Report>();
     told.set(followed as Address, rows);
     const out = differenceTo(rows.get(row.reporter), row);
--- a/src/coordination/ledger/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -1,5 +1,5 @@
 import type { MessageOf } from '../../protocol/messages.js';
-import type { Report, ToldReport } from '../../state/report.js';
+import type { Report } from '../../state/report.js';
 import { memberId, majorityOf } from '../../state/belief.js';
 import { differenceTo, mergeReport } from '../../state/reports.js';
 import type { Reports } from '../../state/reports.js';
@@ -26,9 +26,7 @@
 
 const BEAT_MS = 500;
 const QUORATE_MS = 2_000;
-const GOSSIP_MS = 500;
-const RELAY_EACH = 4;
-const AT_ONCE_MS = 20;
+const GOSSIP_MS = 1_000;
 const CONFIRMED_MS = 20;
 const FOLLOWER_SILENT_MS = 5_000;
 const NONCES_KEPT = 8;
@@ -41,11 +39,9 @@
   const noting = new Set<string>();
   const told = new Map<string, Map<string, Report>>();
   const due = new Map<string, Set<string>>();
-  const relayed = new Set<string>();
-  let soon = false;
   let confirmed: Record<string, number> = {};
   let confirming = false;
-  let turns = 0;
+  let relays = 0;
 
   function serve(f: Follower): void {
     const b = ledger.belief();
@@ -135,23 +131,19 @@
       const step = mergeReport(reports, r);
       if (step === 'merged') {
         heard.set(r.reporter, clock.mono());
-        if (m.by !== undefined) relayed.add(r.reporter);
-        else {
-          markDue(r.reporter, others());
-          if (isOtherwise(have, reports.get(r.reporter) as Report)) gossipSoon();
-        }
+        if (m.by === undefined) markDue(r.reporter, others());
+        else markDue(r.reporter, relayTo(m.by));
       } else if (step === 'gap') missed.push(r.reporter);
       else if (have && have.run !== r.run && have.incarnation >= r.incarnation) peer.tell({ kind: 'outlived', reporter: r.reporter, incarnation: have.incarnation });
     }
     if (missed.length > 0) peer.tell({ kind: 'reportsAsk', by: ledger.self.name, reporters: missed });
     return null;
   }
-  function isOtherwise(before: Report | undefined, now: Report): boolean {
-    return before === undefined || before.run !== now.run || before.ready !== now.ready || before.http !== now.http;
-  }
-  function gossipSoon(): void {
-    if (!soon) clock.wakeup(AT_ONCE_MS, gossipDue);
-    soon = true;
+  function relayTo(by: string): Member[] {
+    const rest: Member[] = [];
+    for (const m of others()) if (m.name !== by) rest.push(m);
+    const one = rest[relays % Math.max(1, rest.length)];
+    return one ? [one] : [];
   }
   function markDue(reporter: string, to: readonly Member[]): void {
     for (const m of to) {
@@ -211,17 +203,7 @@
   const beating: Wakeup = every(clock, BEAT_MS, beat);
 
   function gossip(): void {
-    turns += 1;
-    const rest = others();
-    const one = rest[Math.floor(turns / RELAY_EACH) % Math.max(1, rest.length)];
-    if (turns % RELAY_EACH === 0 && one) {
-      for (const name of relayed) markDue(name, [one]);
-      relayed.clear();
-    }
-    gossipDue();
-  }
-  function gossipDue(): void {
-    soon = false;
+    relays += 1;
     for (const m of others()) {
       const names = due.get(m.name);
       if (names && names.size > 0) void tellRows(m, names);
@@ -231,7 +213,7 @@
   async function tellRows(m: Member, names: ReadonlySet<string>): Promise<void> {
     const before = told.get(m.name) ?? new Map<string, Report>();
     told.set(m.name, before);
-    const rows: ToldReport[] = [];
+    const rows: Report[] = [];
     for (const name of names) {
       const row = reports.get(name);
       if (!row) continue;
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -10,7 +10,7 @@
 import { ListNumberShape } from '../state/list-book.js';
 import { ListedShape } from '../state/listed.js';
 import { NodeNewsShape, NodeShape } from '../state/node-info.js';
-import { ReportChangeShape, ReportShape } from '../state/report.js';
+import { ReportShape } from '../state/report.js';
 import { WorkerEntryShape } from '../state/worker-entry.js';
 
 const Str = Type.String({ minLength: 1, maxLength: 256 });
@@ -59,7 +59,7 @@
   Type.Object({ kind: Type.Literal('confirmed'), slots: Type.Record(Type.String(), Slot) }),
   Type.Object({ kind: Type.Literal('beat'), from: Str, ledger: Type.String(), slot: Slot, top: Slot, quorate: Type.Boolean(), wall: Num, echo: Type.Integer() }),
   Type.Object({ kind: Type.Literal('outlived'), reporter: Str, incarnation: Type.Integer() }),
-  Type.Object({ kind: Type.Literal('reports'), by: Type.Optional(Str), reports: Type.Array(Type.Union([ReportChangeShape, ReportShape])) }),
+  Type.Object({ kind: Type.Literal('reports'), by: Type.Optional(Str), reports: Type.Array(ReportShape) }),
   Type.Object({ kind: Type.Literal('reportsAsk'), by: Str, reporters: Type.Array(Str) }),
   Type.Object({ kind: Type.Literal('counts'), by: Type.Optional(Str), reporter: Str, incarnation: Type.Integer(), totals: Type.Record(Type.String(), CountsShape) }),
   Type.Object({ kind: Type.Literal('listFollow'), number: Type.Union([ListNumberShape, Type.Null()]) }),
--- a/src/state/report.ts
+++ b/src/state/report.ts
@@ -14,6 +14,8 @@
   dispatched: Type.Integer(),
   retried: Type.Integer(),
   slot: Slot,
+  since: Type.Optional(Type.Integer()),
+  gone: Type.Optional(Type.Array(Str)),
   fitness: Type.Record(Type.String(), Type.Union([Type.Literal('fit'), Type.Literal('unfit')])),
   http: Str,
   ready: Type.Boolean(),
@@ -22,12 +24,3 @@
 });
 
 export type Report = Static<typeof ReportShape>;
-
-export const ReportChangeShape = Type.Intersect([
-  Type.Pick(ReportShape, ['reporter', 'run', 'incarnation', 'count']),
-  Type.Object({ since: Type.Integer(), gone: Type.Optional(Type.Array(Str)) }),
-  Type.Partial(Type.Omit(ReportShape, ['reporter', 'run', 'incarnation', 'count'])),
-]);
-export type ReportChange = Static<typeof ReportChangeShape>;
-
-export type ToldReport = Report | ReportChange;
