--- a/tools/known-red.mjs
+++ b/tools/known-red.mjs
@@ -22,19 +22,6 @@
   return readKnownRed(readFileSync(join(ROOT, 'KNOWN-RED.txt'), 'utf8'));
 }
 
-/** One report of several runs. */
-export function joined(reports) {
-  const sum = (key) => reports.reduce((n, r) => n + r[key], 0);
-  return {
-    testResults: reports.flatMap((r) => r.testResults),
-    numFailedTests: sum('numFailedTests'),
-    numPassedTests: sum('numPassedTests'),
-    numTotalTests: sum('numTotalTests'),
-    numRuntimeErrorTestSuites: sum('numRuntimeErrorTestSuites'),
-    wasInterrupted: reports.some((r) => r.wasInterrupted),
-  };
-}
-
 /** Weighs what jest wrote with `--json` against the known red tests. */
 export function weigh(report, known, root = ROOT) {
   const found = { red: [], green: [], failed: [], broken: [], unseen: [] };
--- a/tools/known-red.test.mjs
+++ b/tools/known-red.test.mjs
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { joined, knownRed, readKnownRed, tell, verdictOf, weigh } from './known-red.mjs';
+import { knownRed, readKnownRed, tell, verdictOf, weigh } from './known-red.mjs';
 
 const HEADER = 'test, cause, issue\n';
 const LINE = 'src/a.test.ts: lease ends on time\ta slow clock\tdocs/failures.md, Unproved\n';
@@ -54,18 +54,6 @@
     expect(judged(HEADER, { 'src/a.test.ts': { x: 'passed' } }, { wasInterrupted: true }).verdict).toBe(1);
   });
 
-  test('of two runs, one whose listed test fails does not cover what fails in the other', () => {
-    const { known } = readKnownRed(HEADER + LINE);
-    const red = reportOf({ 'src/a.test.ts': { 'lease ends on time': 'failed' } });
-    const verdict = (other) => {
-      const report = joined([red, reportOf(other)]);
-      return verdictOf(weigh(report, known, '/repo'), report, 1);
-    };
-    expect(verdict({ 'src/b.test.ts': { x: 'passed' } })).toBe(0);
-    expect(verdict({ 'src/b.test.ts': { x: 'failed' } })).toBe(1);
-    expect(verdict({ 'src/b.test.ts': null })).toBe(1);
-  });
-
   test.each([
     ['no header', LINE],
     ['a line without its issue', `${HEADER}src/a.test.ts: x\ta cause\n`],
