The door that was kept waiting is seen to serve afterwards, as before

Cause: since the request after the slow bodies goes to the patient door, so the test no longer showed that the hasty one goes on serving. It is asked now by a request without a body, which its 300 ms can't spoil.

--- a/src/transport/door.test.ts
+++ b/src/transport/door.test.ts
@@ -96,6 +96,7 @@
     await raw(half, true);
     const after = await post('/echo/7', { a: 1 });
     expect([after.ok, read]).toEqual([true, 1]);
+    expect(await (await fetch(`http://${hasty.address}/text`)).text()).toBe('plain');
   });
 
   test('a body nested beyond measure, another method and another type are turned away', async () => {
