--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -4,7 +4,7 @@
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf, SlotBatch } from '../../protocol/messages.js';
 import type { Ballot } from '../../state/ballot.js';
-import { isBelief, majorityOf, memberId, operationOf } from '../../state/belief.js';
+import { majorityOf, memberId, operationOf } from '../../state/belief.js';
 import type { Belief, Outcome } from '../../state/belief.js';
 import type { Batch, Entry, Member } from '../../state/entry.js';
 import { every, pause, within } from '../../transport/clock.js';
@@ -16,6 +16,7 @@
 import type { Rng } from '../../transport/rng.js';
 import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
+import { createCatchUp } from './catch-up.js';
 import { createFounding, foundedEntry } from './founding.js';
 import { createJoining } from './joining.js';
 import { poll } from './poll.js';
@@ -81,7 +82,6 @@
   const events = createEvents<LedgerEvents>();
   let blockedBy: RingFault | null = null;
   let danglingSince = -1;
-  const catching = new Map<Address, Promise<void>>();
   let stopped = false;
 
   function onFold(slot: number, batch: Batch, outcomes: readonly Outcome[]): void {
@@ -94,6 +94,7 @@
   if (!opened.ok) return opened;
   const store = opened.value;
   const mostBytes = deps.shape.fileBytes - RECORD_ROOM;
+  const { from: catchUp } = createCatchUp({ peers, store, belief, learn });
 
   function belief(): Belief {
     return store.belief();
@@ -157,27 +158,6 @@
     }
   }
 
-  function catchUp(from: Address): Promise<void> {
-    const under = catching.get(from);
-    if (under) return under;
-    function done(): void {
-      catching.delete(from);
-    }
-    const made = fetchAll(from).then(done);
-    catching.set(from, made);
-    return made;
-  }
-  async function fetchAll(from: Address): Promise<void> {
-    for (let i = 0; i < 64; i += 1) {
-      const at = belief().slot;
-      const got = await peers.call(from, { kind: 'fetch', ledger: belief().ledger, from: at + 1 }, 2 * VOTE_WAIT_MS);
-      if (!got.ok || got.value.kind !== 'fetched') return;
-      const { batches, belief: whole } = got.value;
-      if (isBelief(whole)) await store.put({ tag: 'adopt', belief: whole });
-      for (const b of batches) await learn(b.slot, b.batch);
-      if (belief().slot === at) return;
-    }
-  }
   async function catchUpFrom(ahead: readonly Member[]): Promise<void> {
     const asks: Promise<void>[] = [];
     for (const m of ahead) if (memberId(m) !== me()) asks.push(catchUp(m.address));
@@ -381,17 +361,10 @@
     else void catchUp(m.at);
     return null;
   }
-  function onFetch(m: MessageOf<'fetch'>): Message {
-    if (m.ledger !== '' && m.ledger !== belief().ledger) return { kind: 'fetched', batches: [] };
-    const batches = store.recent(m.from);
-    if (batches && m.ledger !== '') return { kind: 'fetched', batches: batches.slice(0, 256) };
-    return { kind: 'fetched', belief: belief(), batches: [] };
-  }
 
   peers.on('prepare', onVote);
   peers.on('accept', onVote);
   peers.on('learned', onLearned);
-  peers.on('fetch', onFetch);
   peers.on('found', onFound);
 
   function beat(): void {
