An operator's change keeps its identity however many other entries follow it

Cause: the fold kept the ids of the last 1,024 entries of all kinds. A change of the configuration was forgotten once some 1,030 others had been folded (proxies that become known, decisions of the scaler), and its request, sent again after a lost answer, was then refused as stale.

Ruled out: a longer list of all entries (any bound is passed by ordinary ones); comparing with the configuration in force alone (a later change hides it).

Orders on zones with an operation id have their own list of 256. It also holds the changes that lead back from the newest numbered change to its base: a request that makes of that base just what is in force, under the same number, is the same change (a whole configuration and an amendment with one result). A request on a base older than the history is told neither yes nor no (503, outcomeUnknown): it may have been taken, so it is not refused, and as the base is past it can't be applied again.

--- a/src/coordination/ledger/numbered.test.ts
+++ b/src/coordination/ledger/numbered.test.ts
@@ -1,9 +1,11 @@
 import { describe, expect, test } from '@jest/globals';
 import { err, ok } from '../../base/result.js';
 import { DEFAULT_LIMITS } from '../../state/serving.js';
+import { MAX_APPLIED_CHANGES } from '../../state/operator-history.js';
 import type { DoorMapping, Serving } from '../../state/serving.js';
 import { withChanges } from '../../state/settings-tree.js';
 import { createSimLedger } from '../../sim/sim-ledger.js';
+import type { SimLedger } from '../../sim/sim-ledger.js';
 import { createNumberedDoor } from './numbered.js';
 import type { NumberedDoor } from './numbered.js';
 
@@ -36,6 +38,14 @@
   return { ...sim, doorAfter, now };
 }
 
+function ordinaryEntries(s: Pick<SimLedger, 'fold'>, count: number): void {
+  for (let n = 0; n < count; n += 1) s.fold(`ordinary-${n}`, { tag: 'targetChanged', model: 'm', target: n });
+}
+
+function shapeOf(of: Serving | undefined): unknown {
+  return [of?.number, Object.keys(of?.mappings ?? {}), Object.keys(of?.models ?? {})];
+}
+
 const TAKEN = (number: number) => ok({ tag: 'taken', number });
 const STALE = (number: number) => err({ tag: 'stale', number });
 
@@ -91,6 +101,122 @@
     expect((await s.run(Promise.all(twice)))?.map((g) => g.ok)).toEqual([true, true]);
   });
 
+  test('a change keeps its identity past any number of ordinary entries', async () => {
+    const s = sharedLedger();
+    await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+    await s.run(s.doorAfter(5).replace(7, serving(8, 2), 'b'));
+    ordinaryEntries(s, 1_100);
+    expect(await s.run(s.doorAfter(40).replace(7, serving(8, 2), 'b'))).toEqual(TAKEN(8));
+    expect(await s.run(s.doorAfter(40).replace(0, serving(7), 'a'))).toEqual(TAKEN(7));
+    expect(await s.run(s.doorAfter(40).replace(7, serving(8, 3), 'other'))).toEqual(STALE(8));
+    expect(Object.keys(s.now().mappings)).toEqual(['r-0', 'r-1']);
+  });
+
+  test('two operators pick the same number for different contents: one is taken, the other stays late', async () => {
+    for (const [first, second] of [[5, 40], [40, 5], [5, 5]] as const) {
+      const s = sharedLedger();
+      await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+      const sent = [serving(8, 2), serving(8, 3)];
+      const got = await s.run(Promise.all([s.doorAfter(first).replace(7, sent[0], 'x'), s.doorAfter(second).replace(7, sent[1], 'y')]));
+      const winner = (got ?? []).findIndex((g) => g.ok);
+      expect((got ?? []).filter((g) => g.ok).length).toBe(1);
+      expect(shapeOf(s.now())).toEqual(shapeOf(sent[winner]));
+      const again = await s.run(Promise.all([s.doorAfter(second).replace(7, sent[0], 'x'), s.doorAfter(first).replace(7, sent[1], 'y')]));
+      expect(again?.[winner]).toEqual(TAKEN(8));
+      expect(again?.[1 - winner]).toEqual(STALE(8));
+    }
+  });
+
+  test('a change of one and a whole configuration of another with the same number, base and result are one change', async () => {
+    const s = sharedLedger();
+    const door = s.doorAfter(5);
+    const edit = (before: Serving): ReturnType<typeof ok<unknown>> => ok({ ...before, number: 8, mappings: { ...before.mappings, extra: { ...MAPPING, at: 9_999, prefix: '/extra/' } } });
+    const result = { ...serving(8), mappings: { ...serving(8).mappings, extra: { ...MAPPING, at: 1, prefix: '/extra/' } } };
+    await s.run(door.replace(0, serving(7), 'a'));
+    expect(await s.run(door.replace(7, result, 'whole'))).toEqual(TAKEN(8));
+    expect(await s.run(s.doorAfter(40).amend(7, edit, 'change'))).toEqual(TAKEN(8));
+    expect(await s.run(s.doorAfter(40).amend(0, edit, 'change'))).toEqual(STALE(8));
+    const less = (before: Serving): ReturnType<typeof ok<unknown>> => ok({ ...before, number: 8 });
+    expect(await s.run(s.doorAfter(40).amend(7, less, 'less'))).toEqual(STALE(8));
+    expect(await s.run(door.replace(8, serving(9), 'b'))).toEqual(TAKEN(9));
+    expect(await s.run(s.doorAfter(40).amend(7, edit, 'change'))).toEqual(STALE(9));
+    expect(s.belief.slot).toBe(2);
+  });
+
+  test('a change whose settings fill what another cleared is not the same change, though it would leave what stands as it is', async () => {
+    const s = sharedLedger();
+    const door = s.doorAfter(5);
+    await s.run(door.replace(0, serving(7, 3), 'a'));
+    expect(await s.run(door.replace(7, serving(8, 1), 'b'))).toEqual(TAKEN(8));
+    const without = (name: string) => (before: Serving): ReturnType<typeof ok<unknown>> => {
+      const mappings = Object.fromEntries(Object.entries(before.mappings).filter(([key]) => key !== name));
+      return ok({ ...before, number: 8, mappings });
+    };
+    expect(await s.run(s.doorAfter(40).amend(7, without('r-2'), 'c'))).toEqual(STALE(8));
+    expect(Object.keys(s.now().mappings)).toEqual(['r-0']);
+  });
+
+  test('eight under way at once on one base, each sent to two nodes: one is taken, at both', async () => {
+    const s = sharedLedger();
+    await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+    const sends = Array.from({ length: 16 }, (_, i) => s.doorAfter(1 + ((i * 37) % 60)).replace(7, serving(8 + (i % 8)), `change-${i % 8}`));
+    const got = (await s.run(Promise.all(sends))) ?? [];
+    const winners = got.map((g, i) => (g.ok ? i % 8 : -1)).filter((i) => i >= 0);
+    expect(winners.length).toBe(2);
+    expect(new Set(winners).size).toBe(1);
+    expect(got.filter((g) => !g.ok && g.fault.tag === 'stale').length).toBe(14);
+    expect(s.now().number).toBe(8 + (winners[0] ?? -1));
+  });
+
+  test('a change that is sent again while its first sending is under way at another node is taken once, at both', async () => {
+    for (const [first, second] of [[300, 5], [5, 300], [60, 60]] as const) {
+      const s = sharedLedger();
+      await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+      const slow = s.doorAfter(first).replace(7, serving(8, 2), 'b');
+      await s.world.advance(100);
+      const got = await s.run(Promise.all([slow, s.doorAfter(second).replace(7, serving(8, 2), 'b')]));
+      expect(got).toEqual([TAKEN(8), TAKEN(8)]);
+      const { changes } = s.belief.history;
+      expect(changes.map((c) => c.revision?.number)).toEqual([7, 8]);
+    }
+  });
+
+  test('one that is given up and agreed later is taken under its own number, or nothing once another one was taken', async () => {
+    for (const other of [false, true]) {
+      const s = sharedLedger();
+      await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+      const late = createNumberedDoor({ ledger: s.ledgerAfter(700), clock: s.clock, agreeMs: 300 });
+      const givenUp = late.replace(7, serving(8, 2), 'late');
+      await s.world.advance(400);
+      if (other) expect(await s.run(s.doorAfter(5).replace(7, serving(9, 3), 'other'))).toEqual(TAKEN(9));
+      await s.world.advance(2_000);
+      void givenUp;
+      expect(shapeOf(s.now())).toEqual(shapeOf(other ? serving(9, 3) : serving(8, 2)));
+      expect(await s.run(s.doorAfter(5).replace(7, serving(8, 2), 'late'))).toEqual(other ? STALE(9) : TAKEN(8));
+    }
+  });
+
+  test('one that is both invalid and late changes nothing', async () => {
+    const s = sharedLedger();
+    await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+    for (const draft of [null, { ...serving(9), models: {} }, serving(3)]) {
+      const got = await s.run(s.doorAfter(5).replace(3, draft, 'b'));
+      expect(got?.ok === false && ['stale', 'invalid'].includes(got.fault.tag)).toBe(true);
+    }
+    expect(shapeOf(s.now())).toEqual(shapeOf(serving(7)));
+  });
+
+  test('one that builds on more than the history holds gets no clear answer, and is not applied again', async () => {
+    const s = sharedLedger();
+    const door = s.doorAfter(1);
+    for (let n = 0; n <= MAX_APPLIED_CHANGES; n += 1) expect(await s.run(door.replace(n, serving(n + 1), `change-${n}`))).toEqual(TAKEN(n + 1));
+    const newest = MAX_APPLIED_CHANGES + 1;
+    expect(await s.run(door.replace(0, serving(1), 'change-0'))).toEqual(err({ tag: 'outcomeUnknown' }));
+    expect(await s.run(door.replace(1, serving(2), 'change-1'))).toEqual(TAKEN(2));
+    expect(await s.run(door.replace(1, serving(2, 2), 'another'))).toEqual(STALE(newest));
+    expect(s.now().number).toBe(newest);
+  });
+
   test('an epoch that something else moved is no race lost', async () => {
     const s = sharedLedger();
     const door = s.doorAfter(50);
--- a/src/coordination/ledger/numbered.ts
+++ b/src/coordination/ledger/numbered.ts
@@ -5,10 +5,12 @@
 import { readServing } from '../../protocol/serving.js';
 import type { Belief } from '../../state/belief.js';
 import type { Change } from '../../state/entry.js';
+import { appliedChange, mayBeForgotten, newestRevision, operatorRequest } from '../../state/operator-history.js';
 import { EMPTY_SERVING } from '../../state/serving.js';
 import type { Serving } from '../../state/serving.js';
 import { withKeptOrder } from '../../state/serving-order.js';
-import { differences } from '../../state/settings-tree.js';
+import { differences, withChanges } from '../../state/settings-tree.js';
+import type { Configuration } from '../../state/settings-tree.js';
 import { pause } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Ledger } from './ledger.js';
@@ -16,14 +18,16 @@
 export type NumberedFault =
   | { readonly tag: 'stale'; readonly number: number }
   | { readonly tag: 'invalid'; readonly faults: readonly ConfigFault[] }
-  | { readonly tag: 'noMajority' };
+  | { readonly tag: 'noMajority' }
+  /** It builds on a number so old that a change which was applied then may be forgotten: neither yes nor no is certain. */
+  | { readonly tag: 'outcomeUnknown' };
 
 export type Taken = { readonly tag: 'taken'; readonly number: number };
 export type Edit = (serving: Serving) => Result<unknown, readonly ConfigFault[]>;
 
 export type NumberedDoor = {
-  readonly replace: (base: number, draft: unknown, mark: string) => Promise<Result<Taken, NumberedFault>>;
-  readonly amend: (base: number, edit: Edit, mark: string) => Promise<Result<Taken, NumberedFault>>;
+  readonly replace: (base: number, draft: unknown, digest: string) => Promise<Result<Taken, NumberedFault>>;
+  readonly amend: (base: number, edit: Edit, digest: string) => Promise<Result<Taken, NumberedFault>>;
   readonly read: () => Promise<Result<Serving, NumberedFault>>;
   readonly evacuate: (zone: string, begun: boolean) => Promise<Result<{ readonly tag: 'taken' }, NumberedFault>>;
 };
@@ -44,19 +48,6 @@
   return b.configuration.serving ?? EMPTY_SERVING;
 }
 
-function operationPrefix(mark: string): string {
-  return `operator:${mark}@`;
-}
-
-function numberTaken(b: Belief, mark: string): boolean {
-  const prefix = operationPrefix(mark);
-  for (let i = b.operations.length - 1; i >= 0; i -= 1) {
-    const op = b.operations[i];
-    if (op && op.outcome.tag === 'applied' && op.id.startsWith(prefix)) return true;
-  }
-  return false;
-}
-
 function nextEvacuation(b: Belief, zone: string): string {
   const prefix = `evacuation:${zone}@`;
   for (let i = b.operations.length - 1; i >= 0; i -= 1) {
@@ -74,6 +65,53 @@
   return out;
 }
 
+type Judged =
+  | { readonly tag: 'answer'; readonly answer: Result<Taken, NumberedFault> }
+  | { readonly tag: 'propose'; readonly next: Serving };
+
+/** What to do about a request for a change, by a state that is no older than the request. */
+function judge(state: Belief, request: string, base: number, edit: Edit): Judged {
+  const now = servingOf(state);
+  const done = appliedChange(state.history, request);
+  if (done) return answered(ok({ tag: 'taken', number: done.revision?.number ?? now.number }));
+  if (now.number !== base) return answered(judgeLate(state, base, edit));
+  const next = resultOf(now, edit);
+  return next.ok ? { tag: 'propose', next: next.value } : answered(next);
+}
+
+function answered(answer: Result<Taken, NumberedFault>): Judged {
+  return { tag: 'answer', answer };
+}
+
+/** The configuration that a change makes of the one it builds on. */
+function resultOf(before: Serving, edit: Edit): Result<Serving, NumberedFault> {
+  const made = edit(before);
+  if (!made.ok) return err({ tag: 'invalid', faults: made.fault });
+  const read = readServing(made.value);
+  if (!read.ok) return err({ tag: 'invalid', faults: read.fault });
+  const { number } = read.value;
+  if (number <= before.number) return err({ tag: 'invalid', faults: [faultAt(['number'], `a number above ${before.number}`, number)] });
+  return ok(withKeptOrder(before, read.value));
+}
+
+/** A change that is not known by its request, and doesn't build on what is in force. */
+function judgeLate(state: Belief, base: number, edit: Edit): Result<Taken, NumberedFault> {
+  const { number } = servingOf(state);
+  if (isInForce(state, base, edit)) return ok({ tag: 'taken', number });
+  if (mayBeForgotten(state.history, base)) return err({ tag: 'outcomeUnknown' });
+  return err({ tag: 'stale', number });
+}
+
+/** Whether what is in force is just what this change makes of the base that it names: then it is the same change. */
+function isInForce(state: Belief, base: number, edit: Edit): boolean {
+  const newest = newestRevision(state.history);
+  const { undo } = state.history;
+  if (undo === null || newest?.base !== base) return false;
+  const before = withChanges(state.configuration, undo) as Configuration;
+  const result = resultOf(before.serving ?? EMPTY_SERVING, edit);
+  return result.ok && result.value.number === newest.number && differences(servingOf(state), result.value).length === 0;
+}
+
 export function createNumberedDoor(deps: NumberedDoorDeps): NumberedDoor {
   const { ledger, clock } = deps;
   const settleMs = deps.settleMs ?? SETTLE_MS;
@@ -87,34 +125,29 @@
     return Promise.race([ledger.settle(settleMs), tooLate()]);
   }
 
-  async function amend(base: number, edit: Edit, mark: string): Promise<Result<Taken, NumberedFault>> {
+  async function amend(base: number, edit: Edit, digest: string): Promise<Result<Taken, NumberedFault>> {
+    const request = operatorRequest(digest);
     const until = clock.mono() + agreeMs;
     while (clock.mono() < until) {
       if (!(await settled())) return err(NO_MAJORITY);
-      const b = ledger.belief();
-      const now = servingOf(b);
-      if (numberTaken(b, mark)) return ok({ tag: 'taken', number: now.number });
-      if (now.number !== base) return err({ tag: 'stale', number: now.number });
-      const made = edit(now);
-      if (!made.ok) return err({ tag: 'invalid', faults: made.fault });
-      const read = readServing(made.value);
-      if (!read.ok) return err({ tag: 'invalid', faults: read.fault });
-      const { number } = read.value;
-      if (number <= now.number) return err({ tag: 'invalid', faults: [faultAt(['number'], `a number above ${now.number}`, number)] });
-      const changes = changesTo(b, withKeptOrder(now, read.value));
-      const act = { tag: 'configured' as const, base: b.epoch, changes };
-      const got = await ledger.propose({ id: `${operationPrefix(mark)}${b.epoch}`, cause: `The operator put number ${number} on ${base}.`, act }, until - clock.mono());
-      if (!got.ok) return err(NO_MAJORITY);
-      if (got.value.outcome.tag === 'applied') return ok({ tag: 'taken', number });
+      const state = ledger.belief();
+      const judged = judge(state, request, base, edit);
+      if (judged.tag === 'answer') return judged.answer;
+      const { next } = judged;
+      const { number } = next;
+      const act = { tag: 'configured' as const, base: state.epoch, changes: changesTo(state, next), revision: { request, base, number } };
+      const agreed = await ledger.propose({ id: `${request}@${state.epoch}`, cause: `The operator put number ${number} on ${base}.`, act }, until - clock.mono());
+      if (!agreed.ok) return err(NO_MAJORITY);
+      if (agreed.value.outcome.tag === 'applied') return ok({ tag: 'taken', number });
     }
     return err(NO_MAJORITY);
   }
 
-  function replace(base: number, draft: unknown, mark: string): Promise<Result<Taken, NumberedFault>> {
+  function replace(base: number, draft: unknown, digest: string): Promise<Result<Taken, NumberedFault>> {
     function whole(): Result<unknown, never> {
       return ok(draft);
     }
-    return amend(base, whole, mark);
+    return amend(base, whole, digest);
   }
 
   async function read(): Promise<Result<Serving, NumberedFault>> {
--- a/src/coordination/ledger/operator-door.ts
+++ b/src/coordination/ledger/operator-door.ts
@@ -5,6 +5,7 @@
 import { ChangeShape } from '../../state/entry.js';
 import { memberId, operationOf } from '../../state/belief.js';
 import type { Belief } from '../../state/belief.js';
+import { operatorRequest, versionMayBeForgotten } from '../../state/operator-history.js';
 import { differences, resolveAll, withChanges } from '../../state/settings-tree.js';
 import type { HttpReply, HttpRequest, Route } from '../../transport/http.js';
 import type { Clock } from '../../transport/clock.js';
@@ -34,7 +35,7 @@
   const { ledger, push, aims, clock, status } = deps;
   async function agree(act: Act, cause: string, operation: string | undefined): Promise<HttpReply> {
     const from = clock.mono();
-    const got = await ledger.propose({ ...(operation === undefined ? {} : { id: `operator:${operation}` }), cause, act }, AGREE_MS);
+    const got = await ledger.propose({ ...(operation === undefined ? {} : { id: operatorRequest(operation) }), cause, act }, AGREE_MS);
     if (!got.ok) return fail(503, got.fault.tag === 'cannotWrite' ? { tag: 'cannotWrite', fault: got.fault.fault } : { tag: got.fault.tag });
     const { slot, outcome } = got.value;
     if (outcome.tag === 'staleEpoch') return fail(409, { tag: 'staleEpoch', winner: outcome.winner });
@@ -48,7 +49,9 @@
   async function configure(base: number, make: (b: Belief) => unknown, operation: string | undefined): Promise<HttpReply> {
     if (!(await ledger.settle(AGREE_MS))) return fail(503, { tag: 'noMajority' });
     const b = ledger.belief();
-    const done = operation === undefined ? null : operationOf(b, `operator:${operation}`);
+    const done = operation === undefined ? null : operationOf(b, operatorRequest(operation));
+    const forgotten = operation !== undefined && versionMayBeForgotten(b.history, base);
+    if (!done && b.epoch !== base && forgotten) return fail(503, { tag: 'outcomeUnknown' });
     if (!done && b.epoch !== base) return fail(409, { tag: 'staleEpoch', winner: b.epoch });
     const next = readConfiguration(make(b));
     if (!done && !next.ok) return fail(422, { tag: 'invalidConfiguration', faults: next.fault });
--- a/src/state/belief.ts
+++ b/src/state/belief.ts
@@ -1,9 +1,11 @@
 import { sha256 } from '../base/digest.js';
 import { isTable } from '../base/is-table.js';
-import type { Act, Batch, Entry, Member } from './entry.js';
+import type { Act, Batch, Change, Entry, Member } from './entry.js';
+import { appliedChange, appliedZoneOrder, emptyOperatorHistory, isOperatorHistory, isOperatorRequest, recordChange, recordZoneOrder } from './operator-history.js';
+import type { OperatorHistory } from './operator-history.js';
 import { isOpen, mayBecome } from './order.js';
 import type { Order, OrderEvent, OrderStatus } from './order.js';
-import { EMPTY_CONFIGURATION, withChanges } from './settings-tree.js';
+import { changesBack, EMPTY_CONFIGURATION, withChanges } from './settings-tree.js';
 import type { Configuration } from './settings-tree.js';
 import type { ZoneSets } from './zone-sets.js';
 
@@ -35,6 +37,7 @@
   zoneSets: Record<string, ZoneSets>;
   targets: Record<string, number>;
   operations: DoneOperation[];
+  history: OperatorHistory;
 };
 
 export const SCALER_DUTY = 'scaler';
@@ -59,6 +62,7 @@
     zoneSets: {},
     targets: {},
     operations: [],
+    history: emptyOperatorHistory(),
   };
 }
 
@@ -69,7 +73,7 @@
   for (const key of ['ledger', 'ticketKey']) if (typeof b[key] !== 'string') return false;
   for (const key of ['members', 'claimants', 'closed', 'operations']) if (!Array.isArray(b[key])) return false;
   for (const key of ['configuration', 'evacuated', 'sluices', 'leases', 'orders', 'zoneSets', 'targets']) if (!isTable(b[key])) return false;
-  return true;
+  return isOperatorHistory(b['history']);
 }
 
 export function memberId(member: { readonly name: string; readonly incarnation: string }): string {
@@ -158,16 +162,10 @@
       return APPLIED;
     }
     case 'configured': {
-      if (act.base !== b.epoch) return { tag: 'staleEpoch', winner: b.epoch };
-      b.configuration = withChanges(b.configuration, act.changes) as Configuration;
-      b.epoch = slot;
-      return APPLIED;
+      return foldConfigured(b, slot, entry.id, act);
     }
     case 'evacuation': {
-      if (act.begun === (b.evacuated[act.zone] !== undefined)) return { tag: 'unfit', why: 'unchanged' };
-      if (act.begun) b.evacuated[act.zone] = slot;
-      else delete b.evacuated[act.zone];
-      return APPLIED;
+      return foldEvacuation(b, slot, entry.id, act);
     }
     case 'sluiceKnown': {
       const known = b.sluices[act.name];
@@ -236,12 +234,47 @@
   }
 }
 
+type Configured = Extract<Act, { tag: 'configured' }>;
+
+function foldConfigured(b: Belief, slot: number, id: string, act: Configured): Outcome {
+  if (act.base !== b.epoch) return { tag: 'staleEpoch', winner: b.epoch };
+  const before = b.configuration;
+  b.configuration = withChanges(before, act.changes) as Configuration;
+  b.epoch = slot;
+  const { revision } = act;
+  if (revision) {
+    const { request, base, number } = revision;
+    recordChange(b.history, { request, version: slot, revision: { base, number } }, changesBack(before, act.changes));
+  } else {
+    const undo = act.changes.some(touchesServing) ? null : b.history.undo;
+    recordChange(b.history, { request: id, version: slot }, undo);
+  }
+  return APPLIED;
+}
+
+type Evacuation = Extract<Act, { tag: 'evacuation' }>;
+
+function foldEvacuation(b: Belief, slot: number, id: string, act: Evacuation): Outcome {
+  const { zone, begun } = act;
+  if (begun === (b.evacuated[zone] !== undefined)) return { tag: 'unfit', why: 'unchanged' };
+  if (begun) b.evacuated[zone] = slot;
+  else delete b.evacuated[zone];
+  recordZoneOrder(b.history, { request: id, version: slot });
+  return APPLIED;
+}
+
+function touchesServing(change: Change): boolean {
+  return change.path.length === 0 || change.path[0] === 'serving';
+}
+
+/** What came of an entry that was folded already: any of the newest, or a change by an operator that is in the history. */
 export function operationOf(b: Belief, id: string): DoneOperation | null {
   for (let i = b.operations.length - 1; i >= 0; i -= 1) {
     const op = b.operations[i] as DoneOperation;
     if (op.id === id) return op;
   }
-  return null;
+  const change = isOperatorRequest(id) ? (appliedChange(b.history, id) ?? appliedZoneOrder(b.history, id)) : null;
+  return change && { id, slot: change.version, outcome: APPLIED };
 }
 
 function foldEntry(b: Belief, slot: number, entry: Entry): Outcome {
--- a/src/state/entry.ts
+++ b/src/state/entry.ts
@@ -10,6 +10,9 @@
 export const ChangeShape = Type.Object({ path: Type.Array(Type.String()), value: Type.Optional(Type.Unknown()) });
 export type Change = Static<typeof ChangeShape>;
 
+/** Who asked for a change of the configuration, and under which numbers of its own. */
+const RevisionShape = Type.Object({ request: Str, base: Slot, number: Slot });
+
 export const KindShape = Type.Union([Type.Literal('spot'), Type.Literal('onDemand')]);
 export type Kind = Static<typeof KindShape>;
 
@@ -39,7 +42,7 @@
   Type.Object({ tag: Type.Literal('memberAdded'), member: MemberShape }),
   Type.Object({ tag: Type.Literal('memberRemoved'), old: Str }),
   Type.Object({ tag: Type.Literal('claimsReopened'), members: Type.Array(Str) }),
-  Type.Object({ tag: Type.Literal('configured'), base: Slot, changes: Type.Array(ChangeShape) }),
+  Type.Object({ tag: Type.Literal('configured'), base: Slot, changes: Type.Array(ChangeShape), revision: Type.Optional(RevisionShape) }),
   Type.Object({ tag: Type.Literal('evacuation'), zone: Str, begun: Type.Boolean() }),
   Type.Object({ tag: Type.Literal('sluiceKnown'), name: Str, zone: Str, region: Str }),
   Type.Object({ tag: Type.Literal('sluiceForgotten'), name: Str }),
--- /dev/null
+++ b/src/state/operator-history.ts
@@ -0,0 +1,123 @@
+/**
+ * The operators' part of the replicated state: which changes of the configuration were applied, each under the identity
+ * of the request that asked for it. Only the fold writes here; the operators' doors read it to tell a request that is
+ * sent again from one that is late. It is bounded by itself, so no number of other entries pushes a change out of it.
+ */
+import { isTable } from '../base/is-table.js';
+import type { Change } from './entry.js';
+
+/** The operator's own numbers of a change: the one that it builds on and the one that it brings. */
+export type Revision = { readonly base: number; readonly number: number };
+
+/** One change that is in the history of the configuration. */
+export type AppliedChange = {
+  /** Identity of the request: two requests with the same identity are one change. */
+  readonly request: string;
+  /** The slot that applied it, which is the configuration's version from there on. */
+  readonly version: number;
+  /** Absent for a change made on the version itself. */
+  readonly revision?: Revision;
+};
+
+export type OperatorHistory = {
+  /** Oldest first, at most MAX_APPLIED_CHANGES. */
+  changes: AppliedChange[];
+  /** Versions up to this one may have been dropped from `changes`; -1 while all are there. */
+  forgottenVersion: number;
+  /** The same for the operators' own numbers. */
+  forgottenNumber: number;
+  /** Changes that lead from the configuration back to the one that the newest numbered change was built on. */
+  undo: Change[] | null;
+  /** Applied orders on zones that had an id of their own, oldest first, at most MAX_ZONE_ORDERS. */
+  zoneOrders: AppliedChange[];
+};
+
+/**
+ * A day holds some hundreds of changes, and a request is sent again within seconds or minutes: a thousand leaves a
+ * margin of several times. About 100 bytes each in JSON, so the history adds at most some 100 KB to a snapshot.
+ */
+export const MAX_APPLIED_CHANGES = 1_024;
+
+/** Zones are evacuated some times a day; an order with an id is sent again within seconds. */
+export const MAX_ZONE_ORDERS = 256;
+
+const OPERATOR_PREFIX = 'operator:';
+
+export function emptyOperatorHistory(): OperatorHistory {
+  return { changes: [], forgottenVersion: -1, forgottenNumber: -1, undo: null, zoneOrders: [] };
+}
+
+export function isOperatorHistory(value: unknown): value is OperatorHistory {
+  if (!isTable(value)) return false;
+  const { changes, forgottenVersion, forgottenNumber, undo, zoneOrders } = value;
+  if (!Array.isArray(changes) || !Array.isArray(zoneOrders)) return false;
+  return Number.isInteger(forgottenVersion) && Number.isInteger(forgottenNumber) && (undo === null || Array.isArray(undo));
+}
+
+/** The identity of an operator's request, from the digest of what was sent or from the id that the caller gave it. */
+export function operatorRequest(digestOrId: string): string {
+  return `${OPERATOR_PREFIX}${digestOrId}`;
+}
+
+export function isOperatorRequest(id: string): boolean {
+  return id.startsWith(OPERATOR_PREFIX);
+}
+
+/** Adds a change that was just applied. `undo` leads back to the configuration that a numbered change was built on. */
+export function recordChange(history: OperatorHistory, change: AppliedChange, undo: Change[] | null): void {
+  history.changes.push(change);
+  history.undo = undo;
+  while (history.changes.length > MAX_APPLIED_CHANGES) forgetOldest(history);
+}
+
+function forgetOldest(history: OperatorHistory): void {
+  const oldest = history.changes.shift();
+  if (!oldest) return;
+  history.forgottenVersion = oldest.version;
+  if (oldest.revision) history.forgottenNumber = oldest.revision.number;
+}
+
+/** Adds an order on a zone that was just applied. */
+export function recordZoneOrder(history: OperatorHistory, order: AppliedChange): void {
+  if (!isOperatorRequest(order.request)) return;
+  history.zoneOrders.push(order);
+  if (history.zoneOrders.length > MAX_ZONE_ORDERS) history.zoneOrders.shift();
+}
+
+/** The change of the configuration that a request brought about, if it was applied and is still known. */
+export function appliedChange(history: OperatorHistory, request: string): AppliedChange | null {
+  return newestOf(history.changes, request);
+}
+
+/** The same for an order on a zone. */
+export function appliedZoneOrder(history: OperatorHistory, request: string): AppliedChange | null {
+  return newestOf(history.zoneOrders, request);
+}
+
+function newestOf(changes: readonly AppliedChange[], request: string): AppliedChange | null {
+  for (let i = changes.length - 1; i >= 0; i -= 1) {
+    const change = changes[i] as AppliedChange;
+    if (change.request === request) return change;
+  }
+  return null;
+}
+
+/** The newest numbered change, if it is also what the configuration holds now. */
+export function newestRevision(history: OperatorHistory): Revision | null {
+  if (history.undo === null) return null;
+  for (let i = history.changes.length - 1; i >= 0; i -= 1) {
+    const { revision } = history.changes[i] as AppliedChange;
+    if (revision) return revision;
+  }
+  return null;
+}
+
+/** Whether a numbered change on `base` may have been applied so long ago that it is no longer known. */
+export function mayBeForgotten(history: OperatorHistory, base: number): boolean {
+  return base < history.forgottenNumber;
+}
+
+/** The same for a change that was built on a version of the configuration. */
+export function versionMayBeForgotten(history: OperatorHistory, base: number): boolean {
+  return base < history.forgottenVersion;
+}
--- a/src/state/settings-tree.test.ts
+++ b/src/state/settings-tree.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { differences, resolveModel, withChanges } from './settings-tree.js';
+import { changesBack, differences, resolveModel, withChanges } from './settings-tree.js';
 import type { Configuration } from './settings-tree.js';
 import { createRng, below } from '../transport/rng.js';
 
@@ -35,6 +35,25 @@
     }
   });
 
+  test('any changes: the changes back applied to what they made give what was before', () => {
+    const rng = createRng(8);
+    function tree(depth: number): unknown {
+      if (depth === 0 || below(rng, 4) === 0) return below(rng, 5);
+      const out: Record<string, unknown> = {};
+      for (const k of ['a', 'b', 'c']) if (below(rng, 3) > 0) out[k] = tree(depth - 1);
+      return out;
+    }
+    function path(): string[] {
+      return Array.from({ length: below(rng, 4) }, () => ['a', 'b', 'c'][below(rng, 3)] as string);
+    }
+    for (let i = 0; i < 1_000; i += 1) {
+      const base = tree(3);
+      const changes = Array.from({ length: below(rng, 5) }, () => (below(rng, 3) === 0 ? { path: path().concat('a') } : { path: path(), value: tree(2) }));
+      const made = withChanges(base, changes);
+      expect(withChanges(made, changesBack(base, changes))).toEqual(base);
+    }
+  });
+
   test('neither the tree nor the changes are touched, and what did not change is the same branch', () => {
     const base = { a: { x: 1, y: { z: 2 } }, b: { x: 1 } };
     const changes = [{ path: ['a', 'y'], value: { z: 3 } }, { path: ['a', 'y', 'w'], value: 4 }, { path: ['a', 'x'] }];
--- a/src/state/settings-tree.ts
+++ b/src/state/settings-tree.ts
@@ -167,6 +167,29 @@
   return root;
 }
 
+/** The changes that lead from `withChanges(base, changes)` back to `base`. */
+export function changesBack(base: unknown, changes: readonly Change[]): Change[] {
+  const back: Change[] = [];
+  let tree = base;
+  for (const change of changes) {
+    back.push(changeBack(tree, change.path));
+    tree = withChanges(tree, [change]);
+  }
+  return back.reverse();
+}
+
+function changeBack(tree: unknown, path: readonly string[]): Change {
+  let at = tree;
+  for (let depth = 0; depth < path.length; depth += 1) {
+    const here = path.slice(0, depth);
+    if (!isTable(at)) return depth === 0 ? { path: [], value: at } : { path: here, value: at };
+    const step = path[depth] as string;
+    if (!Object.hasOwn(at, step)) return { path: path.slice(0, depth + 1) };
+    at = at[step];
+  }
+  return { path: [...path], value: at };
+}
+
 function define(at: Record<string, unknown>, key: string, value: unknown): void {
   Object.defineProperty(at, key, { value, writable: true, enumerable: true, configurable: true });
 }
