An evacuation that was overtaken is not proposed anew

Cause: an order on a zone that found another order agreed before it settled and proposed itself again, on the zone as it was by then. A first sending that was slow (its caller gone, the order sent again elsewhere and acknowledged) so evacuated the zone once more after the order that handed it back had been acknowledged. The existing test ended 200 ms before this could be seen. And the id that fences late orders off was looked up among the last 1,024 entries of all kinds.

Change: the state holds the version of each zone (the slot of its newest order); an order names the version that it saw and is applied on that one alone, and an acknowledged order moves the version also where the zone stays as it is, so it fences off all that was sent before.

--- a/src/coordination/ledger/numbered.test.ts
+++ b/src/coordination/ledger/numbered.test.ts
@@ -272,8 +272,19 @@
     const slow = s.doorAfter(400).evacuate('z', true);
     expect(await s.run(s.doorAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
     expect(await s.run(s.doorAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
-    await s.world.advance(600);
+    await s.world.advance(4_000);
     expect(s.belief.evacuated).toEqual({});
     void slow;
   });
+
+  test('an order that is agreed late does nothing, however many ordinary entries came between', async () => {
+    const s = sharedLedger();
+    const slow = s.doorAfter(400).evacuate('z', true);
+    expect(await s.run(s.doorAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.doorAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
+    ordinaryEntries(s, 1_100);
+    await s.world.advance(4_000);
+    expect(s.belief.evacuated).toEqual({});
+    expect((await slow).ok).toBe(false);
+  });
 });
--- a/src/coordination/ledger/numbered.ts
+++ b/src/coordination/ledger/numbered.ts
@@ -5,7 +5,7 @@
 import { readServing } from '../../protocol/serving.js';
 import type { Belief } from '../../state/belief.js';
 import type { Change } from '../../state/entry.js';
-import { appliedChange, mayBeForgotten, newestRevision, operatorRequest } from '../../state/operator-history.js';
+import { appliedChange, mayBeForgotten, newestRevision, operatorRequest, zoneVersion } from '../../state/operator-history.js';
 import { EMPTY_SERVING } from '../../state/serving.js';
 import type { Serving } from '../../state/serving.js';
 import { withKeptOrder } from '../../state/serving-order.js';
@@ -48,15 +48,6 @@
   return b.configuration.serving ?? EMPTY_SERVING;
 }
 
-function nextEvacuation(b: Belief, zone: string): string {
-  const prefix = `evacuation:${zone}@`;
-  for (let i = b.operations.length - 1; i >= 0; i -= 1) {
-    const op = b.operations[i];
-    if (op?.id.startsWith(prefix)) return `${prefix}${op.slot}`;
-  }
-  return `${prefix}none`;
-}
-
 function changesTo(b: Belief, next: Serving): Change[] {
   const before = b.configuration.serving;
   if (!before) return [{ path: ['serving'], value: next }];
@@ -154,18 +145,19 @@
     return (await settled()) ? ok(servingOf(ledger.belief())) : err(NO_MAJORITY);
   }
 
-  // The id is the same for every order since the zone's last one, so that an order which is agreed late, after another took its place, folds to nothing.
+  /**
+   * One proposal, on the zone's version as it was when the order came. It isn't made anew where another order was agreed
+   * first: that one may be the later order, and the caller of this one may be long gone. Whoever still wants it sends it again.
+   */
   async function evacuate(zone: string, begun: boolean): Promise<Result<{ readonly tag: 'taken' }, NumberedFault>> {
+    if (!(await settled())) return err(NO_MAJORITY);
+    const base = zoneVersion(ledger.belief().history, zone);
+    const id = `evacuation:${zone}@${base}:${begun ? 'begin' : 'finish'}`;
     const cause = begun ? `The operator evacuates ${zone}.` : `The operator hands ${zone} back.`;
-    const until = clock.mono() + agreeMs;
-    while (clock.mono() < until) {
-      if (!(await settled())) return err(NO_MAJORITY);
-      const id = nextEvacuation(ledger.belief(), zone);
-      const got = await ledger.propose({ id, cause, act: { tag: 'evacuation', zone, begun } }, until - clock.mono());
-      if (!got.ok) return err(NO_MAJORITY);
-      if ((ledger.belief().evacuated[zone] !== undefined) === begun) return ok({ tag: 'taken' });
-    }
-    return err(NO_MAJORITY);
+    const agreed = await ledger.propose({ id, cause, act: { tag: 'evacuation', zone, begun, base } }, agreeMs);
+    if (!agreed.ok) return err(NO_MAJORITY);
+    const isSo = (ledger.belief().evacuated[zone] !== undefined) === begun;
+    return agreed.value.outcome.tag === 'applied' || isSo ? ok({ tag: 'taken' }) : err({ tag: 'outcomeUnknown' });
   }
 
   return { replace, amend, read, evacuate };
--- a/src/state/belief.ts
+++ b/src/state/belief.ts
@@ -1,7 +1,7 @@
 import { sha256 } from '../base/digest.js';
 import { isTable } from '../base/is-table.js';
 import type { Act, Batch, Change, Entry, Member } from './entry.js';
-import { appliedChange, appliedZoneOrder, emptyOperatorHistory, isOperatorHistory, isOperatorRequest, recordChange, recordZoneOrder } from './operator-history.js';
+import { appliedChange, appliedZoneOrder, emptyOperatorHistory, isOperatorHistory, isOperatorRequest, recordChange, recordZoneOrder, zoneVersion } from './operator-history.js';
 import type { OperatorHistory } from './operator-history.js';
 import { isOpen, mayBecome } from './order.js';
 import type { Order, OrderEvent, OrderStatus } from './order.js';
@@ -254,12 +254,19 @@
 
 type Evacuation = Extract<Act, { tag: 'evacuation' }>;
 
+/**
+ * An order that names the zone's version is applied only on that version, and moves it also where the zone stays as it
+ * is: what was acknowledged fences off all orders that were sent before it.
+ */
 function foldEvacuation(b: Belief, slot: number, id: string, act: Evacuation): Outcome {
-  const { zone, begun } = act;
-  if (begun === (b.evacuated[zone] !== undefined)) return { tag: 'unfit', why: 'unchanged' };
-  if (begun) b.evacuated[zone] = slot;
-  else delete b.evacuated[zone];
-  recordZoneOrder(b.history, { request: id, version: slot });
+  const { zone, begun, base } = act;
+  const version = zoneVersion(b.history, zone);
+  const unchanged = begun === (b.evacuated[zone] !== undefined);
+  if (base !== undefined && base !== version) return { tag: 'staleEpoch', winner: version };
+  if (base === undefined && unchanged) return { tag: 'unfit', why: 'unchanged' };
+  if (!unchanged && begun) b.evacuated[zone] = slot;
+  if (!unchanged && !begun) delete b.evacuated[zone];
+  recordZoneOrder(b.history, zone, { request: id, version: slot });
   return APPLIED;
 }
 
--- a/src/state/entry.ts
+++ b/src/state/entry.ts
@@ -43,7 +43,7 @@
   Type.Object({ tag: Type.Literal('memberRemoved'), old: Str }),
   Type.Object({ tag: Type.Literal('claimsReopened'), members: Type.Array(Str) }),
   Type.Object({ tag: Type.Literal('configured'), base: Slot, changes: Type.Array(ChangeShape), revision: Type.Optional(RevisionShape) }),
-  Type.Object({ tag: Type.Literal('evacuation'), zone: Str, begun: Type.Boolean() }),
+  Type.Object({ tag: Type.Literal('evacuation'), zone: Str, begun: Type.Boolean(), base: Type.Optional(Type.Integer({ minimum: -1 })) }),
   Type.Object({ tag: Type.Literal('sluiceKnown'), name: Str, zone: Str, region: Str }),
   Type.Object({ tag: Type.Literal('sluiceForgotten'), name: Str }),
   Type.Object({ tag: Type.Literal('leaseTaken'), duty: Str, holder: Str }),
--- a/src/state/operator-history.test.ts
+++ b/src/state/operator-history.test.ts
@@ -7,10 +7,12 @@
   MAX_APPLIED_CHANGES,
   MAX_ZONE_ORDERS,
   mayBeForgotten,
+  NO_ZONE_VERSION,
   operatorRequest,
   recordChange,
   recordZoneOrder,
   versionMayBeForgotten,
+  zoneVersion,
 } from './operator-history.js';
 import type { OperatorHistory } from './operator-history.js';
 
@@ -42,10 +44,12 @@
     expect(JSON.stringify(history).length).toBeLessThan(130 * MAX_APPLIED_CHANGES);
   });
 
-  test('of orders on zones knows those with an id of their own', () => {
+  test('of orders on zones knows the newest of each zone, and those with an id of their own', () => {
     const history = emptyOperatorHistory();
-    for (let n = 0; n <= MAX_ZONE_ORDERS; n += 1) recordZoneOrder(history, { request: operatorRequest(`${n}`), version: n });
-    recordZoneOrder(history, { request: 'evacuation:z@7', version: 999 });
+    expect(zoneVersion(history, 'constructor')).toBe(NO_ZONE_VERSION);
+    for (let n = 0; n <= MAX_ZONE_ORDERS; n += 1) recordZoneOrder(history, 'z', { request: operatorRequest(`${n}`), version: n });
+    recordZoneOrder(history, 'z', { request: 'evacuation:z@7', version: 999 });
+    expect(zoneVersion(history, 'z')).toBe(999);
     expect(history.zoneOrders.length).toBe(MAX_ZONE_ORDERS);
     expect([0, 1].map((n) => appliedZoneOrder(history, operatorRequest(`${n}`))?.version)).toEqual([undefined, 1]);
   });
@@ -53,7 +57,7 @@
   test('told or kept is looked at before it is taken', () => {
     const history = JSON.parse(JSON.stringify(withNumbered(3))) as object;
     expect(isOperatorHistory(history)).toBe(true);
-    for (const bad of [null, [], {}, { ...history, changes: {} }, { ...history, forgottenNumber: 'x' }, { ...history, undo: 7 }, { ...history, zoneOrders: null }]) {
+    for (const bad of [null, [], {}, { ...history, changes: {} }, { ...history, forgottenNumber: 'x' }, { ...history, undo: 7 }, { ...history, zoneVersions: null }]) {
       expect(isOperatorHistory(bad)).toBe(false);
     }
   });
--- a/src/state/operator-history.ts
+++ b/src/state/operator-history.ts
@@ -28,6 +28,8 @@
   forgottenNumber: number;
   /** Changes that lead from the configuration back to the one that the newest numbered change was built on. */
   undo: Change[] | null;
+  /** The slot of each zone's newest order to evacuate it or to hand it back, kept after the hand-back too. */
+  zoneVersions: Record<string, number>;
   /** Applied orders on zones that had an id of their own, oldest first, at most MAX_ZONE_ORDERS. */
   zoneOrders: AppliedChange[];
 };
@@ -41,16 +43,19 @@
 /** Zones are evacuated some times a day; an order with an id is sent again within seconds. */
 export const MAX_ZONE_ORDERS = 256;
 
+/** The version of a zone that no order named yet. */
+export const NO_ZONE_VERSION = -1;
+
 const OPERATOR_PREFIX = 'operator:';
 
 export function emptyOperatorHistory(): OperatorHistory {
-  return { changes: [], forgottenVersion: -1, forgottenNumber: -1, undo: null, zoneOrders: [] };
+  return { changes: [], forgottenVersion: -1, forgottenNumber: -1, undo: null, zoneVersions: {}, zoneOrders: [] };
 }
 
 export function isOperatorHistory(value: unknown): value is OperatorHistory {
   if (!isTable(value)) return false;
-  const { changes, forgottenVersion, forgottenNumber, undo, zoneOrders } = value;
-  if (!Array.isArray(changes) || !Array.isArray(zoneOrders)) return false;
+  const { changes, forgottenVersion, forgottenNumber, undo, zoneVersions, zoneOrders } = value;
+  if (!Array.isArray(changes) || !Array.isArray(zoneOrders) || !isTable(zoneVersions)) return false;
   return Number.isInteger(forgottenVersion) && Number.isInteger(forgottenNumber) && (undo === null || Array.isArray(undo));
 }
 
@@ -78,12 +83,18 @@
 }
 
 /** Adds an order on a zone that was just applied. */
-export function recordZoneOrder(history: OperatorHistory, order: AppliedChange): void {
+export function recordZoneOrder(history: OperatorHistory, zone: string, order: AppliedChange): void {
+  history.zoneVersions[zone] = order.version;
   if (!isOperatorRequest(order.request)) return;
   history.zoneOrders.push(order);
   if (history.zoneOrders.length > MAX_ZONE_ORDERS) history.zoneOrders.shift();
 }
 
+/** The slot of the newest order on a zone; an order that names it is applied only while no other one came between. */
+export function zoneVersion(history: OperatorHistory, zone: string): number {
+  return Object.hasOwn(history.zoneVersions, zone) ? (history.zoneVersions[zone] as number) : NO_ZONE_VERSION;
+}
+
 /** The change of the configuration that a request brought about, if it was applied and is still known. */
 export function appliedChange(history: OperatorHistory, request: string): AppliedChange | null {
   return newestOf(history.changes, request);
