A reading asks the new members when it finds that the members changed

Cause: settle polled a majority of the members that the node knew and took the highest slot they told for the newest. That majority may consist of a member that was removed meanwhile and members that lag: they tell of the change of members, yet of nothing that the new members agreed without them. Five members, two cut off, one of these replaced, the next order confirmed without one that lags; then the member that was cut off, reaching only the replaced one and the laggard, read a state without the confirmed order.

Change: once all that the asked majority told is reached, the members must be the ones that were asked; else the new ones are asked. Only answers of kind standing from the same ledger count. A reading no longer waits for the slowest of those that are ahead, any of them that tells all is enough.

Argument: slot s+1 is accepted by a majority of the members after slot s. If the reading ends at slot s with members M(s), a majority of M(s) was asked after it began and told at most s. Had s+1 been chosen before, one of them would have accepted it, synced, and told s+1 at least.

Ruled out: the attestation (attest.ts) has no such gap, it counts a majority of the members after its own newest slot and drops all who told more than it.

--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -4,7 +4,7 @@
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf, SlotBatch } from '../../protocol/messages.js';
 import type { Ballot } from '../../state/ballot.js';
-import { majorityOf, memberId, operationOf } from '../../state/belief.js';
+import { majorityOf, memberId, membersMark, operationOf } from '../../state/belief.js';
 import type { Belief, Outcome } from '../../state/belief.js';
 import type { Batch, Entry, Member } from '../../state/entry.js';
 import { every, pause, within } from '../../transport/clock.js';
@@ -75,6 +75,7 @@
 const LEARN_WAIT_MS = 400;
 const RECORD_ROOM = 4_096;
 
+type Told = { readonly top: number; readonly learned: number };
 type Proposal = { readonly entry: Entry; readonly bytes: number; readonly until: number };
 
 export async function createLedger(deps: LedgerDeps): Promise<Result<Ledger, RingFault>> {
@@ -250,32 +251,50 @@
     }
   }
 
+  // A majority of the members that this node knows may hold one that was removed and others that lag: together they can tell
+  // of the change of members, yet of nothing behind it. So once all that they told is reached, the members must still be
+  // the ones that were asked; else the new ones are asked.
   async function settle(waitMs: number): Promise<boolean> {
-    if (!isMember()) return false;
     const until = clock.mono() + waitMs;
+    while (isMember() && clock.mono() < until) {
+      const asked = membersMark(belief().members);
+      const told = await newestTold(until);
+      if (!told || !(await reach(told, until))) return false;
+      if (membersMark(belief().members) === asked) return true;
+    }
+    return false;
+  }
+
+  async function newestTold(until: number): Promise<Told | null> {
     const need = majorityOf(belief().members);
     const askUntil = asker(until);
-    let top = -1;
-    function ask(m: Member): Promise<Message | null> {
-      return askUntil(m, { kind: 'standingAsk' });
+    async function ask(m: Member): Promise<Message | null> {
+      const got = await askUntil(m, { kind: 'standingAsk' });
+      return got?.kind === 'standing' && got.ledger === belief().ledger ? got : null;
     }
     function heardMost(votes: Votes, open: number): boolean {
       return votes.size >= need || votes.size + open < need;
     }
     const votes = await poll(belief().members, ask, heardMost);
-    if (votes.size < need) return false;
-    const ahead: Promise<void>[] = [];
+    if (votes.size < need) return null;
+    let top = -1;
+    let learned = -1;
     for (const v of votes.values()) {
       if (v.kind !== 'standing') continue;
       top = Math.max(top, v.top);
-      if (v.learned > belief().slot) ahead.push(catchUp(v.address));
+      learned = Math.max(learned, v.learned);
+      if (v.learned > belief().slot) void catchUp(v.address);
     }
-    if (ahead.length > 0) await within(clock, until - clock.mono(), Promise.all(ahead));
-    await slotDone(top, Math.min(HELP_AFTER_MS, until - clock.mono()));
+    return { top, learned };
+  }
+
+  async function reach(told: Told, until: number): Promise<boolean> {
     function atTop(): boolean {
-      return belief().slot >= top;
+      return belief().slot >= told.top;
     }
-    await decide({ id: newId(rng, 'batch'), entries: [] }, until, atTop);
+    const waitMs = told.learned >= told.top ? LEARN_WAIT_MS : HELP_AFTER_MS;
+    await slotDone(told.top, Math.min(waitMs, until - clock.mono()));
+    if (!atTop()) await decide({ id: newId(rng, 'batch'), entries: [] }, until, atTop);
     return atTop();
   }
 
