One that was replaced while it was away takes orders and reads at once

Cause: propose and settle were refused by a node that is no member. One that was replaced or left out while it was cut off has lost its place, and has to be admitted anew; until then (2 s and more after the cut healed) it refused every order and every reading with 503, with all others up. And settle gave up at the first poll without a majority, though its caller gave it more time: just after a cut the links are not dialled again yet.

Change: who knows the ledger may propose and read; only members vote. A reading that found no majority asks again until its time is over.

Why it is safe: a proposer needs no vote of its own. It names its ballots by its own identity and a fresh id, knows the members of the slot as it folded all before, and counts their votes by identity. The argument of the reading names the members that were asked, never the asker.

--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -71,6 +71,7 @@
 const VOTE_WAIT_MS = 1_000;
 const SLICE_MS = 1_000;
 const HELP_AFTER_MS = 150;
+const ASK_AGAIN_MS = 50;
 const DANGLING_MS = 1_000;
 const LEARN_WAIT_MS = 400;
 const RECORD_ROOM = 4_096;
@@ -231,7 +232,7 @@
   const line = createLine(work);
 
   function propose(draft: Draft, waitMs: number): Promise<Result<Agreed, ProposeFault>> {
-    if (!isMember()) return Promise.resolve(err({ tag: 'notFounded' }));
+    if (belief().ledger === '') return Promise.resolve(err({ tag: 'notFounded' }));
     const entry: Entry = {
       id: draft.id ?? newId(rng, 'op'),
       author: self.name,
@@ -253,14 +254,14 @@
 
   // A majority of the members that this node knows may hold one that was removed and others that lag: together they can tell
   // of the change of members, yet of nothing behind it. So once all that they told is reached, the members must still be
-  // the ones that were asked; else the new ones are asked.
+  // the ones that were asked; else the new ones are asked. Who reads need not be a member.
   async function settle(waitMs: number): Promise<boolean> {
     const until = clock.mono() + waitMs;
-    while (isMember() && clock.mono() < until) {
+    while (belief().ledger !== '' && clock.mono() < until) {
       const asked = membersMark(belief().members);
       const told = await newestTold(until);
-      if (!told || !(await reach(told, until))) return false;
-      if (membersMark(belief().members) === asked) return true;
+      if (!told) await pause(clock, Math.min(ASK_AGAIN_MS, until - clock.mono()));
+      else if ((await reach(told, until)) && membersMark(belief().members) === asked) return true;
     }
     return false;
   }
--- a/src/coordination/ledger/partition.test.ts
+++ b/src/coordination/ledger/partition.test.ts
@@ -60,3 +60,54 @@
     expect(core.broken).toEqual([]);
   });
 });
+
+describe('orders while one is cut off, and right after', () => {
+  // While it is cut off, the member is given orders that it can't have agreed: it holds them accepted by itself alone, and
+  // outbids the others when it is back.
+  test.each(SEEDS)('each is confirmed within 5 s wherever it first goes; one given up is the same order later, or nothing (seed %i)', async (seed) => {
+    const core = await bootstrapped(seed, seed % 2 === 0 ? ['h1', 'h2', 'h3'] : FIVE);
+    const names = core.nodes.map((n) => n.name);
+    const lone = names[seed % names.length] as string;
+    const others = names.filter((name) => name !== lone);
+    await confirmed(core, lone, 'before', 1_500);
+    core.cutOff([lone]);
+    const givenUp: string[] = [];
+    const from = core.world.now();
+    for (let n = 0; core.world.now() - from < 20_000; n += 1) {
+      const stale = core.order(lone, `alone-${n}`, 1_500);
+      await confirmed(core, others[n % others.length] as string, `during-${n}`, 1_500);
+      const refused = await stale;
+      expect([refused.result?.ok, refused.tookMs < 1_600]).toEqual([false, true]);
+      expect(await core.evacuatedAt(lone)).toBeNull();
+      givenUp.push(`alone-${n}`);
+      await core.world.advance(core.world.rng.next() * 2_000);
+    }
+    core.world.healAll();
+    const first = others.map((name, i) => confirmed(core, name, `healed-${i}`, 1_500));
+    await confirmed(core, lone, 'returned', 5_000);
+    await Promise.all(first);
+    const reads = new Set<string>();
+    for (const name of names) reads.add((await core.evacuatedAt(name))?.filter((zone) => givenUp.includes(zone)).join() ?? 'refused');
+    await core.world.advance(6_000);
+    for (const name of names) reads.add((await core.evacuatedAt(name))?.filter((zone) => givenUp.includes(zone)).join() ?? 'refused');
+    expect(reads.size).toBe(1);
+    expect(core.broken).toEqual([]);
+  });
+
+  test.each(SEEDS)('one that was replaced or left out meanwhile takes orders and reads at once when it is back (seed %i)', async (seed) => {
+    const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
+    core.cutOff(['h2']);
+    core.add('h4');
+    cutBetween(core, ['h2'], ['h4']);
+    core.start('h4');
+    expect(await core.until(8_000, () => core.whole(['h1', 'h3', 'h4']))).toBe(true);
+    await confirmed(core, 'h4', 'during', 1_500);
+    await core.world.advance(12_000);
+    core.world.healAll();
+    await core.world.advance(core.world.rng.next() * 1_500);
+    await confirmed(core, 'h2', 'returned', 2_500);
+    expect(await core.evacuatedAt('h2')).toEqual(['during', 'returned']);
+    expect(await core.until(8_000, () => core.whole(['h1', 'h2', 'h3', 'h4']))).toBe(true);
+    expect(core.broken).toEqual([]);
+  });
+});
