Status, metrics and one log line tell how many further losses the core bears

Cause: a second loss right after a repair stopped the core, and nothing had told operators that the first one left none to spare. The status answer had `quorate` only, which is true until the moment of the loss.

Change: `state/core-health.ts` judges, from the members and what was heard of each, who is in touch, who holds everything, and after how many losses of the worst members a majority in touch still holds everything. All choices of lost members are tried (nine members at most), so that members which reach each other only through a third are told for what they are. `core-health-watch.ts` gathers the answers: a member holds everything if it has all that was known 2.6 s before, answers count for 1.6 s, and nothing of before a standstill is used. Members say in their answer if their disk takes no writes; whether their claims are whole is asked of them where claims are in use, and judged apart. A controller that hears no majority tells null, and its gauges are missing instead of 0. Status and metrics have a module of their own (`controller-status.ts`); the controller's file is shorter by them.

Ruled out: comparing with the newest slot alone (under steady changes a member whose answer is half a second old would be called behind: seen as a break); telling 0 for what is not known.

--- /dev/null
+++ b/src/coordination/controller-status.ts
@@ -0,0 +1,147 @@
+/**
+ * What a controller tells operators of itself and of the deployment: the body of `GET /v1/status` and the gauges
+ * of `GET /metrics`. Both are told from this controller's own knowledge, at once and without asking anyone; while
+ * it hears no majority, `quorate` is false and the figures of the core are unknown.
+ */
+import { memberId } from '../state/belief.js';
+import type { Belief } from '../state/belief.js';
+import type { CoreHealth } from '../state/core-health.js';
+import type { Clock } from '../transport/clock.js';
+import type { Meters } from '../transport/meters.js';
+import type { Claims } from './ledger/claims.js';
+import type { CoreHealthWatch } from './ledger/core-health-watch.js';
+import type { Ledger } from './ledger/ledger.js';
+import type { Push } from './ledger/push.js';
+import type { Membership } from './members/membership.js';
+
+export type ControllerStatusDeps = {
+  readonly name: string;
+  readonly ledger: Ledger;
+  readonly claims: Claims;
+  readonly push: Push;
+  readonly coreHealth: CoreHealthWatch;
+  readonly membership: Membership;
+  readonly clock: Clock;
+  readonly holdsScaler: () => boolean;
+};
+
+export type ControllerStatus = {
+  /** The body of the status answer. */
+  readonly body: () => unknown;
+  /** Sets the gauges to what they are now. */
+  readonly meter: (meters: Meters) => void;
+};
+
+type WorkerVerdicts = { fit: number; unfit: number };
+
+export function createControllerStatus(deps: ControllerStatusDeps): ControllerStatus {
+  const { ledger, claims, push, coreHealth, clock } = deps;
+
+  function sluiceRows(): Record<string, unknown> {
+    const rows: Record<string, unknown> = {};
+    for (const name of Object.keys(ledger.belief().sluices)) {
+      const report = push.reports().get(name);
+      const at = push.heardAt(name);
+      rows[name] = {
+        slot: push.confirmedSlot(name),
+        heardMs: at === null ? null : Math.round(clock.mono() - at),
+        shed: report?.shed ?? null,
+        dispatched: report?.dispatched ?? null,
+        retried: report?.retried ?? null,
+      };
+    }
+    return rows;
+  }
+
+  function workerRows(): Record<string, WorkerVerdicts> {
+    const rows: Record<string, WorkerVerdicts> = {};
+    for (const report of push.reports().values()) {
+      for (const [worker, verdict] of Object.entries(report.fitness)) {
+        const seen = rows[worker] ?? { fit: 0, unfit: 0 };
+        seen[verdict] += 1;
+        rows[worker] = seen;
+      }
+    }
+    return rows;
+  }
+
+  function body(): unknown {
+    const state = ledger.belief();
+    return {
+      name: deps.name,
+      role: 'headgate',
+      member: memberId(ledger.self),
+      isMember: ledger.isMember(),
+      ledger: state.ledger,
+      slot: state.slot,
+      epoch: state.epoch,
+      writable: ledger.writable(),
+      quorate: push.quorate(),
+      core: coreHealth.current(),
+      claimsReady: claims.ready(),
+      claimsHeld: claims.size(),
+      members: state.members,
+      nodes: deps.membership.all(),
+      leases: state.leases,
+      holdsScaler: deps.holdsScaler(),
+      evacuated: state.evacuated,
+      zoneSets: state.zoneSets,
+      targets: state.targets,
+      sluices: sluiceRows(),
+      workers: workerRows(),
+      ordersInFlight: ordersInFlight(state),
+    };
+  }
+
+  function meter(meters: Meters): void {
+    const state = ledger.belief();
+    meters.set('millfield_slot', 'Newest ledger slot', state.slot);
+    meters.set('millfield_epoch', 'Configuration in force', state.epoch);
+    meters.set('millfield_quorate', '1 while a majority is heard', push.quorate() ? 1 : 0);
+    meters.set('millfield_writable', '1 while the ring takes writes', ledger.writable() ? 1 : 0);
+    meters.set('millfield_holds_scaler', '1 on the holder of the scaler duty', deps.holdsScaler() ? 1 : 0);
+    meters.set('millfield_claims_held', 'Run-once keys remembered', claims.size());
+    meters.set('millfield_claims_ready', '1 once claims are whole', claims.ready() ? 1 : 0);
+    meters.set('millfield_sluices_behind', 'Sluices that have not confirmed the newest slot', push.unconfirmed(state.slot).length);
+    const health = coreHealth.current();
+    meterCore(meters, 'ledger', health.ledger);
+    if (health.claims) meterCore(meters, 'claims', health.claims);
+    for (const [model, target] of Object.entries(state.targets)) meters.set('millfield_target', 'Workers wanted', target, { model });
+    meterOrders(meters, state);
+    for (const [model, zones] of Object.entries(state.zoneSets)) meters.set('millfield_zones_preemptive', 'Zones avoided for spot', zones.preemptive.length, { model });
+  }
+
+  return { body, meter };
+}
+
+function ordersInFlight(state: Belief): unknown[] {
+  const rows: unknown[] = [];
+  for (const order of Object.values(state.orders)) {
+    if (order.status === 'ready') continue;
+    rows.push({ id: order.id, model: order.model, zone: order.zone, kind: order.kind, status: order.status, machine: order.machine });
+  }
+  return rows;
+}
+
+/** All gauges have a label, so that one without a known value is missing from the answer instead of being 0. */
+function meterCore(meters: Meters, group: string, health: CoreHealth): void {
+  const labels = { group };
+  meters.set('millfield_core_known', '1 while this controller hears a majority of the core', health.spareLosses === null ? 0 : 1, labels);
+  meters.set('millfield_core_members', 'Members of the core', health.members, labels);
+  meters.set('millfield_core_quorum_size', 'Members that make a majority', health.quorumSize, labels);
+  meters.set('millfield_core_in_touch', 'Members in touch, this one included', health.inTouch, labels);
+  if (health.holdingAll !== null) meters.set('millfield_core_holding_all', 'Members in touch that hold everything', health.holdingAll, labels);
+  if (health.spareLosses !== null) meters.set('millfield_core_spare_losses', 'Further losses that the core bears', health.spareLosses, labels);
+}
+
+function meterOrders(meters: Meters, state: Belief): void {
+  const counts = new Map<string, number>();
+  for (const order of Object.values(state.orders)) {
+    const key = `${order.model} ${order.kind} ${order.status}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  for (const [key, count] of counts) {
+    const [model, kind, orderState] = key.split(' ') as [string, string, string];
+    meters.set('millfield_orders', 'Open orders', count, { model, kind, state: orderState });
+  }
+}
--- a/src/coordination/headgate.ts
+++ b/src/coordination/headgate.ts
@@ -18,7 +18,6 @@
 import { nextLife } from './ledger/life.js';
 import { createLedger } from './ledger/ledger.js';
 import type { Ledger } from './ledger/ledger.js';
-import type { Meters } from '../transport/meters.js';
 import { createMembership } from './members/membership.js';
 import { metricsRoute } from './metrics-door.js';
 import type { NodeDeps, NodeIdentity } from './node.js';
@@ -27,6 +26,8 @@
 import { createPeers } from './members/peers.js';
 import { createCrowdRelay } from './ledger/crowd-relay.js';
 import { createAttest } from './ledger/attest.js';
+import { createControllerStatus } from './controller-status.js';
+import { createCoreHealthWatch } from './ledger/core-health-watch.js';
 import { createPush } from './ledger/push.js';
 import type { Push } from './ledger/push.js';
 import { createListDuty } from './scaling/list-duty.js';
@@ -119,6 +120,7 @@
     ledger.stop();
     return claims;
   }
+  const coreHealth = createCoreHealthWatch({ ledger, claims: id.claims === false ? null : claims.value, peers, clock, log: logs.part('core') });
   const attest = createAttest(ledger, clock);
   const push = createPush(ledger, attest, peers, clock, logs.part('push'));
   const crowd = createCrowdRelay(ledger, peers, clock, rng);
@@ -159,80 +161,10 @@
     return lease !== null && lease.fence() !== null;
   }
 
-  function status(): unknown {
-    const b = ledger.belief();
-    const sluices: Record<string, unknown> = {};
-    for (const name of Object.keys(b.sluices)) {
-      const r = push.reports().get(name);
-      const at = push.heardAt(name);
-      sluices[name] = {
-        slot: push.confirmedSlot(name),
-        heardMs: at === null ? null : Math.round(clock.mono() - at),
-        shed: r?.shed ?? null,
-        dispatched: r?.dispatched ?? null,
-        retried: r?.retried ?? null,
-      };
-    }
-    const workers: Record<string, { fit: number; unfit: number }> = {};
-    for (const r of push.reports().values()) {
-      for (const [worker, verdict] of Object.entries(r.fitness)) {
-        const seen = workers[worker] ?? { fit: 0, unfit: 0 };
-        seen[verdict] += 1;
-        workers[worker] = seen;
-      }
-    }
-    const inFlight = [];
-    for (const o of Object.values(b.orders)) {
-      if (o.status !== 'ready') inFlight.push({ id: o.id, model: o.model, zone: o.zone, kind: o.kind, status: o.status, machine: o.machine });
-    }
-    return {
-      name: id.name,
-      role: 'headgate',
-      member: memberId(self),
-      isMember: ledger.isMember(),
-      ledger: b.ledger,
-      slot: b.slot,
-      epoch: b.epoch,
-      writable: ledger.writable(),
-      quorate: push.quorate(),
-      claimsReady: claims.ok && claims.value.ready(),
-      claimsHeld: claims.ok ? claims.value.size() : 0,
-      members: b.members,
-      nodes: membership.all(),
-      leases: b.leases,
-      holdsScaler: holdsScaler(),
-      evacuated: b.evacuated,
-      zoneSets: b.zoneSets,
-      targets: b.targets,
-      sluices,
-      workers,
-      ordersInFlight: inFlight,
-    };
-  }
-
-  function meter(m: Meters): void {
-    const b = ledger.belief();
-    m.set('millfield_slot', 'Newest ledger slot', b.slot);
-    m.set('millfield_epoch', 'Configuration in force', b.epoch);
-    m.set('millfield_quorate', '1 while a majority is heard', push.quorate() ? 1 : 0);
-    m.set('millfield_writable', '1 while the ring takes writes', ledger.writable() ? 1 : 0);
-    m.set('millfield_holds_scaler', '1 on the holder of the scaler duty', holdsScaler() ? 1 : 0);
-    m.set('millfield_claims_held', 'Run-once keys remembered', claims.ok ? claims.value.size() : 0);
-    m.set('millfield_claims_ready', '1 once claims are whole', claims.ok && claims.value.ready() ? 1 : 0);
-    m.set('millfield_sluices_behind', 'Sluices that have not confirmed the newest slot', push.unconfirmed(b.slot).length);
-    for (const [model, n] of Object.entries(b.targets)) m.set('millfield_target', 'Workers wanted', n, { model });
-    const orders = new Map<string, number>();
-    for (const o of Object.values(b.orders)) orders.set(`${o.model} ${o.kind} ${o.status}`, (orders.get(`${o.model} ${o.kind} ${o.status}`) ?? 0) + 1);
-    for (const [key, n] of orders) {
-      const [model, kind, state] = key.split(' ') as [string, string, string];
-      m.set('millfield_orders', 'Open orders', n, { model, kind, state });
-    }
-    for (const [model, z] of Object.entries(b.zoneSets)) m.set('millfield_zones_preemptive', 'Zones avoided for spot', z.preemptive.length, { model });
-  }
-
-  const routes = operatorRoutes({ ledger, push, aims, clock, status });
+  const status = createControllerStatus({ name: id.name, ledger, claims: claims.value, push, coreHealth, membership, clock, holdsScaler });
+  const routes = operatorRoutes({ ledger, push, aims, clock, status: status.body });
   function openDoor(): Promise<Result<Listener, WireFault>> {
-    return deps.door.open(id.httpListen, [...routes, metricsRoute(deps.meters(), meter)]);
+    return deps.door.open(id.httpListen, [...routes, metricsRoute(deps.meters(), status.meter)]);
   }
   const door = id.operatorDoor === false ? null : await openDoor();
   if (door && !door.ok) {
@@ -252,6 +184,7 @@
     push.stop();
     crowd.stop();
     attest.stop();
+    coreHealth.stop();
     aims.stop();
     if (claims.ok) claims.value.stop();
     ledger.stop();
--- /dev/null
+++ b/src/coordination/ledger/core-health-log.ts
@@ -0,0 +1,55 @@
+/**
+ * Logs when the core no longer bears a loss, when that is not known, and when it bears one again: one line each,
+ * with the figures as `key=value`, and none while nothing changes. A state that lasts shorter than `LASTS_MS` is
+ * not told.
+ */
+import type { CoreHealth } from '../../state/core-health.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+
+export type CoreHealthLog = { readonly note: (health: CoreHealth) => void };
+
+type Condition = 'spare' | 'none' | 'unknown';
+
+/** Two turns: a single late answer is no news. */
+const LASTS_MS = 1_000;
+
+function conditionOf(health: CoreHealth): Condition | null {
+  if (health.warning === 'notMember') return null;
+  if (health.spareLosses === null) return 'unknown';
+  return health.spareLosses > 0 ? 'spare' : 'none';
+}
+
+/** The figures of one judgement for a log line, such as `members=3 inTouch=2 … lacking=h3:silent`. */
+export function figuresOf(health: CoreHealth): string {
+  const lacking: string[] = [];
+  for (const member of health.details) if (member.lack !== null) lacking.push(`${member.name}:${member.lack}`);
+  const { members, inTouch, holdingAll, quorumSize, spareLosses } = health;
+  return `members=${members} inTouch=${inTouch} holdingAll=${holdingAll ?? 'unknown'} quorumSize=${quorumSize} spareLosses=${spareLosses ?? 'unknown'} lacking=${lacking.join(',') || 'none'}`;
+}
+
+const WORDS: Readonly<Record<Condition, string>> = {
+  spare: 'The core bears a further loss again',
+  none: 'The core bears no further loss',
+  unknown: 'No majority of the core is heard: how many losses it bears is not known',
+};
+
+/** `group` names what is judged: the members of the ledger, or those that hold claims. */
+export function createCoreHealthLog(group: string, clock: Clock, log: Log): CoreHealthLog {
+  let told: Condition = 'spare';
+  let seen: Condition = 'spare';
+  let since = clock.mono();
+
+  function note(health: CoreHealth): void {
+    const condition = conditionOf(health);
+    if (condition === null) return;
+    if (condition !== seen) since = clock.mono();
+    seen = condition;
+    if (condition === told || clock.mono() - since < LASTS_MS) return;
+    told = condition;
+    const line = `${WORDS[condition]}: group=${group} ${figuresOf(health)}.`;
+    if (condition === 'spare') log.info(line);
+    else log.warn(line);
+  }
+  return { note };
+}
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -396,7 +396,7 @@
     if (heard.standing.learned > belief().slot) void catchUp(heard.standing.address);
     events.emit('heard', heard);
   }
-  const standings = createStandings({ clock, peers, self, belief, top: store.top, onHeard });
+  const standings = createStandings({ clock, peers, self, belief, top: store.top, writable: store.writable, onHeard });
   peers.on('standingAsk', standings.own);
   const joining = createJoining({ rng, peers, log, self, seeds: deps.seeds, belief, standings, propose, settle, catchUp, renew: deps.renew });
   function ledgerName(): string {
--- a/src/coordination/ledger/standings.ts
+++ b/src/coordination/ledger/standings.ts
@@ -20,6 +20,7 @@
   readonly self: Member;
   readonly belief: () => Belief;
   readonly top: () => number;
+  readonly writable: () => boolean;
   readonly onHeard: (heard: HeardStanding) => void;
 };
 
@@ -69,7 +70,7 @@
     const b = deps.belief();
     const unheard: string[] = [];
     for (const m of others()) if (unheardMs(memberId(m)) > UNHEARD_MS) unheard.push(memberId(m));
-    return { kind: 'standing', ledger: b.ledger, voter: memberId(self), address: self.address, learned: b.slot, top: deps.top(), wall: clock.wall(), ...(unheard.length > 0 ? { unheard } : {}) };
+    return { kind: 'standing', ledger: b.ledger, voter: memberId(self), address: self.address, learned: b.slot, top: deps.top(), wall: clock.wall(), ...(unheard.length > 0 ? { unheard } : {}), ...(deps.writable() ? {} : { cannotWrite: true }) };
   }
 
   function mostUnheard(id: string): boolean {
--- a/src/sim/sim-http.ts
+++ b/src/sim/sim-http.ts
@@ -171,7 +171,7 @@
       }
       if (!world.alive(door.proc)) return;
       const lines = reply.lines;
-      const sent = copied(reply.body) ?? null;
+      const sent = reply.text ?? copied(reply.body) ?? null;
       const given = reply;
       if (!lines) {
         off();
