A caller whose region has no proxy left is led to a home of the host it asks for

Cause: while the proxies of one region were restarted in turn, the directory led its callers to the region of the controller that was asked. Ruled out: keeping callers in their region by naming proxies that are told to stop (they end); a longer wait for the region's own (callers would have no address at all). Change: next after the caller's own region come the homes of the host's mappings, those that most mappings share first; a host without homes is led as before. Conclusion: the directory knows the configuration anyway; it now uses it.

--- a/src/coordination/edge/directory.test.ts
+++ b/src/coordination/edge/directory.test.ts
@@ -1,5 +1,9 @@
 import { describe, expect, test } from '@jest/globals';
-import { addressesFor, DIRECTORY_TUNING } from './directory.js';
+import { createWorld } from '../../sim/world.js';
+import type { Report } from '../../state/report.js';
+import { DEFAULT_LIMITS } from '../../state/serving.js';
+import type { DoorMapping, Serving } from '../../state/serving.js';
+import { addressesFor, createDirectory, DIRECTORY_TUNING, homesOf } from './directory.js';
 import type { ToldSluice } from './directory.js';
 
 function sluice(name: string, zone: string, more: Partial<ToldSluice> = {}): ToldSluice {
@@ -65,3 +69,50 @@
     expect(Math.max(...counts)).toBeLessThan(2 * Math.min(...counts));
   });
 });
+
+function servingWith(homesByHost: readonly (readonly [string, readonly string[]])[]): Serving {
+  const mappings: Record<string, DoorMapping> = {};
+  homesByHost.forEach(([host, homes], i) => {
+    mappings[`m${i}`] = { at: i, host, prefix: `/${i}/`, kind: 'once', resumable: false, pinned: false, rank: 0, deadlineMs: 1_000, aimMs: null, pauseMs: null, dispatches: 1, shares: [{ model: 'm', share: 1 }], split: false, homes };
+  });
+  return { number: 1, mappings, models: {}, limits: DEFAULT_LIMITS };
+}
+
+describe('a caller whose own region has no proxy left', () => {
+  const HOMES = ['north', 'south'];
+  const serving = servingWith([['bound.example', HOMES], ['bound.example', []], ['free.example', []]]);
+
+  async function sentTo(host: string, callerRegion: string, controllerRegion: string): Promise<string> {
+    const world = createWorld(3);
+    const clock = world.clockOf(world.begin(world.host('core', 'a')));
+    const reports = new Map<string, Report>();
+    for (const region of ['north', 'south', 'west']) {
+      for (const n of [1, 2]) {
+        const reporter = `${region}-${n}`;
+        reports.set(reporter, { reporter, http: reporter, zone: `${region}-z`, region, ready: region !== callerRegion } as Report);
+      }
+    }
+    const directory = createDirectory({ reports: () => reports, heardAt: () => clock.mono() }, () => serving, controllerRegion, clock);
+    directory.addressesFor({ host, zone: `${callerRegion}-z`, region: callerRegion });
+    await world.advance(800);
+    return directory.addressesFor({ host, zone: `${callerRegion}-z`, region: callerRegion }).sort().join(' ');
+  }
+
+  test('is led to a home of the host that it asks for, whichever controller it asks', async () => {
+    expect(await sentTo('bound.example', 'north', 'west')).toBe('south-1 south-2');
+    expect(await sentTo('bound.example', 'south', 'west')).toBe('north-1 north-2');
+    expect(await sentTo('bound.example', 'north', 'south')).toBe('south-1 south-2');
+    expect(HOMES).toContain((await sentTo('bound.example', 'west', 'north')).split('-')[0]);
+  });
+
+  test('is led to the region of the controller where the host has no homes', async () => {
+    expect(await sentTo('free.example', 'north', 'west')).toBe('west-1 west-2');
+    expect(await sentTo('unknown.example', 'north', 'west')).toBe('west-1 west-2');
+  });
+
+  test('finds the home first that most mappings of the host share', () => {
+    const shared = servingWith([['h', ['a', 'b']], ['h', ['b']], ['other', ['a']]]);
+    expect(homesOf(shared, 'h')).toEqual(['b', 'a']);
+    expect(homesOf(null, 'h')).toEqual([]);
+  });
+});
--- a/src/coordination/edge/directory.ts
+++ b/src/coordination/edge/directory.ts
@@ -1,5 +1,6 @@
 import { hash32 } from '../../base/digest.js';
 import type { Reports } from '../../state/reports.js';
+import type { Serving } from '../../state/serving.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Address } from '../../transport/wire.js';
 
@@ -13,7 +14,10 @@
 
 type Ranked = { readonly http: Address; readonly rank: number };
 
-// The ready sluices of the origin's zone; of its whole region where the zone has lost more than its share; of the next regions where none is left.
+/**
+ * The ready proxies of the caller's zone; of its whole region where the zone has lost more than its share; of the next
+ * regions, in the order given, where none is left.
+ */
 export function addressesFor(told: readonly ToldSluice[], origin: Origin, nearRegions: readonly string[], tuning: DirectoryTuning = DIRECTORY_TUNING): Address[] {
   const heard = told.filter(isHeard);
   const serving = heard.length > 0 ? heard : told.filter(isReady);
@@ -59,8 +63,35 @@
 
 export type Directory = { readonly addressesFor: (origin: Origin) => Address[] };
 
-// A headgate that has just come up hears its sluices one after another; it names none until all had time to tell.
-export function createDirectory(told: Told, region: string, clock: Clock, tuning: DirectoryTuning = DIRECTORY_TUNING): Directory {
+/** The settings in force, as far as the controller knows them. */
+export type ServingInForce = () => Serving | null;
+
+/**
+ * The regions in which requests for a host may be handled: the homes of its mappings, those that most mappings share
+ * first; none where no mapping has homes.
+ */
+export function homesOf(serving: Serving | null, host: string): readonly string[] {
+  const counts = new Map<string, number>();
+  for (const mapping of Object.values(serving?.mappings ?? {})) {
+    if (mapping.host !== host) continue;
+    for (const region of mapping.homes) counts.set(region, (counts.get(region) ?? 0) + 1);
+  }
+  const regions = [...counts].sort(mostSharedFirst);
+  return regions.map(regionOf);
+}
+function mostSharedFirst(a: readonly [string, number], b: readonly [string, number]): number {
+  return b[1] - a[1];
+}
+function regionOf(counted: readonly [string, number]): string {
+  return counted[0];
+}
+
+/**
+ * The directory of one controller. One that has just come up hears its proxies one after another; it names none until
+ * all had time to tell. A caller whose own region has none left is led to a home of the host that it asks for, so that
+ * what may be handled there alone isn't sent past it.
+ */
+export function createDirectory(told: Told, serving: ServingInForce, region: string, clock: Clock, tuning: DirectoryTuning = DIRECTORY_TUNING): Directory {
   let firstAt: number | null = null;
 
   function rows(now: number): ToldSluice[] {
@@ -77,7 +108,11 @@
     if (sluices.length > 0) firstAt ??= now;
     for (const s of sluices) if (firstAt !== null) firstAt = Math.min(firstAt, now - s.heardAgoMs);
     if (firstAt === null || now - firstAt < tuning.warmMs) return [];
-    return addressesFor(sluices, origin, [region], tuning);
+    return addressesFor(sluices, origin, nextRegions(origin), tuning);
+  }
+  function nextRegions(origin: Origin): readonly string[] {
+    const homes = homesOf(serving(), origin.host);
+    return homes.includes(region) ? [region, ...homes] : [...homes, region];
   }
   return { addressesFor: forOrigin };
 }
