A proxy that was told to stop takes no new connection after 2.5 s

Cause: a stopping proxy listened until its end. Ruled out: refusing with 503 (a refusal while places are free, and it uses up one of the caller's few tries); ending streams later (the process is killed then). Change: 2.5 s after the order it stops listening and closes idle connections; what is under way goes on. A caller that still comes is refused by the machine at once and goes on to another address. Measured: both new tests fail without it (not called; the connection was taken), pass now. Conclusion: a late caller finds out at once instead of losing a stream.

--- a/src/coordination/edge/open-sluice.test.ts
+++ b/src/coordination/edge/open-sluice.test.ts
@@ -28,13 +28,14 @@
     check: () => undefined, open: () => 0, idle: () => 0, forget: () => undefined, made: () => 0, stop: () => undefined,
   };
   const doors: ((req: OpenRequest) => void)[] = [];
+  const stoppedListening: number[] = [];
   let listed = true;
   let tellList = (): void => undefined;
   const started = startOpenSluice(
     { name: 's1', run: 'run-1', zone: 'zone-h1', region: 'zone-h1', listen: '10.0.1.1:9000', front: '10.0.1.1:80', seeds: core.nodes.map((n) => n.wire) },
     {
       clock, rng: createRng(seed), wire, logs: createQuietLog(), words: W, tuning: EDGE_TUNING, outlets,
-      door: { open: (address, handle) => { doors.push(handle); return Promise.resolve({ ok: true, value: { address, close: () => Promise.resolve(), closeIdle: () => undefined, limit: () => undefined } }); } },
+      door: { open: (address, handle) => { doors.push(handle); return Promise.resolve({ ok: true, value: { address, close: () => Promise.resolve(), closeIdle: () => undefined, stopListening: () => { stoppedListening.push(clock.mono()); }, limit: () => undefined } }); } },
       feed: () => ({
         entries: () => [{ id: 'w', model: 'm', address: '10.0.0.9:1', zone: 'zone-h1', region: 'zone-h1', release: '', places: 4, leaving: false, remainingMs: null, coldMs: 0 }],
         asOf: () => (listed ? clock.mono() : null), events: { on: (_name, fn) => { tellList = fn as () => void; } }, stop: () => undefined,
@@ -67,7 +68,7 @@
     const work = ledger.propose({ id: 'first', cause: 'A test configures.', act: { tag: 'configured', base: ledger.belief().epoch, changes: [{ path: ['serving'], value: SERVING }] } }, 2_000);
     expect((await core.finish(work, 10_000))?.ok).toBe(true);
   }
-  return { core, sluice, sent, answers, ask, answer, configure, list: (on: boolean) => { listed = on; } };
+  return { core, clock, sluice, sent, answers, ask, answer, configure, stoppedListening, list: (on: boolean) => { listed = on; } };
 }
 
 test.each([1, 2])('a sluice that is told to stop names itself unready at once, and ends only when all that it took is answered (seed %i)', async (seed) => {
@@ -89,6 +90,23 @@
   expect(ended).toBe(true);
 });
 
+test('a sluice that is told to stop takes no new connection once what came on it might not end in time', async () => {
+  const r = await rig(5);
+  await r.configure();
+  expect(await r.core.until(5_000, () => r.sluice.ready())).toBe(true);
+  r.ask();
+  await r.core.world.advance(10);
+  const from = r.clock.mono();
+  void r.sluice.drain(8_000);
+  await r.core.world.advance(2_400);
+  expect(r.stoppedListening).toEqual([]);
+  await r.core.world.advance(400);
+  expect(r.stoppedListening[0]! - from).toBeLessThanOrEqual(2_600);
+  r.answer(0);
+  await r.core.world.advance(200);
+  expect(r.answers[0]).toMatchObject({ status: 200, ended: true });
+});
+
 test('what comes before the first configuration waits for it, and is not denied', async () => {
   const r = await rig(3);
   r.ask();
--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -54,6 +54,8 @@
 const LOOK_MS = 250;
 const LOOK_OPENING_MS = 20;
 const USAGE_KEPT_MS = 800;
+/** A proxy that was told to stop still takes what comes for so long: most callers learn within it that it leaves. */
+const INTAKE_MS = 2_500;
 const LINGER_MS = 3_000;
 const LAST_CALL_MS = 1_500;
 
@@ -197,6 +199,8 @@
       const passed = clock.mono() - from;
       if (passed >= longestMs) break;
       if (passed >= LINGER_MS && relay.tally().open === 0) break;
+      // What came later might not end before this process must, so callers with an old list are sent on at once.
+      if (passed >= INTAKE_MS) front.stopListening();
       if (passed >= longestMs - LAST_CALL_MS) front.closeIdle();
       await pause(clock, 50);
     }
--- /dev/null
+++ b/src/transport/open-door.test.ts
@@ -0,0 +1,51 @@
+import { Agent, request } from 'node:http';
+import { expect, test } from '@jest/globals';
+import { createOpenDoor } from './open-door.js';
+import type { OpenRequest } from './open-http.js';
+
+type Answer = { readonly status: number; readonly body: string } | { readonly failed: string };
+
+function get(address: string, path: string, agent: Agent): Promise<Answer> {
+  return new Promise((resolve) => {
+    const [host, port] = address.split(':');
+    const sent = request({ host, port, path, agent }, (res) => {
+      const parts: Buffer[] = [];
+      res.on('data', (part: Buffer) => parts.push(part));
+      res.on('end', () => resolve({ status: res.statusCode ?? 0, body: Buffer.concat(parts).toString() }));
+    });
+    sent.on('error', (fault: NodeJS.ErrnoException) => resolve({ failed: fault.code ?? 'unknown' }));
+    sent.end();
+  });
+}
+
+function answerWith(taken: OpenRequest, body: string): void {
+  taken.answerer.head(200, ['Content-Length', String(body.length)]);
+  taken.answerer.write(Buffer.from(body));
+  taken.answerer.end();
+}
+
+test('a server that stops listening ends what is under way, refuses new connections and closes idle ones', async () => {
+  const held: OpenRequest[] = [];
+  const opened = await createOpenDoor().open('127.0.0.1:0', (taken) => {
+    if (taken.target === '/held') held.push(taken);
+    else answerWith(taken, 'at once');
+  });
+  if (!opened.ok) throw new Error(opened.fault.tag);
+  const server = opened.value;
+  const idle = new Agent({ keepAlive: true, maxSockets: 1 });
+  const busy = new Agent({ keepAlive: true, maxSockets: 1 });
+  expect(await get(server.address, '/', idle)).toEqual({ status: 200, body: 'at once' });
+  const underWay = get(server.address, '/held', busy);
+  while (held.length === 0) await get(server.address, '/', idle);
+
+  server.stopListening();
+  server.stopListening();
+
+  expect(await get(server.address, '/', new Agent())).toEqual({ failed: 'ECONNREFUSED' });
+  expect(await get(server.address, '/', idle)).toHaveProperty('failed');
+  answerWith(held[0] as OpenRequest, 'in the end');
+  expect(await underWay).toEqual({ status: 200, body: 'in the end' });
+  await server.close();
+  idle.destroy();
+  busy.destroy();
+});
--- a/src/transport/open-door.ts
+++ b/src/transport/open-door.ts
@@ -110,12 +110,16 @@
       function closeIdle(): void {
         server.closeIdleConnections();
       }
+      function stopListening(): void {
+        if (server.listening) server.close();
+        server.closeIdleConnections();
+      }
       function limit(limits: OpenLimits): void {
         server.headersTimeout = limits.headerMs;
         server.keepAliveTimeout = limits.idleMs;
       }
       function ready(): void {
-        resolve(ok({ address: `${target.host}:${portOf(server, target.port)}`, close, closeIdle, limit }));
+        resolve(ok({ address: `${target.host}:${portOf(server, target.port)}`, close, closeIdle, stopListening, limit }));
       }
       server.once('error', bad);
       server.listen({ port: target.port, host: target.host, backlog: 511 }, ready);
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -25,7 +25,12 @@
 
 export type OpenLimits = { readonly headerMs: number; readonly idleMs: number };
 
-export type OpenListener = Listener & { readonly closeIdle: () => void; readonly limit: (limits: OpenLimits) => void };
+export type OpenListener = Listener & {
+  readonly closeIdle: () => void;
+  /** Takes no new connection and closes the idle ones; what is under way goes on. Calling it again changes nothing. */
+  readonly stopListening: () => void;
+  readonly limit: (limits: OpenLimits) => void;
+};
 
 export type OpenDoor = { readonly open: (address: Address, handle: (req: OpenRequest) => void) => Promise<Result<OpenListener, WireFault>> };
 
