Two members that are gone for good are left out of an odd group too

Cause: a group of odd size never shrank, and one that is told to end is taken out of an even group only. Two machines replaced at once (three become five, two of these are told to end), or two of five gone for good, left five members of whom three live: the next loss stopped the core for good, though three live machines can bear one.

Change: shedDead takes the first of two dead out of an odd group of five or more; the even group of four that this leaves takes the second as before. Each step is agreed by a majority of the members before it. Three never shrink.

Ruled out: taking both in one entry. A majority of five (three) and one of three (two) need not share a member, and each entry is safe by itself this way.

--- a/src/coordination/ledger/joining.ts
+++ b/src/coordination/ledger/joining.ts
@@ -135,14 +135,20 @@
     return n;
   }
 
+  function isDead(m: Member): boolean {
+    const id = memberId(m);
+    return id !== memberId(self) && standings.unheardMs(id) >= DEAD_MS + IN_TURN_MS * turnOf() && standings.mostUnheard(id);
+  }
+
+  // An even group bears as many losses with one member fewer, and an odd one bears one more with two dead ones fewer.
   async function shedDead(): Promise<void> {
-    if (belief().members.length % 2 !== 0) return;
-    for (const m of belief().members) {
-      const id = memberId(m);
-      if (id === memberId(self) || standings.unheardMs(id) < DEAD_MS + IN_TURN_MS * turnOf() || !standings.mostUnheard(id)) continue;
-      if (await agree(`${m.name} has been dead, and ${belief().members.length} members bear no more than one fewer.`, { tag: 'memberRemoved', old: id })) log.info(`${id} is no longer a member.`);
-      return;
-    }
+    const members = belief().members;
+    const dead = members.filter(isDead);
+    const needed = members.length % 2 === 0 ? 1 : 2;
+    const [first] = dead;
+    if (!first || dead.length < needed) return;
+    const cause = `${first.name} has been dead, and ${members.length} members bear no more than without ${needed === 1 ? 'it' : 'the two that are'}.`;
+    if (await agree(cause, { tag: 'memberRemoved', old: memberId(first) })) log.info(`${memberId(first)} is no longer a member.`);
   }
 
   function inTouch(): boolean {
--- a/src/state/belief.ts
+++ b/src/state/belief.ts
@@ -42,6 +42,7 @@
 
 export const SCALER_DUTY = 'scaler';
 export const MOST_MEMBERS = 9;
+const LEAST_ODD_SHRUNK = 5;
 const CLOSED_KEPT = 2_000;
 const OPERATIONS_KEPT = 1_024;
 
@@ -153,7 +154,7 @@
     }
     case 'memberRemoved': {
       const at = placeOf(b, act.old);
-      if (at < 0 || b.members.length % 2 !== 0) return { tag: 'unfit', why: 'member' };
+      if (at < 0 || (b.members.length % 2 !== 0 && b.members.length < LEAST_ODD_SHRUNK)) return { tag: 'unfit', why: 'member' };
       b.members = [...b.members.slice(0, at), ...b.members.slice(at + 1)];
       return APPLIED;
     }
