--- a/src/coordination/ledger/follower.test.ts
+++ b/src/coordination/ledger/follower.test.ts
@@ -1,6 +1,8 @@
 import { expect, test } from '@jest/globals';
-import type { Message, MessageKind, MessageOf } from '../../protocol/messages.js';
+import type { Message, MessageKind } from '../../protocol/messages.js';
 import { emptyBelief } from '../../state/belief.js';
+import { partOf, snapshotOf } from '../../state/snapshot-parts.js';
+import type { Snapshot } from '../../state/snapshot-parts.js';
 import { createWorld } from '../../sim/world.js';
 import { createQuietLog } from '../../transport/log.js';
 import type { Peer, Peers } from '../members/peers.js';
@@ -14,11 +16,12 @@
   const clock = world.clockOf(world.begin(host));
   const handlers = new Map<MessageKind, (m: never, peer: Peer) => unknown>();
   const told: Message[] = [];
+  let offered: Snapshot | null = null;
   const peer: Peer = { tell: (m) => { told.push(m); }, onClosed: () => undefined, close: () => undefined };
   const peers: Peers = {
     open: () => Promise.resolve({ ok: true, value: { address: '', close: () => Promise.resolve() } }),
     on: (kind, handler) => { handlers.set(kind, handler as never); },
-    call: (to) => Promise.resolve({ ok: false, fault: { tag: 'peerSilent', address: to } }),
+    call: (to, m) => Promise.resolve(m.kind === 'snapshotAsk' && offered?.offer.digest === m.digest ? { ok: true, value: { kind: 'snapshotPart', digest: m.digest, part: m.part, text: partOf(offered, m.part) ?? '' } } : { ok: false, fault: { tag: 'peerSilent', address: to } }),
     tell: () => Promise.resolve(true),
     hold: () => Promise.resolve({ ok: true, value: peer }),
     knownAt: () => undefined,
@@ -29,9 +32,11 @@
   function hear(m: Message): void {
     handlers.get(m.kind)?.(m as never, peer);
   }
-  function believe(slot: number, zones: readonly string[]): void {
+  async function believe(slot: number, zones: readonly string[]): Promise<void> {
     const evacuated = Object.fromEntries(zones.map((z) => [z, slot]));
-    hear({ kind: 'changes', ledger: 'l1', belief: { ...emptyBelief(), slot, ledger: 'l1', evacuated }, batches: [] } as MessageOf<'changes'>);
+    offered = snapshotOf(slot, JSON.stringify({ ...emptyBelief(), slot, ledger: 'l1', evacuated }));
+    hear({ kind: 'changes', ledger: 'l1', snapshot: offered.offer, batches: [] });
+    await world.advance(1);
   }
   function beat(top: number, echo: number): void {
     hear({ kind: 'beat', from: 'h1', ledger: 'l1', slot: follower.belief().slot, top, quorate: true, wall: clock.wall(), echo });
@@ -44,24 +49,24 @@
 
 test('news of an older slot never takes the place of newer news', async () => {
   const { follower, believe } = await rig();
-  believe(7, ['z9']);
-  believe(3, []);
+  await believe(7, ['z9']);
+  await believe(3, []);
   expect(follower.belief()).toMatchObject({ slot: 7, evacuated: { z9: 7 } });
 });
 
 test('an attestation counts only once all that it attests has been folded', async () => {
   const { follower, believe, beat, newestNonce } = await rig();
-  believe(3, []);
+  await believe(3, []);
   beat(5, newestNonce());
   expect(follower.fresh()).toBe(false);
-  believe(5, ['z9']);
+  await believe(5, ['z9']);
   beat(5, newestNonce());
   expect(follower.fresh()).toBe(true);
 });
 
 test('after a freeze an attestation that was asked for before it makes nothing fresh', async () => {
   const { world, host, follower, believe, beat, newestNonce } = await rig();
-  believe(3, []);
+  await believe(3, []);
   const before = newestNonce();
   beat(3, before);
   expect(follower.fresh()).toBe(true);
--- a/src/coordination/ledger/follower.ts
+++ b/src/coordination/ledger/follower.ts
@@ -8,6 +8,7 @@
 import { ranked, steps } from '../../state/candidates.js';
 import type { Candidate, Spot } from '../../state/candidates.js';
 import { differenceTo } from '../../state/reports.js';
+import type { SnapshotOffer } from '../../state/snapshot-parts.js';
 import { createSharedTime } from '../../state/shared-time.js';
 import { every } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
@@ -15,6 +16,7 @@
 import type { Log } from '../../transport/log.js';
 import type { Address } from '../../transport/wire.js';
 import type { Peer, Peers } from '../members/peers.js';
+import { createSnapshotTaker } from './snapshot-taker.js';
 
 export type FollowerEvents = { readonly moved: { readonly slot: number } };
 
@@ -64,6 +66,7 @@
   const told = new Map<Address, Map<string, Report>>();
   const nonces = new Map<number, number>();
   const time = createSharedTime();
+  const taker = createSnapshotTaker(peers, clock, log);
   let spotOf: (name: string) => Spot | null = nowhere;
   let followed: Address | null = null;
   let standby: Address | null = null;
@@ -284,10 +287,7 @@
   function onChanges(m: MessageOf<'changes'>, peer: Peer): null {
     if (!accepts(m.ledger)) return null;
     const before = belief.slot;
-    if (m.belief !== undefined) {
-      if (!isBelief(m.belief)) log.warn('A headgate told a belief of no known shape; it is not taken.');
-      else if (m.belief.slot > belief.slot) belief = structuredClone(m.belief);
-    }
+    if (m.snapshot && m.snapshot.slot > belief.slot) void adopt(m.snapshot, peer);
     let gap = false;
     for (const b of m.batches) {
       if (b.slot <= belief.slot) continue;
@@ -297,15 +297,31 @@
       }
       foldBatch(belief, b.slot, b.batch);
     }
-    if (gap) peer.tell(followMessage());
-    if (belief.slot === before) return null;
+    if (gap && !taker.isTaking()) peer.tell(followMessage());
+    if (belief.slot > before) noteMoved();
+    return null;
+  }
+
+  /** Fetches a snapshot from the controller that offered it, then asks it for the slots since. */
+  async function adopt(offer: SnapshotOffer, peer: Peer): Promise<void> {
+    const from = addressOf(peer);
+    if (from === null) return;
+    const taken = await taker.take(from, offer);
+    if (stopped || taken.tag === 'interrupted' || taken.tag === 'refused') return;
+    if (taken.tag === 'whole' && taken.state.slot > belief.slot && accepts(taken.state.ledger)) {
+      belief = taken.state;
+      noteMoved();
+    }
+    peer.tell(followMessage());
+  }
+
+  function noteMoved(): void {
     const names = new Set<string>();
     for (const m of belief.members) names.add(m.name);
     time.keepOnly(names);
     events.emit('moved', { slot: belief.slot });
     for (const to of asked) held.get(to)?.tell({ kind: 'followed', name: self.name, slot: belief.slot });
     void saveFloor();
-    return null;
   }
 
   function addressOf(peer: Peer): Address | null {
@@ -322,7 +338,7 @@
     }
     if (!accepts(m.ledger) || m.ledger === '') return null;
     time.hear(m.from, m.wall, clock.mono());
-    if (m.slot > belief.slot) peer.tell(followMessage());
+    if (m.slot > belief.slot && !taker.isTaking()) peer.tell(followMessage());
     const sentAt = m.echo >= firstNonce ? nonces.get(m.echo) : undefined;
     if (!m.quorate || sentAt === undefined || belief.ledger === '' || belief.slot < Math.max(m.top, floor)) return null;
     if (heardAt !== null && sentAt <= heardAt) return null;
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -26,7 +26,8 @@
 import { createStandings, STANDING_MS } from './standings.js';
 import type { HeardStanding } from './standings.js';
 import { openStore } from './store.js';
-import type { StoreCommand } from './store.js';
+import type { SnapshotGiver } from './snapshot-giver.js';
+import type { Store, StoreCommand } from './store.js';
 
 export type LedgerEvents = {
   readonly folded: { readonly slot: number; readonly batch: Batch; readonly outcomes: readonly Outcome[] };
@@ -44,6 +45,8 @@
   readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
   readonly settle: (waitMs: number) => Promise<boolean>;
   readonly since: (from: number) => readonly SlotBatch[] | null;
+  /** What nodes that lag are told: the kept slots page by page, or a snapshot. */
+  readonly history: LedgerHistory;
   readonly found: (members: readonly Address[]) => Promise<Result<Agreed, FoundFault>>;
   readonly isMember: () => boolean;
   readonly writable: () => boolean;
@@ -55,6 +58,8 @@
   readonly stop: () => void;
 };
 
+export type LedgerHistory = SnapshotGiver & Pick<Store, 'page' | 'bytesSince'>;
+
 export type LedgerDeps = {
   readonly clock: Clock;
   readonly rng: Rng;
@@ -96,7 +101,7 @@
   if (!opened.ok) return opened;
   const store = opened.value;
   const mostBytes = deps.shape.fileBytes - RECORD_ROOM;
-  const { from: catchUp } = createCatchUp({ peers, store, belief, learn });
+  const { from: catchUp, snapshots } = createCatchUp({ peers, clock, log, store, belief, learn });
 
   function belief(): Belief {
     return store.belief();
@@ -414,5 +419,5 @@
     founding.stop();
     beating.cancel();
   }
-  return ok({ belief, events, propose, settle, since: store.recent, found, isMember, writable: store.writable, top: store.top, heardAt: standings.heardAt, askStandings: standings.ask, self, leave: joining.leave, stop });
+  return ok({ belief, events, propose, settle, since: store.recent, history: { ...snapshots, page: store.page, bytesSince: store.bytesSince }, found, isMember, writable: store.writable, top: store.top, heardAt: standings.heardAt, askStandings: standings.ask, self, leave: joining.leave, stop });
 }
--- a/src/coordination/ledger/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -7,7 +7,9 @@
 import { every, pause } from '../../transport/clock.js';
 import type { Clock, Wakeup } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
+import type { SnapshotOffer } from '../../state/snapshot-parts.js';
 import type { Attest } from './attest.js';
+import { PAGE_BYTES, snapshotInstead } from './catch-up.js';
 import type { Ledger } from './ledger.js';
 import type { Peer, Peers } from '../members/peers.js';
 
@@ -43,14 +45,25 @@
   let confirming = false;
   let relays = 0;
 
+  function offerToProxy(slot: number): SnapshotOffer | null {
+    return ledger.history.offer('proxy', slot);
+  }
+
+  /** Tells a proxy all slots it was not told yet, in pages, or offers it a snapshot to fetch. */
   function serve(f: Follower): void {
     const b = ledger.belief();
     if (b.ledger === '' || f.sent >= b.slot) return;
-    const batches = ledger.since(f.sent + 1);
-    if (batches) {
+    const snapshot = snapshotInstead(ledger.history, f.sent + 1, offerToProxy);
+    if (snapshot) {
+      f.peer.tell({ kind: 'changes', ledger: b.ledger, snapshot, batches: [] });
+      f.sent = snapshot.slot;
+    }
+    while (f.sent < b.slot) {
+      const batches = ledger.history.page(f.sent + 1, PAGE_BYTES);
+      if (!batches || batches.length === 0) return;
       f.peer.tell({ kind: 'changes', ledger: b.ledger, batches: [...batches] });
-    } else f.peer.tell({ kind: 'changes', ledger: b.ledger, belief: b, batches: [] });
-    f.sent = b.slot;
+      f.sent += batches.length;
+    }
   }
 
   async function note(m: Pick<Follower, 'name' | 'zone' | 'region'>): Promise<void> {
--- /dev/null
+++ b/src/coordination/ledger/snapshot-taker.ts
@@ -0,0 +1,91 @@
+import { parsedJson } from '../../base/parsed-json.js';
+import { isBelief } from '../../state/belief.js';
+import type { Belief } from '../../state/belief.js';
+import { addPart, assembled, createAssembly, isBounded, nextPart } from '../../state/snapshot-parts.js';
+import type { Assembly, SnapshotOffer } from '../../state/snapshot-parts.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { Address } from '../../transport/wire.js';
+import type { Peers } from '../members/peers.js';
+
+/**
+ * Fetches an offered snapshot part by part. What came of it is kept when its giver falls silent, and the
+ * fetch goes on where it stood with whoever offers the same snapshot (the same digest); any other offer
+ * begins anew. A state is returned only if the digest of the whole is the one that was offered.
+ */
+export type SnapshotTaker = {
+  readonly take: (from: Address, offer: SnapshotOffer) => Promise<SnapshotTake>;
+  readonly isTaking: () => boolean;
+};
+
+export type SnapshotTake =
+  | { readonly tag: 'whole'; readonly state: Belief }
+  /** The giver fell silent or was lost; what came is kept. */
+  | { readonly tag: 'interrupted' }
+  /** The giver no longer has it, or what it gave is not what it offered; nothing is kept. */
+  | { readonly tag: 'refused' }
+  /** Another fetch was under way and has ended, or another giver took over. */
+  | { readonly tag: 'joined' };
+
+const PART_WAIT_MS = 2_000;
+/** Without a part in this long another giver takes over; at 7 Mbit/s a part takes some 60 ms and a round trip. */
+const STALLED_MS = 600;
+
+const INTERRUPTED: SnapshotTake = { tag: 'interrupted' };
+const REFUSED: SnapshotTake = { tag: 'refused' };
+const JOINED: SnapshotTake = { tag: 'joined' };
+
+export function createSnapshotTaker(peers: Pick<Peers, 'call'>, clock: Clock, log: Log): SnapshotTaker {
+  let assembly: Assembly | null = null;
+  let underWay: Promise<SnapshotTake> | null = null;
+  /** Counts the fetches begun. One that is no longer the newest adds nothing to the assembly. */
+  let newest = 0;
+  let partAt = 0;
+
+  function isTaking(): boolean {
+    return underWay !== null;
+  }
+
+  async function take(from: Address, offer: SnapshotOffer): Promise<SnapshotTake> {
+    if (underWay && clock.mono() - partAt < STALLED_MS) {
+      await underWay;
+      return JOINED;
+    }
+    newest += 1;
+    partAt = clock.mono();
+    const own = newest;
+    underWay = fetchFrom(from, offer, own);
+    const ended = await underWay;
+    if (own !== newest) return JOINED;
+    underWay = null;
+    if (ended.tag !== 'interrupted') assembly = null;
+    return ended;
+  }
+
+  async function fetchFrom(from: Address, offer: SnapshotOffer, own: number): Promise<SnapshotTake> {
+    if (!isBounded(offer)) {
+      log.error(`${from} offers a snapshot of ${offer.length} characters, over the bound; it is not fetched.`);
+      return REFUSED;
+    }
+    const held = assembly?.offer.digest === offer.digest ? assembly : createAssembly(offer);
+    assembly = held;
+    for (let next = nextPart(held); next !== null; next = nextPart(held)) {
+      const reply = await peers.call(from, { kind: 'snapshotAsk', digest: offer.digest, part: next }, PART_WAIT_MS);
+      if (!reply.ok || own !== newest) return INTERRUPTED;
+      const answer = reply.value;
+      if (answer.kind !== 'snapshotPart' || answer.digest !== offer.digest || !addPart(held, answer.part, answer.text)) return REFUSED;
+      partAt = clock.mono();
+    }
+    return stateIn(from, held);
+  }
+
+  function stateIn(from: Address, held: Assembly): SnapshotTake {
+    const text = assembled(held);
+    const state = text.ok ? parsedJson(text.value) : null;
+    if (text.ok && isBelief(state) && state.slot === held.offer.slot) return { tag: 'whole', state };
+    log.warn(`A snapshot from ${from} is not what was offered; it is not taken.`);
+    return REFUSED;
+  }
+
+  return { take, isTaking };
+}
--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -7,7 +7,8 @@
 import { emptyBelief, foldBatch } from '../../state/belief.js';
 import type { Belief, Outcome } from '../../state/belief.js';
 import type { Batch } from '../../state/entry.js';
-import type { SlotBatch } from '../../protocol/messages.js';
+import { createRecentSlots } from '../../state/recent-slots.js';
+import type { RecentSlot } from '../../state/recent-slots.js';
 import type { Disk } from '../../transport/disk.js';
 import { openRing } from '../../transport/ring.js';
 import type { RingFault, RingShape } from '../../transport/ring.js';
@@ -27,7 +28,11 @@
 export type Store = {
   readonly put: (command: StoreCommand) => Promise<StoreAnswer>;
   readonly belief: () => Belief;
-  readonly recent: (from: number) => readonly SlotBatch[] | null;
+  /** The chosen batches from that slot on; null if the first of them is no longer kept, empty if there is none yet. */
+  readonly recent: (from: number) => readonly RecentSlot[] | null;
+  /** As many of these as fit the bound in bytes, but one at least. */
+  readonly page: (from: number, mostBytes: number) => readonly RecentSlot[] | null;
+  readonly bytesSince: (from: number) => number | null;
   readonly top: () => number;
   readonly accepted: (slot: number) => Batch | null;
   readonly writable: () => boolean;
@@ -39,9 +44,6 @@
 
 type Snapshot = { readonly belief: Belief; readonly slots: readonly (readonly [number, SlotState])[] };
 
-const RECENT_KEPT = 2_048;
-const RECENT_BYTES = 2 * 1_048_576;
-
 function encoded(value: Saved | Snapshot): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
@@ -57,31 +59,9 @@
   const { ring, snapshot, records } = opened.value;
   let belief = emptyBelief();
   let acc: Acceptor = createAcceptor(0);
-  let recent: SlotBatch[] = [];
+  const recent = createRecentSlots();
   let canWrite = true;
 
-  const sizes = new Map<number, number>();
-  let bytes = 0;
-  function remember(slot: number, batch: Batch, size: number): void {
-    recent.push({ slot, batch });
-    sizes.set(slot, size);
-    bytes += size;
-    if (recent.length <= 2 * RECENT_KEPT && bytes <= RECENT_BYTES) return;
-    let drop = 0;
-    while (recent.length - drop > 1 && (recent.length - drop > RECENT_KEPT || bytes > RECENT_BYTES / 2)) {
-      const oldest = (recent[drop] as SlotBatch).slot;
-      bytes -= sizes.get(oldest) ?? 0;
-      sizes.delete(oldest);
-      drop += 1;
-    }
-    recent = recent.slice(drop);
-  }
-  function forgetRecent(): void {
-    recent = [];
-    sizes.clear();
-    bytes = 0;
-  }
-
   if (snapshot) {
     const saved = JSON.parse(snapshot.toString()) as Snapshot;
     belief = saved.belief;
@@ -94,7 +74,7 @@
     else if (saved.slot === belief.slot + 1) {
       foldBatch(belief, saved.slot, saved.batch);
       raiseFloor(acc, saved.slot + 1);
-      remember(saved.slot, saved.batch, rec.length);
+      recent.remember(saved.slot, saved.batch, rec.length);
     }
   }
 
@@ -114,7 +94,7 @@
         if (command.slot !== belief.slot + 1) return { tag: 'outOfOrder' };
         const outcomes = foldBatch(belief, command.slot, command.batch);
         raiseFloor(acc, command.slot + 1);
-        remember(command.slot, command.batch, write({ t: 'chosen', slot: command.slot, batch: command.batch }));
+        recent.remember(command.slot, command.batch, write({ t: 'chosen', slot: command.slot, batch: command.batch }));
         onFold(command.slot, command.batch, outcomes);
         return { tag: 'folded', outcomes };
       }
@@ -122,7 +102,7 @@
         if (command.belief.slot <= belief.slot) return { tag: 'outOfOrder' };
         belief = structuredClone(command.belief);
         raiseFloor(acc, belief.slot + 1);
-        forgetRecent();
+        recent.clear();
         onAdopt();
         return { tag: 'folded', outcomes: [] };
       }
@@ -167,11 +147,14 @@
   function believed(): Belief {
     return belief;
   }
-  function since(from: number): readonly SlotBatch[] | null {
-    if (from > belief.slot) return [];
-    const first = recent[0];
-    if (!first || first.slot > from) return null;
-    return recent.slice(from - first.slot);
+  function since(from: number): readonly RecentSlot[] | null {
+    return from > belief.slot ? [] : recent.since(from);
+  }
+  function page(from: number, mostBytes: number): readonly RecentSlot[] | null {
+    return from > belief.slot ? [] : recent.page(from, mostBytes);
+  }
+  function bytesSince(from: number): number | null {
+    return from > belief.slot ? 0 : recent.bytesSince(from);
   }
   function top(): number {
     return Math.max(belief.slot, highestAccepted(acc));
@@ -182,5 +165,5 @@
   function writable(): boolean {
     return canWrite;
   }
-  return ok({ put: line.put, belief: believed, recent: since, top, accepted, writable });
+  return ok({ put: line.put, belief: believed, recent: since, page, bytesSince, top, accepted, writable });
 }
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -11,11 +11,13 @@
 import { ListedShape } from '../state/listed.js';
 import { NodeNewsShape, NodeShape } from '../state/node-info.js';
 import { ReportShape } from '../state/report.js';
+import { PART_LENGTH, SnapshotOfferShape } from '../state/snapshot-parts.js';
 import { WorkerEntryShape } from '../state/worker-entry.js';
 
 const Str = Type.String({ minLength: 1, maxLength: 256 });
 const Num = Type.Number();
 const Slot = Type.Integer({ minimum: -1 });
+const Index = Type.Integer({ minimum: 0 });
 const BallotShape = Type.Object({ round: Type.Integer({ minimum: 0 }), by: Type.String() });
 const AcceptedShape = Type.Object({ ballot: BallotShape, batch: BatchShape });
 
@@ -36,7 +38,10 @@
   Type.Object({ kind: Type.Literal('standingAsk') }),
   Type.Object({ kind: Type.Literal('standing'), ledger: Type.String(), voter: Str, address: Str, learned: Slot, top: Slot, wall: Type.Optional(Num), unheard: Type.Optional(Type.Array(Str)), cannotWrite: Type.Optional(Type.Boolean()) }),
   Type.Object({ kind: Type.Literal('fetch'), ledger: Type.String(), from: Slot }),
-  Type.Object({ kind: Type.Literal('fetched'), belief: Type.Optional(Type.Unknown()), batches: Type.Array(SlotBatchShape) }),
+  Type.Object({ kind: Type.Literal('fetched'), snapshot: Type.Optional(SnapshotOfferShape), batches: Type.Array(SlotBatchShape) }),
+  Type.Object({ kind: Type.Literal('snapshotAsk'), digest: Str, part: Index }),
+  Type.Object({ kind: Type.Literal('snapshotPart'), digest: Str, part: Index, text: Type.String({ maxLength: PART_LENGTH }) }),
+  Type.Object({ kind: Type.Literal('snapshotGone'), digest: Str }),
   Type.Object({ kind: Type.Literal('found'), ledger: Str, slotZero: BatchShape, commit: Type.Boolean() }),
   Type.Object({ kind: Type.Literal('foundAnswer'), agreed: Type.Boolean(), member: MemberShape }),
   Type.Object({ kind: Type.Literal('foundingAsk'), founders: Str }),
@@ -54,7 +59,7 @@
   Type.Object({ kind: Type.Literal('claimsWholeAsk') }),
   Type.Object({ kind: Type.Literal('claimsWhole'), voter: Str, whole: Type.Boolean() }),
   Type.Object({ kind: Type.Literal('follow'), name: Str, zone: Str, region: Str, ledger: Type.String(), from: Slot, nonce: Type.Integer() }),
-  Type.Object({ kind: Type.Literal('changes'), ledger: Str, belief: Type.Optional(Type.Unknown()), batches: Type.Array(SlotBatchShape) }),
+  Type.Object({ kind: Type.Literal('changes'), ledger: Str, snapshot: Type.Optional(SnapshotOfferShape), batches: Type.Array(SlotBatchShape) }),
   Type.Object({ kind: Type.Literal('attend'), name: Str, nonce: Type.Integer() }),
   Type.Object({ kind: Type.Literal('unfollow'), name: Str }),
   Type.Object({ kind: Type.Literal('followed'), name: Str, slot: Slot }),
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -13,6 +13,7 @@
 import type { Platter } from './sim-disk.js';
 import { createSimHttp } from './sim-http.js';
 import { createSimNet } from './sim-wire.js';
+import type { LinkRates } from './link-rates.js';
 import { createWorld } from './world.js';
 import type { Host, World } from './world.js';
 import type { Clock } from '../transport/clock.js';
@@ -28,6 +29,7 @@
   readonly zones?: readonly string[];
   readonly listReader?: (clock: Clock, host: Host) => ListReader;
   readonly operatorDoor?: boolean;
+  readonly diskBytes?: number;
 };
 
 export type Ordered = { readonly result: Result<Agreed, ProposeFault> | null; readonly tookMs: number };
@@ -40,6 +42,7 @@
   readonly node: (name: string) => CoreNode;
   readonly add: (name: string) => CoreNode;
   readonly lab: (name: string) => Lab;
+  readonly labIn: (name: string, zone: string) => Lab;
   readonly seeds: (names: readonly string[]) => void;
   readonly start: (name: string) => void;
   readonly startAll: () => void;
@@ -55,6 +58,7 @@
   readonly until: (limitMs: number, test: () => boolean) => Promise<boolean>;
   readonly finish: <T>(work: Promise<T>, limitMs: number) => Promise<T | null>;
   readonly sent: () => { readonly frames: number; readonly bytes: number };
+  readonly rates: LinkRates;
   readonly broken: readonly string[];
 };
 
@@ -135,7 +139,7 @@
       platform: '10.0.9.9:1',
       cloud: null,
       founding: n.founding,
-      diskBytes: DISK_BYTES,
+      diskBytes: shape.diskBytes ?? DISK_BYTES,
       claims: false,
       operatorDoor: shape.operatorDoor ?? false,
       ...(shape.zones ? { zones: shape.zones } : {}),
@@ -167,7 +171,10 @@
   }
 
   function lab(name: string): Lab {
-    const proc = world.begin(world.host(name, `zone-${name}`));
+    return labIn(name, `zone-${name}`);
+  }
+  function labIn(name: string, zone: string): Lab {
+    const proc = world.begin(world.host(name, zone));
     return { wire: net.wireOf(proc), clock: world.clockOf(proc), caller: http.callerOf(proc) };
   }
   function start(name: string): void {
@@ -243,5 +250,5 @@
   function until(limitMs: number, test: () => boolean): Promise<boolean> {
     return world.until(limitMs, test);
   }
-  return { world, nodes, node, add, lab, seeds: setSeeds, start, startAll, kill, end, powerLoss, wipe, cutOff, order, evacuatedAt, members, whole, until, finish, sent: net.sent, broken };
+  return { world, nodes, node, add, lab, labIn, seeds: setSeeds, start, startAll, kill, end, powerLoss, wipe, cutOff, order, evacuatedAt, members, whole, until, finish, sent: net.sent, rates: net.rates, broken };
 }
--- a/src/sim/sim-wire.ts
+++ b/src/sim/sim-wire.ts
@@ -1,9 +1,11 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type { Address, Conn, ConnEvents, Listener, Wire, WireFault } from '../transport/wire.js';
+import { createLinkRates, createPipe } from './link-rates.js';
+import type { LinkRates, Pipe } from './link-rates.js';
 import type { Host, Proc, World } from './world.js';
 
-type End = { readonly proc: Proc; events: ConnEvents | null; closed: boolean; lastAt: number; readonly early: unknown[]; readonly held: Held[] };
+type End = { readonly proc: Proc; events: ConnEvents | null; closed: boolean; lastAt: number; readonly pipe: Pipe; readonly early: unknown[]; readonly held: Held[] };
 type Held = { readonly body: string | null; readonly since: number };
 type Listening = { readonly proc: Proc; readonly onConn: (conn: Conn) => void };
 
@@ -12,7 +14,7 @@
 export const CALM: Turbulence = { slow: 0, twice: 0, overtake: 0 };
 const SLOW_MS = 400;
 
-export type SimNet = { readonly disturb: (t: Turbulence) => void; readonly wireOf: (proc: Proc) => Wire; readonly sent: () => { readonly frames: number; readonly bytes: number } };
+export type SimNet = { readonly disturb: (t: Turbulence) => void; readonly rates: LinkRates; readonly wireOf: (proc: Proc) => Wire; readonly sent: () => { readonly frames: number; readonly bytes: number } };
 
 const DIAL_TIMEOUT_MS = 1_000;
 const HELD_MOST_MS = 6_000;
@@ -20,6 +22,7 @@
 export function createSimNet(world: World): SimNet {
   const listeners = new Map<Address, Listening>();
   const pairs = new Set<readonly [End, End]>();
+  const rates = createLinkRates();
   let frames = 0;
   let bytes = 0;
   let air = CALM;
@@ -83,7 +86,10 @@
 
   function post(from: End, to: End, body: string | null): void {
     const slow = air.slow > 0 && world.rng.next() < air.slow ? SLOW_MS * world.rng.next() : 0;
-    const due = world.now() + world.delay(from.proc.host, to.proc.host) + slow;
+    const delayMs = world.delay(from.proc.host, to.proc.host);
+    const bytes = body === null ? 0 : body.length;
+    const hold = rates.holdMs({ from: from.proc.host, to: to.proc.host, bytes, now: world.now(), delayMs, pipe: from.pipe });
+    const due = world.now() + hold + delayMs + slow;
     const overtakes = body !== null && air.overtake > 0 && world.rng.next() < air.overtake;
     const at = overtakes ? due : Math.max(from.lastAt + 0.001, due);
     if (!overtakes) from.lastAt = at;
@@ -132,7 +138,7 @@
   }
 
   function endOf(proc: Proc): End {
-    return { proc, events: null, closed: false, lastAt: 0, early: [], held: [] };
+    return { proc, events: null, closed: false, lastAt: 0, pipe: createPipe(), early: [], held: [] };
   }
 
   function wireOf(proc: Proc): Wire {
@@ -194,5 +200,5 @@
   function sent(): { readonly frames: number; readonly bytes: number } {
     return { frames, bytes };
   }
-  return { wireOf, sent, disturb };
+  return { wireOf, sent, disturb, rates };
 }
--- /dev/null
+++ b/src/state/proxy-state.ts
@@ -0,0 +1,18 @@
+import type { Belief } from './belief.js';
+import type { Order } from './order.js';
+
+function withoutEvents(order: Order): Order {
+  return { ...order, events: [] };
+}
+
+/**
+ * The part of the replicated state that a proxy uses, in the same form: a proxy folds later batches into
+ * it with the same code and then believes of members, configuration, zones, proxies and machines what a
+ * controller believes. Left out is what neither its requests nor the fold read: how each order came about.
+ * Outcomes of operations are kept, since an entry that is chosen twice must not be folded twice at a proxy either.
+ */
+export function proxyState(state: Belief): Belief {
+  const orders: Record<string, Order> = {};
+  for (const [id, order] of Object.entries(state.orders)) orders[id] = withoutEvents(order);
+  return { ...state, orders, closed: state.closed.map(withoutEvents) };
+}
--- /dev/null
+++ b/src/state/snapshot-parts.ts
@@ -0,0 +1,75 @@
+import { sha256 } from '../base/digest.js';
+import { err, ok } from '../base/result.js';
+import type { Result } from '../base/result.js';
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+
+/**
+ * A snapshot as text, cut into parts of bounded size and put together again. Pure: who hands parts
+ * over is in `snapshot-giver.ts`, who takes them in `snapshot-taker.ts`. The digest names the whole
+ * text, so parts of two snapshots are never put together, whichever node each part came from.
+ */
+export const SnapshotOfferShape = Type.Object({
+  /** SHA-256 of the whole text. */
+  digest: Type.String({ minLength: 64, maxLength: 64 }),
+  /** The last slot that the state has folded. */
+  slot: Type.Integer({ minimum: 0 }),
+  /** Length of the whole text in UTF-16 units. */
+  length: Type.Integer({ minimum: 1 }),
+});
+export type SnapshotOffer = Static<typeof SnapshotOfferShape>;
+
+export type Snapshot = { readonly offer: SnapshotOffer; readonly text: string };
+
+/** What was received so far of one offered snapshot. */
+export type Assembly = { readonly offer: SnapshotOffer; readonly parts: string[] };
+
+export type AssemblyFault = { readonly tag: 'digestDiffers' };
+
+/** With the escaping of JSON within JSON a part stays below 64 KB, which narrow links carry in one round trip. */
+export const PART_LENGTH = 40_000;
+
+/** Four times the largest configuration that an operator may set, beside all else. */
+export const MOST_SNAPSHOT_LENGTH = 32 * 1_048_576;
+
+export function snapshotOf(slot: number, text: string): Snapshot {
+  return { offer: { digest: sha256(text), slot, length: text.length }, text };
+}
+
+export function partCount(offer: SnapshotOffer): number {
+  return Math.ceil(offer.length / PART_LENGTH);
+}
+
+/** The part of that index, or null where the snapshot has none. */
+export function partOf(snapshot: Snapshot, index: number): string | null {
+  if (index < 0 || index >= partCount(snapshot.offer)) return null;
+  return snapshot.text.slice(index * PART_LENGTH, (index + 1) * PART_LENGTH);
+}
+
+export function isBounded(offer: SnapshotOffer): boolean {
+  return offer.length <= MOST_SNAPSHOT_LENGTH;
+}
+
+export function createAssembly(offer: SnapshotOffer): Assembly {
+  return { offer, parts: [] };
+}
+
+/** The index of the part that is to come next, or null once all are there. */
+export function nextPart(assembly: Assembly): number | null {
+  return assembly.parts.length < partCount(assembly.offer) ? assembly.parts.length : null;
+}
+
+/** Adds the next part. False, and nothing added, if it is another one or of another length than it must have. */
+export function addPart(assembly: Assembly, index: number, part: string): boolean {
+  if (index !== nextPart(assembly)) return false;
+  const left = assembly.offer.length - index * PART_LENGTH;
+  if (part.length !== Math.min(PART_LENGTH, left)) return false;
+  assembly.parts.push(part);
+  return true;
+}
+
+/** The whole text, once all parts are there and their digest is the one that was offered. */
+export function assembled(assembly: Assembly): Result<string, AssemblyFault> {
+  const text = assembly.parts.join('');
+  return sha256(text) === assembly.offer.digest ? ok(text) : err({ tag: 'digestDiffers' });
+}
--- /dev/null
+++ b/tools/catch-up.mjs
@@ -0,0 +1,28 @@
+// Prints how long lagging nodes take to be whole on narrow links, in the simulator: npm run build && node tools/catch-up.mjs
+import { controllerBehind, proxyBehind } from '../dist/sim/lag-scenarios.js';
+
+const SEEDS = [1, 2, 3];
+const LAGS = [
+  { orders: 0, changes: 10 },
+  { orders: 0, changes: 100 },
+  { orders: 0, changes: 1_000 },
+  { orders: 2_000, changes: 10 },
+  { orders: 2_000, changes: 100 },
+  { orders: 2_000, changes: 1_000 },
+];
+const WAYS = {
+  controller: (seed, lag) => controllerBehind(seed, lag),
+  'proxy cut off': (seed, lag) => proxyBehind(seed, lag, false),
+  'proxy begun anew': (seed, lag) => proxyBehind(seed, lag, true),
+};
+
+console.log('| node | orders | changes | whole after, ms (seeds 1..3) | bytes on all links | state, bytes |');
+console.log('| --- | --- | --- | --- | --- | --- |');
+for (const [name, measure] of Object.entries(WAYS)) {
+  for (const lag of LAGS) {
+    const ends = [];
+    for (const seed of SEEDS) ends.push(await measure(seed, lag));
+    const ms = ends.map((e) => (e.ms === null ? 'never' : e.ms)).join(' / ');
+    console.log(`| ${name} | ${lag.orders} | ${lag.changes} | ${ms} | ${ends[1].bytes} | ${ends[1].stateBytes} |`);
+  }
+}
