An answer's end is judged by its connection: reset, surplus bytes, early answers, 101

Cause, each by a test that failed first: - An answer without a length that was reset together with its last bytes was passed on as whole. The runtime reports a plain end when data and reset are read in one turn; a reset connection has no peer address by then, a closed one has. ("Expected: broken, Received: null".) - Garbage in the same packet as a whole answer threw that answer away ("fault: broken" in place of the body). - A 101 that nobody asked for was never told as an end; the request hung until its deadline (the test ran into its 5 s limit). - Bytes that came between an early answer and the end of its request's body were dropped unseen and the connection was kept (5 s limit as well).

Ruled out: matching by the socket's byte counts, since framing isn't known there; writing into the connection to probe it, since a worker might read it.

Change: the end of a connection is looked at before the parser sees it; what goes wrong behind a whole answer belongs to no request; while a body is due a connection that speaks is ended, and so is one that takes over 5 s.

--- a/src/transport/outlets.test.ts
+++ b/src/transport/outlets.test.ts
@@ -157,3 +157,102 @@
   await ask(o, at);
   expect(o.made()).toBe(before + 1);
 });
+
+test('garbage in the same packet as a whole answer takes nothing from that answer', async () => {
+  for (const extra of ['\u0001\u0002 no answer\r\n\r\n', 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad']) {
+    const at = await raw((sock) => sock.write(OK + extra));
+    const o = outlets();
+    expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+    expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+    expect(o.made()).toBe(2);
+  }
+});
+
+test('an informational answer is not the answer', async () => {
+  const at = await raw((sock) => sock.write('HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' + OK));
+  const o = outlets();
+  expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+  expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+  expect(o.made()).toBe(1);
+});
+
+test('a change of protocol that nobody asked for is a broken answer', async () => {
+  const at = await raw((sock) => sock.write('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n'));
+  expect((await ask(outlets(), at)).fault).toEqual({ tag: 'broken' });
+});
+
+test('an answer without a length is whole when its connection ends, and broken when that is reset', async () => {
+  for (const reset of [false, true]) {
+    const at = await raw((sock) => {
+      sock.write('HTTP/1.1 200 OK\r\n\r\nhi');
+      setImmediate(() => (reset ? sock.resetAndDestroy() : sock.end()));
+    });
+    expect((await ask(outlets(), at)).fault).toEqual(reset ? { tag: 'broken' } : null);
+  }
+});
+
+test('chunks without their end are a broken answer, closed or reset', async () => {
+  for (const reset of [false, true]) {
+    const at = await raw((sock) => {
+      sock.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n');
+      setImmediate(() => (reset ? sock.resetAndDestroy() : sock.end()));
+    });
+    expect((await ask(outlets(), at)).fault).toEqual({ tag: 'broken' });
+  }
+});
+
+test('the rest of a surplus answer that comes after the next request is nobody\'s answer', async () => {
+  let n = 0;
+  const at = await raw((sock) => {
+    n += 1;
+    sock.write(n === 1 ? `${OK}HTTP/1.1 20` : `0 OK\r\nContent-Length: 3\r\n\r\nbad`);
+  });
+  const o = outlets();
+  expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+  expect(await ask(o, at)).toEqual({ status: 0, body: '', fault: { tag: 'broken' } });
+});
+
+const LONG = 'x'.repeat(12_000_000);
+
+/** A worker that answers at the head of a request and reads its body only when told to. */
+function earlyWorker(): { readonly at: Promise<string>; readonly conns: { sock: Socket; bytes: number }[] } {
+  const conns: { sock: Socket; bytes: number }[] = [];
+  const server = createServer((sock) => {
+    const conn = { sock, bytes: 0 };
+    conns.push(conn);
+    sock.on('error', () => undefined);
+    sock.on('data', (d) => { conn.bytes += d.length; });
+    sock.once('data', () => {
+      sock.write(OK);
+      if (conns.length === 1) sock.pause();
+    });
+  });
+  open.push({ close: () => { for (const c of conns) c.sock.destroy(); server.close(); } });
+  return { at: new Promise((done) => server.listen(0, '127.0.0.1', () => done(`127.0.0.1:${(server.address() as AddressInfo).port}`))), conns };
+}
+
+test('while the body of an early answered request is due its connection serves nobody else, and then it does', async () => {
+  const worker = earlyWorker();
+  const at = await worker.at;
+  const o = outlets();
+  expect(await ask(o, at, LONG)).toEqual({ status: 200, body: 'hi', fault: null });
+  const first = worker.conns[0]!;
+  expect(first.bytes).toBeLessThan(LONG.length);
+  expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+  expect(worker.conns).toHaveLength(2);
+  first.sock.resume();
+  while (o.idle(at) < 2) await new Promise((r) => setImmediate(r));
+  expect(o.made()).toBe(2);
+});
+
+test('bytes that come while the body of an early answered request is due end that connection', async () => {
+  const worker = earlyWorker();
+  const at = await worker.at;
+  const o = outlets();
+  await ask(o, at, LONG);
+  const first = worker.conns[0]!;
+  first.sock.write(OK.slice(0, 9));
+  first.sock.resume();
+  await new Promise((done) => first.sock.once('close', done));
+  expect([o.open(at), o.idle(at)]).toEqual([0, 0]);
+});
--- a/src/transport/outlets.ts
+++ b/src/transport/outlets.ts
@@ -16,6 +16,7 @@
 const LEARNED_LEAST_MS = 400;
 const LEARNED_FROM_MS = 100;
 const RELEARN = 1.02;
+const REST_OF_BODY_MS = 5_000;
 
 export function createOutlets(clock: Clock): Outlets {
   const places = new Map<Address, Place>();
@@ -125,7 +126,9 @@
       sock?.destroy();
       events.failed(fault);
     }
+    // What goes wrong behind a whole answer belongs to no request: its end is still to be told.
     function broke(e?: { readonly code?: string }): void {
+      if (over || res?.complete === true) return;
       if (reused && res === null && restedMs > LEARNED_FROM_MS && e?.code === 'ECONNRESET') forgotten(restedMs);
       const unread = reused && res === null && e?.code === 'ECONNRESET' && req !== null && !req.writableFinished;
       fail(unread ? { tag: 'closedUnread' } : { tag: 'broken' });
@@ -154,6 +157,7 @@
           return;
         }
         over = true;
+        awaitRestOfBody();
         process.nextTick(events.end);
       }
       r.on('data', data);
@@ -163,6 +167,26 @@
       events.head(r.statusCode ?? 0, r.rawHeaders, get);
     }
 
+    // An early answer leaves the rest of the request's body due. Until it is written the connection
+    // serves nobody else, and whatever the worker says meanwhile belongs to no request.
+    function awaitRestOfBody(): void {
+      const s = sock;
+      if (!s || req?.writableFinished !== false) return;
+      const still = s;
+      function drop(): void {
+        written();
+        still.destroy();
+      }
+      function written(): void {
+        wakeup.cancel();
+        still.off('data', drop);
+        still.off('free', written);
+      }
+      const wakeup = clock.wakeup(REST_OF_BODY_MS, drop);
+      still.on('data', drop);
+      still.once('free', written);
+    }
+
     function go(s: Socket): void {
       if (over) {
         s.destroy();
@@ -176,7 +200,23 @@
       if (what.body !== null) headers.push('Content-Length', String(what.body.length));
       req = request({ method: what.method, path: what.target, headers: headers as unknown as Record<string, string>, createConnection: own, setHost: false });
       req.shouldKeepAlive = true;
+      // An answer without a length ends with its connection. When the last bytes and a reset arrive
+      // together the runtime reports a plain end; only a reset connection has lost its peer by then.
+      function ended(): void {
+        if (s.remoteAddress === undefined) broke();
+      }
+      s.once('end', ended);
+      function upgraded(_answer: IncomingMessage, socket: Socket): void {
+        broke();
+        socket.destroy();
+      }
+      function closed(): void {
+        s.off('end', ended);
+        broke();
+      }
       req.on('response', onResponse);
+      req.on('upgrade', upgraded);
+      req.on('close', closed);
       req.on('error', broke);
       function free(): void {
         if (s.destroyed || !over) s.destroy();
