A refusal counts for the request whose id it bears; a further send is taken from the budget when decided

Five faults at the opaque door, each by a test that failed first: - A 421, 429 or 503 with the word "not run" was believed whatever id it bore. A late refusal on a connection that is used again then let a request that may run once be sent twice ("Expected length: 1, Received length: 2") or told it had not run. Now the id must be its own; a refusal without one counts on a new connection alone, where no other answer can be due. - A worker's own 503, 429 or 408 was passed on as 502 with the worker's seal. - The budget was asked before and charged after a wait, so that many failures at one moment all passed: 35 further sends where 30 were allowed. Now it is taken when the send is decided and given back if there is none. - A stream with an event that has no number was taken up again from its start or after the wrong event, joining two runs. It is cut. - The test of a worker that is another by now gave a 421 without id; real workers bear the id on every answer. It now does, and expects the second send too.

Ruled out: refusing every answer without id, since a 400 for a request without one bears none.

--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from '@jest/globals';
 import { OPEN_WORDS as W } from '../../protocol/open-words.js';
 import { createDispatchBudget } from '../../state/dispatch-budget.js';
+import type { BudgetBounds } from '../../state/dispatch-budget.js';
 import { createDoorTable } from '../../state/door-table.js';
 import { EDGE_TUNING } from '../../state/edge-tuning.js';
 import { DEFAULT_LIMITS } from '../../state/serving.js';
@@ -25,7 +26,7 @@
   return { id, model: 'm', address: `10.0.0.1:${id.length}`, zone, region, release: '', places: 4, leaving: false, remainingMs: null, coldMs: 0, ...over };
 }
 
-async function rig(mapping: Partial<DoorMapping>, entries: readonly WorkerEntry[]) {
+async function rig(mapping: Partial<DoorMapping>, entries: readonly WorkerEntry[], bounds: BudgetBounds = { ratio: 0.2, slack: 50, windowMs: 10_000 }) {
   const world = createWorld(7);
   const proc = world.begin(world.host('edge', 'z1'));
   const clock = world.clockOf(proc);
@@ -46,7 +47,7 @@
   const table = createDoorTable(serving);
   const book = createWorkerBook({ name: 's0', zone: 'z1', region: 'r1', held: () => 1 }, EDGE_TUNING);
   book.takeList(entries, clock.mono());
-  const budget = createDispatchBudget({ ratio: 0.2, slack: 50, windowMs: 10_000 });
+  const budget = createDispatchBudget(bounds);
   let closing = false;
   const relay = createRelay({ words: W, tuning: EDGE_TUNING, book, budget, outlets, clock, rng: createRng(1), log: createQuietLog().part('t'), table: () => table, closing: () => closing });
   function ask(headers: Record<string, string> = {}): { answer: Answer; leave: () => void } {
@@ -319,9 +320,9 @@
   r.ask();
   await r.world.advance(1);
   const moved = r.sent[0]!.what.address;
-  r.sent[0]!.events.head(421, [], () => null);
-  r.sent[0]!.events.end();
+  refusedFor(r.sent[0]!, 421, 'q1');
   await r.world.advance(1);
+  expect(r.sent).toHaveLength(2);
   for (let i = 0; i < 4; i += 1) r.ask();
   await r.world.advance(1);
   expect(r.sent.length).toBeGreaterThan(2);
@@ -337,3 +338,72 @@
   await r.world.advance(1);
   expect(answer).toMatchObject({ body: 'id: 1\ndata: a\n\n', ended: false, cut: true });
 });
+
+function refusedFor(s: Sending2, status: number, id: string | null): void {
+  const h: Record<string, string> = { [W.notRun]: '1', ...(id === null ? {} : { [W.dispatchId]: id }) };
+  s.events.head(status, Object.entries(h).flat(), (n) => h[n] ?? null);
+  s.events.end();
+}
+
+test("another request's word that it was not run is no word about this one", async () => {
+  for (const status of [421, 429, 503]) {
+    const r = await rig({ kind: 'once', dispatches: 3 }, [entry('w'), entry('vv')]);
+    const { answer } = r.ask();
+    await r.world.advance(1);
+    refusedFor(r.sent[0]!, status, 'q9');
+    await r.world.advance(1);
+    expect(r.sent).toHaveLength(1);
+    expect(answer.status).toBe(502);
+  }
+});
+
+test('a refusal without any id counts as ours on a new connection alone', async () => {
+  for (const fresh of [true, false]) {
+    const r = await rig({ kind: 'once', dispatches: 1 }, [entry('w')]);
+    const { answer } = r.ask();
+    await r.world.advance(1);
+    if (fresh) r.sent[0]!.events.connected!(1);
+    refusedFor(r.sent[0]!, 503, null);
+    await r.world.advance(1);
+    expect(answer.status).toBe(fresh ? 503 : 502);
+  }
+});
+
+test("a worker's seal is not passed on under another status than its own", async () => {
+  for (const [given, passed] of [[503, 502], [429, 502], [408, 502], [500, 500]] as const) {
+    const r = await rig({ kind: 'once' }, [entry('w')]);
+    const { answer } = r.ask();
+    await r.world.advance(1);
+    const h = { [W.dispatchId]: 'q1', [W.seal]: 's' } as Record<string, string>;
+    r.sent[0]!.events.head(given, Object.entries(h).flat(), (n) => h[n] ?? null);
+    r.sent[0]!.events.end();
+    await r.world.advance(1);
+    expect(answer.status).toBe(passed);
+    expect(answer.headers.includes(W.seal)).toBe(given === passed);
+  }
+});
+
+test('many failures at one moment do not draw on the budget for more than it holds', async () => {
+  const r = await rig({}, [entry('w', 'z1', 'r1', { places: 200 }), entry('vv', 'z1', 'r1', { places: 200 })], { ratio: 0.1, slack: 20, windowMs: 10_000 });
+  for (let i = 0; i < 100; i += 1) r.ask();
+  await r.world.advance(1);
+  expect(r.sent).toHaveLength(100);
+  const failing = r.sent.filter((s) => s.what.address === r.sent[0]!.what.address);
+  expect(failing.length).toBeGreaterThan(40);
+  for (const s of failing) s.events.failed({ tag: 'broken' });
+  await r.world.advance(1_000);
+  expect(r.sent.length - 100).toBeGreaterThan(0);
+  expect(r.sent.length - 100).toBeLessThanOrEqual(0.1 * 100 + 20);
+});
+
+test('a stream with an event that has no number is not taken up again', async () => {
+  for (const [text, again] of [['id: 1\ndata: a\n\n: still here\n\n', true], ['id: 1\ndata: a\n\ndata: b\n\n', false], ['data: a\n\n', false]] as const) {
+    const r = await rig({ kind: 'stream', resumable: true }, [entry('w'), entry('vv')]);
+    const { answer } = r.ask();
+    await r.world.advance(1);
+    sealed(r.sent[0]!, text);
+    r.sent[0]!.events.failed({ tag: 'broken' });
+    await r.world.advance(1);
+    expect([r.sent.length, answer.cut]).toEqual(again ? [2, false] : [1, true]);
+  }
+});
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -74,7 +74,8 @@
   dispatches: number;
   headPassed: boolean;
   lastEvent: number | null;
-  offered: boolean;
+  unnumbered: boolean;
+  reserved: boolean;
 };
 
 type Taken = { readonly row: BookRow; readonly hold: Hold };
@@ -160,7 +161,7 @@
       repeatable: m.kind === 'repeatable' || (stream && m.resumable),
       until: cameAt + left,
       parts: partsOf(req.get(words.prefix)),
-      tokens, outTokens: out, avoid: new Set(), dispatches: 0, headPassed: false, lastEvent: numberOr(req.get(words.lastEvent)), offered: false,
+      tokens, outTokens: out, avoid: new Set(), dispatches: 0, headPassed: false, lastEvent: numberOr(req.get(words.lastEvent)), unnumbered: false, reserved: false,
     };
   }
 
@@ -181,28 +182,28 @@
       const taken = await placed(job, aim);
       if (req.answerer.gone()) {
         taken?.hold.end();
+        release(job);
         return;
       }
       if (!taken) {
+        release(job);
         const none = book.place(askOf(job)).tag === 'none';
         giveUp(job, none ? 'noneInReach' : 'full', none ? Math.max(backIn(1), (tuning.awayShare * (job.until - clock.mono())) / 1_000) : backIn(1));
         return;
       }
-      if (job.dispatches > 0) {
-        budget.spend(job.model, clock.mono());
-        counts.retried += 1;
-      }
-      const sentAt = clock.mono();
+      if (job.dispatches > 0) counts.retried += 1;
       const { row } = taken;
+      const { reserved } = job;
+      job.reserved = false;
       const end = await dispatch(job, taken);
       if (end.tag === 'done' || end.tag === 'gone') return;
       if (end.tag !== 'neverSent') job.dispatches += 1;
-      else if (clock.mono() - sentAt > 50) job.offered = job.offered || false;
+      else job.reserved = reserved;
       if (end.tag === 'late') {
         giveUp(job, 'late', null);
         return;
       }
-      if (end.tag === 'passedPart' && !(job.stream && job.repeatable)) {
+      if (end.tag === 'passedPart' && !(job.stream && job.repeatable && !job.unnumbered)) {
         counts.cut += 1;
         req.answerer.cut();
         return;
@@ -212,11 +213,12 @@
       const again =
         left > 30 &&
         (end.tag === 'neverSent' ||
-          ((end.tag === 'notRun' || job.repeatable) && job.dispatches < job.door.mapping.dispatches && budget.may(job.model, clock.mono())));
+          ((end.tag === 'notRun' || job.repeatable) && job.dispatches < job.door.mapping.dispatches && reserve(job)));
       if (again) {
         if (end.tag === 'passedPart') counts.resumed += 1;
         continue;
       }
+      release(job);
       if (end.tag === 'answered') pass(job, end.status, end.headers, end.body);
       else if (end.tag === 'notRun') giveUp(job, 'workerFull', Math.max(end.afterS, backIn(0.75)));
       else if (end.tag === 'neverSent') giveUp(job, 'unreachable', backIn(0.75));
@@ -225,6 +227,17 @@
     }
   }
 
+  // A further dispatch is taken from the budget when it is decided, not when it is sent: many
+  // requests may fail at one moment, and each decides before the next.
+  function reserve(job: Job): boolean {
+    job.reserved = job.reserved || budget.take(job.model, clock.mono());
+    return job.reserved;
+  }
+  function release(job: Job): void {
+    if (job.reserved) budget.giveBack(job.model);
+    job.reserved = false;
+  }
+
   function giveUp(job: Job, tag: string, afterS: number | null): void {
     const { answerer } = job.req;
     if (job.headPassed) {
@@ -243,8 +256,11 @@
       answerer.cut();
       return;
     }
+    // These statuses promise that nothing ran. A worker's own are passed on as 502, without the
+    // seal, which stands for the worker's answer as it was.
     const promises = status === 503 || status === 429 || status === 408 || status === 421;
-    answerer.head(promises ? 502 : status, [...cleaned(headers), 'Content-Length', String(body.length), ...(deps.closing() ? ['Connection', 'close'] : [])]);
+    const passed = promises ? without(cleaned(headers), words.seal) : cleaned(headers);
+    answerer.head(promises ? 502 : status, [...passed, 'Content-Length', String(body.length), ...(deps.closing() ? ['Connection', 'close'] : [])]);
     answerer.write(body);
     answerer.end();
   }
@@ -326,6 +342,7 @@
       let size = 0;
       let splitter: EventSplitter | null = null;
       let notRunAfter: number | null = null;
+      let freshConnection = false;
       let over = false;
       const flight: WatchedFlight = { sentAt: clock.mono(), heardAt: 0, onSilent };
       watch.begin(row, flight);
@@ -352,7 +369,7 @@
         sent?.cut();
       }
       function onSilent(): void {
-        if (over || !job.repeatable || job.dispatches + 1 >= job.door.mapping.dispatches || !budget.may(job.model, clock.mono())) return;
+        if (over || !job.repeatable || job.dispatches + 1 >= job.door.mapping.dispatches || !reserve(job)) return;
         finish(job.headPassed ? { tag: 'passedPart' } : { tag: 'unknown' });
         sent?.cut();
       }
@@ -362,13 +379,17 @@
         sent?.cut();
       }
 
+      // A refusal without an id is ours only where no other answer can be due: on a new connection.
+      function isOurs(id: string | null, refused: boolean): boolean {
+        return id === job.id || (id === null && refused && freshConnection);
+      }
       function head(s: number, h: RawHeaders, get: (name: string) => string | null): void {
         if (over) return;
         status = s;
         raw = h;
         const coldMs = Number(get(words.coldMs) ?? 0);
         if (coldMs > 0) book.cold(row, clock.mono(), coldMs);
-        if (get(words.dispatchId) !== job.id && !(s === 421 || get(words.notRun) !== null)) {
+        if (!isOurs(get(words.dispatchId), s === 421 || get(words.notRun) !== null)) {
           spoilt();
           return;
         }
@@ -410,7 +431,7 @@
               return;
             }
             job.lastEvent = e.id;
-          }
+          } else if (!isComment(e.bytes)) job.unnumbered = true;
           req.answerer.write(e.bytes);
         }
       }
@@ -466,6 +487,7 @@
         spoilt();
       }
       function connected(ms: number): void {
+        freshConnection = true;
         book.took(row, ms);
       }
       req.answerer.onGone(originGone);
@@ -518,6 +540,21 @@
   return out;
 }
 
+const COLON = 58;
+
+function isComment(event: Buffer): boolean {
+  return event[0] === COLON && !/\n[^:\r\n]/.test(event.toString('latin1'));
+}
+
+function without(headers: readonly string[], unwanted: string): string[] {
+  const out: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string;
+    if (name.toLowerCase() !== unwanted) out.push(name, headers[i + 1] as string);
+  }
+  return out;
+}
+
 function shareOf(m: DoorMapping, rng: Rng): string {
   let sum = 0;
   for (const s of m.shares) sum += s.share;
--- a/src/state/dispatch-budget.test.ts
+++ b/src/state/dispatch-budget.test.ts
@@ -22,9 +22,9 @@
       first.push(now);
     }
     for (let k = 0; k < 3; k += 1) {
-      if (!b.may('m', now)) continue;
-      b.spend('m', now);
-      further.push(now);
+      if (!b.take('m', now)) continue;
+      if (rng.next() < 0.1) b.giveBack('m');
+      else further.push(now);
     }
   }
   expect(further.length).toBeGreaterThan(0);
@@ -33,7 +33,14 @@
 
 test('what one model spends is not taken from another', () => {
   const b = createDispatchBudget(BOUNDS);
-  for (let i = 0; i < 100 && b.may('m', 0); i += 1) b.spend('m', 0);
+  for (let i = 0; i < 100 && b.take('m', 0); i += 1);
   expect(b.may('m', 0)).toBe(false);
   expect(b.may('n', 0)).toBe(true);
 });
+
+test('what was taken and not sent is there again', () => {
+  const b = createDispatchBudget(BOUNDS);
+  while (b.take('m', 0));
+  b.giveBack('m');
+  expect([b.take('m', 0), b.take('m', 0)]).toEqual([true, false]);
+});
--- a/src/state/dispatch-budget.ts
+++ b/src/state/dispatch-budget.ts
@@ -1,7 +1,10 @@
 export type DispatchBudget = {
   readonly arrived: (model: string, now: number) => void;
   readonly may: (model: string, now: number) => boolean;
-  readonly spend: (model: string, now: number) => void;
+  /** Takes one further dispatch from the budget, or tells that there is none left. */
+  readonly take: (model: string, now: number) => boolean;
+  /** Returns one that was taken and then not sent. */
+  readonly giveBack: (model: string) => void;
   readonly sharers: (n: number) => void;
 };
 
@@ -30,11 +33,16 @@
     const room = GUARD * (bounds.ratio * recent(first, model, now).length + bounds.slack / sharing);
     return recent(further, model, now).length + 1 <= room;
   }
-  function spend(model: string, now: number): void {
+  function take(model: string, now: number): boolean {
+    if (!may(model, now)) return false;
     recent(further, model, now).push(now);
+    return true;
+  }
+  function giveBack(model: string): void {
+    further.get(model)?.pop();
   }
   function sharers(n: number): void {
     sharing = Math.max(1, n);
   }
-  return { arrived, may, spend, sharers };
+  return { arrived, may, take, giveBack, sharers };
 }
