After a standstill nothing is sent before callers that left are known; a deadline is told when written

Cause: a proxy that was frozen with requests in its queue sent them on as soon as it woke, when a worker's answer was read before the end of the caller's own connection; one whose dial came up after the deadline sent it with a deadline that had passed; and the deadline handed to a worker was that of the moment before the dial, up to 600 ms more than was left.

Ruled out: looking at the waiting requests' clocks in the queue, which changed no test: the fence belongs at the writing, where it covers queue, dial and repeats.

Change: the head of a request is asked for when its connection is up. It is withheld past the deadline, after its caller left, and for 40 ms after a gap of over a second between turns, in which time the sockets are read; the connection is kept for the next. What was never written by its deadline is told as not run.

Measured: 6 new tests.

--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -172,6 +172,7 @@
   peers.on('crowd', onCrowd);
   let wasReady = false;
   function look(): void {
+    relay.turn();
     const now = ready();
     if (now !== wasReady) {
       log.info(now ? 'Serves.' : 'Serves no more.');
--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -9,6 +9,7 @@
 import { createWorkerBook } from '../../state/worker-book.js';
 import type { WorkerEntry } from '../../state/worker-entry.js';
 import { createWorld } from '../../sim/world.js';
+import { every, turnOver } from '../../transport/clock.js';
 import { createQuietLog } from '../../transport/log.js';
 import type { OpenRequest, Outlets, RawHeaders, SendEvents, Sending } from '../../transport/open-http.js';
 import { createRng } from '../../transport/rng.js';
@@ -19,7 +20,7 @@
   dispatches: 2, shares: [{ model: 'm', share: 1 }], split: false, homes: [],
 };
 
-type Sending2 = { readonly what: Sending; readonly events: SendEvents; cut: boolean };
+type Sending2 = { readonly what: Sending; readonly events: SendEvents; cut: boolean; headers: RawHeaders | null };
 type Answer = { status: number; headers: RawHeaders; body: string; ended: boolean; cut: boolean };
 
 function entry(id: string, zone = 'z1', region = 'r1', over: Partial<WorkerEntry> = {}): WorkerEntry {
@@ -32,10 +33,16 @@
   const clock = world.clockOf(proc);
   const sent: Sending2[] = [];
   const checks: { address: string; done: (reached: boolean) => void }[] = [];
+  let dialling = false;
+  function connect(s: Sending2): void {
+    s.headers = s.what.headers();
+    if (s.headers === null) s.events.failed({ tag: 'withheld' });
+  }
   const outlets: Outlets = {
     send: (what, events) => {
-      const s: Sending2 = { what, events, cut: false };
+      const s: Sending2 = { what, events, cut: false, headers: null };
       sent.push(s);
+      if (!dialling) connect(s);
       return { cut: () => { s.cut = true; } };
     },
     check: (address, _waitMs, done) => { checks.push({ address, done }); }, open: () => 0, idle: () => 0, forget: () => undefined, made: () => 0, stop: () => undefined,
@@ -70,7 +77,19 @@
     relay.handle(req);
     return { answer, leave: () => { gone = true; for (const fn of watchers) fn(); } };
   }
-  return { world, relay, sent, checks, ask, book, close: () => { closing = true; } };
+  every(clock, 250, relay.turn);
+  /** Runs what came while the process was frozen, each with its own microtasks, as an event loop does. */
+  async function thaw(): Promise<void> {
+    proc.host.frozen = false;
+    for (const fn of proc.host.parked.splice(0)) {
+      fn();
+      await turnOver();
+    }
+  }
+  function arrives(fn: () => void): void {
+    world.run(proc, fn);
+  }
+  return { world, relay, sent, checks, ask, book, connect, dial: () => { dialling = true; }, freeze: () => world.freeze(proc.host), thaw, arrives, close: () => { closing = true; } };
 }
 
 function sealed(s: Sending2, body: string, id = 'q1'): void {
@@ -152,7 +171,7 @@
   r.sent[0]!.events.failed({ tag: 'broken' });
   await r.world.advance(1);
   expect(r.sent).toHaveLength(2);
-  const h = r.sent[1]!.what.headers;
+  const h = r.sent[1]!.headers!;
   expect(h[h.indexOf(W.lastEvent) + 1]).toBe('2');
   sealed(r.sent[1]!, 'id: 3\ndata: c\n\n');
   r.sent[1]!.events.end();
@@ -306,7 +325,8 @@
   await r.world.advance(1);
   const { what } = r.sent[0]!;
   const sent = new Map<string, string>();
-  for (let i = 0; i + 1 < what.headers.length; i += 2) sent.set(what.headers[i]!, what.headers[i + 1]!);
+  const raw = r.sent[0]!.headers!;
+  for (let i = 0; i + 1 < raw.length; i += 2) sent.set(raw[i]!, raw[i + 1]!);
   expect({ method: what.method, target: what.target, body: what.body?.toString() }).toEqual({ method: 'POST', target: '/x/1', body: 'hi' });
   expect(sent.get('host')).toBe('a.example');
   expect(sent.get(W.dispatchId)).toBe('q1');
@@ -407,3 +427,87 @@
     expect([r.sent.length, answer.cut]).toEqual(again ? [2, false] : [1, true]);
   }
 });
+
+function deadlineOf(s: Sending2): number {
+  return Number(s.headers![s.headers!.indexOf(W.deadline) + 1]);
+}
+
+test('a request that waited while its proxy was frozen is not sent when its caller left or its time is over', async () => {
+  for (const [kind, why] of [['once', 'left'], ['once', 'late'], ['repeatable', 'left'], ['repeatable', 'late']] as const) {
+    const r = await rig({ kind, deadlineMs: why === 'late' ? 2_000 : 9_000, aimMs: 20_000 }, [entry('w', 'z1', 'r1', { places: 1 })]);
+    r.ask();
+    const { answer, leave } = r.ask();
+    await r.world.advance(300);
+    expect(r.sent).toHaveLength(1);
+    r.freeze();
+    await r.world.advance(10);
+    r.arrives(() => sealed(r.sent[0]!, 'out'));
+    r.arrives(() => r.sent[0]!.events.end());
+    await r.world.advance(3_990);
+    if (why === 'left') r.arrives(leave);
+    await r.thaw();
+    await r.world.advance(500);
+    expect(r.sent).toHaveLength(1);
+    expect([answer.status, r.relay.tally().open]).toEqual([why === 'late' ? 503 : 0, 0]);
+  }
+});
+
+test('a request that waited while its proxy was frozen is sent once when there is time left', async () => {
+  const r = await rig({ kind: 'once', deadlineMs: 9_000, aimMs: 40_000 }, [entry('w', 'z1', 'r1', { places: 1 })]);
+  r.ask();
+  const { answer } = r.ask();
+  await r.world.advance(300);
+  r.freeze();
+  await r.world.advance(10);
+  r.arrives(() => sealed(r.sent[0]!, 'out'));
+  r.arrives(() => r.sent[0]!.events.end());
+  await r.world.advance(3_990);
+  await r.thaw();
+  await r.world.advance(500);
+  expect(r.sent).toHaveLength(2);
+  expect(deadlineOf(r.sent[1]!)).toBeLessThanOrEqual(9_000 - 4_300);
+  sealed(r.sent[1]!, 'out');
+  r.sent[1]!.events.end();
+  await r.world.advance(1);
+  expect([answer.status, r.sent.length]).toEqual([200, 2]);
+});
+
+test('a request that arrived while its proxy was frozen, with its caller gone since, is not sent', async () => {
+  const r = await rig({ kind: 'once' }, [entry('w')]);
+  await r.world.advance(300);
+  r.freeze();
+  await r.world.advance(2_000);
+  let leave = (): void => undefined;
+  r.arrives(() => { leave = r.ask().leave; });
+  r.arrives(() => leave());
+  await r.thaw();
+  await r.world.advance(500);
+  expect(r.sent).toHaveLength(0);
+});
+
+test('the deadline that a worker is handed is what is left when the request is written', async () => {
+  const r = await rig({ kind: 'once', deadlineMs: 5_000 }, [entry('w')]);
+  r.dial();
+  r.ask({ [W.deadline]: '3000' });
+  await r.world.advance(240);
+  r.connect(r.sent[0]!);
+  expect(deadlineOf(r.sent[0]!)).toBeLessThanOrEqual(2_760);
+  expect(deadlineOf(r.sent[0]!)).toBeGreaterThan(2_700);
+});
+
+test('a connection that comes up after the deadline, or after the caller left, carries no request', async () => {
+  for (const left of [true, false]) {
+    const r = await rig({ kind: 'once', deadlineMs: 1_000 }, [entry('w')]);
+    r.dial();
+    const { answer, leave } = r.ask();
+    await r.world.advance(10);
+    if (left) leave();
+    r.freeze();
+    await r.world.advance(2_000);
+    r.arrives(() => r.connect(r.sent[0]!));
+    await r.thaw();
+    await r.world.advance(200);
+    expect(r.sent.map((s) => s.headers)).toEqual([null]);
+    expect(answer.status).toBe(left ? 0 : 503);
+  }
+});
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -4,6 +4,7 @@
 import type { Door, DoorTable } from '../../state/door-table.js';
 import type { DispatchBudget } from '../../state/dispatch-budget.js';
 import type { EdgeTuning } from '../../state/edge-tuning.js';
+import { createStandstill } from '../../state/standstill.js';
 import type { Part } from '../../state/kept-parts.js';
 import type { DoorMapping } from '../../state/serving.js';
 import type { BookRow, Hold, PlaceAsk, WorkerBook } from '../../state/worker-book.js';
@@ -40,7 +41,7 @@
   waiting: number;
 };
 
-export type Relay = { readonly handle: (req: OpenRequest) => void; readonly wake: () => void; readonly tally: () => RelayTally };
+export type Relay = { readonly handle: (req: OpenRequest) => void; readonly wake: () => void; readonly turn: () => void; readonly tally: () => RelayTally };
 
 const HOP = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'expect', 'proxy-authenticate', 'proxy-authorization']);
 const MOST_HELD = 1_048_576;
@@ -53,6 +54,7 @@
   | { readonly tag: 'late' }
   | { readonly tag: 'notRun'; readonly status: number; readonly afterS: number }
   | { readonly tag: 'neverSent' }
+  | { readonly tag: 'withheld' }
   | { readonly tag: 'unknown' }
   | { readonly tag: 'passedPart' }
   | { readonly tag: 'answered'; readonly status: number; readonly headers: RawHeaders; readonly body: Buffer };
@@ -86,6 +88,7 @@
   const { words, tuning, book, budget, outlets, clock, rng, log } = deps;
   const counts: RelayTally = { requests: {}, shed: 0, dispatched: 0, retried: 0, resumed: 0, cut: 0, open: 0, waiting: 0 };
   const line: Waiter[] = [];
+  const standstill = createStandstill();
   const watch = createSilenceWatch({ book, outlets, clock, log, silentMs: tuning.silentMs, onReached: wake });
 
   function refuse(req: OpenRequest, status: number, tag: string, afterS: number | null): void {
@@ -178,7 +181,11 @@
     const aim = job.door.mapping.aimMs ?? 2_000;
     budget.arrived(job.model, clock.mono());
     for (;;) {
-      if (req.answerer.gone()) return;
+      await settled();
+      if (req.answerer.gone()) {
+        release(job);
+        return;
+      }
       const taken = await placed(job, aim);
       if (req.answerer.gone()) {
         taken?.hold.end();
@@ -197,8 +204,9 @@
       job.reserved = false;
       const end = await dispatch(job, taken);
       if (end.tag === 'done' || end.tag === 'gone') return;
-      if (end.tag !== 'neverSent') job.dispatches += 1;
-      else job.reserved = reserved;
+      const unsent = end.tag === 'neverSent' || end.tag === 'withheld';
+      if (unsent) job.reserved = reserved;
+      else job.dispatches += 1;
       if (end.tag === 'late') {
         giveUp(job, 'late', null);
         return;
@@ -208,8 +216,14 @@
         req.answerer.cut();
         return;
       }
-      job.avoid.add(row.entry.id);
       const left = job.until - clock.mono();
+      if (end.tag === 'withheld') {
+        if (left > 0) continue;
+        release(job);
+        giveUp(job, 'unsent', backIn(0.75));
+        return;
+      }
+      job.avoid.add(row.entry.id);
       const again =
         left > 30 &&
         (end.tag === 'neverSent' ||
@@ -238,6 +252,14 @@
     job.reserved = false;
   }
 
+  /** Waits, after a standstill, until what callers and workers did meanwhile has been read. */
+  async function settled(): Promise<void> {
+    for (let until = standstill.observe(clock.mono()); until !== null; until = standstill.observe(clock.mono())) await pause(clock, until - clock.mono());
+  }
+  function turn(): void {
+    standstill.observe(clock.mono());
+  }
+
   function giveUp(job: Job, tag: string, afterS: number | null): void {
     const { answerer } = job.req;
     if (job.headPassed) {
@@ -308,7 +330,7 @@
 
   let waking = false;
   function wake(): void {
-    if (waking) return;
+    if (waking || standstill.observe(clock.mono()) !== null) return;
     waking = true;
     for (const w of [...line]) {
       const got = take(w.job);
@@ -334,7 +356,14 @@
     const { row, hold } = taken;
     counts.dispatched += 1;
     const left = job.until - clock.mono();
-    const headers = outbound(job, row, left);
+    let written = false;
+    // At the moment of writing: what is left of the deadline by then, or nothing any more.
+    function headers(): RawHeaders | null {
+      const now = clock.mono();
+      if (now >= job.until || standstill.observe(now) !== null || req.answerer.gone()) return null;
+      written = true;
+      return outbound(job, row, job.until - now);
+    }
     function start(resolve: (end: End) => void): void {
       let status = 0;
       let raw: RawHeaders = [];
@@ -359,7 +388,13 @@
         wake();
       }
       function late(): void {
-        if (!over) log.warn(`${row.entry.id} gave ${job.door.name} ${job.id} no end in ${Math.round(left)} ms: status ${status}, last event ${job.lastEvent ?? 'none'}, silent for ${Math.round(clock.mono() - Math.max(flight.heardAt, flight.sentAt))} ms.`);
+        if (over) return;
+        if (!written) {
+          finish({ tag: 'withheld' });
+          sent?.cut();
+          return;
+        }
+        log.warn(`${row.entry.id} gave ${job.door.name} ${job.id} no end in ${Math.round(left)} ms: status ${status}, last event ${job.lastEvent ?? 'none'}, silent for ${Math.round(clock.mono() - Math.max(flight.heardAt, flight.sentAt))} ms.`);
         finish({ tag: 'late' });
         sent?.cut();
       }
@@ -476,6 +511,10 @@
           finish({ tag: 'neverSent' });
           return;
         }
+        if (fault.tag === 'withheld') {
+          finish({ tag: 'withheld' });
+          return;
+        }
         if (fault.tag === 'closedUnread' && job.repeatable) {
           finish({ tag: 'neverSent' });
           return;
@@ -520,7 +559,7 @@
   function tally(): RelayTally {
     return counts;
   }
-  return { handle, wake, tally };
+  return { handle, wake, turn, tally };
 }
 
 function hasBody(req: OpenRequest): boolean {
--- /dev/null
+++ b/src/state/standstill.ts
@@ -0,0 +1,26 @@
+/**
+ * Tells when the process has just gone on after a standstill (frozen, or starved of processor time).
+ * What the network told meanwhile, such as callers that have left, is read only afterwards and in any
+ * order, so whoever is about to send something first waits until that has been read.
+ */
+export type Standstill = {
+  /** To be called at least each `gapMs / 4`, and before a send: the moment to wait for, or null. */
+  readonly observe: (now: number) => number | null;
+};
+
+/** No turn of the event loop for so long is a standstill; the proxy looks at itself each 250 ms. */
+const GAP_MS = 1_000;
+/** By then what waited at the sockets has been read: one turn reads them all, an ended connection takes two more. */
+const SETTLE_MS = 40;
+
+export function createStandstill(): Standstill {
+  let last: number | null = null;
+  let holdUntil = 0;
+
+  function observe(now: number): number | null {
+    if (last !== null && now - last > GAP_MS) holdUntil = now + SETTLE_MS;
+    last = now;
+    return now < holdUntil ? holdUntil : null;
+  }
+  return { observe };
+}
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -36,6 +36,7 @@
 
 export type SendFault =
   | { readonly tag: 'neverSent' }
+  | { readonly tag: 'withheld' }
   | { readonly tag: 'closedUnread' }
   | { readonly tag: 'broken' };
 
@@ -51,7 +52,8 @@
   readonly address: Address;
   readonly method: string;
   readonly target: string;
-  readonly headers: RawHeaders;
+  /** Asked at the moment of writing, when the connection is up; null withholds the request. */
+  readonly headers: () => RawHeaders | null;
   readonly body: Buffer | null;
   readonly connectMs: number;
 };
--- a/src/transport/outlets.test.ts
+++ b/src/transport/outlets.test.ts
@@ -33,7 +33,7 @@
   return new Promise((done) => {
     const got: Got = { status: 0, body: '', fault: null };
     o.send(
-      { address, method: 'POST', target: '/p?q=1', headers: ['Host', 'h', 'X-One', '1'], body: body === null ? null : Buffer.from(body), connectMs: 500 },
+      { address, method: 'POST', target: '/p?q=1', headers: () => ['Host', 'h', 'X-One', '1'], body: body === null ? null : Buffer.from(body), connectMs: 500 },
       {
         head: (s) => { got.status = s; },
         data: (c) => { got.body += c.toString(); },
@@ -256,3 +256,19 @@
   await new Promise((done) => first.sock.once('close', done));
   expect([o.open(at), o.idle(at)]).toEqual([0, 0]);
 });
+
+test('a request that is withheld when its connection is up is not written, and the connection serves the next', async () => {
+  let heard = '';
+  const at = await raw((sock, text) => {
+    heard += text;
+    sock.write(OK);
+  });
+  const o = outlets();
+  const fault = await new Promise((done) => o.send(
+    { address: at, method: 'POST', target: '/held', headers: () => null, body: Buffer.from('x'), connectMs: 500 },
+    { head: () => undefined, data: () => undefined, end: () => done(null), failed: done },
+  ));
+  expect(fault).toEqual({ tag: 'withheld' });
+  expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+  expect([o.made(), heard.includes('/held')]).toEqual([1, false]);
+});
--- a/src/transport/outlets.ts
+++ b/src/transport/outlets.ts
@@ -196,7 +196,14 @@
       function own(): Socket {
         return s;
       }
-      const headers = [...what.headers, 'Connection', 'keep-alive'];
+      const head = what.headers();
+      if (head === null) {
+        over = true;
+        rest(at, s);
+        events.failed({ tag: 'withheld' });
+        return;
+      }
+      const headers = [...head, 'Connection', 'keep-alive'];
       if (what.body !== null) headers.push('Content-Length', String(what.body.length));
       req = request({ method: what.method, path: what.target, headers: headers as unknown as Record<string, string>, createConnection: own, setHost: false });
       req.shouldKeepAlive = true;
