A cut answer does not look whole to a caller without chunks

Cause: to an HTTP/1.0 caller an answer of unknown length ends with its connection, and a cut closed that as an end does. Test first: "end" where a reset was expected. Change: such an answer is cut by a reset. Callers of HTTP/1.1 get chunks and a close without the last one, as before.

--- a/src/transport/open-door.ts
+++ b/src/transport/open-door.ts
@@ -34,7 +34,9 @@
   function end(): void {
     if (!res.destroyed) res.end();
   }
+  /** Ends an answer so that it can't look whole: without chunks only a reset tells that more was due. */
   function cut(): void {
+    if (res.headersSent && !res.chunkedEncoding) res.socket?.resetAndDestroy();
     res.destroy();
   }
   function gone(): boolean {
--- a/src/transport/outlets.test.ts
+++ b/src/transport/outlets.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, expect, test } from '@jest/globals';
-import { createServer } from 'node:net';
+import { createConnection, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createClock } from './clock.js';
 import { createOpenDoor } from './open-door.js';
@@ -272,3 +272,28 @@
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
   expect([o.made(), heard.includes('/held')]).toEqual([1, false]);
 });
+
+test('an answer of unknown length that is cut does not look whole to a caller without chunks', async () => {
+  const door = createOpenDoor();
+  let cut = false;
+  const opened = await door.open('127.0.0.1:0', (req: OpenRequest) => {
+    req.answerer.head(200, []);
+    req.answerer.write(Buffer.from('one'));
+    const finish = (): void => (cut ? req.answerer.cut() : req.answerer.end());
+    setImmediate(finish);
+  });
+  if (!opened.ok) throw new Error('listen');
+  open.push({ close: () => void opened.value.close() });
+  const [host, port] = opened.value.address.split(':') as [string, string];
+  const ends: string[] = [];
+  for (cut of [false, true]) {
+    const sock = createConnection({ host, port: Number(port) });
+    sock.write('GET / HTTP/1.0\r\nHost: h\r\n\r\n');
+    sock.on('data', () => undefined);
+    ends.push(await new Promise((done) => {
+      sock.on('error', (e: { code?: string }) => done(e.code ?? ''));
+      sock.on('end', () => done(sock.remoteAddress === undefined ? 'ECONNRESET' : 'end'));
+    }));
+  }
+  expect(ends).toEqual(['end', 'ECONNRESET']);
+});
