Callers of bound requests go to stopping proxies of a home before they are led past

Change: a stopping proxy says so for 1.9 s and is named, for hosts with homes, before any region that is none; answers that lead elsewhere or to it hold 1 s. It takes all that comes for 2.9 s, then what is expected to end before it must (by the tokens asked for), and refuses the rest at once with its connection closed. It stops listening 1.5 s before its end, and closes connections that fall idle afterwards.

--- a/src/coordination/edge/directory.ts
+++ b/src/coordination/edge/directory.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../../transport/clock.js';
 import type { Address } from '../../transport/wire.js';
 
-export type ToldSluice = { readonly name: string; readonly zone: string; readonly region: string; readonly http: Address; readonly ready: boolean; readonly heardAgoMs: number };
+export type ToldSluice = { readonly name: string; readonly zone: string; readonly region: string; readonly http: Address; readonly ready: boolean; readonly draining: boolean; readonly heardAgoMs: number };
 
 export type Origin = { readonly host: string; readonly zone: string; readonly region: string };
 
@@ -14,14 +14,32 @@
 
 type Ranked = { readonly http: Address; readonly rank: number };
 
+/** Addresses for a caller; `lasting` if they are where it belongs, so that it needn't ask again soon. */
+export type Found = { readonly addresses: Address[]; readonly lasting: boolean };
+
+/** Where a caller is led when its own region has no ready proxy. */
+export type NextRegions = {
+  /** Regions outside of which the host's bound requests may not be handled; empty where none are bound. */
+  readonly homes: readonly string[];
+  /** All others, in the order in which they are tried. */
+  readonly near: readonly string[];
+};
+
 /**
- * The ready proxies of the caller's zone; of its whole region where the zone has lost more than its share; of the next
- * regions, in the order given, where none is left.
+ * The ready proxies of the caller's zone; of its whole region where the zone has lost more than its share; of the
+ * host's homes where none is left. Before a caller of a host with homes is led past these, it is led to proxies there
+ * that were told to stop but still take what comes.
  */
-export function addressesFor(told: readonly ToldSluice[], origin: Origin, nearRegions: readonly string[], tuning: DirectoryTuning = DIRECTORY_TUNING): Address[] {
+export function addressesFor(told: readonly ToldSluice[], origin: Origin, next: NextRegions, tuning: DirectoryTuning = DIRECTORY_TUNING): Found {
   const heard = told.filter(isHeard);
   const serving = heard.length > 0 ? heard : told.filter(isReady);
-  return someOf(nearest(), origin, tuning.most);
+  const found = nearest();
+  const lasting = found.length > 0 && found.every(isLasting);
+  return { addresses: someOf(found, origin, tuning.most), lasting };
+
+  function isLasting(s: ToldSluice): boolean {
+    return s.ready && s.region === origin.region;
+  }
 
   function isReady(s: ToldSluice): boolean {
     return s.ready;
@@ -38,13 +56,22 @@
   function nearest(): readonly ToldSluice[] {
     const zone = serving.filter(inZone);
     if (zone.length > 0 && zone.length >= tuning.fewestShare * told.filter(isMissed).length) return zone;
-    for (const region of [origin.region, ...nearRegions]) {
-      const found: ToldSluice[] = [];
-      for (const s of serving) if (s.region === region) found.push(s);
-      if (found.length > 0) return found;
-    }
-    return serving;
+    const allowed = [origin.region, ...next.homes];
+    const draining = next.homes.length > 0 ? told.filter(isDraining) : [];
+    return firstRegion(serving, allowed) ?? firstRegion(draining, allowed) ?? firstRegion(serving, next.near) ?? serving;
+  }
+  function isDraining(s: ToldSluice): boolean {
+    return s.draining && s.heardAgoMs <= tuning.unheardMs;
+  }
+}
+
+function firstRegion(proxies: readonly ToldSluice[], regions: readonly string[]): readonly ToldSluice[] | null {
+  for (const region of regions) {
+    const found: ToldSluice[] = [];
+    for (const proxy of proxies) if (proxy.region === region) found.push(proxy);
+    if (found.length > 0) return found;
   }
+  return null;
 }
 
 function someOf(sluices: readonly ToldSluice[], origin: Origin, most: number): Address[] {
@@ -61,7 +88,7 @@
 
 export type Told = { readonly reports: () => Reports; readonly heardAt: (name: string) => number | null };
 
-export type Directory = { readonly addressesFor: (origin: Origin) => Address[] };
+export type Directory = { readonly addressesFor: (origin: Origin) => Found };
 
 /** The settings in force, as far as the controller knows them. */
 export type ServingInForce = () => Serving | null;
@@ -98,21 +125,21 @@
     const out: ToldSluice[] = [];
     for (const r of told.reports().values()) {
       const at = told.heardAt(r.reporter);
-      if (at !== null) out.push({ name: r.reporter, zone: r.zone, region: r.region, http: r.http, ready: r.ready, heardAgoMs: now - at });
+      if (at !== null) out.push({ name: r.reporter, zone: r.zone, region: r.region, http: r.http, ready: r.ready, draining: r.draining === true, heardAgoMs: now - at });
     }
     return out;
   }
-  function forOrigin(origin: Origin): Address[] {
+  function forOrigin(origin: Origin): Found {
     const now = clock.mono();
     const sluices = rows(now);
     if (sluices.length > 0) firstAt ??= now;
     for (const s of sluices) if (firstAt !== null) firstAt = Math.min(firstAt, now - s.heardAgoMs);
-    if (firstAt === null || now - firstAt < tuning.warmMs) return [];
+    if (firstAt === null || now - firstAt < tuning.warmMs) return { addresses: [], lasting: false };
     return addressesFor(sluices, origin, nextRegions(origin), tuning);
   }
-  function nextRegions(origin: Origin): readonly string[] {
+  function nextRegions(origin: Origin): NextRegions {
     const homes = homesOf(serving(), origin.host);
-    return homes.includes(region) ? [region, ...homes] : [...homes, region];
+    return { homes: homes.includes(region) ? [region, ...homes] : homes, near: [region] };
   }
   return { addressesFor: forOrigin };
 }
--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-sluice.ts
@@ -54,8 +54,12 @@
 const LOOK_MS = 250;
 const LOOK_OPENING_MS = 20;
 const USAGE_KEPT_MS = 800;
-/** A proxy that was told to stop still takes what comes for so long: most callers learn within it that it leaves. */
-const INTAKE_MS = 2_500;
+/** A proxy that was told to stop takes all that comes for so long, and then only what will end before it must. */
+const INTAKE_MS = 2_900;
+/** What is taken late has to end by so much before the process does. */
+const END_SLACK_MS = 300;
+/** For so long of that it may still be named where no other is left; an answer that names it is used for a second. */
+const NAMED_MS = INTAKE_MS - 1_000;
 const LINGER_MS = 3_000;
 const LAST_CALL_MS = 1_500;
 
@@ -76,6 +80,9 @@
   let table: DoorTable | null = null;
   let tableEpoch = -1;
   let closing = false;
+  let mayBeNamed = true;
+  let endsAt: number | null = null;
+  let intakeUntil = 0;
 
   function current(): DoorTable | null {
     return follower.fresh() && feed.asOf() !== null ? table : null;
@@ -83,10 +90,13 @@
   function isClosing(): boolean {
     return closing;
   }
+  function lastEndAt(): number | null {
+    return endsAt !== null && clock.mono() >= intakeUntil ? endsAt - END_SLACK_MS : null;
+  }
   function ready(): boolean {
     return !closing && current() !== null;
   }
-  const relay = createRelay({ words: deps.words, tuning, book, budget, outlets: deps.outlets, clock, rng, log: logs.part('relay'), table: current, closing: isClosing });
+  const relay = createRelay({ words: deps.words, tuning, book, budget, outlets: deps.outlets, clock, rng, log: logs.part('relay'), table: current, closing: isClosing, lastEndAt });
 
   function onMoved(): void {
     const b = follower.belief();
@@ -143,6 +153,7 @@
     const told: Report = {
       reporter: id.name, run: id.run, incarnation, count, requests: t.requests, shed: t.shed, dispatched: t.dispatched, retried: t.retried,
       slot: follower.belief().slot, fitness, http: id.front, ready: ready(), zone: id.zone, region: id.region,
+      ...(closing && mayBeNamed ? { draining: true } : {}),
     };
     follower.tellAll({ kind: 'reports', reports: [told] });
   }
@@ -193,6 +204,8 @@
   async function drain(longestMs: number): Promise<void> {
     const from = clock.mono();
     closing = true;
+    endsAt = from + longestMs;
+    intakeUntil = from + INTAKE_MS;
     look();
     report();
     membership.leave();
@@ -200,9 +213,11 @@
       const passed = clock.mono() - from;
       if (passed >= longestMs) break;
       if (passed >= LINGER_MS && relay.tally().open === 0) break;
-      // What came later might not end before this process must, so callers with an old list are sent on at once.
-      if (passed >= INTAKE_MS) front.stopListening();
-      if (passed >= longestMs - LAST_CALL_MS) front.closeIdle();
+      if (passed >= NAMED_MS && mayBeNamed) {
+        mayBeNamed = false;
+        report();
+      }
+      if (passed >= longestMs - LAST_CALL_MS) front.stopListening();
       await pause(clock, 50);
     }
   }
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -28,6 +28,8 @@
   readonly log: Log;
   readonly table: () => DoorTable | null;
   readonly closing: () => boolean;
+  /** When this process has stopped and a request that is only now taken must be done; null while any may be taken. */
+  readonly lastEndAt: () => number | null;
 };
 
 export type RelayTally = {
@@ -48,6 +50,12 @@
 const OPENING_LOOK_MS = 20;
 const LINE_LOOK_MS = 25;
 
+/** Slow side of what a stream takes until its first token, and for each further one. */
+const STREAM_START_MS = 600;
+const STREAM_TOKEN_MS = 10;
+/** A caller that is sent on to another proxy needn't wait. */
+const ELSEWHERE_S = 0.05;
+
 type End =
   | { readonly tag: 'done' }
   | { readonly tag: 'gone' }
@@ -137,6 +145,11 @@
       return;
     }
     const job = jobOf(req, door, id, got.value, cameAt);
+    const lastEndAt = deps.lastEndAt();
+    if (lastEndAt !== null && expectedEnd(job) > lastEndAt) {
+      shed(job, 'leaving', ELSEWHERE_S);
+      return;
+    }
     counts.requests[job.model] = (counts.requests[job.model] ?? 0) + 1;
     counts.open += 1;
     await run(job);
@@ -168,6 +181,13 @@
     };
   }
 
+  /** When a request that begins now is over at the latest, as far as can be told beforehand. */
+  function expectedEnd(job: Job): number {
+    const { aimMs } = job.door.mapping;
+    const takes = job.stream ? STREAM_START_MS + STREAM_TOKEN_MS * job.outTokens : 2 * (aimMs ?? STREAM_START_MS);
+    return Math.min(job.until, clock.mono() + takes);
+  }
+
   function askOf(job: Job): PlaceAsk {
     const m = job.door.mapping;
     return {
--- a/src/state/report.ts
+++ b/src/state/report.ts
@@ -19,6 +19,8 @@
   fitness: Type.Record(Type.String(), Type.Union([Type.Literal('fit'), Type.Literal('unfit')])),
   http: Str,
   ready: Type.Boolean(),
+  /** It was told to stop, and still takes what comes for a second or more. */
+  draining: Type.Optional(Type.Boolean()),
   zone: Str,
   region: Str,
 });
--- a/src/transport/open-door.test.ts
+++ b/src/transport/open-door.test.ts
@@ -45,6 +45,7 @@
   expect(await get(server.address, '/', idle)).toHaveProperty('failed');
   answerWith(held[0] as OpenRequest, 'in the end');
   expect(await underWay).toEqual({ status: 200, body: 'in the end' });
+  expect(await get(server.address, '/', busy)).toHaveProperty('failed');
   await server.close();
   idle.destroy();
   busy.destroy();
--- a/src/transport/open-door.ts
+++ b/src/transport/open-door.ts
@@ -89,7 +89,16 @@
     const hp = splitAddress(address);
     if (!hp) return Promise.resolve(err({ tag: 'badAddress', address }));
     const target = hp;
+    let stopped = false;
+    function closeIfStopped(): void {
+      if (stopped) server.closeIdleConnections();
+    }
+    // An answer whose head went out before the server stopped didn't tell that its connection ends with it.
+    function closeSoonIfStopped(): void {
+      if (stopped) setImmediate(closeIfStopped);
+    }
     function onRequest(req: IncomingMessage, res: ServerResponse): void {
+      res.on('finish', closeSoonIfStopped);
       handle(requestOf(req, res));
     }
     const server: Server = createServer({ maxHeaderSize: MOST_HEADER, connectionsCheckingInterval: CHECK_MS, noDelay: true, requestTimeout: 0 }, onRequest);
@@ -109,19 +118,17 @@
       function close(): Promise<void> {
         return closeServer(server, drop);
       }
-      function closeIdle(): void {
-        server.closeIdleConnections();
-      }
       function stopListening(): void {
+        stopped = true;
         if (server.listening) server.close();
-        server.closeIdleConnections();
+        closeIfStopped();
       }
       function limit(limits: OpenLimits): void {
         server.headersTimeout = limits.headerMs;
         server.keepAliveTimeout = limits.idleMs;
       }
       function ready(): void {
-        resolve(ok({ address: `${target.host}:${portOf(server, target.port)}`, close, closeIdle, stopListening, limit }));
+        resolve(ok({ address: `${target.host}:${portOf(server, target.port)}`, close, stopListening, limit }));
       }
       server.once('error', bad);
       server.listen({ port: target.port, host: target.host, backlog: 511 }, ready);
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -26,7 +26,6 @@
 export type OpenLimits = { readonly headerMs: number; readonly idleMs: number };
 
 export type OpenListener = Listener & {
-  readonly closeIdle: () => void;
   /** Takes no new connection and closes the idle ones; what is under way goes on. Calling it again changes nothing. */
   readonly stopListening: () => void;
   readonly limit: (limits: OpenLimits) => void;
