Each simulated run of the fleet judges its operators' calls for linearizability

The operators of a chaos run note each call at the caller (start, end, node, answer), send changes under an id, give up waiting at times (15 of 100 within 60 ms), send again to any controller while there is no clear answer, and repeat some confirmed changes. Their history is judged at the end of the run.

--- a/src/sim/chaos.test.ts
+++ b/src/sim/chaos.test.ts
@@ -8,5 +8,6 @@
 test.each(cases)('%s, again and again, holds every rule (seed %i)', async (name, seed) => {
   const end = await runChaos(seed, { faults: [name], seconds: 16, everyMs: 4_000 });
   expect(end.faults.length).toBeGreaterThan(1);
+  expect(end.changesConfirmed).toBeGreaterThan(1);
   expect(end.broken).toEqual([]);
 });
--- a/src/sim/chaos.ts
+++ b/src/sim/chaos.ts
@@ -3,11 +3,13 @@
 import { createFlumeOver } from '../flume/flume.js';
 import { below, createRng } from '../transport/rng.js';
 import type { LogRoot } from '../transport/log.js';
-import type { HttpAnswer } from '../transport/http.js';
 import { FAULTS, inZone, names, nodeNames, pick } from './faults.js';
 import type { FaultAct, FaultName } from './faults.js';
+import { configurationOf, contentOf, createOperators, epochOf } from './chaos-operators.js';
+import type { Operators } from './chaos-operators.js';
 import { createSimFleet } from './sim-fleet.js';
-import type { Sabotage, SimFleet } from './sim-fleet.js';
+import type { SimFleet } from './sim-fleet.js';
+import type { Sabotage } from './sabotage.js';
 import { SHAPES } from './shapes.js';
 import type { ShapeName } from './shapes.js';
 import { CALM } from './sim-wire.js';
@@ -25,6 +27,8 @@
   readonly disaster: string;
   readonly recoveryMs: Readonly<Record<string, number>>;
   readonly watchedMs: number;
+  readonly operatorCalls: number;
+  readonly changesConfirmed: number;
   readonly events: number;
   readonly portrait: readonly string[];
 };
@@ -57,7 +61,7 @@
     faults.push(`${(world.now() / 1_000).toFixed(1)} ${text}`);
   }
   if (!(await fleet.start())) fault('start', 'the fleet did not start');
-  const ops = createOperators(fleet, watchers, seed);
+  const ops = await createOperators(fleet, watchers, seed);
   const act: FaultAct = { fleet, rng, note, evacuate: ops.evacuate, crowdOfOperators: ops.crowd };
   const endAt = world.now() + o.seconds * 1_000;
 
@@ -114,6 +118,8 @@
   await world.advance(15_000, watchers.step);
   checkMachines(fleet);
   watchers.end();
+  const unexplained = ops.history.check();
+  if (unexplained) fault('linearizable', `${unexplained.kind}: ${unexplained.detail}`);
 
   const [asked, good] = sum(first);
   const [lastAsked, lastGood] = sum(calm);
@@ -125,117 +131,7 @@
   }
   for (const s of fleet.sluices) portrait.push(`${s.name} ${JSON.stringify({ ...s.sluice?.view(), configuration: undefined })}`);
   portrait.push(`orders: ${ordersText(fleet)}`);
-  return { seed, broken: fleet.check(), portrait, faults, asked, good, lastAsked, lastGood, disaster, recoveryMs, watchedMs: watchers.watchedMs(), events: world.events() };
-}
-
-type Operators = {
-  readonly amend: () => Promise<void>;
-  readonly crowd: () => void;
-  readonly evacuate: (zone: string, ms: number) => void;
-  readonly firstAccepted: (until: number) => () => number | null;
-  readonly handAllBack: () => Promise<boolean>;
-  readonly evacuations: () => Readonly<Record<string, boolean>>;
-};
-
-function createOperators(fleet: SimFleet, watchers: Watchers, seed: number): Operators {
-  const { world } = fleet;
-  const rng = createRng(seed * 17 + 3);
-  const known: Record<string, boolean> = {};
-  const inDoubt = new Map<string, number>();
-  let serial = 100;
-
-  function anyHead(): number {
-    return below(rng, fleet.headgates.length);
-  }
-  async function change(base: number, value: number): Promise<boolean> {
-    const got = await fleet.operator(anyHead(), 'POST', '/v1/configuration/amend', { base, changes: [{ path: ['deployment', 'lineLimit'], value }] });
-    if (!got.ok) return false;
-    const { status } = got.value;
-    const epoch = epochOf(got.value);
-    if (status === 409 || status === 422 || status === 400) watchers.refused(value);
-    if (status === 200 || status === 202) watchers.won(base, epoch);
-    if (status === 200) watchers.acked(epoch, value);
-    if (status === 202) watchers.agreed(epoch, value);
-    return status === 200 || status === 202;
-  }
-  async function newestBase(): Promise<number | null> {
-    const floor = watchers.newest();
-    const at = anyHead();
-    const read = await fleet.operator(at, 'GET', '/v1/configuration');
-    if (!read.ok || read.value.status !== 200) return null;
-    const base = epochOf(read.value);
-    watchers.read(`headgate ${at + 1}`, floor, base, configurationOf(read.value));
-    return base;
-  }
-  async function amend(): Promise<void> {
-    const base = await newestBase();
-    serial += 1;
-    if (base !== null) await change(base, serial);
-  }
-  async function manyAt(): Promise<void> {
-    const base = await newestBase();
-    if (base === null) return;
-    for (let i = 0; i < 6; i += 1) {
-      serial += 1;
-      void change(i === 5 ? base - 1 : base, i % 2 === 1 ? -serial : serial);
-    }
-  }
-  function crowd(): void {
-    void manyAt();
-  }
-  function evacuate(zone: string, ms: number): void {
-    void act(zone, 'evacuate');
-    function back(): void {
-      watchers.restored(zone);
-      void act(zone, 'restore');
-    }
-    world.at(ms, back);
-  }
-  async function act(zone: string, what: 'evacuate' | 'restore'): Promise<void> {
-    delete known[zone];
-    inDoubt.set(zone, (inDoubt.get(zone) ?? 0) + 1);
-    const got = await fleet.operator(anyHead(), 'POST', `/v1/zones/${zone}/${what}`, {});
-    if (!got.ok || got.value.status === 503) return;
-    inDoubt.set(zone, (inDoubt.get(zone) ?? 1) - 1);
-    if ((inDoubt.get(zone) ?? 0) > 0) return;
-    const { status } = got.value;
-    if (status === 200 && what === 'evacuate') watchers.evacuated(zone);
-    if (status === 200 || status === 202) known[zone] = what === 'evacuate';
-  }
-  function firstAccepted(until: number): () => number | null {
-    let at: number | null = null;
-    async function again(): Promise<void> {
-      while (at === null && world.now() < until) {
-        const base = await newestBase();
-        serial += 1;
-        if (base !== null && (await change(base, serial))) at = world.now();
-        else await new Promise<void>(nextTry);
-      }
-    }
-    function nextTry(resolve: () => void): void {
-      world.at(200, resolve);
-    }
-    function told(): number | null {
-      return at;
-    }
-    void again();
-    return told;
-  }
-  function evacuations(): Readonly<Record<string, boolean>> {
-    return known;
-  }
-  async function handAllBack(): Promise<boolean> {
-    const read = await fleet.operator(0, 'GET', '/v1/configuration');
-    const zones = read.ok ? (read.value.body as { readonly evacuated?: readonly string[] }).evacuated : undefined;
-    for (const zone of zones ?? []) {
-      watchers.restored(zone);
-      inDoubt.delete(zone);
-      await act(zone, 'restore');
-      if (known[zone] !== false) return false;
-    }
-    return zones !== undefined;
-  }
-  return { amend, crowd, evacuate, firstAccepted, handAllBack, evacuations };
+  return { seed, broken: fleet.check(), portrait, faults, asked, good, lastAsked, lastGood, disaster, recoveryMs, watchedMs: watchers.watchedMs(), operatorCalls: ops.history.size(), changesConfirmed: ops.history.confirmed(), events: world.events() };
 }
 
 function bringBack(fleet: SimFleet): void {
@@ -297,6 +193,7 @@
 async function readBack(fleet: SimFleet, watchers: Watchers, ops: Operators, fault: (rule: string, detail: string) => void): Promise<void> {
   for (let i = 0; i < fleet.headgates.length; i += 1) {
     const floor = watchers.newest();
+    const noteRead = ops.history.readSent(`headgate ${i + 1}`);
     const read = await fleet.operator(i, 'GET', '/v1/configuration');
     const status = read.ok ? read.value.status : 0;
     if (!read.ok || status !== 200) {
@@ -304,6 +201,7 @@
       continue;
     }
     watchers.read(`headgate ${i + 1}`, floor, epochOf(read.value), configurationOf(read.value));
+    noteRead(epochOf(read.value), contentOf(read.value));
     const evacuated = (read.value.body as { readonly evacuated: readonly string[] }).evacuated;
     for (const [zone, begun] of Object.entries(ops.evacuations())) {
       if (evacuated.includes(zone) !== begun) fault('readBack', `headgate ${i + 1} reads ${zone} as ${begun ? 'not ' : ''}evacuated`);
@@ -344,13 +242,6 @@
   return [asked, good];
 }
 
-function epochOf(a: HttpAnswer): number {
-  const b = a.body as { readonly epoch?: unknown } | null;
-  return typeof b?.epoch === 'number' ? b.epoch : -1;
-}
-function configurationOf(a: HttpAnswer): unknown {
-  return (a.body as { readonly configuration?: unknown } | null)?.configuration ?? null;
-}
 function statusText(body: unknown): string {
   const s = body as Readonly<Record<string, unknown>>;
   const shown: string[] = [];
--- a/src/sim/mixtures-kutfo.test.ts
+++ b/src/sim/mixtures-kutfo.test.ts
@@ -10,5 +10,6 @@
   expect(end.faults.length).toBeGreaterThan(5);
   expect(end.asked).toBeGreaterThan(200);
   expect(end.watchedMs).toBeGreaterThan(30_000);
+  expect(end.changesConfirmed).toBeGreaterThan(5);
   expect(end.broken).toEqual([]);
 });
--- a/src/sim/sabotage.test.ts
+++ b/src/sim/sabotage.test.ts
@@ -14,6 +14,8 @@
   const cases: readonly (readonly [string, number, ChaosOptions, readonly string[]])[] = [
     ['placement that ignores evacuations', 2, { faults: ['evacuate'], seconds: 20, everyMs: 9_000, sabotage: { withoutPolicy: 'evacuated' } }, ['evacuated']],
     ['disks that lie about syncing', 3, { faults: ['powerAllHeads'], seconds: 20, everyMs: 6_000, sabotage: { disksLie: true } }, ['readBack', 'oneLedger', 'serveAgain']],
+    ['controllers that read without a majority', 3, { faults: ['cutRegion', 'crowdOfOperators'], seconds: 40, everyMs: 2_000, sabotage: { readsWithoutMajority: true } }, ['linearizable']],
+    ['no record of the changes that were applied', 6, { faults: ['crowdOfOperators'], seconds: 30, everyMs: 4_000, sabotage: { forgetsChanges: true } }, ['linearizable']],
     ['a cloud that forgets idempotency keys', 1, { faults: ['loseReplies', 'reclaim'], seconds: 30, everyMs: 2_000, sabotage: { cloudForgetsKeys: true, listLagMs: 4_000 } }, ['oneMachine']],
   ];
   test.each(cases)('%s', async (_name, seed, options, expected) => {
--- a/src/sim/sim-fleet.ts
+++ b/src/sim/sim-fleet.ts
@@ -24,6 +24,8 @@
 import type { Rng } from '../transport/rng.js';
 import { createPlatter, loseDisk, losePower, simDisk } from './sim-disk.js';
 import type { Platter } from './sim-disk.js';
+import { sabotageLedger } from './sabotage.js';
+import type { Sabotage } from './sabotage.js';
 import { createSimHttp } from './sim-http.js';
 import { SMALL } from './shapes.js';
 import type { FleetShape } from './shapes.js';
@@ -62,7 +64,7 @@
   readonly callerOf: (proc: Proc) => Caller;
   readonly cutOff: (names: readonly string[]) => void;
   readonly call: (c: Omit<HttpCall, 'timeoutMs'> & { readonly timeoutMs?: number }) => Promise<Result<HttpAnswer, HttpFault>>;
-  readonly operator: (at: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown) => Promise<Result<HttpAnswer, HttpFault>>;
+  readonly operator: (at: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, timeoutMs?: number) => Promise<Result<HttpAnswer, HttpFault>>;
   readonly traffic: (s: Partial<OriginSettings> & { readonly zone: string; readonly seconds: number }) => Promise<OriginTally>;
   readonly run: (ms: number) => Promise<void>;
   readonly until: (limitMs: number, test: () => boolean) => Promise<boolean>;
@@ -80,8 +82,6 @@
   };
 }
 
-export type Sabotage = { readonly withoutPolicy?: string; readonly cloudForgetsKeys?: boolean; readonly listLagMs?: number; readonly disksLie?: boolean };
-
 export function createSimFleet(seed: number, shape: FleetShape = SMALL, logs: LogRoot = createQuietLog(), sabotage: Sabotage = {}): SimFleet {
   const world = createWorld(seed);
   const net = createSimNet(world);
@@ -167,6 +167,7 @@
         return;
       }
       made.headgate = started.value;
+      sabotageLedger(started.value.ledger, sabotage);
       watchLedger(name, started.value);
     }
     starters.set(name, start);
@@ -339,8 +340,9 @@
     return r ?? { ok: false, fault: { tag: 'timedOut' } };
   }
 
-  function operator(at: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<Result<HttpAnswer, HttpFault>> {
-    return call({ method, address: (headgates[at] as SimHeadgate).http, path, ...(body === undefined ? {} : { body }) });
+  function operator(at: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, timeoutMs?: number): Promise<Result<HttpAnswer, HttpFault>> {
+    const limit = timeoutMs === undefined ? {} : { timeoutMs };
+    return call({ method, address: (headgates[at] as SimHeadgate).http, path, ...limit, ...(body === undefined ? {} : { body }) });
   }
 
   async function finish<T>(work: Promise<T>, limitMs: number): Promise<T | null> {
