`gauge core` and the runbooks ask a majority how many further losses the core bears

Cause: what one controller knows of the core is not enough to begin work on: it may be cut off, or know older members. Nothing asked the others, and the runbook that replaces a controller began on `quorate` alone, also while another member lacked what the core needs.

Change: `operator/core-report.ts` asks every controller that is named, and those that they name, and counts only words of members that know, about the very same members; a majority of them is needed, and the smallest figure stands.

Ruled out: `spareLosses` alone before a replacement: with a member dead it is 0 just when the runbook is needed.

--- a/src/operator/aims.test.ts
+++ b/src/operator/aims.test.ts
@@ -59,7 +59,7 @@
       const got = await fleet.operator(at(address), ask.method, ask.path);
       return got.ok ? { status: got.value.status, body: got.value.body } : null;
     }
-    return { askAt, ask: (a) => askAt(fleet.headgates[0]?.http ?? '', a), epoch: () => Promise.resolve(null) };
+    return { addresses: [], askAt, ask: (a) => askAt(fleet.headgates[0]?.http ?? '', a), epoch: () => Promise.resolve(null) };
   }
   async function reported(fleet: SimFleet): Promise<Record<string, AimRow> | null> {
     const aims = readAims(doc, cfg);
--- /dev/null
+++ b/src/operator/core-report.ts
@@ -0,0 +1,147 @@
+/**
+ * What a majority of controllers says of the core: how many further losses it bears, and which member's loss
+ * alone would stop it.
+ *
+ * Every controller that can be reached is asked for its status. A figure counts only where a majority of the
+ * members gives one for the very same members; of different figures the smallest stands. With fewer words nothing
+ * is known, whatever a single controller says.
+ */
+import { isTable } from '../base/is-table.js';
+import type { CoreHealth, CoreWarning, MemberHealth } from '../state/core-health.js';
+import type { Address } from '../transport/wire.js';
+import { statusAsk } from './asks.js';
+import type { Core } from './core.js';
+
+/** Which membership is judged: the members as voters of the ledger, or as holders of run-once claims. */
+export type CoreGroup = 'ledger' | 'claims';
+
+/** One controller's answer; `ledger` is null if it did not answer, or not in a way that is understood. */
+export type ControllerWord = {
+  readonly address: Address;
+  readonly member: string | null;
+  readonly name: string | null;
+  readonly slot: number;
+  readonly ledger: CoreHealth | null;
+  readonly claims: CoreHealth | null;
+};
+
+export type GroupReport = {
+  readonly members: number;
+  readonly quorumSize: number;
+  /** Members whose words count: they know, and know of the same members. */
+  readonly agreeing: number;
+  /** Null while fewer than a majority of the members know. */
+  readonly spareLosses: number | null;
+  readonly warning: CoreWarning | null;
+  /** Ids of the members whose loss alone would stop the core, by any word that counts. */
+  readonly essential: readonly string[];
+  /** Each member as the controller with the newest state sees it. */
+  readonly details: readonly MemberHealth[];
+};
+
+export type CoreReport = { readonly words: readonly ControllerWord[]; readonly ledger: GroupReport; readonly claims: GroupReport | null };
+
+type Answer = { readonly word: ControllerWord; readonly others: readonly Address[] };
+
+/** A controller that answers no status in this time is taken for silent. */
+const STATUS_WAIT_MS = 3_000;
+
+function healthIn(value: unknown): CoreHealth | null {
+  if (!isTable(value) || !Array.isArray(value['details']) || typeof value['quorumSize'] !== 'number') return null;
+  const figure = value['spareLosses'];
+  return figure === null || typeof figure === 'number' ? (value as CoreHealth) : null;
+}
+
+/** Operators' addresses of the members, as the answering controller knows them. */
+function memberAddresses(body: Readonly<Record<string, unknown>>): Address[] {
+  const names = new Set<unknown>();
+  for (const member of Array.isArray(body['members']) ? body['members'] : []) if (isTable(member)) names.add(member['name']);
+  const addresses: Address[] = [];
+  for (const node of Array.isArray(body['nodes']) ? body['nodes'] : []) {
+    if (isTable(node) && names.has(node['name']) && typeof node['http'] === 'string' && node['http'] !== '') addresses.push(node['http']);
+  }
+  return addresses;
+}
+
+function answerIn(address: Address, body: unknown): Answer {
+  const silent: ControllerWord = { address, member: null, name: null, slot: -1, ledger: null, claims: null };
+  if (!isTable(body) || !isTable(body['core'])) return { word: silent, others: [] };
+  const word: ControllerWord = {
+    address,
+    member: typeof body['member'] === 'string' ? body['member'] : null,
+    name: typeof body['name'] === 'string' ? body['name'] : null,
+    slot: typeof body['slot'] === 'number' ? body['slot'] : -1,
+    ledger: healthIn(body['core']['ledger']),
+    claims: healthIn(body['core']['claims']),
+  };
+  return { word, others: memberAddresses(body) };
+}
+
+async function askAll(core: Core, addresses: readonly Address[]): Promise<Answer[]> {
+  async function askOne(address: Address): Promise<Answer> {
+    const got = await core.askAt(address, statusAsk(), STATUS_WAIT_MS);
+    return answerIn(address, got?.status === 200 ? got.body : null);
+  }
+  return Promise.all(addresses.map(askOne));
+}
+
+function idsOf(health: CoreHealth): string {
+  const ids: string[] = [];
+  for (const member of health.details) ids.push(member.id);
+  return ids.sort().join();
+}
+
+/** The words of one group, judged by the members that the controller with the newest state names. */
+export function groupReport(words: readonly ControllerWord[], group: CoreGroup): GroupReport | null {
+  const known = words.filter(hasGroup).sort(newestAndKnowingFirst);
+  const newest = known[0]?.[group];
+  if (!newest) return null;
+  const ids = idsOf(newest);
+  const counted = new Map<string, CoreHealth>();
+  for (const word of known) {
+    const health = word[group] as CoreHealth;
+    if (word.member === null || health.spareLosses === null || idsOf(health) !== ids) continue;
+    if (health.details.some(isSpeaker)) counted.set(word.member, health);
+    function isSpeaker(member: MemberHealth): boolean {
+      return member.id === word.member;
+    }
+  }
+  const { members, quorumSize, details } = newest;
+  const base = { members, quorumSize, agreeing: counted.size, details };
+  if (counted.size < quorumSize) return { ...base, spareLosses: null, warning: 'noMajority', essential: [] };
+  return { ...base, ...worstOf([...counted.values()]) };
+
+  function hasGroup(word: ControllerWord): boolean {
+    return word[group] !== null;
+  }
+  function newestAndKnowingFirst(a: ControllerWord, b: ControllerWord): number {
+    return b.slot - a.slot || Number(b[group]?.spareLosses !== null) - Number(a[group]?.spareLosses !== null);
+  }
+}
+
+function worstOf(known: readonly CoreHealth[]): Pick<GroupReport, 'spareLosses' | 'warning' | 'essential'> {
+  const essential = new Set<string>();
+  let worst = known[0] as CoreHealth;
+  for (const health of known) {
+    if (isWorse(health, worst)) worst = health;
+    for (const member of health.details) if (member.essential !== false) essential.add(member.id);
+  }
+  return { spareLosses: worst.spareLosses, warning: worst.warning, essential: [...essential].sort() };
+}
+
+function isWorse(a: CoreHealth, b: CoreHealth): boolean {
+  if (a.spareLosses !== b.spareLosses) return (a.spareLosses ?? 0) < (b.spareLosses ?? 0);
+  return a.warning === 'noWholeQuorum' && b.warning !== 'noWholeQuorum';
+}
+
+/** Asks every controller that is named, and the members that they name; null if none answers. */
+export async function askCoreReport(core: Core): Promise<CoreReport | null> {
+  const first = await askAll(core, core.addresses);
+  const asked = new Set<Address>(core.addresses);
+  const further = new Set<Address>();
+  for (const answer of first) for (const address of answer.others) if (!asked.has(address)) further.add(address);
+  const words: ControllerWord[] = [];
+  for (const answer of [...first, ...(await askAll(core, [...further]))]) words.push(answer.word);
+  const ledger = groupReport(words, 'ledger');
+  return ledger ? { words, ledger, claims: groupReport(words, 'claims') } : null;
+}
--- a/src/operator/core.ts
+++ b/src/operator/core.ts
@@ -5,7 +5,7 @@
 
 export type CoreAnswer = { readonly status: number; readonly body: unknown };
 
-export type Core = { readonly ask: (ask: CoreAsk) => Promise<CoreAnswer | null>; readonly askAt: (address: Address, ask: CoreAsk) => Promise<CoreAnswer | null>; readonly epoch: () => Promise<number | null> };
+export type Core = { readonly addresses: readonly Address[]; readonly ask: (ask: CoreAsk) => Promise<CoreAnswer | null>; readonly askAt: (address: Address, ask: CoreAsk, waitMs?: number) => Promise<CoreAnswer | null>; readonly epoch: () => Promise<number | null> };
 
 const WAIT_MS = 12_000;
 
@@ -20,8 +20,8 @@
     }
     return last;
   }
-  async function askAt(address: Address, a: CoreAsk): Promise<CoreAnswer | null> {
-    const got = await caller.call({ ...a, address, timeoutMs: WAIT_MS });
+  async function askAt(address: Address, a: CoreAsk, waitMs = WAIT_MS): Promise<CoreAnswer | null> {
+    const got = await caller.call({ ...a, address, timeoutMs: waitMs });
     return got.ok ? { status: got.value.status, body: got.value.body } : null;
   }
   async function epoch(): Promise<number | null> {
@@ -29,5 +29,5 @@
     const n = got?.status === 200 ? (got.body as { readonly epoch?: unknown }).epoch : null;
     return typeof n === 'number' ? n : null;
   }
-  return { ask, askAt, epoch };
+  return { addresses, ask, askAt, epoch };
 }
--- a/src/programs/gauge.ts
+++ b/src/programs/gauge.ts
@@ -4,12 +4,15 @@
 import { readAims } from '../protocol/aims.js';
 import type { AimRow } from '../state/aim-report.js';
 import type { Configuration } from '../state/settings-tree.js';
+import { askCoreReport } from '../operator/core-report.js';
 import { reportAims } from '../operator/aims.js';
+import type { CoreHealth } from '../state/core-health.js';
 import { ledgerAsk, ordersAsk, readAsk, statusAsk } from '../operator/asks.js';
 import type { CoreAsk } from '../operator/asks.js';
 import { addressesOf, coreOf, CORE_ARGS, report } from './ask-core.js';
 import { EXIT } from './exit-codes.js';
 import { complain, flagsFit, leave, leaveUsage, say } from './flags.js';
+import { coreText, ownWordText } from './core-text.js';
 import { readDocument } from './read-document.js';
 
 type Ctx = { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> };
@@ -30,6 +33,7 @@
   readonly epoch: number;
   readonly quorate: boolean;
   readonly writable: boolean;
+  readonly core?: { readonly ledger: CoreHealth; readonly claims: CoreHealth | null };
   readonly members: readonly { readonly name: string; readonly incarnation: string; readonly address: string }[];
   readonly nodes: readonly { readonly name: string; readonly role: string; readonly zone: string; readonly status: string; readonly address: string }[];
   readonly leases: Readonly<Record<string, { readonly holder: string; readonly fence: number }>>;
@@ -44,6 +48,8 @@
 function statusText(body: unknown): string {
   const s = body as Status;
   const rows = [`${s.name}: ledger ${s.ledger || 'not founded'}, slot ${s.slot}, epoch ${s.epoch}, ${s.quorate ? 'quorate' : 'no majority'}, ${s.writable ? 'writable' : 'cannot write'}`];
+  if (s.core) rows.push(`core: ${ownWordText(s.core.ledger)}`);
+  if (s.core?.claims) rows.push(`claims: ${ownWordText(s.core.claims)}`);
   rows.push('nodes');
   for (const n of [...s.nodes].sort(byName)) rows.push(`  ${pad(n.name, 14)}${pad(n.role, 10)}${pad(n.zone, 12)}${pad(n.status, 9)}${n.address}`);
   for (const [duty, l] of Object.entries(s.leases)) rows.push(`duty ${duty}: ${l.holder}, fence ${l.fence}`);
@@ -147,10 +153,19 @@
   leave(EXIT.unreachable);
 }
 
+async function runCore(ctx: Ctx): Promise<void> {
+  if (!flagsFit(ctx.rawArgs, CORE_ARGS)) return leaveUsage();
+  const told = await askCoreReport(coreOf(ctx.args));
+  if (!told) return noMajority();
+  say(ctx.args['json'] === true ? JSON.stringify(told, null, 2) : coreText(told));
+  if (told.ledger.spareLosses === null) leave(EXIT.unreachable);
+}
+
 export const gaugeCommand = defineCommand({
   meta: { name: 'gauge', description: 'Reads the state of the deployment; changes nothing' },
   subCommands: {
     status: defineCommand({ meta: { name: 'status', description: 'Nodes, duties, zone sets, sluices' }, args: CORE_ARGS, run: runStatus }),
+    core: defineCommand({ meta: { name: 'core', description: 'Members of the core, and how many further losses it bears' }, args: CORE_ARGS, run: runCore }),
     orders: defineCommand({ meta: { name: 'orders', description: 'Who ordered what, and why' }, args: ORDER_ARGS, run: runOrders }),
     aims: defineCommand({ meta: { name: 'aims', description: 'Service-level aims of a document against what the nodes counted' }, args: AIMS_ARGS, run: runAims }),
     ledger: defineCommand({ meta: { name: 'ledger', description: 'Entries of the ledger' }, args: LEDGER_ARGS, run: runLedger }),
--- a/src/runbook/document.ts
+++ b/src/runbook/document.ts
@@ -5,6 +5,8 @@
 
 export type Condition =
   | { readonly tag: 'quorate' }
+  | { readonly tag: 'spareLosses'; readonly atLeast: number }
+  | { readonly tag: 'goesOnWithout'; readonly name: string }
   | { readonly tag: 'writable'; readonly name: string }
   | { readonly tag: 'claimsReady'; readonly name: string }
   | { readonly tag: 'sluicesConfirmed' }
@@ -17,7 +19,7 @@
 
 export type Work =
   | { readonly tag: 'require'; readonly condition: Condition }
-  | { readonly tag: 'wait'; readonly condition: Condition; readonly withinS: number }
+  | { readonly tag: 'wait'; readonly condition: Condition; readonly withinS: number; readonly heldS: number }
   | { readonly tag: 'evacuate'; readonly zone: string }
   | { readonly tag: 'restore'; readonly zone: string }
   | { readonly tag: 'set'; readonly path: string; readonly value: unknown }
@@ -36,6 +38,8 @@
 
 const CONDITIONS: Readonly<Record<Condition['tag'], Form>> = {
   quorate: { needs: {}, may: {} },
+  spareLosses: { needs: { atLeast: 'number' }, may: {} },
+  goesOnWithout: { needs: { name: 'text' }, may: {} },
   writable: { needs: { name: 'text' }, may: {} },
   claimsReady: { needs: { name: 'text' }, may: {} },
   sluicesConfirmed: { needs: {}, may: {} },
@@ -49,7 +53,7 @@
 
 const WORKS: Readonly<Record<Work['tag'], Form>> = {
   require: { needs: {}, may: {} },
-  wait: { needs: { withinS: 'number' }, may: {} },
+  wait: { needs: { withinS: 'number' }, may: { heldS: 'number' } },
   evacuate: { needs: { zone: 'text' }, may: {} },
   restore: { needs: { zone: 'text' }, may: {} },
   set: { needs: { path: 'text', value: 'any' }, may: {} },
@@ -183,7 +187,7 @@
     const until = isMap(value) ? value.get('until', true) : undefined;
     const fields = fieldsOf(value, WORKS.wait, 'wait', line, 'until');
     if (!until) fault(line, 'wait: until is missing');
-    return { tag, condition: until ? conditionOf(until, line, 'wait') : { tag: 'quorate' }, withinS: Number(fields['withinS']) };
+    return { tag, condition: until ? conditionOf(until, line, 'wait') : { tag: 'quorate' }, withinS: Number(fields['withinS']), heldS: Number(fields['heldS'] ?? 0) };
   }
 
   const steps: Step[] = [];
--- a/src/runbook/observe.ts
+++ b/src/runbook/observe.ts
@@ -1,10 +1,12 @@
 import type { Core } from '../operator/core.js';
+import { coreSeen } from './observe-core.js';
 import { ordersAsk, placeOf, readAsk, statusAsk } from '../operator/asks.js';
 import type { Order } from '../state/order.js';
 import { counts } from '../state/order.js';
 import { pause } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
 import type { Condition } from './document.js';
+import type { Seen } from './seen.js';
 
 type Status = {
   readonly quorate: boolean;
@@ -17,26 +19,32 @@
   readonly sluices: Readonly<Record<string, { readonly slot: number; readonly heardMs: number | null }>>;
 };
 
-export type Seen = { readonly met: boolean; readonly text: string };
-
 const HEARD_MS = 3_000;
 
 const GRACE_MS = 3_000;
 const LOOK_MS = 500;
 
-export async function observeFor(core: Core, c: Condition, clock: Clock, graceMs = GRACE_MS, lookMs = LOOK_MS): Promise<Seen> {
+/**
+ * Looks again and again until the condition is met, or the time is up. With `heldMs` it must be met at every look
+ * for so long, for what controllers tell may be moments old.
+ */
+export async function observeFor(core: Core, c: Condition, clock: Clock, graceMs = GRACE_MS, lookMs = LOOK_MS, heldMs = 0): Promise<Seen> {
   const until = clock.mono() + graceMs;
-  let got = await observe(core, c);
-  while (!got.met && clock.mono() < until) {
+  let metSince: number | null = null;
+  for (;;) {
+    const seen = await observe(core, c);
+    const now = clock.mono();
+    metSince = seen.met ? (metSince ?? now) : null;
+    if (metSince !== null && now - metSince >= heldMs) return seen;
+    if (now >= until) return seen.met ? { met: false, text: `${seen.text}, not yet for ${heldMs / 1_000} s` } : seen;
     await pause(clock, lookMs);
-    got = await observe(core, c);
   }
-  return got;
 }
 
 async function observe(core: Core, c: Condition): Promise<Seen> {
   if (c.tag === 'setting') return settingSeen(core, c.path, c.is);
   if (c.tag === 'ready' || c.tag === 'zoneOrders') return ordersSeen(core, c);
+  if (c.tag === 'spareLosses' || c.tag === 'goesOnWithout') return coreSeen(core, c);
   const got = await core.ask(statusAsk());
   if (!got || got.status !== 200) return { met: false, text: 'no headgate answers' };
   const s = got.body as Status;
--- a/src/runbook/run.ts
+++ b/src/runbook/run.ts
@@ -85,7 +85,7 @@
     }
     if (deps.dryRun) return ['would', work.tag === 'wait' ? `would wait up to ${work.withinS} s` : `would ${describe(step)}`];
     if (work.tag === 'wait') {
-      const got = await observeFor(core, work.condition, clock, work.withinS * 1_000, LOOK_MS);
+      const got = await observeFor(core, work.condition, clock, work.withinS * 1_000, LOOK_MS, work.heldS * 1_000);
       return [got.met ? 'done' : 'late', got.text];
     }
     if (!(await deps.confirm(step))) return ['declined', 'not confirmed'];
