A claim is compared with the members when it comes into the table

Cause: a voter compared the claim's members with its own when the message came, and put it into the table when the disk was free. In between it may have learned of a change of members and handed all it holds to the member that is new: which then knows nothing of that claim, and with a third member that lacks it grants the key a second time.

Test that failed first: claims.test.ts, 'a claim that waited for the disk while the members changed' (expected cannotVote, received claimed).

Change: the command carries the members it was made for, and is refused in the table's own turn if they are others now.

--- a/src/coordination/ledger/claims.test.ts
+++ b/src/coordination/ledger/claims.test.ts
@@ -74,6 +74,18 @@
     expect(told(await again.ask(claim(r, 'k', 't2')))).toBe('claimed');
   });
 
+  test('a claim that waited for the disk while the members changed is not granted for the former ones', async () => {
+    const r = room();
+    const v = await voter(r, 0, createPlatter());
+    const handler = r.handlers.get('h1')?.get('claim');
+    const first = Promise.resolve(handler?.(claim(r, 'k1', 't1')) ?? null);
+    const waiting = Promise.resolve(handler?.(claim(r, 'k2', 't1')) ?? null);
+    r.belief.members = [...r.belief.members.slice(0, 2), { name: 'h4', incarnation: 'i1', address: 'h4' }];
+    expect(told(await finish(r, first))).toBe('claimed');
+    expect(told(await finish(r, waiting))).toBe('cannotVote');
+    expect(told(await v.ask(claim(r, 'k2', 't2')))).toBe('claimed');
+  });
+
   test('what was granted is held after power was lost', async () => {
     const r = room();
     const platter = createPlatter();
--- a/src/coordination/ledger/claims.ts
+++ b/src/coordination/ledger/claims.ts
@@ -22,7 +22,7 @@
 export type Claims = { readonly ready: () => boolean; readonly size: () => number; readonly stop: () => void };
 
 type Command =
-  | { readonly tag: 'claim'; readonly claims: readonly Claim[] }
+  | { readonly tag: 'claim'; readonly members: string; readonly claims: readonly Claim[] }
   | { readonly tag: 'end'; readonly ends: readonly ClaimEnd[] }
   | { readonly tag: 'rebuild'; readonly member: string; readonly forgotten: readonly HourRange[]; readonly records: readonly Buffer[] }
   | { readonly tag: 'forget' };
@@ -115,10 +115,14 @@
       return null;
     }
     if (aheadOfDisk && !(await compacted())) return commands.map(none);
-    const answers: ClaimAnswer[][] = [];
+    const answers: (ClaimAnswer[] | null)[] = [];
     const writes: Buffer[] = [];
     let whole = false;
     for (const c of commands) {
+      if (c.tag === 'claim' && c.members !== membersMark(ledger.belief().members)) {
+        answers.push(null);
+        continue;
+      }
       const given: ClaimAnswer[] = [];
       answers.push(given);
       const now = uptime();
@@ -165,9 +169,11 @@
     return of === ledger.belief().ledger && ready() && !aheadOfDisk;
   }
 
+  // The members are compared again when the claim comes into the table (in work): whoever reads all claims asks a voter that
+  // knows it as a member, and such a voter grants nothing more for the members before.
   async function onClaim(m: MessageOf<'claim'>): Promise<Message> {
     if (m.ledger !== ledger.belief().ledger || !ready() || m.members !== membersMark(ledger.belief().members)) return { kind: 'cannotVote' };
-    const answers = await line.put({ tag: 'claim', claims: m.claims });
+    const answers = await line.put({ tag: 'claim', members: m.members, claims: m.claims });
     return answers ? { kind: 'claimAnswer', voter: me(), answers } : { kind: 'cannotVote' };
   }
   async function onEnds(m: MessageOf<'claimEnds'>): Promise<Message> {
