--- a/src/coordination/ledger/numbered.test.ts
+++ b/src/coordination/ledger/numbered.test.ts
@@ -28,7 +28,12 @@
 function serving(number: number, mappings = 1): Serving {
   const out: Record<string, DoorMapping> = {};
   for (let i = 0; i < mappings; i += 1) out[`r-${i}`] = { ...MAPPING, at: i, prefix: `/p${i}/` };
-  return { number, mappings: out, models: { m: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } }, limits: DEFAULT_LIMITS };
+  return {
+    number,
+    mappings: out,
+    models: { m: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } },
+    limits: DEFAULT_LIMITS,
+  };
 }
 
 function sharedLedger() {
@@ -77,10 +82,17 @@
   });
 
   test('of two operators on the same base exactly one wins, whichever node each asked', async () => {
-    for (const [first, second] of [[5, 40], [40, 5], [5, 5]] as const) {
+    for (const [first, second] of [
+      [5, 40],
+      [40, 5],
+      [5, 5],
+    ] as const) {
       const s = sharedLedger();
       await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
-      const both = [s.doorAfter(first).replace(7, serving(8, 2), 'x'), s.doorAfter(second).replace(7, serving(9, 3), 'y')];
+      const both = [
+        s.doorAfter(first).replace(7, serving(8, 2), 'x'),
+        s.doorAfter(second).replace(7, serving(9, 3), 'y'),
+      ];
       const got = await s.run(Promise.all(both));
       const taken = (got ?? []).filter((g) => g.ok);
       const lost = (got ?? []).filter((g) => !g.ok && g.fault.tag === 'stale');
@@ -113,15 +125,23 @@
   });
 
   test('two operators pick the same number for different contents: one is taken, the other stays late', async () => {
-    for (const [first, second] of [[5, 40], [40, 5], [5, 5]] as const) {
+    for (const [first, second] of [
+      [5, 40],
+      [40, 5],
+      [5, 5],
+    ] as const) {
       const s = sharedLedger();
       await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
       const sent = [serving(8, 2), serving(8, 3)];
-      const got = await s.run(Promise.all([s.doorAfter(first).replace(7, sent[0], 'x'), s.doorAfter(second).replace(7, sent[1], 'y')]));
+      const got = await s.run(
+        Promise.all([s.doorAfter(first).replace(7, sent[0], 'x'), s.doorAfter(second).replace(7, sent[1], 'y')]),
+      );
       const winner = (got ?? []).findIndex((g) => g.ok);
       expect((got ?? []).filter((g) => g.ok).length).toBe(1);
       expect(shapeOf(s.now())).toEqual(shapeOf(sent[winner]));
-      const again = await s.run(Promise.all([s.doorAfter(second).replace(7, sent[0], 'x'), s.doorAfter(first).replace(7, sent[1], 'y')]));
+      const again = await s.run(
+        Promise.all([s.doorAfter(second).replace(7, sent[0], 'x'), s.doorAfter(first).replace(7, sent[1], 'y')]),
+      );
       expect(again?.[winner]).toEqual(TAKEN(8));
       expect(again?.[1 - winner]).toEqual(STALE(8));
     }
@@ -130,8 +150,16 @@
   test('a change of one and a whole configuration of another with the same number, base and result are one change', async () => {
     const s = sharedLedger();
     const door = s.doorAfter(5);
-    const edit = (before: Serving): ReturnType<typeof ok<unknown>> => ok({ ...before, number: 8, mappings: { ...before.mappings, extra: { ...MAPPING, at: 9_999, prefix: '/extra/' } } });
-    const result = { ...serving(8), mappings: { ...serving(8).mappings, extra: { ...MAPPING, at: 1, prefix: '/extra/' } } };
+    const edit = (before: Serving): ReturnType<typeof ok<unknown>> =>
+      ok({
+        ...before,
+        number: 8,
+        mappings: { ...before.mappings, extra: { ...MAPPING, at: 9_999, prefix: '/extra/' } },
+      });
+    const result = {
+      ...serving(8),
+      mappings: { ...serving(8).mappings, extra: { ...MAPPING, at: 1, prefix: '/extra/' } },
+    };
     await s.run(door.replace(0, serving(7), 'a'));
     expect(await s.run(door.replace(7, result, 'whole'))).toEqual(TAKEN(8));
     expect(await s.run(s.doorAfter(40).amend(7, edit, 'change'))).toEqual(TAKEN(8));
@@ -148,10 +176,12 @@
     const door = s.doorAfter(5);
     await s.run(door.replace(0, serving(7, 3), 'a'));
     expect(await s.run(door.replace(7, serving(8, 1), 'b'))).toEqual(TAKEN(8));
-    const without = (name: string) => (before: Serving): ReturnType<typeof ok<unknown>> => {
-      const mappings = Object.fromEntries(Object.entries(before.mappings).filter(([key]) => key !== name));
-      return ok({ ...before, number: 8, mappings });
-    };
+    const without =
+      (name: string) =>
+      (before: Serving): ReturnType<typeof ok<unknown>> => {
+        const mappings = Object.fromEntries(Object.entries(before.mappings).filter(([key]) => key !== name));
+        return ok({ ...before, number: 8, mappings });
+      };
     expect(await s.run(s.doorAfter(40).amend(7, without('r-2'), 'c'))).toEqual(STALE(8));
     expect(Object.keys(s.now().mappings)).toEqual(['r-0']);
   });
@@ -159,7 +189,9 @@
   test('eight under way at once on one base, each sent to two nodes: one is taken, at both', async () => {
     const s = sharedLedger();
     await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
-    const sends = Array.from({ length: 16 }, (_, i) => s.doorAfter(1 + ((i * 37) % 60)).replace(7, serving(8 + (i % 8)), `change-${i % 8}`));
+    const sends = Array.from({ length: 16 }, (_, i) =>
+      s.doorAfter(1 + ((i * 37) % 60)).replace(7, serving(8 + (i % 8)), `change-${i % 8}`),
+    );
     const got = (await s.run(Promise.all(sends))) ?? [];
     const winners = got.map((g, i) => (g.ok ? i % 8 : -1)).filter((i) => i >= 0);
     expect(winners.length).toBe(2);
@@ -169,7 +201,11 @@
   });
 
   test('a change that is sent again while its first sending is under way at another node is taken once, at both', async () => {
-    for (const [first, second] of [[300, 5], [5, 300], [60, 60]] as const) {
+    for (const [first, second] of [
+      [300, 5],
+      [5, 300],
+      [60, 60],
+    ] as const) {
       const s = sharedLedger();
       await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
       const slow = s.doorAfter(first).replace(7, serving(8, 2), 'b');
@@ -209,7 +245,8 @@
   test('one that builds on more than the history holds gets no clear answer, and is not applied again', async () => {
     const s = sharedLedger();
     const door = s.doorAfter(1);
-    for (let n = 0; n <= MAX_APPLIED_CHANGES; n += 1) expect(await s.run(door.replace(n, serving(n + 1), `change-${n}`))).toEqual(TAKEN(n + 1));
+    for (let n = 0; n <= MAX_APPLIED_CHANGES; n += 1)
+      expect(await s.run(door.replace(n, serving(n + 1), `change-${n}`))).toEqual(TAKEN(n + 1));
     const newest = MAX_APPLIED_CHANGES + 1;
     expect(await s.run(door.replace(0, serving(1), 'change-0'))).toEqual(err({ tag: 'outcomeUnknown' }));
     expect(await s.run(door.replace(1, serving(2), 'change-1'))).toEqual(TAKEN(2));
@@ -223,7 +260,11 @@
     await s.run(door.replace(0, serving(7), 'a'));
     const going = door.replace(7, serving(8), 'b');
     await s.world.advance(30);
-    s.fold('other', { tag: 'configured', base: s.belief.epoch, changes: [{ path: ['deployment', 'nExtra'], value: 3 }] });
+    s.fold('other', {
+      tag: 'configured',
+      base: s.belief.epoch,
+      changes: [{ path: ['deployment', 'nExtra'], value: 3 }],
+    });
     expect(await s.run(going)).toEqual(TAKEN(8));
     expect(s.now().number).toBe(8);
     expect(s.belief.configuration.deployment).toEqual({ nExtra: 3 });
@@ -248,7 +289,10 @@
     const s = sharedLedger();
     const door = s.doorAfter(1);
     await s.run(door.replace(0, serving(7, 1_000), 'a'));
-    const next = withChanges(serving(9, 1_000), [{ path: ['mappings', 'r-500', 'deadlineMs'], value: 77 }, { path: ['mappings', 'r-0'] }]) as Serving;
+    const next = withChanges(serving(9, 1_000), [
+      { path: ['mappings', 'r-500', 'deadlineMs'], value: 77 },
+      { path: ['mappings', 'r-0'] },
+    ]) as Serving;
     for (const [at, m] of Object.values(next.mappings).entries()) (m as { at: number }).at = at;
     await s.run(door.replace(7, next, 'b'));
     expect(s.now().mappings['r-500']?.deadlineMs).toBe(77);
--- a/src/coordination/ledger/numbered.ts
+++ b/src/coordination/ledger/numbered.ts
@@ -5,7 +5,13 @@
 import { readServing } from '../../protocol/serving.js';
 import type { Belief } from '../../state/belief.js';
 import type { Change } from '../../state/entry.js';
-import { appliedChange, mayBeForgotten, newestRevision, operatorRequest, zoneVersion } from '../../state/operator-history.js';
+import {
+  appliedChange,
+  mayBeForgotten,
+  newestRevision,
+  operatorRequest,
+  zoneVersion,
+} from '../../state/operator-history.js';
 import { EMPTY_SERVING } from '../../state/serving.js';
 import type { Serving } from '../../state/serving.js';
 import { withKeptOrder } from '../../state/serving-order.js';
@@ -81,7 +87,8 @@
   const read = readServing(made.value);
   if (!read.ok) return err({ tag: 'invalid', faults: read.fault });
   const { number } = read.value;
-  if (number <= before.number) return err({ tag: 'invalid', faults: [faultAt(['number'], `a number above ${before.number}`, number)] });
+  if (number <= before.number)
+    return err({ tag: 'invalid', faults: [faultAt(['number'], `a number above ${before.number}`, number)] });
   return ok(withKeptOrder(before, read.value));
 }
 
@@ -126,8 +133,16 @@
       if (judged.tag === 'answer') return judged.answer;
       const { next } = judged;
       const { number } = next;
-      const act = { tag: 'configured' as const, base: state.epoch, changes: changesTo(state, next), revision: { request, base, number } };
-      const agreed = await ledger.propose({ id: `${request}@${state.epoch}`, cause: `The operator put number ${number} on ${base}.`, act }, until - clock.mono());
+      const act = {
+        tag: 'configured' as const,
+        base: state.epoch,
+        changes: changesTo(state, next),
+        revision: { request, base, number },
+      };
+      const agreed = await ledger.propose(
+        { id: `${request}@${state.epoch}`, cause: `The operator put number ${number} on ${base}.`, act },
+        until - clock.mono(),
+      );
       if (!agreed.ok) return err(NO_MAJORITY);
       if (agreed.value.outcome.tag === 'applied') return ok({ tag: 'taken', number });
     }
--- a/src/coordination/ledger/operator-door.ts
+++ b/src/coordination/ledger/operator-door.ts
@@ -15,10 +15,19 @@
 
 const Operation = Type.Optional(Type.String({ minLength: 1, maxLength: 128 }));
 const Base = Type.Integer({ minimum: 0 });
-const readApply = readerOf(Type.Object({ base: Base, configuration: Type.Unknown(), operation: Operation }, { additionalProperties: false }));
-const readAmend = readerOf(Type.Object({ base: Base, changes: Type.Array(ChangeShape, { minItems: 1 }), operation: Operation }, { additionalProperties: false }));
+const readApply = readerOf(
+  Type.Object({ base: Base, configuration: Type.Unknown(), operation: Operation }, { additionalProperties: false }),
+);
+const readAmend = readerOf(
+  Type.Object(
+    { base: Base, changes: Type.Array(ChangeShape, { minItems: 1 }), operation: Operation },
+    { additionalProperties: false },
+  ),
+);
 const readZone = readerOf(Type.Object({ operation: Operation }, { additionalProperties: false }));
-const readFound = readerOf(Type.Object({ members: Type.Array(Type.String(), { minItems: 1, maxItems: 9 }) }, { additionalProperties: false }));
+const readFound = readerOf(
+  Type.Object({ members: Type.Array(Type.String(), { minItems: 1, maxItems: 9 }) }, { additionalProperties: false }),
+);
 
 const AGREE_MS = 5_000;
 const CONFIRM_MS = 2_800;
@@ -29,14 +38,27 @@
   return { status, ...(status === 503 ? { headers: { 'retry-after': '1' } } : {}), body: { error } };
 }
 
-export type OperatorDoorDeps = { readonly ledger: Ledger; readonly push: Push; readonly aims: AimKeeper; readonly clock: Clock; readonly status: () => unknown };
+export type OperatorDoorDeps = {
+  readonly ledger: Ledger;
+  readonly push: Push;
+  readonly aims: AimKeeper;
+  readonly clock: Clock;
+  readonly status: () => unknown;
+};
 
 export function operatorRoutes(deps: OperatorDoorDeps): Route[] {
   const { ledger, push, aims, clock, status } = deps;
   async function agree(act: Act, cause: string, operation: string | undefined): Promise<HttpReply> {
     const from = clock.mono();
-    const got = await ledger.propose({ ...(operation === undefined ? {} : { id: operatorRequest(operation) }), cause, act }, AGREE_MS);
-    if (!got.ok) return fail(503, got.fault.tag === 'cannotWrite' ? { tag: 'cannotWrite', fault: got.fault.fault } : { tag: got.fault.tag });
+    const got = await ledger.propose(
+      { ...(operation === undefined ? {} : { id: operatorRequest(operation) }), cause, act },
+      AGREE_MS,
+    );
+    if (!got.ok)
+      return fail(
+        503,
+        got.fault.tag === 'cannotWrite' ? { tag: 'cannotWrite', fault: got.fault.fault } : { tag: got.fault.tag },
+      );
     const { slot, outcome } = got.value;
     if (outcome.tag === 'staleEpoch') return fail(409, { tag: 'staleEpoch', winner: outcome.winner });
     if (outcome.tag !== 'applied') return fail(409, { tag: 'unchanged' });
@@ -46,7 +68,11 @@
     return { status: 202, body: { acknowledged: false, epoch: slot, waiting } };
   }
 
-  async function configure(base: number, make: (b: Belief) => unknown, operation: string | undefined): Promise<HttpReply> {
+  async function configure(
+    base: number,
+    make: (b: Belief) => unknown,
+    operation: string | undefined,
+  ): Promise<HttpReply> {
     if (!(await ledger.settle(AGREE_MS))) return fail(503, { tag: 'noMajority' });
     const b = ledger.belief();
     const done = operation === undefined ? null : operationOf(b, operatorRequest(operation));
@@ -57,7 +83,11 @@
     if (!done && !next.ok) return fail(422, { tag: 'invalidConfiguration', faults: next.fault });
     const changes: Change[] = next.ok ? differences(b.configuration, next.value) : [];
     if (JSON.stringify(changes).length > MAX_CHANGES) return fail(413, { tag: 'changesTooLarge', most: MAX_CHANGES });
-    return agree({ tag: 'configured', base, changes }, `The operator changed ${changes.length} settings on epoch ${base}.`, operation);
+    return agree(
+      { tag: 'configured', base, changes },
+      `The operator changed ${changes.length} settings on epoch ${base}.`,
+      operation,
+    );
   }
 
   async function apply(req: HttpRequest): Promise<HttpReply> {
@@ -84,7 +114,12 @@
     if (!settled) return fail(503, { tag: 'noMajority', epoch: b.epoch });
     return {
       status: 200,
-      body: { epoch: b.epoch, configuration: b.configuration, evacuated: Object.keys(b.evacuated).sort(), resolved: resolveAll(b.configuration) },
+      body: {
+        epoch: b.epoch,
+        configuration: b.configuration,
+        evacuated: Object.keys(b.evacuated).sort(),
+        resolved: resolveAll(b.configuration),
+      },
     };
   }
 
@@ -94,7 +129,11 @@
     const name = req.params['zone'] ?? '';
     if (!(await ledger.settle(AGREE_MS))) return fail(503, { tag: 'noMajority' });
     if (!Object.hasOwn(ledger.belief().configuration.zones, name)) return fail(404, { tag: 'unknownZone', zone: name });
-    return agree({ tag: 'evacuation', zone: name, begun }, begun ? `The operator evacuates ${name}.` : `The operator hands ${name} back.`, ask.value.operation);
+    return agree(
+      { tag: 'evacuation', zone: name, begun },
+      begun ? `The operator evacuates ${name}.` : `The operator hands ${name} back.`,
+      ask.value.operation,
+    );
   }
   function evacuate(req: HttpRequest): Promise<HttpReply> {
     return zone(req, true);
@@ -112,18 +151,25 @@
     const ask = readFound(req.body);
     if (!ask.ok) return fail(400, ask.fault);
     const got = await ledger.found(ask.value.members);
-    return got.ok ? { status: 200, body: { acknowledged: true, ledger: ledger.belief().ledger } } : fail(409, got.fault);
+    return got.ok
+      ? { status: 200, body: { acknowledged: true, ledger: ledger.belief().ledger } }
+      : fail(409, got.fault);
   }
 
   function reopenClaims(): Promise<HttpReply> {
     const members = ledger.belief().members.map(memberId);
-    return agree({ tag: 'claimsReopened', members }, 'The operator accepted that run-once claims were lost with their disks.', undefined);
+    return agree(
+      { tag: 'claimsReopened', members },
+      'The operator accepted that run-once claims were lost with their disks.',
+      undefined,
+    );
   }
 
   async function aimMinutes(req: HttpRequest): Promise<HttpReply> {
     if (!push.quorate()) return fail(503, { tag: 'noMajority' });
     const minutes = Number(req.query['minutes'] ?? 60);
-    if (!Number.isInteger(minutes) || minutes < 1 || minutes > 1_440) return fail(400, { tag: 'malformed', detail: '/minutes: expected a whole number from 1 to 1440' });
+    if (!Number.isInteger(minutes) || minutes < 1 || minutes > 1_440)
+      return fail(400, { tag: 'malformed', detail: '/minutes: expected a whole number from 1 to 1440' });
     return { status: 200, body: aims.last(minutes) };
   }
 
@@ -135,8 +181,12 @@
     const b = ledger.belief();
     const wanted = req.query['model'];
     const out = [];
-    for (const order of [...b.closed, ...Object.values(b.orders)]) if (wanted === undefined || order.model === wanted) out.push(order);
-    return { status: 200, body: { slot: b.slot, orders: out, zoneSets: b.zoneSets, targets: b.targets, leases: b.leases } };
+    for (const order of [...b.closed, ...Object.values(b.orders)])
+      if (wanted === undefined || order.model === wanted) out.push(order);
+    return {
+      status: 200,
+      body: { slot: b.slot, orders: out, zoneSets: b.zoneSets, targets: b.targets, leases: b.leases },
+    };
   }
 
   async function entries(req: HttpRequest): Promise<HttpReply> {
@@ -144,7 +194,14 @@
     const b = ledger.belief();
     const first = Math.max(0, Number.isInteger(from) && from >= 0 ? from : 0);
     const batches = ledger.since(first);
-    return { status: 200, body: { slot: b.slot, complete: batches !== null, batches: batches ?? ledger.since(Math.max(first, b.slot - 200)) ?? [] } };
+    return {
+      status: 200,
+      body: {
+        slot: b.slot,
+        complete: batches !== null,
+        batches: batches ?? ledger.since(Math.max(first, b.slot - 200)) ?? [],
+      },
+    };
   }
 
   return [
--- a/src/coordination/ledger/operator-identity.test.ts
+++ b/src/coordination/ledger/operator-identity.test.ts
@@ -11,7 +11,12 @@
 const ENTRIES_BETWEEN = 1_100;
 
 function serving(number: number): Serving {
-  return { number, mappings: {}, models: { [`m-${number}`]: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } }, limits: DEFAULT_LIMITS };
+  return {
+    number,
+    mappings: {},
+    models: { [`m-${number}`]: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } },
+    limits: DEFAULT_LIMITS,
+  };
 }
 
 type Operator = {
@@ -36,7 +41,9 @@
   }
   async function ordinaryEntries(node: string): Promise<void> {
     const ledger = core.node(node).headgate?.ledger;
-    const all = Array.from({ length: ENTRIES_BETWEEN }, (_, target) => ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000));
+    const all = Array.from({ length: ENTRIES_BETWEEN }, (_, target) =>
+      ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000),
+    );
     const agreed = await core.finish(Promise.all(all), 10_000);
     expect(agreed?.every((a) => a?.ok)).toBe(true);
   }
@@ -82,7 +89,10 @@
     const act = { tag: 'targetChanged' as const, model: `${n}-`.repeat(40), target: n };
     const cause = 'x'.repeat(1_000);
     const steps = Array.from({ length: 90 }, () => ({ cause, act }));
-    await core.finish(Promise.resolve(ledger?.propose({ cause: 'A test.', act: { tag: 'decided', steps } }, 1_500)), 5_000);
+    await core.finish(
+      Promise.resolve(ledger?.propose({ cause: 'A test.', act: { tag: 'decided', steps } }, 1_500)),
+      5_000,
+    );
   }
   expect(ledger?.since(1)).toBeNull();
   core.start('h2');
@@ -104,31 +114,42 @@
   expect(core.broken).toEqual([]);
 });
 
-test.each([1, 2, 3, 4])('a change sent again after the member that took it was replaced is the same change (seed %i)', async (seed) => {
-  const { core, operator } = await founded(50 + seed);
-  await twoChanges(operator);
-  core.powerLoss('h3');
-  await operator.ordinaryEntries('h2');
-  const successor = core.add('h4').name;
-  core.seeds(['h1', 'h2']);
-  core.start(successor);
-  const members = ['h1', 'h2', successor];
-  expect(await core.until(12_000, () => core.whole(members))).toBe(true);
-  core.powerLoss('h1');
-  expect(await operator.replace(successor, 7, 8)).toEqual(taken(8));
-  await expectSameChange(operator, ['h2', successor]);
-  expect(core.broken).toEqual([]);
-});
+test.each([1, 2, 3, 4])(
+  'a change sent again after the member that took it was replaced is the same change (seed %i)',
+  async (seed) => {
+    const { core, operator } = await founded(50 + seed);
+    await twoChanges(operator);
+    core.powerLoss('h3');
+    await operator.ordinaryEntries('h2');
+    const successor = core.add('h4').name;
+    core.seeds(['h1', 'h2']);
+    core.start(successor);
+    const members = ['h1', 'h2', successor];
+    expect(await core.until(12_000, () => core.whole(members))).toBe(true);
+    core.powerLoss('h1');
+    expect(await operator.replace(successor, 7, 8)).toEqual(taken(8));
+    await expectSameChange(operator, ['h2', successor]);
+    expect(core.broken).toEqual([]);
+  },
+);
 
 type AdminAnswer = { readonly status: number; readonly epoch: number };
 
-async function admin(seed: number): Promise<{ readonly core: SimCore; readonly post: (node: string, path: string, body: object) => Promise<AdminAnswer> }> {
+async function admin(
+  seed: number,
+): Promise<{
+  readonly core: SimCore;
+  readonly post: (node: string, path: string, body: object) => Promise<AdminAnswer>;
+}> {
   const core = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: 35, operatorDoor: true });
   const { caller } = core.lab('operator');
   core.startAll();
   expect(await core.until(4_000, () => core.whole(THREE))).toBe(true);
   async function post(node: string, path: string, body: object): Promise<AdminAnswer> {
-    const got = await core.finish(caller.call({ method: 'POST', address: `${core.node(node).wire}0`, path, body, timeoutMs: 8_000 }), 10_000);
+    const got = await core.finish(
+      caller.call({ method: 'POST', address: `${core.node(node).wire}0`, path, body, timeoutMs: 8_000 }),
+      10_000,
+    );
     if (!got?.ok) return { status: 0, epoch: -1 };
     return { status: got.value.status, epoch: (got.value.body as { readonly epoch?: number }).epoch ?? -1 };
   }
@@ -137,7 +158,9 @@
 
 async function manyEntries(core: SimCore): Promise<void> {
   const ledger = core.node('h2').headgate?.ledger;
-  const all = Array.from({ length: ENTRIES_BETWEEN }, (_, target) => ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000));
+  const all = Array.from({ length: ENTRIES_BETWEEN }, (_, target) =>
+    ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000),
+  );
   expect((await core.finish(Promise.all(all), 10_000))?.every((a) => a?.ok)).toBe(true);
 }
 
@@ -152,8 +175,12 @@
   await manyEntries(core);
   for (const node of THREE) {
     expect(await post(node, '/v1/configuration', { base: 0, configuration, operation: 'first' })).toEqual(first);
-    expect(await post(node, '/v1/configuration/amend', { base: first.epoch, changes, operation: 'second' })).toEqual(second);
-    expect((await post(node, '/v1/configuration/amend', { base: first.epoch, changes, operation: 'third' })).status).toBe(409);
+    expect(await post(node, '/v1/configuration/amend', { base: first.epoch, changes, operation: 'second' })).toEqual(
+      second,
+    );
+    expect(
+      (await post(node, '/v1/configuration/amend', { base: first.epoch, changes, operation: 'third' })).status,
+    ).toBe(409);
   }
   expect(core.node('h1').headgate?.ledger.belief().epoch).toBe(second.epoch);
 });
--- a/src/coordination/ledger/partition.test.ts
+++ b/src/coordination/ledger/partition.test.ts
@@ -29,7 +29,12 @@
 
 async function confirmed(core: SimCore, at: string, zone: string, withinMs: number): Promise<void> {
   const got = await core.order(at, zone, withinMs);
-  expect([at, zone, got.result, got.tookMs]).toMatchObject([at, zone, { ok: true, value: { outcome: { tag: 'applied' } } }, expect.any(Number)]);
+  expect([at, zone, got.result, got.tookMs]).toMatchObject([
+    at,
+    zone,
+    { ok: true, value: { outcome: { tag: 'applied' } } },
+    expect.any(Number),
+  ]);
   expect(got.tookMs).toBeLessThan(withinMs);
 }
 
@@ -44,7 +49,9 @@
     cutBetween(core, ['h1', 'h3'], ['h6']);
     core.seeds(['h2', 'h4', 'h5']);
     core.start('h6');
-    expect(await core.until(8_000, () => core.members('h6').includes('h6') && core.members('h5').includes('h6'))).toBe(true);
+    expect(await core.until(8_000, () => core.members('h6').includes('h6') && core.members('h5').includes('h6'))).toBe(
+      true,
+    );
     const stale = core.members('h6').includes('h1') ? 'h1' : 'h3';
     cutBetween(core, ['h5'], ['h2', 'h4', 'h6']);
     await core.world.advance(core.world.rng.next() * 1_000);
@@ -65,52 +72,60 @@
 describe('orders while one is cut off, and right after', () => {
   // While it is cut off, the member is given orders that it can't have agreed: it holds them accepted by itself alone, and
   // outbids the others when it is back.
-  test.each(SEEDS)('each is confirmed within 5 s wherever it first goes; one given up is the same order later, or nothing (seed %i)', async (seed) => {
-    const core = await bootstrapped(seed, seed % 2 === 0 ? ['h1', 'h2', 'h3'] : FIVE);
-    const names = core.nodes.map((n) => n.name);
-    const lone = names[seed % names.length] as string;
-    const others = names.filter((name) => name !== lone);
-    await confirmed(core, lone, 'before', 1_500);
-    core.cutOff([lone]);
-    const givenUp: string[] = [];
-    const from = core.world.now();
-    for (let n = 0; core.world.now() - from < 20_000; n += 1) {
-      const stale = core.order(lone, `alone-${n}`, 1_500);
-      await confirmed(core, others[n % others.length] as string, `during-${n}`, 1_500);
-      const refused = await stale;
-      expect([refused.result?.ok, refused.tookMs < 1_600]).toEqual([false, true]);
-      expect(await core.evacuatedAt(lone)).toBeNull();
-      givenUp.push(`alone-${n}`);
-      await core.world.advance(core.world.rng.next() * 2_000);
-    }
-    core.world.healAll();
-    const first = others.map((name, i) => confirmed(core, name, `healed-${i}`, 1_500));
-    await confirmed(core, lone, 'returned', 5_000);
-    await Promise.all(first);
-    const reads = new Set<string>();
-    for (const name of names) reads.add((await core.evacuatedAt(name))?.filter((zone) => givenUp.includes(zone)).join() ?? 'refused');
-    await core.world.advance(6_000);
-    for (const name of names) reads.add((await core.evacuatedAt(name))?.filter((zone) => givenUp.includes(zone)).join() ?? 'refused');
-    expect(reads.size).toBe(1);
-    expect(core.broken).toEqual([]);
-  });
+  test.each(SEEDS)(
+    'each is confirmed within 5 s wherever it first goes; one given up is the same order later, or nothing (seed %i)',
+    async (seed) => {
+      const core = await bootstrapped(seed, seed % 2 === 0 ? ['h1', 'h2', 'h3'] : FIVE);
+      const names = core.nodes.map((n) => n.name);
+      const lone = names[seed % names.length] as string;
+      const others = names.filter((name) => name !== lone);
+      await confirmed(core, lone, 'before', 1_500);
+      core.cutOff([lone]);
+      const givenUp: string[] = [];
+      const from = core.world.now();
+      for (let n = 0; core.world.now() - from < 20_000; n += 1) {
+        const stale = core.order(lone, `alone-${n}`, 1_500);
+        await confirmed(core, others[n % others.length] as string, `during-${n}`, 1_500);
+        const refused = await stale;
+        expect([refused.result?.ok, refused.tookMs < 1_600]).toEqual([false, true]);
+        expect(await core.evacuatedAt(lone)).toBeNull();
+        givenUp.push(`alone-${n}`);
+        await core.world.advance(core.world.rng.next() * 2_000);
+      }
+      core.world.healAll();
+      const first = others.map((name, i) => confirmed(core, name, `healed-${i}`, 1_500));
+      await confirmed(core, lone, 'returned', 5_000);
+      await Promise.all(first);
+      const reads = new Set<string>();
+      for (const name of names)
+        reads.add((await core.evacuatedAt(name))?.filter((zone) => givenUp.includes(zone)).join() ?? 'refused');
+      await core.world.advance(6_000);
+      for (const name of names)
+        reads.add((await core.evacuatedAt(name))?.filter((zone) => givenUp.includes(zone)).join() ?? 'refused');
+      expect(reads.size).toBe(1);
+      expect(core.broken).toEqual([]);
+    },
+  );
 
-  test.each(SEEDS)('one that was replaced or left out meanwhile takes orders and reads at once when it is back (seed %i)', async (seed) => {
-    const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
-    core.cutOff(['h2']);
-    core.add('h4');
-    cutBetween(core, ['h2'], ['h4']);
-    core.start('h4');
-    expect(await core.until(8_000, () => core.whole(['h1', 'h3', 'h4']))).toBe(true);
-    await confirmed(core, 'h4', 'during', 1_500);
-    await core.world.advance(12_000);
-    core.world.healAll();
-    await core.world.advance(core.world.rng.next() * 1_500);
-    await confirmed(core, 'h2', 'returned', 2_500);
-    expect(await core.evacuatedAt('h2')).toEqual(['during', 'returned']);
-    expect(await core.until(8_000, () => core.whole(['h1', 'h2', 'h3', 'h4']))).toBe(true);
-    expect(core.broken).toEqual([]);
-  });
+  test.each(SEEDS)(
+    'one that was replaced or left out meanwhile takes orders and reads at once when it is back (seed %i)',
+    async (seed) => {
+      const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
+      core.cutOff(['h2']);
+      core.add('h4');
+      cutBetween(core, ['h2'], ['h4']);
+      core.start('h4');
+      expect(await core.until(8_000, () => core.whole(['h1', 'h3', 'h4']))).toBe(true);
+      await confirmed(core, 'h4', 'during', 1_500);
+      await core.world.advance(12_000);
+      core.world.healAll();
+      await core.world.advance(core.world.rng.next() * 1_500);
+      await confirmed(core, 'h2', 'returned', 2_500);
+      expect(await core.evacuatedAt('h2')).toEqual(['during', 'returned']);
+      expect(await core.until(8_000, () => core.whole(['h1', 'h2', 'h3', 'h4']))).toBe(true);
+      expect(core.broken).toEqual([]);
+    },
+  );
 });
 
 describe('the lease while the members change', () => {
@@ -128,41 +143,47 @@
     return core;
   }
   async function neverTwo(core: SimCore, ms: number): Promise<void> {
-    for (const end = core.world.now() + ms; core.world.now() < end; ) {
+    for (const end = core.world.now() + ms; core.world.now() < end;) {
       await core.world.advance(20);
       expect(holders(core).length).toBeLessThanOrEqual(1);
     }
   }
 
-  test.each(SEEDS_OF_LEASE)('five of which the holder, which two no longer heard, and another are left out: never two holders (seed %i)', async (seed) => {
-    const core = await withLease(seed, FIVE);
-    const holder = holders(core)[0] as string;
-    const others = FIVE.filter((name) => name !== holder);
-    const second = others[seed % 4] as string;
-    const rest = others.filter((name) => name !== second);
-    cutBetween(core, [holder], rest.slice(1));
-    await core.world.advance(8_000 + core.world.rng.next() * 1_000);
-    expect(holders(core)).toEqual([holder]);
-    cutBetween(core, [holder, second], rest);
-    await neverTwo(core, 16_000);
-    expect(holders(core)).toHaveLength(1);
-    expect(core.members(holders(core)[0] as string)).toHaveLength(3);
-  });
+  test.each(SEEDS_OF_LEASE)(
+    'five of which the holder, which two no longer heard, and another are left out: never two holders (seed %i)',
+    async (seed) => {
+      const core = await withLease(seed, FIVE);
+      const holder = holders(core)[0] as string;
+      const others = FIVE.filter((name) => name !== holder);
+      const second = others[seed % 4] as string;
+      const rest = others.filter((name) => name !== second);
+      cutBetween(core, [holder], rest.slice(1));
+      await core.world.advance(8_000 + core.world.rng.next() * 1_000);
+      expect(holders(core)).toEqual([holder]);
+      cutBetween(core, [holder, second], rest);
+      await neverTwo(core, 16_000);
+      expect(holders(core)).toHaveLength(1);
+      expect(core.members(holders(core)[0] as string)).toHaveLength(3);
+    },
+  );
 
-  test.each(SEEDS_OF_LEASE)('the holder, which one no longer heard, is replaced by one that waited: never two holders (seed %i)', async (seed) => {
-    const core = await withLease(seed, ['h1', 'h2', 'h3']);
-    const holder = holders(core)[0] as string;
-    const others = ['h1', 'h2', 'h3'].filter((name) => name !== holder);
-    core.add('h4');
-    cutBetween(core, ['h4'], ['h1', 'h2', 'h3']);
-    core.start('h4');
-    cutBetween(core, [holder], others.slice(1));
-    await core.world.advance(8_000 + core.world.rng.next() * 1_000);
-    expect(holders(core)).toEqual([holder]);
-    cutBetween(core, [holder], others);
-    await core.world.advance(core.world.rng.next() * 3_000);
-    for (const name of others) healBetween(core, 'h4', name);
-    await neverTwo(core, 16_000);
-    expect(holders(core)).toHaveLength(1);
-  });
+  test.each(SEEDS_OF_LEASE)(
+    'the holder, which one no longer heard, is replaced by one that waited: never two holders (seed %i)',
+    async (seed) => {
+      const core = await withLease(seed, ['h1', 'h2', 'h3']);
+      const holder = holders(core)[0] as string;
+      const others = ['h1', 'h2', 'h3'].filter((name) => name !== holder);
+      core.add('h4');
+      cutBetween(core, ['h4'], ['h1', 'h2', 'h3']);
+      core.start('h4');
+      cutBetween(core, [holder], others.slice(1));
+      await core.world.advance(8_000 + core.world.rng.next() * 1_000);
+      expect(holders(core)).toEqual([holder]);
+      cutBetween(core, [holder], others);
+      await core.world.advance(core.world.rng.next() * 3_000);
+      for (const name of others) healBetween(core, 'h4', name);
+      await neverTwo(core, 16_000);
+      expect(holders(core)).toHaveLength(1);
+    },
+  );
 });
--- a/src/coordination/ledger/poll.ts
+++ b/src/coordination/ledger/poll.ts
@@ -5,7 +5,11 @@
 export type Votes = ReadonlyMap<string, Message>;
 export type AskMember = (m: Member, message: Message) => Promise<Message | null>;
 
-export function poll(members: readonly Member[], ask: (m: Member) => Promise<Message | null>, enough: (votes: Votes, open: number) => boolean): Promise<Votes> {
+export function poll(
+  members: readonly Member[],
+  ask: (m: Member) => Promise<Message | null>,
+  enough: (votes: Votes, open: number) => boolean,
+): Promise<Votes> {
   function start(resolve: (votes: Votes) => void): void {
     const votes = new Map<string, Message>();
     let open = members.length;
--- a/src/coordination/ledger/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -24,7 +24,17 @@
 };
 
 type Asked = { readonly nonce: number; readonly at: number };
-type Follower = { readonly name: string; readonly zone: string; readonly region: string; readonly peer: Peer; asked: Asked[]; attested: number; heardAt: number; beatAt: number; sent: number };
+type Follower = {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly peer: Peer;
+  asked: Asked[];
+  attested: number;
+  heardAt: number;
+  beatAt: number;
+  sent: number;
+};
 
 const BEAT_MS = 500;
 const QUORATE_MS = 2_000;
@@ -68,9 +78,16 @@
 
   async function note(m: Pick<Follower, 'name' | 'zone' | 'region'>): Promise<void> {
     const known = ledger.belief().sluices[m.name];
-    if ((known && known.zone === m.zone && known.region === m.region) || noting.has(m.name) || !ledger.isMember()) return;
+    if ((known && known.zone === m.zone && known.region === m.region) || noting.has(m.name) || !ledger.isMember())
+      return;
     noting.add(m.name);
-    await ledger.propose({ cause: `${m.name} asked to follow.`, act: { tag: 'sluiceKnown', name: m.name, zone: m.zone, region: m.region } }, 3_000);
+    await ledger.propose(
+      {
+        cause: `${m.name} asked to follow.`,
+        act: { tag: 'sluiceKnown', name: m.name, zone: m.zone, region: m.region },
+      },
+      3_000,
+    );
     noting.delete(m.name);
   }
 
@@ -84,7 +101,17 @@
     const before = followers.get(m.name);
     const now = clock.mono();
     const asked = before?.peer === peer ? [...before.asked] : [];
-    const f: Follower = { name: m.name, zone: m.zone, region: m.region, peer, asked: asked.slice(-NONCES_KEPT), attested: 0, heardAt: now, beatAt: 0, sent: m.ledger === '' ? -1 : m.from - 1 };
+    const f: Follower = {
+      name: m.name,
+      zone: m.zone,
+      region: m.region,
+      peer,
+      asked: asked.slice(-NONCES_KEPT),
+      attested: 0,
+      heardAt: now,
+      beatAt: 0,
+      sent: m.ledger === '' ? -1 : m.from - 1,
+    };
     f.asked.push({ nonce: m.nonce, at: now });
     followers.set(m.name, f);
     if (before?.peer !== peer) peer.onClosed(gone);
@@ -147,7 +174,8 @@
         if (m.by === undefined) markDue(r.reporter, others());
         else markDue(r.reporter, relayTo(m.by));
       } else if (step === 'gap') missed.push(r.reporter);
-      else if (have && have.run !== r.run && have.incarnation >= r.incarnation) peer.tell({ kind: 'outlived', reporter: r.reporter, incarnation: have.incarnation });
+      else if (have && have.run !== r.run && have.incarnation >= r.incarnation)
+        peer.tell({ kind: 'outlived', reporter: r.reporter, incarnation: have.incarnation });
     }
     if (missed.length > 0) peer.tell({ kind: 'reportsAsk', by: ledger.self.name, reporters: missed });
     return null;
@@ -184,7 +212,16 @@
     const { echo, top } = attestedOf(f);
     f.attested = echo;
     f.beatAt = clock.mono();
-    f.peer.tell({ kind: 'beat', from: ledger.self.name, ledger: b.ledger, slot: b.slot, top, quorate: echo > 0, wall: attest.sharedNow(), echo });
+    f.peer.tell({
+      kind: 'beat',
+      from: ledger.self.name,
+      ledger: b.ledger,
+      slot: b.slot,
+      top,
+      quorate: echo > 0,
+      wall: attest.sharedNow(),
+      echo,
+    });
   }
   function onTold(): void {
     for (const f of followers.values()) if (f.attested === 0 && attestedOf(f).echo > 0) tellBeat(f);
--- a/src/coordination/ledger/round.ts
+++ b/src/coordination/ledger/round.ts
@@ -20,7 +20,13 @@
   return n;
 }
 
-export async function runRound(who: Electorate, slot: number, ballot: Ballot, mine: Batch, ask: AskMember): Promise<RoundEnd> {
+export async function runRound(
+  who: Electorate,
+  slot: number,
+  ballot: Ballot,
+  mine: Batch,
+  ask: AskMember,
+): Promise<RoundEnd> {
   const { ledger, members, need } = who;
   function settled(kind: Message['kind']): (votes: Votes, open: number) => boolean {
     function check(votes: Votes, open: number): boolean {
--- a/src/coordination/ledger/snapshot-giver.ts
+++ b/src/coordination/ledger/snapshot-giver.ts
@@ -57,7 +57,9 @@
     const state = belief();
     const snapshot = snapshotOf(state.slot, JSON.stringify(view === 'proxy' ? proxyState(state) : state));
     if (!isBounded(snapshot.offer)) {
-      log.error(`The state is ${snapshot.offer.length} characters long, too many for a snapshot; nodes that lag can't be helped.`);
+      log.error(
+        `The state is ${snapshot.offer.length} characters long, too many for a snapshot; nodes that lag can't be helped.`,
+      );
       return null;
     }
     const made: Pinned = { snapshot, view, askedAt: clock.mono() };
--- a/src/coordination/ledger/snapshot-taker.ts
+++ b/src/coordination/ledger/snapshot-taker.ts
@@ -73,7 +73,8 @@
       const reply = await peers.call(from, { kind: 'snapshotAsk', digest: offer.digest, part: next }, PART_WAIT_MS);
       if (!reply.ok || own !== newest) return INTERRUPTED;
       const answer = reply.value;
-      if (answer.kind !== 'snapshotPart' || answer.digest !== offer.digest || !addPart(held, answer.part, answer.text)) return REFUSED;
+      if (answer.kind !== 'snapshotPart' || answer.digest !== offer.digest || !addPart(held, answer.part, answer.text))
+        return REFUSED;
       partAt = clock.mono();
     }
     return stateIn(from, held);
--- a/src/coordination/ledger/snapshots.test.ts
+++ b/src/coordination/ledger/snapshots.test.ts
@@ -14,7 +14,12 @@
 const log = createQuietLog().part('snapshots');
 
 function stateAt(slot: number, note = 'x', length = 5 * PART_LENGTH): Belief {
-  return { ...emptyBelief(), slot, ledger: 'l1', configuration: { ...emptyBelief().configuration, deployment: { note: note.repeat(length) } } } as Belief;
+  return {
+    ...emptyBelief(),
+    slot,
+    ledger: 'l1',
+    configuration: { ...emptyBelief().configuration, deployment: { note: note.repeat(length) } },
+  } as Belief;
 }
 
 type Ask = (m: MessageOf<'snapshotAsk'>) => Message | Promise<Message>;
@@ -33,7 +38,13 @@
     const on = (kind: MessageKind, handler: unknown) => {
       if (kind === 'snapshotAsk') givers.set(address, handler as Ask);
     };
-    const made = createSnapshotGiver({ peers: { on: on as never }, clock, log, belief: () => state, keepsFrom: (slot) => slot >= kept });
+    const made = createSnapshotGiver({
+      peers: { on: on as never },
+      clock,
+      log,
+      belief: () => state,
+      keepsFrom: (slot) => slot >= kept,
+    });
     return { ...made, become: (next: Belief) => (state = next), keepFrom: (slot: number) => (kept = slot) };
   }
   const taker = createSnapshotTaker(
@@ -43,7 +54,9 @@
         await pause(clock, 10);
         const ask = givers.get(to);
         asks.push(`${to} ${(m as MessageOf<'snapshotAsk'>).part}`);
-        return ask ? { ok: true, value: await ask(m as MessageOf<'snapshotAsk'>) } : { ok: false, fault: { tag: 'peerSilent', address: to } };
+        return ask
+          ? { ok: true, value: await ask(m as MessageOf<'snapshotAsk'>) }
+          : { ok: false, fault: { tag: 'peerSilent', address: to } };
       },
     },
     clock,
@@ -97,14 +110,18 @@
       if (m.part === 2) restarted ??= giver('a', stateAt(9, 'z'));
     };
     expect(await take('a', offer)).toEqual({ tag: 'refused' });
-    expect(await take('a', (restarted as unknown as typeof a).offer('controller', 0))).toEqual({ tag: 'whole', state: stateAt(9, 'z') });
+    expect(await take('a', (restarted as unknown as typeof a).offer('controller', 0))).toEqual({
+      tag: 'whole',
+      state: stateAt(9, 'z'),
+    });
   });
 
   const LIES: Readonly<Record<string, (answer: Message) => Message>> = {
     'another letter': (m) => (m.kind === 'snapshotPart' && m.part === 1 ? { ...m, text: `!${m.text.slice(1)}` } : m),
     'a part too short': (m) => (m.kind === 'snapshotPart' && m.part === 1 ? { ...m, text: m.text.slice(1) } : m),
     'a part of another index': (m) => (m.kind === 'snapshotPart' && m.part === 1 ? { ...m, part: 2 } : m),
-    'a part of another snapshot': (m) => (m.kind === 'snapshotPart' && m.part === 1 ? { ...m, digest: 'e'.repeat(64) } : m),
+    'a part of another snapshot': (m) =>
+      m.kind === 'snapshotPart' && m.part === 1 ? { ...m, digest: 'e'.repeat(64) } : m,
   };
   test.each(Object.keys(LIES))('what is not as offered is never adopted: %s', async (lie) => {
     const { giver, givers, take } = rig();
@@ -118,14 +135,19 @@
 
   test('a whole text that is no state, or one of another slot than offered, is not taken', async () => {
     const { giver, take } = rig();
-    expect(await take('a', giver('a', { slot: 7, ledger: 'l1' } as Belief).offer('controller', 0))).toEqual({ tag: 'refused' });
+    expect(await take('a', giver('a', { slot: 7, ledger: 'l1' } as Belief).offer('controller', 0))).toEqual({
+      tag: 'refused',
+    });
   });
 
   test('two fetches do not run side by side, but one whose giver stalls is taken over', async () => {
     const { giver, givers, take, taker, world, asks } = rig();
     const a = giver('a', stateAt(7));
     const b = giver('b', stateAt(7));
-    const [first, second] = [taker.take('a', a.offer('controller', 0) as SnapshotOffer), take('b', b.offer('controller', 0))];
+    const [first, second] = [
+      taker.take('a', a.offer('controller', 0) as SnapshotOffer),
+      take('b', b.offer('controller', 0)),
+    ];
     expect(await second).toEqual({ tag: 'joined' });
     expect(await first).toEqual({ tag: 'whole', state: stateAt(7) });
     expect(asks.every((ask) => ask.startsWith('a'))).toBe(true);
@@ -169,7 +191,9 @@
       a.keepFrom(slot + 1);
       offers.push(a.offer('controller', 0) as SnapshotOffer, a.offer('proxy', 0) as SnapshotOffer);
     }
-    const kinds = offers.map((o) => (givers.get('a')?.({ kind: 'snapshotAsk', digest: o.digest, part: 0 }) as Message).kind);
+    const kinds = offers.map(
+      (o) => (givers.get('a')?.({ kind: 'snapshotAsk', digest: o.digest, part: 0 }) as Message).kind,
+    );
     const gone = 'snapshotGone';
     const there = 'snapshotPart';
     expect(kinds).toEqual([gone, gone, gone, gone, there, there, there, there]);
@@ -182,6 +206,9 @@
     await world.advance(10_100);
     a.become(stateAt(2, 'y'));
     expect(a.offer('controller', 0)?.slot).toBe(2);
-    expect(givers.get('a')?.({ kind: 'snapshotAsk', digest: old.digest, part: 0 })).toEqual({ kind: 'snapshotGone', digest: old.digest });
+    expect(givers.get('a')?.({ kind: 'snapshotAsk', digest: old.digest, part: 0 })).toEqual({
+      kind: 'snapshotGone',
+      digest: old.digest,
+    });
   });
 });
--- a/src/coordination/ledger/standings.ts
+++ b/src/coordination/ledger/standings.ts
@@ -24,7 +24,11 @@
   readonly onHeard: (heard: HeardStanding) => void;
 };
 
-export type HeardStanding = { readonly member: Member; readonly askedAt: number; readonly standing: MessageOf<'standing'> };
+export type HeardStanding = {
+  readonly member: Member;
+  readonly askedAt: number;
+  readonly standing: MessageOf<'standing'>;
+};
 
 type Heard = { readonly at: number; readonly unheard: readonly string[] };
 
@@ -70,7 +74,17 @@
     const b = deps.belief();
     const unheard: string[] = [];
     for (const m of others()) if (unheardMs(memberId(m)) > UNHEARD_MS) unheard.push(memberId(m));
-    return { kind: 'standing', ledger: b.ledger, voter: memberId(self), address: self.address, learned: b.slot, top: deps.top(), wall: clock.wall(), ...(unheard.length > 0 ? { unheard } : {}), ...(deps.writable() ? {} : { cannotWrite: true }) };
+    return {
+      kind: 'standing',
+      ledger: b.ledger,
+      voter: memberId(self),
+      address: self.address,
+      learned: b.slot,
+      top: deps.top(),
+      wall: clock.wall(),
+      ...(unheard.length > 0 ? { unheard } : {}),
+      ...(deps.writable() ? {} : { cannotWrite: true }),
+    };
   }
 
   function mostUnheard(id: string): boolean {
--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -1,7 +1,16 @@
 import { ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import { createLine } from '../../base/line.js';
-import { accept, acceptedAt, createAcceptor, highestAccepted, prepare, raiseFloor, restoreSlot, slotOf } from '../../state/acceptor.js';
+import {
+  accept,
+  acceptedAt,
+  createAcceptor,
+  highestAccepted,
+  prepare,
+  raiseFloor,
+  restoreSlot,
+  slotOf,
+} from '../../state/acceptor.js';
 import type { Acceptor, SlotState, Vote } from '../../state/acceptor.js';
 import type { Ballot } from '../../state/ballot.js';
 import { emptyBelief, foldBatch } from '../../state/belief.js';
--- a/src/coordination/members/membership.test.ts
+++ b/src/coordination/members/membership.test.ts
@@ -9,7 +9,12 @@
 import { createPeers } from './peers.js';
 
 type Node = { readonly name: string; membership: Membership };
-type Group = { readonly world: World; readonly nodes: Node[]; readonly sent: () => { readonly frames: number; readonly bytes: number }; readonly begin: (name: string, at: number) => Promise<void> };
+type Group = {
+  readonly world: World;
+  readonly nodes: Node[];
+  readonly sent: () => { readonly frames: number; readonly bytes: number };
+  readonly begin: (name: string, at: number) => Promise<void>;
+};
 
 const REGIONS = 7;
 
@@ -30,7 +35,17 @@
     const peers = createPeers(net.wireOf(proc), clock, log);
     await peers.open(addressOf(at));
     runs += 1;
-    const self = { name, role: 'sluice' as const, run: `run-${runs}`, incarnation: 0, address: addressOf(at), http: '', zone: region, region, status: 'alive' as const };
+    const self = {
+      name,
+      role: 'sluice' as const,
+      run: `run-${runs}`,
+      incarnation: 0,
+      address: addressOf(at),
+      http: '',
+      zone: region,
+      region,
+      status: 'alive' as const,
+    };
     const membership = createMembership(self, () => [addressOf(0)], peers, clock, createRng(seed * 1_000 + runs), log);
     const held = nodes.find((n) => n.name === name);
     if (held) held.membership = membership;
@@ -82,7 +97,9 @@
     const lost = g.nodes.filter((_, i) => i % REGIONS === 3);
     for (const n of lost) g.world.kill(g.world.host(n.name, 'r3'));
     const rest = g.nodes.filter((n) => !lost.includes(n));
-    expect(await soon(g, 15_000, () => rest.every((n) => lost.every((l) => n.membership.get(l.name)?.status === 'dead')))).toBe(true);
+    expect(
+      await soon(g, 15_000, () => rest.every((n) => lost.every((l) => n.membership.get(l.name)?.status === 'dead'))),
+    ).toBe(true);
   });
 
   test('a node that begins anew without a memory is taken under its new run by all', async () => {
@@ -91,14 +108,18 @@
     g.world.kill(g.world.host('n4', 'r4'));
     await g.begin('n4', 4);
     const run = g.nodes[4]?.membership.get('n4')?.run;
-    expect(await soon(g, 20_000, () => knowsAll(g) && g.nodes.every((n) => n.membership.get('n4')?.run === run))).toBe(true);
+    expect(await soon(g, 20_000, () => knowsAll(g) && g.nodes.every((n) => n.membership.get('n4')?.run === run))).toBe(
+      true,
+    );
   });
 
   test('one frozen past its suspicion refutes it once it wakes', async () => {
     const g = await group(14, 7);
     expect(await soon(g, 60_000, () => knowsAll(g))).toBe(true);
     g.world.freeze(g.world.host('n5', 'r5'));
-    expect(await soon(g, 20_000, () => g.nodes.every((n) => n.name === 'n5' || n.membership.get('n5')?.status === 'dead'))).toBe(true);
+    expect(
+      await soon(g, 20_000, () => g.nodes.every((n) => n.name === 'n5' || n.membership.get('n5')?.status === 'dead')),
+    ).toBe(true);
     g.world.thaw(g.world.host('n5', 'r5'));
     expect(await soon(g, 20_000, () => knowsAll(g))).toBe(true);
   });
--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -16,7 +16,9 @@
 export type Membership = {
   readonly all: () => readonly NodeInfo[];
   readonly get: (name: string) => NodeInfo | null;
-  readonly events: { readonly on: <K extends keyof MembershipEvents>(name: K, fn: (e: MembershipEvents[K]) => void) => void };
+  readonly events: {
+    readonly on: <K extends keyof MembershipEvents>(name: K, fn: (e: MembershipEvents[K]) => void) => void;
+  };
   readonly leave: () => void;
   readonly stop: () => void;
 };
@@ -32,7 +34,14 @@
 const COMPARE_MS = 10_000;
 const FORGET_MS = 600_000;
 
-export function createMembership(self: NodeInfo, contacts: () => Iterable<Address>, peers: Peers, clock: Clock, rng: Rng, log: Log): Membership {
+export function createMembership(
+  self: NodeInfo,
+  contacts: () => Iterable<Address>,
+  peers: Peers,
+  clock: Clock,
+  rng: Rng,
+  log: Log,
+): Membership {
   const events = createEvents<MembershipEvents>();
   const members: Members = new Map([[self.name, self]]);
   const shares = new Map<string, number>();
@@ -103,7 +112,14 @@
     const out = m.all === true ? everything() : news();
     if (held && (held.status !== 'alive' || stranger)) out.push(held);
     if (m.all !== true && (stranger || m.news.some(introduces))) out.push(own());
-    return { kind: 'probeAnswer', reached: true, from: briefNews(own()), sum: ownSum(), ...(stranger ? { stranger } : {}), news: out };
+    return {
+      kind: 'probeAnswer',
+      reached: true,
+      from: briefNews(own()),
+      sum: ownSum(),
+      ...(stranger ? { stranger } : {}),
+      news: out,
+    };
     function introduces(n: NodeInfo | NodeNews): boolean {
       return n.name === m.from.name && 'address' in n;
     }
@@ -119,14 +135,24 @@
 
   async function probe(to: Address, waitMs: number): Promise<boolean> {
     const all = introduced ? {} : { all: true };
-    const got = await peers.call(to, { kind: 'probe', from: briefNews(own()), ...all, news: introduced ? news() : [own(), ...news()] }, waitMs);
+    const got = await peers.call(
+      to,
+      { kind: 'probe', from: briefNews(own()), ...all, news: introduced ? news() : [own(), ...news()] },
+      waitMs,
+    );
     if (!got.ok || got.value.kind !== 'probeAnswer') return false;
     take(got.value.news, !introduced);
     introduced = true;
     if (got.value.from) take([got.value.from]);
     const unknown = got.value.from !== undefined && members.get(got.value.from.name)?.run !== got.value.from.run;
     if (got.value.stranger === true || unknown) void introduce(to);
-    else if (got.value.sum !== undefined && got.value.sum !== ownSum() && shares.size === 0 && clock.mono() - comparedAt > COMPARE_MS) void compare(to);
+    else if (
+      got.value.sum !== undefined &&
+      got.value.sum !== ownSum() &&
+      shares.size === 0 &&
+      clock.mono() - comparedAt > COMPARE_MS
+    )
+      void compare(to);
     return true;
   }
   function ownSum(): number {
@@ -135,7 +161,11 @@
   }
   async function compare(to: Address): Promise<void> {
     comparedAt = clock.mono();
-    const got = await peers.call(to, { kind: 'probe', from: briefNews(own()), all: true, news: everything() }, INDIRECT_MS);
+    const got = await peers.call(
+      to,
+      { kind: 'probe', from: briefNews(own()), all: true, news: everything() },
+      INDIRECT_MS,
+    );
     if (got.ok && got.value.kind === 'probeAnswer') take(got.value.news, true);
   }
   async function introduce(to: Address): Promise<void> {
@@ -145,10 +175,15 @@
 
   async function askHelpers(target: NodeInfo): Promise<boolean> {
     const others: NodeInfo[] = [];
-    for (const n of members.values()) if (n.name !== self.name && n.name !== target.name && n.status === 'alive') others.push(n);
+    for (const n of members.values())
+      if (n.name !== self.name && n.name !== target.name && n.status === 'alive') others.push(n);
     let reached = false;
     async function one(helper: NodeInfo): Promise<void> {
-      const got = await peers.call(helper.address, { kind: 'probeFor', target: target.name, news: news() }, INDIRECT_MS);
+      const got = await peers.call(
+        helper.address,
+        { kind: 'probeFor', target: target.name, news: news() },
+        INDIRECT_MS,
+      );
       if (got.ok && got.value.kind === 'probeAnswer') {
         take(got.value.news);
         if (got.value.reached) reached = true;
@@ -219,7 +254,8 @@
   async function greetSeed(): Promise<void> {
     const known = new Set<Address>();
     for (const n of members.values()) if (n.status === 'alive') known.add(n.address);
-    for (const contact of contacts()) if (!known.has(contact) && contact !== self.address) await probe(contact, 2 * DIRECT_MS);
+    for (const contact of contacts())
+      if (!known.has(contact) && contact !== self.address) await probe(contact, 2 * DIRECT_MS);
     const gone: NodeInfo[] = [];
     for (const n of members.values()) if (n.status === 'dead') gone.push(n);
     const again = shuffled(rng, gone)[0];
@@ -238,7 +274,8 @@
   function leave(): void {
     const gone: NodeInfo = { ...own(), status: 'left' };
     for (const n of members.values()) {
-      if (n.name !== self.name && isUp(n)) void peers.tell(n.address, { kind: 'probe', from: briefNews(gone), news: [] });
+      if (n.name !== self.name && isUp(n))
+        void peers.tell(n.address, { kind: 'probe', from: briefNews(gone), news: [] });
     }
   }
   return { all: everything, get, events, leave, stop: ticking.cancel };
--- a/src/coordination/members/peers.test.ts
+++ b/src/coordination/members/peers.test.ts
@@ -41,5 +41,8 @@
 });
 
 test('an address where no one listens is told as unreachable', async () => {
-  expect(await peers().call('127.0.0.1:1', { kind: 'standingAsk' }, 1_000)).toEqual({ ok: false, fault: { tag: 'peerUnreachable', address: '127.0.0.1:1' } });
+  expect(await peers().call('127.0.0.1:1', { kind: 'standingAsk' }, 1_000)).toEqual({
+    ok: false,
+    fault: { tag: 'peerUnreachable', address: '127.0.0.1:1' },
+  });
 });
--- a/src/coordination/members/peers.ts
+++ b/src/coordination/members/peers.ts
@@ -10,7 +10,11 @@
   | { readonly tag: 'peerUnreachable'; readonly address: Address }
   | { readonly tag: 'peerSilent'; readonly address: Address };
 
-export type Peer = { readonly tell: (m: Message) => void; readonly onClosed: (fn: () => void) => void; readonly close: () => void };
+export type Peer = {
+  readonly tell: (m: Message) => void;
+  readonly onClosed: (fn: () => void) => void;
+  readonly close: () => void;
+};
 
 export type Handler<K extends MessageKind> = (m: MessageOf<K>, peer: Peer) => Promise<Message> | Message | null;
 
--- a/src/coordination/members/silent-peers.test.ts
+++ b/src/coordination/members/silent-peers.test.ts
@@ -8,7 +8,14 @@
 import { createPeers } from './peers.js';
 import type { Peer, Peers } from './peers.js';
 
-type Room = { readonly world: World; readonly near: Host; readonly far: Host; readonly a: Peers; readonly b: Peers; readonly seen: Peer[] };
+type Room = {
+  readonly world: World;
+  readonly near: Host;
+  readonly far: Host;
+  readonly a: Peers;
+  readonly b: Peers;
+  readonly seen: Peer[];
+};
 const ASK: Message = { kind: 'standingAsk' };
 const DONE: Message = { kind: 'done', agreed: true };
 
--- a/src/coordination/scaling/cloud-client.ts
+++ b/src/coordination/scaling/cloud-client.ts
@@ -1,6 +1,13 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
-import { MACHINES_PATH, PRICES_PATH, readMachine, readMachines, readNoCapacity, readPrices } from '../../protocol/cloud-wire.js';
+import {
+  MACHINES_PATH,
+  PRICES_PATH,
+  readMachine,
+  readMachines,
+  readNoCapacity,
+  readPrices,
+} from '../../protocol/cloud-wire.js';
 import type { CloudOrder, Machine } from '../../protocol/cloud-wire.js';
 import { readWorkerList, WORKERS_PATH } from '../../protocol/platform-wire.js';
 import type { Listed } from '../../state/listed.js';
@@ -8,7 +15,10 @@
 import type { Caller } from '../../transport/http.js';
 import type { Address } from '../../transport/wire.js';
 
-export type CloudFault = { readonly tag: 'noCapacity' } | { readonly tag: 'cloudSilent' } | { readonly tag: 'cloudNonsense'; readonly detail: string };
+export type CloudFault =
+  | { readonly tag: 'noCapacity' }
+  | { readonly tag: 'cloudSilent' }
+  | { readonly tag: 'cloudNonsense'; readonly detail: string };
 
 export type CloudClient = {
   readonly place: (order: CloudOrder) => Promise<Result<Machine, CloudFault>>;
@@ -28,19 +38,32 @@
     if (readNoCapacity(got.value.body).ok) return err({ tag: 'noCapacity' });
     const read = readMachine(got.value.body);
     if (!read.ok) return err({ tag: 'cloudNonsense', detail: read.fault.detail });
-    if (read.value.machine.key !== order.key) return err({ tag: 'cloudNonsense', detail: 'the machine bears another key' });
+    if (read.value.machine.key !== order.key)
+      return err({ tag: 'cloudNonsense', detail: 'the machine bears another key' });
     return ok(read.value.machine);
   }
   async function machines(owner: string): Promise<Result<Machine[], CloudFault>> {
-    const got = await caller.call({ method: 'GET', address, path: `${MACHINES_PATH}?owner=${encodeURIComponent(owner)}`, timeoutMs: WAIT_MS });
+    const got = await caller.call({
+      method: 'GET',
+      address,
+      path: `${MACHINES_PATH}?owner=${encodeURIComponent(owner)}`,
+      timeoutMs: WAIT_MS,
+    });
     if (!got.ok) return err({ tag: 'cloudSilent' });
     const read = readMachines(got.value.body);
     return read.ok ? ok(read.value.machines) : err({ tag: 'cloudNonsense', detail: read.fault.detail });
   }
   async function release(machine: string): Promise<Result<null, CloudFault>> {
-    const got = await caller.call({ method: 'DELETE', address, path: `${MACHINES_PATH}/${encodeURIComponent(machine)}`, timeoutMs: WAIT_MS });
+    const got = await caller.call({
+      method: 'DELETE',
+      address,
+      path: `${MACHINES_PATH}/${encodeURIComponent(machine)}`,
+      timeoutMs: WAIT_MS,
+    });
     if (!got.ok) return err({ tag: 'cloudSilent' });
-    return got.value.status === 200 || got.value.status === 404 ? ok(null) : err({ tag: 'cloudNonsense', detail: `status ${got.value.status}` });
+    return got.value.status === 200 || got.value.status === 404
+      ? ok(null)
+      : err({ tag: 'cloudNonsense', detail: `status ${got.value.status}` });
   }
   async function prices(): Promise<Result<Record<string, Price>, CloudFault>> {
     const got = await caller.call({ method: 'GET', address, path: PRICES_PATH, timeoutMs: WAIT_MS });
--- a/src/coordination/scaling/list-duty.test.ts
+++ b/src/coordination/scaling/list-duty.test.ts
@@ -34,19 +34,42 @@
 };
 
 function worker(n: number, more: Partial<WorkerEntry> = {}): WorkerEntry {
-  return { id: `w${n}`, model: 'm', address: `10.9.0.${n}:80`, zone: `z${n % 3}`, region: `r${n % 3}`, release: 'v1', places: 64, leaving: false, remainingMs: null, coldMs: 0, ...more };
+  return {
+    id: `w${n}`,
+    model: 'm',
+    address: `10.9.0.${n}:80`,
+    zone: `z${n % 3}`,
+    region: `r${n % 3}`,
+    release: 'v1',
+    places: 64,
+    leaving: false,
+    remainingMs: null,
+    coldMs: 0,
+    ...more,
+  };
 }
 
 function createRoom(seed: number, heads: number, edges: number): Room {
   const world = createWorld(seed);
   const net = createSimNet(world);
-  for (const [a, b] of [['z0', 'z1'], ['z0', 'z2'], ['z1', 'z2']] as const) world.setDelay(a, b, 35);
-  const platform: Room['platform'] = { down: false, listings: [{ at: -10_000, entries: [1, 2, 3, 4, 5, 6].map((n) => worker(n)) }], host: world.host('platform', 'z0') };
+  for (const [a, b] of [
+    ['z0', 'z1'],
+    ['z0', 'z2'],
+    ['z1', 'z2'],
+  ] as const)
+    world.setDelay(a, b, 35);
+  const platform: Room['platform'] = {
+    down: false,
+    listings: [{ at: -10_000, entries: [1, 2, 3, 4, 5, 6].map((n) => worker(n)) }],
+    host: world.host('platform', 'z0'),
+  };
   world.begin(platform.host);
   const calls: { at: number; by: string; good: boolean }[] = [];
   const room: Room = { world, net, heads: [], edges: [], calls, platform, startHead, startEdge };
-  for (let i = 0; i < heads; i += 1) room.heads.push({ host: world.host(`head-${i}`, `z${i % 3}`), address: `10.0.0.${i + 1}:1`, duty: null });
-  for (let i = 0; i < edges; i += 1) room.edges.push({ host: world.host(`edge-${i}`, `z${i % 3}`), address: `10.1.0.${i}:1`, feed: null, seen: 0 });
+  for (let i = 0; i < heads; i += 1)
+    room.heads.push({ host: world.host(`head-${i}`, `z${i % 3}`), address: `10.0.0.${i + 1}:1`, duty: null });
+  for (let i = 0; i < edges; i += 1)
+    room.edges.push({ host: world.host(`edge-${i}`, `z${i % 3}`), address: `10.1.0.${i}:1`, feed: null, seen: 0 });
 
   function readerOf(proc: Proc): ListReader {
     const clock = world.clockOf(proc);
@@ -56,8 +79,12 @@
         calls.push({ at: world.now(), by: proc.host.name, good: !shut });
         const shown = platform.listings.filter((l) => l.at <= world.now() - LAG_MS);
         const last = shown[shown.length - 1] as Listing;
-        const entries = last.entries.map((e) => (e.remainingMs === null ? e : { ...e, remainingMs: Math.max(0, e.remainingMs - (world.now() - last.at)) }));
-        clock.wakeup(shut ? READ_WAIT_MS : 2 * world.delay(proc.host, platform.host), () => resolve(shut ? err({ tag: 'listSilent' }) : ok(entries)));
+        const entries = last.entries.map((e) =>
+          e.remainingMs === null ? e : { ...e, remainingMs: Math.max(0, e.remainingMs - (world.now() - last.at)) },
+        );
+        clock.wakeup(shut ? READ_WAIT_MS : 2 * world.delay(proc.host, platform.host), () =>
+          resolve(shut ? err({ tag: 'listSilent' }) : ok(entries)),
+        );
       });
     }
     return { read };
@@ -84,7 +111,9 @@
   }
   function startEdge(e: Edge): void {
     const proc = world.begin(e.host);
-    const near = [...room.heads].sort((a, b) => Number(a.host.zone !== e.host.zone) - Number(b.host.zone !== e.host.zone));
+    const near = [...room.heads].sort(
+      (a, b) => Number(a.host.zone !== e.host.zone) - Number(b.host.zone !== e.host.zone),
+    );
     const feed = createListFeed({
       reader: readerOf(proc),
       heads: () => near.map((x) => x.address),
@@ -117,7 +146,11 @@
 }
 function callsSince(room: Room, at: number): { heads: number; edges: number; readers: number } {
   const since = room.calls.filter((c) => c.at >= at);
-  return { heads: since.filter((c) => c.by.startsWith('head')).length, edges: since.filter((c) => c.by.startsWith('edge')).length, readers: new Set(since.map((c) => c.by)).size };
+  return {
+    heads: since.filter((c) => c.by.startsWith('head')).length,
+    edges: since.filter((c) => c.by.startsWith('edge')).length,
+    readers: new Set(since.map((c) => c.by)).size,
+  };
 }
 function seesLeaving(e: Edge, id: string): boolean {
   return e.feed?.entries().some((w) => w.id === id && w.leaving) ?? false;
@@ -157,30 +190,39 @@
 
   test.each([
     ['killed', 3, (room: Room) => room.world.kill(reader(room).host)],
-    ['without power', 4, (room: Room) => {
-      const { host } = reader(room);
-      host.powered = false;
-      room.world.kill(host);
-    }],
+    [
+      'without power',
+      4,
+      (room: Room) => {
+        const { host } = reader(room);
+        host.powered = false;
+        room.world.kill(host);
+      },
+    ],
     ['frozen', 5, (room: Room) => room.world.freeze(reader(room).host)],
     ['cut off', 6, (room: Room) => cutOff(room, reader(room), true, true)],
     ['unheard', 7, (room: Room) => cutOff(room, reader(room), true, false)],
     ['deaf', 8, (room: Room) => cutOff(room, reader(room), false, true)],
-  ] as const)('with the reader %s, every sluice in touch sees a drain within 2 s of its being listed', async (_, seed, strike) => {
-    for (let s = 0; s < 5; s += 1) {
-      const room = await started(seed + 100 * s);
-      await room.world.advance(170 * s);
-      strike(room);
-      const shownAt = list(room, DRAINED);
-      const before = room.calls.length;
-      expect(await msUntilAllSee(room, 'w2', shownAt)).toBeLessThan(2_000);
-      await room.world.advance(3_000);
-      const since = room.world.now();
-      await room.world.advance(5_000);
-      expect(callsSince(room, since).edges).toBe(0);
-      expect(room.calls.slice(before).filter((c) => c.by.startsWith('edge')).length).toBeLessThanOrEqual(room.edges.length);
-    }
-  });
+  ] as const)(
+    'with the reader %s, every sluice in touch sees a drain within 2 s of its being listed',
+    async (_, seed, strike) => {
+      for (let s = 0; s < 5; s += 1) {
+        const room = await started(seed + 100 * s);
+        await room.world.advance(170 * s);
+        strike(room);
+        const shownAt = list(room, DRAINED);
+        const before = room.calls.length;
+        expect(await msUntilAllSee(room, 'w2', shownAt)).toBeLessThan(2_000);
+        await room.world.advance(3_000);
+        const since = room.world.now();
+        await room.world.advance(5_000);
+        expect(callsSince(room, since).edges).toBe(0);
+        expect(room.calls.slice(before).filter((c) => c.by.startsWith('edge')).length).toBeLessThanOrEqual(
+          room.edges.length,
+        );
+      }
+    },
+  );
 
   test('a reader that was frozen finds that another reads, and stops at once', async () => {
     const room = await started(9);
@@ -198,19 +240,22 @@
     expect(callsSince(room, from)).toEqual({ heads: 5, edges: 0, readers: 1 });
   });
 
-  test.each([30, 31, 32, 33])('a reader that is back soon after its death does not hold up the next one (seed %i)', async (seed) => {
-    const room = await started(seed);
-    const old = reader(room);
-    const before = room.calls.length;
-    await room.world.until(2_000, () => room.calls.length > before);
-    const last = room.world.now();
-    await room.world.advance(100);
-    room.world.kill(old.host);
-    await room.world.advance(500);
-    room.startHead(old);
-    expect(await room.world.until(5_000, () => room.calls.some((c) => c.at > last))).toBe(true);
-    expect(room.world.now() - last).toBeLessThan(1_700);
-  });
+  test.each([30, 31, 32, 33])(
+    'a reader that is back soon after its death does not hold up the next one (seed %i)',
+    async (seed) => {
+      const room = await started(seed);
+      const old = reader(room);
+      const before = room.calls.length;
+      await room.world.until(2_000, () => room.calls.length > before);
+      const last = room.world.now();
+      await room.world.advance(100);
+      room.world.kill(old.host);
+      await room.world.advance(500);
+      room.startHead(old);
+      expect(await room.world.until(5_000, () => room.calls.some((c) => c.at > last))).toBe(true);
+      expect(room.world.now() - last).toBeLessThan(1_700);
+    },
+  );
 
   test('a reader that wakes and reaches no other at first, yet hears one, lets it read on', async () => {
     const room = await started(15);
@@ -273,7 +318,9 @@
     expect(seen.heads / 20).toBeLessThan(2.5);
     expect(seen.edges / 20).toBeLessThan(12);
     const perSecond = new Map<number, number>();
-    for (const c of room.calls) if (c.at >= from && c.by.startsWith('edge')) perSecond.set(Math.floor(c.at / 1_000), (perSecond.get(Math.floor(c.at / 1_000)) ?? 0) + 1);
+    for (const c of room.calls)
+      if (c.at >= from && c.by.startsWith('edge'))
+        perSecond.set(Math.floor(c.at / 1_000), (perSecond.get(Math.floor(c.at / 1_000)) ?? 0) + 1);
     expect(Math.max(...perSecond.values())).toBeLessThanOrEqual(20);
     expect(room.edges.every((e) => e.feed?.entries().length === 6)).toBe(true);
     room.platform.down = false;
@@ -330,7 +377,10 @@
       }
       for (let i = 2; i < 40; i += 1) {
         releases[i % 3] = i;
-        list(room, [1, 2, 3].map((n) => worker(n, { release: `v${releases[n - 1]}` })));
+        list(
+          room,
+          [1, 2, 3].map((n) => worker(n, { release: `v${releases[n - 1]}` })),
+        );
         await room.world.advance(900);
       }
       await room.world.advance(2_500);
--- a/src/coordination/scaling/list-duty.ts
+++ b/src/coordination/scaling/list-duty.ts
@@ -117,7 +117,8 @@
     if (held === null) return { kind: 'listBeat', number: null, ageMs: null, silent };
     const ageMs = news.ageMs();
     const sinceMs = Math.min(news.heardMs(), Number.MAX_SAFE_INTEGER);
-    if (number !== null && compareNumbers(number, held) >= 0) return { kind: 'listBeat', number: held, ageMs, sinceMs, silent };
+    if (number !== null && compareNumbers(number, held) >= 0)
+      return { kind: 'listBeat', number: held, ageMs, sinceMs, silent };
     return { kind: 'listWhole', number: held, ageMs, sinceMs, entries: [...book.entries()] };
   }
 
--- a/src/coordination/scaling/observer.test.ts
+++ b/src/coordination/scaling/observer.test.ts
@@ -21,21 +21,56 @@
 type Day = { readonly core: SimCore; readonly platform: { list: WorkerEntry[]; down: boolean } };
 
 function worker(id: string, zone: string, more: Partial<WorkerEntry> = {}): WorkerEntry {
-  return { id, model: 'm', address: `${id}:1`, zone, region: zone, release: 'v1', places: 64, leaving: false, remainingMs: null, coldMs: 0, ...more };
+  return {
+    id,
+    model: 'm',
+    address: `${id}:1`,
+    zone,
+    region: zone,
+    release: 'v1',
+    places: 64,
+    leaving: false,
+    remainingMs: null,
+    coldMs: 0,
+    ...more,
+  };
 }
 
 async function day(seed: number, deployment: Settings = {}): Promise<Day> {
   const platform = { list: [...Array(9).keys()].map((i) => worker(`w${i}`, ZONES[i % 3] as string)), down: false };
   function listReader(): ListReader {
-    return { read: () => Promise.resolve(platform.down ? err({ tag: 'listSilent' as const }) : ok([...platform.list])) };
+    return {
+      read: () => Promise.resolve(platform.down ? err({ tag: 'listSilent' as const }) : ok([...platform.list])),
+    };
   }
-  const core = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: 35, zones: ZONES, listReader, operatorDoor: true });
+  const core = createSimCore(seed, {
+    headgates: 3,
+    seeds: 3,
+    regionMs: 35,
+    zones: ZONES,
+    listReader,
+    operatorDoor: true,
+  });
   core.startAll();
   expect(await core.until(5_000, () => core.whole(THREE))).toBe(true);
-  const serving = { number: 1, mappings: {}, models: { m: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 3, coldRateS: 9, engine: { batch: 64, kvTokens: 1 } } }, limits: DEFAULT_LIMITS };
-  const changes = [{ path: ['serving'], value: serving }, { path: ['deployment'], value: deployment }];
+  const serving = {
+    number: 1,
+    mappings: {},
+    models: {
+      m: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 3, coldRateS: 9, engine: { batch: 64, kvTokens: 1 } },
+    },
+    limits: DEFAULT_LIMITS,
+  };
+  const changes = [
+    { path: ['serving'], value: serving },
+    { path: ['deployment'], value: deployment },
+  ];
   const first = core.node('h1').headgate?.ledger;
-  await core.finish(first?.propose({ cause: 'An operator.', act: { tag: 'configured', base: 0, changes } }, 3_000) ?? Promise.resolve(null), 5_000);
+  await core.finish(
+    first?.propose({ cause: 'An operator.', act: { tag: 'configured', base: 0, changes } }, 3_000) ??
+      Promise.resolve(null),
+    5_000,
+  );
   expect(await core.until(20_000, () => Object.keys(belief(core).orders).length >= 9)).toBe(true);
   await core.world.advance(2_000);
   return { core, platform };
@@ -57,8 +92,12 @@
 }
 function decisions(core: SimCore, from = 0): { slot: number; entry: Entry; steps: readonly Step[] }[] {
   const out: { slot: number; entry: Entry; steps: readonly Step[] }[] = [];
-  const newest = core.nodes.map((n) => n.headgate?.ledger).reduce((a, b) => ((b?.belief().slot ?? -1) > (a?.belief().slot ?? -1) ? b : a));
-  for (const { slot, batch } of newest?.since(from) ?? []) for (const entry of batch.entries) if (entry.act.tag === 'decided') out.push({ slot, entry, steps: entry.act.steps });
+  const newest = core.nodes
+    .map((n) => n.headgate?.ledger)
+    .reduce((a, b) => ((b?.belief().slot ?? -1) > (a?.belief().slot ?? -1) ? b : a));
+  for (const { slot, batch } of newest?.since(from) ?? [])
+    for (const entry of batch.entries)
+      if (entry.act.tag === 'decided') out.push({ slot, entry, steps: entry.act.steps });
   return out;
 }
 function sets(core: SimCore): string {
@@ -70,13 +109,31 @@
 }
 
 function report(reporter: string, count: number, more: Partial<Report>): Report {
-  return { reporter, run: 'r1', incarnation: 1, count, requests: {}, shed: 0, dispatched: 0, retried: 0, slot: 0, fitness: {}, http: 'x:1', ready: true, zone: 'a', region: 'a', ...more };
+  return {
+    reporter,
+    run: 'r1',
+    incarnation: 1,
+    count,
+    requests: {},
+    shed: 0,
+    dispatched: 0,
+    retried: 0,
+    slot: 0,
+    fitness: {},
+    http: 'x:1',
+    ready: true,
+    zone: 'a',
+    region: 'a',
+    ...more,
+  };
 }
 
 describe('the scaler where no machine can be ordered', () => {
   test('a calm day: what stands is taken over in one entry, and then none is written', async () => {
     const { core } = await day(1);
-    expect(decisions(core).map((d) => d.steps.map((s) => s.act.tag))).toEqual([['zonesMoved', 'targetChanged', 'ordersAdopted']]);
+    expect(decisions(core).map((d) => d.steps.map((s) => s.act.tag))).toEqual([
+      ['zonesMoved', 'targetChanged', 'ordersAdopted'],
+    ]);
     const { slot } = belief(core);
     await core.world.advance(60_000);
     expect(belief(core).slot).toBe(slot);
@@ -97,44 +154,59 @@
     await d.core.world.advance(500);
     const at = await holder(d.core);
     const fence = belief(d.core).leases['scaler']?.fence;
-    const gauge = createCore(['h1', 'h2', 'h3'].map((n) => `${d.core.node(n).wire}0`), d.core.lab('gauge').caller);
+    const gauge = createCore(
+      ['h1', 'h2', 'h3'].map((n) => `${d.core.node(n).wire}0`),
+      d.core.lab('gauge').caller,
+    );
     const orders = ordersText((await d.core.finish(gauge.ask(ordersAsk('m')), 5_000))?.body);
-    expect(orders).toMatch(new RegExp(`found-w1 m spot in b: lost, machine w1\\n.*placed +by ${at}.* \\(fence ${fence}\\): Stood in the list.*\\n.*\\n.*lost +by ${at}.* \\(fence ${fence}\\): Taken away at short notice: \\d+ ms were left`));
+    expect(orders).toMatch(
+      new RegExp(
+        `found-w1 m spot in b: lost, machine w1\\n.*placed +by ${at}.* \\(fence ${fence}\\): Stood in the list.*\\n.*\\n.*lost +by ${at}.* \\(fence ${fence}\\): Taken away at short notice: \\d+ ms were left`,
+      ),
+    );
     const ledger = ledgerText((await d.core.finish(gauge.ask(ledgerAsk('0')), 5_000))?.body);
     expect(ledger).toMatch(/zonesMoved +A spot worker was lost in b\./);
     expect(ledger).toMatch(/zonesMoved +A launch became ready in b\./);
   });
 
-  test.each(['kill', 'freeze', 'cut'] as const)('a holder lost by %s: the next goes on from the ledger, and both never write', async (how) => {
-    for (let seed = 30; seed < 34; seed += 1) {
-      const d = await day(seed);
-      change(d, 'w1', { leaving: true, remainingMs: 6_000 });
-      expect(await d.core.until(5_000, () => sets(d.core) === 'ac|b')).toBe(true);
-      const was = await holder(d.core);
-      const { host } = d.core.node(was);
-      const { slot } = belief(d.core);
-      if (how === 'kill') d.core.kill(was);
-      if (how === 'freeze') d.core.world.freeze(host);
-      if (how === 'cut') d.core.cutOff([was]);
-      change(d, 'w1', null);
-      change(d, 'w2', { leaving: true });
-      expect(await d.core.until(25_000, () => holders(d.core).some((n) => n !== was))).toBe(true);
-      await d.core.world.advance(3_000);
-      if (how === 'kill') d.core.start(was);
-      if (how === 'freeze') d.core.world.thaw(host);
-      if (how === 'cut') d.core.world.healAll();
-      d.platform.list.push(worker('w20', 'b'));
-      await d.core.world.advance(8_000);
-      const now = await holder(d.core);
-      expect(now).not.toBe(was);
-      expect(sets(d.core)).toBe('acb|');
-      const since = decisions(d.core, slot + 1);
-      expect(since.flatMap((x) => x.steps.map((s) => s.act.tag)).sort()).toEqual(['orderDraining', 'ordersAdopted', 'zonesMoved']);
-      const { leases } = belief(d.core);
-      for (const x of since) expect([x.entry.author.startsWith(now), x.entry.fence]).toEqual([true, leases['scaler']?.fence]);
-      expect(d.core.broken).toEqual([]);
-    }
-  });
+  test.each(['kill', 'freeze', 'cut'] as const)(
+    'a holder lost by %s: the next goes on from the ledger, and both never write',
+    async (how) => {
+      for (let seed = 30; seed < 34; seed += 1) {
+        const d = await day(seed);
+        change(d, 'w1', { leaving: true, remainingMs: 6_000 });
+        expect(await d.core.until(5_000, () => sets(d.core) === 'ac|b')).toBe(true);
+        const was = await holder(d.core);
+        const { host } = d.core.node(was);
+        const { slot } = belief(d.core);
+        if (how === 'kill') d.core.kill(was);
+        if (how === 'freeze') d.core.world.freeze(host);
+        if (how === 'cut') d.core.cutOff([was]);
+        change(d, 'w1', null);
+        change(d, 'w2', { leaving: true });
+        expect(await d.core.until(25_000, () => holders(d.core).some((n) => n !== was))).toBe(true);
+        await d.core.world.advance(3_000);
+        if (how === 'kill') d.core.start(was);
+        if (how === 'freeze') d.core.world.thaw(host);
+        if (how === 'cut') d.core.world.healAll();
+        d.platform.list.push(worker('w20', 'b'));
+        await d.core.world.advance(8_000);
+        const now = await holder(d.core);
+        expect(now).not.toBe(was);
+        expect(sets(d.core)).toBe('acb|');
+        const since = decisions(d.core, slot + 1);
+        expect(since.flatMap((x) => x.steps.map((s) => s.act.tag)).sort()).toEqual([
+          'orderDraining',
+          'ordersAdopted',
+          'zonesMoved',
+        ]);
+        const { leases } = belief(d.core);
+        for (const x of since)
+          expect([x.entry.author.startsWith(now), x.entry.fence]).toEqual([true, leases['scaler']?.fence]);
+        expect(d.core.broken).toEqual([]);
+      }
+    },
+  );
 
   test('decisions of an old holder that come late fold to nothing', async () => {
     const d = await day(40);
@@ -145,7 +217,10 @@
     expect(await d.core.until(25_000, () => holders(d.core).some((n) => n !== was))).toBe(true);
     d.core.world.thaw(d.core.node(was).host);
     const steps: Step[] = [{ cause: 'late', act: { tag: 'targetChanged', model: 'm', target: 50 } }];
-    const got = await d.core.finish(old?.propose({ cause: 'late', act: { tag: 'decided', steps }, fence }, 3_000) ?? Promise.resolve(null), 10_000);
+    const got = await d.core.finish(
+      old?.propose({ cause: 'late', act: { tag: 'decided', steps }, fence }, 3_000) ?? Promise.resolve(null),
+      10_000,
+    );
     expect(got).toMatchObject({ ok: true, value: { outcome: { tag: 'staleFence' } } });
     expect(belief(d.core).targets['m']).toBe(1);
   });
@@ -192,26 +267,46 @@
     async function send(seconds: number, perSecond: number): Promise<void> {
       for (let i = 0; i < seconds * 2; i += 1) {
         n += perSecond / 2;
-        for (const name of THREE) void peers.tell(d.core.node(name).wire, { kind: 'reports', reports: [report('sluice-1', i + 1, { requests: { m: n } })] });
+        for (const name of THREE)
+          void peers.tell(d.core.node(name).wire, {
+            kind: 'reports',
+            reports: [report('sluice-1', i + 1, { requests: { m: n } })],
+          });
         await d.core.world.advance(500);
       }
     }
-    await d.core.finish(d.core.node('h1').headgate?.ledger.propose({ cause: '-', act: { tag: 'sluiceKnown', name: 'sluice-1', zone: 'a', region: 'a' } }, 3_000) ?? Promise.resolve(null), 5_000);
+    await d.core.finish(
+      d.core
+        .node('h1')
+        .headgate?.ledger.propose(
+          { cause: '-', act: { tag: 'sluiceKnown', name: 'sluice-1', zone: 'a', region: 'a' } },
+          3_000,
+        ) ?? Promise.resolve(null),
+      5_000,
+    );
     await send(20, 10);
     expect(belief(d.core).targets['m']).toBe(5);
     await d.core.world.advance(20_000);
     expect(belief(d.core).targets['m']).toBe(5);
   });
 
-  test.each([['most', 3, 1], ['one of nine', 1, 0]] as const)('a worker that %s sluices find unfit for long, while it is listed, is lost or not', async (_, saying, lost) => {
-    const d = await day(80);
-    const { wire, clock } = d.core.lab('sluices');
-    const peers = createPeers(wire, clock, createQuietLog().part('peers'));
-    for (let i = 1; i <= 30; i += 1) {
-      const reports = [...Array(9).keys()].map((k) => report(`s${k}`, i, { fitness: k < saying ? { w4: 'unfit' } : {} }));
-      for (const name of THREE) void peers.tell(d.core.node(name).wire, { kind: 'reports', reports });
-      await d.core.world.advance(500);
-    }
-    expect(belief(d.core).closed.filter((o) => o.machine === 'w4' && o.status === 'lost')).toHaveLength(lost);
-  });
+  test.each([
+    ['most', 3, 1],
+    ['one of nine', 1, 0],
+  ] as const)(
+    'a worker that %s sluices find unfit for long, while it is listed, is lost or not',
+    async (_, saying, lost) => {
+      const d = await day(80);
+      const { wire, clock } = d.core.lab('sluices');
+      const peers = createPeers(wire, clock, createQuietLog().part('peers'));
+      for (let i = 1; i <= 30; i += 1) {
+        const reports = [...Array(9).keys()].map((k) =>
+          report(`s${k}`, i, { fitness: k < saying ? { w4: 'unfit' } : {} }),
+        );
+        for (const name of THREE) void peers.tell(d.core.node(name).wire, { kind: 'reports', reports });
+        await d.core.world.advance(500);
+      }
+      expect(belief(d.core).closed.filter((o) => o.machine === 'w4' && o.status === 'lost')).toHaveLength(lost);
+    },
+  );
 });
--- a/src/coordination/scaling/observer.ts
+++ b/src/coordination/scaling/observer.ts
@@ -68,7 +68,8 @@
       const at = push.heardAt(r.reporter);
       if (at === null || now - at > REPORT_FRESH_MS) continue;
       reporters += 1;
-      for (const [id, verdict] of Object.entries(r.fitness)) votes.set(id, (votes.get(id) ?? 0) + (verdict === 'unfit' ? 1 : -1));
+      for (const [id, verdict] of Object.entries(r.fitness))
+        votes.set(id, (votes.get(id) ?? 0) + (verdict === 'unfit' ? 1 : -1));
     }
     const out = new Set<string>();
     const listed = new Set<string>();
@@ -88,7 +89,8 @@
   function seenList(): readonly WorkerEntry[] | null {
     const at = feed.asOf();
     const old = at === null || clock.mono() - at > LIST_OLD_MS;
-    if (old !== blind) log.warn(old ? "The platform's list is old; nothing is decided on it." : "The platform's list is fresh again.");
+    if (old !== blind)
+      log.warn(old ? "The platform's list is old; nothing is decided on it." : "The platform's list is fresh again.");
     blind = old;
     return old ? null : feed.entries();
   }
--- a/src/coordination/scaling/scaler.ts
+++ b/src/coordination/scaling/scaler.ts
@@ -116,13 +116,18 @@
 
   async function settleIntended(fence: number, machines: readonly SeenMachine[] | null): Promise<void> {
     const work: Promise<void>[] = [];
-    for (const order of Object.values(ledger.belief().orders)) if (order.status === 'intended') work.push(settleOne(order));
+    for (const order of Object.values(ledger.belief().orders))
+      if (order.status === 'intended') work.push(settleOne(order));
     await Promise.all(work);
 
     async function settleOne(order: Order): Promise<void> {
       const had = machineByKey(machines, order.id);
       if (had) {
-        await record(fence, 'The cloud already holds a machine for this order.', { tag: 'orderPlaced', order: order.id, machine: had.id });
+        await record(fence, 'The cloud already holds a machine for this order.', {
+          tag: 'orderPlaced',
+          order: order.id,
+          machine: had.id,
+        });
         return;
       }
       if (ledger.belief().evacuated[order.zone] !== undefined) {
@@ -140,7 +145,11 @@
           accelerator,
         });
         if (got.ok) {
-          await record(fence, `The cloud took the order (${accelerator}).`, { tag: 'orderPlaced', order: order.id, machine: got.value.id });
+          await record(fence, `The cloud took the order (${accelerator}).`, {
+            tag: 'orderPlaced',
+            order: order.id,
+            machine: got.value.id,
+          });
           return;
         }
         if (got.fault.tag !== 'noCapacity') {
@@ -154,7 +163,9 @@
   }
 
   function failedLaunch(order: Order): Decision[] {
-    const out: Decision[] = [{ cause: `No ${order.kind} capacity in ${order.zone}.`, act: { tag: 'orderFailed', order: order.id } }];
+    const out: Decision[] = [
+      { cause: `No ${order.kind} capacity in ${order.zone}.`, act: { tag: 'orderFailed', order: order.id } },
+    ];
     if (order.kind === 'spot') failedZones.push({ model: order.model, zone: order.zone });
     return out;
   }
@@ -231,7 +242,11 @@
     const workers = seenWorkers.ok ? seenWorkers.value : null;
     const blind = machines === null || workers === null;
     if (blind !== ageNoted) {
-      log.warn(blind ? 'The cloud or the platform does not answer; what it told last grows old.' : 'The cloud and the platform answer again.');
+      log.warn(
+        blind
+          ? 'The cloud or the platform does not answer; what it told last grows old.'
+          : 'The cloud and the platform answer again.',
+      );
     }
     ageNoted = blind;
     if (!mayAct(fence)) return;
--- a/src/flume/flume.ts
+++ b/src/flume/flume.ts
@@ -40,12 +40,22 @@
 };
 
 export type FlumeFault =
-  | { readonly tag: 'failed'; readonly failure: Failure; readonly retryAfterS: number; readonly requestId: string | null }
+  | {
+      readonly tag: 'failed';
+      readonly failure: Failure;
+      readonly retryAfterS: number;
+      readonly requestId: string | null;
+    }
   | { readonly tag: 'noSluice' }
   | { readonly tag: 'wrongSeal'; readonly requestId: string }
   | { readonly tag: 'outcomeUnknown'; readonly requestId: string };
 
-export type FlumeAnswer = { readonly requestId: string; readonly dispatchId: string; readonly text: string; readonly pieces: number };
+export type FlumeAnswer = {
+  readonly requestId: string;
+  readonly dispatchId: string;
+  readonly text: string;
+  readonly pieces: number;
+};
 
 export type FlumeEvent =
   | { readonly tag: 'piece'; readonly n: number; readonly text: string }
@@ -75,7 +85,8 @@
   function inTurn(): readonly Address[] {
     const good: Address[] = [];
     const silent: Address[] = [];
-    for (const s of settings.sluices) (clock.mono() - (silentAt.get(s) ?? -SILENT_REST_MS) < SILENT_REST_MS ? silent : good).push(s);
+    for (const s of settings.sluices)
+      (clock.mono() - (silentAt.get(s) ?? -SILENT_REST_MS) < SILENT_REST_MS ? silent : good).push(s);
     return [...good, ...silent];
   }
 
@@ -110,7 +121,13 @@
   async function place(ask: FlumeAsk, without: readonly string[]): Promise<Result<Placed, FlumeFault>> {
     let refusal: FlumeFault = { tag: 'noSluice' };
     for (const address of inTurn()) {
-      const got = await caller.call({ method: 'POST', address, path: PLACE_PATH, body: placeAsk(ask, without), timeoutMs: settings.placeWaitMs ?? 2_000 });
+      const got = await caller.call({
+        method: 'POST',
+        address,
+        path: PLACE_PATH,
+        body: placeAsk(ask, without),
+        timeoutMs: settings.placeWaitMs ?? 2_000,
+      });
       if (!got.ok) {
         silentAt.set(address, clock.mono());
         continue;
@@ -121,7 +138,8 @@
       const failed = failureOf(got.value, null);
       if (!failed) continue;
       refusal = failed;
-      if (failed.tag !== 'failed' || failed.failure.tag !== 'shed' || failed.failure.reason !== 'notReady') return err(failed);
+      if (failed.tag !== 'failed' || failed.failure.tag !== 'shed' || failed.failure.reason !== 'notReady')
+        return err(failed);
     }
     return err(refusal);
   }
@@ -146,7 +164,13 @@
         path: REQUESTS_PATH,
         signal: stop.signal,
         headers: { [TICKET_HEADER]: ticket },
-        body: { requestId, parts: ask.parts, outputTokens: ask.outputTokens, stream, ...(ask.key === undefined ? {} : { key: ask.key }) },
+        body: {
+          requestId,
+          parts: ask.parts,
+          outputTokens: ask.outputTokens,
+          stream,
+          ...(ask.key === undefined ? {} : { key: ask.key }),
+        },
         timeoutMs: settings.requestWaitMs ?? 130_000,
         stream,
       });
@@ -209,12 +233,22 @@
       }
       const at = read.value;
       if ('error' in at) {
-        yield { tag: 'fault', fault: { tag: 'failed', failure: at.error, retryAfterS: at.error.tag === 'cut' ? at.error.retryAfterS : 1, requestId } };
+        yield {
+          tag: 'fault',
+          fault: {
+            tag: 'failed',
+            failure: at.error,
+            retryAfterS: at.error.tag === 'cut' ? at.error.retryAfterS : 1,
+            requestId,
+          },
+        };
         return;
       }
       if ('seal' in at) {
         const wrong = checkSeal(check, at.seal);
-        yield wrong ? { tag: 'fault', fault: { tag: 'wrongSeal', requestId } } : { tag: 'sealed', dispatchId: at.seal.dispatchId };
+        yield wrong
+          ? { tag: 'fault', fault: { tag: 'wrongSeal', requestId } }
+          : { tag: 'sealed', dispatchId: at.seal.dispatchId };
         return;
       }
       if (addPiece(check, at.piece)) {
--- a/src/operator/aims.test.ts
+++ b/src/operator/aims.test.ts
@@ -7,7 +7,12 @@
 import { reportAims } from './aims.js';
 import type { Core } from './core.js';
 
-const cfg: Configuration = { zones: {}, deployment: {}, regions: { hungary: { models: { summary: {}, 'card-gateway': {} } } }, mappings: { review: { model: 'summary' } } };
+const cfg: Configuration = {
+  zones: {},
+  deployment: {},
+  regions: { hungary: { models: { summary: {}, 'card-gateway': {} } } },
+  mappings: { review: { model: 'summary' } },
+};
 const doc = {
   aims: [
     { name: 'summaries succeed', measure: 'success', model: 'summary', objective: 0.99, window: '2m' },
@@ -26,14 +31,24 @@
 describe('a document of aims', () => {
   test('is read, and each fault is told with its place', () => {
     expect(faultsOf(doc)).toEqual([]);
-    expect(faultsOf({ aims: [{ name: 'a', measure: 'success', mapping: 'review', objective: 1, window: '24h' }] })).toEqual([]);
+    expect(
+      faultsOf({ aims: [{ name: 'a', measure: 'success', mapping: 'review', objective: 1, window: '24h' }] }),
+    ).toEqual([]);
     expect(faultsOf({ aim: [] })).toEqual(['/aim: aims; "aim"', '/aims: a list of aims; nothing']);
     expect(faultsOf(null)).toEqual(['/aims: a list of aims; nothing']);
     expect(
       faultsOf({
         aims: [
           { name: 'a', measure: 'luck', model: 'ghost', objective: 2, window: '3 days', colour: 1 },
-          { name: 'a', measure: 'firstPiece', model: 'summary', mapping: 'review', objective: 0.9, withinMs: 77, window: '25h' },
+          {
+            name: 'a',
+            measure: 'firstPiece',
+            model: 'summary',
+            mapping: 'review',
+            objective: 0.9,
+            withinMs: 77,
+            window: '25h',
+          },
           7,
         ],
       }),
@@ -55,19 +70,40 @@
 describe('a report', () => {
   function coreOf(fleet: SimFleet): Core {
     const at = (address: string): number => fleet.headgates.findIndex((h) => h.http === address);
-    async function askAt(address: string, ask: { method: 'GET' | 'POST' | 'DELETE'; path: string }): Promise<{ status: number; body: unknown } | null> {
+    async function askAt(
+      address: string,
+      ask: { method: 'GET' | 'POST' | 'DELETE'; path: string },
+    ): Promise<{ status: number; body: unknown } | null> {
       const got = await fleet.operator(at(address), ask.method, ask.path);
       return got.ok ? { status: got.value.status, body: got.value.body } : null;
     }
-    return { addresses: [], askAt, ask: (a) => askAt(fleet.headgates[0]?.http ?? '', a), epoch: () => Promise.resolve(null) };
+    return {
+      addresses: [],
+      askAt,
+      ask: (a) => askAt(fleet.headgates[0]?.http ?? '', a),
+      epoch: () => Promise.resolve(null),
+    };
   }
   async function reported(fleet: SimFleet): Promise<Record<string, AimRow> | null> {
     const aims = readAims(doc, cfg);
-    const rows = aims.ok ? await reportAims(coreOf(fleet), fleet.headgates.map((h) => h.http), aims.value) : null;
+    const rows = aims.ok
+      ? await reportAims(
+          coreOf(fleet),
+          fleet.headgates.map((h) => h.http),
+          aims.value,
+        )
+      : null;
     return rows && Object.fromEntries(rows.map((r) => [r.name, r]));
   }
   async function busy(fleet: SimFleet, seconds: number, perSecond: number): Promise<void> {
-    await fleet.finish(Promise.all(fleet.zones.map((zone) => fleet.traffic({ zone, seconds, perSecond, name: `aims-${zone}-${fleet.world.now()}` }))), 300_000);
+    await fleet.finish(
+      Promise.all(
+        fleet.zones.map((zone) =>
+          fleet.traffic({ zone, seconds, perSecond, name: `aims-${zone}-${fleet.world.now()}` }),
+        ),
+      ),
+      300_000,
+    );
   }
 
   test('tells a fleet that keeps its aims from one that misses them, and never takes the unknown for good', async () => {
@@ -76,13 +112,29 @@
     await fleet.run(61_000);
     expect((await reported(fleet))?.['summaries succeed']).toMatchObject({ state: 'unknown', attained: null });
     await busy(fleet, 130, 3);
-    const base = ((await fleet.operator(1, 'GET', '/v1/configuration')) as { value: { body: { epoch: number } } }).value.body.epoch;
-    await fleet.operator(1, 'POST', '/v1/configuration/amend', { base, changes: [{ path: ['deployment', 'lineLimit'], value: 9 }] });
+    const base = ((await fleet.operator(1, 'GET', '/v1/configuration')) as { value: { body: { epoch: number } } }).value
+      .body.epoch;
+    await fleet.operator(1, 'POST', '/v1/configuration/amend', {
+      base,
+      changes: [{ path: ['deployment', 'lineLimit'], value: 9 }],
+    });
     await fleet.run(120_000 - (fleet.world.now() % 60_000));
     const calm = await reported(fleet);
-    expect(calm?.['summaries succeed']).toMatchObject({ state: 'met', attained: 1, bad: 0, burnRate: 0, budgetLeft: 1, unknownMinutes: 0 });
+    expect(calm?.['summaries succeed']).toMatchObject({
+      state: 'met',
+      attained: 1,
+      bad: 0,
+      burnRate: 0,
+      budgetLeft: 1,
+      unknownMinutes: 0,
+    });
     expect(calm?.['summaries succeed']?.events).toBeGreaterThan(100);
-    expect([calm?.['first piece']?.state, calm?.['cards whole']?.state, calm?.['changes']?.state, calm?.['changes']?.events]).toEqual(['met', 'met', 'met', 1]);
+    expect([
+      calm?.['first piece']?.state,
+      calm?.['cards whole']?.state,
+      calm?.['changes']?.state,
+      calm?.['changes']?.events,
+    ]).toEqual(['met', 'met', 'met', 1]);
 
     await busy(fleet, 20, 60);
     await fleet.run(120_000 - (fleet.world.now() % 60_000));
--- a/src/operator/aims.ts
+++ b/src/operator/aims.ts
@@ -42,7 +42,11 @@
   return n;
 }
 
-export async function reportAims(core: Core, addresses: readonly Address[], aims: readonly Aim[]): Promise<readonly AimRow[] | null> {
+export async function reportAims(
+  core: Core,
+  addresses: readonly Address[],
+  aims: readonly Aim[],
+): Promise<readonly AimRow[] | null> {
   let window = 1;
   for (const a of aims) window = Math.max(window, a.windowMinutes);
   const told: Told[] = [];
--- a/src/operator/core-report.test.ts
+++ b/src/operator/core-report.test.ts
@@ -12,10 +12,23 @@
 const THREE = ['h1', 'h2', 'h3'];
 
 function view(name: string, over: Partial<MemberView> = {}): MemberView {
-  return { id: `${name}#i`, name, inTouch: true, learned: 9, top: 9, writable: true, holdsAll: true, unheard: [], ...over };
+  return {
+    id: `${name}#i`,
+    name,
+    inTouch: true,
+    learned: 9,
+    top: 9,
+    writable: true,
+    holdsAll: true,
+    unheard: [],
+    ...over,
+  };
 }
 function health(self: string, names: readonly string[], silent: readonly string[] = []): CoreHealth {
-  return coreHealth(`${self}#i`, names.map((n) => view(n, { inTouch: !silent.includes(n) })));
+  return coreHealth(
+    `${self}#i`,
+    names.map((n) => view(n, { inTouch: !silent.includes(n) })),
+  );
 }
 function word(name: string, ledger: CoreHealth | null, slot = 9): ControllerWord {
   return { address: name, member: `${name}#i`, name, slot, ledger, claims: null };
@@ -30,21 +43,43 @@
     expect(told(THREE.map((n) => word(n, health(n, THREE))))).toEqual([3, 1, null]);
   });
   test('the smallest figure stands', () => {
-    expect(told([word('h1', health('h1', THREE)), word('h2', health('h2', THREE, ['h3'])), word('h3', null)])).toEqual([2, 0, 'noSpareLoss']);
+    expect(told([word('h1', health('h1', THREE)), word('h2', health('h2', THREE, ['h3'])), word('h3', null)])).toEqual([
+      2,
+      0,
+      'noSpareLoss',
+    ]);
   });
   test('one alone is not enough, whatever it says', () => {
-    expect(told([word('h1', health('h1', THREE)), word('h2', null), word('h3', null)])).toEqual([1, null, 'noMajority']);
+    expect(told([word('h1', health('h1', THREE)), word('h2', null), word('h3', null)])).toEqual([
+      1,
+      null,
+      'noMajority',
+    ]);
   });
   test('the same controller at two addresses is one word', () => {
-    expect(told([word('h1', health('h1', THREE)), { ...word('h1', health('h1', THREE)), address: 'elsewhere' }])).toEqual([1, null, 'noMajority']);
+    expect(
+      told([word('h1', health('h1', THREE)), { ...word('h1', health('h1', THREE)), address: 'elsewhere' }]),
+    ).toEqual([1, null, 'noMajority']);
   });
   test('those that know nothing do not count', () => {
-    expect(told([word('h1', health('h1', THREE)), word('h2', health('h2', THREE, ['h1', 'h3'])), word('h3', health('h3', THREE, ['h1', 'h2']))])).toEqual([1, null, 'noMajority']);
+    expect(
+      told([
+        word('h1', health('h1', THREE)),
+        word('h2', health('h2', THREE, ['h1', 'h3'])),
+        word('h3', health('h3', THREE, ['h1', 'h2'])),
+      ]),
+    ).toEqual([1, null, 'noMajority']);
   });
   test('words about other members do not count, nor those of one that is no member', () => {
     const now = ['h1', 'h3', 'h4'];
-    expect(told([word('h1', health('h1', now)), word('h2', health('h2', THREE), 4), word('h3', health('h3', THREE), 4)])).toEqual([1, null, 'noMajority']);
-    expect(told([word('h1', health('h1', now)), { ...word('h2', health('h1', now)), member: 'h2#i' }])).toEqual([1, null, 'noMajority']);
+    expect(
+      told([word('h1', health('h1', now)), word('h2', health('h2', THREE), 4), word('h3', health('h3', THREE), 4)]),
+    ).toEqual([1, null, 'noMajority']);
+    expect(told([word('h1', health('h1', now)), { ...word('h2', health('h1', now)), member: 'h2#i' }])).toEqual([
+      1,
+      null,
+      'noMajority',
+    ]);
   });
   test('a member whose loss would stop it by any word is essential', () => {
     const got = groupReport([word('h1', health('h1', THREE)), word('h2', health('h2', THREE, ['h3']))], 'ledger');
@@ -53,13 +88,22 @@
 });
 
 describe('asked of a simulated core', () => {
-  async function founded(seed: number): Promise<{ readonly sim: SimCore; readonly at: (names: readonly string[]) => Core }> {
+  async function founded(
+    seed: number,
+  ): Promise<{ readonly sim: SimCore; readonly at: (names: readonly string[]) => Core }> {
     const sim = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: 35, operatorDoor: true });
     sim.startAll();
     expect(await sim.until(8_000, () => sim.whole(THREE))).toBe(true);
     await sim.world.advance(4_000);
     const { caller } = sim.lab('operator');
-    return { sim, at: (names) => createCore(names.map((n) => `${sim.node(n).wire}0`), caller) };
+    return {
+      sim,
+      at: (names) =>
+        createCore(
+          names.map((n) => `${sim.node(n).wire}0`),
+          caller,
+        ),
+    };
   }
 
   test('one address is enough to hear all; the table tells members, losses and words', async () => {
@@ -78,7 +122,9 @@
     const report = await sim.finish(askCoreReport(at(THREE)), 20_000);
     expect(report?.ledger).toMatchObject({ agreeing: 2, spareLosses: 0, warning: 'noSpareLoss' });
     const text = coreText(report as NonNullable<typeof report>);
-    expect(text).toContain('bears 0 further losses, by the word of 2 of 3 members (majority 2)  WARNING: the next loss may stop it');
+    expect(text).toContain(
+      'bears 0 further losses, by the word of 2 of 3 members (majority 2)  WARNING: the next loss may stop it',
+    );
     expect(text).toMatch(/h3 +no .*silent .* no\n/);
     expect(text).toMatch(/h1 +yes .* yes\n/);
     expect(text).toContain('does not answer');
@@ -88,7 +134,10 @@
     const { sim, at } = await founded(3);
     sim.cutOff(['h1']);
     await sim.world.advance(4_000);
-    expect((await sim.finish(askCoreReport(at(['h1'])), 20_000))?.ledger).toMatchObject({ agreeing: 2, spareLosses: 0 });
+    expect((await sim.finish(askCoreReport(at(['h1'])), 20_000))?.ledger).toMatchObject({
+      agreeing: 2,
+      spareLosses: 0,
+    });
     for (const name of ['h2', 'h3']) sim.world.cut(name, 'operator');
     const alone = await sim.finish(askCoreReport(at(['h1'])), 20_000);
     expect(alone?.ledger).toMatchObject({ agreeing: 0, spareLosses: null, warning: 'noMajority' });
--- a/src/operator/core-report.ts
+++ b/src/operator/core-report.ts
@@ -39,7 +39,11 @@
   readonly details: readonly MemberHealth[];
 };
 
-export type CoreReport = { readonly words: readonly ControllerWord[]; readonly ledger: GroupReport; readonly claims: GroupReport | null };
+export type CoreReport = {
+  readonly words: readonly ControllerWord[];
+  readonly ledger: GroupReport;
+  readonly claims: GroupReport | null;
+};
 
 type Answer = { readonly word: ControllerWord; readonly others: readonly Address[] };
 
@@ -55,10 +59,12 @@
 /** Operators' addresses of the members, as the answering controller knows them. */
 function memberAddresses(body: Readonly<Record<string, unknown>>): Address[] {
   const names = new Set<unknown>();
-  for (const member of Array.isArray(body['members']) ? body['members'] : []) if (isTable(member)) names.add(member['name']);
+  for (const member of Array.isArray(body['members']) ? body['members'] : [])
+    if (isTable(member)) names.add(member['name']);
   const addresses: Address[] = [];
   for (const node of Array.isArray(body['nodes']) ? body['nodes'] : []) {
-    if (isTable(node) && names.has(node['name']) && typeof node['http'] === 'string' && node['http'] !== '') addresses.push(node['http']);
+    if (isTable(node) && names.has(node['name']) && typeof node['http'] === 'string' && node['http'] !== '')
+      addresses.push(node['http']);
   }
   return addresses;
 }
--- a/src/operator/core.ts
+++ b/src/operator/core.ts
@@ -5,7 +5,12 @@
 
 export type CoreAnswer = { readonly status: number; readonly body: unknown };
 
-export type Core = { readonly addresses: readonly Address[]; readonly ask: (ask: CoreAsk) => Promise<CoreAnswer | null>; readonly askAt: (address: Address, ask: CoreAsk, waitMs?: number) => Promise<CoreAnswer | null>; readonly epoch: () => Promise<number | null> };
+export type Core = {
+  readonly addresses: readonly Address[];
+  readonly ask: (ask: CoreAsk) => Promise<CoreAnswer | null>;
+  readonly askAt: (address: Address, ask: CoreAsk, waitMs?: number) => Promise<CoreAnswer | null>;
+  readonly epoch: () => Promise<number | null>;
+};
 
 const WAIT_MS = 12_000;
 
--- a/src/programs/ask-core.ts
+++ b/src/programs/ask-core.ts
@@ -6,7 +6,11 @@
 import { complain, leave, say } from './flags.js';
 
 export const CORE_ARGS = {
-  core: { type: 'string', description: 'Addresses of headgates for operators, joined by commas', default: '127.0.0.1:7200' },
+  core: {
+    type: 'string',
+    description: 'Addresses of headgates for operators, joined by commas',
+    default: '127.0.0.1:7200',
+  },
   json: { type: 'boolean', description: 'Print the answer as JSON' },
 } as const;
 
--- a/src/programs/basin.ts
+++ b/src/programs/basin.ts
@@ -82,7 +82,13 @@
       loadMs: numberOf(ctx, 'loadMs', WORKER_DEFAULTS.loadMs),
       decodeMsPerPiece: numberOf(ctx, 'decodeMs', WORKER_DEFAULTS.decodeMsPerPiece),
     },
-    { clock: createClock(), rng: createOsRng(), door: createExpressDoor(createLogRoot('warn').part('basin')), caller: callerOf(ctx), journal: journalOf(ctx) },
+    {
+      clock: createClock(),
+      rng: createOsRng(),
+      door: createExpressDoor(createLogRoot('warn').part('basin')),
+      caller: callerOf(ctx),
+      journal: journalOf(ctx),
+    },
   );
   if (!started.ok) return failedStart(started.fault);
   onStop(started.value.stop);
@@ -93,11 +99,19 @@
   leave(EXIT.cannotListen);
 }
 
-const PLATFORM_ARGS = { ...COMMON, http: { type: 'string', required: true, description: 'Address to serve at' } } as const satisfies ArgsDef;
+const PLATFORM_ARGS = {
+  ...COMMON,
+  http: { type: 'string', required: true, description: 'Address to serve at' },
+} as const satisfies ArgsDef;
 
 async function runPlatform(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, PLATFORM_ARGS)) return leaveUsage();
-  const started = await startBasinPlatform(textOf(ctx, 'http') ?? '', createClock(), createExpressDoor(createLogRoot('warn').part('basin')), journalOf(ctx));
+  const started = await startBasinPlatform(
+    textOf(ctx, 'http') ?? '',
+    createClock(),
+    createExpressDoor(createLogRoot('warn').part('basin')),
+    journalOf(ctx),
+  );
   if (!started.ok) return failedStart(started.fault);
   onStop(started.value.stop);
 }
@@ -122,7 +136,13 @@
   }
   const started = await startBasinCloud(
     { address: textOf(ctx, 'http') ?? '', platform: textOf(ctx, 'platform') ?? '', prices },
-    { clock: createClock(), rng: createOsRng(), door: createExpressDoor(createLogRoot('warn').part('basin')), caller: callerOf(ctx), journal: journalOf(ctx) },
+    {
+      clock: createClock(),
+      rng: createOsRng(),
+      door: createExpressDoor(createLogRoot('warn').part('basin')),
+      caller: callerOf(ctx),
+      journal: journalOf(ctx),
+    },
   );
   if (!started.ok) return failedStart(started.fault);
   onStop(started.value.stop);
@@ -161,7 +181,12 @@
       prefixes: numberOf(ctx, 'prefixes', 20),
       patience: 5,
     },
-    { clock: createClock(), rng: seed === undefined ? createOsRng() : createRng(Number(seed)), caller: callerOf(ctx), journal },
+    {
+      clock: createClock(),
+      rng: seed === undefined ? createOsRng() : createRng(Number(seed)),
+      caller: callerOf(ctx),
+      journal,
+    },
   );
   await journal.close();
   say(JSON.stringify(tally));
@@ -179,10 +204,13 @@
   try {
     for (const file of readdirSync(folder)) {
       if (!file.endsWith('.jsonl')) continue;
-      for (const line of readFileSync(join(folder, file), 'utf8').split('\n')) if (line !== '') records.push(JSON.parse(line) as Rec);
+      for (const line of readFileSync(join(folder, file), 'utf8').split('\n'))
+        if (line !== '') records.push(JSON.parse(line) as Rec);
     }
   } catch (e) {
-    complain(`folder: expected readable journals in ${JSON.stringify(folder)}; found ${e instanceof Error ? e.message : String(e)}`);
+    complain(
+      `folder: expected readable journals in ${JSON.stringify(folder)}; found ${e instanceof Error ? e.message : String(e)}`,
+    );
     return leaveUsage();
   }
   const regionsOfKind: Record<string, string[]> = {};
@@ -200,11 +228,31 @@
 export const basinCommand = defineCommand({
   meta: { name: 'basin', description: 'Stand-ins for workers, platform, cloud and callers' },
   subCommands: {
-    worker: defineCommand({ meta: { name: 'worker', description: 'A model worker' }, args: WORKER_ARGS, run: runWorker }),
-    platform: defineCommand({ meta: { name: 'platform', description: 'The list of workers' }, args: PLATFORM_ARGS, run: runPlatform }),
+    worker: defineCommand({
+      meta: { name: 'worker', description: 'A model worker' },
+      args: WORKER_ARGS,
+      run: runWorker,
+    }),
+    platform: defineCommand({
+      meta: { name: 'platform', description: 'The list of workers' },
+      args: PLATFORM_ARGS,
+      run: runPlatform,
+    }),
     cloud: defineCommand({ meta: { name: 'cloud', description: 'The cloud API' }, args: CLOUD_ARGS, run: runCloud }),
-    origin: defineCommand({ meta: { name: 'origin', description: 'Callers' }, args: ORIGIN_ARGS, run: runOriginCommand }),
-    hollow: defineCommand({ meta: { name: 'hollow', description: 'Many sluices without traffic, or many workers, in one process' }, args: HOLLOW_ARGS, run: runHollow }),
-    check: defineCommand({ meta: { name: 'check', description: 'Compares the journals against the rules' }, args: CHECK_ARGS, run: runCheck }),
+    origin: defineCommand({
+      meta: { name: 'origin', description: 'Callers' },
+      args: ORIGIN_ARGS,
+      run: runOriginCommand,
+    }),
+    hollow: defineCommand({
+      meta: { name: 'hollow', description: 'Many sluices without traffic, or many workers, in one process' },
+      args: HOLLOW_ARGS,
+      run: runHollow,
+    }),
+    check: defineCommand({
+      meta: { name: 'check', description: 'Compares the journals against the rules' },
+      args: CHECK_ARGS,
+      run: runCheck,
+    }),
   },
 });
--- a/src/programs/composition.ts
+++ b/src/programs/composition.ts
@@ -56,7 +56,9 @@
   const { lab } = settings;
   const tally = lab?.tally ? tallyInto(lab.tally, nothing) : null;
   function ownPlace(): Place {
-    return lab?.tally ? placeAt(lab.tally, settings.advertise) : { role: 'unknown', zone: settings.zone, region: settings.region };
+    return lab?.tally
+      ? placeAt(lab.tally, settings.advertise)
+      : { role: 'unknown', zone: settings.zone, region: settings.region };
   }
 
   function makeLogs(): LogRoot {
--- a/src/programs/core-text.ts
+++ b/src/programs/core-text.ts
@@ -24,12 +24,16 @@
 }
 
 function memberRows({ ledger, claims }: CoreReport): string[] {
-  const rows = [`  ${cell('member', 16)}${cell('in touch', 10)}${cell('learned', 9)}${cell('accepted', 10)}${cell('lacks', 13)}${cell('claims', 13)}stops it if lost`];
+  const rows = [
+    `  ${cell('member', 16)}${cell('in touch', 10)}${cell('learned', 9)}${cell('accepted', 10)}${cell('lacks', 13)}${cell('claims', 13)}stops it if lost`,
+  ];
   for (const member of ledger.details) {
     const claimLack = claims?.details.find(isSame);
     const stops = ledger.spareLosses === null ? 'unknown' : ledger.essential.includes(member.id) ? 'yes' : 'no';
     const claimText = claimLack ? (claimLack.lack ?? 'whole') : '-';
-    rows.push(`  ${cell(member.name, 16)}${cell(member.inTouch ? 'yes' : 'no', 10)}${cell(member.learned, 9)}${cell(member.top, 10)}${cell(member.lack, 13)}${cell(claimText, 13)}${stops}`);
+    rows.push(
+      `  ${cell(member.name, 16)}${cell(member.inTouch ? 'yes' : 'no', 10)}${cell(member.learned, 9)}${cell(member.top, 10)}${cell(member.lack, 13)}${cell(claimText, 13)}${stops}`,
+    );
     function isSame(other: { readonly id: string }): boolean {
       return other.id === member.id;
     }
--- a/src/programs/daemons.ts
+++ b/src/programs/daemons.ts
@@ -70,13 +70,19 @@
   return out;
 }
 
-function runSluice(ctx: { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> }): Promise<void> {
+function runSluice(ctx: {
+  readonly rawArgs: string[];
+  readonly args: Readonly<Record<string, unknown>>;
+}): Promise<void> {
   return runDaemon(ctx.rawArgs, picked(ctx.args), { dataFolder: false, cloud: false }, startSluice);
 }
 function startCore(id: NodeIdentity, deps: NodeDeps): ReturnType<typeof startHeadgate> {
   return startHeadgate(id, deps, HEADGATE_SHAPES);
 }
-function runHeadgate(ctx: { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> }): Promise<void> {
+function runHeadgate(ctx: {
+  readonly rawArgs: string[];
+  readonly args: Readonly<Record<string, unknown>>;
+}): Promise<void> {
   return runDaemon(ctx.rawArgs, picked(ctx.args), { dataFolder: true, cloud: true }, startCore);
 }
 
--- a/src/programs/exit-codes.ts
+++ b/src/programs/exit-codes.ts
@@ -1,2 +1,11 @@
-export const EXIT = { ok: 0, internal: 1, usage: 2, cannotListen: 3, disk: 4, refused: 5, notConfirmed: 6, unreachable: 7 } as const;
+export const EXIT = {
+  ok: 0,
+  internal: 1,
+  usage: 2,
+  cannotListen: 3,
+  disk: 4,
+  refused: 5,
+  notConfirmed: 6,
+  unreachable: 7,
+} as const;
 export type ExitCode = (typeof EXIT)[keyof typeof EXIT];
--- a/src/programs/gauge.ts
+++ b/src/programs/gauge.ts
@@ -35,36 +35,71 @@
   readonly writable: boolean;
   readonly core?: { readonly ledger: CoreHealth; readonly claims: CoreHealth | null };
   readonly members: readonly { readonly name: string; readonly incarnation: string; readonly address: string }[];
-  readonly nodes: readonly { readonly name: string; readonly role: string; readonly zone: string; readonly status: string; readonly address: string }[];
+  readonly nodes: readonly {
+    readonly name: string;
+    readonly role: string;
+    readonly zone: string;
+    readonly status: string;
+    readonly address: string;
+  }[];
   readonly leases: Readonly<Record<string, { readonly holder: string; readonly fence: number }>>;
   readonly evacuated: Readonly<Record<string, number>>;
-  readonly zoneSets: Readonly<Record<string, { readonly active: readonly string[]; readonly preemptive: readonly string[] }>>;
+  readonly zoneSets: Readonly<
+    Record<string, { readonly active: readonly string[]; readonly preemptive: readonly string[] }>
+  >;
   readonly targets: Readonly<Record<string, number>>;
-  readonly sluices: Readonly<Record<string, { readonly slot: number | null; readonly heardMs: number | null; readonly shed: number; readonly dispatched: number; readonly retried: number }>>;
+  readonly sluices: Readonly<
+    Record<
+      string,
+      {
+        readonly slot: number | null;
+        readonly heardMs: number | null;
+        readonly shed: number;
+        readonly dispatched: number;
+        readonly retried: number;
+      }
+    >
+  >;
   readonly workers: Readonly<Record<string, { readonly fit: number; readonly unfit: number }>>;
-  readonly ordersInFlight: readonly { readonly id: string; readonly model: string; readonly zone: string; readonly kind: string; readonly status: string; readonly machine: string | null }[];
+  readonly ordersInFlight: readonly {
+    readonly id: string;
+    readonly model: string;
+    readonly zone: string;
+    readonly kind: string;
+    readonly status: string;
+    readonly machine: string | null;
+  }[];
 };
 
 function statusText(body: unknown): string {
   const s = body as Status;
-  const rows = [`${s.name}: ledger ${s.ledger || 'not founded'}, slot ${s.slot}, epoch ${s.epoch}, ${s.quorate ? 'quorate' : 'no majority'}, ${s.writable ? 'writable' : 'cannot write'}`];
+  const rows = [
+    `${s.name}: ledger ${s.ledger || 'not founded'}, slot ${s.slot}, epoch ${s.epoch}, ${s.quorate ? 'quorate' : 'no majority'}, ${s.writable ? 'writable' : 'cannot write'}`,
+  ];
   if (s.core) rows.push(`core: ${ownWordText(s.core.ledger)}`);
   if (s.core?.claims) rows.push(`claims: ${ownWordText(s.core.claims)}`);
   rows.push('nodes');
-  for (const n of [...s.nodes].sort(byName)) rows.push(`  ${pad(n.name, 14)}${pad(n.role, 10)}${pad(n.zone, 12)}${pad(n.status, 9)}${n.address}`);
+  for (const n of [...s.nodes].sort(byName))
+    rows.push(`  ${pad(n.name, 14)}${pad(n.role, 10)}${pad(n.zone, 12)}${pad(n.status, 9)}${n.address}`);
   for (const [duty, l] of Object.entries(s.leases)) rows.push(`duty ${duty}: ${l.holder}, fence ${l.fence}`);
   rows.push(`evacuated: ${Object.keys(s.evacuated).join(', ') || 'none'}`);
   for (const [model, z] of Object.entries(s.zoneSets)) {
-    rows.push(`model ${pad(model, 18)} target ${pad(s.targets[model], 4)} active ${z.active.join(',') || '-'} preemptive ${z.preemptive.join(',') || '-'}`);
+    rows.push(
+      `model ${pad(model, 18)} target ${pad(s.targets[model], 4)} active ${z.active.join(',') || '-'} preemptive ${z.preemptive.join(',') || '-'}`,
+    );
   }
   rows.push('sluices');
   for (const [name, x] of Object.entries(s.sluices)) {
-    rows.push(`  ${pad(name, 14)} slot ${pad(x.slot, 7)} heard ${pad(x.heardMs === null ? '-' : `${x.heardMs}ms`, 8)} dispatched ${pad(x.dispatched, 8)} retried ${pad(x.retried, 6)} shed ${x.shed ?? '-'}`);
+    rows.push(
+      `  ${pad(name, 14)} slot ${pad(x.slot, 7)} heard ${pad(x.heardMs === null ? '-' : `${x.heardMs}ms`, 8)} dispatched ${pad(x.dispatched, 8)} retried ${pad(x.retried, 6)} shed ${x.shed ?? '-'}`,
+    );
   }
   rows.push('workers, as the sluices find them');
-  for (const [id, w] of Object.entries(s.workers).sort()) rows.push(`  ${pad(id, 20)} fit for ${pad(w.fit, 4)} unfit for ${w.unfit}`);
+  for (const [id, w] of Object.entries(s.workers).sort())
+    rows.push(`  ${pad(id, 20)} fit for ${pad(w.fit, 4)} unfit for ${w.unfit}`);
   rows.push(`orders in flight: ${s.ordersInFlight.length}`);
-  for (const o of s.ordersInFlight) rows.push(`  ${o.id} ${o.model} ${o.kind} in ${o.zone}: ${o.status}, machine ${o.machine ?? '-'}`);
+  for (const o of s.ordersInFlight)
+    rows.push(`  ${o.id} ${o.model} ${o.kind} in ${o.zone}: ${o.status}, machine ${o.machine ?? '-'}`);
   return rows.join('\n');
 }
 function byName(a: { readonly name: string }, b: { readonly name: string }): number {
@@ -76,20 +111,31 @@
   const rows: string[] = [];
   for (const o of b.orders) {
     rows.push(`${o.id} ${o.model} ${o.kind} in ${o.zone}: ${o.status}, machine ${o.machine ?? '-'}`);
-    for (const e of o.events) rows.push(`  ${new Date(e.wall).toISOString()} slot ${e.slot} ${pad(e.status, 9)} by ${e.author} (fence ${e.fence}): ${e.cause}`);
+    for (const e of o.events)
+      rows.push(
+        `  ${new Date(e.wall).toISOString()} slot ${e.slot} ${pad(e.status, 9)} by ${e.author} (fence ${e.fence}): ${e.cause}`,
+      );
   }
   return rows.join('\n') || 'No orders.';
 }
 
 type ShownStep = { readonly cause: string; readonly act: { readonly tag: string } };
-type ShownEntry = ShownStep & { readonly author: string; readonly wall: number; readonly act: { readonly tag: string; readonly steps?: readonly ShownStep[] } };
+type ShownEntry = ShownStep & {
+  readonly author: string;
+  readonly wall: number;
+  readonly act: { readonly tag: string; readonly steps?: readonly ShownStep[] };
+};
 
 export function ledgerText(body: unknown): string {
-  const b = body as { readonly batches: readonly { readonly slot: number; readonly batch: { readonly entries: readonly ShownEntry[] } }[] };
+  const b = body as {
+    readonly batches: readonly { readonly slot: number; readonly batch: { readonly entries: readonly ShownEntry[] } }[];
+  };
   const rows: string[] = [];
   for (const s of b.batches) {
     for (const e of s.batch.entries) {
-      rows.push(`${pad(s.slot, 6)} ${new Date(e.wall).toISOString()} ${pad(e.author, 12)} ${pad(e.act.tag, 16)} ${e.cause}`);
+      rows.push(
+        `${pad(s.slot, 6)} ${new Date(e.wall).toISOString()} ${pad(e.author, 12)} ${pad(e.act.tag, 16)} ${e.cause}`,
+      );
       for (const step of e.act.steps ?? []) rows.push(`${' '.repeat(32)} ${pad(step.act.tag, 16)} ${step.cause}`);
     }
   }
@@ -101,8 +147,14 @@
   report(await coreOf(ctx.args).ask(ask), ctx.args['json'] === true, readable);
 }
 
-const ORDER_ARGS = { ...CORE_ARGS, model: { type: 'string', description: 'Only this model' } } as const satisfies ArgsDef;
-const LEDGER_ARGS = { ...CORE_ARGS, from: { type: 'string', description: 'First slot to show', default: '0' } } as const satisfies ArgsDef;
+const ORDER_ARGS = {
+  ...CORE_ARGS,
+  model: { type: 'string', description: 'Only this model' },
+} as const satisfies ArgsDef;
+const LEDGER_ARGS = {
+  ...CORE_ARGS,
+  from: { type: 'string', description: 'First slot to show', default: '0' },
+} as const satisfies ArgsDef;
 
 function runStatus(ctx: Ctx): Promise<void> {
   return show(ctx, CORE_ARGS, statusAsk(), statusText);
@@ -114,7 +166,10 @@
   return show(ctx, LEDGER_ARGS, ledgerAsk(textOf(ctx, 'from') ?? '0'), ledgerText);
 }
 
-const AIMS_ARGS = { ...CORE_ARGS, file: { type: 'positional', description: 'Document of service-level aims (YAML or JSON)', required: true } } as const satisfies ArgsDef;
+const AIMS_ARGS = {
+  ...CORE_ARGS,
+  file: { type: 'positional', description: 'Document of service-level aims (YAML or JSON)', required: true },
+} as const satisfies ArgsDef;
 
 function percent(share: number | null): string {
   return share === null ? '-' : `${(share * 100).toFixed(2)} %`;
@@ -122,8 +177,13 @@
 function aimsText(rows: readonly AimRow[]): string {
   const out: string[] = [];
   for (const r of rows) {
-    out.push(`${pad(r.name, 28)} ${pad(r.state, 8)} attained ${pad(percent(r.attained), 9)} of ${pad(percent(r.objective), 9)} ${pad(`${r.bad} bad of ${r.events}`, 18)} budget left ${pad(percent(r.budgetLeft), 10)} burn rate ${r.burnRate === null ? '-' : r.burnRate.toFixed(2)}`);
-    if (r.unknownMinutes > 0) out.push(`  ${r.unknownMinutes} of ${r.unknownMinutes + r.knownMinutes} minutes unknown${r.unknownOf.length > 0 ? `: ${r.unknownOf.join(', ')}` : ''}`);
+    out.push(
+      `${pad(r.name, 28)} ${pad(r.state, 8)} attained ${pad(percent(r.attained), 9)} of ${pad(percent(r.objective), 9)} ${pad(`${r.bad} bad of ${r.events}`, 18)} budget left ${pad(percent(r.budgetLeft), 10)} burn rate ${r.burnRate === null ? '-' : r.burnRate.toFixed(2)}`,
+    );
+    if (r.unknownMinutes > 0)
+      out.push(
+        `  ${r.unknownMinutes} of ${r.unknownMinutes + r.knownMinutes} minutes unknown${r.unknownOf.length > 0 ? `: ${r.unknownOf.join(', ')}` : ''}`,
+      );
   }
   return out.join('\n');
 }
@@ -164,10 +224,30 @@
 export const gaugeCommand = defineCommand({
   meta: { name: 'gauge', description: 'Reads the state of the deployment; changes nothing' },
   subCommands: {
-    status: defineCommand({ meta: { name: 'status', description: 'Nodes, duties, zone sets, sluices' }, args: CORE_ARGS, run: runStatus }),
-    core: defineCommand({ meta: { name: 'core', description: 'Members of the core, and how many further losses it bears' }, args: CORE_ARGS, run: runCore }),
-    orders: defineCommand({ meta: { name: 'orders', description: 'Who ordered what, and why' }, args: ORDER_ARGS, run: runOrders }),
-    aims: defineCommand({ meta: { name: 'aims', description: 'Service-level aims of a document against what the nodes counted' }, args: AIMS_ARGS, run: runAims }),
-    ledger: defineCommand({ meta: { name: 'ledger', description: 'Entries of the ledger' }, args: LEDGER_ARGS, run: runLedger }),
+    status: defineCommand({
+      meta: { name: 'status', description: 'Nodes, duties, zone sets, sluices' },
+      args: CORE_ARGS,
+      run: runStatus,
+    }),
+    core: defineCommand({
+      meta: { name: 'core', description: 'Members of the core, and how many further losses it bears' },
+      args: CORE_ARGS,
+      run: runCore,
+    }),
+    orders: defineCommand({
+      meta: { name: 'orders', description: 'Who ordered what, and why' },
+      args: ORDER_ARGS,
+      run: runOrders,
+    }),
+    aims: defineCommand({
+      meta: { name: 'aims', description: 'Service-level aims of a document against what the nodes counted' },
+      args: AIMS_ARGS,
+      run: runAims,
+    }),
+    ledger: defineCommand({
+      meta: { name: 'ledger', description: 'Entries of the ledger' },
+      args: LEDGER_ARGS,
+      run: runLedger,
+    }),
   },
 });
--- a/src/programs/hollow.ts
+++ b/src/programs/hollow.ts
@@ -29,16 +29,28 @@
   readonly tally: TallySettings;
   readonly wholeProbes: boolean;
   readonly sluices: readonly HollowSluice[];
-  readonly outside?: { readonly platform: string; readonly cloud: string; readonly prices: Prices; readonly workers: readonly HollowWorker[] };
+  readonly outside?: {
+    readonly platform: string;
+    readonly cloud: string;
+    readonly prices: Prices;
+    readonly workers: readonly HollowWorker[];
+  };
 };
 
 export const HOLLOW_ARGS = {
-  plan: { type: 'string', required: true, description: 'File that names the sluices and workers of this process (made by tools/capacity.mjs)' },
+  plan: {
+    type: 'string',
+    required: true,
+    description: 'File that names the sluices and workers of this process (made by tools/capacity.mjs)',
+  },
 } as const satisfies ArgsDef;
 
 const DIAL_MS = 1_000;
 
-export async function runHollow(ctx: { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> }): Promise<void> {
+export async function runHollow(ctx: {
+  readonly rawArgs: string[];
+  readonly args: Readonly<Record<string, unknown>>;
+}): Promise<void> {
   if (!flagsFit(ctx.rawArgs, HOLLOW_ARGS)) return leaveUsage();
   const plan = JSON.parse(readFileSync(String(ctx.args['plan']), 'utf8')) as HollowPlan;
   const clock = createClock();
@@ -84,7 +96,19 @@
     const cloud = await startBasinCloud({ address: o.cloud, platform: o.platform, prices: o.prices }, deps);
     let all = platform.ok && cloud.ok;
     for (const w of o.workers) {
-      const got = await startBasinWorker({ ...WORKER_DEFAULTS, id: w.id, zone: w.zone, region: w.region, address: w.http, platform: o.platform, cloud: o.cloud, fixedModel: null }, deps);
+      const got = await startBasinWorker(
+        {
+          ...WORKER_DEFAULTS,
+          id: w.id,
+          zone: w.zone,
+          region: w.region,
+          address: w.http,
+          platform: o.platform,
+          cloud: o.cloud,
+          fixedModel: null,
+        },
+        deps,
+      );
       all &&= got.ok;
     }
     return all;
--- a/src/programs/imports.test.ts
+++ b/src/programs/imports.test.ts
@@ -38,14 +38,23 @@
   const imports = new Map(['src', 'platform', 'tools'].flatMap(filesIn).map((f) => [f, importsOf(f)]));
 
   test('a circle is seen, in however many steps', () => {
-    const circles = circlesIn(new Map([['a', ['b', 'd']], ['b', ['c']], ['c', ['a']], ['d', ['d']]]));
+    const circles = circlesIn(
+      new Map([
+        ['a', ['b', 'd']],
+        ['b', ['c']],
+        ['c', ['a']],
+        ['d', ['d']],
+      ]),
+    );
     expect(circles).toEqual(['a > b > c > a', 'd > d']);
   });
 
   test('all files are read, and what they name is found', () => {
     expect(imports.size).toBeGreaterThan(200);
     const sources = [...imports].filter(([file]) => !file.startsWith('tools'));
-    const lost = sources.flatMap(([file, to]) => to.filter((t) => t.endsWith('.ts') && !imports.has(t)).map((t) => `${file}: ${t}`));
+    const lost = sources.flatMap(([file, to]) =>
+      to.filter((t) => t.endsWith('.ts') && !imports.has(t)).map((t) => `${file}: ${t}`),
+    );
     expect(lost).toEqual([]);
   });
 
--- a/src/programs/package.test.ts
+++ b/src/programs/package.test.ts
@@ -5,7 +5,11 @@
 import { dirname, join, resolve } from 'node:path';
 
 const ROOT = resolve('.');
-type Package = { readonly scripts: Record<string, string>; readonly dependencies: Record<string, string>; readonly bin: { readonly millfield: string } };
+type Package = {
+  readonly scripts: Record<string, string>;
+  readonly dependencies: Record<string, string>;
+  readonly bin: { readonly millfield: string };
+};
 const own = JSON.parse(readFileSync(join(ROOT, 'package.json'), 'utf8')) as Package;
 let folder = '';
 
@@ -15,9 +19,18 @@
   mkdirSync(at, { recursive: true });
   writeFileSync(join(folder, 'package.json'), JSON.stringify({ name: 'caller', private: true }));
   const source = join(folder, 'source');
-  for (const part of ['package.json', 'README.md', 'LICENSE', 'docs', 'examples']) cpSync(join(ROOT, part), join(source, part), { recursive: true });
-  execFileSync(process.execPath, [join(ROOT, 'node_modules/typescript/bin/tsc'), '-p', 'tsconfig.build.json', '--outDir', join(source, 'dist')], { cwd: ROOT });
-  const told = execFileSync('npm', ['pack', '--json', '--ignore-scripts', '--pack-destination', folder], { cwd: source, encoding: 'utf8', stdio: ['ignore', 'pipe', 'ignore'] });
+  for (const part of ['package.json', 'README.md', 'LICENSE', 'docs', 'examples'])
+    cpSync(join(ROOT, part), join(source, part), { recursive: true });
+  execFileSync(
+    process.execPath,
+    [join(ROOT, 'node_modules/typescript/bin/tsc'), '-p', 'tsconfig.build.json', '--outDir', join(source, 'dist')],
+    { cwd: ROOT },
+  );
+  const told = execFileSync('npm', ['pack', '--json', '--ignore-scripts', '--pack-destination', folder], {
+    cwd: source,
+    encoding: 'utf8',
+    stdio: ['ignore', 'pipe', 'ignore'],
+  });
   const file = /"filename": "([^"]+)"/.exec(told)?.[1] ?? '';
   execFileSync('tar', ['-xzf', join(folder, file), '-C', at, '--strip-components=1']);
   for (const name of Object.keys(own.dependencies)) {
@@ -28,12 +41,22 @@
 afterAll(() => rmSync(folder, { recursive: true, force: true }));
 
 function node(...args: string[]): string {
-  return execFileSync(process.execPath, args, { cwd: folder, encoding: 'utf8', env: { PATH: process.env['PATH'] ?? '' } });
+  return execFileSync(process.execPath, args, {
+    cwd: folder,
+    encoding: 'utf8',
+    env: { PATH: process.env['PATH'] ?? '' },
+  });
 }
 
 describe('the packed package, in a folder of a caller', () => {
   test('gives millfield/flume to a caller', () => {
-    expect(node('--input-type=module', '-e', "import { createFlume } from 'millfield/flume'; console.log(typeof createFlume({ sluices: [] }).send)").trim()).toBe('function');
+    expect(
+      node(
+        '--input-type=module',
+        '-e',
+        "import { createFlume } from 'millfield/flume'; console.log(typeof createFlume({ sluices: [] }).send)",
+      ).trim(),
+    ).toBe('function');
   });
 
   test('runs its program', () => {
@@ -42,8 +65,15 @@
 });
 
 test('every npm script that the documents name exists', () => {
-  const pages = ['README.md', ...readdirSync('docs', { recursive: true }).map((f) => join('docs', String(f))).filter((f) => f.endsWith('.md'))];
-  const named = new Set(pages.flatMap((p) => [...readFileSync(p, 'utf8').matchAll(/npm\s+run\s+([a-z]+)/g)].map((m) => m[1] as string)));
+  const pages = [
+    'README.md',
+    ...readdirSync('docs', { recursive: true })
+      .map((f) => join('docs', String(f)))
+      .filter((f) => f.endsWith('.md')),
+  ];
+  const named = new Set(
+    pages.flatMap((p) => [...readFileSync(p, 'utf8').matchAll(/npm\s+run\s+([a-z]+)/g)].map((m) => m[1] as string)),
+  );
   expect([...named].sort()).toEqual(expect.arrayContaining(['bench', 'build', 'replay', 'soak']));
   expect([...named].filter((n) => own.scripts[n] === undefined)).toEqual([]);
 });
--- a/src/programs/runbook.ts
+++ b/src/programs/runbook.ts
@@ -103,7 +103,15 @@
     say(`${r.step + 1}. ${r.name}: ${r.outcome} (${r.seen})`);
     if (!dryRun) appendFileSync(path, `${JSON.stringify(r)}\n`);
   }
-  const end = await runRunbook(book, { core: coreOf(ctx.args), clock: createClock(), rng: createOsRng(), dryRun, before: recordsIn(path), confirm, note });
+  const end = await runRunbook(book, {
+    core: coreOf(ctx.args),
+    clock: createClock(),
+    rng: createOsRng(),
+    dryRun,
+    before: recordsIn(path),
+    confirm,
+    note,
+  });
   if (end.tag !== 'stopped') {
     say(end.tag === 'done' ? 'Done.' : 'Nothing was changed.');
     return;
@@ -116,7 +124,11 @@
 export const runbookCommand = defineCommand({
   meta: { name: 'runbook', description: 'Checks and executes runbooks' },
   subCommands: {
-    check: defineCommand({ meta: { name: 'check', description: 'Tell what is wrong with a runbook' }, args: CHECK_ARGS, run: runCheck }),
+    check: defineCommand({
+      meta: { name: 'check', description: 'Tell what is wrong with a runbook' },
+      args: CHECK_ARGS,
+      run: runCheck,
+    }),
     run: defineCommand({ meta: { name: 'run', description: 'Execute a runbook' }, args: RUN_ARGS, run }),
   },
 });
--- a/src/programs/settings.ts
+++ b/src/programs/settings.ts
@@ -22,7 +22,13 @@
   readonly lab: Lab | null;
 };
 
-export type Lab = { readonly zones: Readonly<Record<string, string>>; readonly delayMs: Readonly<Record<string, number>>; readonly withoutPolicy?: string; readonly switches?: string; readonly tally?: { readonly file: string; readonly places: string } };
+export type Lab = {
+  readonly zones: Readonly<Record<string, string>>;
+  readonly delayMs: Readonly<Record<string, number>>;
+  readonly withoutPolicy?: string;
+  readonly switches?: string;
+  readonly tally?: { readonly file: string; readonly places: string };
+};
 
 export type SettingsFault = { readonly key: string; readonly expected: string; readonly found: string };
 
@@ -66,7 +72,13 @@
   platform: Address,
   cloud: Address,
   logLevel: text('one of silent, error, warn, info', isLevel),
-  lab: t.intersection([t.type({ zones: t.record(t.string, t.string), delayMs: t.record(t.string, t.number) }), t.partial({ withoutPolicy: t.string, switches: t.string, tally: t.type({ file: t.string, places: t.string }) })], 'a table with zones and delayMs'),
+  lab: t.intersection(
+    [
+      t.type({ zones: t.record(t.string, t.string), delayMs: t.record(t.string, t.number) }),
+      t.partial({ withoutPolicy: t.string, switches: t.string, tally: t.type({ file: t.string, places: t.string }) }),
+    ],
+    'a table with zones and delayMs',
+  ),
 };
 const REQUIRED = ['name', 'zone', 'region', 'listen', 'http', 'seeds', 'platform'] as const;
 
@@ -92,7 +104,11 @@
 
 export type SettingsNeeds = { readonly dataFolder: boolean; readonly cloud: boolean };
 
-export function readSettings(file: string | undefined, flags: Readonly<Record<string, string | undefined>>, needs: SettingsNeeds): Result<NodeSettings, readonly SettingsFault[]> {
+export function readSettings(
+  file: string | undefined,
+  flags: Readonly<Record<string, string | undefined>>,
+  needs: SettingsNeeds,
+): Result<NodeSettings, readonly SettingsFault[]> {
   const faults: SettingsFault[] = [];
   let all: Record<string, unknown> = {};
   if (file !== undefined) {
@@ -113,7 +129,8 @@
     if (all[key] === undefined) faults.push({ key, expected: SHAPE[key]?.name ?? 'a value', found: 'nothing' });
   }
   const seeds = all['seeds'];
-  if (Array.isArray(seeds) && (seeds.length < 1 || seeds.length > 9)) faults.push({ key: 'seeds', expected: 'one to nine addresses, commonly three', found: shown(seeds) });
+  if (Array.isArray(seeds) && (seeds.length < 1 || seeds.length > 9))
+    faults.push({ key: 'seeds', expected: 'one to nine addresses, commonly three', found: shown(seeds) });
   if (faults.length > 0) return err(faults);
   const s = all as Partial<NodeSettings> & Pick<NodeSettings, (typeof REQUIRED)[number]>;
   return ok({
--- a/src/programs/tally-file.ts
+++ b/src/programs/tally-file.ts
@@ -14,7 +14,19 @@
   const tally = createTally(readPlaces(s.places));
   function write(): void {
     const { rss, heapUsed } = process.memoryUsage();
-    writeFileSync(`${s.file}.new`, JSON.stringify({ at: performance.now(), hostMs: Number(process.hrtime.bigint()) / 1e6, pid: process.pid, rss, heapUsed, cpu: process.cpuUsage(), rows: tally.rows(), extra: extra() }));
+    writeFileSync(
+      `${s.file}.new`,
+      JSON.stringify({
+        at: performance.now(),
+        hostMs: Number(process.hrtime.bigint()) / 1e6,
+        pid: process.pid,
+        rss,
+        heapUsed,
+        cpu: process.cpuUsage(),
+        rows: tally.rows(),
+        extra: extra(),
+      }),
+    );
     renameSync(`${s.file}.new`, s.file);
   }
   setInterval(write, WRITE_MS).unref();
--- a/src/programs/valve.ts
+++ b/src/programs/valve.ts
@@ -22,7 +22,8 @@
 
 function acknowledged(body: unknown): string {
   const b = body as { readonly acknowledged?: boolean; readonly epoch?: number; readonly waiting?: readonly string[] };
-  if (b.acknowledged) return b.epoch === undefined ? 'Acknowledged.' : `Acknowledged: slot ${b.epoch} is in force on every sluice.`;
+  if (b.acknowledged)
+    return b.epoch === undefined ? 'Acknowledged.' : `Acknowledged: slot ${b.epoch} is in force on every sluice.`;
   return `Agreed in slot ${b.epoch ?? '?'}, not yet confirmed by: ${(b.waiting ?? []).join(', ')}.`;
 }
 
@@ -39,10 +40,17 @@
   operation: { type: 'string', description: 'Operation id: the same id twice is the same change' },
 } as const satisfies ArgsDef;
 
-const APPLY_ARGS = { ...CHANGE_ARGS, file: { type: 'positional', description: 'Configuration (YAML or JSON)', required: true } } as const satisfies ArgsDef;
+const APPLY_ARGS = {
+  ...CHANGE_ARGS,
+  file: { type: 'positional', description: 'Configuration (YAML or JSON)', required: true },
+} as const satisfies ArgsDef;
 const SET_ARGS = {
   ...CHANGE_ARGS,
-  path: { type: 'positional', description: 'Place in the tree, such as /regions/hungary/settings/nExtra', required: true },
+  path: {
+    type: 'positional',
+    description: 'Place in the tree, such as /regions/hungary/settings/nExtra',
+    required: true,
+  },
   value: { type: 'positional', description: 'Value as JSON; left out, the place is cleared', required: false },
 } as const satisfies ArgsDef;
 
@@ -103,7 +111,10 @@
   }
 }
 
-const READ_ARGS = { ...CORE_ARGS, resolved: { type: 'boolean', description: 'Show what each model ends up with, and from which level' } } as const satisfies ArgsDef;
+const READ_ARGS = {
+  ...CORE_ARGS,
+  resolved: { type: 'boolean', description: 'Show what each model ends up with, and from which level' },
+} as const satisfies ArgsDef;
 
 async function runRead(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, READ_ARGS)) return leaveUsage();
@@ -111,24 +122,43 @@
   report(answer, ctx.args['json'] === true, shown);
 
   function shown(body: unknown): string {
-    const b = body as { readonly epoch: number; readonly configuration: unknown; readonly evacuated: readonly string[]; readonly resolved: readonly ResolvedRow[] };
+    const b = body as {
+      readonly epoch: number;
+      readonly configuration: unknown;
+      readonly evacuated: readonly string[];
+      readonly resolved: readonly ResolvedRow[];
+    };
     const head = `epoch ${b.epoch}; evacuated: ${b.evacuated.length > 0 ? b.evacuated.join(', ') : 'none'}`;
     if (ctx.args['resolved'] !== true) return `${head}\n${JSON.stringify(b.configuration, null, 2)}`;
     const rows: string[] = [head];
     for (const r of b.resolved) {
       rows.push(`${r.region}/${r.model}`);
-      for (const key of Object.keys(r.values)) rows.push(`  ${key} = ${JSON.stringify(r.values[key])} (${r.levels[key] ?? '?'})`);
+      for (const key of Object.keys(r.values))
+        rows.push(`  ${key} = ${JSON.stringify(r.values[key])} (${r.levels[key] ?? '?'})`);
     }
     return rows.join('\n');
   }
 }
-type ResolvedRow = { readonly region: string; readonly model: string; readonly values: Readonly<Record<string, unknown>>; readonly levels: Readonly<Record<string, string>> };
-
-const ZONE_ARGS = { ...CORE_ARGS, operation: CHANGE_ARGS.operation, zone: { type: 'positional', description: 'Zone', required: true } } as const satisfies ArgsDef;
+type ResolvedRow = {
+  readonly region: string;
+  readonly model: string;
+  readonly values: Readonly<Record<string, unknown>>;
+  readonly levels: Readonly<Record<string, string>>;
+};
+
+const ZONE_ARGS = {
+  ...CORE_ARGS,
+  operation: CHANGE_ARGS.operation,
+  zone: { type: 'positional', description: 'Zone', required: true },
+} as const satisfies ArgsDef;
 
 async function zoneAct(ctx: Ctx, act: 'evacuate' | 'restore'): Promise<void> {
   if (!flagsFit(ctx.rawArgs, ZONE_ARGS)) return leaveUsage();
-  report(await coreOf(ctx.args).ask(zoneAsk(textOf(ctx, 'zone') ?? '', act, operationOf(ctx))), ctx.args['json'] === true, acknowledged);
+  report(
+    await coreOf(ctx.args).ask(zoneAsk(textOf(ctx, 'zone') ?? '', act, operationOf(ctx))),
+    ctx.args['json'] === true,
+    acknowledged,
+  );
 }
 function runEvacuate(ctx: Ctx): Promise<void> {
   return zoneAct(ctx, 'evacuate');
@@ -137,14 +167,20 @@
   return zoneAct(ctx, 'restore');
 }
 
-const FORGET_ARGS = { ...CORE_ARGS, sluice: { type: 'positional', description: 'Name of a sluice that is gone for good', required: true } } as const satisfies ArgsDef;
+const FORGET_ARGS = {
+  ...CORE_ARGS,
+  sluice: { type: 'positional', description: 'Name of a sluice that is gone for good', required: true },
+} as const satisfies ArgsDef;
 
 async function runForget(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, FORGET_ARGS)) return leaveUsage();
   report(await coreOf(ctx.args).ask(forgetAsk(textOf(ctx, 'sluice') ?? '')), ctx.args['json'] === true, acknowledged);
 }
 
-const FOUND_ARGS = { ...CORE_ARGS, members: { type: 'string', description: 'Node addresses of every headgate, joined by commas', required: true } } as const satisfies ArgsDef;
+const FOUND_ARGS = {
+  ...CORE_ARGS,
+  members: { type: 'string', description: 'Node addresses of every headgate, joined by commas', required: true },
+} as const satisfies ArgsDef;
 
 async function runFound(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, FOUND_ARGS)) return leaveUsage();
@@ -152,7 +188,10 @@
   report(await coreOf(ctx.args).ask(foundAsk(members)), ctx.args['json'] === true, acknowledged);
 }
 
-const REOPEN_ARGS = { ...CORE_ARGS, acceptLoss: { type: 'boolean', description: 'Say that claims on lost disks are given up' } } as const satisfies ArgsDef;
+const REOPEN_ARGS = {
+  ...CORE_ARGS,
+  acceptLoss: { type: 'boolean', description: 'Say that claims on lost disks are given up' },
+} as const satisfies ArgsDef;
 
 async function runReopen(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, REOPEN_ARGS)) return leaveUsage();
@@ -166,13 +205,45 @@
 export const valveCommand = defineCommand({
   meta: { name: 'valve', description: "Operator's commands" },
   subCommands: {
-    found: defineCommand({ meta: { name: 'found', description: 'Found the ledger on blank headgates, once' }, args: FOUND_ARGS, run: runFound }),
-    apply: defineCommand({ meta: { name: 'apply', description: 'Put a whole configuration in force' }, args: APPLY_ARGS, run: runApply }),
-    set: defineCommand({ meta: { name: 'set', description: 'Amend one place of the configuration' }, args: SET_ARGS, run: runSet }),
-    read: defineCommand({ meta: { name: 'read', description: 'Read the configuration back' }, args: READ_ARGS, run: runRead }),
-    evacuate: defineCommand({ meta: { name: 'evacuate', description: 'Empty a zone' }, args: ZONE_ARGS, run: runEvacuate }),
-    restore: defineCommand({ meta: { name: 'restore', description: 'Hand a zone back' }, args: ZONE_ARGS, run: runRestore }),
-    'reopen-claims': defineCommand({ meta: { name: 'reopen-claims', description: 'Take run-once requests again after a majority of disks was lost' }, args: REOPEN_ARGS, run: runReopen }),
-    forget: defineCommand({ meta: { name: 'forget', description: 'Forget a sluice that is gone for good' }, args: FORGET_ARGS, run: runForget }),
+    found: defineCommand({
+      meta: { name: 'found', description: 'Found the ledger on blank headgates, once' },
+      args: FOUND_ARGS,
+      run: runFound,
+    }),
+    apply: defineCommand({
+      meta: { name: 'apply', description: 'Put a whole configuration in force' },
+      args: APPLY_ARGS,
+      run: runApply,
+    }),
+    set: defineCommand({
+      meta: { name: 'set', description: 'Amend one place of the configuration' },
+      args: SET_ARGS,
+      run: runSet,
+    }),
+    read: defineCommand({
+      meta: { name: 'read', description: 'Read the configuration back' },
+      args: READ_ARGS,
+      run: runRead,
+    }),
+    evacuate: defineCommand({
+      meta: { name: 'evacuate', description: 'Empty a zone' },
+      args: ZONE_ARGS,
+      run: runEvacuate,
+    }),
+    restore: defineCommand({
+      meta: { name: 'restore', description: 'Hand a zone back' },
+      args: ZONE_ARGS,
+      run: runRestore,
+    }),
+    'reopen-claims': defineCommand({
+      meta: { name: 'reopen-claims', description: 'Take run-once requests again after a majority of disks was lost' },
+      args: REOPEN_ARGS,
+      run: runReopen,
+    }),
+    forget: defineCommand({
+      meta: { name: 'forget', description: 'Forget a sluice that is gone for good' },
+      args: FORGET_ARGS,
+      run: runForget,
+    }),
   },
 });
--- a/src/protocol/aims.ts
+++ b/src/protocol/aims.ts
@@ -7,7 +7,10 @@
 import type { Configuration } from '../state/settings-tree.js';
 import type { ConfigFault } from './codecs.js';
 
-const Measures = t.keyof({ success: null, firstPiece: null, whole: null, changeInForce: null, shed: null }, 'one of success, firstPiece, whole, changeInForce, shed');
+const Measures = t.keyof(
+  { success: null, firstPiece: null, whole: null, changeInForce: null, shed: null },
+  'one of success, firstPiece, whole, changeInForce, shed',
+);
 const KEYS = ['name', 'measure', 'model', 'mapping', 'objective', 'withinMs', 'window'] as const;
 const WINDOW = /^(\d+)(m|h)$/;
 const MOST_MINUTES = 24 * 60;
@@ -31,7 +34,8 @@
     faults.push({ path, expected, found: shown(found) });
   }
   const models = new Set<string>();
-  for (const branch of Object.values(cfg.regions)) for (const model of Object.keys(branch.models ?? {})) models.add(model);
+  for (const branch of Object.values(cfg.regions))
+    for (const model of Object.keys(branch.models ?? {})) models.add(model);
   const mappings = new Set(Object.keys(cfg.mappings ?? {}));
   const top = isTable(doc) ? doc : {};
   for (const key of Object.keys(top)) if (key !== 'aims') fault(`/${key}`, 'aims', key);
@@ -48,7 +52,8 @@
       fault(at, 'an aim', aim);
       continue;
     }
-    for (const key of Object.keys(aim)) if (!(KEYS as readonly string[]).includes(key)) fault(`${at}/${key}`, `one of ${KEYS.join(', ')}`, key);
+    for (const key of Object.keys(aim))
+      if (!(KEYS as readonly string[]).includes(key)) fault(`${at}/${key}`, `one of ${KEYS.join(', ')}`, key);
     const { name, measure, model, mapping, objective, withinMs, window } = aim;
     if (typeof name !== 'string' || name === '') fault(`${at}/name`, 'a name', name);
     else if (names.has(name)) fault(`${at}/name`, 'a name that no other aim bears', name);
@@ -60,12 +65,16 @@
       if (mapping !== undefined) fault(`${at}/mapping`, 'nothing, for changes are of the whole deployment', mapping);
     } else {
       if ((model === undefined) === (mapping === undefined)) fault(at, 'either a model or a mapping', aim);
-      if (model !== undefined && !models.has(String(model))) fault(`${at}/model`, `one of ${[...models].sort().join(', ')}`, model);
-      if (mapping !== undefined && !mappings.has(String(mapping))) fault(`${at}/mapping`, `one of ${[...mappings].sort().join(', ')}`, mapping);
+      if (model !== undefined && !models.has(String(model)))
+        fault(`${at}/model`, `one of ${[...models].sort().join(', ')}`, model);
+      if (mapping !== undefined && !mappings.has(String(mapping)))
+        fault(`${at}/mapping`, `one of ${[...mappings].sort().join(', ')}`, mapping);
     }
-    if (typeof objective !== 'number' || objective <= 0 || objective > 1) fault(`${at}/objective`, 'a share above 0, up to 1', objective);
+    if (typeof objective !== 'number' || objective <= 0 || objective > 1)
+      fault(`${at}/objective`, 'a share above 0, up to 1', objective);
     const timed = measured !== null && TIMED.includes(measured);
-    if (timed && !(BOUNDS_MS as readonly unknown[]).includes(withinMs)) fault(`${at}/withinMs`, `one of ${BOUNDS_MS.join(', ')}`, withinMs);
+    if (timed && !(BOUNDS_MS as readonly unknown[]).includes(withinMs))
+      fault(`${at}/withinMs`, `one of ${BOUNDS_MS.join(', ')}`, withinMs);
     if (!timed && withinMs !== undefined) fault(`${at}/withinMs`, 'nothing, for this measure has no time', withinMs);
     const minutes = minutesOf(window);
     if (minutes === null) fault(`${at}/window`, 'minutes or hours up to 24h, such as 30m', window);
--- a/src/protocol/cloud-wire.ts
+++ b/src/protocol/cloud-wire.ts
@@ -10,7 +10,12 @@
   zone: Str,
   kind: Type.Union([Type.Literal('spot'), Type.Literal('onDemand')]),
   model: Str,
-  state: Type.Union([Type.Literal('starting'), Type.Literal('running'), Type.Literal('reclaiming'), Type.Literal('gone')]),
+  state: Type.Union([
+    Type.Literal('starting'),
+    Type.Literal('running'),
+    Type.Literal('reclaiming'),
+    Type.Literal('gone'),
+  ]),
 });
 export type Machine = Static<typeof MachineShape>;
 
@@ -29,7 +34,11 @@
 export const readMachines = readerOf(Type.Object({ machines: Type.Array(MachineShape) }));
 export const readNoCapacity = readerOf(Type.Object({ error: Type.Literal('noCapacity') }));
 export const readPrices = readerOf(
-  Type.Object({ prices: Type.Array(Type.Object({ zone: Str, spot: Type.Number({ minimum: 0 }), onDemand: Type.Number({ minimum: 0 }) })) }),
+  Type.Object({
+    prices: Type.Array(
+      Type.Object({ zone: Str, spot: Type.Number({ minimum: 0 }), onDemand: Type.Number({ minimum: 0 }) }),
+    ),
+  }),
 );
 
 export const MACHINES_PATH = '/v1/machines';
--- a/src/protocol/configuration.test.ts
+++ b/src/protocol/configuration.test.ts
@@ -45,8 +45,13 @@
     );
   });
 
-  test.each([null, 7, 'text', [], { zones: [] }, { zones: {}, regions: 3 }])('nonsense is a fault, not a crash: %j', (doc) => {
-    const read = readConfiguration(doc);
-    expect(read.ok).toBe(doc !== null && typeof doc === 'object' && Object.keys(doc).length === 0 && !Array.isArray(doc));
-  });
+  test.each([null, 7, 'text', [], { zones: [] }, { zones: {}, regions: 3 }])(
+    'nonsense is a fault, not a crash: %j',
+    (doc) => {
+      const read = readConfiguration(doc);
+      expect(read.ok).toBe(
+        doc !== null && typeof doc === 'object' && Object.keys(doc).length === 0 && !Array.isArray(doc),
+      );
+    },
+  );
 });
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -41,7 +41,11 @@
   function check(path: readonly string[], codec: t.Mixed, value: unknown): void {
     faults.push(...faultsIn(path, codec, value));
   }
-  function table(path: readonly string[], value: unknown, known: Readonly<Record<string, unknown>> | null): Record<string, unknown> {
+  function table(
+    path: readonly string[],
+    value: unknown,
+    known: Readonly<Record<string, unknown>> | null,
+  ): Record<string, unknown> {
     if (value === undefined) return {};
     if (!isTable(value)) {
       fault(path, 'a table', value);
@@ -58,16 +62,20 @@
     for (const [key, codec] of Object.entries(SETTING_CODECS)) {
       if (Object.hasOwn(at, key)) check([...path, key], codec, at[key]);
     }
-    if (Array.isArray(at['zones'])) for (const z of at['zones']) if (!zoneNames.has(String(z))) fault([...path, 'zones'], 'zones named under /zones', z);
+    if (Array.isArray(at['zones']))
+      for (const z of at['zones'])
+        if (!zoneNames.has(String(z))) fault([...path, 'zones'], 'zones named under /zones', z);
     const homes = isTable(at['homes']) ? at['homes'] : {};
     for (const [kind, list] of Object.entries(homes)) {
       if (!Array.isArray(list)) continue;
       if (list.length === 0) fault([...path, 'homes', kind], 'at least one region', list);
-      for (const r of list) if (!regionNames.has(String(r))) fault([...path, 'homes', kind], 'regions that hold a zone', r);
+      for (const r of list)
+        if (!regionNames.has(String(r))) fault([...path, 'homes', kind], 'regions that hold a zone', r);
     }
     const low = at['minTarget'];
     const high = at['maxTarget'];
-    if (typeof low === 'number' && typeof high === 'number' && low > high) fault([...path, 'minTarget'], `at most maxTarget (${high})`, low);
+    if (typeof low === 'number' && typeof high === 'number' && low > high)
+      fault([...path, 'minTarget'], `at most maxTarget (${high})`, low);
   }
 
   const top = table([], doc, TopShape);
@@ -98,8 +106,10 @@
   const mappings = table(['mappings'], top['mappings'], null);
   for (const [name, value] of Object.entries(mappings)) {
     const mapping = table(['mappings', name], value, { model: true, kind: true });
-    if (!modelHome.has(String(mapping['model']))) fault(['mappings', name, 'model'], 'a model named under /regions', mapping['model']);
-    if (mapping['kind'] !== undefined && typeof mapping['kind'] !== 'string') fault(['mappings', name, 'kind'], 'a kind of request', mapping['kind']);
+    if (!modelHome.has(String(mapping['model'])))
+      fault(['mappings', name, 'model'], 'a model named under /regions', mapping['model']);
+    if (mapping['kind'] !== undefined && typeof mapping['kind'] !== 'string')
+      fault(['mappings', name, 'kind'], 'a kind of request', mapping['kind']);
   }
   if (top['serving'] !== undefined) {
     const serving = readServing(top['serving'], ['serving']);
--- a/src/protocol/origin-wire.ts
+++ b/src/protocol/origin-wire.ts
@@ -24,7 +24,13 @@
 );
 export type PlaceAsk = Static<typeof PlaceShape>;
 
-export const PlacedShape = Type.Object({ sluice: Id, address: Id, ticket: Type.String(), requestId: Id, expiresInMs: Type.Number() });
+export const PlacedShape = Type.Object({
+  sluice: Id,
+  address: Id,
+  ticket: Type.String(),
+  requestId: Id,
+  expiresInMs: Type.Number(),
+});
 export type Placed = Static<typeof PlacedShape>;
 
 export const SubmitShape = Type.Object(
--- a/src/protocol/serving.test.ts
+++ b/src/protocol/serving.test.ts
@@ -5,7 +5,14 @@
 import { readConfiguration } from './configuration.js';
 import { readServing } from './serving.js';
 
-const MODEL: ModelTraits = { at: 0, fitnessPath: '/health', maxConns: 10, coldS: 0, coldRateS: 0, engine: { batch: 64, kvTokens: 1_000 } };
+const MODEL: ModelTraits = {
+  at: 0,
+  fitnessPath: '/health',
+  maxConns: 10,
+  coldS: 0,
+  coldRateS: 0,
+  engine: { batch: 64, kvTokens: 1_000 },
+};
 function mapping(more: Partial<DoorMapping>): DoorMapping {
   return {
     at: 0,
@@ -19,13 +26,21 @@
     aimMs: 800,
     pauseMs: null,
     dispatches: 1,
-    shares: [{ model: 'm', share: 90 }, { model: 'n', share: 10 }],
+    shares: [
+      { model: 'm', share: 90 },
+      { model: 'n', share: 10 },
+    ],
     split: true,
     homes: ['north'],
     ...more,
   };
 }
-const SOUND: Serving = { number: 7, mappings: { x: mapping({}), y: mapping({ prefix: '/p/q/', at: 1 }) }, models: { m: MODEL, n: { ...MODEL, engine: null, at: 1 } }, limits: DEFAULT_LIMITS };
+const SOUND: Serving = {
+  number: 7,
+  mappings: { x: mapping({}), y: mapping({ prefix: '/p/q/', at: 1 }) },
+  models: { m: MODEL, n: { ...MODEL, engine: null, at: 1 } },
+  limits: DEFAULT_LIMITS,
+};
 
 function faults(path: string[], value: unknown): string[] {
   const read = readServing(withChanges(SOUND, [value === undefined ? { path } : { path, value }]));
@@ -39,18 +54,53 @@
   });
 
   test.each<[string, string[], unknown, string]>([
-    ['an unknown model', ['mappings', 'x', 'shares'], [{ model: 'ghost', share: 1 }], '/mappings/x/shares/0/model: a model named under models; "ghost"'],
+    [
+      'an unknown model',
+      ['mappings', 'x', 'shares'],
+      [{ model: 'ghost', share: 1 }],
+      '/mappings/x/shares/0/model: a model named under models; "ghost"',
+    ],
     ['a model taken away', ['models', 'n'], undefined, '/mappings/x/shares/1/model: a model named under models; "n"'],
-    ['the same place', ['mappings', 'y', 'prefix'], '/p/', '/mappings/y/prefix: a host and prefix that x does not have; "a.example /p/"'],
-    ['shares that sum to 0', ['mappings', 'x', 'shares'], [{ model: 'm', share: 0 }], '/mappings/x/shares: shares that add up to more than 0; [{"model":"m","share":0}]'],
+    [
+      'the same place',
+      ['mappings', 'y', 'prefix'],
+      '/p/',
+      '/mappings/y/prefix: a host and prefix that x does not have; "a.example /p/"',
+    ],
+    [
+      'shares that sum to 0',
+      ['mappings', 'x', 'shares'],
+      [{ model: 'm', share: 0 }],
+      '/mappings/x/shares: shares that add up to more than 0; [{"model":"m","share":0}]',
+    ],
     ['no shares', ['mappings', 'x', 'shares'], [], '/mappings/x/shares: shares that add up to more than 0; []'],
-    ['a share below 0', ['mappings', 'x', 'shares'], [{ model: 'm', share: -1 }], `/mappings/x/shares/0/share: a number from 0 to ${Number.MAX_SAFE_INTEGER}; -1`],
+    [
+      'a share below 0',
+      ['mappings', 'x', 'shares'],
+      [{ model: 'm', share: -1 }],
+      `/mappings/x/shares/0/share: a number from 0 to ${Number.MAX_SAFE_INTEGER}; -1`,
+    ],
     ['no deadline', ['mappings', 'x', 'deadlineMs'], 0, '/mappings/x/deadlineMs: a number above 0; 0'],
-    ['a prefix without its end', ['mappings', 'x', 'prefix'], '/p', '/mappings/x/prefix: a path that begins and ends with a slash; "/p"'],
-    ['a prefix without its start', ['mappings', 'x', 'prefix'], 'p/', '/mappings/x/prefix: a path that begins and ends with a slash; "p/"'],
+    [
+      'a prefix without its end',
+      ['mappings', 'x', 'prefix'],
+      '/p',
+      '/mappings/x/prefix: a path that begins and ends with a slash; "/p"',
+    ],
+    [
+      'a prefix without its start',
+      ['mappings', 'x', 'prefix'],
+      'p/',
+      '/mappings/x/prefix: a path that begins and ends with a slash; "p/"',
+    ],
     ['homes that are no list', ['mappings', 'x', 'homes'], 'north', '/mappings/x/homes: a list of regions; "north"'],
     ['a home without a name', ['mappings', 'x', 'homes'], [''], '/mappings/x/homes/0: a text of up to 256 letters; ""'],
-    ['a kind of its own', ['mappings', 'x', 'kind'], 'socket', '/mappings/x/kind: one of repeatable, once, stream; "socket"'],
+    [
+      'a kind of its own',
+      ['mappings', 'x', 'kind'],
+      'socket',
+      '/mappings/x/kind: one of repeatable, once, stream; "socket"',
+    ],
     ['no host', ['mappings', 'x', 'host'], undefined, '/mappings/x/host: a host; nothing'],
     ['no number', ['number'], undefined, `/number: a whole number from 1 to ${Number.MAX_SAFE_INTEGER}; nothing`],
     ['no dispatches', ['mappings', 'x', 'dispatches'], 0, '/mappings/x/dispatches: a whole number from 1 to 1000; 0'],
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -111,12 +111,14 @@
   for (const [name, mapping] of items<DoorMapping>('mappings', top['mappings'], Mapping)) {
     const place = `${mapping.host.toLowerCase()} ${mapping.prefix}`;
     const other = taken.get(place);
-    if (other !== undefined) fault(['mappings', name, 'prefix'], `a host and prefix that ${other} does not have`, place);
+    if (other !== undefined)
+      fault(['mappings', name, 'prefix'], `a host and prefix that ${other} does not have`, place);
     taken.set(place, name);
     let sum = 0;
     for (const [i, share] of mapping.shares.entries()) {
       sum += share.share;
-      if (!Object.hasOwn(models, share.model)) fault(['mappings', name, 'shares', String(i), 'model'], 'a model named under models', share.model);
+      if (!Object.hasOwn(models, share.model))
+        fault(['mappings', name, 'shares', String(i), 'model'], 'a model named under models', share.model);
     }
     if (!(sum > 0)) fault(['mappings', name, 'shares'], 'shares that add up to more than 0', mapping.shares);
   }
--- a/src/runbook/core-runbooks.test.ts
+++ b/src/runbook/core-runbooks.test.ts
@@ -12,7 +12,11 @@
 import type { RunEnd, StepRecord } from './run.js';
 
 type Desk = { readonly fleet: SimFleet; readonly clock: Clock; readonly core: (at: readonly number[]) => Core };
-type Played = { readonly end: RunEnd | null; readonly records: readonly StepRecord[]; readonly asked: readonly string[] };
+type Played = {
+  readonly end: RunEnd | null;
+  readonly records: readonly StepRecord[];
+  readonly asked: readonly string[];
+};
 
 const ALL = [0, 1, 2];
 
@@ -21,14 +25,27 @@
   expect(await fleet.start()).toBe(true);
   await fleet.run(4_000);
   const proc = fleet.world.begin(fleet.world.host('operator', 'lab'));
-  return { fleet, clock: fleet.world.clockOf(proc), core: (at) => createCore(at.map((i) => fleet.headgates[i]?.http ?? ''), fleet.callerOf(proc)) };
+  return {
+    fleet,
+    clock: fleet.world.clockOf(proc),
+    core: (at) =>
+      createCore(
+        at.map((i) => fleet.headgates[i]?.http ?? ''),
+        fleet.callerOf(proc),
+      ),
+  };
 }
 function book(name: string, inputs: Record<string, string>): Runbook {
   const read = readRunbook(readFileSync(`runbooks/${name}.yaml`, 'utf8'), inputs);
   if (!read.ok) throw new Error(JSON.stringify(read.fault));
   return read.value;
 }
-async function play(d: Desk, runbook: Runbook, core: Core, work: (step: Step) => void = () => undefined): Promise<Played> {
+async function play(
+  d: Desk,
+  runbook: Runbook,
+  core: Core,
+  work: (step: Step) => void = () => undefined,
+): Promise<Played> {
   const records: StepRecord[] = [];
   const asked: string[] = [];
   async function confirm(step: Step): Promise<boolean> {
@@ -39,7 +56,10 @@
   async function note(r: StepRecord): Promise<void> {
     records.push(r);
   }
-  const end = await d.fleet.finish(runRunbook(runbook, { core, clock: d.clock, rng: createRng(7), dryRun: false, before: [], confirm, note }), 900_000);
+  const end = await d.fleet.finish(
+    runRunbook(runbook, { core, clock: d.clock, rng: createRng(7), dryRun: false, before: [], confirm, note }),
+    900_000,
+  );
   return { end, records, asked };
 }
 const planned = book('before-core-work', { name: 'headgate-2' });
@@ -62,7 +82,11 @@
     const unmet = await d.fleet.finish(unmetAtStart(planned, d.core(ALL), d.clock), 60_000);
     expect(unmet?.step.name).toBe(FIRST);
     const got = await play(d, planned, d.core(ALL));
-    expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'unmet', seen: expect.stringContaining('headgate-3 silent') });
+    expect(got.end).toMatchObject({
+      tag: 'stopped',
+      outcome: 'unmet',
+      seen: expect.stringContaining('headgate-3 silent'),
+    });
     expect(got.asked).toEqual([]);
   });
 
@@ -71,7 +95,11 @@
     for (const name of ['headgate-1', 'headgate-3']) d.fleet.kill(name);
     await d.fleet.run(3_000);
     const got = await play(d, planned, d.core(ALL));
-    expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'unmet', seen: expect.stringContaining('no majority of the members says') });
+    expect(got.end).toMatchObject({
+      tag: 'stopped',
+      outcome: 'unmet',
+      seen: expect.stringContaining('no majority of the members says'),
+    });
     expect(got.asked).toEqual([]);
   });
 
@@ -80,13 +108,22 @@
     d.fleet.cutOff(['headgate-1']);
     await d.fleet.run(3_000);
     const got = await play(d, planned, d.core([0]));
-    expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'unmet', seen: expect.stringContaining('ledger bears 0 of at least 1 (headgate-1 silent)') });
+    expect(got.end).toMatchObject({
+      tag: 'stopped',
+      outcome: 'unmet',
+      seen: expect.stringContaining('ledger bears 0 of at least 1 (headgate-1 silent)'),
+    });
   });
 
   test('the controller does not come back: late, and no word of success', async () => {
     const d = await desk(35);
     const got = await play(d, planned, d.core(ALL), () => d.fleet.kill('headgate-2'));
-    expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'late', step: { name: 'The core bears a further loss again' }, seen: expect.stringContaining('headgate-2 silent') });
+    expect(got.end).toMatchObject({
+      tag: 'stopped',
+      outcome: 'late',
+      step: { name: 'The core bears a further loss again' },
+      seen: expect.stringContaining('headgate-2 silent'),
+    });
   });
 
   test('a disk that takes no writes is a loss already', async () => {
@@ -96,7 +133,11 @@
     await d.fleet.operator(0, 'POST', '/v1/zones/at-1/evacuate', {});
     await d.fleet.run(3_000);
     const got = await play(d, planned, d.core(ALL));
-    expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'unmet', seen: expect.stringContaining('headgate-3 cannotWrite') });
+    expect(got.end).toMatchObject({
+      tag: 'stopped',
+      outcome: 'unmet',
+      seen: expect.stringContaining('headgate-3 cannotWrite'),
+    });
   });
 });
 
@@ -111,9 +152,17 @@
     d.fleet.kill('headgate-2');
     d.fleet.wipe('headgate-2');
     await d.fleet.run(6_000);
-    const got = await play(d, replace(d), d.core(ALL), (s) => void (s.name.startsWith('Start') && d.fleet.startNode('headgate-2')));
+    const got = await play(
+      d,
+      replace(d),
+      d.core(ALL),
+      (s) => void (s.name.startsWith('Start') && d.fleet.startNode('headgate-2')),
+    );
     expect(got.end).toEqual({ tag: 'done' });
-    expect(got.records.find((r) => r.name === 'The core bears a further loss again')).toMatchObject({ outcome: 'done', seen: 'ledger bears 1 of at least 1; claims bears 1 of at least 1' });
+    expect(got.records.find((r) => r.name === 'The core bears a further loss again')).toMatchObject({
+      outcome: 'done',
+      seen: 'ledger bears 1 of at least 1; claims bears 1 of at least 1',
+    });
   });
 
   test('refused while another one lacks what the core needs: its loss would be the second', async () => {
@@ -123,7 +172,12 @@
     await d.fleet.operator(0, 'POST', '/v1/zones/at-1/evacuate', {});
     await d.fleet.run(3_000);
     const got = await play(d, replace(d), d.core(ALL));
-    expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'unmet', step: { name: step }, seen: expect.stringContaining('ledger would stop without headgate-2 (headgate-3 cannotWrite)') });
+    expect(got.end).toMatchObject({
+      tag: 'stopped',
+      outcome: 'unmet',
+      step: { name: step },
+      seen: expect.stringContaining('ledger would stop without headgate-2 (headgate-3 cannotWrite)'),
+    });
     expect(got.asked).toEqual([]);
   });
 });
--- a/src/runbook/document.test.ts
+++ b/src/runbook/document.test.ts
@@ -26,20 +26,48 @@
 
   test('inputs are filled in', () => {
     const read = readRunbook(good, { zone: 'z9' });
-    expect(read.ok && read.value.steps[1]).toMatchObject({ name: 'second z9', work: { tag: 'evacuate', zone: 'z9' }, line: 8 });
+    expect(read.ok && read.value.steps[1]).toMatchObject({
+      name: 'second z9',
+      work: { tag: 'evacuate', zone: 'z9' },
+      line: 8,
+    });
   });
 
   test.each<[string, (s: string) => string, string]>([
     ['an unknown step', (s) => s.replace('    evacuate:', '    explode:'), '9: unknown step explode'],
     ['a missing value', (s) => s.replace(', withinS: 5', ''), '11: wait: withinS is missing'],
-    ['a missing condition', (s) => s.replace('until: { zoneOrders: { zone: "${zone}", atMost: 0 } }, ', ''), '11: wait: until is missing'],
+    [
+      'a missing condition',
+      (s) => s.replace('until: { zoneOrders: { zone: "${zone}", atMost: 0 } }, ', ''),
+      '11: wait: until is missing',
+    ],
     ['an unknown condition', (s) => s.replace('quorate:', 'sunny:'), '7: require: expected one condition'],
-    ['a value of the wrong kind', (s) => s.replace('withinS: 5', 'withinS: soon'), '11: wait: withinS must be a number'],
-    ['an unknown value', (s) => s.replace('atMost: 0', 'atMost: 0, atWorst: 3'), '11: zoneOrders: unknown value atWorst'],
-    ['an undeclared input', (s) => s.replace('"${zone}" }\n  - name: third', '"${region}" }\n  - name: third'), '9: input region is not declared'],
-    ['two things in one step', (s) => s.replace('    evacuate:', '    restore: { zone: a }\n    evacuate:'), '10: a step does one thing'],
+    [
+      'a value of the wrong kind',
+      (s) => s.replace('withinS: 5', 'withinS: soon'),
+      '11: wait: withinS must be a number',
+    ],
+    [
+      'an unknown value',
+      (s) => s.replace('atMost: 0', 'atMost: 0, atWorst: 3'),
+      '11: zoneOrders: unknown value atWorst',
+    ],
+    [
+      'an undeclared input',
+      (s) => s.replace('"${zone}" }\n  - name: third', '"${region}" }\n  - name: third'),
+      '9: input region is not declared',
+    ],
+    [
+      'two things in one step',
+      (s) => s.replace('    evacuate:', '    restore: { zone: a }\n    evacuate:'),
+      '10: a step does one thing',
+    ],
     ['a step that does nothing', (s) => s.replace('    require: { quorate: }\n', ''), '6: step: expected one of'],
-    ['a step without a name', (s) => s.replace('  - name: first\n    require', '  - require'), '6: step: name is missing'],
+    [
+      'a step without a name',
+      (s) => s.replace('  - name: first\n    require', '  - require'),
+      '6: step: name is missing',
+    ],
     ['broken YAML', (s) => `${s}\n  - name: {`, ''],
     ['no steps', (s) => s.slice(0, s.indexOf('  - name')), '1: steps: expected a list'],
   ])('%s is turned down with its line', (_what, spoil, told) => {
--- a/src/runbook/document.ts
+++ b/src/runbook/document.ts
@@ -14,7 +14,13 @@
   | { readonly tag: 'member'; readonly name: string; readonly address: string | null }
   | { readonly tag: 'evacuated'; readonly zone: string; readonly is: boolean }
   | { readonly tag: 'zoneOrders'; readonly zone: string; readonly atMost: number }
-  | { readonly tag: 'ready'; readonly model: string; readonly kind: string | null; readonly atLeast: number | null; readonly atMost: number | null }
+  | {
+      readonly tag: 'ready';
+      readonly model: string;
+      readonly kind: string | null;
+      readonly atLeast: number | null;
+      readonly atMost: number | null;
+    }
   | { readonly tag: 'setting'; readonly path: string; readonly is: unknown };
 
 export type Work =
@@ -29,7 +35,12 @@
 
 export type Step = { readonly name: string; readonly line: number; readonly work: Work; readonly ifNot: string };
 
-export type Runbook = { readonly runbook: string; readonly about: string; readonly inputs: Readonly<Record<string, string>>; readonly steps: readonly Step[] };
+export type Runbook = {
+  readonly runbook: string;
+  readonly about: string;
+  readonly inputs: Readonly<Record<string, string>>;
+  readonly steps: readonly Step[];
+};
 
 export type DocFault = { readonly line: number; readonly reason: string };
 
@@ -64,7 +75,10 @@
 
 const HOLD = /\$\{([a-zA-Z]+)\}/g;
 
-export function readRunbook(text: string, inputs: Readonly<Record<string, string>> | null): Result<Runbook, readonly DocFault[]> {
+export function readRunbook(
+  text: string,
+  inputs: Readonly<Record<string, string>> | null,
+): Result<Runbook, readonly DocFault[]> {
   const counter = new LineCounter();
   const doc = parseDocument(text, { lineCounter: counter });
   const faults: DocFault[] = [];
@@ -83,13 +97,18 @@
   const declared: Record<string, string> = {};
   for (const pair of top.items) {
     const key = keyOf(pair);
-    if (!['runbook', 'about', 'inputs', 'steps'].includes(key)) fault(lineOf(pair.key), `unknown key ${key}; expected runbook, about, inputs, steps`);
+    if (!['runbook', 'about', 'inputs', 'steps'].includes(key))
+      fault(lineOf(pair.key), `unknown key ${key}; expected runbook, about, inputs, steps`);
     if (key !== 'inputs') continue;
     if (!isMap(pair.value)) fault(lineOf(pair.key), 'inputs: expected a table of names and what they mean');
     else for (const p of pair.value.items) declared[keyOf(p)] = isScalar(p.value) ? String(p.value.value) : '';
   }
-  for (const name of Object.keys(inputs ?? {})) if (!Object.hasOwn(declared, name)) fault(1, `input ${name} is not one of this runbook: ${Object.keys(declared).join(', ') || 'it takes none'}`);
-  if (inputs) for (const name of Object.keys(declared)) if (!Object.hasOwn(inputs, name)) fault(1, `input ${name} is missing: ${declared[name]}`);
+  for (const name of Object.keys(inputs ?? {}))
+    if (!Object.hasOwn(declared, name))
+      fault(1, `input ${name} is not one of this runbook: ${Object.keys(declared).join(', ') || 'it takes none'}`);
+  if (inputs)
+    for (const name of Object.keys(declared))
+      if (!Object.hasOwn(inputs, name)) fault(1, `input ${name} is missing: ${declared[name]}`);
 
   function keyOf(pair: Pair): string {
     return isScalar(pair.key) ? String(pair.key.value) : '?';
@@ -102,7 +121,8 @@
   function filled(value: unknown, line: number): unknown {
     if (typeof value !== 'string') return value;
     const whole = /^\$\{([a-zA-Z]+)\}$/.exec(value);
-    for (const m of value.matchAll(HOLD)) if (!Object.hasOwn(declared, m[1] as string)) fault(line, `input ${m[1]} is not declared under inputs`);
+    for (const m of value.matchAll(HOLD))
+      if (!Object.hasOwn(declared, m[1] as string)) fault(line, `input ${m[1]} is not declared under inputs`);
     if (whole && inputs) return inputs[whole[1] as string] ?? value;
     function put(_all: string, name: string): string {
       return inputs?.[name] ?? `\${${name}}`;
@@ -115,10 +135,21 @@
     if (type === 'number') return typeof value === 'number' && Number.isFinite(value) && value >= 0;
     return typeof value === 'boolean';
   }
-  function fieldsOf(node: unknown, form: Form, what: string, line: number, inner: string | null): Record<string, unknown> {
+  function fieldsOf(
+    node: unknown,
+    form: Form,
+    what: string,
+    line: number,
+    inner: string | null,
+  ): Record<string, unknown> {
     const out: Record<string, unknown> = {};
     const items = isMap(node) ? node.items : [];
-    if (node !== null && node !== undefined && !isMap(node) && !(isScalar(node) && (node.value === null || node.value === true))) {
+    if (
+      node !== null &&
+      node !== undefined &&
+      !isMap(node) &&
+      !(isScalar(node) && (node.value === null || node.value === true))
+    ) {
       fault(line, `${what}: expected a table`);
       return out;
     }
@@ -128,7 +159,10 @@
       if (key === inner) continue;
       const type = form.needs[key] ?? form.may[key];
       if (!type) {
-        fault(at, `${what}: unknown value ${key}; expected ${[...Object.keys(form.needs), ...Object.keys(form.may), ...(inner ? [inner] : [])].join(', ') || 'none'}`);
+        fault(
+          at,
+          `${what}: unknown value ${key}; expected ${[...Object.keys(form.needs), ...Object.keys(form.may), ...(inner ? [inner] : [])].join(', ') || 'none'}`,
+        );
         continue;
       }
       const raw = isScalar(pair.value) ? pair.value.value : (pair.value as Node | null)?.toJS(doc);
@@ -143,11 +177,21 @@
     const pair = isMap(node) ? node.items[0] : undefined;
     const tag = pair ? keyOf(pair) : isScalar(node) ? String(node.value) : '';
     if (!Object.hasOwn(CONDITIONS, tag) || (isMap(node) && node.items.length !== 1)) {
-      fault(line, `${what}: expected one condition of ${Object.keys(CONDITIONS).join(', ')}; found ${tag || 'nothing'}`);
+      fault(
+        line,
+        `${what}: expected one condition of ${Object.keys(CONDITIONS).join(', ')}; found ${tag || 'nothing'}`,
+      );
       return { tag: 'quorate' };
     }
-    const fields = fieldsOf(pair?.value ?? null, CONDITIONS[tag as Condition['tag']], tag, pair ? lineOf(pair.key) : line, null);
-    if (tag === 'ready' && fields['atLeast'] === undefined && fields['atMost'] === undefined) fault(line, 'ready: atLeast or atMost is missing');
+    const fields = fieldsOf(
+      pair?.value ?? null,
+      CONDITIONS[tag as Condition['tag']],
+      tag,
+      pair ? lineOf(pair.key) : line,
+      null,
+    );
+    if (tag === 'ready' && fields['atLeast'] === undefined && fields['atMost'] === undefined)
+      fault(line, 'ready: atLeast or atMost is missing');
     return { kind: null, atLeast: null, atMost: null, address: null, ...fields, tag } as unknown as Condition;
   }
   function stepOf(node: unknown): Step | null {
@@ -175,7 +219,12 @@
       return null;
     }
     const ifNot = node.get('ifNot');
-    return { name: String(filled(name, line)), line, work, ifNot: typeof ifNot === 'string' ? String(filled(ifNot, line)) : '' };
+    return {
+      name: String(filled(name, line)),
+      line,
+      work,
+      ifNot: typeof ifNot === 'string' ? String(filled(ifNot, line)) : '',
+    };
     function unknownWork(pair: Pair): boolean {
       return !['name', 'ifNot'].includes(keyOf(pair));
     }
@@ -187,16 +236,22 @@
     const until = isMap(value) ? value.get('until', true) : undefined;
     const fields = fieldsOf(value, WORKS.wait, 'wait', line, 'until');
     if (!until) fault(line, 'wait: until is missing');
-    return { tag, condition: until ? conditionOf(until, line, 'wait') : { tag: 'quorate' }, withinS: Number(fields['withinS']), heldS: Number(fields['heldS'] ?? 0) };
+    return {
+      tag,
+      condition: until ? conditionOf(until, line, 'wait') : { tag: 'quorate' },
+      withinS: Number(fields['withinS']),
+      heldS: Number(fields['heldS'] ?? 0),
+    };
   }
 
   const steps: Step[] = [];
   const list = top.get('steps', true);
   if (!isSeq(list) || list.items.length === 0) fault(1, 'steps: expected a list of steps');
-  else for (const item of list.items) {
-    const step = stepOf(item);
-    if (step) steps.push(step);
-  }
+  else
+    for (const item of list.items) {
+      const step = stepOf(item);
+      if (step) steps.push(step);
+    }
   const made: Runbook = { runbook: textAt('runbook'), about: textAt('about'), inputs: declared, steps };
   return faults.length > 0 ? err(faults) : ok(made);
 }
--- a/src/runbook/observe-core.test.ts
+++ b/src/runbook/observe-core.test.ts
@@ -9,7 +9,17 @@
 
 function health(self: string, behind: readonly string[]): CoreHealth {
   const views: MemberView[] = [];
-  for (const name of THREE) views.push({ id: `${name}#i`, name, inTouch: true, learned: 9, top: 9, writable: true, holdsAll: !behind.includes(name), unheard: [] });
+  for (const name of THREE)
+    views.push({
+      id: `${name}#i`,
+      name,
+      inTouch: true,
+      learned: 9,
+      top: 9,
+      writable: true,
+      holdsAll: !behind.includes(name),
+      unheard: [],
+    });
   return coreHealth(`${self}#i`, views);
 }
 /** A core whose members all say that these hold not all of the ledger, or not all claims. */
@@ -44,6 +54,10 @@
   const whole = coreOf([], null);
   for (const addresses of [['h1'], []]) {
     const few: Core = { ...whole, addresses };
-    expect([(await coreSeen(few, spare)).met, (await coreSeen(few, without)).met, (await coreSeen(few, { tag: 'spareLosses', atLeast: 0 })).met]).toEqual([false, false, false]);
+    expect([
+      (await coreSeen(few, spare)).met,
+      (await coreSeen(few, without)).met,
+      (await coreSeen(few, { tag: 'spareLosses', atLeast: 0 })).met,
+    ]).toEqual([false, false, false]);
   }
 });
--- a/src/runbook/observe-core.ts
+++ b/src/runbook/observe-core.ts
@@ -19,7 +19,12 @@
 }
 
 function groupsOf(report: CoreReport): [CoreGroup, GroupReport][] {
-  return report.claims ? [['ledger', report.ledger], ['claims', report.claims]] : [['ledger', report.ledger]];
+  return report.claims
+    ? [
+        ['ledger', report.ledger],
+        ['claims', report.claims],
+      ]
+    : [['ledger', report.ledger]];
 }
 
 function spareSeen(report: CoreReport, atLeast: number): Seen {
@@ -37,7 +42,9 @@
   const stopped: string[] = [];
   for (const [groupName, group] of groupsOf(report)) {
     if (group.spareLosses === null) return { met: false, text: `${groupName}: ${UNKNOWN}` };
-    for (const member of group.details) if (member.name === name && group.essential.includes(member.id)) stopped.push(`${groupName} would stop without ${name}${lackingText(group)}`);
+    for (const member of group.details)
+      if (member.name === name && group.essential.includes(member.id))
+        stopped.push(`${groupName} would stop without ${name}${lackingText(group)}`);
   }
   return { met: stopped.length === 0, text: stopped.join('; ') || `the core goes on without ${name}` };
 }
--- a/src/runbook/observe.ts
+++ b/src/runbook/observe.ts
@@ -28,7 +28,14 @@
  * Looks again and again until the condition is met, or the time is up. With `heldMs` it must be met at every look
  * for so long, for what controllers tell may be moments old.
  */
-export async function observeFor(core: Core, c: Condition, clock: Clock, graceMs = GRACE_MS, lookMs = LOOK_MS, heldMs = 0): Promise<Seen> {
+export async function observeFor(
+  core: Core,
+  c: Condition,
+  clock: Clock,
+  graceMs = GRACE_MS,
+  lookMs = LOOK_MS,
+  heldMs = 0,
+): Promise<Seen> {
   const until = clock.mono() + graceMs;
   let metSince: number | null = null;
   for (;;) {
@@ -56,12 +63,19 @@
       const own = await statusOf(core, s, c.name);
       if (!own) return { met: false, text: `${c.name} does not answer` };
       const met = c.tag === 'writable' ? own.writable : own.claimsReady;
-      return { met, text: `${c.name} ${met ? 'is' : 'is not'} ${c.tag === 'writable' ? 'able to write' : 'ready for claims'}` };
+      return {
+        met,
+        text: `${c.name} ${met ? 'is' : 'is not'} ${c.tag === 'writable' ? 'able to write' : 'ready for claims'}`,
+      };
     }
     case 'sluicesConfirmed': {
       const late: string[] = [];
-      for (const [name, x] of Object.entries(s.sluices)) if (x.slot < s.slot || x.heardMs === null || x.heardMs > HEARD_MS) late.push(name);
-      return { met: late.length === 0, text: late.length === 0 ? `all sluices stand at slot ${s.slot}` : `behind or silent: ${late.join(', ')}` };
+      for (const [name, x] of Object.entries(s.sluices))
+        if (x.slot < s.slot || x.heardMs === null || x.heardMs > HEARD_MS) late.push(name);
+      return {
+        met: late.length === 0,
+        text: late.length === 0 ? `all sluices stand at slot ${s.slot}` : `behind or silent: ${late.join(', ')}`,
+      };
     }
     case 'node': {
       let status = 'unknown';
@@ -71,7 +85,10 @@
     case 'member': {
       let at: string | null = null;
       for (const m of s.members) if (m.name === c.name) at = m.address;
-      return { met: at !== null && (c.address === null || c.address === at), text: at === null ? `${c.name} is no member` : `${c.name} is a member at ${at}` };
+      return {
+        met: at !== null && (c.address === null || c.address === at),
+        text: at === null ? `${c.name} is no member` : `${c.name} is a member at ${at}`,
+      };
     }
     case 'evacuated': {
       const is = s.evacuated[c.zone] !== undefined;
@@ -107,6 +124,13 @@
   const got = await core.ask(readAsk());
   if (!got || got.status !== 200) return { met: false, text: 'no headgate with a majority answers' };
   let at: unknown = (got.body as { readonly configuration: unknown }).configuration;
-  for (const step of placeOf(path)) at = typeof at === 'object' && at !== null && Object.hasOwn(at, step) ? (at as Record<string, unknown>)[step] : undefined;
-  return { met: JSON.stringify(at) === JSON.stringify(is), text: `${path} is ${at === undefined ? 'not set' : JSON.stringify(at)}` };
+  for (const step of placeOf(path))
+    at =
+      typeof at === 'object' && at !== null && Object.hasOwn(at, step)
+        ? (at as Record<string, unknown>)[step]
+        : undefined;
+  return {
+    met: JSON.stringify(at) === JSON.stringify(is),
+    text: `${path} is ${at === undefined ? 'not set' : JSON.stringify(at)}`,
+  };
 }
--- a/src/runbook/run.test.ts
+++ b/src/runbook/run.test.ts
@@ -26,9 +26,21 @@
 }
 function coreOf(fleet: SimFleet): { readonly core: Core; readonly proc: ReturnType<SimFleet['world']['begin']> } {
   const proc = fleet.world.begin(fleet.world.host('operator', 'lab'));
-  return { proc, core: createCore(fleet.headgates.map((h) => h.http), fleet.callerOf(proc)) };
+  return {
+    proc,
+    core: createCore(
+      fleet.headgates.map((h) => h.http),
+      fleet.callerOf(proc),
+    ),
+  };
 }
-async function play(fleet: SimFleet, b: Runbook, hands: Hands, before: StepRecord[] = [], dryRun = false): Promise<Played> {
+async function play(
+  fleet: SimFleet,
+  b: Runbook,
+  hands: Hands,
+  before: StepRecord[] = [],
+  dryRun = false,
+): Promise<Played> {
   const { proc, core } = coreOf(fleet);
   const records: StepRecord[] = [];
   const run = runRunbook(b, {
@@ -95,24 +107,38 @@
 
   test('region lost, then back cold', async () => {
     const fleet = await ready(65);
-    const gone = fleet.world.hosts().filter((h) => h.zone === 'ro-1').map((h) => h.name);
+    const gone = fleet.world
+      .hosts()
+      .filter((h) => h.zone === 'ro-1')
+      .map((h) => h.name);
     for (const name of gone) fleet.powerLoss(name);
     await fleet.run(4_000);
-    expect((await play(fleet, book('region-lost', { zone: 'ro-1', sluice: 'sluice-ro-1-1' }), yes)).end).toEqual({ tag: 'done' });
+    expect((await play(fleet, book('region-lost', { zone: 'ro-1', sluice: 'sluice-ro-1-1' }), yes)).end).toEqual({
+      tag: 'done',
+    });
     for (const name of gone) void fleet.startNode(name);
-    expect((await play(fleet, book('region-back-cold', { zone: 'ro-1', node: 'sluice-ro-1-1' }), yes)).end).toEqual({ tag: 'done' });
+    expect((await play(fleet, book('region-back-cold', { zone: 'ro-1', node: 'sluice-ro-1-1' }), yes)).end).toEqual({
+      tag: 'done',
+    });
     expect(fleet.headgates[0]?.headgate?.ledger.belief().evacuated).toEqual({});
   });
 
   test('spot drought', async () => {
     const fleet = await ready(66);
     const zones = ['hu-1', 'at-1', 'ro-1'];
-    for (const zone of zones) await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: false } });
+    for (const zone of zones)
+      await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: false } });
     for (const o of Object.values(fleet.headgates[0]?.headgate?.ledger.belief().orders ?? {})) {
-      await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/reclaim', body: { machine: o.machine, remainingMs: 200 } });
+      await fleet.call({
+        method: 'POST',
+        address: fleet.cloudAddress,
+        path: '/lab/reclaim',
+        body: { machine: o.machine, remainingMs: 200 },
+      });
     }
     fleet.world.at(20_000, () => {
-      for (const zone of zones) void fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: true } });
+      for (const zone of zones)
+        void fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: true } });
     });
     expect((await play(fleet, book('spot-drought', { model: 'summary' }), yes)).end).toEqual({ tag: 'done' });
   });
@@ -141,7 +167,10 @@
     fleet.kill('sluice-ro-1-1');
     await fleet.run(5_000);
     const b = book('evacuate-and-hand-back', { zone: 'hu-1' });
-    const unmet = await fleet.finish(unmetAtStart(b, coreOf(fleet).core, fleet.world.clockOf(fleet.world.begin(fleet.world.host('looker', 'lab')))), 20_000);
+    const unmet = await fleet.finish(
+      unmetAtStart(b, coreOf(fleet).core, fleet.world.clockOf(fleet.world.begin(fleet.world.host('looker', 'lab')))),
+      20_000,
+    );
     expect(unmet?.step.name).toBe('All sluices are up to date');
     const got = await play(fleet, b, yes);
     expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'unmet' });
--- a/src/runbook/run.ts
+++ b/src/runbook/run.ts
@@ -21,7 +21,9 @@
   readonly wall: number;
 };
 
-export type RunEnd = { readonly tag: 'done' | 'wouldDo' } | { readonly tag: 'stopped'; readonly step: Step; readonly outcome: StepOutcome; readonly seen: string };
+export type RunEnd =
+  | { readonly tag: 'done' | 'wouldDo' }
+  | { readonly tag: 'stopped'; readonly step: Step; readonly outcome: StepOutcome; readonly seen: string };
 
 export type RunDeps = {
   readonly core: Core;
@@ -39,7 +41,11 @@
   return sha256(JSON.stringify([book.runbook, book.steps])).slice(0, 16);
 }
 
-export async function unmetAtStart(book: Runbook, core: Core, clock: Clock): Promise<{ readonly step: Step; readonly seen: string } | null> {
+export async function unmetAtStart(
+  book: Runbook,
+  core: Core,
+  clock: Clock,
+): Promise<{ readonly step: Step; readonly seen: string } | null> {
   for (const step of book.steps) {
     if (harms(step.work)) return null;
     if (step.work.tag !== 'require') continue;
@@ -55,7 +61,8 @@
   const done = new Set<number>();
   let runId = newId(deps.rng, 'run');
   const last = deps.before[deps.before.length - 1];
-  const goesOn = last !== undefined && last.digest === digest && !(last.step === book.steps.length - 1 && last.outcome === 'done');
+  const goesOn =
+    last !== undefined && last.digest === digest && !(last.step === book.steps.length - 1 && last.outcome === 'done');
   if (goesOn) {
     runId = last.run;
     for (const r of deps.before) if (r.run === runId && r.outcome === 'done') done.add(r.step);
@@ -83,7 +90,8 @@
       const got = await observeFor(core, work.condition, clock);
       return [got.met ? 'done' : 'unmet', got.text];
     }
-    if (deps.dryRun) return ['would', work.tag === 'wait' ? `would wait up to ${work.withinS} s` : `would ${describe(step)}`];
+    if (deps.dryRun)
+      return ['would', work.tag === 'wait' ? `would wait up to ${work.withinS} s` : `would ${describe(step)}`];
     if (work.tag === 'wait') {
       const got = await observeFor(core, work.condition, clock, work.withinS * 1_000, LOOK_MS, work.heldS * 1_000);
       return [got.met ? 'done' : 'late', got.text];
@@ -93,7 +101,9 @@
     const ask = await askOf(step, `${runId}:${i}`);
     const answer = ask ? await core.ask(ask) : null;
     if (!answer) return ['refused', 'no headgate answers'];
-    const unchanged = answer.status === 409 && (answer.body as { readonly error?: { readonly tag?: string } }).error?.tag === 'unchanged';
+    const unchanged =
+      answer.status === 409 &&
+      (answer.body as { readonly error?: { readonly tag?: string } }).error?.tag === 'unchanged';
     if (answer.status === 200 || answer.status === 202 || unchanged) return ['done', JSON.stringify(answer.body)];
     return ['refused', `${answer.status} ${JSON.stringify(answer.body)}`];
   }
--- a/src/sim/call-history.ts
+++ b/src/sim/call-history.ts
@@ -6,7 +6,13 @@
 import type { ChangeAnswer, InitialConfiguration, LinearizabilityViolation, OperatorCall } from './linearizability.js';
 
 /** A change of the configuration as its operator means it; `number` is null where the core gives it. */
-export type SentChange = { readonly node: string; readonly request: string; readonly base: number; readonly number: number | null; readonly content: string };
+export type SentChange = {
+  readonly node: string;
+  readonly request: string;
+  readonly base: number;
+  readonly number: number | null;
+  readonly content: string;
+};
 
 /** To be called with the answer; a call that is never answered stays unclear. */
 export type AnswerNote = (answer: ChangeAnswer, number?: number) => void;
--- a/src/sim/chaos-operators.ts
+++ b/src/sim/chaos-operators.ts
@@ -62,7 +62,13 @@
   readonly send: (change: Change) => Promise<void>;
 };
 
-function createChangeSender(fleet: SimFleet, watchers: Watchers, history: CallHistory, anyController: () => number, rng: Rng): ChangeSender {
+function createChangeSender(
+  fleet: SimFleet,
+  watchers: Watchers,
+  history: CallHistory,
+  anyController: () => number,
+  rng: Rng,
+): ChangeSender {
   function tellWatchers({ base, value }: Change, answer: ChangeAnswer, reply: HttpAnswer): void {
     if (answer === 'stale' || answer === 'invalid') watchers.refused(value);
     if (answer !== 'confirmed') return;
@@ -76,7 +82,13 @@
     const at = anyController();
     const body = { base, changes: [{ path: ['deployment', 'lineLimit'], value }], operation: request };
     const limitMs = rng.next() < IMPATIENT_SHARE ? 1 + below(rng, IMPATIENT_MS) : undefined;
-    const noteAnswer = history.changeSent({ node: `controller ${at + 1}`, request, base, number: null, content: String(value) });
+    const noteAnswer = history.changeSent({
+      node: `controller ${at + 1}`,
+      request,
+      base,
+      number: null,
+      content: String(value),
+    });
     const reply = await fleet.operator(at, 'POST', '/v1/configuration/amend', body, limitMs);
     const answer = answerOf(reply);
     if (answer === 'unclear' || !reply.ok) return answer;
@@ -111,7 +123,9 @@
   const inDoubt = new Map<string, number>();
   let serial = 100;
   const first = await fleet.operator(0, 'GET', '/v1/configuration');
-  const initial = first.ok ? { number: epochOf(first.value), content: contentOf(first.value) } : { number: -1, content: 'none' };
+  const initial = first.ok
+    ? { number: epochOf(first.value), content: contentOf(first.value) }
+    : { number: -1, content: 'none' };
   const history = createCallHistory(world.now, initial);
   const sender = createChangeSender(fleet, watchers, history, anyController, createRng(seed * 13 + 5));
 
