--- a/src/sim/chaos.ts
+++ b/src/sim/chaos.ts
@@ -44,7 +44,11 @@
 const RECOVERY_MS = 12_000;
 const NEVER = -1;
 
-export async function runChaos(seed: number, o: ChaosOptions, logsOf?: (now: () => number) => LogRoot): Promise<ChaosEnd> {
+export async function runChaos(
+  seed: number,
+  o: ChaosOptions,
+  logsOf?: (now: () => number) => LogRoot,
+): Promise<ChaosEnd> {
   const shape = SHAPES[o.shape ?? 'small'];
   const fleet = createSimFleet(seed, shape, logsOf?.(simNow), o.sabotage);
   function simNow(): number {
@@ -81,7 +85,12 @@
   world.at(1_500, amendLater);
 
   const first: Readonly<Record<string, number>>[] = [];
-  function loadOn(zone: string, seconds: number, into: Readonly<Record<string, number>>[], extra: Parameters<SimFleet['traffic']>[0] | object = {}): void {
+  function loadOn(
+    zone: string,
+    seconds: number,
+    into: Readonly<Record<string, number>>[],
+    extra: Parameters<SimFleet['traffic']>[0] | object = {},
+  ): void {
     void fleet.traffic({ zone, seconds, ...extra }).then(into.push.bind(into));
   }
   for (const zone of fleet.zones) loadOn(zone, o.seconds, first);
@@ -89,7 +98,11 @@
   bringBack(fleet);
   await world.advance(8_000, watchers.step);
 
-  const disaster = strikeDisaster(fleet, pick(rng, ['power', 'region', 'core', 'edges'] as const), pick(rng, fleet.zones));
+  const disaster = strikeDisaster(
+    fleet,
+    pick(rng, ['power', 'region', 'core', 'edges'] as const),
+    pick(rng, fleet.zones),
+  );
   note(`last: ${disaster}`);
   await world.advance(3_000 + below(rng, 3_000), watchers.step);
   bringBack(fleet);
@@ -101,20 +114,27 @@
   const recoveryMs: Record<string, number> = firstSuccesses(fleet, backAt);
   recoveryMs['operator'] = operatorAt() === null ? NEVER : Math.round((operatorAt() as number) - backAt);
   for (const [what, ms] of Object.entries(recoveryMs)) {
-    if (ms === NEVER || ms > RECOVERY_MS) fault('serveAgain', `${what}: ${ms === NEVER ? 'nothing' : `${ms} ms`} after the machines were back (${disaster})`);
+    if (ms === NEVER || ms > RECOVERY_MS)
+      fault(
+        'serveAgain',
+        `${what}: ${ms === NEVER ? 'nothing' : `${ms} ms`} after the machines were back (${disaster})`,
+      );
   }
   const calm: Readonly<Record<string, number>>[] = [];
   for (const zone of fleet.zones) loadOn(zone, 5, calm);
   await world.advance(20_000, watchers.step);
   function allOver(): boolean {
-    return first.length === fleet.zones.length && calm.length === fleet.zones.length && last.length === fleet.zones.length;
+    return (
+      first.length === fleet.zones.length && calm.length === fleet.zones.length && last.length === fleet.zones.length
+    );
   }
   if (!(await world.until(200_000, allOver, watchers.step))) fault('answered', 'an origin still waits');
 
   await readBack(fleet, watchers, ops, fault);
   await repeatKeys(fleet, fault);
   if (!(await ops.handAllBack())) fault('serveAgain', 'evacuated zones could not be handed back');
-  if (!(await world.until(60_000, fleet.allReady, watchers.step))) fault('settles', `orders do not settle: ${ordersText(fleet)}`);
+  if (!(await world.until(60_000, fleet.allReady, watchers.step)))
+    fault('settles', `orders do not settle: ${ordersText(fleet)}`);
   await world.advance(15_000, watchers.step);
   checkMachines(fleet);
   watchers.end();
@@ -123,15 +143,32 @@
 
   const [asked, good] = sum(first);
   const [lastAsked, lastGood] = sum(calm);
-  if (lastAsked === 0 || lastGood < lastAsked * 0.97) fault('serveAgain', `${lastGood} of ${lastAsked} succeeded after the faults: ${JSON.stringify(calm)}`);
+  if (lastAsked === 0 || lastGood < lastAsked * 0.97)
+    fault('serveAgain', `${lastGood} of ${lastAsked} succeeded after the faults: ${JSON.stringify(calm)}`);
   const portrait: string[] = [];
   for (let i = 0; i < fleet.headgates.length; i += 1) {
     const got = await fleet.operator(i, 'GET', '/v1/status');
     portrait.push(got.ok ? statusText(got.value.body) : `headgate ${i + 1}: ${got.fault.tag}`);
   }
-  for (const s of fleet.sluices) portrait.push(`${s.name} ${JSON.stringify({ ...s.sluice?.view(), configuration: undefined })}`);
+  for (const s of fleet.sluices)
+    portrait.push(`${s.name} ${JSON.stringify({ ...s.sluice?.view(), configuration: undefined })}`);
   portrait.push(`orders: ${ordersText(fleet)}`);
-  return { seed, broken: fleet.check(), portrait, faults, asked, good, lastAsked, lastGood, disaster, recoveryMs, watchedMs: watchers.watchedMs(), operatorCalls: ops.history.size(), changesConfirmed: ops.history.confirmed(), events: world.events() };
+  return {
+    seed,
+    broken: fleet.check(),
+    portrait,
+    faults,
+    asked,
+    good,
+    lastAsked,
+    lastGood,
+    disaster,
+    recoveryMs,
+    watchedMs: watchers.watchedMs(),
+    operatorCalls: ops.history.size(),
+    changesConfirmed: ops.history.confirmed(),
+    events: world.events(),
+  };
 }
 
 function bringBack(fleet: SimFleet): void {
@@ -146,10 +183,30 @@
   for (const name of nodeNames({ fleet })) if (!fleet.hostOf(name).running) void fleet.startNode(name);
   for (const w of fleet.workers) {
     if (!w.host.running) void fleet.startNode(w.id);
-    else void fleet.call({ method: 'POST', address: w.http, path: '/lab/fault', body: { mode: 'none' }, timeoutMs: 2_000 });
+    else
+      void fleet.call({
+        method: 'POST',
+        address: w.http,
+        path: '/lab/fault',
+        body: { mode: 'none' },
+        timeoutMs: 2_000,
+      });
   }
-  void fleet.call({ method: 'POST', address: fleet.platformAddress, path: '/lab/fault', body: { mode: 'none' }, timeoutMs: 2_000 });
-  for (const zone of fleet.zones) void fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: true }, timeoutMs: 2_000 });
+  void fleet.call({
+    method: 'POST',
+    address: fleet.platformAddress,
+    path: '/lab/fault',
+    body: { mode: 'none' },
+    timeoutMs: 2_000,
+  });
+  for (const zone of fleet.zones)
+    void fleet.call({
+      method: 'POST',
+      address: fleet.cloudAddress,
+      path: '/lab/zone',
+      body: { zone, spot: true },
+      timeoutMs: 2_000,
+    });
 }
 
 function wholeCore(fleet: SimFleet): boolean {
@@ -190,7 +247,12 @@
   return out;
 }
 
-async function readBack(fleet: SimFleet, watchers: Watchers, ops: Operators, fault: (rule: string, detail: string) => void): Promise<void> {
+async function readBack(
+  fleet: SimFleet,
+  watchers: Watchers,
+  ops: Operators,
+  fault: (rule: string, detail: string) => void,
+): Promise<void> {
   for (let i = 0; i < fleet.headgates.length; i += 1) {
     const floor = watchers.newest();
     const noteRead = ops.history.readSent(`headgate ${i + 1}`);
@@ -204,7 +266,8 @@
     noteRead(epochOf(read.value), contentOf(read.value));
     const evacuated = (read.value.body as { readonly evacuated: readonly string[] }).evacuated;
     for (const [zone, begun] of Object.entries(ops.evacuations())) {
-      if (evacuated.includes(zone) !== begun) fault('readBack', `headgate ${i + 1} reads ${zone} as ${begun ? 'not ' : ''}evacuated`);
+      if (evacuated.includes(zone) !== begun)
+        fault('readBack', `headgate ${i + 1} reads ${zone} as ${begun ? 'not ' : ''}evacuated`);
     }
   }
 }
@@ -213,15 +276,29 @@
 
 async function repeatKeys(fleet: SimFleet, fault: (rule: string, detail: string) => void): Promise<void> {
   const proc = fleet.world.begin(fleet.world.host('again', fleet.zones[0] as string));
-  const flume = createFlumeOver({ sluices: fleet.sluices.map(httpOf) }, fleet.callerOf(proc), fleet.world.clockOf(proc));
+  const flume = createFlumeOver(
+    { sluices: fleet.sluices.map(httpOf) },
+    fleet.callerOf(proc),
+    fleet.world.clockOf(proc),
+  );
   const answered: string[] = [];
-  for (const r of fleet.records) if (r['who'] === 'origin' && r['repeatable'] === false && r['result'] === 'success') answered.push(String(r['key']));
+  for (const r of fleet.records)
+    if (r['who'] === 'origin' && r['repeatable'] === false && r['result'] === 'success')
+      answered.push(String(r['key']));
   const step = Math.max(1, Math.floor(answered.length / KEYS_REPEATED));
   const work: Promise<void>[] = [];
   async function again(key: string): Promise<void> {
-    const got = await flume.send({ model: fleet.shape.fixed.model, ...(fleet.shape.kind ? { kind: fleet.shape.kind } : {}), parts: [{ hash: 'again', tokens: 8 }], outputTokens: 8, repeatable: false, key });
+    const got = await flume.send({
+      model: fleet.shape.fixed.model,
+      ...(fleet.shape.kind ? { kind: fleet.shape.kind } : {}),
+      parts: [{ hash: 'again', tokens: 8 }],
+      outputTokens: 8,
+      repeatable: false,
+      key,
+    });
     const tag = got.ok ? 'success' : tagOf(got.fault);
-    if (tag !== 'alreadyAnswered' && tag !== 'outcomeUnknown') fault('runOnce', `${key} ran and was answered; sent again, it is told ${tag}`);
+    if (tag !== 'alreadyAnswered' && tag !== 'outcomeUnknown')
+      fault('runOnce', `${key} ran and was answered; sent again, it is told ${tag}`);
   }
   for (let i = 0; i < answered.length; i += step) work.push(again(answered[i] as string));
   if ((await fleet.finish(Promise.all(work), 60_000)) === null) fault('answered', 'a repeated key got no answer');
@@ -245,7 +322,21 @@
 function statusText(body: unknown): string {
   const s = body as Readonly<Record<string, unknown>>;
   const shown: string[] = [];
-  for (const k of ['name', 'member', 'isMember', 'slot', 'epoch', 'writable', 'quorate', 'claimsReady', 'holdsScaler', 'evacuated', 'zoneSets', 'targets']) shown.push(`${k} ${JSON.stringify(s[k])}`);
+  for (const k of [
+    'name',
+    'member',
+    'isMember',
+    'slot',
+    'epoch',
+    'writable',
+    'quorate',
+    'claimsReady',
+    'holdsScaler',
+    'evacuated',
+    'zoneSets',
+    'targets',
+  ])
+    shown.push(`${k} ${JSON.stringify(s[k])}`);
   return shown.join(' ');
 }
 function ordersText(fleet: SimFleet): string {
--- a/src/sim/core-scenarios.ts
+++ b/src/sim/core-scenarios.ts
@@ -51,7 +51,8 @@
   for (const n of nodes) void fleet.startNode(n.name);
   await servesAgain(s, 12_000, 'hu-1');
   await fleet.finish(busy, 200_000);
-  for (let i = 0; i < 3; i += 1) s.expect('readBack', (await epochAt(fleet, i)) === epochOf(done), `headgate ${i + 1} reads another epoch`);
+  for (let i = 0; i < 3; i += 1)
+    s.expect('readBack', (await epochAt(fleet, i)) === epochOf(done), `headgate ${i + 1} reads another epoch`);
 }
 
 export async function regionLost(s: Stage): Promise<void> {
@@ -63,10 +64,18 @@
   s.expect('serves', share(t, 'success') > 0.99, JSON.stringify(t));
   const base = await epochAt(fleet, 0);
   const got = await amend(fleet, 0, base, 78);
-  s.expect('majority', statusOf(got) === 202 && waitingOf(got).join() === 'sluice-ro-1-1', `answered ${statusOf(got)} waiting for ${waitingOf(got).join()}`);
+  s.expect(
+    'majority',
+    statusOf(got) === 202 && waitingOf(got).join() === 'sluice-ro-1-1',
+    `answered ${statusOf(got)} waiting for ${waitingOf(got).join()}`,
+  );
   for (const name of namesIn(fleet, 'ro-1')) if (!name.startsWith('origin')) void fleet.startNode(name);
   await fleet.run(8_000);
-  s.expect('noOlderEpoch', fleet.sluices[2]?.sluice?.view().epoch === epochOf(got), 'the region came back with an older epoch');
+  s.expect(
+    'noOlderEpoch',
+    fleet.sluices[2]?.sluice?.view().epoch === epochOf(got),
+    'the region came back with an older epoch',
+  );
 }
 
 export async function regionIsolated(s: Stage): Promise<void> {
@@ -74,10 +83,17 @@
   fleet.cutOff([...namesIn(fleet, 'hu-1'), 'origin-inside']);
   fleet.world.host('origin-inside', 'hu-1');
   await fleet.run(3_500);
-  const inside = await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 8, runOnceShare: 0, name: 'origin-inside' }), 60_000);
+  const inside = await fleet.finish(
+    fleet.traffic({ zone: 'hu-1', seconds: 8, runOnceShare: 0, name: 'origin-inside' }),
+    60_000,
+  );
   s.told.facts['success share inside'] = share(inside, 'success');
   s.expect('island', share(inside, 'success') > 0.9, JSON.stringify(inside));
-  s.expect('island', fleet.sluices[0]?.sluice?.view().islanded === true, 'the sluice does not know that it is islanded');
+  s.expect(
+    'island',
+    fleet.sluices[0]?.sluice?.view().islanded === true,
+    'the sluice does not know that it is islanded',
+  );
   const base = await epochAt(fleet, 1);
   const got = await amend(fleet, 1, base, 79);
   s.expect('majority', statusOf(got) === 202, `the majority answered ${statusOf(got)}`);
@@ -155,7 +171,8 @@
     for (const h of fleet.headgates) {
       const ledger = h.headgate?.ledger;
       if (!ledger?.isMember() || !h.headgate?.claimsReady()) return false;
-      for (const m of ledger.belief().members) for (const k of fleet.headgates) if (k.name === m.name && k.wire !== m.address) return false;
+      for (const m of ledger.belief().members)
+        for (const k of fleet.headgates) if (k.name === m.name && k.wire !== m.address) return false;
     }
     return true;
   }
@@ -201,9 +218,14 @@
   const mark = fleet.records.length;
   const t = await fleet.finish(fleet.traffic({ zone: 'ro-1', seconds: 12, runOnceShare: 1, patience: 0 }), 60_000);
   let first = -1;
-  for (const r of fleet.records.slice(mark)) if (first < 0 && r['who'] === 'origin' && r['result'] === 'success') first = (r['at'] as number) - from;
+  for (const r of fleet.records.slice(mark))
+    if (first < 0 && r['who'] === 'origin' && r['result'] === 'success') first = (r['at'] as number) - from;
   s.told.recoverMs = Math.round(first);
-  s.expect('serveAgain', first >= 0 && first < 12_000 && share(t, 'success') > 0.5, `card requests from ro-1: ${JSON.stringify(t)}`);
+  s.expect(
+    'serveAgain',
+    first >= 0 && first < 12_000 && share(t, 'success') > 0.5,
+    `card requests from ro-1: ${JSON.stringify(t)}`,
+  );
 }
 
 export async function operatorsRace(s: Stage): Promise<void> {
@@ -211,7 +233,10 @@
   let wins = 0;
   for (let n = 0; n < 15; n += 1) {
     const base = await epochAt(fleet, 0);
-    const both = await fleet.finish(Promise.all([amend(fleet, 0, base, 100 + n), amend(fleet, 2, base, 200 + n), amend(fleet, 1, base, 300 + n)]), 20_000);
+    const both = await fleet.finish(
+      Promise.all([amend(fleet, 0, base, 100 + n), amend(fleet, 2, base, 200 + n), amend(fleet, 1, base, 300 + n)]),
+      20_000,
+    );
     const won: number[] = [];
     let told = 0;
     for (const r of both ?? []) {
@@ -228,12 +253,22 @@
 export async function acknowledgementLost(s: Stage): Promise<void> {
   const { fleet } = s;
   const base = await epochAt(fleet, 0);
-  const first = await fleet.call({ method: 'POST', address: fleet.headgates[0]?.http ?? '', path: '/v1/configuration/amend', body: { base, changes: [{ path: ['deployment', 'lineLimit'], value: 90 }], operation: 'op-lost' }, timeoutMs: 5 });
+  const first = await fleet.call({
+    method: 'POST',
+    address: fleet.headgates[0]?.http ?? '',
+    path: '/v1/configuration/amend',
+    body: { base, changes: [{ path: ['deployment', 'lineLimit'], value: 90 }], operation: 'op-lost' },
+    timeoutMs: 5,
+  });
   s.expect('fault', !first.ok, 'the acknowledgement was not lost');
   await fleet.run(1_000);
   const again = await amend(fleet, 1, base, 90, 'op-lost');
   const third = await amend(fleet, 2, base, 90, 'op-lost');
-  s.expect('sameApply', statusOf(again) === 200 && epochOf(again) === epochOf(third), `${statusOf(again)} ${epochOf(again)} and ${epochOf(third)}`);
+  s.expect(
+    'sameApply',
+    statusOf(again) === 200 && epochOf(again) === epochOf(third),
+    `${statusOf(again)} ${epochOf(again)} and ${epochOf(third)}`,
+  );
   s.expect('sameApply', (await epochAt(fleet, 0)) === epochOf(again), 'applied twice');
 }
 
@@ -245,9 +280,16 @@
   const base = await epochAt(fleet, 0);
   const from = fleet.world.now();
   const got = await fleet.operator(0, 'POST', '/v1/configuration', { base, configuration: whole });
-  s.expect('inForce', statusOf(got) === 200 && fleet.world.now() - from < 3_000, `${statusOf(got)} after ${fleet.world.now() - from} ms`);
+  s.expect(
+    'inForce',
+    statusOf(got) === 200 && fleet.world.now() - from < 3_000,
+    `${statusOf(got)} after ${fleet.world.now() - from} ms`,
+  );
   s.told.recoverMs = Math.round(fleet.world.now() - from);
-  const again = await fleet.operator(1, 'POST', '/v1/configuration', { base: epochOf(got), configuration: { ...whole, mappings: { ...mappings, 'route-17': { model: 'summary' } } } });
+  const again = await fleet.operator(1, 'POST', '/v1/configuration', {
+    base: epochOf(got),
+    configuration: { ...whole, mappings: { ...mappings, 'route-17': { model: 'summary' } } },
+  });
   s.expect('inForce', statusOf(again) === 200, `the second answered ${statusOf(again)}`);
   const batches = fleet.headgates[0]?.headgate?.ledger.since(epochOf(again)) ?? [];
   const size = JSON.stringify(batches[0] ?? '').length;
@@ -292,7 +334,11 @@
     begin();
     value += 1;
     const got = await amend(fleet, 0, base, value);
-    s.expect('inPart', statusOf(got) === 202 && waitingOf(got).join() === name, `${what}: answered ${statusOf(got)} waiting for ${waitingOf(got).join()}`);
+    s.expect(
+      'inPart',
+      statusOf(got) === 202 && waitingOf(got).join() === name,
+      `${what}: answered ${statusOf(got)} waiting for ${waitingOf(got).join()}`,
+    );
     watchers.agreed(epochOf(got), value);
     await fleet.world.advance(6_000, watchers.step);
     end();
@@ -301,7 +347,11 @@
       const v = edge?.sluice?.view();
       return v !== undefined && v.serving && !v.islanded && v.epoch >= epochOf(got);
     }
-    s.expect('inForce', await fleet.world.until(8_000, inForce, watchers.step), `${what}: not in force 8 s after it was back`);
+    s.expect(
+      'inForce',
+      await fleet.world.until(8_000, inForce, watchers.step),
+      `${what}: not in force 8 s after it was back`,
+    );
     slowest = Math.max(slowest, fleet.world.now() - from);
     const whole = await amend(fleet, 2, epochOf(got), value + 100);
     s.expect('inForce', statusOf(whole) === 200, `${what}: once it is back, answered ${statusOf(whole)}`);
--- a/src/sim/faults.ts
+++ b/src/sim/faults.ts
@@ -3,7 +3,13 @@
 import type { SimFleet } from './sim-fleet.js';
 import { CALM } from './sim-wire.js';
 
-export type FaultAct = { readonly fleet: SimFleet; readonly rng: Rng; readonly note: (text: string) => void; readonly evacuate: (zone: string, ms: number) => void; readonly crowdOfOperators: () => void };
+export type FaultAct = {
+  readonly fleet: SimFleet;
+  readonly rng: Rng;
+  readonly note: (text: string) => void;
+  readonly evacuate: (zone: string, ms: number) => void;
+  readonly crowdOfOperators: () => void;
+};
 
 export function pick<T>(rng: Rng, xs: readonly T[]): T {
   return xs[below(rng, xs.length)] as T;
@@ -45,7 +51,8 @@
 
 function runningHeads(a: FaultAct): number {
   let n = 0;
-  for (const h of a.fleet.headgates) if (h.host.running && h.headgate?.ledger.isMember() && h.headgate.claimsReady()) n += 1;
+  for (const h of a.fleet.headgates)
+    if (h.host.running && h.headgate?.ledger.isMember() && h.headgate.claimsReady()) n += 1;
   return n;
 }
 
@@ -214,7 +221,8 @@
 function readySpot(a: FaultAct): string[] {
   const out: string[] = [];
   for (const h of a.fleet.headgates) {
-    for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {})) if (o.kind === 'spot' && o.status === 'ready' && o.machine !== null) out.push(o.machine);
+    for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {}))
+      if (o.kind === 'spot' && o.status === 'ready' && o.machine !== null) out.push(o.machine);
     if (out.length > 0) break;
   }
   return out;
@@ -318,9 +326,40 @@
 }
 
 export const FAULTS = {
-  killWorker, silenceWorker, lyingWorker, coldWorker, reclaim, dryZone, loseReplies, platformFault, killHead, powerHead, powerAllHeads,
-  wipeHead, killSluice, killMany, freeze, jumpClock, cutRegion, cutOne, oneWay, fullDisk, evacuate, crowdOfOperators, drainWorker,
-  freezeWorker, stallWorker, replaceWorkers, regionLost, splitThree, moveHead, turbulence, noRoom, powerSluice, outsideUnseen, crowd,
+  killWorker,
+  silenceWorker,
+  lyingWorker,
+  coldWorker,
+  reclaim,
+  dryZone,
+  loseReplies,
+  platformFault,
+  killHead,
+  powerHead,
+  powerAllHeads,
+  wipeHead,
+  killSluice,
+  killMany,
+  freeze,
+  jumpClock,
+  cutRegion,
+  cutOne,
+  oneWay,
+  fullDisk,
+  evacuate,
+  crowdOfOperators,
+  drainWorker,
+  freezeWorker,
+  stallWorker,
+  replaceWorkers,
+  regionLost,
+  splitThree,
+  moveHead,
+  turbulence,
+  noRoom,
+  powerSluice,
+  outsideUnseen,
+  crowd,
 } as const;
 
 export type FaultName = keyof typeof FAULTS;
--- a/src/sim/holder-steps.test.ts
+++ b/src/sim/holder-steps.test.ts
@@ -3,7 +3,16 @@
 import type { SimFleet } from './sim-fleet.js';
 import { checkMachines, createWatchers } from './watchers.js';
 
-const STEPS = ['orderLost', 'orderIntended', 'machine', 'orderPlaced', 'orderReady', 'orderDraining', 'gone', 'orderReleased'] as const;
+const STEPS = [
+  'orderLost',
+  'orderIntended',
+  'machine',
+  'orderPlaced',
+  'orderReady',
+  'orderDraining',
+  'gone',
+  'orderReleased',
+] as const;
 
 function stepSeen(fleet: SimFleet, step: string, fromSlot: number, fromRecord: number): boolean {
   for (let i = fromRecord; i < fleet.records.length; i += 1) {
@@ -11,18 +20,28 @@
     if (r?.['who'] === 'cloud' && r['event'] === step) return true;
   }
   for (const h of fleet.headgates) {
-    for (const b of h.headgate?.ledger.since(fromSlot + 1) ?? []) for (const e of b.batch.entries) if (e.act.tag === step) return true;
+    for (const b of h.headgate?.ledger.since(fromSlot + 1) ?? [])
+      for (const e of b.batch.entries) if (e.act.tag === step) return true;
   }
   return false;
 }
 
-async function stopHolderAt(step: string, seed: number, how: 'kill' | 'freeze'): Promise<{ fleet: SimFleet; struck: boolean }> {
+async function stopHolderAt(
+  step: string,
+  seed: number,
+  how: 'kill' | 'freeze',
+): Promise<{ fleet: SimFleet; struck: boolean }> {
   const fleet = createSimFleet(seed);
   expect(await fleet.start()).toBe(true);
   const b = fleet.headgates[0]?.headgate?.ledger.belief();
   const victim = Object.values(b?.orders ?? {}).find((o) => o.kind === 'spot' && o.machine !== null);
   const slot = b?.slot ?? 0;
-  await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/reclaim', body: { machine: victim?.machine, remainingMs: 20_000 } });
+  await fleet.call({
+    method: 'POST',
+    address: fleet.cloudAddress,
+    path: '/lab/reclaim',
+    body: { machine: victim?.machine, remainingMs: 20_000 },
+  });
   const mark = fleet.records.length;
   const struck = await fleet.until(40_000, () => stepSeen(fleet, step, slot, mark));
   const name = fleet.headgates[fleet.holder()]?.name ?? '';
@@ -44,6 +63,10 @@
     createWatchers(fleet).end();
     expect(fleet.check()).toEqual([]);
     const open = Object.values(fleet.headgates[0]?.headgate?.ledger.belief().orders ?? {});
-    expect(open.map((o) => [o.kind, o.status])).toEqual([['spot', 'ready'], ['spot', 'ready'], ['spot', 'ready']]);
+    expect(open.map((o) => [o.kind, o.status])).toEqual([
+      ['spot', 'ready'],
+      ['spot', 'ready'],
+      ['spot', 'ready'],
+    ]);
   });
 });
--- a/src/sim/lag-scenarios.ts
+++ b/src/sim/lag-scenarios.ts
@@ -42,7 +42,11 @@
   return core.node(name).headgate?.ledger.belief().slot ?? -1;
 }
 
-async function agree(core: SimCore, cause: string, act: Parameters<NonNullable<ReturnType<SimCore['node']>['headgate']>['ledger']['propose']>[0]['act']): Promise<void> {
+async function agree(
+  core: SimCore,
+  cause: string,
+  act: Parameters<NonNullable<ReturnType<SimCore['node']>['headgate']>['ledger']['propose']>[0]['act'],
+): Promise<void> {
   const ledger = core.node('h1').headgate?.ledger;
   if (ledger) await core.finish(ledger.propose({ cause, act }, 5_000), 30_000);
 }
@@ -53,10 +57,19 @@
     const steps: Step[][] = [[], [], [], []];
     for (let n = from; n < Math.min(count, from + ORDERS_AT_ONCE); n += 1) {
       const order = `order-${n}-7f3a9c`;
-      steps[0]?.push({ cause: `Spot ${n % 7} of 9 (target 8 + extra 1).`, act: { tag: 'orderIntended', order, model: 'model-a', zone: `zone-${n % 6}`, kind: 'spot', accelerator: 'any' } });
-      steps[1]?.push({ cause: `machine-${n} appeared in zone-${n % 6}.`, act: { tag: 'orderPlaced', order, machine: `machine-${n}` } });
+      steps[0]?.push({
+        cause: `Spot ${n % 7} of 9 (target 8 + extra 1).`,
+        act: { tag: 'orderIntended', order, model: 'model-a', zone: `zone-${n % 6}`, kind: 'spot', accelerator: 'any' },
+      });
+      steps[1]?.push({
+        cause: `machine-${n} appeared in zone-${n % 6}.`,
+        act: { tag: 'orderPlaced', order, machine: `machine-${n}` },
+      });
       steps[2]?.push({ cause: 'The worker is listed as serving, and warm.', act: { tag: 'orderReady', order } });
-      steps[3]?.push({ cause: 'The machine was taken back by the cloud.', act: { tag: 'orderLost', order, preempted: true } });
+      steps[3]?.push({
+        cause: 'The machine was taken back by the cloud.',
+        act: { tag: 'orderLost', order, preempted: true },
+      });
     }
     for (const part of steps) await agree(core, 'The scaler decided.', { tag: 'decided', steps: part });
   }
@@ -65,7 +78,11 @@
 export async function addChanges(core: SimCore, count: number): Promise<void> {
   for (let n = 0; n < count; n += 1) {
     const base = core.node('h1').headgate?.ledger.belief().epoch ?? 0;
-    await agree(core, `The operator changed 1 settings on epoch ${base}.`, { tag: 'configured', base, changes: [{ path: ['deployment', `setting${n % 50}`], value: n }] });
+    await agree(core, `The operator changed 1 settings on epoch ${base}.`, {
+      tag: 'configured',
+      base,
+      changes: [{ path: ['deployment', `setting${n % 50}`], value: n }],
+    });
   }
 }
 
@@ -74,7 +91,11 @@
   const sentBefore = core.sent().bytes;
   const reached = await core.until(LIMIT_MS, isWhole);
   const stateBytes = JSON.stringify(core.node('h1').headgate?.ledger.belief()).length;
-  return { ms: reached ? Math.round(core.world.now() - from) : null, bytes: core.sent().bytes - sentBefore, stateBytes };
+  return {
+    ms: reached ? Math.round(core.world.now() - from) : null,
+    bytes: core.sent().bytes - sentBefore,
+    stateBytes,
+  };
 }
 
 /** A controller that is stopped while the others agree; timed from its start until it holds all. */
@@ -101,7 +122,14 @@
     const log = createQuietLog().part('edge');
     const { wire, clock } = core.labIn('edge', EDGE_ZONE);
     const seeds = core.nodes.map(wireOf);
-    return createFollower({ name: 'edge', zone: EDGE_ZONE, region: EDGE_ZONE }, seeds, createPeers(wire, clock, log), clock, null, log);
+    return createFollower(
+      { name: 'edge', zone: EDGE_ZONE, region: EDGE_ZONE },
+      seeds,
+      createPeers(wire, clock, log),
+      clock,
+      null,
+      log,
+    );
   }
   function wireOf(node: { readonly wire: string }): string {
     return node.wire;
--- a/src/sim/linearizability.test.ts
+++ b/src/sim/linearizability.test.ts
@@ -6,8 +6,26 @@
 
 const INITIAL = { number: 0, content: 'c0' };
 
-function change(start: number, end: number, base: number, number: number, answer: ChangeAnswer, over: Partial<ChangeCall> = {}): ChangeCall {
-  return { kind: 'change', start, end, node: 'h1', request: `r${number}`, base, number, content: `c${number}`, answer, ...over };
+function change(
+  start: number,
+  end: number,
+  base: number,
+  number: number,
+  answer: ChangeAnswer,
+  over: Partial<ChangeCall> = {},
+): ChangeCall {
+  return {
+    kind: 'change',
+    start,
+    end,
+    node: 'h1',
+    request: `r${number}`,
+    base,
+    number,
+    content: `c${number}`,
+    answer,
+    ...over,
+  };
 }
 function read(start: number, end: number, number: number, content = `c${number}`): ReadCall {
   return { kind: 'read', start, end, node: 'h2', number, content };
@@ -16,16 +34,49 @@
 describe('histories that one register explains', () => {
   const cases: readonly (readonly [string, readonly OperatorCall[]])[] = [
     ['none', []],
-    ['changes and reads one after another', [change(0, 1, 0, 5, 'confirmed'), read(2, 3, 5), change(4, 5, 5, 6, 'confirmed'), read(6, 7, 6)]],
-    ['a race with one winner, whichever answer came first', [change(0, 9, 0, 5, 'confirmed'), change(0, 3, 0, 6, 'stale'), read(4, 10, 5)]],
-    ['a change sent again, also after a newer one', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 5, 6, 'confirmed'), change(4, 5, 0, 5, 'confirmed'), read(6, 7, 6)]],
+    [
+      'changes and reads one after another',
+      [change(0, 1, 0, 5, 'confirmed'), read(2, 3, 5), change(4, 5, 5, 6, 'confirmed'), read(6, 7, 6)],
+    ],
+    [
+      'a race with one winner, whichever answer came first',
+      [change(0, 9, 0, 5, 'confirmed'), change(0, 3, 0, 6, 'stale'), read(4, 10, 5)],
+    ],
+    [
+      'a change sent again, also after a newer one',
+      [
+        change(0, 1, 0, 5, 'confirmed'),
+        change(2, 3, 5, 6, 'confirmed'),
+        change(4, 5, 0, 5, 'confirmed'),
+        read(6, 7, 6),
+      ],
+    ],
     ['one without a clear answer that took effect', [change(0, 1, 0, 5, 'unclear'), read(2, 3, 0), read(4, 5, 5)]],
-    ['one without a clear answer that never did', [change(0, 1, 0, 5, 'unclear'), change(2, 3, 0, 6, 'confirmed'), read(4, 5, 6), change(6, 7, 0, 5, 'stale')]],
-    ['one without a clear answer that is confirmed at its re-sending', [change(0, 1, 0, 5, 'unclear'), change(2, 3, 5, 6, 'confirmed'), change(4, 5, 0, 5, 'confirmed')]],
-    ['one whose number is told by a read alone', [change(0, 1, 0, 5, 'unclear', { number: null, content: 'x' }), read(2, 3, 5, 'x'), change(4, 5, 5, 6, 'confirmed')]],
-    ['two requests with the same base and result', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'confirmed', { request: 'other' })]],
+    [
+      'one without a clear answer that never did',
+      [change(0, 1, 0, 5, 'unclear'), change(2, 3, 0, 6, 'confirmed'), read(4, 5, 6), change(6, 7, 0, 5, 'stale')],
+    ],
+    [
+      'one without a clear answer that is confirmed at its re-sending',
+      [change(0, 1, 0, 5, 'unclear'), change(2, 3, 5, 6, 'confirmed'), change(4, 5, 0, 5, 'confirmed')],
+    ],
+    [
+      'one whose number is told by a read alone',
+      [
+        change(0, 1, 0, 5, 'unclear', { number: null, content: 'x' }),
+        read(2, 3, 5, 'x'),
+        change(4, 5, 5, 6, 'confirmed'),
+      ],
+    ],
+    [
+      'two requests with the same base and result',
+      [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'confirmed', { request: 'other' })],
+    ],
     ['an invalid change', [change(0, 1, 0, 5, 'invalid'), read(2, 3, 0)]],
-    ['reads at one time with a change, of either', [change(0, 9, 0, 5, 'confirmed'), read(1, 2, 0), read(3, 4, 5), read(3, 9, 0)]],
+    [
+      'reads at one time with a change, of either',
+      [change(0, 9, 0, 5, 'confirmed'), read(1, 2, 0), read(3, 4, 5), read(3, 9, 0)],
+    ],
   ];
   test.each(cases)('%s', (_name, history) => expect(checkLinearizable(INITIAL, history)).toBeNull());
 });
@@ -33,43 +84,89 @@
 describe('histories that no register explains', () => {
   const cases: readonly (readonly [string, ViolationKind, readonly OperatorCall[]])[] = [
     ['two winners on one base', 'twoWinners', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 6, 'confirmed')]],
-    ['two winners on one base at one time', 'twoWinners', [change(0, 9, 0, 5, 'confirmed'), change(1, 8, 0, 6, 'confirmed')]],
-    ['two winners under one number', 'twoContents', [change(0, 9, 0, 5, 'confirmed'), change(1, 8, 0, 5, 'confirmed', { request: 'other', content: 'x' })]],
-    ['a confirmed change that is refused when sent again', 'refusedAfterConfirmed', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'stale')]],
-    ['… also after a newer one', 'refusedAfterConfirmed', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 5, 6, 'confirmed'), change(4, 5, 0, 5, 'stale')]],
+    [
+      'two winners on one base at one time',
+      'twoWinners',
+      [change(0, 9, 0, 5, 'confirmed'), change(1, 8, 0, 6, 'confirmed')],
+    ],
+    [
+      'two winners under one number',
+      'twoContents',
+      [change(0, 9, 0, 5, 'confirmed'), change(1, 8, 0, 5, 'confirmed', { request: 'other', content: 'x' })],
+    ],
+    [
+      'a confirmed change that is refused when sent again',
+      'refusedAfterConfirmed',
+      [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'stale')],
+    ],
+    [
+      '… also after a newer one',
+      'refusedAfterConfirmed',
+      [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 5, 6, 'confirmed'), change(4, 5, 0, 5, 'stale')],
+    ],
     ['… or called invalid', 'refusedAfterConfirmed', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'invalid')]],
     ['a confirmed change that is not read', 'olderRead', [change(0, 1, 0, 5, 'confirmed'), read(2, 3, 0)]],
     ['reads that go back', 'olderRead', [change(0, 9, 0, 5, 'confirmed'), read(1, 2, 5), read(3, 4, 0)]],
-    ['… of a change without a clear answer', 'olderRead', [change(0, 1, 0, 5, 'unclear'), read(2, 3, 5), read(4, 5, 0)]],
+    [
+      '… of a change without a clear answer',
+      'olderRead',
+      [change(0, 1, 0, 5, 'unclear'), read(2, 3, 5), read(4, 5, 0)],
+    ],
     ['a change refused though it builds on what is in force', 'unexplained', [change(0, 1, 0, 5, 'stale')]],
     ['a refused change that is read', 'unexplained', [change(0, 1, 0, 5, 'invalid'), read(2, 3, 5)]],
     ['a change that is read before it was sent', 'unexplained', [read(0, 1, 5), change(2, 3, 0, 5, 'confirmed')]],
-    ['a change confirmed on top of another one that was lost', 'unexplained', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 4, 6, 'confirmed')]],
+    [
+      'a change confirmed on top of another one that was lost',
+      'unexplained',
+      [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 4, 6, 'confirmed')],
+    ],
     ['two contents under one number', 'twoContents', [change(0, 1, 0, 5, 'confirmed'), read(2, 3, 5, 'x')]],
-    ['one refused, and taken all the same later', 'unexplained', [change(0, 1, 0, 5, 'unclear'), change(0, 1, 0, 6, 'unclear'), read(2, 3, 6), change(4, 5, 0, 6, 'stale'), read(6, 7, 6)]],
+    [
+      'one refused, and taken all the same later',
+      'unexplained',
+      [
+        change(0, 1, 0, 5, 'unclear'),
+        change(0, 1, 0, 6, 'unclear'),
+        read(2, 3, 6),
+        change(4, 5, 0, 6, 'stale'),
+        read(6, 7, 6),
+      ],
+    ],
   ];
   test.each(cases)('%s', (_name, kind, history) => expect(checkLinearizable(INITIAL, history)?.kind).toBe(kind));
 });
 
 /** All orders of all calls, with each unclear one left out or taken in: the definition itself, for a handful of calls. */
 function hasOrder(history: readonly OperatorCall[]): boolean {
-  type Applied = { readonly request: string; readonly base: number; readonly number: number | null; readonly content: string };
+  type Applied = {
+    readonly request: string;
+    readonly base: number;
+    readonly number: number | null;
+    readonly content: string;
+  };
   function next(left: readonly OperatorCall[], applied: readonly Applied[]): boolean {
     const now = applied[applied.length - 1] ?? { ...INITIAL, request: '', base: -1 };
     if (left.every((call) => call.kind === 'change' && call.answer === 'unclear')) return true;
     for (const call of left) {
-      const isFirst = left.every((other) => other === call || (other.kind === 'change' && other.answer === 'unclear') || other.end >= call.start);
+      const isFirst = left.every(
+        (other) => other === call || (other.kind === 'change' && other.answer === 'unclear') || other.end >= call.start,
+      );
       if (!isFirst) continue;
       const rest = left.filter((other) => other !== call);
       if (call.kind === 'read') {
         if (call.number === now.number && call.content === now.content && next(rest, applied)) return true;
         continue;
       }
-      const isIn = applied.some((a) => a.number === call.number && (a.request === call.request || (a.base === call.base && a.content === call.content)));
+      const isIn = applied.some(
+        (a) =>
+          a.number === call.number &&
+          (a.request === call.request || (a.base === call.base && a.content === call.content)),
+      );
       const may = !isIn && call.base === now.number;
       if (call.answer === 'unclear' && next(rest, applied)) return true;
       if (call.answer === 'confirmed' && isIn && next(rest, applied)) return true;
-      if ((call.answer === 'confirmed' || call.answer === 'unclear') && may && next(rest, [...applied, call])) return true;
+      if ((call.answer === 'confirmed' || call.answer === 'unclear') && may && next(rest, [...applied, call]))
+        return true;
       if (call.answer === 'stale' && !isIn && call.base !== now.number && next(rest, applied)) return true;
       if (call.answer === 'invalid' && !isIn && next(rest, applied)) return true;
     }
@@ -85,7 +182,17 @@
     const end = start + 1 + below(rng, 6);
     const number = below(rng, 4);
     if (below(rng, 3) === 0) history.push(read(start, end, number));
-    else history.push(change(start, end, below(rng, number + 1), number + 1, (['confirmed', 'confirmed', 'stale', 'invalid', 'unclear'] as const)[below(rng, 5)] as ChangeAnswer, { request: `r${number + 1}.${below(rng, 2)}` }));
+    else
+      history.push(
+        change(
+          start,
+          end,
+          below(rng, number + 1),
+          number + 1,
+          (['confirmed', 'confirmed', 'stale', 'invalid', 'unclear'] as const)[below(rng, 5)] as ChangeAnswer,
+          { request: `r${number + 1}.${below(rng, 2)}` },
+        ),
+      );
   }
   return history;
 }
@@ -137,13 +244,16 @@
 }
 
 test('long histories of a register with many unclear answers are explained, and soon', () => {
-  for (let seed = 1; seed <= 20; seed += 1) expect(checkLinearizable(INITIAL, historyOfRegister(seed, 1_500))).toBeNull();
+  for (let seed = 1; seed <= 20; seed += 1)
+    expect(checkLinearizable(INITIAL, historyOfRegister(seed, 1_500))).toBeNull();
 });
 
 test('a break in the middle of a long history is seen', () => {
   for (let seed = 1; seed <= 20; seed += 1) {
     const history = historyOfRegister(seed, 400);
-    const winner = history.find((call, i): call is ChangeCall => i > 150 && call.kind === 'change' && call.answer === 'confirmed');
+    const winner = history.find(
+      (call, i): call is ChangeCall => i > 150 && call.kind === 'change' && call.answer === 'confirmed',
+    );
     if (!winner) throw new Error('no change was confirmed');
     const lost: ReadCall = read(winner.end + 20, winner.end + 21, winner.base);
     expect(checkLinearizable(INITIAL, [...history, lost])).not.toBeNull();
--- a/src/sim/linearizability.ts
+++ b/src/sim/linearizability.ts
@@ -33,7 +33,8 @@
 export type InitialConfiguration = { readonly number: number; readonly content: string };
 
 /** `unexplained` stands for all that has no plainer name. */
-export type ViolationKind = 'twoWinners' | 'refusedAfterConfirmed' | 'olderRead' | 'twoContents' | 'unexplained' | 'searchTooLarge';
+export type ViolationKind =
+  'twoWinners' | 'refusedAfterConfirmed' | 'olderRead' | 'twoContents' | 'unexplained' | 'searchTooLarge';
 
 export type LinearizabilityViolation = { readonly kind: ViolationKind; readonly detail: string };
 
@@ -63,7 +64,10 @@
 };
 
 /** The first thing about a history that no order of its calls explains, or null. */
-export function checkLinearizable(initial: InitialConfiguration, history: readonly OperatorCall[]): LinearizabilityViolation | null {
+export function checkLinearizable(
+  initial: InitialConfiguration,
+  history: readonly OperatorCall[],
+): LinearizabilityViolation | null {
   const numbered = withNumbers(initial, history);
   if ('kind' in numbered) return numbered;
   const search = createSearch(initial, numbered.calls);
@@ -71,33 +75,59 @@
     if (event.isEnd) search.candidates = afterEnd(search, event.call);
     else started(search, event.call);
     if (search.candidates.length === 0) return violationOf(initial, numbered.calls, event.call);
-    if (search.candidates.length > MAX_CANDIDATES) return { kind: 'searchTooLarge', detail: `more than ${MAX_CANDIDATES} registers are possible at ${event.at.toFixed(0)}` };
+    if (search.candidates.length > MAX_CANDIDATES)
+      return {
+        kind: 'searchTooLarge',
+        detail: `more than ${MAX_CANDIDATES} registers are possible at ${event.at.toFixed(0)}`,
+      };
   }
   return null;
 }
 
 /** Gives unclear changes the number that a read or an answer told for their content. */
-function withNumbers(initial: InitialConfiguration, history: readonly OperatorCall[]): { readonly calls: OperatorCall[] } | LinearizabilityViolation {
+function withNumbers(
+  initial: InitialConfiguration,
+  history: readonly OperatorCall[],
+): { readonly calls: OperatorCall[] } | LinearizabilityViolation {
   const contents = new Map<number, string>([[initial.number, initial.content]]);
   const numbers = new Map<string, number>();
   for (const call of history) {
     if (call.kind === 'change' && call.answer !== 'confirmed') continue;
     if (call.number === null) continue;
     const known = contents.get(call.number);
-    if (known !== undefined && known !== call.content) return { kind: 'twoContents', detail: `number ${call.number} is told with the contents ${known} and ${call.content}` };
+    if (known !== undefined && known !== call.content)
+      return {
+        kind: 'twoContents',
+        detail: `number ${call.number} is told with the contents ${known} and ${call.content}`,
+      };
     contents.set(call.number, call.content);
     numbers.set(call.content, call.number);
   }
   const calls: OperatorCall[] = [];
-  for (const call of history) calls.push(call.kind === 'change' && call.number === null ? { ...call, number: numbers.get(call.content) ?? null } : call);
+  for (const call of history)
+    calls.push(
+      call.kind === 'change' && call.number === null ? { ...call, number: numbers.get(call.content) ?? null } : call,
+    );
   return { calls };
 }
 
 function createSearch(initial: InitialConfiguration, calls: readonly OperatorCall[]): Search {
   const callIds = new Map<OperatorCall, number>();
   for (const call of calls) callIds.set(call, callIds.size);
-  const first: Version = { id: 0, parent: null, request: '', base: -1, number: initial.number, content: initial.content };
-  return { versions: new Map(), callIds, unclearByBase: new Map(), candidates: [{ version: first, waiting: new Set() }] };
+  const first: Version = {
+    id: 0,
+    parent: null,
+    request: '',
+    base: -1,
+    number: initial.number,
+    content: initial.content,
+  };
+  return {
+    versions: new Map(),
+    callIds,
+    unclearByBase: new Map(),
+    candidates: [{ version: first, waiting: new Set() }],
+  };
 }
 
 /** Starts and ends by time; of those at one time the starts come first, which takes the calls for overlapping. */
@@ -155,7 +185,8 @@
     if (call.kind !== 'change' || call.answer !== 'confirmed' || call.base !== version.number) continue;
     next.push(settled(applied(search, version, call), waiting));
   }
-  for (const call of search.unclearByBase.get(version.number) ?? []) next.push(settled(applied(search, version, call), waiting));
+  for (const call of search.unclearByBase.get(version.number) ?? [])
+    next.push(settled(applied(search, version, call), waiting));
   return next;
 }
 
@@ -177,7 +208,8 @@
 }
 
 function fits(version: Version, call: OperatorCall): boolean {
-  if (call.kind === 'read') return version.content === call.content && (version.number === null || version.number === call.number);
+  if (call.kind === 'read')
+    return version.content === call.content && (version.number === null || version.number === call.number);
   const isIn = holds(version, call);
   if (call.answer === 'confirmed') return isIn;
   return !isIn && (call.answer === 'invalid' || version.number !== call.base);
@@ -210,16 +242,24 @@
 }
 
 /** Names what can't be explained, by the plainest reason that the calls before it give. */
-function violationOf(initial: InitialConfiguration, calls: readonly OperatorCall[], call: OperatorCall): LinearizabilityViolation {
+function violationOf(
+  initial: InitialConfiguration,
+  calls: readonly OperatorCall[],
+  call: OperatorCall,
+): LinearizabilityViolation {
   const detail = textOf(call);
   if (call.kind === 'read') {
     const newest = newestBefore(initial, calls, call);
-    return call.number < newest ? { kind: 'olderRead', detail: `${detail}, but ${newest} was confirmed or read before it` } : { kind: 'unexplained', detail };
+    return call.number < newest
+      ? { kind: 'olderRead', detail: `${detail}, but ${newest} was confirmed or read before it` }
+      : { kind: 'unexplained', detail };
   }
   for (const other of calls) {
     if (other === call || other.kind !== 'change' || other.answer !== 'confirmed' || other.base !== call.base) continue;
-    if (call.answer !== 'confirmed' && other.request === call.request && other.end < call.start) return { kind: 'refusedAfterConfirmed', detail: `${detail}, but ${textOf(other)}` };
-    if (call.answer === 'confirmed' && other.request !== call.request) return { kind: 'twoWinners', detail: `${detail}, and ${textOf(other)}` };
+    if (call.answer !== 'confirmed' && other.request === call.request && other.end < call.start)
+      return { kind: 'refusedAfterConfirmed', detail: `${detail}, but ${textOf(other)}` };
+    if (call.answer === 'confirmed' && other.request !== call.request)
+      return { kind: 'twoWinners', detail: `${detail}, and ${textOf(other)}` };
   }
   return { kind: 'unexplained', detail };
 }
--- a/src/sim/replay.ts
+++ b/src/sim/replay.ts
@@ -12,11 +12,28 @@
 export const BUYERS = ['skyserve', 'staticSpread', 'roundRobin', 'onDemandOnly'] as const;
 export type BuyerName = (typeof BUYERS)[number];
 
-export type Trace = { readonly zones: readonly string[]; readonly regionOf: Readonly<Record<string, string>>; readonly room: (zone: string, step: number) => number; readonly steps: number };
+export type Trace = {
+  readonly zones: readonly string[];
+  readonly regionOf: Readonly<Record<string, string>>;
+  readonly room: (zone: string, step: number) => number;
+  readonly steps: number;
+};
 
-export type ReplayEnd = { readonly cost: number; readonly availability: number; readonly preemptions: number; readonly failedLaunches: number; readonly launches: number };
+export type ReplayEnd = {
+  readonly cost: number;
+  readonly availability: number;
+  readonly preemptions: number;
+  readonly failedLaunches: number;
+  readonly launches: number;
+};
 
-export type ReplayRule = { readonly target: number; readonly nExtra: number; readonly holdS: number; readonly hours: number; readonly demand?: (nowS: number) => number };
+export type ReplayRule = {
+  readonly target: number;
+  readonly nExtra: number;
+  readonly holdS: number;
+  readonly hours: number;
+  readonly demand?: (nowS: number) => number;
+};
 
 const STEP_S = 20;
 const COLD_START_S = 183;
@@ -31,7 +48,12 @@
   correlated: { downEach: 5 * 3_600, upEach: 3_000, shared: 0.9 },
 };
 
-type Place = { readonly regions: readonly string[]; readonly zones: readonly string[]; readonly regionOf: Readonly<Record<string, string>>; readonly steps: number };
+type Place = {
+  readonly regions: readonly string[];
+  readonly zones: readonly string[];
+  readonly regionOf: Readonly<Record<string, string>>;
+  readonly steps: number;
+};
 
 function placeOf(hours: number): Place {
   const regions = ['east', 'middle', 'west'];
@@ -56,7 +78,7 @@
   const out = new Uint8Array(steps);
   const upS = (downS * upShare) / (1 - upShare);
   let up = rng.next() < upShare;
-  for (let t = 0; t < steps; ) {
+  for (let t = 0; t < steps;) {
     const lasts = Math.max(1, Math.round((-Math.log(1 - rng.next()) * (up ? upS : downS)) / STEP_S));
     if (up) out.fill(1, t, Math.min(steps, t + lasts));
     t += lasts;
@@ -74,7 +96,15 @@
   for (let i = 0; i < zones.length; i += 1) {
     const zone = zones[i] as string;
     const share = LEAST_AVAILABLE + ((MOST_AVAILABLE - LEAST_AVAILABLE) * i) / (zones.length - 1);
-    own.set(zone, alternating(rng, Math.min(0.98, share / (1 - (REGION_DOWN[regionOf[zone] as string] as number))), ZONE_OUTAGE_S, steps));
+    own.set(
+      zone,
+      alternating(
+        rng,
+        Math.min(0.98, share / (1 - (REGION_DOWN[regionOf[zone] as string] as number))),
+        ZONE_OUTAGE_S,
+        steps,
+      ),
+    );
   }
   function room(zone: string, step: number): number {
     return regionUp.get(regionOf[zone] ?? '')?.[step] === 1 && own.get(zone)?.[step] === 1 ? ROOM : 0;
@@ -100,7 +130,9 @@
       for (let t = 0; t < steps; t += 1) {
         if (rng.next() > STEP_S / habit.downEach) continue;
         drought(z, t);
-        for (const other of zones) if (other !== z && regionOf[other] === region && rng.next() < habit.shared) drought(other, Math.min(steps - 1, t + Math.floor(rng.next() * 6)));
+        for (const other of zones)
+          if (other !== z && regionOf[other] === region && rng.next() < habit.shared)
+            drought(other, Math.min(steps - 1, t + Math.floor(rng.next() * 6)));
       }
     }
   }
@@ -110,10 +142,19 @@
   return { zones, regionOf, room, steps };
 }
 
-type Instance = { readonly id: string; readonly key: string; readonly zone: string; readonly kind: Kind; readonly readyAt: number };
+type Instance = {
+  readonly id: string;
+  readonly key: string;
+  readonly zone: string;
+  readonly kind: Kind;
+  readonly readyAt: number;
+};
 
 type Buyer = {
-  readonly wants: (now: number, live: readonly Instance[]) => readonly { readonly key: string; readonly zone: string; readonly kind: Kind }[];
+  readonly wants: (
+    now: number,
+    live: readonly Instance[],
+  ) => readonly { readonly key: string; readonly zone: string; readonly kind: Kind }[];
   readonly launched: (i: Instance, now: number) => void;
   readonly failed: (key: string, zone: string, kind: Kind, now: number) => void;
   readonly lost: (i: Instance, now: number) => void;
@@ -162,7 +203,13 @@
         continue;
       }
       serial += 1;
-      const made: Instance = { id: `m${serial}`, key: want.key, zone: want.zone, kind: want.kind, readyAt: now + COLD_START_S };
+      const made: Instance = {
+        id: `m${serial}`,
+        key: want.key,
+        zone: want.zone,
+        kind: want.kind,
+        readyAt: now + COLD_START_S,
+      };
       live.push(made);
       buyer.launched(made, now);
     }
@@ -174,7 +221,13 @@
     }
     if (ready >= (rule.demand ? Math.ceil(rule.demand(now)) : rule.target)) up += 1;
   }
-  return { cost: cost / (trace.steps * rule.target * ON_DEMAND_PRICE), availability: up / trace.steps, preemptions, failedLaunches, launches: serial };
+  return {
+    cost: cost / (trace.steps * rule.target * ON_DEMAND_PRICE),
+    availability: up / trace.steps,
+    preemptions,
+    failedLaunches,
+    launches: serial,
+  };
 }
 
 function isNot(id: string): (i: Instance) => boolean {
@@ -191,7 +244,11 @@
     zones[z] = { region: trace.regionOf[z] as string };
     prices[z] = { spot: SPOT_PRICE, onDemand: ON_DEMAND_PRICE };
   }
-  const configuration: Configuration = { zones, deployment: { nExtra: rule.nExtra, minTarget: rule.target, holdS: rule.holdS }, regions: { east: { models: { m: {} } } } };
+  const configuration: Configuration = {
+    zones,
+    deployment: { nExtra: rule.nExtra, minTarget: rule.target, holdS: rule.holdS },
+    regions: { east: { models: { m: {} } } },
+  };
   const belief = { ...emptyBelief(), configuration };
   const rm = resolveModel(configuration, 'east', 'm');
   const memory: ScalerMemory = new Map();
@@ -212,20 +269,40 @@
     serial += 1;
     return `o${serial}`;
   }
-  function wants(now: number, live: readonly Instance[]): readonly { readonly key: string; readonly zone: string; readonly kind: Kind }[] {
+  function wants(
+    now: number,
+    live: readonly Instance[],
+  ): readonly { readonly key: string; readonly zone: string; readonly kind: Kind }[] {
     const listed: SeenMachine[] = [];
     const workers = [];
     for (const i of live) {
       listed.push({ id: i.id, key: i.key, zone: i.zone, state: 'running' });
       workers.push({ id: i.id, machine: i.id, state: i.readyAt <= now ? ('ready' as const) : ('loading' as const) });
     }
-    const decisions = decideModel(rm, belief, { now: now * 1_000, workers, machines: listed, prices, rates: rule.demand ? { m: { perSecond: rule.demand(now), complete: true } } : {}, deadMachines: new Set(), failedIn, asOf: belief.slot, seenBefore: seen }, memory, nextId);
+    const decisions = decideModel(
+      rm,
+      belief,
+      {
+        now: now * 1_000,
+        workers,
+        machines: listed,
+        prices,
+        rates: rule.demand ? { m: { perSecond: rule.demand(now), complete: true } } : {},
+        deadMachines: new Set(),
+        failedIn,
+        asOf: belief.slot,
+        seenBefore: seen,
+      },
+      memory,
+      nextId,
+    );
     failedIn = [];
     const acts: Act[] = [];
     for (const d of decisions) acts.push(d.act);
     fold(acts, now * 1_000);
     const out = [];
-    for (const o of ordersOf(belief, 'm')) if (o.status === 'intended') out.push({ key: o.id, zone: o.zone, kind: o.kind });
+    for (const o of ordersOf(belief, 'm'))
+      if (o.status === 'intended') out.push({ key: o.id, zone: o.zone, kind: o.kind });
     return out;
   }
   function launched(i: Instance, now: number): void {
@@ -257,7 +334,10 @@
   const wanted = name === 'onDemandOnly' ? rule.target : rule.target + rule.nExtra;
   let turn = 0;
   let serial = 0;
-  function wants(_now: number, live: readonly Instance[]): readonly { readonly key: string; readonly zone: string; readonly kind: Kind }[] {
+  function wants(
+    _now: number,
+    live: readonly Instance[],
+  ): readonly { readonly key: string; readonly zone: string; readonly kind: Kind }[] {
     const out = [];
     const held = new Map<string, number>();
     for (const i of live) held.set(i.zone, (held.get(i.zone) ?? 0) + 1);
--- a/src/sim/request-scenarios.ts
+++ b/src/sim/request-scenarios.ts
@@ -17,7 +17,8 @@
   const mark = fleet.records.length;
   const from = fleet.world.now();
   const many: Promise<OriginTally>[] = [];
-  for (const zone of ['hu-1', 'at-1', 'ro-1']) many.push(fleet.traffic({ zone, seconds: 10, runOnceShare: 0, perSecond: 90, name: `crowd-${zone}` }));
+  for (const zone of ['hu-1', 'at-1', 'ro-1'])
+    many.push(fleet.traffic({ zone, seconds: 10, runOnceShare: 0, perSecond: 90, name: `crowd-${zone}` }));
   await fleet.finish(Promise.all(many), 300_000);
   let good = 0;
   let shedLate = 0;
@@ -44,7 +45,8 @@
   const { fleet } = s;
   const busy = fleet.traffic({ zone: 'hu-1', seconds: 15, runOnceShare: 0, perSecond: 10 });
   await fleet.run(2_000);
-  for (const w of fleet.workers) if (!w.fixed) await fleet.call({ method: 'POST', address: w.http, path: '/lab/cold', body: {} });
+  for (const w of fleet.workers)
+    if (!w.fixed) await fleet.call({ method: 'POST', address: w.http, path: '/lab/cold', body: {} });
   await fleet.finish(busy, 60_000);
   createWatchers(fleet).end();
 }
@@ -53,7 +55,10 @@
   const { fleet } = s;
   const shares: number[] = [];
   for (const zone of ['hu-1', 'ro-1', 'at-1', 'hu-1']) {
-    const t = await fleet.finish(fleet.traffic({ zone, seconds: 5, perSecond: 15, name: `moving-${zone}-${shares.length}` }), 60_000);
+    const t = await fleet.finish(
+      fleet.traffic({ zone, seconds: 5, perSecond: 15, name: `moving-${zone}-${shares.length}` }),
+      60_000,
+    );
     shares.push(share(t, 'success'));
   }
   s.told.facts['success share'] = Math.min(...shares);
@@ -63,8 +68,23 @@
 export async function swing(s: Stage): Promise<void> {
   const { fleet } = s;
   const shares: number[] = [];
-  for (const [historyTokens, outputTokens] of [[12_000, 8], [50, 400], [12_000, 8]] as const) {
-    const t = await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 8, perSecond: 8, runOnceShare: 0.3, historyTokens, outputTokens, name: `swing-${shares.length}` }), 120_000);
+  for (const [historyTokens, outputTokens] of [
+    [12_000, 8],
+    [50, 400],
+    [12_000, 8],
+  ] as const) {
+    const t = await fleet.finish(
+      fleet.traffic({
+        zone: 'hu-1',
+        seconds: 8,
+        perSecond: 8,
+        runOnceShare: 0.3,
+        historyTokens,
+        outputTokens,
+        name: `swing-${shares.length}`,
+      }),
+      120_000,
+    );
     shares.push(share(t, 'success'));
   }
   s.told.facts['success share'] = Math.min(...shares);
@@ -89,7 +109,8 @@
   }
   const got = await flume.stream(ask);
   if (!got.ok) return over(tagOf(got.fault));
-  for await (const e of got.value.events) if (e.tag !== 'piece') return over(e.tag === 'sealed' ? 'success' : tagOf(e.fault));
+  for await (const e of got.value.events)
+    if (e.tag !== 'piece') return over(e.tag === 'sealed' ? 'success' : tagOf(e.fault));
   return over('nothing');
 }
 
@@ -97,13 +118,27 @@
   return { model: 'summary', parts: [{ hash: `part-${i}`, tokens: 50 }], outputTokens: 4_000, repeatable: true };
 }
 function onceAsk(i: number): FlumeAsk {
-  return { model: 'card-gateway', kind: 'card', parts: [{ hash: `card-${i}`, tokens: 8 }], outputTokens: 4_000, repeatable: false, key: runKey(`dark-${i}`, SIM_WALL) };
+  return {
+    model: 'card-gateway',
+    kind: 'card',
+    parts: [{ hash: `card-${i}`, tokens: 8 }],
+    outputTokens: 4_000,
+    repeatable: false,
+    key: runKey(`dark-${i}`, SIM_WALL),
+  };
 }
 
-async function endsAfter(s: Stage, cause: () => Promise<void>, makes: readonly ((i: number) => FlumeAsk)[], mostMs: number, told = makes.length === 1 ? ['cut'] : ['cut', 'outcomeUnknown']): Promise<void> {
+async function endsAfter(
+  s: Stage,
+  cause: () => Promise<void>,
+  makes: readonly ((i: number) => FlumeAsk)[],
+  mostMs: number,
+  told = makes.length === 1 ? ['cut'] : ['cut', 'outcomeUnknown'],
+): Promise<void> {
   const { fleet } = s;
   const sent: Promise<Sent>[] = [];
-  for (let i = 0; i < 6; i += 1) for (const make of makes) sent.push(sendTo(fleet, 'hu-1', make(i), make === streamAsk));
+  for (let i = 0; i < 6; i += 1)
+    for (const make of makes) sent.push(sendTo(fleet, 'hu-1', make(i), make === streamAsk));
   await fleet.run(2_000);
   const from = fleet.world.now();
   await cause();
@@ -129,35 +164,76 @@
 
 export async function workersUnlisted(s: Stage): Promise<void> {
   async function hideAll(): Promise<void> {
-    for (const w of s.fleet.workers) await s.fleet.call({ method: 'POST', address: s.fleet.platformAddress, path: `/lab/workers/${w.id}/hide`, body: { hidden: true } });
+    for (const w of s.fleet.workers)
+      await s.fleet.call({
+        method: 'POST',
+        address: s.fleet.platformAddress,
+        path: `/lab/workers/${w.id}/hide`,
+        body: { hidden: true },
+      });
   }
   await endsAfter(s, hideAll, [streamAsk, onceAsk], 5_000);
 }
 
 export async function workersStall(s: Stage): Promise<void> {
   async function stallAll(): Promise<void> {
-    for (const w of s.fleet.workers) await s.fleet.call({ method: 'POST', address: w.http, path: '/lab/fault', body: { mode: 'stall' } });
+    for (const w of s.fleet.workers)
+      await s.fleet.call({ method: 'POST', address: w.http, path: '/lab/fault', body: { mode: 'stall' } });
   }
   await endsAfter(s, stallAll, [streamAsk], 11_000);
 }
 
 export async function homesStale(s: Stage): Promise<void> {
   const { fleet } = s;
-  type Placed = { readonly ticket?: string; readonly requestId?: string; readonly address?: string; readonly sluice?: string };
+  type Placed = {
+    readonly ticket?: string;
+    readonly requestId?: string;
+    readonly address?: string;
+    readonly sluice?: string;
+  };
   async function placedFor(at: number, homes?: readonly string[]): Promise<Placed> {
-    const got = await fleet.call({ method: 'POST', address: fleet.sluices[at]?.http ?? '', path: PLACE_PATH, body: { model: 'card-gateway', kind: 'card', inputTokens: 8, outputTokens: 8, parts: ['a'], repeatable: false, ...(homes ? { homes } : {}) } });
+    const got = await fleet.call({
+      method: 'POST',
+      address: fleet.sluices[at]?.http ?? '',
+      path: PLACE_PATH,
+      body: {
+        model: 'card-gateway',
+        kind: 'card',
+        inputTokens: 8,
+        outputTokens: 8,
+        parts: ['a'],
+        repeatable: false,
+        ...(homes ? { homes } : {}),
+      },
+    });
     return got.ok ? (got.value.body as Placed) : {};
   }
-  async function submit(p: Placed, address: string, homes: readonly string[], ticket = p.ticket ?? ''): Promise<string> {
+  async function submit(
+    p: Placed,
+    address: string,
+    homes: readonly string[],
+    ticket = p.ticket ?? '',
+  ): Promise<string> {
     const hash = markOf({ key: null, kind: null, homes }, 'stale');
-    const got = await fleet.call({ method: 'POST', address, path: REQUESTS_PATH, headers: { [TICKET_HEADER]: ticket }, body: { requestId: p.requestId, parts: [{ hash, tokens: 8 }], outputTokens: 8, stream: false } });
-    const error = got.ok ? (got.value.body as { readonly error?: { readonly tag: string; readonly reason?: string } }).error : null;
+    const got = await fleet.call({
+      method: 'POST',
+      address,
+      path: REQUESTS_PATH,
+      headers: { [TICKET_HEADER]: ticket },
+      body: { requestId: p.requestId, parts: [{ hash, tokens: 8 }], outputTokens: 8, stream: false },
+    });
+    const error = got.ok
+      ? (got.value.body as { readonly error?: { readonly tag: string; readonly reason?: string } }).error
+      : null;
     return error ? `${error.tag} ${error.reason ?? ''}` : `${statusOf(got)}`;
   }
   const [inside, austria, outside] = fleet.sluices;
   const stale = await placedFor(1, ['austria']);
   s.expect('fault', stale.sluice === austria?.name, `placed at ${stale.sluice}`);
-  const narrowed = await fleet.operator(0, 'POST', '/v1/configuration/amend', { base: await epochAt(fleet, 0), changes: [{ path: ['regions', 'hungary', 'models', 'card-gateway', 'homes', 'card'], value: ['hungary'] }] });
+  const narrowed = await fleet.operator(0, 'POST', '/v1/configuration/amend', {
+    base: await epochAt(fleet, 0),
+    changes: [{ path: ['regions', 'hungary', 'models', 'card-gateway', 'homes', 'card'], value: ['hungary'] }],
+  });
   s.expect('acknowledged', statusOf(narrowed) === 200, `answered ${statusOf(narrowed)}`);
   const late = await submit(stale, stale.address ?? '', ['hungary']);
   s.expect('homes', late === 'shed outsideHomes', `a place answer from before the homes changed is told ${late}`);
@@ -167,7 +243,10 @@
   const [body] = (fresh.ticket ?? '').split('.');
   const read = JSON.parse(Buffer.from(body ?? '', 'base64url').toString()) as Record<string, unknown>;
   const crafted = `${Buffer.from(JSON.stringify({ ...read, sluice: read['sluice'], bound: { mapping: null, kind: null, asked: null } })).toString('base64url')}.${(fresh.ticket ?? '').split('.')[1]}`;
-  for (const [what, ticket] of [['as it is', fresh.ticket ?? ''], ['crafted', crafted]] as const) {
+  for (const [what, ticket] of [
+    ['as it is', fresh.ticket ?? ''],
+    ['crafted', crafted],
+  ] as const) {
     const told = await submit(fresh, outside?.http ?? '', ['hungary'], ticket);
     s.expect('homes', told === 'shed ticketForeign', `a ticket ${what}, used outside its homes, is told ${told}`);
   }
@@ -180,7 +259,11 @@
   await fleet.run(3_000);
   const after = await submit(moved, moved.address ?? '', ['hungary']);
   s.expect('homes', after === 'shed ticketForeign', `a ticket of the address's former holder is told ${after}`);
-  s.expect('homes', (await submit(await placedFor(1), inside?.http ?? '', ['hungary'])) === '200', 'the homes themselves serve no more');
+  s.expect(
+    'homes',
+    (await submit(await placedFor(1), inside?.http ?? '', ['hungary'])) === '200',
+    'the homes themselves serve no more',
+  );
 }
 
 export async function sluiceFrozenMidway(s: Stage): Promise<void> {
@@ -197,7 +280,12 @@
   const busy = fleet.traffic({ zone: 'hu-1', seconds: 24, perSecond: 10 });
   await fleet.run(2_000);
   fleet.world.freeze(fleet.hostOf(edge?.name ?? ''));
-  for (const h of fleet.headgates) for (const [a, b] of [[h.name, edge?.name ?? ''], [edge?.name ?? '', h.name]] as const) fleet.world.cut(a, b);
+  for (const h of fleet.headgates)
+    for (const [a, b] of [
+      [h.name, edge?.name ?? ''],
+      [edge?.name ?? '', h.name],
+    ] as const)
+      fleet.world.cut(a, b);
   await fleet.run(3_000);
   const got = await fleet.operator(1, 'POST', '/v1/zones/hu-1/evacuate', {});
   s.expect('fault', statusOf(got) === 202, `answered ${statusOf(got)}, though one sluice stood still`);
@@ -234,14 +322,42 @@
     await fleet.run(4_000);
     for (let i = 0; i < 3; i += 1) {
       const status = await fleet.operator(i, 'GET', '/v1/status');
-      const told = status.ok ? (status.value.body as { readonly sluices: Record<string, { readonly heardMs: number | null }> }).sluices[edge?.name ?? '']?.heardMs : null;
-      s.expect('heard', typeof told === 'number' && told < 1_500, `headgate ${i + 1} last took a report ${told} ms ago`);
+      const told = status.ok
+        ? (status.value.body as { readonly sluices: Record<string, { readonly heardMs: number | null }> }).sluices[
+            edge?.name ?? ''
+          ]?.heardMs
+        : null;
+      s.expect(
+        'heard',
+        typeof told === 'number' && told < 1_500,
+        `headgate ${i + 1} last took a report ${told} ms ago`,
+      );
     }
     s.told.recoverMs = Math.round(fleet.world.now() - from);
     for (const at of [1, 2]) {
-      const placed = await fleet.call({ method: 'POST', address: fleet.sluices[at]?.http ?? '', path: '/v1/place', body: { model: 'summary', inputTokens: 10, outputTokens: 8, parts: ['a'], repeatable: true, homes: ['hungary'] } });
-      const p = placed.ok ? (placed.value.body as { readonly ticket?: string; readonly requestId?: string; readonly address?: string }) : {};
-      const sent = await fleet.call({ method: 'POST', address: p.address ?? '', path: '/v1/requests', headers: { 'x-millfield-ticket': p.ticket ?? '' }, body: { requestId: p.requestId, parts: [{ hash: 'a', tokens: 10 }], outputTokens: 8, stream: false } });
+      const placed = await fleet.call({
+        method: 'POST',
+        address: fleet.sluices[at]?.http ?? '',
+        path: '/v1/place',
+        body: {
+          model: 'summary',
+          inputTokens: 10,
+          outputTokens: 8,
+          parts: ['a'],
+          repeatable: true,
+          homes: ['hungary'],
+        },
+      });
+      const p = placed.ok
+        ? (placed.value.body as { readonly ticket?: string; readonly requestId?: string; readonly address?: string })
+        : {};
+      const sent = await fleet.call({
+        method: 'POST',
+        address: p.address ?? '',
+        path: '/v1/requests',
+        headers: { 'x-millfield-ticket': p.ticket ?? '' },
+        body: { requestId: p.requestId, parts: [{ hash: 'a', tokens: 10 }], outputTokens: 8, stream: false },
+      });
       const foreign = sent.ok && sent.value.status === 409;
       s.expect('known', !foreign, `${fleet.sluices[at]?.name} still places at its former life`);
     }
--- a/src/sim/sabotage.test.ts
+++ b/src/sim/sabotage.test.ts
@@ -12,11 +12,46 @@
 
 describe('a deliberate break is seen', () => {
   const cases: readonly (readonly [string, number, ChaosOptions, readonly string[]])[] = [
-    ['placement that ignores evacuations', 2, { faults: ['evacuate'], seconds: 20, everyMs: 9_000, sabotage: { withoutPolicy: 'evacuated' } }, ['evacuated']],
-    ['disks that lie about syncing', 3, { faults: ['powerAllHeads'], seconds: 20, everyMs: 6_000, sabotage: { disksLie: true } }, ['readBack', 'oneLedger', 'serveAgain']],
-    ['controllers that read without a majority', 3, { faults: ['cutRegion', 'crowdOfOperators'], seconds: 40, everyMs: 2_000, sabotage: { readsWithoutMajority: true } }, ['linearizable']],
-    ['no record of the changes that were applied', 6, { faults: ['crowdOfOperators'], seconds: 30, everyMs: 4_000, sabotage: { forgetsChanges: true } }, ['linearizable']],
-    ['a cloud that forgets idempotency keys', 1, { faults: ['loseReplies', 'reclaim'], seconds: 30, everyMs: 2_000, sabotage: { cloudForgetsKeys: true, listLagMs: 4_000 } }, ['oneMachine']],
+    [
+      'placement that ignores evacuations',
+      2,
+      { faults: ['evacuate'], seconds: 20, everyMs: 9_000, sabotage: { withoutPolicy: 'evacuated' } },
+      ['evacuated'],
+    ],
+    [
+      'disks that lie about syncing',
+      3,
+      { faults: ['powerAllHeads'], seconds: 20, everyMs: 6_000, sabotage: { disksLie: true } },
+      ['readBack', 'oneLedger', 'serveAgain'],
+    ],
+    [
+      'controllers that read without a majority',
+      3,
+      {
+        faults: ['cutRegion', 'crowdOfOperators'],
+        seconds: 40,
+        everyMs: 2_000,
+        sabotage: { readsWithoutMajority: true },
+      },
+      ['linearizable'],
+    ],
+    [
+      'no record of the changes that were applied',
+      6,
+      { faults: ['crowdOfOperators'], seconds: 30, everyMs: 4_000, sabotage: { forgetsChanges: true } },
+      ['linearizable'],
+    ],
+    [
+      'a cloud that forgets idempotency keys',
+      1,
+      {
+        faults: ['loseReplies', 'reclaim'],
+        seconds: 30,
+        everyMs: 2_000,
+        sabotage: { cloudForgetsKeys: true, listLagMs: 4_000 },
+      },
+      ['oneMachine'],
+    ],
   ];
   test.each(cases)('%s', async (_name, seed, options, expected) => {
     const end = await runChaos(seed, options);
@@ -24,7 +59,12 @@
   });
 
   test('a cloud whose list lags breaks nothing while it knows its keys', async () => {
-    const end = await runChaos(4, { faults: ['loseReplies', 'reclaim'], seconds: 30, everyMs: 2_000, sabotage: { listLagMs: 4_000 } });
+    const end = await runChaos(4, {
+      faults: ['loseReplies', 'reclaim'],
+      seconds: 30,
+      everyMs: 2_000,
+      sabotage: { listLagMs: 4_000 },
+    });
     expect(end.broken).toEqual([]);
   });
 
@@ -34,7 +74,9 @@
       expect(await fleet.start()).toBe(true);
       for (const w of fleet.workers) if (w.fixed && w.zone !== 'ro-1') fleet.kill(w.id);
       const tally = await fleet.finish(fleet.traffic({ zone: 'ro-1', seconds: 8, runOnceShare: 1 }), 60_000);
-      expect(Object.keys(tally ?? {}).some((k) => k.includes(withoutPolicy === 'none' ? 'shed' : 'success'))).toBe(true);
+      expect(Object.keys(tally ?? {}).some((k) => k.includes(withoutPolicy === 'none' ? 'shed' : 'success'))).toBe(
+        true,
+      );
       return rules(fleet.check());
     }
     expect(await ran('homes')).toEqual(['homes']);
@@ -46,7 +88,8 @@
       const configuration = { ...(SMALL.configuration as object), deployment: { nExtra: 1, rampS: 0, retryShare } };
       const fleet = createSimFleet(8, { ...SMALL, configuration });
       expect(await fleet.start()).toBe(true);
-      for (const w of fleet.workers) await fleet.call({ method: 'POST', address: w.http, path: '/lab/fault', body: { mode: 'refuse' } });
+      for (const w of fleet.workers)
+        await fleet.call({ method: 'POST', address: w.http, path: '/lab/fault', body: { mode: 'refuse' } });
       await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 20, perSecond: 10, runOnceShare: 0 }), 60_000);
       createWatchers(fleet).end();
       return rules(fleet.check());
@@ -62,7 +105,12 @@
       const gateway = fleet.workers.find((w) => w.fixed && w.zone === 'hu-1');
       const busy = fleet.traffic({ zone: 'hu-1', seconds: 9, runOnceShare: 1 });
       await fleet.run(500);
-      await fleet.call({ method: 'POST', address: fleet.platformAddress, path: `/lab/workers/${gateway?.id}/drain`, body: { remainingMs: 9_000 } });
+      await fleet.call({
+        method: 'POST',
+        address: fleet.platformAddress,
+        path: `/lab/workers/${gateway?.id}/drain`,
+        body: { remainingMs: 9_000 },
+      });
       fleet.records.push({ who: 'cloud', event: 'reclaiming', machine: `${gateway?.id}-fixed`, at: fleet.world.now() });
       await fleet.finish(busy, 30_000);
       return rules(fleet.check());
@@ -72,19 +120,51 @@
   });
 
   type View = { slot: number; epoch: number; serving: boolean; islanded: boolean; configuration: object };
-  type Node = { name: string; host: { running: boolean; frozen: boolean; zone: string; life: number }; platter: { failing: boolean; full: boolean }; sluice: { view: () => View } };
-  function watched(views: readonly View[], records: readonly Readonly<Record<string, unknown>>[] = []): { fleet: SimFleet; now: { at: number }; set: (i: number, v: View) => void } {
+  type Node = {
+    name: string;
+    host: { running: boolean; frozen: boolean; zone: string; life: number };
+    platter: { failing: boolean; full: boolean };
+    sluice: { view: () => View };
+  };
+  function watched(
+    views: readonly View[],
+    records: readonly Readonly<Record<string, unknown>>[] = [],
+  ): { fleet: SimFleet; now: { at: number }; set: (i: number, v: View) => void } {
     const now = { at: 0 };
     const held = [...views];
     const platter = { failing: false, full: false };
-    const sluices = held.map((_, i): Node => ({ name: `s${i}`, host: { running: true, frozen: false, zone: 'z', life: 1 }, platter, sluice: { view: () => held[i] as View } }));
-    const headgates = [0, 1, 2].map((i) => ({ name: `h${i}`, host: { running: true, frozen: false, zone: 'z', life: 1 }, platter, headgate: null }));
+    const sluices = held.map((_, i): Node => ({
+      name: `s${i}`,
+      host: { running: true, frozen: false, zone: 'z', life: 1 },
+      platter,
+      sluice: { view: () => held[i] as View },
+    }));
+    const headgates = [0, 1, 2].map((i) => ({
+      name: `h${i}`,
+      host: { running: true, frozen: false, zone: 'z', life: 1 },
+      platter,
+      headgate: null,
+    }));
     const world = { now: () => now.at, isTouched: () => false };
     const shape = { configuration: { deployment: { rampS: 3 }, regions: { r: { models: { summary: {} } } } } };
-    const fleet = { world, violations: [], records, sluices, headgates, shape, hostOf: () => ({ life: 1 }) } as unknown as SimFleet;
+    const fleet = {
+      world,
+      violations: [],
+      records,
+      sluices,
+      headgates,
+      shape,
+      hostOf: () => ({ life: 1 }),
+    } as unknown as SimFleet;
     return { fleet, now, set: (i, v) => void (held[i] = v) };
   }
-  const fresh: View = { slot: 5, epoch: 4, serving: true, islanded: false, configuration: { deployment: { lineLimit: 50 } } };
+  const fresh: View = {
+    slot: 5,
+    epoch: 4,
+    serving: true,
+    islanded: false,
+    configuration: { deployment: { lineLimit: 50 } },
+  };
   function over(w: { now: { at: number } }, watchers: { step: () => void }, ms: number): void {
     for (const end = w.now.at + ms; w.now.at < end; w.now.at += 100) watchers.step();
   }
@@ -144,17 +224,37 @@
   });
 
   test('a machine that no open order holds, or that nobody is known to have ordered', () => {
-    const w = watched([], [{ who: 'cloud', event: 'machine', machine: 'm1', key: 'o1' }, { who: 'cloud', event: 'machine', machine: 'm2', key: 'o2' }, { who: 'cloud', event: 'gone', machine: 'm2' }]);
+    const w = watched(
+      [],
+      [
+        { who: 'cloud', event: 'machine', machine: 'm1', key: 'o1' },
+        { who: 'cloud', event: 'machine', machine: 'm2', key: 'o2' },
+        { who: 'cloud', event: 'gone', machine: 'm2' },
+      ],
+    );
     const closed = [{ id: 'o1', events: [{ author: 'h' }] }];
     const headgates = [{ name: 'h', headgate: { ledger: { belief: () => ({ orders: {}, closed }) } } }];
     const fleet = { ...w.fleet, headgates } as unknown as SimFleet;
     checkMachines(fleet);
-    expect(fleet.violations.map((v) => v.detail)).toEqual(['machine m1 runs, but order o1 is not open for h', "h can't tell who ordered m2 (order o2)"]);
+    expect(fleet.violations.map((v) => v.detail)).toEqual([
+      'machine m1 runs, but order o1 is not open for h',
+      "h can't tell who ordered m2 (order o2)",
+    ]);
   });
 
   test('a cold worker that is flooded, at any time of its ramp', () => {
     function run(at: number, running: number): string[] {
-      const arrived = { who: 'worker', event: 'arrived', worker: 'w', zone: 'z', model: 'summary', state: 'ready', requestId: 'r', at, running };
+      const arrived = {
+        who: 'worker',
+        event: 'arrived',
+        worker: 'w',
+        zone: 'z',
+        model: 'summary',
+        state: 'ready',
+        requestId: 'r',
+        at,
+        running,
+      };
       const w = watched([fresh, fresh], [{ who: 'worker', event: 'ready', worker: 'w', at: 100 }, arrived]);
       createWatchers(w.fleet).end();
       return rules(w.fleet.violations);
--- a/src/sim/scenarios.ts
+++ b/src/sim/scenarios.ts
@@ -2,9 +2,44 @@
 import { createSimFleet } from './sim-fleet.js';
 import { SMALL } from './shapes.js';
 import type { FleetShape } from './shapes.js';
-import { acknowledgedInPart, acknowledgementLost, allPowerLost, diskLost, holderFrozen, holderLost, largeConfiguration, movedWhileOneLost, oneWayLoss, operatorsRace, regionIsolated, regionLost, seedsStale, seedsSwapped, twoMovedAtOnce } from './core-scenarios.js';
-import { clockBackRestart, coldReturn, crowd, homesStale, originsMove, sluiceFrozen, sluiceFrozenMidway, swing, workersDark, workersStall, workersUnlisted } from './request-scenarios.js';
-import { countsMissing, evacuation, platformUnseen, pricesDown, reclaimedMidStream, spotDrought } from './worker-scenarios.js';
+import {
+  acknowledgedInPart,
+  acknowledgementLost,
+  allPowerLost,
+  diskLost,
+  holderFrozen,
+  holderLost,
+  largeConfiguration,
+  movedWhileOneLost,
+  oneWayLoss,
+  operatorsRace,
+  regionIsolated,
+  regionLost,
+  seedsStale,
+  seedsSwapped,
+  twoMovedAtOnce,
+} from './core-scenarios.js';
+import {
+  clockBackRestart,
+  coldReturn,
+  crowd,
+  homesStale,
+  originsMove,
+  sluiceFrozen,
+  sluiceFrozenMidway,
+  swing,
+  workersDark,
+  workersStall,
+  workersUnlisted,
+} from './request-scenarios.js';
+import {
+  countsMissing,
+  evacuation,
+  platformUnseen,
+  pricesDown,
+  reclaimedMidStream,
+  spotDrought,
+} from './worker-scenarios.js';
 import type { Play, Told } from './stage.js';
 
 export type ScenarioEnd = {
@@ -16,9 +51,38 @@
 };
 
 export const SCENARIOS = {
-  holderLost, holderFrozen, allPowerLost, regionLost, regionIsolated, oneWayLoss, diskLost, seedsSwapped, seedsStale, movedWhileOneLost, twoMovedAtOnce, operatorsRace, acknowledgementLost,
-  largeConfiguration, evacuation, reclaimedMidStream, crowd, spotDrought, coldReturn, originsMove, swing, pricesDown, countsMissing, platformUnseen,
-  homesStale, acknowledgedInPart, sluiceFrozenMidway, workersDark, workersUnlisted, workersStall, sluiceFrozen, clockBackRestart,
+  holderLost,
+  holderFrozen,
+  allPowerLost,
+  regionLost,
+  regionIsolated,
+  oneWayLoss,
+  diskLost,
+  seedsSwapped,
+  seedsStale,
+  movedWhileOneLost,
+  twoMovedAtOnce,
+  operatorsRace,
+  acknowledgementLost,
+  largeConfiguration,
+  evacuation,
+  reclaimedMidStream,
+  crowd,
+  spotDrought,
+  coldReturn,
+  originsMove,
+  swing,
+  pricesDown,
+  countsMissing,
+  platformUnseen,
+  homesStale,
+  acknowledgedInPart,
+  sluiceFrozenMidway,
+  workersDark,
+  workersUnlisted,
+  workersStall,
+  sluiceFrozen,
+  clockBackRestart,
 } as const satisfies Record<string, Play>;
 
 export type ScenarioName = keyof typeof SCENARIOS;
--- a/src/sim/shapes.ts
+++ b/src/sim/shapes.ts
@@ -17,7 +17,11 @@
 const KUTFO_NET = {
   zones: { 'hu-1': 'hungary', 'at-1': 'austria', 'ro-1': 'romania' },
   delayMs: { 'hu-1|at-1': 9, 'hu-1|ro-1': 14, 'at-1|ro-1': 19 },
-  prices: { 'hu-1': { spot: 1, onDemand: 3.2 }, 'at-1': { spot: 1.2, onDemand: 3.6 }, 'ro-1': { spot: 0.9, onDemand: 3 } },
+  prices: {
+    'hu-1': { spot: 1, onDemand: 3.2 },
+    'at-1': { spot: 1.2, onDemand: 3.6 },
+    'ro-1': { spot: 0.9, onDemand: 3 },
+  },
   fixed: { model: 'card-gateway', perZone: 1 },
   kind: 'card',
   homesOfKind: { card: CARD_HOMES },
@@ -58,7 +62,11 @@
 export const TELAR: FleetShape = {
   zones: { 'bog-1': 'cundinamarca', 'med-1': 'antioquia', 'cal-1': 'valle' },
   delayMs: { 'bog-1|med-1': 5, 'bog-1|cal-1': 6, 'med-1|cal-1': 7 },
-  prices: { 'bog-1': { spot: 1, onDemand: 3.1 }, 'med-1': { spot: 0.95, onDemand: 3 }, 'cal-1': { spot: 1.05, onDemand: 3.3 } },
+  prices: {
+    'bog-1': { spot: 1, onDemand: 3.1 },
+    'med-1': { spot: 0.95, onDemand: 3 },
+    'cal-1': { spot: 1.05, onDemand: 3.3 },
+  },
   fixed: { model: 'shop-front', perZone: 1 },
   kind: null,
   homesOfKind: {},
@@ -71,7 +79,9 @@
     zones: { 'bog-1': { region: 'cundinamarca' }, 'med-1': { region: 'antioquia' }, 'cal-1': { region: 'valle' } },
     deployment: { nExtra: 2, qTar: 1.5, rampS: 5 },
     regions: {
-      cundinamarca: { models: { listings: { minTarget: 4 }, 'shop-front': { scaled: false, rampS: 0, workerUsageLimit: 64 } } },
+      cundinamarca: {
+        models: { listings: { minTarget: 4 }, 'shop-front': { scaled: false, rampS: 0, workerUsageLimit: 64 } },
+      },
       antioquia: { models: { replies: { minTarget: 5 } } },
     },
   },
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -20,7 +20,14 @@
 import type { Caller } from '../transport/http.js';
 import type { Wire } from '../transport/wire.js';
 
-export type CoreNode = { readonly name: string; readonly host: Host; readonly wire: string; readonly platter: Platter; founding: boolean; headgate: Headgate | null };
+export type CoreNode = {
+  readonly name: string;
+  readonly host: Host;
+  readonly wire: string;
+  readonly platter: Platter;
+  founding: boolean;
+  headgate: Headgate | null;
+};
 
 export type CoreShape = {
   readonly headgates: number;
@@ -65,7 +72,11 @@
 
 const DISK_BYTES = 16 * 1_048_576;
 
-export function createSimCore(seed: number, shape: CoreShape = { headgates: 3, seeds: 3, regionMs: 35 }, logs: LogRoot = createQuietLog()): SimCore {
+export function createSimCore(
+  seed: number,
+  shape: CoreShape = { headgates: 3, seeds: 3, regionMs: 35 },
+  logs: LogRoot = createQuietLog(),
+): SimCore {
   const world = createWorld(seed);
   const net = createSimNet(world);
   const http = createSimHttp(world, ignored);
@@ -84,7 +95,14 @@
   }
   function add(name: string): CoreNode {
     const zone = `zone-${name}`;
-    const made: CoreNode = { name, host: world.host(name, zone), wire: address(), platter: createPlatter(), founding: false, headgate: null };
+    const made: CoreNode = {
+      name,
+      host: world.host(name, zone),
+      wire: address(),
+      platter: createPlatter(),
+      founding: false,
+      headgate: null,
+    };
     for (const n of nodes) world.setDelay(n.host.zone, zone, shape.regionMs);
     nodes.push(made);
     return made;
@@ -226,7 +244,12 @@
   async function order(name: string, zone: string, waitMs = 1_500): Promise<Ordered> {
     const from = world.now();
     const at = node(name).headgate;
-    const work = at ? at.ledger.propose({ id: `order-${zone}`, cause: 'A test evacuates.', act: { tag: 'evacuation', zone, begun: true } }, waitMs) : null;
+    const work = at
+      ? at.ledger.propose(
+          { id: `order-${zone}`, cause: 'A test evacuates.', act: { tag: 'evacuation', zone, begun: true } },
+          waitMs,
+        )
+      : null;
     const result = work && (await finish(work, 30_000));
     return { result, tookMs: Math.round(world.now() - from) };
   }
@@ -251,5 +274,29 @@
   function until(limitMs: number, test: () => boolean): Promise<boolean> {
     return world.until(limitMs, test);
   }
-  return { world, nodes, node, add, lab, labIn, seeds: setSeeds, start, startAll, kill, end, powerLoss, wipe, cutOff, order, evacuatedAt, members, whole, until, finish, sent: net.sent, rates: net.rates, broken };
+  return {
+    world,
+    nodes,
+    node,
+    add,
+    lab,
+    labIn,
+    seeds: setSeeds,
+    start,
+    startAll,
+    kill,
+    end,
+    powerLoss,
+    wipe,
+    cutOff,
+    order,
+    evacuatedAt,
+    members,
+    whole,
+    until,
+    finish,
+    sent: net.sent,
+    rates: net.rates,
+    broken,
+  };
 }
--- a/src/sim/sim-fleet.test.ts
+++ b/src/sim/sim-fleet.test.ts
@@ -5,7 +5,10 @@
   test.each([1, 2])('serves a mixed load without breaking a rule (seed %i)', async (seed) => {
     const fleet = createSimFleet(seed);
     expect(await fleet.start()).toBe(true);
-    const tallies = await fleet.finish(Promise.all(['hu-1', 'at-1', 'ro-1'].map((zone) => fleet.traffic({ zone, seconds: 10 }))), 40_000);
+    const tallies = await fleet.finish(
+      Promise.all(['hu-1', 'at-1', 'ro-1'].map((zone) => fleet.traffic({ zone, seconds: 10 }))),
+      40_000,
+    );
     expect(tallies).not.toBeNull();
     const all = (tallies ?? []).flatMap((t) => Object.entries(t));
     const good = all.filter(([k]) => k.endsWith('success')).reduce((n, [, v]) => n + v, 0);
--- a/src/sim/sim-fleet.ts
+++ b/src/sim/sim-fleet.ts
@@ -34,9 +34,28 @@
 import { createWorld } from './world.js';
 import type { Host, Proc, World } from './world.js';
 
-export type SimSluice = { readonly host: Host; sluice: Sluice | null; readonly name: string; readonly http: string; readonly platter: Platter };
-export type SimHeadgate = { readonly host: Host; headgate: Headgate | null; readonly name: string; http: string; wire: string; readonly platter: Platter };
-export type SimWorker = { readonly host: Host; readonly id: string; http: string; readonly zone: string; readonly fixed: boolean };
+export type SimSluice = {
+  readonly host: Host;
+  sluice: Sluice | null;
+  readonly name: string;
+  readonly http: string;
+  readonly platter: Platter;
+};
+export type SimHeadgate = {
+  readonly host: Host;
+  headgate: Headgate | null;
+  readonly name: string;
+  http: string;
+  wire: string;
+  readonly platter: Platter;
+};
+export type SimWorker = {
+  readonly host: Host;
+  readonly id: string;
+  http: string;
+  readonly zone: string;
+  readonly fixed: boolean;
+};
 
 export type SimFleet = {
   readonly world: World;
@@ -63,9 +82,19 @@
   readonly hostOf: (name: string) => Host;
   readonly callerOf: (proc: Proc) => Caller;
   readonly cutOff: (names: readonly string[]) => void;
-  readonly call: (c: Omit<HttpCall, 'timeoutMs'> & { readonly timeoutMs?: number }) => Promise<Result<HttpAnswer, HttpFault>>;
-  readonly operator: (at: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, timeoutMs?: number) => Promise<Result<HttpAnswer, HttpFault>>;
-  readonly traffic: (s: Partial<OriginSettings> & { readonly zone: string; readonly seconds: number }) => Promise<OriginTally>;
+  readonly call: (
+    c: Omit<HttpCall, 'timeoutMs'> & { readonly timeoutMs?: number },
+  ) => Promise<Result<HttpAnswer, HttpFault>>;
+  readonly operator: (
+    at: number,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body?: unknown,
+    timeoutMs?: number,
+  ) => Promise<Result<HttpAnswer, HttpFault>>;
+  readonly traffic: (
+    s: Partial<OriginSettings> & { readonly zone: string; readonly seconds: number },
+  ) => Promise<OriginTally>;
   readonly run: (ms: number) => Promise<void>;
   readonly until: (limitMs: number, test: () => boolean) => Promise<boolean>;
   readonly finish: <T>(work: Promise<T>, limitMs: number) => Promise<T | null>;
@@ -82,7 +111,12 @@
   };
 }
 
-export function createSimFleet(seed: number, shape: FleetShape = SMALL, logs: LogRoot = createQuietLog(), sabotage: Sabotage = {}): SimFleet {
+export function createSimFleet(
+  seed: number,
+  shape: FleetShape = SMALL,
+  logs: LogRoot = createQuietLog(),
+  sabotage: Sabotage = {},
+): SimFleet {
   const world = createWorld(seed);
   const net = createSimNet(world);
   const http = createSimHttp(world, noteBody);
@@ -106,7 +140,15 @@
     if (path !== REQUESTS_PATH) return;
     const { parts } = body as { readonly parts?: unknown };
     if (!Array.isArray(parts)) return;
-    records.push({ who: 'body', at: world.now(), event: 'body', node: host.name, zone: host.zone, region: shape.zones[host.zone], mark: markIn(parts as { readonly hash: string }[]) });
+    records.push({
+      who: 'body',
+      at: world.now(),
+      event: 'body',
+      node: host.name,
+      zone: host.zone,
+      region: shape.zones[host.zone],
+      mark: markIn(parts as { readonly hash: string }[]),
+    });
   }
   function procRng(): Rng {
     procs += 1;
@@ -158,7 +200,14 @@
   }
   function headgateOf(zone: string, i: number): SimHeadgate {
     const name = `headgate-${i + 1}`;
-    const made: SimHeadgate = { host: world.host(name, zone), headgate: null, name, http: address(), wire: address(), platter: freshPlatter() };
+    const made: SimHeadgate = {
+      host: world.host(name, zone),
+      headgate: null,
+      name,
+      http: address(),
+      wire: address(),
+      platter: freshPlatter(),
+    };
     async function start(proc: Proc): Promise<void> {
       const deps = depsOf(proc, made.platter);
       const started = await startHeadgate(identityOf(name, zone, made.wire, made.http, deps), deps, shapesOf(shape));
@@ -199,8 +248,10 @@
       const text = JSON.stringify(e.batch);
       const held = chosen.get(e.slot);
       if (held === undefined) chosen.set(e.slot, text);
-      else if (held !== text) violations.push({ rule: 'oneLedger', detail: `${name} folded another batch into slot ${e.slot}` });
-      if (e.slot <= last) violations.push({ rule: 'oneLedger', detail: `${name} went back from slot ${last} to ${e.slot}` });
+      else if (held !== text)
+        violations.push({ rule: 'oneLedger', detail: `${name} folded another batch into slot ${e.slot}` });
+      if (e.slot <= last)
+        violations.push({ rule: 'oneLedger', detail: `${name} went back from slot ${last} to ${e.slot}` });
       last = e.slot;
     }
     headgate.ledger.events.on('folded', folded);
@@ -211,7 +262,13 @@
     for (let i = 0; i < (shape.sluices[zone] ?? 0); i += 1) {
       const name = `sluice-${zone}-${i + 1}`;
       const wire = address();
-      const made: SimSluice = { host: world.host(name, zone), sluice: null, name, http: address(), platter: createPlatter() };
+      const made: SimSluice = {
+        host: world.host(name, zone),
+        sluice: null,
+        name,
+        http: address(),
+        platter: createPlatter(),
+      };
       async function start(proc: Proc): Promise<void> {
         const deps = depsOf(proc, made.platter);
         const started = await startSluice(identityOf(name, zone, wire, made.http, deps), deps);
@@ -257,7 +314,16 @@
   }
   async function startCloud(proc: Proc): Promise<void> {
     const deps = depsOf(proc, null);
-    await startBasinCloud({ address: cloudAddress, platform: platformAddress, prices: shape.prices, forgetsKeys: sabotage.cloudForgetsKeys === true, listLagMs: sabotage.listLagMs ?? 0 }, { ...deps, journal: journal() });
+    await startBasinCloud(
+      {
+        address: cloudAddress,
+        platform: platformAddress,
+        prices: shape.prices,
+        forgetsKeys: sabotage.cloudForgetsKeys === true,
+        listLagMs: sabotage.listLagMs ?? 0,
+      },
+      { ...deps, journal: journal() },
+    );
   }
   starters.set('platform', startPlatform);
   starters.set('cloud', startCloud);
@@ -333,16 +399,30 @@
     }
   }
 
-  function call(c: Omit<HttpCall, 'timeoutMs'> & { readonly timeoutMs?: number }): Promise<Result<HttpAnswer, HttpFault>> {
+  function call(
+    c: Omit<HttpCall, 'timeoutMs'> & { readonly timeoutMs?: number },
+  ): Promise<Result<HttpAnswer, HttpFault>> {
     return finish(labCaller.call({ timeoutMs: 12_000, ...c }), 13_000).then(orTimedOut);
   }
   function orTimedOut(r: Result<HttpAnswer, HttpFault> | null): Result<HttpAnswer, HttpFault> {
     return r ?? { ok: false, fault: { tag: 'timedOut' } };
   }
 
-  function operator(at: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, timeoutMs?: number): Promise<Result<HttpAnswer, HttpFault>> {
+  function operator(
+    at: number,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body?: unknown,
+    timeoutMs?: number,
+  ): Promise<Result<HttpAnswer, HttpFault>> {
     const limit = timeoutMs === undefined ? {} : { timeoutMs };
-    return call({ method, address: (headgates[at] as SimHeadgate).http, path, ...limit, ...(body === undefined ? {} : { body }) });
+    return call({
+      method,
+      address: (headgates[at] as SimHeadgate).http,
+      path,
+      ...limit,
+      ...(body === undefined ? {} : { body }),
+    });
   }
 
   async function finish<T>(work: Promise<T>, limitMs: number): Promise<T | null> {
@@ -397,7 +477,9 @@
     return false;
   }
 
-  function traffic(s: Partial<OriginSettings> & { readonly zone: string; readonly seconds: number }): Promise<OriginTally> {
+  function traffic(
+    s: Partial<OriginSettings> & { readonly zone: string; readonly seconds: number },
+  ): Promise<OriginTally> {
     const name = s.name ?? `origin-${s.zone}-${procs}`;
     const proc = world.begin(world.host(name, s.zone));
     const near: string[] = [];
@@ -436,8 +518,38 @@
   }
 
   return {
-    world, seed, records, violations, headgates, sluices, workers, cloudAddress, platformAddress,
-    shape, zones, start, startNode, kill, powerLoss, wipe, moveHeadgate, moveWorker, keepOldSeeds, turbulence: net.disturb, holder, hostOf, callerOf: http.callerOf, cutOff, call, operator, traffic, run, until, finish, check, allReady, load,
+    world,
+    seed,
+    records,
+    violations,
+    headgates,
+    sluices,
+    workers,
+    cloudAddress,
+    platformAddress,
+    shape,
+    zones,
+    start,
+    startNode,
+    kill,
+    powerLoss,
+    wipe,
+    moveHeadgate,
+    moveWorker,
+    keepOldSeeds,
+    turbulence: net.disturb,
+    holder,
+    hostOf,
+    callerOf: http.callerOf,
+    cutOff,
+    call,
+    operator,
+    traffic,
+    run,
+    until,
+    finish,
+    check,
+    allReady,
+    load,
   };
 }
-
--- a/src/sim/sim-http.ts
+++ b/src/sim/sim-http.ts
@@ -1,12 +1,25 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { Caller, Door, HttpAnswer, HttpCall, HttpFault, HttpReply, HttpRequest, Route } from '../transport/http.js';
+import type {
+  Caller,
+  Door,
+  HttpAnswer,
+  HttpCall,
+  HttpFault,
+  HttpReply,
+  HttpRequest,
+  Route,
+} from '../transport/http.js';
 import type { Address, Listener, WireFault } from '../transport/wire.js';
 import type { Host, Proc, World } from './world.js';
 
 type Open = { readonly proc: Proc; readonly routes: readonly Route[] };
 
-export type SimHttp = { readonly doorOf: (proc: Proc) => Door; readonly callerOf: (proc: Proc) => Caller; readonly calls: () => number };
+export type SimHttp = {
+  readonly doorOf: (proc: Proc) => Door;
+  readonly callerOf: (proc: Proc) => Caller;
+  readonly calls: () => number;
+};
 
 const CONNECT_MS = 1_000;
 
@@ -121,7 +134,8 @@
     }
     const there = target;
     if (world.isCut(proc.host, there) || world.isCut(there, proc.host)) {
-      if (world.isCut(proc.host, there) && world.rng.next() < 0.5) world.at(Math.min(CONNECT_MS, c.timeoutMs), neverSent);
+      if (world.isCut(proc.host, there) && world.rng.next() < 0.5)
+        world.at(Math.min(CONNECT_MS, c.timeoutMs), neverSent);
       else if (!world.isCut(proc.host, there)) world.at(world.delay(proc.host, there), arrive);
       return;
     }
@@ -163,7 +177,16 @@
       for (const route of door.routes) {
         const params = match(route, c.method, path);
         if (!params) continue;
-        const req: HttpRequest = { method: c.method, path, params, query, headers: { ...c.headers }, body: copied(c.body), gone, cameAt };
+        const req: HttpRequest = {
+          method: c.method,
+          path,
+          params,
+          query,
+          headers: { ...c.headers },
+          body: copied(c.body),
+          gone,
+          cameAt,
+        };
         const early = route.gate?.({ ...req, body: undefined });
         if (!early) onBody(door.proc.host, path, req.body);
         reply = early ?? (await route.handle(req));
--- a/src/sim/sim-wire.ts
+++ b/src/sim/sim-wire.ts
@@ -5,7 +5,15 @@
 import type { LinkRates, Pipe } from './link-rates.js';
 import type { Host, Proc, World } from './world.js';
 
-type End = { readonly proc: Proc; events: ConnEvents | null; closed: boolean; lastAt: number; readonly pipe: Pipe; readonly early: unknown[]; readonly held: Held[] };
+type End = {
+  readonly proc: Proc;
+  events: ConnEvents | null;
+  closed: boolean;
+  lastAt: number;
+  readonly pipe: Pipe;
+  readonly early: unknown[];
+  readonly held: Held[];
+};
 type Held = { readonly body: string | null; readonly since: number };
 type Listening = { readonly proc: Proc; readonly onConn: (conn: Conn) => void };
 
@@ -14,7 +22,12 @@
 export const CALM: Turbulence = { slow: 0, twice: 0, overtake: 0 };
 const SLOW_MS = 400;
 
-export type SimNet = { readonly disturb: (t: Turbulence) => void; readonly rates: LinkRates; readonly wireOf: (proc: Proc) => Wire; readonly sent: () => { readonly frames: number; readonly bytes: number } };
+export type SimNet = {
+  readonly disturb: (t: Turbulence) => void;
+  readonly rates: LinkRates;
+  readonly wireOf: (proc: Proc) => Wire;
+  readonly sent: () => { readonly frames: number; readonly bytes: number };
+};
 
 const DIAL_TIMEOUT_MS = 1_000;
 const HELD_MOST_MS = 6_000;
@@ -88,13 +101,21 @@
     const slow = air.slow > 0 && world.rng.next() < air.slow ? SLOW_MS * world.rng.next() : 0;
     const delayMs = world.delay(from.proc.host, to.proc.host);
     const bytes = body === null ? 0 : body.length;
-    const hold = rates.holdMs({ from: from.proc.host, to: to.proc.host, bytes, now: world.now(), delayMs, pipe: from.pipe });
+    const hold = rates.holdMs({
+      from: from.proc.host,
+      to: to.proc.host,
+      bytes,
+      now: world.now(),
+      delayMs,
+      pipe: from.pipe,
+    });
     const due = world.now() + hold + delayMs + slow;
     const overtakes = body !== null && air.overtake > 0 && world.rng.next() < air.overtake;
     const at = overtakes ? due : Math.max(from.lastAt + 0.001, due);
     if (!overtakes) from.lastAt = at;
     world.at(at - world.now(), arrive);
-    if (body !== null && air.twice > 0 && world.rng.next() < air.twice) world.at(at - world.now() + SLOW_MS * world.rng.next(), arrive);
+    if (body !== null && air.twice > 0 && world.rng.next() < air.twice)
+      world.at(at - world.now() + SLOW_MS * world.rng.next(), arrive);
     function arrive(): void {
       if (!world.alive(to.proc)) {
         if (to.proc.host.powered && body !== null) deliver(to, from, null);
--- a/src/sim/stage.ts
+++ b/src/sim/stage.ts
@@ -4,7 +4,11 @@
 import type { SimFleet } from './sim-fleet.js';
 
 export type Told = { recoverMs: number | null; facts: Record<string, number | string | boolean> };
-export type Stage = { readonly fleet: SimFleet; readonly told: Told; readonly expect: (rule: string, held: boolean, detail: string) => void };
+export type Stage = {
+  readonly fleet: SimFleet;
+  readonly told: Told;
+  readonly expect: (rule: string, held: boolean, detail: string) => void;
+};
 export type Play = (s: Stage) => Promise<void>;
 
 export function share(t: OriginTally | null, what: string): number {
@@ -27,8 +31,18 @@
   return r.ok ? ((r.value.body as { readonly waiting?: readonly string[] } | null)?.waiting ?? []) : [];
 }
 
-export function amend(f: SimFleet, at: number, base: number, value: number, operation?: string): Promise<Result<HttpAnswer, HttpFault>> {
-  return f.operator(at, 'POST', '/v1/configuration/amend', { base, changes: [{ path: ['deployment', 'lineLimit'], value }], ...(operation ? { operation } : {}) });
+export function amend(
+  f: SimFleet,
+  at: number,
+  base: number,
+  value: number,
+  operation?: string,
+): Promise<Result<HttpAnswer, HttpFault>> {
+  return f.operator(at, 'POST', '/v1/configuration/amend', {
+    base,
+    changes: [{ path: ['deployment', 'lineLimit'], value }],
+    ...(operation ? { operation } : {}),
+  });
 }
 export async function epochAt(f: SimFleet, at: number): Promise<number> {
   return epochOf(await f.operator(at, 'GET', '/v1/configuration'));
@@ -38,14 +52,21 @@
   const { fleet } = s;
   const from = fleet.world.now();
   const seen = fleet.records.length;
-  const probe = fleet.traffic({ zone, seconds: limitMs / 1_000, perSecond: 5, patience: 0, name: `probe-${zone}-${from}` });
+  const probe = fleet.traffic({
+    zone,
+    seconds: limitMs / 1_000,
+    perSecond: 5,
+    patience: 0,
+    name: `probe-${zone}-${from}`,
+  });
   function success(): boolean {
     return firstSuccess() !== null;
   }
   function firstSuccess(): number | null {
     for (let i = seen; i < fleet.records.length; i += 1) {
       const r = fleet.records[i];
-      if (r?.['who'] === 'origin' && r['result'] === 'success' && String(r['origin']).startsWith('probe')) return r['at'] as number;
+      if (r?.['who'] === 'origin' && r['result'] === 'success' && String(r['origin']).startsWith('probe'))
+        return r['at'] as number;
     }
     return null;
   }
@@ -65,12 +86,20 @@
 export async function reclaimAll(fleet: SimFleet, remainingMs: number): Promise<() => boolean> {
   const gone = new Set<string>();
   for (const h of fleet.headgates) {
-    for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {})) if (o.machine !== null) gone.add(o.machine);
+    for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {}))
+      if (o.machine !== null) gone.add(o.machine);
   }
-  for (const machine of gone) await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/reclaim', body: { machine, remainingMs } });
+  for (const machine of gone)
+    await fleet.call({
+      method: 'POST',
+      address: fleet.cloudAddress,
+      path: '/lab/reclaim',
+      body: { machine, remainingMs },
+    });
   function replaced(): boolean {
     for (const h of fleet.headgates) {
-      for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {})) if (o.machine !== null && gone.has(o.machine)) return false;
+      for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {}))
+        if (o.machine !== null && gone.has(o.machine)) return false;
     }
     return fleet.allReady();
   }
--- a/src/sim/watchers.ts
+++ b/src/sim/watchers.ts
@@ -34,7 +34,14 @@
   return typeof v === 'number' ? v : null;
 }
 
-type Seen = { readonly name: string; readonly slot: number; readonly epoch: number; readonly configuration: Configuration; readonly serves: boolean; readonly core: boolean };
+type Seen = {
+  readonly name: string;
+  readonly slot: number;
+  readonly epoch: number;
+  readonly configuration: Configuration;
+  readonly serves: boolean;
+  readonly core: boolean;
+};
 type Held = { readonly epoch: number; readonly at: number };
 
 export function createWatchers(fleet: SimFleet): Watchers {
@@ -66,11 +73,27 @@
     const out: Seen[] = [];
     for (const s of fleet.sluices) {
       const v = s.sluice?.view();
-      if (v) out.push({ name: s.name, slot: v.slot, epoch: v.epoch, configuration: v.configuration, serves: v.serving, core: false });
+      if (v)
+        out.push({
+          name: s.name,
+          slot: v.slot,
+          epoch: v.epoch,
+          configuration: v.configuration,
+          serves: v.serving,
+          core: false,
+        });
     }
     for (const h of fleet.headgates) {
       const l = h.headgate?.ledger;
-      if (l) out.push({ name: h.name, slot: l.belief().slot, epoch: l.belief().epoch, configuration: l.belief().configuration, serves: l.isMember(), core: true });
+      if (l)
+        out.push({
+          name: h.name,
+          slot: l.belief().slot,
+          epoch: l.belief().epoch,
+          configuration: l.belief().configuration,
+          serves: l.isMember(),
+          core: true,
+        });
     }
     return out;
   }
@@ -79,7 +102,8 @@
     const now = world.now();
     for (const n of [...fleet.sluices, ...fleet.headgates]) {
       const sick = n.platter.failing || n.platter.full;
-      if (!n.host.running || n.host.frozen || sick || world.isTouched(n.name) || !disturbedAt.has(n.name)) disturbedAt.set(n.name, now);
+      if (!n.host.running || n.host.frozen || sick || world.isTouched(n.name) || !disturbedAt.has(n.name))
+        disturbedAt.set(n.name, now);
     }
   }
   function calmFor(name: string): number {
@@ -95,7 +119,11 @@
     const life = fleet.hostOf(n.name).life;
     const before = last.get(n.name);
     const comparable = before && (!n.core || before.life === life);
-    if (comparable && (n.slot < before.slot || n.epoch < before.epoch)) fault('noOlderEpoch', `${n.name} went from slot ${before.slot} epoch ${before.epoch} to slot ${n.slot} epoch ${n.epoch}`);
+    if (comparable && (n.slot < before.slot || n.epoch < before.epoch))
+      fault(
+        'noOlderEpoch',
+        `${n.name} went from slot ${before.slot} epoch ${before.epoch} to slot ${n.slot} epoch ${n.epoch}`,
+      );
     last.set(n.name, { slot: n.slot, epoch: n.epoch, life });
   }
 
@@ -110,10 +138,13 @@
   function checkContent(who: string, epoch: number, text: string, value: number | null): void {
     const known = contents.get(epoch);
     if (known === undefined) contents.set(epoch, text);
-    else if (known !== text) faultOnce('oneContent', `${who} ${epoch}`, `${who} holds another configuration under epoch ${epoch}`);
-    if (value !== null && refusedValues.has(value)) faultOnce('refusedSeen', `${who} ${value}`, `${who} holds ${value}, which was refused`);
+    else if (known !== text)
+      faultOnce('oneContent', `${who} ${epoch}`, `${who} holds another configuration under epoch ${epoch}`);
+    if (value !== null && refusedValues.has(value))
+      faultOnce('refusedSeen', `${who} ${value}`, `${who} holds ${value}, which was refused`);
     const agreedValue = values.get(epoch);
-    if (agreedValue !== undefined && value !== agreedValue) faultOnce('readBack', `${who} ${epoch}`, `${who} holds ${value} in epoch ${epoch}, not ${agreedValue}`);
+    if (agreedValue !== undefined && value !== agreedValue)
+      faultOnce('readBack', `${who} ${epoch}`, `${who} holds ${value} in epoch ${epoch}, not ${agreedValue}`);
   }
 
   function step(): void {
@@ -125,20 +156,38 @@
       if (n.epoch > 0) checkContent(n.name, n.epoch, textOf(n.configuration), valueIn(n.configuration));
       if (!n.serves) continue;
       forward(n);
-      if (!n.core && n.epoch < newest.epoch) faultOnce('inForce', `${n.name} ${newest.epoch}`, `${n.name} serves epoch ${n.epoch} though ${newest.epoch} was acknowledged`);
-      if (newestAgreed.epoch < 0 || !core || calmFor(n.name) < 2 * IN_FORCE_MS || world.now() - newestAgreed.at < IN_FORCE_MS) continue;
+      if (!n.core && n.epoch < newest.epoch)
+        faultOnce(
+          'inForce',
+          `${n.name} ${newest.epoch}`,
+          `${n.name} serves epoch ${n.epoch} though ${newest.epoch} was acknowledged`,
+        );
+      if (
+        newestAgreed.epoch < 0 ||
+        !core ||
+        calmFor(n.name) < 2 * IN_FORCE_MS ||
+        world.now() - newestAgreed.at < IN_FORCE_MS
+      )
+        continue;
       watched += STEP_MS;
-      if (n.epoch < newestAgreed.epoch) faultOnce('inForce', `${n.name} ${newestAgreed.epoch} late`, `${n.name} holds epoch ${n.epoch} more than 3 s after ${newestAgreed.epoch} was agreed`);
+      if (n.epoch < newestAgreed.epoch)
+        faultOnce(
+          'inForce',
+          `${n.name} ${newestAgreed.epoch} late`,
+          `${n.name} holds epoch ${n.epoch} more than 3 s after ${newestAgreed.epoch} was agreed`,
+        );
     }
   }
 
   function refused(value: number): void {
     refusedValues.add(value);
-    for (const n of seen()) if (n.epoch > 0) checkContent(n.name, n.epoch, textOf(n.configuration), valueIn(n.configuration));
+    for (const n of seen())
+      if (n.epoch > 0) checkContent(n.name, n.epoch, textOf(n.configuration), valueIn(n.configuration));
   }
   function won(base: number, epoch: number): void {
     const other = winners.get(base);
-    if (other !== undefined && other !== epoch) fault('oneWinner', `epochs ${other} and ${epoch} both won on base ${base}`);
+    if (other !== undefined && other !== epoch)
+      fault('oneWinner', `epochs ${other} and ${epoch} both won on base ${base}`);
     winners.set(base, epoch);
   }
   function agreed(epoch: number, value: number): void {
@@ -148,7 +197,9 @@
   function acked(epoch: number, value: number): void {
     agreed(epoch, value);
     if (epoch > newest.epoch) newest = { epoch, at: world.now() };
-    for (const n of seen()) if (!n.core && n.serves && n.epoch < epoch) fault('inForce', `${n.name} serves epoch ${n.epoch} though ${epoch} was acknowledged`);
+    for (const n of seen())
+      if (!n.core && n.serves && n.epoch < epoch)
+        fault('inForce', `${n.name} serves epoch ${n.epoch} though ${epoch} was acknowledged`);
   }
   function newestEpoch(): number {
     return newest.epoch;
@@ -160,7 +211,8 @@
     if (value === undefined) return;
     const base = fleet.shape.configuration as { readonly deployment?: object };
     const whole = canonical({ ...base, deployment: { ...base.deployment, lineLimit: value } });
-    if (canonical(configuration) !== whole) fault('readBack', `${who} reads a tree that is not the one acknowledged as epoch ${epoch}`);
+    if (canonical(configuration) !== whole)
+      fault('readBack', `${who} reads a tree that is not the one acknowledged as epoch ${epoch}`);
   }
   function evacuated(zone: string): void {
     evacuations.push({ zone, from: world.now() + EVACUATION_MS, until: Infinity });
@@ -182,10 +234,17 @@
     return ramped * near + far + 1;
   }
   function settingsOf(model: string): { readonly rampS: number; readonly limit: number } {
-    const c = fleet.shape.configuration as { readonly deployment?: Settings; readonly regions?: Record<string, { readonly models?: Record<string, Settings> }> };
+    const c = fleet.shape.configuration as {
+      readonly deployment?: Settings;
+      readonly regions?: Record<string, { readonly models?: Record<string, Settings> }>;
+    };
     for (const r of Object.values(c.regions ?? {})) {
       const own = r.models?.[model];
-      if (own) return { rampS: own.rampS ?? c.deployment?.rampS ?? 30, limit: own.workerUsageLimit ?? c.deployment?.workerUsageLimit ?? 8 };
+      if (own)
+        return {
+          rampS: own.rampS ?? c.deployment?.rampS ?? 30,
+          limit: own.workerUsageLimit ?? c.deployment?.workerUsageLimit ?? 8,
+        };
     }
     return { rampS: 0, limit: 8 };
   }
@@ -200,7 +259,8 @@
       const at = rec['at'] as number;
       if (rec['who'] === 'cloud' && rec['event'] === 'machine') {
         const key = String(rec['key']);
-        if (machines.has(key)) fault('oneMachine', `order ${key} got ${machines.get(key)} and ${String(rec['machine'])}`);
+        if (machines.has(key))
+          fault('oneMachine', `order ${key} got ${machines.get(key)} and ${String(rec['machine'])}`);
         machines.set(key, String(rec['machine']));
       }
       if (rec['who'] !== 'worker') continue;
@@ -213,12 +273,20 @@
       dispatched.add(requestId);
       const came = typeof rec['came'] === 'number' ? rec['came'] : at;
       for (const e of evacuations) {
-        if (rec['zone'] === e.zone && came > e.from && came < e.until) fault('evacuated', `${requestId} reached ${worker} ${(came - e.from).toFixed(0)} ms too late`);
+        if (rec['zone'] === e.zone && came > e.from && came < e.until)
+          fault('evacuated', `${requestId} reached ${worker} ${(came - e.from).toFixed(0)} ms too late`);
       }
       const ready = readyAt.get(worker);
-      const most = ready === undefined || rec['state'] !== 'ready' ? null : mostRunning(String(rec['zone']), String(rec['model']), at - ready);
+      const most =
+        ready === undefined || rec['state'] !== 'ready'
+          ? null
+          : mostRunning(String(rec['zone']), String(rec['model']), at - ready);
       const running = rec['running'] as number;
-      if (most !== null && running >= most) fault('coldFlood', `${worker} was given one more beside ${running}, ${(at - (ready ?? 0)).toFixed(0)} ms after it was ready`);
+      if (most !== null && running >= most)
+        fault(
+          'coldFlood',
+          `${worker} was given one more beside ${running}, ${(at - (ready ?? 0)).toFixed(0)} ms after it was ready`,
+        );
     }
     if (all > firsts * 1.2 + 12) fault('retries', `${all} dispatches for ${firsts} requests`);
   }
@@ -245,10 +313,19 @@
     const b = h.headgate?.ledger.belief();
     if (!b) continue;
     for (const [machine, key] of live) {
-      if (!b.orders[key]) fleet.violations.push({ rule: 'accounted', detail: `machine ${machine} runs, but order ${key} is not open for ${h.name}` });
+      if (!b.orders[key])
+        fleet.violations.push({
+          rule: 'accounted',
+          detail: `machine ${machine} runs, but order ${key} is not open for ${h.name}`,
+        });
     }
     const known = new Map<string, string>();
     for (const o of [...b.closed, ...Object.values(b.orders)]) known.set(o.id, o.events[0]?.author ?? '');
-    for (const [key, machine] of ever) if (!known.get(key)) fleet.violations.push({ rule: 'accounted', detail: `${h.name} can't tell who ordered ${machine} (order ${key})` });
+    for (const [key, machine] of ever)
+      if (!known.get(key))
+        fleet.violations.push({
+          rule: 'accounted',
+          detail: `${h.name} can't tell who ordered ${machine} (order ${key})`,
+        });
   }
 }
--- a/src/sim/worker-scenarios.ts
+++ b/src/sim/worker-scenarios.ts
@@ -14,16 +14,23 @@
   watchers.evacuated('hu-1');
   await fleet.run(12_000);
   let last = from;
-  for (const r of fleet.records) if (r['who'] === 'worker' && r['event'] === 'arrived' && r['zone'] === 'hu-1') last = Math.max(last, r['at'] as number);
+  for (const r of fleet.records)
+    if (r['who'] === 'worker' && r['event'] === 'arrived' && r['zone'] === 'hu-1')
+      last = Math.max(last, r['at'] as number);
   s.told.recoverMs = Math.round(last - from);
   watchers.restored('hu-1');
-  s.expect('acknowledged', statusOf(await fleet.operator(0, 'POST', '/v1/zones/hu-1/restore', {})) === 200, 'not handed back');
+  s.expect(
+    'acknowledged',
+    statusOf(await fleet.operator(0, 'POST', '/v1/zones/hu-1/restore', {})) === 200,
+    'not handed back',
+  );
   const t = await fleet.finish(busy, 60_000);
   s.told.facts['success share'] = share(t, 'success');
   s.expect('serves', share(t, 'success') > 0.98, JSON.stringify(t));
   await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 4, runOnceShare: 1 }), 30_000);
   let back = 0;
-  for (const r of fleet.records) if (r['event'] === 'arrived' && r['zone'] === 'hu-1' && (r['at'] as number) > from + 13_000) back += 1;
+  for (const r of fleet.records)
+    if (r['event'] === 'arrived' && r['zone'] === 'hu-1' && (r['at'] as number) > from + 13_000) back += 1;
   s.expect('handedBack', back > 0, 'nothing came back to the zone');
   watchers.end();
 }
@@ -43,12 +50,14 @@
 
 export async function spotDrought(s: Stage): Promise<void> {
   const { fleet } = s;
-  for (const zone of Object.keys(SMALL.zones)) await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: false } });
+  for (const zone of Object.keys(SMALL.zones))
+    await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: false } });
   await reclaimAll(fleet, 500);
   const from = fleet.world.now();
   function ready(kind: string): number {
     let n = 0;
-    for (const o of Object.values(fleet.headgates[0]?.headgate?.ledger.belief().orders ?? {})) if (o.kind === kind && o.status === 'ready') n += 1;
+    for (const o of Object.values(fleet.headgates[0]?.headgate?.ledger.belief().orders ?? {}))
+      if (o.kind === kind && o.status === 'ready') n += 1;
     return n;
   }
   function covered(): boolean {
@@ -60,7 +69,8 @@
   const t = await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 8, runOnceShare: 0 }), 60_000);
   s.told.facts['success share'] = share(t, 'success');
   s.expect('serves', share(t, 'success') > 0.98, JSON.stringify(t));
-  for (const zone of Object.keys(SMALL.zones)) await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: true } });
+  for (const zone of Object.keys(SMALL.zones))
+    await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: true } });
   function back(): boolean {
     return ready('spot') === 3 && ready('onDemand') === 0;
   }
@@ -82,7 +92,14 @@
 export async function countsMissing(s: Stage): Promise<void> {
   const { fleet } = s;
   const base = await epochAt(fleet, 0);
-  const set = await fleet.operator(0, 'POST', '/v1/configuration/amend', { base, changes: [{ path: ['deployment', 'holdS'], value: 5 }, { path: ['deployment', 'windowS'], value: 5 }, { path: ['regions', 'hungary', 'models', 'summary', 'minTarget'], value: 1 }] });
+  const set = await fleet.operator(0, 'POST', '/v1/configuration/amend', {
+    base,
+    changes: [
+      { path: ['deployment', 'holdS'], value: 5 },
+      { path: ['deployment', 'windowS'], value: 5 },
+      { path: ['regions', 'hungary', 'models', 'summary', 'minTarget'], value: 1 },
+    ],
+  });
   s.expect('acknowledged', statusOf(set) === 200, `answered ${statusOf(set)}`);
   function target(): number {
     return fleet.headgates[0]?.headgate?.ledger.belief().targets['summary'] ?? -1;
@@ -103,14 +120,27 @@
   const { fleet } = s;
   const blind = fleet.sluices[0]?.name ?? '';
   fleet.world.cut(blind, 'platform');
-  const busy = fleet.traffic({ zone: 'hu-1', seconds: 10, runOnceShare: 0, streamModels: ['card-gateway'], perSecond: 10, outputTokens: 16 });
+  const busy = fleet.traffic({
+    zone: 'hu-1',
+    seconds: 10,
+    runOnceShare: 0,
+    streamModels: ['card-gateway'],
+    perSecond: 10,
+    outputTokens: 16,
+  });
   await fleet.run(1_500);
   const from = fleet.world.now();
-  const drained = await fleet.call({ method: 'POST', address: fleet.platformAddress, path: '/lab/workers/gateway-hu-1-1/drain', body: { remainingMs: 9_000 } });
+  const drained = await fleet.call({
+    method: 'POST',
+    address: fleet.platformAddress,
+    path: '/lab/workers/gateway-hu-1-1/drain',
+    body: { remainingMs: 9_000 },
+  });
   s.expect('fault', statusOf(drained) === 200, `answered ${statusOf(drained)}`);
   const t = await fleet.finish(busy, 60_000);
   let last = from;
-  for (const r of fleet.records) if (r['event'] === 'arrived' && r['worker'] === 'gateway-hu-1-1') last = Math.max(last, r['at'] as number);
+  for (const r of fleet.records)
+    if (r['event'] === 'arrived' && r['worker'] === 'gateway-hu-1-1') last = Math.max(last, r['at'] as number);
   s.told.recoverMs = Math.round(last - from);
   s.told.facts['success share'] = share(t, 'success');
   s.expect('serves', share(t, 'success') > 0.98, JSON.stringify(t));
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -221,7 +221,31 @@
     killers.push(fn);
   }
   return {
-    rng, now, at, host, hosts: allHosts, begin, alive, clockOf, run, kill, freeze, thaw, own, ownerOf,
-    cut, heal, healAll, isCut, isTouched, onHeal, onKill, setDelay, delay, advance, until, events,
+    rng,
+    now,
+    at,
+    host,
+    hosts: allHosts,
+    begin,
+    alive,
+    clockOf,
+    run,
+    kill,
+    freeze,
+    thaw,
+    own,
+    ownerOf,
+    cut,
+    heal,
+    healAll,
+    isCut,
+    isTouched,
+    onHeal,
+    onKill,
+    setDelay,
+    delay,
+    advance,
+    until,
+    events,
   };
 }
--- a/src/state/acceptor.test.ts
+++ b/src/state/acceptor.test.ts
@@ -15,7 +15,10 @@
   expect(accept(acc, 1, { round: 1, by: 'z' }, batch('x'))).toEqual({ tag: 'outbid', by: { round: 2, by: 'a' } });
   expect(accept(acc, 1, { round: 2, by: 'a' }, batch('y')).tag).toBe('accepted');
   expect(prepare(acc, 1, { round: 2, by: 'a' }).tag).toBe('outbid');
-  expect(prepare(acc, 1, { round: 3, by: 'b' })).toEqual({ tag: 'promised', accepted: { ballot: { round: 2, by: 'a' }, batch: batch('y') } });
+  expect(prepare(acc, 1, { round: 3, by: 'b' })).toEqual({
+    tag: 'promised',
+    accepted: { ballot: { round: 2, by: 'a' }, batch: batch('y') },
+  });
   expect(highestAccepted(acc)).toBe(1);
   raiseFloor(acc, 2);
   expect(prepare(acc, 1, { round: 9, by: 'b' }).tag).toBe('alreadyChosen');
@@ -32,7 +35,9 @@
       const by = `p${below(rng, 3)}`;
       const ballot = { round: (rounds.get(by) ?? 0) + 1 + below(rng, 2), by };
       rounds.set(by, ballot.round);
-      const promises = shuffled(rng, [0, 1, 2]).slice(0, 1 + below(rng, 3)).map((i) => prepare(accs[i] as Acceptor, 0, ballot));
+      const promises = shuffled(rng, [0, 1, 2])
+        .slice(0, 1 + below(rng, 3))
+        .map((i) => prepare(accs[i] as Acceptor, 0, ballot));
       const yes = promises.flatMap((p) => (p.tag === 'promised' ? [p.accepted] : []));
       if (yes.length < 2) continue;
       const best = yes.filter((a) => a !== null).sort((a, b) => compareBallots(b.ballot, a.ballot))[0];
--- a/src/state/aim-counts.ts
+++ b/src/state/aim-counts.ts
@@ -3,12 +3,25 @@
 
 export const BOUNDS_MS = [25, 50, 100, 200, 300, 500, 1_000, 2_000, 3_000, 5_000, 10_000, 30_000, 60_000] as const;
 
-const Numbers = Type.Array(Type.Integer({ minimum: 0 }), { minItems: BOUNDS_MS.length + 1, maxItems: BOUNDS_MS.length + 1 });
-export const CountsShape = Type.Object({ good: Type.Integer(), shed: Type.Integer(), failed: Type.Integer(), first: Numbers, whole: Numbers });
+const Numbers = Type.Array(Type.Integer({ minimum: 0 }), {
+  minItems: BOUNDS_MS.length + 1,
+  maxItems: BOUNDS_MS.length + 1,
+});
+export const CountsShape = Type.Object({
+  good: Type.Integer(),
+  shed: Type.Integer(),
+  failed: Type.Integer(),
+  first: Numbers,
+  whole: Numbers,
+});
 export type Counts = Static<typeof CountsShape>;
 export type CountTable = Record<string, Counts>;
 
-export type Ended = { readonly outcome: 'good' | 'shed' | 'failed'; readonly firstMs: number | null; readonly wholeMs: number | null };
+export type Ended = {
+  readonly outcome: 'good' | 'shed' | 'failed';
+  readonly firstMs: number | null;
+  readonly wholeMs: number | null;
+};
 
 export function noCounts(): Counts {
   return { good: 0, shed: 0, failed: 0, first: zeros(), whole: zeros() };
@@ -32,7 +45,9 @@
 export function addCounts(to: CountTable, subject: string, c: Counts, minus: Counts = noCounts()): void {
   const sum = (to[subject] ??= noCounts());
   for (const k of ['good', 'shed', 'failed'] as const) sum[k] += Math.max(0, c[k] - minus[k]);
-  for (const k of ['first', 'whole'] as const) for (let i = 0; i <= BOUNDS_MS.length; i += 1) sum[k][i] = (sum[k][i] as number) + Math.max(0, (c[k][i] as number) - (minus[k][i] as number));
+  for (const k of ['first', 'whole'] as const)
+    for (let i = 0; i <= BOUNDS_MS.length; i += 1)
+      sum[k][i] = (sum[k][i] as number) + Math.max(0, (c[k][i] as number) - (minus[k][i] as number));
 }
 
 export function within(buckets: readonly number[], ms: number): { readonly good: number; readonly all: number } {
--- a/src/state/belief.test.ts
+++ b/src/state/belief.test.ts
@@ -21,7 +21,11 @@
 describe('the fold of the ledger', () => {
   test('of two changes on one base the first wins, even within one slot', () => {
     const b = founded();
-    const change = (value: number): Act => ({ tag: 'configured', base: 0, changes: [{ path: ['deployment', 'nExtra'], value }] });
+    const change = (value: number): Act => ({
+      tag: 'configured',
+      base: 0,
+      changes: [{ path: ['deployment', 'nExtra'], value }],
+    });
     expect(fold(b, entry(change(1)), entry(change(2)))).toEqual([applied, { tag: 'staleEpoch', winner: 1 }]);
     expect([b.epoch, b.configuration.deployment.nExtra]).toEqual([1, 1]);
     expect(fold(b, entry(change(3)))).toEqual([{ tag: 'staleEpoch', winner: 1 }]);
@@ -56,7 +60,11 @@
     expect(fold(b, entry({ tag: 'orderPlaced', order: 'o', machine: 'm2' }))).toEqual([{ tag: 'unfit', why: 'order' }]);
     expect(b.orders).toEqual({});
     expect(b.closed[0]).toMatchObject({ id: 'o', status: 'lost', machine: 'm1' });
-    expect(b.closed[0]?.events.map((e) => [e.status, e.author, e.cause])).toEqual([['intended', 'h1', 'why'], ['placed', 'h2', 'taken'], ['lost', 'h1', 'why']]);
+    expect(b.closed[0]?.events.map((e) => [e.status, e.author, e.cause])).toEqual([
+      ['intended', 'h1', 'why'],
+      ['placed', 'h2', 'taken'],
+      ['lost', 'h1', 'why'],
+    ]);
   });
 
   test('a member is replaced only as it stands now', () => {
@@ -72,17 +80,24 @@
     const member = (name: string) => ({ name, incarnation: '1', address: `${name}:1` });
     const unfit = { tag: 'unfit', why: 'member' };
     expect(fold(b, entry({ tag: 'memberRemoved', old: 'c#1' }))).toEqual([unfit]);
-    expect(fold(b, entry({ tag: 'memberAdded', member: member('d') }), entry({ tag: 'memberAdded', member: member('d') }))).toEqual([applied, unfit]);
+    expect(
+      fold(b, entry({ tag: 'memberAdded', member: member('d') }), entry({ tag: 'memberAdded', member: member('d') })),
+    ).toEqual([applied, unfit]);
     expect(fold(b, entry({ tag: 'memberAdded', member: { ...member('e'), address: 'a:1' } }))).toEqual([unfit]);
     expect(fold(b, entry({ tag: 'memberReplaced', old: 'a#1', member: member('d') }))).toEqual([unfit]);
-    expect(fold(b, entry({ tag: 'memberRemoved', old: 'a#1' }), entry({ tag: 'memberRemoved', old: 'b#1' }))).toEqual([applied, unfit]);
+    expect(fold(b, entry({ tag: 'memberRemoved', old: 'a#1' }), entry({ tag: 'memberRemoved', old: 'b#1' }))).toEqual([
+      applied,
+      unfit,
+    ]);
     expect(b.members.map((m) => m.name)).toEqual(['b', 'c', 'd']);
-    for (const name of ['e', 'f', 'g', 'h', 'i', 'j']) expect(fold(b, entry({ tag: 'memberAdded', member: member(name) }))).toEqual([applied]);
+    for (const name of ['e', 'f', 'g', 'h', 'i', 'j'])
+      expect(fold(b, entry({ tag: 'memberAdded', member: member(name) }))).toEqual([applied]);
     expect(fold(b, entry({ tag: 'memberAdded', member: member('k') }))).toEqual([unfit]);
   });
 
   test('a belief told or kept is looked at before it is taken', () => {
     expect(isBelief(JSON.parse(JSON.stringify(founded())))).toBe(true);
-    for (const u of [null, 7, [], {}, { ...founded(), orders: [] }, { ...founded(), slot: 'x' }]) expect(isBelief(u)).toBe(false);
+    for (const u of [null, 7, [], {}, { ...founded(), orders: [] }, { ...founded(), slot: 'x' }])
+      expect(isBelief(u)).toBe(false);
   });
 });
--- a/src/state/belief.ts
+++ b/src/state/belief.ts
@@ -1,7 +1,16 @@
 import { sha256 } from '../base/digest.js';
 import { isTable } from '../base/is-table.js';
 import type { Act, Batch, Change, Entry, Member } from './entry.js';
-import { appliedChange, appliedZoneOrder, emptyOperatorHistory, isOperatorHistory, isOperatorRequest, recordChange, recordZoneOrder, zoneVersion } from './operator-history.js';
+import {
+  appliedChange,
+  appliedZoneOrder,
+  emptyOperatorHistory,
+  isOperatorHistory,
+  isOperatorRequest,
+  recordChange,
+  recordZoneOrder,
+  zoneVersion,
+} from './operator-history.js';
 import type { OperatorHistory } from './operator-history.js';
 import { isOpen, mayBecome } from './order.js';
 import type { Order, OrderEvent, OrderStatus } from './order.js';
@@ -73,7 +82,8 @@
   for (const key of ['slot', 'epoch']) if (!Number.isInteger(b[key])) return false;
   for (const key of ['ledger', 'ticketKey']) if (typeof b[key] !== 'string') return false;
   for (const key of ['members', 'claimants', 'closed', 'operations']) if (!Array.isArray(b[key])) return false;
-  for (const key of ['configuration', 'evacuated', 'sluices', 'leases', 'orders', 'zoneSets', 'targets']) if (!isTable(b[key])) return false;
+  for (const key of ['configuration', 'evacuated', 'sluices', 'leases', 'orders', 'zoneSets', 'targets'])
+    if (!isTable(b[key])) return false;
   return isOperatorHistory(b['history']);
 }
 
@@ -93,7 +103,14 @@
 
 const APPLIED: Outcome = { tag: 'applied' };
 
-function moveOrder(b: Belief, slot: number, entry: Entry, id: string, to: OrderStatus, machine: string | null): Outcome {
+function moveOrder(
+  b: Belief,
+  slot: number,
+  entry: Entry,
+  id: string,
+  to: OrderStatus,
+  machine: string | null,
+): Outcome {
   const order = b.orders[id];
   if (!order || !mayBecome(order.status, to)) return { tag: 'unfit', why: 'order' };
   const moved: Order = {
@@ -154,7 +171,8 @@
     }
     case 'memberRemoved': {
       const at = placeOf(b, act.old);
-      if (at < 0 || (b.members.length % 2 !== 0 && b.members.length < LEAST_ODD_SHRUNK)) return { tag: 'unfit', why: 'member' };
+      if (at < 0 || (b.members.length % 2 !== 0 && b.members.length < LEAST_ODD_SHRUNK))
+        return { tag: 'unfit', why: 'member' };
       b.members = [...b.members.slice(0, at), ...b.members.slice(at + 1)];
       return APPLIED;
     }
@@ -216,7 +234,16 @@
         if (b.orders[a.order]) continue;
         const events = [eventOf(slot, entry, 'placed')];
         if (a.ready) events.push(eventOf(slot, entry, 'ready'));
-        b.orders[a.order] = { id: a.order, model: act.model, zone: a.zone, kind: act.kind, accelerator: 'any', status: a.ready ? 'ready' : 'placed', machine: a.machine, events };
+        b.orders[a.order] = {
+          id: a.order,
+          model: act.model,
+          zone: a.zone,
+          kind: act.kind,
+          accelerator: 'any',
+          status: a.ready ? 'ready' : 'placed',
+          machine: a.machine,
+          events,
+        };
       }
       return APPLIED;
     }
@@ -290,7 +317,9 @@
   if (before) return before.outcome;
   const lease = b.leases[SCALER_DUTY];
   const stale = entry.fence !== undefined && entry.fence !== (lease ? lease.fence : -1);
-  const outcome: Outcome = stale ? { tag: 'staleFence', fence: lease ? lease.fence : -1 } : foldAct(b, slot, entry, entry.act);
+  const outcome: Outcome = stale
+    ? { tag: 'staleFence', fence: lease ? lease.fence : -1 }
+    : foldAct(b, slot, entry, entry.act);
   b.operations.push({ id: entry.id, slot, outcome });
   if (b.operations.length > OPERATIONS_KEPT) b.operations.splice(0, b.operations.length - OPERATIONS_KEPT);
   return outcome;
--- a/src/state/candidates.test.ts
+++ b/src/state/candidates.test.ts
@@ -4,11 +4,23 @@
 
 const own = { name: 's1', zone: 'a-1', region: 'a' };
 function candidate(name: string | null, zone: string, more: { failed?: boolean; up?: boolean } = {}): Candidate {
-  return { address: `${name ?? 'seed'}:1`, name, spot: { zone, region: zone.slice(0, 1), up: more.up ?? true }, failed: more.failed ?? false };
+  return {
+    address: `${name ?? 'seed'}:1`,
+    name,
+    spot: { zone, region: zone.slice(0, 1), up: more.up ?? true },
+    failed: more.failed ?? false,
+  };
 }
 
 test('the own zone comes before the own region, then the rest; what failed or is down comes last', () => {
-  const all = [candidate('h1', 'b-1'), candidate('h2', 'a-2'), candidate('h3', 'a-1'), candidate('h4', 'a-1', { up: false }), candidate('h5', 'a-1', { failed: true }), candidate(null, 'a-1')];
+  const all = [
+    candidate('h1', 'b-1'),
+    candidate('h2', 'a-2'),
+    candidate('h3', 'a-1'),
+    candidate('h4', 'a-1', { up: false }),
+    candidate('h5', 'a-1', { failed: true }),
+    candidate(null, 'a-1'),
+  ];
   expect(ranked(own, all).map((c) => c.name)).toEqual(['h3', 'h2', 'h1', null, 'h4', 'h5']);
 });
 
--- a/src/state/candidates.ts
+++ b/src/state/candidates.ts
@@ -2,14 +2,22 @@
 
 export type Spot = { readonly zone: string; readonly region: string; readonly up: boolean };
 
-export type Candidate = { readonly address: string; readonly name: string | null; readonly spot: Spot | null; readonly failed: boolean };
+export type Candidate = {
+  readonly address: string;
+  readonly name: string | null;
+  readonly spot: Spot | null;
+  readonly failed: boolean;
+};
 
 export function steps(own: { readonly zone: string; readonly region: string }, spot: Spot | null): number {
   if (spot === null || spot.region !== own.region) return 2;
   return spot.zone === own.zone ? 0 : 1;
 }
 
-export function ranked(own: { readonly name: string; readonly zone: string; readonly region: string }, all: readonly Candidate[]): Candidate[] {
+export function ranked(
+  own: { readonly name: string; readonly zone: string; readonly region: string },
+  all: readonly Candidate[],
+): Candidate[] {
   const keys = new Map<Candidate, string>();
   for (const c of all) {
     const sick = c.failed ? 2 : c.spot !== null && !c.spot.up ? 1 : 0;
--- a/src/state/claim-table.test.ts
+++ b/src/state/claim-table.test.ts
@@ -15,7 +15,12 @@
 describe('a table of claims', () => {
   test('gives a key to one, and again only to the same', () => {
     const t = createClaimTable(10);
-    expect([tagOf(t, 'k', 'a'), tagOf(t, 'k', 'a'), tagOf(t, 'k', 'b'), tagOf(t, 'l', 'b')]).toEqual(['claimed', 'claimed', 'taken', 'claimed']);
+    expect([tagOf(t, 'k', 'a'), tagOf(t, 'k', 'a'), tagOf(t, 'k', 'b'), tagOf(t, 'l', 'b')]).toEqual([
+      'claimed',
+      'claimed',
+      'taken',
+      'claimed',
+    ]);
     t.end({ ...ask('k', 'a'), outcome: 'answered' }, 0);
     expect([tagOf(t, 'k', 'a'), tagOf(t, 'k', 'b')]).toEqual(['answered', 'answered']);
   });
@@ -31,7 +36,12 @@
 
   test('when full, tells so and never forgets instead', () => {
     const t = createClaimTable(2);
-    expect([tagOf(t, 'a', 'x'), tagOf(t, 'b', 'x'), tagOf(t, 'c', 'x'), tagOf(t, 'a', 'y')]).toEqual(['claimed', 'claimed', 'full', 'taken']);
+    expect([tagOf(t, 'a', 'x'), tagOf(t, 'b', 'x'), tagOf(t, 'c', 'x'), tagOf(t, 'a', 'y')]).toEqual([
+      'claimed',
+      'claimed',
+      'full',
+      'taken',
+    ]);
   });
 
   test('a forgotten hour is known as such', () => {
@@ -39,13 +49,22 @@
     t.claim(ask('old', 'x'), 1_000);
     t.claim(ask('new', 'x', born + HOUR_MS), 9_000);
     t.forgetBefore(5_000);
-    expect([t.size(), tagOf(t, 'old', 'y'), tagOf(t, 'unseen', 'y'), tagOf(t, 'new', 'y', born + HOUR_MS)]).toEqual([1, 'tooOld', 'tooOld', 'taken']);
+    expect([t.size(), tagOf(t, 'old', 'y'), tagOf(t, 'unseen', 'y'), tagOf(t, 'new', 'y', born + HOUR_MS)]).toEqual([
+      1,
+      'tooOld',
+      'tooOld',
+      'taken',
+    ]);
   });
 
   test('packs, unpacks and pages to the same table', () => {
     const t = createClaimTable(10_000);
     for (let i = 0; i < 3_000; i += 1) t.claim(ask(`k${i}`, `b${i % 7}`, born + (i % 3) * HOUR_MS), i);
-    for (let i = 0; i < 3_000; i += 5) t.end({ ...ask(`k${i}`, `b${i % 7}`, born + (i % 3) * HOUR_MS), outcome: i % 2 === 0 ? 'answered' : 'released' }, i);
+    for (let i = 0; i < 3_000; i += 5)
+      t.end(
+        { ...ask(`k${i}`, `b${i % 7}`, born + (i % 3) * HOUR_MS), outcome: i % 2 === 0 ? 'answered' : 'released' },
+        i,
+      );
     const twin = createClaimTable(10_000);
     unpackClaims(twin, t.packed());
     expect(twin.packed().equals(t.packed())).toBe(true);
@@ -77,12 +96,21 @@
   const ran: string[] = [];
   let air: Msg[] = [];
   function claimAt(by: string, voter: number): Msg {
-    return { voter, run: () => void (voters[voter]?.claim(ask('k', by), 0).answer.tag === 'claimed' && !gaveUp.has(by) && yes.get(by)?.add(voter)) };
+    return {
+      voter,
+      run: () =>
+        void (
+          voters[voter]?.claim(ask('k', by), 0).answer.tag === 'claimed' &&
+          !gaveUp.has(by) &&
+          yes.get(by)?.add(voter)
+        ),
+    };
   }
   function releaseAt(by: string, voter: number): Msg {
     return { voter, run: () => void voters[voter]?.end({ ...ask('k', by), outcome: 'released' }, 0) };
   }
-  for (const by of asked) for (const v of [0, 1, 2]) air.push(claimAt(by, v), ...(rng.next() < 0.3 ? [claimAt(by, v)] : []));
+  for (const by of asked)
+    for (const v of [0, 1, 2]) air.push(claimAt(by, v), ...(rng.next() < 0.3 ? [claimAt(by, v)] : []));
   const releases: Msg[] = [];
   while (air.length > 0) {
     air = shuffled(rng, air);
@@ -100,7 +128,8 @@
     }
     if (below(rng, 10) === 0 && air.length > 0) air.push(air[below(rng, air.length)] as Msg);
   }
-  for (const by of asked) if (!ran.includes(by) && !gaveUp.has(by)) for (const v of [0, 1, 2]) releases.push(releaseAt(by, v));
+  for (const by of asked)
+    if (!ran.includes(by) && !gaveUp.has(by)) for (const v of [0, 1, 2]) releases.push(releaseAt(by, v));
   for (const m of releases) m.run();
   const last = voters.filter((v) => v.claim(ask('k', 'last'), 0).answer.tag === 'claimed').length;
   return { ran: ran.length, free: last >= 2 };
@@ -122,5 +151,9 @@
     t.claim(ask(`k${h}`, 'x', born + (1_000 + h) * HOUR_MS), 2);
     t.forgetBefore(3);
   }
-  expect(t.forgotten()).toEqual([[500_000, 500_000], [500_200, 500_200], [501_000, 502_998]]);
+  expect(t.forgotten()).toEqual([
+    [500_000, 500_000],
+    [500_200, 500_200],
+    [501_000, 502_998],
+  ]);
 });
--- a/src/state/claim-table.ts
+++ b/src/state/claim-table.ts
@@ -60,7 +60,13 @@
   function bucketOf(hour: number, uptime: number): Bucket {
     const have = buckets.get(hour);
     if (have) return have;
-    const made: Bucket = { hour, rows: Buffer.alloc(SMALLEST * CLAIM_RECORD), index: new Int32Array(2 * SMALLEST), count: 0, lastAt: uptime };
+    const made: Bucket = {
+      hour,
+      rows: Buffer.alloc(SMALLEST * CLAIM_RECORD),
+      index: new Int32Array(2 * SMALLEST),
+      count: 0,
+      lastAt: uptime,
+    };
     buckets.set(hour, made);
     return made;
   }
@@ -70,7 +76,8 @@
     let at = key.readUInt32LE(0) & mask;
     for (;;) {
       const row = (b.index[at] as number) - 1;
-      if (row < 0 || b.rows.compare(key, 0, KEY_BYTES, row * CLAIM_RECORD, row * CLAIM_RECORD + KEY_BYTES) === 0) return at;
+      if (row < 0 || b.rows.compare(key, 0, KEY_BYTES, row * CLAIM_RECORD, row * CLAIM_RECORD + KEY_BYTES) === 0)
+        return at;
       at = (at + 1) & mask;
     }
   }
@@ -85,7 +92,8 @@
     b.rows.copy(rows);
     b.rows = rows;
     b.index = new Int32Array(b.index.length * 2);
-    for (let i = 0; i < b.count; i += 1) b.index[slotOf(b, rows.subarray(i * CLAIM_RECORD, i * CLAIM_RECORD + KEY_BYTES))] = i + 1;
+    for (let i = 0; i < b.count; i += 1)
+      b.index[slotOf(b, rows.subarray(i * CLAIM_RECORD, i * CLAIM_RECORD + KEY_BYTES))] = i + 1;
   }
 
   function insert(record: Buffer, uptime: number): void {
@@ -113,7 +121,8 @@
     const mine = row !== null && row.subarray(KEY_BYTES, HOUR_AT).equals(by);
     const state = row ? row[STATE_AT] : RELEASED;
     if (row && mine && state === HELD) return { answer: { tag: 'claimed' }, record: null };
-    if (row && (mine || state !== RELEASED)) return { answer: { tag: 'taken', answered: state === ANSWERED }, record: null };
+    if (row && (mine || state !== RELEASED))
+      return { answer: { tag: 'taken', answered: state === ANSWERED }, record: null };
     const record = recordOf(key, by, hour, HELD);
     if (row) record.copy(row);
     else insert(record, uptime);
@@ -182,7 +191,10 @@
       const first = b.hour === fromHour ? from % POSITIONS : 0;
       if (first >= b.count) continue;
       const last = Math.min(b.count, first + most);
-      return { records: Buffer.from(b.rows.subarray(first * CLAIM_RECORD, last * CLAIM_RECORD)), next: b.hour * POSITIONS + last };
+      return {
+        records: Buffer.from(b.rows.subarray(first * CLAIM_RECORD, last * CLAIM_RECORD)),
+        next: b.hour * POSITIONS + last,
+      };
     }
     return { records: Buffer.alloc(0), next: -1 };
   }
@@ -215,7 +227,7 @@
 }
 
 export function unpackClaims(table: ClaimTable, packed: Buffer): void {
-  for (let at = 0; at + HEAD_BYTES <= packed.length; ) {
+  for (let at = 0; at + HEAD_BYTES <= packed.length;) {
     const count = packed.readUInt32BE(at + 4);
     const lastAt = packed.readDoubleBE(at + 8);
     at += HEAD_BYTES;
--- a/src/state/claim.ts
+++ b/src/state/claim.ts
@@ -6,7 +6,12 @@
 export const ClaimShape = Type.Object({ key: Str, by: Str, born: Type.Number() });
 export type Claim = Static<typeof ClaimShape>;
 
-export const ClaimEndShape = Type.Object({ key: Str, by: Str, born: Type.Number(), outcome: Type.Union([Type.Literal('released'), Type.Literal('answered')]) });
+export const ClaimEndShape = Type.Object({
+  key: Str,
+  by: Str,
+  born: Type.Number(),
+  outcome: Type.Union([Type.Literal('released'), Type.Literal('answered')]),
+});
 export type ClaimEnd = Static<typeof ClaimEndShape>;
 
 export const ClaimAnswerShape = Type.Union([
--- a/src/state/core-health.test.ts
+++ b/src/state/core-health.test.ts
@@ -3,7 +3,17 @@
 import type { MemberView } from './core-health.js';
 
 function member(name: string, over: Partial<MemberView> = {}): MemberView {
-  return { id: `${name}#i`, name, inTouch: true, learned: 9, top: 9, writable: true, holdsAll: true, unheard: [], ...over };
+  return {
+    id: `${name}#i`,
+    name,
+    inTouch: true,
+    learned: 9,
+    top: 9,
+    writable: true,
+    holdsAll: true,
+    unheard: [],
+    ...over,
+  };
 }
 function core(size: number, over: Readonly<Record<string, Partial<MemberView>>> = {}): MemberView[] {
   return Array.from({ length: size }, (_, i) => member(`h${i + 1}`, over[`h${i + 1}`]));
@@ -55,7 +65,11 @@
 
   test('a member names what it lacks, and who is essential', () => {
     const health = coreHealth('h1#i', core(3, { h3: silent }));
-    expect(health.details.map((d) => [d.name, d.lack, d.essential])).toEqual([['h1', null, true], ['h2', null, true], ['h3', 'silent', false]]);
+    expect(health.details.map((d) => [d.name, d.lack, d.essential])).toEqual([
+      ['h1', null, true],
+      ['h2', null, true],
+      ['h3', 'silent', false],
+    ]);
     expect(coreHealth('h1#i', core(3)).details.some((d) => d.essential)).toBe(false);
   });
 });
--- a/src/state/core-health.ts
+++ b/src/state/core-health.ts
@@ -107,13 +107,29 @@
 }
 
 function detailOf(member: MemberView, essential: boolean | null): MemberHealth {
-  return { id: member.id, name: member.name, inTouch: member.inTouch, learned: member.learned, top: member.top, lack: lackOf(member), essential };
+  return {
+    id: member.id,
+    name: member.name,
+    inTouch: member.inTouch,
+    learned: member.learned,
+    top: member.top,
+    lack: lackOf(member),
+    essential,
+  };
 }
 
 function unknownHealth(members: readonly MemberView[], inTouch: number, warning: CoreWarning): CoreHealth {
   const details: MemberHealth[] = [];
   for (const member of members) details.push(detailOf(member, null));
-  return { members: members.length, quorumSize: quorumOf(members.length), inTouch, holdingAll: null, spareLosses: null, warning, details };
+  return {
+    members: members.length,
+    quorumSize: quorumOf(members.length),
+    inTouch,
+    holdingAll: null,
+    spareLosses: null,
+    warning,
+    details,
+  };
 }
 
 /** The health of the core as the member `self` sees it; `self` is always in touch with itself. */
--- a/src/state/crowd.test.ts
+++ b/src/state/crowd.test.ts
@@ -5,7 +5,9 @@
   const c = createCrowd(1_000);
   expect(c.take({ name: 'a', run: 'r', count: 2, rows: { w: [1, 10, 100, 0, 1] } }, 0)).toBe(true);
   expect(c.take({ name: 'a', run: 'r', count: 1, rows: { w: [9, 9, 9, 0, 1] } }, 0)).toBe(false);
-  expect(c.take({ name: 'b', run: 'r', count: 1, rows: { w: [2, 20, 200, 0, 1], v: [1, 0, 5, 0, 1] } }, 500)).toBe(true);
+  expect(c.take({ name: 'b', run: 'r', count: 1, rows: { w: [2, 20, 200, 0, 1], v: [1, 0, 5, 0, 1] } }, 500)).toBe(
+    true,
+  );
   expect(c.sums(600)).toEqual({ w: [3, 30, 300, 0, 2], v: [1, 0, 5, 0, 1] });
 });
 
--- a/src/state/crowd.ts
+++ b/src/state/crowd.ts
@@ -1,10 +1,18 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 
-export const UsageRowsShape = Type.Record(Type.String(), Type.Tuple([Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer()]));
+export const UsageRowsShape = Type.Record(
+  Type.String(),
+  Type.Tuple([Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer()]),
+);
 export type UsageRows = Static<typeof UsageRowsShape>;
 
-export const ToldUsageShape = Type.Object({ name: Type.String(), run: Type.String(), count: Type.Integer(), rows: UsageRowsShape });
+export const ToldUsageShape = Type.Object({
+  name: Type.String(),
+  run: Type.String(),
+  count: Type.Integer(),
+  rows: UsageRowsShape,
+});
 export type ToldUsage = Static<typeof ToldUsageShape>;
 
 type Held = { readonly told: ToldUsage; readonly at: number };
--- a/src/state/dispatch-budget.test.ts
+++ b/src/state/dispatch-budget.test.ts
@@ -8,7 +8,12 @@
   return times.filter((t) => t > from - BOUNDS.windowMs && t <= from).length;
 }
 
-test.each([[1, 1], [6, 2], [7, 3], [60, 4]])('further dispatches of %i sluices together stay inside the bound in every window (seed %i)', (n, seed) => {
+test.each([
+  [1, 1],
+  [6, 2],
+  [7, 3],
+  [60, 4],
+])('further dispatches of %i sluices together stay inside the bound in every window (seed %i)', (n, seed) => {
   const rng = createRng(seed);
   const budgets = Array.from({ length: n }, () => createDispatchBudget(BOUNDS));
   for (const b of budgets) b.sharers(n);
@@ -28,7 +33,8 @@
     }
   }
   expect(further.length).toBeGreaterThan(0);
-  for (const at of further) expect(mostIn(further, at)).toBeLessThanOrEqual(BOUNDS.ratio * mostIn(first, at) + BOUNDS.slack);
+  for (const at of further)
+    expect(mostIn(further, at)).toBeLessThanOrEqual(BOUNDS.ratio * mostIn(first, at) + BOUNDS.slack);
 });
 
 test('what one model spends is not taken from another', () => {
--- a/src/state/entry.ts
+++ b/src/state/entry.ts
@@ -19,7 +19,14 @@
 const AdoptedShape = Type.Object({ order: Str, zone: Str, machine: Str, ready: Type.Boolean() });
 
 const SCALER_ACTS = [
-  Type.Object({ tag: Type.Literal('orderIntended'), order: Str, model: Str, zone: Str, kind: KindShape, accelerator: Type.String() }),
+  Type.Object({
+    tag: Type.Literal('orderIntended'),
+    order: Str,
+    model: Str,
+    zone: Str,
+    kind: KindShape,
+    accelerator: Type.String(),
+  }),
   Type.Object({ tag: Type.Literal('orderPlaced'), order: Str, machine: Str }),
   Type.Object({ tag: Type.Literal('orderReady'), order: Str }),
   Type.Object({ tag: Type.Literal('orderFailed'), order: Str }),
@@ -42,8 +49,18 @@
   Type.Object({ tag: Type.Literal('memberAdded'), member: MemberShape }),
   Type.Object({ tag: Type.Literal('memberRemoved'), old: Str }),
   Type.Object({ tag: Type.Literal('claimsReopened'), members: Type.Array(Str) }),
-  Type.Object({ tag: Type.Literal('configured'), base: Slot, changes: Type.Array(ChangeShape), revision: Type.Optional(RevisionShape) }),
-  Type.Object({ tag: Type.Literal('evacuation'), zone: Str, begun: Type.Boolean(), base: Type.Optional(Type.Integer({ minimum: -1 })) }),
+  Type.Object({
+    tag: Type.Literal('configured'),
+    base: Slot,
+    changes: Type.Array(ChangeShape),
+    revision: Type.Optional(RevisionShape),
+  }),
+  Type.Object({
+    tag: Type.Literal('evacuation'),
+    zone: Str,
+    begun: Type.Boolean(),
+    base: Type.Optional(Type.Integer({ minimum: -1 })),
+  }),
   Type.Object({ tag: Type.Literal('sluiceKnown'), name: Str, zone: Str, region: Str }),
   Type.Object({ tag: Type.Literal('sluiceForgotten'), name: Str }),
   Type.Object({ tag: Type.Literal('leaseTaken'), duty: Str, holder: Str }),
--- a/src/state/hour-ranges.ts
+++ b/src/state/hour-ranges.ts
@@ -1,6 +1,10 @@
 export type HourRange = readonly [number, number];
 
-export type HourRanges = { readonly has: (hour: number) => boolean; readonly add: (range: HourRange) => void; readonly all: () => readonly HourRange[] };
+export type HourRanges = {
+  readonly has: (hour: number) => boolean;
+  readonly add: (range: HourRange) => void;
+  readonly all: () => readonly HourRange[];
+};
 
 const GAP = 3;
 const MOST = 500;
--- a/src/state/lease-book.ts
+++ b/src/state/lease-book.ts
@@ -2,7 +2,12 @@
 
 export type LeaseBook = { readonly quietUntil: number; readonly grants: Map<string, Grant> };
 
-export type GrantAsk = { readonly duty: string; readonly holder: string; readonly round: number; readonly termMs: number };
+export type GrantAsk = {
+  readonly duty: string;
+  readonly holder: string;
+  readonly round: number;
+  readonly termMs: number;
+};
 
 export function createLeaseBook(now: number, longestTermMs: number): LeaseBook {
   return { quietUntil: now + longestTermMs, grants: new Map() };
--- a/src/state/line-pace.ts
+++ b/src/state/line-pace.ts
@@ -1,4 +1,7 @@
-export type LinePace = { readonly note: (now: number) => void; readonly expectedWaitMs: (ahead: number, now: number) => number | null };
+export type LinePace = {
+  readonly note: (now: number) => void;
+  readonly expectedWaitMs: (ahead: number, now: number) => number | null;
+};
 
 const KEPT = 32;
 const ENOUGH = 8;
--- a/src/state/list-book.test.ts
+++ b/src/state/list-book.test.ts
@@ -3,7 +3,19 @@
 import type { WorkerEntry } from './worker-entry.js';
 
 function worker(id: string, more: Partial<WorkerEntry> = {}): WorkerEntry {
-  return { id, model: 'm', address: 'a:1', zone: 'z', region: 'r', release: 'v1', places: 4, leaving: false, remainingMs: null, coldMs: 0, ...more };
+  return {
+    id,
+    model: 'm',
+    address: 'a:1',
+    zone: 'z',
+    region: 'r',
+    release: 'v1',
+    places: 4,
+    leaving: false,
+    remainingMs: null,
+    coldMs: 0,
+    ...more,
+  };
 }
 const LEAVING = worker('b', { leaving: true, remainingMs: 5_000 });
 
@@ -40,7 +52,10 @@
     book.takeWhole([1, 'x', 0], [LEAVING, worker('c', { coldMs: 3_000 })], 1_000);
     const later = [{ ...LEAVING, remainingMs: 4_000 }, worker('c', { coldMs: 2_050 })];
     expect(isEmptyChange(book.differenceTo(later, 2_000))).toBe(true);
-    expect(book.differenceTo([{ ...LEAVING, remainingMs: 1_000 }], 2_000)).toEqual({ told: [{ ...LEAVING, remainingMs: 1_000 }], gone: ['c'] });
+    expect(book.differenceTo([{ ...LEAVING, remainingMs: 1_000 }], 2_000)).toEqual({
+      told: [{ ...LEAVING, remainingMs: 1_000 }],
+      gone: ['c'],
+    });
     book.confirm([1, 'x', 0], 2_500);
     expect(book.entries()).toEqual([{ ...LEAVING, remainingMs: 3_500 }, worker('c', { coldMs: 1_500 })]);
   });
--- a/src/state/list-book.ts
+++ b/src/state/list-book.ts
@@ -2,7 +2,11 @@
 import type { Static } from '@sinclair/typebox';
 import type { WorkerEntry } from './worker-entry.js';
 
-export const ListNumberShape = Type.Tuple([Type.Integer({ minimum: 0 }), Type.String({ minLength: 1, maxLength: 256 }), Type.Integer({ minimum: 0 })]);
+export const ListNumberShape = Type.Tuple([
+  Type.Integer({ minimum: 0 }),
+  Type.String({ minLength: 1, maxLength: 256 }),
+  Type.Integer({ minimum: 0 }),
+]);
 export type ListNumber = Static<typeof ListNumberShape>;
 
 export type ListChange = { readonly told: readonly WorkerEntry[]; readonly gone: readonly string[] };
@@ -35,7 +39,11 @@
 
 export function agedEntry(e: WorkerEntry, ms: number): WorkerEntry {
   if (ms <= 0 || (e.remainingMs === null && e.coldMs === 0)) return e;
-  return { ...e, remainingMs: e.remainingMs === null ? null : Math.max(0, e.remainingMs - ms), coldMs: Math.max(0, e.coldMs - ms) };
+  return {
+    ...e,
+    remainingMs: e.remainingMs === null ? null : Math.max(0, e.remainingMs - ms),
+    coldMs: Math.max(0, e.coldMs - ms),
+  };
 }
 
 function sameEntry(a: WorkerEntry, b: WorkerEntry): boolean {
--- a/src/state/members.ts
+++ b/src/state/members.ts
@@ -16,7 +16,8 @@
   if (news.name === self) {
     if (!held || news.incarnation < held.incarnation) return { changed: false, refuted: false };
     const mine = news.run === held.run;
-    if (mine && news.status === 'alive' && news.incarnation === held.incarnation) return { changed: false, refuted: false };
+    if (mine && news.status === 'alive' && news.incarnation === held.incarnation)
+      return { changed: false, refuted: false };
     members.set(self, { ...held, incarnation: news.incarnation + 1 });
     return { changed: true, refuted: true };
   }
--- a/src/state/observed-orders.test.ts
+++ b/src/state/observed-orders.test.ts
@@ -10,22 +10,61 @@
 import type { WorkerEntry } from './worker-entry.js';
 
 const ZONES = ['a', 'b', 'c'];
-const TRAITS: ModelTraits = { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 3, coldRateS: 9, engine: { batch: 64, kvTokens: 1 } };
+const TRAITS: ModelTraits = {
+  at: 0,
+  fitnessPath: '/h',
+  maxConns: 9,
+  coldS: 3,
+  coldRateS: 9,
+  engine: { batch: 64, kvTokens: 1 },
+};
 
-type Stage = { belief: Belief; memory: ObservedMemory; list: WorkerEntry[]; now: number; serial: number; entries: number };
+type Stage = {
+  belief: Belief;
+  memory: ObservedMemory;
+  list: WorkerEntry[];
+  now: number;
+  serial: number;
+  entries: number;
+};
 
 function stage(deployment: Settings = {}, workers = 6): Stage {
   const belief = emptyBelief();
-  belief.configuration = { zones: {}, deployment, regions: {}, serving: { number: 1, mappings: {}, models: { m: TRAITS, gate: { ...TRAITS, engine: null } }, limits: DEFAULT_LIMITS } };
+  belief.configuration = {
+    zones: {},
+    deployment,
+    regions: {},
+    serving: {
+      number: 1,
+      mappings: {},
+      models: { m: TRAITS, gate: { ...TRAITS, engine: null } },
+      limits: DEFAULT_LIMITS,
+    },
+  };
   const list = [...Array(workers).keys()].map((i) => worker(`w${i}`, ZONES[i % 3] as string));
   return { belief, memory: observedMemory(), list, now: 0, serial: 0, entries: 0 };
 }
 function worker(id: string, zone: string, more: Partial<WorkerEntry> = {}): WorkerEntry {
-  return { id, model: 'm', address: `${id}:1`, zone, region: zone, release: 'v1', places: 64, leaving: false, remainingMs: null, coldMs: 0, ...more };
+  return {
+    id,
+    model: 'm',
+    address: `${id}:1`,
+    zone,
+    region: zone,
+    release: 'v1',
+    places: 64,
+    leaving: false,
+    remainingMs: null,
+    coldMs: 0,
+    ...more,
+  };
 }
 function fold(s: Stage, act: Act): void {
   s.serial += 1;
-  foldBatch(s.belief, s.belief.slot + 1, { id: `b${s.serial}`, entries: [{ id: `e${s.serial}`, author: 'h1', wall: 0, cause: '-', act }] });
+  foldBatch(s.belief, s.belief.slot + 1, {
+    id: `b${s.serial}`,
+    entries: [{ id: `e${s.serial}`, author: 'h1', wall: 0, cause: '-', act }],
+  });
 }
 function turn(s: Stage, more: Partial<ObservedSight> = {}, ms = 1_000): Step[] {
   s.now += ms;
@@ -47,7 +86,9 @@
   return `${z?.active.join('')}|${z?.preemptive.join('')}`;
 }
 function open(s: Stage): string[] {
-  return Object.values(s.belief.orders).map((o) => `${o.kind} ${o.zone} ${o.status}`).sort();
+  return Object.values(s.belief.orders)
+    .map((o) => `${o.kind} ${o.zone} ${o.status}`)
+    .sort();
 }
 
 describe('orders by observation', () => {
@@ -141,7 +182,12 @@
 
   test('what is wanted and not there is ordered by zone and kind, and a new worker fills the oldest order of its zone', () => {
     const s = stage({ minTarget: 2 }, 2);
-    expect(turn(s).map((x) => x.act).filter((a) => a.tag === 'orderIntended').map((a) => `${a.kind} ${a.zone}`)).toEqual(['spot c', 'spot a', 'onDemand a', 'onDemand a']);
+    expect(
+      turn(s)
+        .map((x) => x.act)
+        .filter((a) => a.tag === 'orderIntended')
+        .map((a) => `${a.kind} ${a.zone}`),
+    ).toEqual(['spot c', 'spot a', 'onDemand a', 'onDemand a']);
     s.list.push(worker('w7', 'a'));
     expect(tags(turn(s))).toEqual(['orderPlaced', 'orderReady', 'orderReleased']);
     expect(open(s)).toEqual(['onDemand a intended', 'spot a ready', 'spot a ready', 'spot b ready', 'spot c intended']);
@@ -184,7 +230,10 @@
     turn(s);
     const rate = { perSecond: 3.2, complete: true };
     for (let i = 0; i < 5; i += 1) expect(turn(s, { rate })).toEqual([]);
-    expect(turn(s, { rate })[0]).toEqual({ cause: 'Rate 3.20/s over 60s against 1/s a worker.', act: { tag: 'targetChanged', model: 'm', target: 4 } });
+    expect(turn(s, { rate })[0]).toEqual({
+      cause: 'Rate 3.20/s over 60s against 1/s a worker.',
+      act: { tag: 'targetChanged', model: 'm', target: 4 },
+    });
     for (let i = 0; i < 20; i += 1) turn(s);
     expect(s.belief.targets['m']).toBe(4);
   });
@@ -226,7 +275,10 @@
     const s = stage();
     fold(s, { tag: 'leaseTaken', duty: 'scaler', holder: 'h2' });
     const steps: Step[] = [{ cause: '-', act: { tag: 'targetChanged', model: 'm', target: 9 } }];
-    const [outcome] = foldBatch(s.belief, s.belief.slot + 1, { id: 'x', entries: [{ id: 'x', author: 'h1', wall: 0, cause: '-', fence: 77, act: { tag: 'decided', steps } }] });
+    const [outcome] = foldBatch(s.belief, s.belief.slot + 1, {
+      id: 'x',
+      entries: [{ id: 'x', author: 'h1', wall: 0, cause: '-', fence: 77, act: { tag: 'decided', steps } }],
+    });
     expect(outcome).toEqual({ tag: 'staleFence', fence: s.belief.leases['scaler']?.fence });
     expect(s.belief.targets).toEqual({});
   });
--- a/src/state/observed-orders.ts
+++ b/src/state/observed-orders.ts
@@ -22,7 +22,11 @@
   readonly planned: ReadonlySet<string>;
 };
 
-export type ObservedMemory = { hold: Hold | null; readonly intendedSince: Map<string, number>; readonly goneSince: Map<string, number> };
+export type ObservedMemory = {
+  hold: Hold | null;
+  readonly intendedSince: Map<string, number>;
+  readonly goneSince: Map<string, number>;
+};
 
 const MOST_STEPS = 8;
 const MOST_ADOPTED = 100;
@@ -62,7 +66,13 @@
   return steps;
 }
 
-export function decideObserved(rule: ObservedRule, belief: Belief, sight: ObservedSight, memory: ObservedMemory, nextOrderId: () => string): Step[] {
+export function decideObserved(
+  rule: ObservedRule,
+  belief: Belief,
+  sight: ObservedSight,
+  memory: ObservedMemory,
+  nextOrderId: () => string,
+): Step[] {
   const { model, values } = rule;
   const steps: Step[] = [];
   const zones: string[] = [];
@@ -81,7 +91,10 @@
   decideKind('spot', zones.length === 0 ? 0 : target + values.nExtra);
   decideKind('onDemand', zones.length === 0 ? 0 : decideMixture(target, values.nExtra, readySpot()).onDemand);
   if (!before || !sameMembers(before, sets)) {
-    steps.unshift({ cause: why, act: { tag: 'zonesMoved', model, active: [...sets.active], preemptive: [...sets.preemptive] } });
+    steps.unshift({
+      cause: why,
+      act: { tag: 'zonesMoved', model, active: [...sets.active], preemptive: [...sets.preemptive] },
+    });
   }
   return steps;
 
@@ -92,14 +105,26 @@
   function decideTarget(): number {
     const known = belief.targets[model];
     if (known === undefined) {
-      steps.push({ cause: 'The model starts at its lowest target.', act: { tag: 'targetChanged', model, target: values.minTarget } });
+      steps.push({
+        cause: 'The model starts at its lowest target.',
+        act: { tag: 'targetChanged', model, target: values.minTarget },
+      });
       return values.minTarget;
     }
-    const step = stepTarget(known, sight.rate, { qTar: values.qTar, holdMs: values.holdS * 1_000, minTarget: values.minTarget, maxTarget: values.maxTarget }, memory.hold, sight.now);
+    const step = stepTarget(
+      known,
+      sight.rate,
+      { qTar: values.qTar, holdMs: values.holdS * 1_000, minTarget: values.minTarget, maxTarget: values.maxTarget },
+      memory.hold,
+      sight.now,
+    );
     memory.hold = step.hold;
     if (step.target !== known) {
       const shown = sight.rate === null ? 'unknown' : sight.rate.perSecond.toFixed(2);
-      steps.push({ cause: `Rate ${shown}/s over ${values.windowS}s against ${values.qTar}/s a worker.`, act: { tag: 'targetChanged', model, target: step.target } });
+      steps.push({
+        cause: `Rate ${shown}/s over ${values.windowS}s against ${values.qTar}/s a worker.`,
+        act: { tag: 'targetChanged', model, target: step.target },
+      });
     }
     return step.target;
   }
@@ -108,7 +133,8 @@
     const orders = ordersOf(belief, model);
     const open = new Set<string>();
     for (const o of orders) open.add(o.id);
-    for (const since of [memory.intendedSince, memory.goneSince]) for (const id of since.keys()) if (!open.has(id)) since.delete(id);
+    for (const since of [memory.intendedSince, memory.goneSince])
+      for (const id of since.keys()) if (!open.has(id)) since.delete(id);
     for (const o of orders) {
       if (o.status === 'intended' && !memory.intendedSince.has(o.id)) memory.intendedSince.set(o.id, sight.now);
       if (o.machine === null || listed.has(o.machine)) memory.goneSince.delete(o.id);
@@ -145,8 +171,13 @@
     const w = listed.get(order.machine);
     if (!w) return settledGone(order);
     if (order.status === 'draining') return true;
-    if (w.leaving && w.remainingMs !== null) lose(order, `Taken away at short notice: ${Math.round(w.remainingMs)} ms were left.`);
-    else if (w.leaving) steps.push({ cause: 'The platform empties the worker in order.', act: { tag: 'orderDraining', order: order.id } });
+    if (w.leaving && w.remainingMs !== null)
+      lose(order, `Taken away at short notice: ${Math.round(w.remainingMs)} ms were left.`);
+    else if (w.leaving)
+      steps.push({
+        cause: 'The platform empties the worker in order.',
+        act: { tag: 'orderDraining', order: order.id },
+      });
     else if (sight.dead.has(w.id)) lose(order, 'Listed, but for long no sluice finds it fit.');
     else if (order.status === 'placed' && w.coldMs === 0) {
       steps.push({ cause: 'The worker is listed as serving, and warm.', act: { tag: 'orderReady', order: order.id } });
@@ -156,9 +187,13 @@
     return true;
   }
   function settledIntended(order: Order): boolean {
-    if (!zones.includes(order.zone)) steps.push({ cause: `${order.zone} is not enabled.`, act: { tag: 'orderReleased', order: order.id } });
+    if (!zones.includes(order.zone))
+      steps.push({ cause: `${order.zone} is not enabled.`, act: { tag: 'orderReleased', order: order.id } });
     else if (forMs(memory.intendedSince, order) > values.launchTimeoutS * 1_000) {
-      steps.push({ cause: `Nothing came of it within ${values.launchTimeoutS}s.`, act: { tag: 'orderFailed', order: order.id } });
+      steps.push({
+        cause: `Nothing came of it within ${values.launchTimeoutS}s.`,
+        act: { tag: 'orderFailed', order: order.id },
+      });
       if (order.kind === 'spot') demote(order.zone, `A launch in ${order.zone} never came.`);
     } else return false;
     return true;
@@ -166,7 +201,10 @@
   function settledGone(order: Order): boolean {
     if (forMs(memory.goneSince, order) < VANISHED_MS) return false;
     if (order.status === 'draining' || sight.planned.has(order.machine as string)) {
-      steps.push({ cause: 'Emptied in order, and gone from the list.', act: { tag: 'orderReleased', order: order.id } });
+      steps.push({
+        cause: 'Emptied in order, and gone from the list.',
+        act: { tag: 'orderReleased', order: order.id },
+      });
     } else lose(order, 'Gone from the list without notice.');
     return true;
   }
@@ -179,25 +217,41 @@
       if (taken.has(w.id) || w.leaving || sight.dead.has(w.id)) continue;
       const order = oldestIntended(w.zone);
       if (order) place(order, w);
-      else if (adopted.length < MOST_ADOPTED) adopted.push({ order: `found-${w.id}`, zone: w.zone, machine: w.id, ready: w.coldMs === 0 });
+      else if (adopted.length < MOST_ADOPTED)
+        adopted.push({ order: `found-${w.id}`, zone: w.zone, machine: w.id, ready: w.coldMs === 0 });
     }
     if (adopted.length === 0) return;
-    const cause = before ? 'Appeared in the list without an order of ours.' : 'Stood in the list when the model was first looked at.';
+    const cause = before
+      ? 'Appeared in the list without an order of ours.'
+      : 'Stood in the list when the model was first looked at.';
     steps.push({ cause, act: { tag: 'ordersAdopted', model, kind: 'spot', adopted } });
     for (const a of adopted) {
-      standing.push({ id: a.order, model, zone: a.zone, kind: 'spot', accelerator: 'any', status: a.ready ? 'ready' : 'placed', machine: a.machine, events: [] });
+      standing.push({
+        id: a.order,
+        model,
+        zone: a.zone,
+        kind: 'spot',
+        accelerator: 'any',
+        status: a.ready ? 'ready' : 'placed',
+        machine: a.machine,
+        events: [],
+      });
       if (a.ready) launched('spot', a.zone);
     }
   }
   function oldestIntended(zone: string): Order | null {
     let best: Order | null = null;
-    for (const o of standing) if (o.status === 'intended' && o.zone === zone && (best === null || firstSlot(o) < firstSlot(best))) best = o;
+    for (const o of standing)
+      if (o.status === 'intended' && o.zone === zone && (best === null || firstSlot(o) < firstSlot(best))) best = o;
     return best;
   }
   function place(order: Order, w: WorkerEntry): void {
     if (full()) return;
     const ready = w.coldMs === 0;
-    steps.push({ cause: `${w.id} appeared in ${w.zone}.`, act: { tag: 'orderPlaced', order: order.id, machine: w.id } });
+    steps.push({
+      cause: `${w.id} appeared in ${w.zone}.`,
+      act: { tag: 'orderPlaced', order: order.id, machine: w.id },
+    });
     if (ready) {
       steps.push({ cause: 'The worker is listed as serving, and warm.', act: { tag: 'orderReady', order: order.id } });
       launched(order.kind, order.zone);
@@ -228,21 +282,42 @@
       const zone = kind === 'spot' ? selectNextZone(from, rule.zones, occupied, samePrice) : (zones[0] ?? null);
       if (zone === null) return;
       occupied.add(zone);
-      const cause = kind === 'spot' ? `Spot ${n + 1} of ${wanted} (target ${target} + extra ${values.nExtra}).` : `Fallback ${n + 1} of ${wanted}: ${readySpot()} spot ready of ${target + values.nExtra}.`;
-      steps.push({ cause, act: { tag: 'orderIntended', order: nextOrderId(), model, zone, kind, accelerator: values.accelerators[0] ?? 'any' } });
+      const cause =
+        kind === 'spot'
+          ? `Spot ${n + 1} of ${wanted} (target ${target} + extra ${values.nExtra}).`
+          : `Fallback ${n + 1} of ${wanted}: ${readySpot()} spot ready of ${target + values.nExtra}.`;
+      steps.push({
+        cause,
+        act: {
+          tag: 'orderIntended',
+          order: nextOrderId(),
+          model,
+          zone,
+          kind,
+          accelerator: values.accelerators[0] ?? 'any',
+        },
+      });
     }
     let over = list.length - wanted;
     for (const o of [...list].sort(firstToGo)) {
       if (over <= 0 || full()) return;
       over -= 1;
-      if (o.status === 'intended') steps.push({ cause: `Only ${wanted} are wanted; withdrawn.`, act: { tag: 'orderReleased', order: o.id } });
-      else if (kind === 'onDemand') steps.push({ cause: `Enough spot is ready: ${readySpot()} of ${target + values.nExtra}.`, act: { tag: 'orderDraining', order: o.id } });
+      if (o.status === 'intended')
+        steps.push({ cause: `Only ${wanted} are wanted; withdrawn.`, act: { tag: 'orderReleased', order: o.id } });
+      else if (kind === 'onDemand')
+        steps.push({
+          cause: `Enough spot is ready: ${readySpot()} of ${target + values.nExtra}.`,
+          act: { tag: 'orderDraining', order: o.id },
+        });
     }
   }
 }
 
 function sameMembers(a: ZoneSets, b: ZoneSets): boolean {
-  return [...a.active].sort().join() === [...b.active].sort().join() && [...a.preemptive].sort().join() === [...b.preemptive].sort().join();
+  return (
+    [...a.active].sort().join() === [...b.active].sort().join() &&
+    [...a.preemptive].sort().join() === [...b.preemptive].sort().join()
+  );
 }
 function samePrice(): number {
   return 1;
--- a/src/state/operator-history.test.ts
+++ b/src/state/operator-history.test.ts
@@ -18,7 +18,8 @@
 
 function withNumbered(count: number): OperatorHistory {
   const history = emptyOperatorHistory();
-  for (let n = 0; n < count; n += 1) recordChange(history, { request: `r${n}`, version: 10 * n, revision: { base: n, number: n + 1 } }, []);
+  for (let n = 0; n < count; n += 1)
+    recordChange(history, { request: `r${n}`, version: 10 * n, revision: { base: n, number: n + 1 } }, []);
   return history;
 }
 
@@ -39,7 +40,15 @@
   test('takes at most some hundred bytes for each change', () => {
     const history = emptyOperatorHistory();
     for (let n = 0; n < MAX_APPLIED_CHANGES; n += 1) {
-      recordChange(history, { request: operatorRequest('f'.repeat(32)), version: 1_000_000 + n, revision: { base: 100_000 + n, number: 100_001 + n } }, []);
+      recordChange(
+        history,
+        {
+          request: operatorRequest('f'.repeat(32)),
+          version: 1_000_000 + n,
+          revision: { base: 100_000 + n, number: 100_001 + n },
+        },
+        [],
+      );
     }
     expect(JSON.stringify(history).length).toBeLessThan(130 * MAX_APPLIED_CHANGES);
   });
@@ -47,7 +56,8 @@
   test('of orders on zones knows the newest of each zone, and those with an id of their own', () => {
     const history = emptyOperatorHistory();
     expect(zoneVersion(history, 'constructor')).toBe(NO_ZONE_VERSION);
-    for (let n = 0; n <= MAX_ZONE_ORDERS; n += 1) recordZoneOrder(history, 'z', { request: operatorRequest(`${n}`), version: n });
+    for (let n = 0; n <= MAX_ZONE_ORDERS; n += 1)
+      recordZoneOrder(history, 'z', { request: operatorRequest(`${n}`), version: n });
     recordZoneOrder(history, 'z', { request: 'evacuation:z@7', version: 999 });
     expect(zoneVersion(history, 'z')).toBe(999);
     expect(history.zoneOrders.length).toBe(MAX_ZONE_ORDERS);
@@ -57,7 +67,15 @@
   test('told or kept is looked at before it is taken', () => {
     const history = JSON.parse(JSON.stringify(withNumbered(3))) as object;
     expect(isOperatorHistory(history)).toBe(true);
-    for (const bad of [null, [], {}, { ...history, changes: {} }, { ...history, forgottenNumber: 'x' }, { ...history, undo: 7 }, { ...history, zoneVersions: null }]) {
+    for (const bad of [
+      null,
+      [],
+      {},
+      { ...history, changes: {} },
+      { ...history, forgottenNumber: 'x' },
+      { ...history, undo: 7 },
+      { ...history, zoneVersions: null },
+    ]) {
       expect(isOperatorHistory(bad)).toBe(false);
     }
   });
--- a/src/state/operator-history.ts
+++ b/src/state/operator-history.ts
@@ -56,7 +56,9 @@
   if (!isTable(value)) return false;
   const { changes, forgottenVersion, forgottenNumber, undo, zoneVersions, zoneOrders } = value;
   if (!Array.isArray(changes) || !Array.isArray(zoneOrders) || !isTable(zoneVersions)) return false;
-  return Number.isInteger(forgottenVersion) && Number.isInteger(forgottenNumber) && (undo === null || Array.isArray(undo));
+  return (
+    Number.isInteger(forgottenVersion) && Number.isInteger(forgottenNumber) && (undo === null || Array.isArray(undo))
+  );
 }
 
 /** The identity of an operator's request, from the digest of what was sent or from the id that the caller gave it. */
--- a/src/state/policies.test.ts
+++ b/src/state/policies.test.ts
@@ -2,8 +2,31 @@
 import type { Candidate, PlaceContext } from './candidate.js';
 import { placeAmong, POLICIES } from './policies.js';
 
-const base: Candidate = { ix: 0, id: 'w0', address: 'a', zone: 'z1', region: 'r1', leaving: false, evacuated: false, fit: true, answersUs: true, running: 0, limit: 8, agreed: true, knownShare: 0 };
-const ctx: PlaceContext = { zone: 'z1', region: 'r1', ownRegion: 'r1', homes: null, islanded: false, seed: 's', avoid: new Set(), meanShare: 0 };
+const base: Candidate = {
+  ix: 0,
+  id: 'w0',
+  address: 'a',
+  zone: 'z1',
+  region: 'r1',
+  leaving: false,
+  evacuated: false,
+  fit: true,
+  answersUs: true,
+  running: 0,
+  limit: 8,
+  agreed: true,
+  knownShare: 0,
+};
+const ctx: PlaceContext = {
+  zone: 'z1',
+  region: 'r1',
+  ownRegion: 'r1',
+  homes: null,
+  islanded: false,
+  seed: 's',
+  avoid: new Set(),
+  meanShare: 0,
+};
 function one(over: Partial<Candidate>): Candidate {
   return { ...base, ...over };
 }
--- a/src/state/policies.ts
+++ b/src/state/policies.ts
@@ -68,8 +68,7 @@
 ];
 
 export type Choice =
-  | { readonly tag: 'chosen'; readonly candidate: Candidate }
-  | { readonly tag: 'none'; readonly stoppedBy: string };
+  { readonly tag: 'chosen'; readonly candidate: Candidate } | { readonly tag: 'none'; readonly stoppedBy: string };
 
 export function placeAmong(all: readonly Candidate[], ctx: PlaceContext, policies: readonly Policy[]): Choice {
   let left = all;
--- a/src/state/prefix-table.ts
+++ b/src/state/prefix-table.ts
@@ -49,7 +49,8 @@
     const out = new Set<number>();
     const all = chains(model, parts);
     for (let n = all.length; n > 0 && out.size < HOLDERS; n -= 1) {
-      for (const w of holders.peek(all[n - 1] as string) ?? []) if (tagged(Math.floor(w / 65_536)) === w) out.add(Math.floor(w / 65_536));
+      for (const w of holders.peek(all[n - 1] as string) ?? [])
+        if (tagged(Math.floor(w / 65_536)) === w) out.add(Math.floor(w / 65_536));
     }
     return [...out];
   }
--- a/src/state/reports.test.ts
+++ b/src/state/reports.test.ts
@@ -4,7 +4,23 @@
 import type { Reports } from './reports.js';
 
 function row(count: number, fitness: Report['fitness'], more: Partial<Report> = {}): Report {
-  return { reporter: 's1', run: 'r1', incarnation: 1, count, requests: { m: count }, shed: 0, dispatched: 0, retried: 0, slot: 3, fitness, http: '10.0.0.1:1', ready: true, zone: 'z', region: 'r', ...more };
+  return {
+    reporter: 's1',
+    run: 'r1',
+    incarnation: 1,
+    count,
+    requests: { m: count },
+    shed: 0,
+    dispatched: 0,
+    retried: 0,
+    slot: 3,
+    fitness,
+    http: '10.0.0.1:1',
+    ready: true,
+    zone: 'z',
+    region: 'r',
+    ...more,
+  };
 }
 
 describe('reports as differences', () => {
@@ -36,7 +52,11 @@
 
   test('an older row, and one told twice, is old', () => {
     const table: Reports = new Map([['s1', row(5, {})]]);
-    expect([mergeReport(table, row(4, {})), mergeReport(table, row(5, {})), mergeReport(table, row(6, {}, { incarnation: 0 }))]).toEqual(['old', 'old', 'old']);
+    expect([
+      mergeReport(table, row(4, {})),
+      mergeReport(table, row(5, {})),
+      mergeReport(table, row(6, {}, { incarnation: 0 })),
+    ]).toEqual(['old', 'old', 'old']);
   });
 
   test('another run, or nothing told before, is told whole', () => {
--- a/src/state/reports.ts
+++ b/src/state/reports.ts
@@ -16,7 +16,8 @@
     table.set(report.reporter, report);
     return 'merged';
   }
-  if (!have || have.run !== report.run || have.incarnation !== report.incarnation || have.count !== report.since) return 'gap';
+  if (!have || have.run !== report.run || have.incarnation !== report.incarnation || have.count !== report.since)
+    return 'gap';
   const whole: Report = { ...report, fitness: changedFitness(have.fitness, report.fitness, report.gone ?? []) };
   delete whole.since;
   delete whole.gone;
@@ -24,7 +25,11 @@
   return 'merged';
 }
 
-function changedFitness(have: Report['fitness'], changed: Report['fitness'], gone: readonly string[]): Report['fitness'] {
+function changedFitness(
+  have: Report['fitness'],
+  changed: Report['fitness'],
+  gone: readonly string[],
+): Report['fitness'] {
   if (gone.length === 0 && Object.keys(changed).length === 0) return have;
   const out = { ...have, ...changed };
   for (const id of gone) delete out[id];
--- a/src/state/retry-budget.ts
+++ b/src/state/retry-budget.ts
@@ -1,4 +1,8 @@
-export type RetryBudget = { readonly noteDispatch: (share: number) => void; readonly spend: () => boolean; readonly tokens: () => number };
+export type RetryBudget = {
+  readonly noteDispatch: (share: number) => void;
+  readonly spend: () => boolean;
+  readonly tokens: () => number;
+};
 
 const MOST_TOKENS = 10;
 
--- a/src/state/run-counts.ts
+++ b/src/state/run-counts.ts
@@ -1,4 +1,8 @@
-export type RunCounts = { readonly note: (now: number, bad: boolean) => void; readonly bad: (now: number) => number; readonly ran: (now: number) => number };
+export type RunCounts = {
+  readonly note: (now: number, bad: boolean) => void;
+  readonly bad: (now: number) => number;
+  readonly ran: (now: number) => number;
+};
 
 type Bucket = { at: number; bad: number; ran: number };
 
--- a/src/state/scaler-decide.test.ts
+++ b/src/state/scaler-decide.test.ts
@@ -20,7 +20,11 @@
 };
 
 function stage(minTarget: number, nExtra: number, extra: object = {}): Stage {
-  const configuration: Configuration = { zones, deployment: { minTarget, nExtra, ...extra }, regions: { r1: { models: { m: {} } } } };
+  const configuration: Configuration = {
+    zones,
+    deployment: { minTarget, nExtra, ...extra },
+    regions: { r1: { models: { m: {} } } },
+  };
   const belief = { ...emptyBelief(), configuration };
   return { belief, memory: new Map(), dry: new Set(), machines: new Map(), failedIn: [], seen: new Set(), now: 0 };
 }
@@ -69,22 +73,29 @@
     fold(s, [{ tag: 'orderPlaced', order: o.id, machine: `m-${o.id}` }]);
   }
   const decisions = decide(s);
-  fold(s, decisions.map((d) => d.act));
+  fold(
+    s,
+    decisions.map((d) => d.act),
+  );
   return decisions;
 }
 
 function preempt(s: Stage, zone: string): void {
   s.dry.add(zone);
-  for (const o of ordersOf(s.belief, 'm')) if (o.kind === 'spot' && o.zone === zone && o.machine) s.machines.delete(o.machine);
+  for (const o of ordersOf(s.belief, 'm'))
+    if (o.kind === 'spot' && o.zone === zone && o.machine) s.machines.delete(o.machine);
 }
 
 function readySpot(s: Stage): Record<string, number> {
   const out: Record<string, number> = {};
-  for (const o of ordersOf(s.belief, 'm')) if (o.kind === 'spot' && o.status === 'ready') out[o.zone] = (out[o.zone] ?? 0) + 1;
+  for (const o of ordersOf(s.belief, 'm'))
+    if (o.kind === 'spot' && o.status === 'ready') out[o.zone] = (out[o.zone] ?? 0) + 1;
   return out;
 }
 function onDemand(s: Stage): number {
-  return ordersOf(s.belief, 'm').filter((o) => o.kind === 'onDemand' && ['intended', 'placed', 'ready'].includes(o.status)).length;
+  return ordersOf(s.belief, 'm').filter(
+    (o) => o.kind === 'onDemand' && ['intended', 'placed', 'ready'].includes(o.status),
+  ).length;
 }
 function turns(s: Stage, n: number): void {
   for (let i = 0; i < n; i += 1) turn(s);
@@ -185,7 +196,10 @@
     expect(s.belief.orders[ordersOf(s.belief, 'm')[0]?.id ?? '']?.status).toBe('ready');
     const successor = { ...s, memory: new Map(), seen: new Set<string>() };
     const workers = held.map((machine) => ({ id: `w-${machine}`, machine, state: 'ready' as const }));
-    const lostBy = (over: Partial<Sight>) => decide(successor, { machines: [], ...over }).filter((d) => d.act.tag === 'orderLost').map((d) => (d.act.tag === 'orderLost' ? s.belief.orders[d.act.order]?.machine : null));
+    const lostBy = (over: Partial<Sight>) =>
+      decide(successor, { machines: [], ...over })
+        .filter((d) => d.act.tag === 'orderLost')
+        .map((d) => (d.act.tag === 'orderLost' ? s.belief.orders[d.act.order]?.machine : null));
     expect(lostBy({ workers })).toEqual([gone]);
     expect(lostBy({ workers: null })).toEqual([]);
   });
@@ -195,13 +209,19 @@
     turns(s, 4);
     const fast = { rates: { m: { perSecond: 3.5, complete: true } } };
     for (let i = 0; i < 6; i += 1) {
-      fold(s, decide(s, fast).map((d) => d.act));
+      fold(
+        s,
+        decide(s, fast).map((d) => d.act),
+      );
       turn(s);
     }
     expect(s.belief.targets['m']).toBe(1);
     for (let i = 0; i < 6; i += 1) {
       s.now += 1_000;
-      fold(s, decide(s, fast).map((d) => d.act));
+      fold(
+        s,
+        decide(s, fast).map((d) => d.act),
+      );
     }
     expect(s.belief.targets['m']).toBe(4);
   });
--- a/src/state/scaler-decide.ts
+++ b/src/state/scaler-decide.ts
@@ -6,7 +6,15 @@
 import type { ResolvedModel } from './settings-tree.js';
 import { stepTarget } from './target.js';
 import type { Hold, Rate } from './target.js';
-import { alignZones, cheapest, handleLaunch, handlePreemption, initialZones, sameZones, selectNextZone } from './zone-sets.js';
+import {
+  alignZones,
+  cheapest,
+  handleLaunch,
+  handlePreemption,
+  initialZones,
+  sameZones,
+  selectNextZone,
+} from './zone-sets.js';
 import type { ZoneSets } from './zone-sets.js';
 
 export type SeenWorker = {
@@ -36,7 +44,11 @@
   readonly seenBefore: ReadonlySet<string>;
 };
 
-export type ModelMemory = { hold: Hold | null; readonly rest: Map<string, Rest>; readonly placedSince: Map<string, number> };
+export type ModelMemory = {
+  hold: Hold | null;
+  readonly rest: Map<string, Rest>;
+  readonly placedSince: Map<string, number>;
+};
 export type Rest = { readonly until: number; readonly ms: number };
 export type ScalerMemory = Map<string, ModelMemory>;
 
@@ -72,7 +84,6 @@
   return out;
 }
 
-
 function startedSlot(order: Order): number {
   return order.events[0]?.slot ?? 0;
 }
@@ -81,7 +92,13 @@
   return 0;
 }
 
-export function decideModel(rm: ResolvedModel, belief: Belief, sight: Sight, memory: ScalerMemory, nextOrderId: () => string): Decision[] {
+export function decideModel(
+  rm: ResolvedModel,
+  belief: Belief,
+  sight: Sight,
+  memory: ScalerMemory,
+  nextOrderId: () => string,
+): Decision[] {
   const { model, values } = rm;
   const out: Decision[] = [];
   const mem = memoryOf(memory, model);
@@ -98,7 +115,10 @@
   decideSpot();
   decideOnDemand();
   if (!before || !sameZones(before, sets)) {
-    out.unshift({ cause: why, act: { tag: 'zonesMoved', model, active: [...sets.active], preemptive: [...sets.preemptive] } });
+    out.unshift({
+      cause: why,
+      act: { tag: 'zonesMoved', model, active: [...sets.active], preemptive: [...sets.preemptive] },
+    });
   }
   return out;
 
@@ -116,18 +136,29 @@
   }
 
   function decideTarget(): number {
-    const rule = { qTar: values.qTar, holdMs: values.holdS * 1_000, minTarget: values.minTarget, maxTarget: values.maxTarget };
+    const rule = {
+      qTar: values.qTar,
+      holdMs: values.holdS * 1_000,
+      minTarget: values.minTarget,
+      maxTarget: values.maxTarget,
+    };
     const known = belief.targets[model];
     const rate = sight.rates[model] ?? null;
     if (known === undefined) {
-      out.push({ cause: 'The model starts at its lowest target.', act: { tag: 'targetChanged', model, target: values.minTarget } });
+      out.push({
+        cause: 'The model starts at its lowest target.',
+        act: { tag: 'targetChanged', model, target: values.minTarget },
+      });
       return values.minTarget;
     }
     const step = stepTarget(known, rate, rule, mem.hold, sight.now);
     mem.hold = step.hold;
     if (step.target !== known) {
       const shown = rate === null ? 'unknown' : rate.perSecond.toFixed(2);
-      out.push({ cause: `Rate ${shown}/s over ${values.windowS}s against ${values.qTar}/s a worker.`, act: { tag: 'targetChanged', model, target: step.target } });
+      out.push({
+        cause: `Rate ${shown}/s over ${values.windowS}s against ${values.qTar}/s a worker.`,
+        act: { tag: 'targetChanged', model, target: step.target },
+      });
     }
     return step.target;
   }
@@ -169,7 +200,10 @@
           continue;
         }
         if (placedForMs(order) > values.launchTimeoutS * 1_000) {
-          out.push({ cause: `Not ready within ${values.launchTimeoutS}s.`, act: { tag: 'orderDraining', order: order.id } });
+          out.push({
+            cause: `Not ready within ${values.launchTimeoutS}s.`,
+            act: { tag: 'orderDraining', order: order.id },
+          });
           noteLaunchFailed(memory, model, order.kind, order.zone, sight.now);
           if (order.kind === 'spot') demote(order.zone, `A launch in ${order.zone} never became ready.`);
           continue;
@@ -191,12 +225,14 @@
     if (sight.machines) {
       let seen: SeenMachine | null = null;
       for (const m of sight.machines) if (m.id === order.machine) seen = m;
-      if (!seen && !sight.seenBefore.has(order.machine) && !isUnlisted(order) && placedForMs(order) < LIST_LAG_MS) return null;
+      if (!seen && !sight.seenBefore.has(order.machine) && !isUnlisted(order) && placedForMs(order) < LIST_LAG_MS)
+        return null;
       if (!seen || seen.state === 'gone') return 'The cloud reports the machine gone.';
       if (seen.state === 'reclaiming') return 'The cloud is reclaiming the machine.';
     }
     if (workerOf(order)?.state === 'draining') return 'The platform lists the worker as leaving.';
-    if (order.status === 'ready' && sight.deadMachines.has(order.machine)) return 'The worker no longer answers probes.';
+    if (order.status === 'ready' && sight.deadMachines.has(order.machine))
+      return 'The worker no longer answers probes.';
     return null;
   }
 
@@ -225,7 +261,14 @@
   function intend(kind: Kind, zone: string, cause: string): void {
     out.push({
       cause,
-      act: { tag: 'orderIntended', order: nextOrderId(), model, zone, kind, accelerator: values.accelerators[0] ?? 'any' },
+      act: {
+        tag: 'orderIntended',
+        order: nextOrderId(),
+        model,
+        zone,
+        kind,
+        accelerator: values.accelerators[0] ?? 'any',
+      },
     });
   }
 
--- a/src/state/seal.ts
+++ b/src/state/seal.ts
@@ -5,7 +5,12 @@
 
 const Id = Type.String({ minLength: 1, maxLength: 256 });
 
-export const SealShape = Type.Object({ requestId: Id, dispatchId: Id, pieces: Type.Integer({ minimum: 0 }), digest: Type.String() });
+export const SealShape = Type.Object({
+  requestId: Id,
+  dispatchId: Id,
+  pieces: Type.Integer({ minimum: 0 }),
+  digest: Type.String(),
+});
 export type Seal = Static<typeof SealShape>;
 
 export const PieceShape = Type.Object({ n: Type.Integer({ minimum: 0 }), text: Type.String() });
--- a/src/state/serving-order.test.ts
+++ b/src/state/serving-order.test.ts
@@ -35,7 +35,10 @@
   let s = FIRST;
   let names = ['a', 'b', 'c', 'd'];
   for (let i = 0; i < 300; i += 1) {
-    names = i % 3 === 2 ? names.filter((_n, at) => at !== (i * 7) % names.length) : [...names.slice(0, 1), `n${i}`, ...names.slice(1)];
+    names =
+      i % 3 === 2
+        ? names.filter((_n, at) => at !== (i * 7) % names.length)
+        : [...names.slice(0, 1), `n${i}`, ...names.slice(1)];
     s = withKeptOrder(s, listed(...names));
     if (order(s).join() !== names.join()) throw new Error(`after ${i} changes`);
   }
--- a/src/state/serving-order.ts
+++ b/src/state/serving-order.ts
@@ -8,7 +8,10 @@
   return a[1].at - b[1].at;
 }
 
-function placed<T extends Placed>(before: Readonly<Record<string, T>>, after: Readonly<Record<string, T>>): Record<string, T> {
+function placed<T extends Placed>(
+  before: Readonly<Record<string, T>>,
+  after: Readonly<Record<string, T>>,
+): Record<string, T> {
   const out: Record<string, T> = {};
   let end = 0;
   for (const item of Object.values(before)) end = Math.max(end, item.at);
--- a/src/state/serving.ts
+++ b/src/state/serving.ts
@@ -20,7 +20,11 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
-export type EngineTraits = { readonly batch: number; readonly kvTokens: number; readonly extra?: Readonly<Record<string, unknown>> };
+export type EngineTraits = {
+  readonly batch: number;
+  readonly kvTokens: number;
+  readonly extra?: Readonly<Record<string, unknown>>;
+};
 
 export type ModelTraits = {
   readonly at: number;
@@ -32,7 +36,13 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
-export type OriginLimits = { readonly headerBytes: number; readonly bodyBytes: number; readonly headerMs: number; readonly idleMs: number; readonly extra?: Readonly<Record<string, unknown>> };
+export type OriginLimits = {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerMs: number;
+  readonly idleMs: number;
+  readonly extra?: Readonly<Record<string, unknown>>;
+};
 
 export type Serving = {
   readonly number: number;
@@ -42,6 +52,11 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
-export const DEFAULT_LIMITS: OriginLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMs: 3_000, idleMs: 15_000 };
+export const DEFAULT_LIMITS: OriginLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerMs: 3_000,
+  idleMs: 15_000,
+};
 
 export const EMPTY_SERVING: Serving = { number: 0, mappings: {}, models: {}, limits: DEFAULT_LIMITS };
--- a/src/state/settings-tree.test.ts
+++ b/src/state/settings-tree.test.ts
@@ -13,7 +13,12 @@
   test('a model inherits from its region, a region from the deployment, and each level is told', () => {
     const poet = resolveModel(cfg, 'north', 'poet');
     expect([poet.values.minTarget, poet.values.qTar, poet.values.nExtra, poet.values.holdS]).toEqual([5, 4, 3, 600]);
-    expect([poet.levels.minTarget, poet.levels.qTar, poet.levels.nExtra, poet.levels.holdS]).toEqual(['model', 'region', 'deployment', 'default']);
+    expect([poet.levels.minTarget, poet.levels.qTar, poet.levels.nExtra, poet.levels.holdS]).toEqual([
+      'model',
+      'region',
+      'deployment',
+      'default',
+    ]);
     const clerk = resolveModel(cfg, 'north', 'clerk');
     expect([clerk.values.qTar, clerk.values.zones]).toEqual([9, ['z1']]);
     expect(poet.values.zones).toEqual(['z1', 'z2']);
@@ -48,7 +53,9 @@
     }
     for (let i = 0; i < 1_000; i += 1) {
       const base = tree(3);
-      const changes = Array.from({ length: below(rng, 5) }, () => (below(rng, 3) === 0 ? { path: path().concat('a') } : { path: path(), value: tree(2) }));
+      const changes = Array.from({ length: below(rng, 5) }, () =>
+        below(rng, 3) === 0 ? { path: path().concat('a') } : { path: path(), value: tree(2) },
+      );
       const made = withChanges(base, changes);
       expect(withChanges(made, changesBack(base, changes))).toEqual(base);
     }
--- a/src/state/settings-tree.ts
+++ b/src/state/settings-tree.ts
@@ -85,7 +85,12 @@
 
 export type Level = 'default' | 'deployment' | 'region' | 'model';
 export type Origins = Readonly<Record<keyof Resolved, Level>>;
-export type ResolvedModel = { readonly model: string; readonly region: string; readonly values: Resolved; readonly levels: Origins };
+export type ResolvedModel = {
+  readonly model: string;
+  readonly region: string;
+  readonly values: Resolved;
+  readonly levels: Origins;
+};
 
 export const EMPTY_CONFIGURATION: Configuration = { zones: {}, deployment: {}, regions: {} };
 
@@ -114,7 +119,8 @@
 export function resolveAll(cfg: Configuration): ResolvedModel[] {
   const out: ResolvedModel[] = [];
   for (const region of Object.keys(cfg.regions).sort()) {
-    for (const model of Object.keys(cfg.regions[region]?.models ?? {}).sort()) out.push(resolveModel(cfg, region, model));
+    for (const model of Object.keys(cfg.regions[region]?.models ?? {}).sort())
+      out.push(resolveModel(cfg, region, model));
   }
   return out;
 }
--- a/src/state/target.ts
+++ b/src/state/target.ts
@@ -20,7 +20,13 @@
 
 export type Rate = { readonly perSecond: number; readonly complete: boolean };
 
-export function stepTarget(current: number, rate: Rate | null, rule: TargetRule, hold: Hold | null, now: number): TargetStep {
+export function stepTarget(
+  current: number,
+  rate: Rate | null,
+  rule: TargetRule,
+  hold: Hold | null,
+  now: number,
+): TargetStep {
   const legal = bounded(current, rule);
   if (legal !== current) return { target: legal, hold: null };
   if (rate === null) return { target: current, hold: null };
--- a/src/state/ticket.test.ts
+++ b/src/state/ticket.test.ts
@@ -2,7 +2,16 @@
 import { createBurntTickets, readTicket, signTicket } from './ticket.js';
 import type { Ticket } from './ticket.js';
 
-const ticket: Ticket = { id: 't1', requestId: 'r1', sluice: 's#1', model: 'm', region: 'north', bound: { mapping: null, kind: null, asked: ['north'] }, repeatable: false, expiresAt: 1_000 };
+const ticket: Ticket = {
+  id: 't1',
+  requestId: 'r1',
+  sluice: 's#1',
+  model: 'm',
+  region: 'north',
+  bound: { mapping: null, kind: null, asked: ['north'] },
+  repeatable: false,
+  expiresAt: 1_000,
+};
 
 test('a ticket holds for its sluice, its key and its time only', () => {
   const text = signTicket(ticket, 'key');
@@ -11,7 +20,9 @@
   expect(readTicket(text, '', 's#1', 0)).toBe('ticketForeign');
   expect(readTicket(text, 'key', 's#2', 0)).toBe('ticketForeign');
   expect(readTicket(text, 'key', 's#1', 1_001)).toBe('ticketExpired');
-  const forged = Buffer.from(JSON.stringify({ ...ticket, bound: { ...ticket.bound, asked: null } })).toString('base64url');
+  const forged = Buffer.from(JSON.stringify({ ...ticket, bound: { ...ticket.bound, asked: null } })).toString(
+    'base64url',
+  );
   expect(readTicket(`${forged}.${text.split('.')[1]}`, 'key', 's#1', 0)).toBe('ticketForeign');
   expect(readTicket('rubbish', 'key', 's#1', 0)).toBe('ticketForeign');
 });
--- a/src/state/ticket.ts
+++ b/src/state/ticket.ts
@@ -1,7 +1,11 @@
 import { hmac, sameText } from '../base/digest.js';
 import { parsedJson } from '../base/parsed-json.js';
 
-export type Bound = { readonly mapping: string | null; readonly kind: string | null; readonly asked: readonly string[] | null };
+export type Bound = {
+  readonly mapping: string | null;
+  readonly kind: string | null;
+  readonly asked: readonly string[] | null;
+};
 
 export type Ticket = {
   readonly id: string;
