--- a/src/state/worker-book.test.ts
+++ b/src/state/worker-book.test.ts
@@ -5,13 +5,44 @@
 import type { PlaceAsk, WorkerBook } from './worker-book.js';
 import type { WorkerEntry } from './worker-entry.js';
 
-const TRAITS: ModelTraits = { at: 0, fitnessPath: '/h', maxConns: 10_000, coldS: 3, coldRateS: 9.8, engine: { batch: 64, kvTokens: 200_000 } };
+const TRAITS: ModelTraits = {
+  at: 0,
+  fitnessPath: '/h',
+  maxConns: 10_000,
+  coldS: 3,
+  coldRateS: 9.8,
+  engine: { batch: 64, kvTokens: 200_000 },
+};
 
 function entry(id: string, over: Partial<WorkerEntry> = {}): WorkerEntry {
-  return { id, model: 'm', address: `a:${id}`, zone: 'z', region: 'r', release: '', places: 64, leaving: false, remainingMs: null, coldMs: 0, ...over };
+  return {
+    id,
+    model: 'm',
+    address: `a:${id}`,
+    zone: 'z',
+    region: 'r',
+    release: '',
+    places: 64,
+    leaving: false,
+    remainingMs: null,
+    coldMs: 0,
+    ...over,
+  };
 }
 function ask(over: Partial<PlaceAsk> = {}): PlaceAsk {
-  return { model: 'm', traits: TRAITS, parts: [], tokens: 0, outTokens: 0, bytes: 0, homes: [], pinned: false, avoid: new Set(), now: 0, ...over };
+  return {
+    model: 'm',
+    traits: TRAITS,
+    parts: [],
+    tokens: 0,
+    outTokens: 0,
+    bytes: 0,
+    homes: [],
+    pinned: false,
+    avoid: new Set(),
+    now: 0,
+    ...over,
+  };
 }
 function books(n: number, entries: readonly WorkerEntry[]): WorkerBook[] {
   const known = Object.fromEntries(Array.from({ length: n }, (_, i) => [`s${i}`, { region: i % 3 === 0 ? 'r' : 'q' }]));
@@ -23,32 +54,41 @@
   });
 }
 
-test.each([1, 3, 6, 7, 20, 73, 350])('what %i sluices send a cold worker in a second never passes its bound, and is not nothing', (n) => {
-  const all = books(n, [entry('w', { coldMs: 60_000 })]);
-  let sent = 0;
-  for (const b of all) {
-    for (let i = 0; i < 100; i += 1) {
-      const got = b.place(ask());
-      if (got.tag !== 'row') break;
-      b.begin(got.row, ask());
-      sent += 1;
+test.each([1, 3, 6, 7, 20, 73, 350])(
+  'what %i sluices send a cold worker in a second never passes its bound, and is not nothing',
+  (n) => {
+    const all = books(n, [entry('w', { coldMs: 60_000 })]);
+    let sent = 0;
+    for (const b of all) {
+      for (let i = 0; i < 100; i += 1) {
+        const got = b.place(ask());
+        if (got.tag !== 'row') break;
+        b.begin(got.row, ask());
+        sent += 1;
+      }
     }
-  }
-  const bound = TRAITS.coldRateS * EDGE_TUNING.coldOver + EDGE_TUNING.coldSlack;
-  expect(sent).toBeLessThanOrEqual(bound);
-  expect(sent).toBeGreaterThanOrEqual(bound * 0.4);
-});
+    const bound = TRAITS.coldRateS * EDGE_TUNING.coldOver + EDGE_TUNING.coldSlack;
+    expect(sent).toBeLessThanOrEqual(bound);
+    expect(sent).toBeGreaterThanOrEqual(bound * 0.4);
+  },
+);
 
 test('all sluices find the same keeper of a prompt, and the parts of one first part stay with few workers', () => {
   const entries = Array.from({ length: 12 }, (_, i) => entry(`w${i}`));
   const all = books(4, entries);
   const seen = new Set<string>();
   for (let t = 0; t < 40; t += 1) {
-    const parts = [{ id: 'rules', tokens: 2_000 }, { id: `card${t}`, tokens: 4_000 }, { id: `own${t}`, tokens: 2_000 }];
-    const chosen = new Set(all.map((b) => {
-      const got = b.place(ask({ parts, tokens: 8_000, pinned: true }));
-      return got.tag === 'row' ? got.row.entry.id : '';
-    }));
+    const parts = [
+      { id: 'rules', tokens: 2_000 },
+      { id: `card${t}`, tokens: 4_000 },
+      { id: `own${t}`, tokens: 2_000 },
+    ];
+    const chosen = new Set(
+      all.map((b) => {
+        const got = b.place(ask({ parts, tokens: 8_000, pinned: true }));
+        return got.tag === 'row' ? got.row.entry.id : '';
+      }),
+    );
     expect(chosen.size).toBe(1);
     for (const id of chosen) seen.add(id);
   }
@@ -57,7 +97,10 @@
 
 test('a keeper that others crowd is left for the next one', () => {
   const [b] = books(1, [entry('w0'), entry('w1')]);
-  const parts = [{ id: 'rules', tokens: 500 }, { id: 'own', tokens: 100 }];
+  const parts = [
+    { id: 'rules', tokens: 500 },
+    { id: 'own', tokens: 100 },
+  ];
   const first = b!.place(ask({ parts, tokens: 600, pinned: true }));
   const id = first.tag === 'row' ? first.row.entry.id : '';
   b!.takeCrowd({ [id]: [60, 30_000, 100_000, 0, 9] }, 0);
@@ -67,13 +110,28 @@
 
 test('zones held preemptive come last, evacuated ones not at all, and a zone handed back is cold at first', () => {
   const [b] = books(1, [entry('w0', { zone: 'z' }), entry('w1', { zone: 'y' })]);
-  b!.takeZones({}, () => ['z'], 0, () => 3_000);
+  b!.takeZones(
+    {},
+    () => ['z'],
+    0,
+    () => 3_000,
+  );
   const one = b!.place(ask());
   expect(one.tag === 'row' && one.row.entry.id).toBe('w1');
-  b!.takeZones({ y: 3 }, () => [], 0, () => 3_000);
+  b!.takeZones(
+    { y: 3 },
+    () => [],
+    0,
+    () => 3_000,
+  );
   const two = b!.place(ask());
   expect(two.tag === 'row' && two.row.entry.id).toBe('w0');
-  b!.takeZones({}, () => [], 100, () => 3_000);
+  b!.takeZones(
+    {},
+    () => [],
+    100,
+    () => 3_000,
+  );
   for (const row of b!.rows()) expect(row.coldUntil).toBe(row.entry.zone === 'y' ? 3_100 : 0);
 });
 
--- a/src/state/worker-book.ts
+++ b/src/state/worker-book.ts
@@ -30,10 +30,20 @@
   fullUntil: number;
   kept: KeptParts;
   runs: RunCounts;
-  owners: { readonly of: Readonly<Record<string, Sharer>>; readonly most: number; readonly names: readonly string[] } | null;
+  owners: {
+    readonly of: Readonly<Record<string, Sharer>>;
+    readonly most: number;
+    readonly names: readonly string[];
+  } | null;
 };
 
-export type Usage = { readonly running: number; readonly unread: number; readonly kv: number; readonly bad: number; readonly ran: number };
+export type Usage = {
+  readonly running: number;
+  readonly unread: number;
+  readonly kv: number;
+  readonly bad: number;
+  readonly ran: number;
+};
 const NO_USAGE: Usage = { running: 0, unread: 0, kv: 0, bad: 0, ran: 0 };
 
 export type PlaceAsk = {
@@ -58,7 +68,12 @@
 
 export type WorkerBook = {
   readonly takeList: (list: readonly WorkerEntry[], now: number) => void;
-  readonly takeZones: (evacuated: Readonly<Record<string, number>>, preemptive: (model: string) => readonly string[], now: number, coldMs: (model: string) => number) => void;
+  readonly takeZones: (
+    evacuated: Readonly<Record<string, number>>,
+    preemptive: (model: string) => readonly string[],
+    now: number,
+    coldMs: (model: string) => number,
+  ) => void;
   readonly place: (ask: PlaceAsk) => Placed;
   readonly begin: (row: BookRow, ask: PlaceAsk) => Hold;
   readonly failed: (row: BookRow, now: number) => void;
@@ -80,7 +95,12 @@
 
 export type Sharer = { readonly region: string };
 
-export type BookSelf = { readonly name: string; readonly zone: string; readonly region: string; readonly held: (address: string) => number };
+export type BookSelf = {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly held: (address: string) => number;
+};
 
 const COLD_WINDOW_MS = 1_150;
 const LEAST_SHARE = 2;
@@ -97,8 +117,26 @@
 
   function freshRow(entry: WorkerEntry): BookRow {
     return {
-      entry, present: true, leaving: entry.leaving, leaveBy: null, coldUntil: 0, cold: createRateGuard(COLD_WINDOW_MS),
-      running: 0, unread: 0, kv: 0, others: NO_USAGE, told: NO_USAGE, fails: 0, badUntil: 0, unproven: false, silentSince: 0, doubtUntil: 0, fullUntil: 0, kept: createKeptParts(tuning.knownTokens), runs: createRunCounts(tuning.runsMs), owners: null,
+      entry,
+      present: true,
+      leaving: entry.leaving,
+      leaveBy: null,
+      coldUntil: 0,
+      cold: createRateGuard(COLD_WINDOW_MS),
+      running: 0,
+      unread: 0,
+      kv: 0,
+      others: NO_USAGE,
+      told: NO_USAGE,
+      fails: 0,
+      badUntil: 0,
+      unproven: false,
+      silentSince: 0,
+      doubtUntil: 0,
+      fullUntil: 0,
+      kept: createKeptParts(tuning.knownTokens),
+      runs: createRunCounts(tuning.runsMs),
+      owners: null,
     };
   }
 
@@ -132,10 +170,16 @@
     listed = true;
   }
 
-  function takeZones(next: Readonly<Record<string, number>>, preemptive: (model: string) => readonly string[], now: number, coldMs: (model: string) => number): void {
+  function takeZones(
+    next: Readonly<Record<string, number>>,
+    preemptive: (model: string) => readonly string[],
+    now: number,
+    coldMs: (model: string) => number,
+  ): void {
     for (const zone of Object.keys(evacuated)) {
       if (next[zone] !== undefined) continue;
-      for (const row of rows.values()) if (row.entry.zone === zone) row.coldUntil = Math.max(row.coldUntil, now + coldMs(row.entry.model));
+      for (const row of rows.values())
+        if (row.entry.zone === zone) row.coldUntil = Math.max(row.coldUntil, now + coldMs(row.entry.model));
     }
     evacuated = { ...next };
     preemptiveOf = preemptive;
@@ -160,20 +204,27 @@
   function ownersOf(row: BookRow, most: number): readonly string[] {
     if (row.owners && row.owners.of === sluices && row.owners.most === most) return row.owners.names;
     const ranks: { readonly name: string; readonly near: boolean; readonly hash: number }[] = [];
-    for (const [name, s] of Object.entries(sluices)) ranks.push({ name, near: s.region === row.entry.region, hash: hash32(`${row.entry.id}|${name}`) });
+    for (const [name, s] of Object.entries(sluices))
+      ranks.push({ name, near: s.region === row.entry.region, hash: hash32(`${row.entry.id}|${name}`) });
     ranks.sort(nearFirst);
     const names: string[] = [];
     for (const r of ranks.slice(0, most)) names.push(r.name);
     row.owners = { of: sluices, most, names };
     return names;
   }
-  function nearFirst(a: { readonly near: boolean; readonly hash: number }, b: { readonly near: boolean; readonly hash: number }): number {
+  function nearFirst(
+    a: { readonly near: boolean; readonly hash: number },
+    b: { readonly near: boolean; readonly hash: number },
+  ): number {
     return Number(b.near) - Number(a.near) || b.hash - a.hash;
   }
 
   function placesOf(row: BookRow, ask: PlaceAsk): number {
     const batch = row.entry.places > 0 ? row.entry.places : (ask.traits?.engine?.batch ?? 1);
-    const conns = ask.traits && ask.traits.maxConns > 0 ? Math.max(1, Math.floor((ask.traits.maxConns * tuning.connGuard) / sharing)) : Infinity;
+    const conns =
+      ask.traits && ask.traits.maxConns > 0
+        ? Math.max(1, Math.floor((ask.traits.maxConns * tuning.connGuard) / sharing))
+        : Infinity;
     return Math.min(batch, conns);
   }
 
@@ -193,7 +244,8 @@
     const over = running + 1 - row.entry.places;
     if (row.entry.places > 0 && over > 0) ms += tuning.overMs * (1 + over);
     else ms += (running / Math.max(1, row.entry.places)) ** 2 * tuning.crowdedMs;
-    if (row.entry.region !== self.region) ms += awayMs(row) + (ask.bytes + ask.outTokens * tuning.bytesPerToken) / tuning.bytesPerMs;
+    if (row.entry.region !== self.region)
+      ms += awayMs(row) + (ask.bytes + ask.outTokens * tuning.bytesPerToken) / tuning.bytesPerMs;
     else if (row.entry.zone !== self.zone) ms += tuning.crossZoneMs;
     if (self.held(row.entry.address) === 0) ms += tuning.dialMs;
     if (row.coldUntil > ask.now) ms += tuning.coldMs;
@@ -324,7 +376,13 @@
   function usage(now: number): UsageRows {
     const out: UsageRows = {};
     for (const row of rows.values()) {
-      row.told = { running: row.running, unread: rounded(row.unread, 100), kv: rounded(row.kv, 1_000), bad: row.runs.bad(now), ran: row.runs.ran(now) };
+      row.told = {
+        running: row.running,
+        unread: rounded(row.unread, 100),
+        kv: rounded(row.kv, 1_000),
+        bad: row.runs.bad(now),
+        ran: row.runs.ran(now),
+      };
       const { running, unread, kv, bad, ran } = row.told;
       if (running > 0 || bad > 0) out[row.entry.id] = [running, unread, kv, bad, ran];
     }
@@ -335,7 +393,8 @@
       const sum = sums[row.entry.id];
       const before = row.others;
       row.others = sum ? beyond(sum, row.told) : NO_USAGE;
-      if (row.unproven && row.others.ran > before.ran && row.others.bad <= before.bad) row.badUntil = Math.min(row.badUntil, now);
+      if (row.unproven && row.others.ran > before.ran && row.others.bad <= before.bad)
+        row.badUntil = Math.min(row.badUntil, now);
     }
   }
   function all(): Iterable<BookRow> {
@@ -345,7 +404,27 @@
     sluices = { ...known };
     sharing = Math.max(1, Object.keys(known).length);
   }
-  return { takeList, takeZones, place, begin, failed, spoilt, silent, reached, served, connectMs, fewSharers, full, moved, cold, rows: all, sharers, took, usage, takeCrowd };
+  return {
+    takeList,
+    takeZones,
+    place,
+    begin,
+    failed,
+    spoilt,
+    silent,
+    reached,
+    served,
+    connectMs,
+    fewSharers,
+    full,
+    moved,
+    cold,
+    rows: all,
+    sharers,
+    took,
+    usage,
+    takeCrowd,
+  };
 }
 
 type Ranked = { readonly hash: number; readonly row: BookRow };
--- a/src/state/worker-pools.test.ts
+++ b/src/state/worker-pools.test.ts
@@ -4,7 +4,10 @@
 import type { WorkerRow } from './worker-row.js';
 
 function rows(n: number): WorkerRow[] {
-  return Array.from({ length: n }, (_, ix) => ({ ix, listed: { id: `w${ix}`, model: 'm', zone: `z${ix % 6}`, region: `r${ix % 3}` } }) as WorkerRow);
+  return Array.from(
+    { length: n },
+    (_, ix) => ({ ix, listed: { id: `w${ix}`, model: 'm', zone: `z${ix % 6}`, region: `r${ix % 3}` } }) as WorkerRow,
+  );
 }
 function poolsOf(all: readonly WorkerRow[]): ReturnType<typeof createWorkerPools> {
   const made = createWorkerPools();
@@ -33,7 +36,11 @@
   test('every sluice agrees on the same ones for a prefix, and turns through all the others', () => {
     const all = rows(600);
     const [a, b] = [poolsOf(all), poolsOf([...all].reverse())];
-    const agreed = (p: typeof a): number[] => (p.few(ask) ?? []).filter((x) => x.agreed).map((x) => x.row.ix).sort();
+    const agreed = (p: typeof a): number[] =>
+      (p.few(ask) ?? [])
+        .filter((x) => x.agreed)
+        .map((x) => x.row.ix)
+        .sort();
     expect(agreed(a)).toEqual(agreed(b));
     const seen = new Set<number>();
     for (let i = 0; i < 60; i += 1) for (const x of a.few(ask) ?? []) seen.add(x.row.ix);
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -147,7 +147,9 @@
       const row = table.get(ix);
       if (row?.listed.model === ask.model) holders.push(row);
     }
-    return pools.few({ model: ask.model, zone: ask.near, homes: ask.homes, seed: ask.seed, holders }) ?? pools.all(ask.model);
+    return (
+      pools.few({ model: ask.model, zone: ask.near, homes: ask.homes, seed: ask.seed, holders }) ?? pools.all(ask.model)
+    );
   }
 
   function candidates(ask: CandidateAsk): Candidate[] {
@@ -155,8 +157,9 @@
     const model = models.of(ask.model);
     for (const { row, agreed } of picked(ask, model)) {
       const { listed } = row;
-      if ( !row.present || !handedOver(row)) continue;
-      const answers = row.answeredAt !== null && ask.now - row.answeredAt < row.freshMs && row.silences < SILENCES_UNFIT;
+      if (!row.present || !handedOver(row)) continue;
+      const answers =
+        row.answeredAt !== null && ask.now - row.answeredAt < row.freshMs && row.silences < SILENCES_UNFIT;
       const warm = ask.values.rampS === 0 ? 1 : (ask.now - row.readyAt) / (ask.values.rampS * 1_000);
       const ramping = warm < 1;
       const ramped = Math.max(1, Math.floor(ask.values.workerUsageLimit * Math.min(1, warm)));
@@ -206,5 +209,20 @@
   function row(ix: number): WorkerRow | null {
     return table.get(ix) ?? null;
   }
-  return { takeList, takeFitness, takeSilence, takeBelief, rows, row, begin, end, isCurrent, refused, served, candidates, prefixes, modelIx: models.of };
+  return {
+    takeList,
+    takeFitness,
+    takeSilence,
+    takeBelief,
+    rows,
+    row,
+    begin,
+    end,
+    isCurrent,
+    refused,
+    served,
+    candidates,
+    prefixes,
+    modelIx: models.of,
+  };
 }
--- a/src/state/zone-sets.test.ts
+++ b/src/state/zone-sets.test.ts
@@ -51,7 +51,10 @@
 
   test('zones the operator adds or takes away are aligned', () => {
     const sets = { active: ['zone1', 'zone2'], preemptive: ['zone3'] };
-    expect(alignZones(sets, ['zone2', 'zone3', 'zone4'])).toEqual({ active: ['zone2', 'zone4'], preemptive: ['zone3'] });
+    expect(alignZones(sets, ['zone2', 'zone3', 'zone4'])).toEqual({
+      active: ['zone2', 'zone4'],
+      preemptive: ['zone3'],
+    });
     expect(alignZones(sets, ['zone3'])).toEqual({ active: ['zone3'], preemptive: [] });
   });
 
--- a/src/transport/door.test.ts
+++ b/src/transport/door.test.ts
@@ -18,7 +18,9 @@
   return { status: 200, body: { got: req.body, id: req.params['id'], q: req.query['q'] } };
 }
 function gate(req: HttpRequest): HttpReply | null {
-  return req.headers['x-pass'] === 'yes' ? null : { status: 503, headers: { 'retry-after': '1' }, body: { error: { tag: 'shed' } } };
+  return req.headers['x-pass'] === 'yes'
+    ? null
+    : { status: 503, headers: { 'retry-after': '1' }, body: { error: { tag: 'shed' } } };
 }
 async function* three(): AsyncGenerator<unknown> {
   yield { n: 1 };
@@ -72,7 +74,11 @@
   test('turn away what is too large or not JSON, typed', async () => {
     const large = await post('/echo/7', { a: 'x'.repeat(2_000) });
     expect(large.ok && [large.value.status, large.value.body]).toEqual([413, { error: { tag: 'bodyTooLarge' } }]);
-    const res = await fetch(`http://${door.address}/echo/7`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: '{"a":' });
+    const res = await fetch(`http://${door.address}/echo/7`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: '{"a":',
+    });
     expect([res.status, ((await res.json()) as { error: { tag: string } }).error.tag]).toEqual([400, 'malformed']);
     const lost = await post('/nowhere', {});
     expect(lost.ok && lost.value.status).toBe(404);
@@ -100,19 +106,41 @@
   });
 
   test('a body nested beyond measure, another method and another type are turned away', async () => {
-    const deep = await fetch(`http://${door.address}/echo/7`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: `${'['.repeat(200)}${']'.repeat(200)}` });
-    expect([deep.status, await deep.json()]).toEqual([400, { error: { tag: 'malformed', detail: '/: expected at most 64 levels' } }]);
+    const deep = await fetch(`http://${door.address}/echo/7`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: `${'['.repeat(200)}${']'.repeat(200)}`,
+    });
+    expect([deep.status, await deep.json()]).toEqual([
+      400,
+      { error: { tag: 'malformed', detail: '/: expected at most 64 levels' } },
+    ]);
     const put = await fetch(`http://${door.address}/echo/7`, { method: 'PUT', body: '{}' });
     expect([put.status, await put.json()]).toEqual([404, { error: { tag: 'unknownPath' } }]);
-    const plain = await fetch(`http://${door.address}/echo/7`, { method: 'POST', headers: { 'content-type': 'text/plain' }, body: '{"a":1}' });
+    const plain = await fetch(`http://${door.address}/echo/7`, {
+      method: 'POST',
+      headers: { 'content-type': 'text/plain' },
+      body: '{"a":1}',
+    });
     expect(await plain.json()).toEqual({ id: '7' });
-    const twice = await fetch(`http://${door.address}/echo/7`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: '{"a":1,"a":2}' });
+    const twice = await fetch(`http://${door.address}/echo/7`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: '{"a":1,"a":2}',
+    });
     expect(await twice.json()).toEqual({ got: { a: 2 }, id: '7' });
   });
 
   test('a call that is given up ends at once, and so does the reading of its lines', async () => {
     const stop = new AbortController();
-    const got = await caller.call({ method: 'GET', address: door.address, path: '/endless', timeoutMs: 60_000, stream: true, signal: stop.signal });
+    const got = await caller.call({
+      method: 'GET',
+      address: door.address,
+      path: '/endless',
+      timeoutMs: 60_000,
+      stream: true,
+      signal: stop.signal,
+    });
     const seen: unknown[] = [];
     if (got.ok) {
       for await (const line of got.value.lines) {
@@ -122,7 +150,13 @@
     }
     expect(seen).toEqual([{ n: 1 }, 'broken']);
     const whole = new AbortController();
-    const pending = caller.call({ method: 'GET', address: door.address, path: '/endless', timeoutMs: 60_000, signal: whole.signal });
+    const pending = caller.call({
+      method: 'GET',
+      address: door.address,
+      path: '/endless',
+      timeoutMs: 60_000,
+      signal: whole.signal,
+    });
     whole.abort();
     expect(await pending).toEqual({ ok: false, fault: { tag: 'broken' } });
   });
--- a/src/transport/door.ts
+++ b/src/transport/door.ts
@@ -73,7 +73,10 @@
     }
     async function handle(req: Request, res: Response): Promise<void> {
       if (deeperThan(req.body, MOST_DEPTH)) {
-        await give(res, { status: 400, body: { error: { tag: 'malformed', detail: `/: expected at most ${MOST_DEPTH} levels` } } });
+        await give(res, {
+          status: 400,
+          body: { error: { tag: 'malformed', detail: `/: expected at most ${MOST_DEPTH} levels` } },
+        });
         return;
       }
       const reply = await route.handle(shaped(req, res));
@@ -98,7 +101,12 @@
       res.status(413).json({ error: { tag: 'bodyTooLarge' } });
       return;
     }
-    if (type === 'entity.parse.failed' || type === 'request.aborted' || type.startsWith('charset') || type.startsWith('encoding')) {
+    if (
+      type === 'entity.parse.failed' ||
+      type === 'request.aborted' ||
+      type.startsWith('charset') ||
+      type.startsWith('encoding')
+    ) {
       res.status(400).json({ error: { tag: 'malformed', detail: 'body is not JSON' } });
       return;
     }
@@ -117,7 +125,14 @@
     app.use(unknownPath);
     app.use(failed);
     function start(resolve: (r: Result<Listener, WireFault>) => void): void {
-      const server = createServer({ requestTimeout: bodyWaitMs, headersTimeout: bodyWaitMs, connectionsCheckingInterval: Math.min(1_000, bodyWaitMs / 4) }, app);
+      const server = createServer(
+        {
+          requestTimeout: bodyWaitMs,
+          headersTimeout: bodyWaitMs,
+          connectionsCheckingInterval: Math.min(1_000, bodyWaitMs / 4),
+        },
+        app,
+      );
       server.keepAliveTimeout = 65_000;
       function bad(): void {
         resolve(err({ tag: 'addressInUse', address }));
--- a/src/transport/journal.ts
+++ b/src/transport/journal.ts
@@ -1,6 +1,9 @@
 import { createWriteStream } from 'node:fs';
 
-export type Journal = { readonly note: (record: Readonly<Record<string, unknown>>) => void; readonly close: () => Promise<void> };
+export type Journal = {
+  readonly note: (record: Readonly<Record<string, unknown>>) => void;
+  readonly close: () => Promise<void>;
+};
 
 export function createFileJournal(path: string): Journal {
   const out = createWriteStream(path, { flags: 'a' });
--- a/src/transport/open-door.ts
+++ b/src/transport/open-door.ts
@@ -81,7 +81,14 @@
     }
     return new Promise(start);
   }
-  return { method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders, get, body, answerer: answererOf(res) };
+  return {
+    method: req.method ?? 'GET',
+    target: req.url ?? '/',
+    headers: req.rawHeaders,
+    get,
+    body,
+    answerer: answererOf(res),
+  };
 }
 
 export function createOpenDoor(): OpenDoor {
@@ -101,7 +108,10 @@
       res.on('finish', closeSoonIfStopped);
       handle(requestOf(req, res));
     }
-    const server: Server = createServer({ maxHeaderSize: MOST_HEADER, connectionsCheckingInterval: CHECK_MS, noDelay: true, requestTimeout: 0 }, onRequest);
+    const server: Server = createServer(
+      { maxHeaderSize: MOST_HEADER, connectionsCheckingInterval: CHECK_MS, noDelay: true, requestTimeout: 0 },
+      onRequest,
+    );
     server.keepAliveTimeout = 15_000;
     function onConn(sock: Socket): void {
       function nothing(): void {}
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -31,7 +31,9 @@
   readonly limit: (limits: OpenLimits) => void;
 };
 
-export type OpenDoor = { readonly open: (address: Address, handle: (req: OpenRequest) => void) => Promise<Result<OpenListener, WireFault>> };
+export type OpenDoor = {
+  readonly open: (address: Address, handle: (req: OpenRequest) => void) => Promise<Result<OpenListener, WireFault>>;
+};
 
 export type SendFault =
   | { readonly tag: 'neverSent' }
--- a/src/transport/outlets.test.ts
+++ b/src/transport/outlets.test.ts
@@ -18,8 +18,15 @@
     sock.on('error', () => undefined);
     sock.on('data', (d) => serve(sock, d.toString('latin1')));
   });
-  open.push({ close: () => { for (const s of socks) s.destroy(); server.close(); } });
-  return new Promise((done) => server.listen(0, '127.0.0.1', () => done(`127.0.0.1:${(server.address() as AddressInfo).port}`)));
+  open.push({
+    close: () => {
+      for (const s of socks) s.destroy();
+      server.close();
+    },
+  });
+  return new Promise((done) =>
+    server.listen(0, '127.0.0.1', () => done(`127.0.0.1:${(server.address() as AddressInfo).port}`)),
+  );
 }
 
 function outlets(): Outlets {
@@ -33,10 +40,21 @@
   return new Promise((done) => {
     const got: Got = { status: 0, body: '', fault: null };
     o.send(
-      { address, method: 'POST', target: '/p?q=1', headers: () => ['Host', 'h', 'X-One', '1'], body: body === null ? null : Buffer.from(body), connectMs: 500 },
       {
-        head: (s) => { got.status = s; },
-        data: (c) => { got.body += c.toString(); },
+        address,
+        method: 'POST',
+        target: '/p?q=1',
+        headers: () => ['Host', 'h', 'X-One', '1'],
+        body: body === null ? null : Buffer.from(body),
+        connectMs: 500,
+      },
+      {
+        head: (s) => {
+          got.status = s;
+        },
+        data: (c) => {
+          got.body += c.toString();
+        },
         end: () => done(got),
         failed: (fault) => done({ ...got, fault }),
       },
@@ -169,7 +187,9 @@
 });
 
 test('an informational answer is not the answer', async () => {
-  const at = await raw((sock) => sock.write('HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' + OK));
+  const at = await raw((sock) =>
+    sock.write('HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' + OK),
+  );
   const o = outlets();
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
@@ -177,7 +197,9 @@
 });
 
 test('a change of protocol that nobody asked for is a broken answer', async () => {
-  const at = await raw((sock) => sock.write('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n'));
+  const at = await raw((sock) =>
+    sock.write('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n'),
+  );
   expect((await ask(outlets(), at)).fault).toEqual({ tag: 'broken' });
 });
 
@@ -201,7 +223,7 @@
   }
 });
 
-test('the rest of a surplus answer that comes after the next request is nobody\'s answer', async () => {
+test("the rest of a surplus answer that comes after the next request is nobody's answer", async () => {
   let n = 0;
   const at = await raw((sock) => {
     n += 1;
@@ -221,14 +243,26 @@
     const conn = { sock, bytes: 0 };
     conns.push(conn);
     sock.on('error', () => undefined);
-    sock.on('data', (d) => { conn.bytes += d.length; });
+    sock.on('data', (d) => {
+      conn.bytes += d.length;
+    });
     sock.once('data', () => {
       sock.write(OK);
       if (conns.length === 1) sock.pause();
     });
   });
-  open.push({ close: () => { for (const c of conns) c.sock.destroy(); server.close(); } });
-  return { at: new Promise((done) => server.listen(0, '127.0.0.1', () => done(`127.0.0.1:${(server.address() as AddressInfo).port}`))), conns };
+  open.push({
+    close: () => {
+      for (const c of conns) c.sock.destroy();
+      server.close();
+    },
+  });
+  return {
+    at: new Promise((done) =>
+      server.listen(0, '127.0.0.1', () => done(`127.0.0.1:${(server.address() as AddressInfo).port}`)),
+    ),
+    conns,
+  };
 }
 
 test('while the body of an early answered request is due its connection serves nobody else, and then it does', async () => {
@@ -264,10 +298,12 @@
     sock.write(OK);
   });
   const o = outlets();
-  const fault = await new Promise((done) => o.send(
-    { address: at, method: 'POST', target: '/held', headers: () => null, body: Buffer.from('x'), connectMs: 500 },
-    { head: () => undefined, data: () => undefined, end: () => done(null), failed: done },
-  ));
+  const fault = await new Promise((done) =>
+    o.send(
+      { address: at, method: 'POST', target: '/held', headers: () => null, body: Buffer.from('x'), connectMs: 500 },
+      { head: () => undefined, data: () => undefined, end: () => done(null), failed: done },
+    ),
+  );
   expect(fault).toEqual({ tag: 'withheld' });
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
   expect([o.made(), heard.includes('/held')]).toEqual([1, false]);
@@ -290,10 +326,12 @@
     const sock = createConnection({ host, port: Number(port) });
     sock.write('GET / HTTP/1.0\r\nHost: h\r\n\r\n');
     sock.on('data', () => undefined);
-    ends.push(await new Promise((done) => {
-      sock.on('error', (e: { code?: string }) => done(e.code ?? ''));
-      sock.on('end', () => done(sock.remoteAddress === undefined ? 'ECONNRESET' : 'end'));
-    }));
+    ends.push(
+      await new Promise((done) => {
+        sock.on('error', (e: { code?: string }) => done(e.code ?? ''));
+        sock.on('end', () => done(sock.remoteAddress === undefined ? 'ECONNRESET' : 'end'));
+      }),
+    );
   }
   expect(ends).toEqual(['end', 'ECONNRESET']);
 });
--- a/src/transport/outlets.ts
+++ b/src/transport/outlets.ts
@@ -50,7 +50,8 @@
 
   function forgotten(restedMs: number): void {
     learnedMs = Math.max(LEARNED_LEAST_MS, Math.min(learnedMs, restedMs / 2));
-    for (const at of places.values()) for (const idle of [...at.idle]) if (clock.mono() - idle.from > learnedMs) idle.drop();
+    for (const at of places.values())
+      for (const idle of [...at.idle]) if (clock.mono() - idle.from > learnedMs) idle.drop();
   }
 
   function taken(at: Place): Idle | null {
@@ -61,7 +62,8 @@
       idle.sock.off('data', idle.drop);
       idle.sock.off('end', idle.drop);
       idle.sock.off('close', idle.drop);
-      if (idle.until > now && now - idle.from < learnedMs && !idle.sock.destroyed && idle.sock.readableLength === 0) return idle;
+      if (idle.until > now && now - idle.from < learnedMs && !idle.sock.destroyed && idle.sock.readableLength === 0)
+        return idle;
       idle.sock.destroy();
     }
   }
@@ -205,7 +207,13 @@
       }
       const headers = [...head, 'Connection', 'keep-alive'];
       if (what.body !== null) headers.push('Content-Length', String(what.body.length));
-      req = request({ method: what.method, path: what.target, headers: headers as unknown as Record<string, string>, createConnection: own, setHost: false });
+      req = request({
+        method: what.method,
+        path: what.target,
+        headers: headers as unknown as Record<string, string>,
+        createConnection: own,
+        setHost: false,
+      });
       req.shouldKeepAlive = true;
       // An answer without a length ends with its connection. When the last bytes and a reset arrive
       // together the runtime reports a plain end; only a reset connection has lost its peer by then.
--- a/src/transport/ring.test.ts
+++ b/src/transport/ring.test.ts
@@ -38,73 +38,82 @@
 }
 
 describe('ring', () => {
-  test.each([1, 2, 3, 4, 5, 6, 7, 8])('power lost at any point: all that was acknowledged reads back, in order (seed %i)', async (seed) => {
-    const world = createWorld(seed);
-    const platter = createPlatter();
-    const acked: number[] = [];
-    let next = 0;
-    for (let life = 0; life < 12; life += 1) {
-      const o = await opened(world, platter);
-      const log = readLog(o);
-      expect(log.slice(0, acked.length)).toEqual(acked);
-      expect(log).toEqual([...log.keys()]);
-      acked.splice(0, acked.length, ...log);
-      next = log.length;
-      const lives = 5 + Math.floor(world.rng.next() * 30);
-      for (let i = 0; i < lives; i += 1) {
-        if (o.ring.crowded()) {
-          const snap = Buffer.from(JSON.stringify({ base: 0, items: [...acked] }));
-          const compacting = o.ring.compact(snap);
-          if (i === lives - 1 && world.rng.next() < 0.5) break;
-          expect((await within(world, compacting)).ok).toBe(true);
-        }
-        const count = 1 + Math.floor(world.rng.next() * 3);
-        const batch = Array.from({ length: count }, (_, k) => next + k);
-        const writing = o.ring.append(batch.map((n) => Buffer.from(String(n))));
-        if (i === lives - 1) {
-          await world.advance(world.rng.next() * 1.2);
-          break;
+  test.each([1, 2, 3, 4, 5, 6, 7, 8])(
+    'power lost at any point: all that was acknowledged reads back, in order (seed %i)',
+    async (seed) => {
+      const world = createWorld(seed);
+      const platter = createPlatter();
+      const acked: number[] = [];
+      let next = 0;
+      for (let life = 0; life < 12; life += 1) {
+        const o = await opened(world, platter);
+        const log = readLog(o);
+        expect(log.slice(0, acked.length)).toEqual(acked);
+        expect(log).toEqual([...log.keys()]);
+        acked.splice(0, acked.length, ...log);
+        next = log.length;
+        const lives = 5 + Math.floor(world.rng.next() * 30);
+        for (let i = 0; i < lives; i += 1) {
+          if (o.ring.crowded()) {
+            const snap = Buffer.from(JSON.stringify({ base: 0, items: [...acked] }));
+            const compacting = o.ring.compact(snap);
+            if (i === lives - 1 && world.rng.next() < 0.5) break;
+            expect((await within(world, compacting)).ok).toBe(true);
+          }
+          const count = 1 + Math.floor(world.rng.next() * 3);
+          const batch = Array.from({ length: count }, (_, k) => next + k);
+          const writing = o.ring.append(batch.map((n) => Buffer.from(String(n))));
+          if (i === lives - 1) {
+            await world.advance(world.rng.next() * 1.2);
+            break;
+          }
+          expect((await within(world, writing)).ok).toBe(true);
+          acked.push(...batch);
+          next += count;
         }
-        expect((await within(world, writing)).ok).toBe(true);
-        acked.push(...batch);
-        next += count;
+        endLife(world, platter, true);
       }
-      endLife(world, platter, true);
-    }
-    expect(acked.length).toBeGreaterThan(50);
-  });
+      expect(acked.length).toBeGreaterThan(50);
+    },
+  );
 
-  test.each([...Array(40).keys()])('a process killed at any point, then power lost at any point of the next: all that was read back stays (seed %i)', async (seed) => {
-    const world = createWorld(500 + seed);
-    const platter = createPlatter();
-    let readBack: number[] = [];
-    for (let life = 0; life < 12; life += 1) {
-      const o = await opened(world, platter);
-      const log = readLog(o);
-      expect(log).toEqual([...log.keys()]);
-      expect(log.slice(0, readBack.length)).toEqual(readBack);
-      readBack = log;
-      const writes = Math.floor(world.rng.next() * 12);
-      for (let i = 0; i <= writes; i += 1) {
-        const items = readBack.length;
-        const compacts = o.ring.crowded();
-        const work = compacts ? o.ring.compact(Buffer.from(JSON.stringify({ base: 0, items: readBack }))) : o.ring.append([Buffer.from(String(items)), Buffer.from(String(items + 1))]);
-        if (i === writes) {
-          await world.advance(world.rng.next() * 1.2);
-          break;
+  test.each([...Array(40).keys()])(
+    'a process killed at any point, then power lost at any point of the next: all that was read back stays (seed %i)',
+    async (seed) => {
+      const world = createWorld(500 + seed);
+      const platter = createPlatter();
+      let readBack: number[] = [];
+      for (let life = 0; life < 12; life += 1) {
+        const o = await opened(world, platter);
+        const log = readLog(o);
+        expect(log).toEqual([...log.keys()]);
+        expect(log.slice(0, readBack.length)).toEqual(readBack);
+        readBack = log;
+        const writes = Math.floor(world.rng.next() * 12);
+        for (let i = 0; i <= writes; i += 1) {
+          const items = readBack.length;
+          const compacts = o.ring.crowded();
+          const work = compacts
+            ? o.ring.compact(Buffer.from(JSON.stringify({ base: 0, items: readBack })))
+            : o.ring.append([Buffer.from(String(items)), Buffer.from(String(items + 1))]);
+          if (i === writes) {
+            await world.advance(world.rng.next() * 1.2);
+            break;
+          }
+          expect((await within(world, work)).ok).toBe(true);
+          if (!compacts) readBack = [...readBack, items, items + 1];
         }
-        expect((await within(world, work)).ok).toBe(true);
-        if (!compacts) readBack = [...readBack, items, items + 1];
+        endLife(world, platter, world.rng.next() < 0.5);
       }
-      endLife(world, platter, world.rng.next() < 0.5);
-    }
-  });
+    },
+  );
 
   test('damage in the middle is told, never read over; a torn tail is cut', async () => {
     const world = createWorld(9);
     const platter = createPlatter();
     const o = await opened(world, platter);
-    for (let n = 0; n < 12; n += 1) expect((await within(world, o.ring.append([Buffer.from(String(n))]))).ok).toBe(true);
+    for (let n = 0; n < 12; n += 1)
+      expect((await within(world, o.ring.append([Buffer.from(String(n))]))).ok).toBe(true);
     const file = platter.files.get('r-0');
     const whole = Buffer.from(file?.current as Buffer);
     (file as { current: Buffer }).current[31 + 28] = 0xff;
--- a/src/transport/ring.ts
+++ b/src/transport/ring.ts
@@ -59,7 +59,15 @@
   const payload = buf.subarray(at + HEAD, next);
   if (crc32(payload, crc32(buf.subarray(at + 4, at + 24))) !== buf.readUInt32BE(at + 24)) return null;
   const seq = buf.readUIntBE(at + 14, 6);
-  return { file, at, next, gen: buf.readUIntBE(at + 8, 6), seq, batchStart: seq - buf.readUInt32BE(at + 20), payload: Buffer.from(payload) };
+  return {
+    file,
+    at,
+    next,
+    gen: buf.readUIntBE(at + 8, 6),
+    seq,
+    batchStart: seq - buf.readUInt32BE(at + 20),
+    payload: Buffer.from(payload),
+  };
 }
 
 function recordsIn(buf: Buffer, file: number, covers: number): Found[] {
--- a/src/transport/switch-file.ts
+++ b/src/transport/switch-file.ts
@@ -2,7 +2,10 @@
 import { isTable } from '../base/is-table.js';
 import { parsedJson } from '../base/parsed-json.js';
 
-export type Switches = { readonly isCut: (from: string, to: string) => boolean; readonly isFull: (node: string) => boolean };
+export type Switches = {
+  readonly isCut: (from: string, to: string) => boolean;
+  readonly isFull: (node: string) => boolean;
+};
 
 const LOOK_MS = 100;
 
--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -12,7 +12,11 @@
   | { readonly tag: 'addressInUse'; readonly address: Address }
   | { readonly tag: 'badAddress'; readonly address: Address };
 
-export type ConnEvents = { readonly frame: (body: unknown) => void; readonly closed: () => void; readonly heard?: () => void };
+export type ConnEvents = {
+  readonly frame: (body: unknown) => void;
+  readonly closed: () => void;
+  readonly heard?: () => void;
+};
 
 export type Conn = {
   readonly peer: Address;
--- a/tools/bench.mjs
+++ b/tools/bench.mjs
@@ -23,7 +23,12 @@
 
 function journals() {
   const folder = join(FOLDER, 'journals');
-  return readdirSync(folder).flatMap((f) => readFileSync(join(folder, f), 'utf8').split('\n').filter(Boolean).map((l) => JSON.parse(l)));
+  return readdirSync(folder).flatMap((f) =>
+    readFileSync(join(folder, f), 'utf8')
+      .split('\n')
+      .filter(Boolean)
+      .map((l) => JSON.parse(l)),
+  );
 }
 
 async function claimCost(state, shape) {
@@ -32,7 +37,13 @@
   for (let i = 0; i < 40; i += 1) {
     for (const kind of i % 2 === 0 ? ['once', 'again'] : ['again', 'once']) {
       const from = performance.now();
-      const got = await flume.send({ model: shape.fixed.model, parts: [{ hash: `p${i}${kind}`, tokens: 8 }], outputTokens: 8, repeatable: kind === 'again', key: `bench-${i}-${Date.now()}` });
+      const got = await flume.send({
+        model: shape.fixed.model,
+        parts: [{ hash: `p${i}${kind}`, tokens: 8 }],
+        outputTokens: 8,
+        repeatable: kind === 'again',
+        key: `bench-${i}-${Date.now()}`,
+      });
       if (got.ok) took[kind].push(performance.now() - from);
     }
   }
@@ -45,7 +56,11 @@
   for (let i = 0; i < 5; i += 1) {
     const { epoch } = await (await fetch(`http://${core}/v1/configuration`)).json();
     const from = performance.now();
-    const res = await fetch(`http://${core}/v1/configuration/amend`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify({ base: epoch, changes: [{ path: ['deployment', 'lineLimit'], value: 64 + i }] }) });
+    const res = await fetch(`http://${core}/v1/configuration/amend`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ base: epoch, changes: [{ path: ['deployment', 'lineLimit'], value: 64 + i }] }),
+    });
     if (res.status === 200) took.push(performance.now() - from);
   }
   return quantile(took, 0.5);
@@ -71,12 +86,15 @@
 onLeave(() => (up ? stopFleet(FOLDER) : null));
 const runs = { with: [], without: [] };
 for (let i = 0; i < Number(runsText); i += 1) {
-  for (const kind of i % 2 === 0 ? ['with', 'without'] : ['without', 'with']) runs[kind].push(await one(kind === 'with' ? null : 'prefix'));
+  for (const kind of i % 2 === 0 ? ['with', 'without'] : ['without', 'with'])
+    runs[kind].push(await one(kind === 'with' ? null : 'prefix'));
 }
 function row(name, key, of = 'with') {
   process.stdout.write(`${name.padEnd(52)} ${spread(runs[of].map((r) => r[key]))}\n`);
 }
-process.stdout.write(`${shapeName}, ${runsText} runs of ${secondsText} s, ${rate}/s and zone; minimum / median / maximum\n`);
+process.stdout.write(
+  `${shapeName}, ${runsText} runs of ${secondsText} s, ${rate}/s and zone; minimum / median / maximum\n`,
+);
 row('requests', 'asked');
 row('success share', 'success');
 row('shed share', 'shed');
@@ -92,8 +110,12 @@
 row('time to first piece p50 without it, ms', 'firstP50', 'without');
 row('time to first piece p99 without it, ms', 'firstP99', 'without');
 row('change in force (acknowledged), ms', 'inForce');
-process.stdout.write(`${'run-once claim: p50 against the same, repeatable'.padEnd(52)} ${spread(runs.with.map((r) => r.claimOnce / r.claimAgain))}\n`);
-process.stdout.write(`${'run-once claim: p50 more, ms'.padEnd(52)} ${spread(runs.with.map((r) => r.claimOnce - r.claimAgain))}\n`);
+process.stdout.write(
+  `${'run-once claim: p50 against the same, repeatable'.padEnd(52)} ${spread(runs.with.map((r) => r.claimOnce / r.claimAgain))}\n`,
+);
+process.stdout.write(
+  `${'run-once claim: p50 more, ms'.padEnd(52)} ${spread(runs.with.map((r) => r.claimOnce - r.claimAgain))}\n`,
+);
 for (const name of ['allPowerLost', 'holderLost', 'diskLost', 'regionIsolated', 'reclaimedMidStream']) {
   const ends = [];
   for (let seed = 1; seed <= Number(runsText); seed += 1) ends.push(await playScenario(name, seed));
--- a/tools/capacity.mjs
+++ b/tools/capacity.mjs
@@ -24,7 +24,12 @@
 };
 
 const RUN_ARGS = {
-  ...Object.fromEntries(Object.entries(NUMBERS).map(([name, d]) => [name, { type: 'string', default: d.default, description: `${d.description} (${d.least} to ${d.most})` }])),
+  ...Object.fromEntries(
+    Object.entries(NUMBERS).map(([name, d]) => [
+      name,
+      { type: 'string', default: d.default, description: `${d.description} (${d.least} to ${d.most})` },
+    ]),
+  ),
   zoneLoss: { type: 'boolean', default: false, description: 'End with the loss of a whole zone' },
   wholeProbes: { type: 'boolean', default: false, description: "Ask workers' fitness over real conns too" },
   profile: { type: 'boolean', default: false, description: 'Sample where processor time goes, by duty' },
@@ -42,14 +47,21 @@
 function checked(rawArgs, args, known) {
   for (const raw of rawArgs) {
     if (!raw.startsWith('-')) continue;
-    const name = raw.replace(/^--?(no-)?/, '').split('=')[0].replace(/-([a-z])/g, (_, c) => c.toUpperCase());
-    if (!Object.hasOwn(known, name) && name !== 'help' && name !== 'h') refuse(`flag --${name}: expected one of ${Object.keys(known).join(', ')}`);
+    const name = raw
+      .replace(/^--?(no-)?/, '')
+      .split('=')[0]
+      .replace(/-([a-z])/g, (_, c) => c.toUpperCase());
+    if (!Object.hasOwn(known, name) && name !== 'help' && name !== 'h')
+      refuse(`flag --${name}: expected one of ${Object.keys(known).join(', ')}`);
   }
   const out = { ...args };
   for (const [name, d] of Object.entries(NUMBERS)) {
     if (!Object.hasOwn(known, name)) continue;
     const n = Number(args[name]);
-    if (!Number.isInteger(n) || n < d.least || n > d.most) refuse(`flag --${name}: expected a whole number from ${d.least} to ${d.most}; found ${JSON.stringify(args[name])}`);
+    if (!Number.isInteger(n) || n < d.least || n > d.most)
+      refuse(
+        `flag --${name}: expected a whole number from ${d.least} to ${d.most}; found ${JSON.stringify(args[name])}`,
+      );
     out[name] = n;
   }
   return out;
@@ -62,22 +74,51 @@
 }
 
 function tableOf(record) {
-  const lines = ['| role | count | processor ms/s | RSS MB a process | conns | messages/s | bytes/s | in zone | between zones | between regions |', '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'];
+  const lines = [
+    '| role | count | processor ms/s | RSS MB a process | conns | messages/s | bytes/s | in zone | between zones | between regions |',
+    '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+  ];
   for (const role of ['sluice', 'headgate', 'outside']) {
     const r = record.quiet.roles[role];
     if (!r) continue;
-    const by = (key) => Object.values(r.duties).reduce((n, d) => n + d[key], 0).toFixed(0);
+    const by = (key) =>
+      Object.values(r.duties)
+        .reduce((n, d) => n + d[key], 0)
+        .toFixed(0);
     const rss = r.rss.map((p) => p.rss / 1e6);
-    lines.push(`| ${role} | ${r.count} | ${r.cpuMsS.toFixed(2)} | ${Math.min(...rss).toFixed(0)} to ${Math.max(...rss).toFixed(0)} | ${r.conns.toFixed(0)} | ${r.messagesS.toFixed(1)} | ${r.bytesS.toFixed(0)} | ${by('inZone')} | ${by('betweenZones')} | ${by('betweenRegions')} |`);
+    lines.push(
+      `| ${role} | ${r.count} | ${r.cpuMsS.toFixed(2)} | ${Math.min(...rss).toFixed(0)} to ${Math.max(...rss).toFixed(0)} | ${r.conns.toFixed(0)} | ${r.messagesS.toFixed(1)} | ${r.bytesS.toFixed(0)} | ${by('inZone')} | ${by('betweenZones')} | ${by('betweenRegions')} |`,
+    );
   }
-  lines.push('', '| role | duty | messages/s | bytes/s | sent | received | between regions |', '| --- | --- | --- | --- | --- | --- | --- |');
+  lines.push(
+    '',
+    '| role | duty | messages/s | bytes/s | sent | received | between regions |',
+    '| --- | --- | --- | --- | --- | --- | --- |',
+  );
   for (const role of ['sluice', 'headgate']) {
-    for (const [duty, d] of Object.entries(record.quiet.roles[role]?.duties ?? {}).sort((a, b) => b[1].bytes - a[1].bytes)) lines.push(`| ${role} | ${duty} | ${d.messages.toFixed(2)} | ${d.bytes.toFixed(0)} | ${d.sent.toFixed(0)} | ${d.received.toFixed(0)} | ${d.betweenRegions.toFixed(0)} |`);
+    for (const [duty, d] of Object.entries(record.quiet.roles[role]?.duties ?? {}).sort(
+      (a, b) => b[1].bytes - a[1].bytes,
+    ))
+      lines.push(
+        `| ${role} | ${duty} | ${d.messages.toFixed(2)} | ${d.bytes.toFixed(0)} | ${d.sent.toFixed(0)} | ${d.received.toFixed(0)} | ${d.betweenRegions.toFixed(0)} |`,
+      );
   }
   const ms = (xs) => xs.map((c) => c.inForceMs ?? 'not seen').join(' ');
-  lines.push('', `changes in force after ms: ${ms(record.changes)}; in a burst of ${record.burst.length} (${record.burstS.toFixed(1)} s): ${ms(record.burst)}`);
-  if (record.lost) lines.push(`zone lost (${record.lost.sluices} sluices, ${record.lost.headgates} headgates): change answered ${record.lost.change.status}, in force after ${record.lost.change.inForceMs} ms; all known as dead after ${record.lost.allDeadS?.toFixed(1) ?? 'more than 30'} s`);
-  if (record.shares) for (const [role, s] of Object.entries(record.shares)) lines.push(`processor ms/s by duty, ${role}: ${Object.entries(s).map(([d, t]) => `${d} ${t}`).join(', ')}`);
+  lines.push(
+    '',
+    `changes in force after ms: ${ms(record.changes)}; in a burst of ${record.burst.length} (${record.burstS.toFixed(1)} s): ${ms(record.burst)}`,
+  );
+  if (record.lost)
+    lines.push(
+      `zone lost (${record.lost.sluices} sluices, ${record.lost.headgates} headgates): change answered ${record.lost.change.status}, in force after ${record.lost.change.inForceMs} ms; all known as dead after ${record.lost.allDeadS?.toFixed(1) ?? 'more than 30'} s`,
+    );
+  if (record.shares)
+    for (const [role, s] of Object.entries(record.shares))
+      lines.push(
+        `processor ms/s by duty, ${role}: ${Object.entries(s)
+          .map(([d, t]) => `${d} ${t}`)
+          .join(', ')}`,
+      );
   return lines.join('\n');
 }
 
@@ -86,7 +127,8 @@
   const dist = resolve(ROOT, a.dist);
   const bin = join(dist, 'programs/main.js');
   if (!existsSync(bin)) refuse(`flag --dist: expected a built program; found none at ${bin} (npm run build)`);
-  if (a.port + 2 + 2 * a.headgates + 2 * a.nodes + a.workers > 32_000) refuse('flag --port: the ports would reach those that the system gives out (from 32768)');
+  if (a.port + 2 + 2 * a.headgates + 2 * a.nodes + a.workers > 32_000)
+    refuse('flag --port: the ports would reach those that the system gives out (from 32768)');
   const out = resolve(ROOT, a.out);
   mkdirSync(out, { recursive: true });
   for (let i = 1; i <= a.repeats; i += 1) {
@@ -95,7 +137,16 @@
     const before = loadavg()[0];
     const began = new Date().toISOString();
     const record = await runOnce({ ...a, bin, folder }, (text) => process.stderr.write(`${text}\n`));
-    const whole = { name: `${name}-${i}`, began, commit: commitOf(dist), node: process.version, cores: availableParallelism(), loadBefore: before, loadAfter: loadavg()[0], ...record };
+    const whole = {
+      name: `${name}-${i}`,
+      began,
+      commit: commitOf(dist),
+      node: process.version,
+      cores: availableParallelism(),
+      loadBefore: before,
+      loadAfter: loadavg()[0],
+      ...record,
+    };
     writeFileSync(join(out, `capacity-${name}-${i}.json`), `${JSON.stringify(whole)}\n`);
     process.stdout.write(a.json ? `${JSON.stringify(whole)}\n` : `${name}, run ${i}\n\n${tableOf(whole)}\n\n`);
   }
@@ -107,13 +158,18 @@
   only: { type: 'string', default: 'after', description: 'Start of the names of the records taken' },
   json: { type: 'boolean', default: false, description: 'Print as JSON' },
 };
-const PLOT_ARGS = { runs: READ_ARGS.runs, out: { type: 'string', default: 'docs/plots', description: 'Folder that the plots are written to' } };
+const PLOT_ARGS = {
+  runs: READ_ARGS.runs,
+  out: { type: 'string', default: 'docs/plots', description: 'Folder that the plots are written to' },
+};
 
 async function recordsIn(folder, only) {
   const { records } = await import('./capacity/plots.mjs');
-  if (!existsSync(resolve(ROOT, folder))) refuse(`flag --runs: expected a folder with records; found ${JSON.stringify(folder)}`);
+  if (!existsSync(resolve(ROOT, folder)))
+    refuse(`flag --runs: expected a folder with records; found ${JSON.stringify(folder)}`);
   const all = records(resolve(ROOT, folder)).filter((r) => r.name.startsWith(only));
-  if (all.length === 0) refuse(`flag --runs: expected records named ${only}...; found none in ${JSON.stringify(folder)}`);
+  if (all.length === 0)
+    refuse(`flag --runs: expected records named ${only}...; found none in ${JSON.stringify(folder)}`);
   return all;
 }
 
@@ -126,15 +182,30 @@
 async function drawPlots(ctx) {
   const a = checked(ctx.rawArgs, ctx.args, PLOT_ARGS);
   const { plot } = await import('./capacity/plots.mjs');
-  for (const name of await plot(await recordsIn(a.runs, ''), resolve(ROOT, a.out))) process.stdout.write(`${a.out}/${name}.svg\n`);
+  for (const name of await plot(await recordsIn(a.runs, ''), resolve(ROOT, a.out)))
+    process.stdout.write(`${a.out}/${name}.svg\n`);
 }
 
 const main = defineCommand({
-  meta: { name: 'capacity', description: 'What control costs at a size: hollow sluices and workers against real headgates on loopback' },
+  meta: {
+    name: 'capacity',
+    description: 'What control costs at a size: hollow sluices and workers against real headgates on loopback',
+  },
   subCommands: {
     run: defineCommand({ meta: { name: 'run', description: 'One or more measured runs' }, args: RUN_ARGS, run }),
-    slopes: defineCommand({ meta: { name: 'slopes', description: 'Straight lines through the recorded runs, and what they give at the design size' }, args: READ_ARGS, run: tellSlopes }),
-    plots: defineCommand({ meta: { name: 'plots', description: 'Draws the plots of docs/CAPACITY.md from the recorded runs' }, args: PLOT_ARGS, run: drawPlots }),
+    slopes: defineCommand({
+      meta: {
+        name: 'slopes',
+        description: 'Straight lines through the recorded runs, and what they give at the design size',
+      },
+      args: READ_ARGS,
+      run: tellSlopes,
+    }),
+    plots: defineCommand({
+      meta: { name: 'plots', description: 'Draws the plots of docs/CAPACITY.md from the recorded runs' },
+      args: PLOT_ARGS,
+      run: drawPlots,
+    }),
   },
 });
 
@@ -143,5 +214,6 @@
   process.exit(2);
 }
 const verbs = Object.keys(main.subCommands);
-if (!process.argv[2].startsWith('-') && !verbs.includes(process.argv[2])) refuse(`command: expected one of ${verbs.join(', ')}; found ${JSON.stringify(process.argv[2])}`);
+if (!process.argv[2].startsWith('-') && !verbs.includes(process.argv[2]))
+  refuse(`command: expected one of ${verbs.join(', ')}; found ${JSON.stringify(process.argv[2])}`);
 runMain(main);
--- a/tools/capacity/children.mjs
+++ b/tools/capacity/children.mjs
@@ -14,7 +14,15 @@
   function start(child) {
     if (running.size >= PROCESSES_LIMIT) throw new Error(`more than ${PROCESSES_LIMIT} processes`);
     const out = openSync(join(folder, `${child.name}.log`), 'a');
-    const flags = profile ? ['--cpu-prof', `--cpu-prof-dir=${folder}`, `--cpu-prof-name=${child.name}.cpuprofile`, '--cpu-prof-interval', '1000'] : [];
+    const flags = profile
+      ? [
+          '--cpu-prof',
+          `--cpu-prof-dir=${folder}`,
+          `--cpu-prof-name=${child.name}.cpuprofile`,
+          '--cpu-prof-interval',
+          '1000',
+        ]
+      : [];
     const small = child.role === 'headgate' ? [] : ['--max-old-space-size=320', '--max-semi-space-size=8'];
     const proc = spawn(process.execPath, [...flags, ...small, bin, ...child.args], { stdio: ['pipe', out, out] });
     proc.stdin.on('error', () => {});
@@ -60,10 +68,17 @@
 
 export function procOf(pid) {
   try {
-    const stat = readFileSync(`/proc/${pid}/stat`, 'utf8').replace(/^.*\) /, '').split(' ');
+    const stat = readFileSync(`/proc/${pid}/stat`, 'utf8')
+      .replace(/^.*\) /, '')
+      .split(' ');
     const status = readFileSync(`/proc/${pid}/status`, 'utf8');
     const kb = (key) => Number(new RegExp(`^${key}:\\s+(\\d+)`, 'm').exec(status)?.[1] ?? 0) * 1024;
-    return { cpuS: (Number(stat[11]) + Number(stat[12])) / TICKS_A_SECOND, rss: kb('VmRSS'), own: kb('RssAnon'), peak: kb('VmHWM') };
+    return {
+      cpuS: (Number(stat[11]) + Number(stat[12])) / TICKS_A_SECOND,
+      rss: kb('VmRSS'),
+      own: kb('RssAnon'),
+      peak: kb('VmHWM'),
+    };
   } catch {
     return null;
   }
--- a/tools/capacity/figures.mjs
+++ b/tools/capacity/figures.mjs
@@ -4,7 +4,24 @@
   reporting: ['reports', 'reportsAsk', 'outlived', 'usage', 'usages', 'crowd'],
   counts: ['counts'],
   leases: ['leaseAsk', 'leaseAnswer', 'leaseDrop'],
-  ledger: ['prepare', 'accept', 'promised', 'accepted', 'outbid', 'alreadyChosen', 'cannotVote', 'learned', 'standingAsk', 'standing', 'fetch', 'fetched', 'found', 'foundAnswer', 'rejoin', 'done'],
+  ledger: [
+    'prepare',
+    'accept',
+    'promised',
+    'accepted',
+    'outbid',
+    'alreadyChosen',
+    'cannotVote',
+    'learned',
+    'standingAsk',
+    'standing',
+    'fetch',
+    'fetched',
+    'found',
+    'foundAnswer',
+    'rejoin',
+    'done',
+  ],
   claims: ['claim', 'claimAnswer', 'claimEnds', 'claimsAsk', 'claimsPage'],
   list: ['listAsk', 'listTold', 'GET:/v1/workers'],
   workers: ['GET:/v1/fitness'],
@@ -46,7 +63,12 @@
     if (!was?.proc || !now.proc) continue;
     counts[now.role] = (counts[now.role] ?? 0) + now.count;
     rss[now.role] ??= [];
-    rss[now.role].push({ rss: now.proc.rss, heap: now.tally?.heapUsed ?? null, count: now.count, cpuMsS: Number(((1000 * (now.proc.cpuS - was.proc.cpuS)) / s).toFixed(2)) });
+    rss[now.role].push({
+      rss: now.proc.rss,
+      heap: now.tally?.heapUsed ?? null,
+      count: now.count,
+      cpuMsS: Number(((1000 * (now.proc.cpuS - was.proc.cpuS)) / s).toFixed(2)),
+    });
     roles[now.role] ??= { cpuS: 0, procs: [] };
     roles[now.role].cpuS += now.proc.cpuS - was.proc.cpuS;
     roles[now.role].procs.push(Number(((1000 * (now.proc.cpuS - was.proc.cpuS)) / s / now.count).toFixed(3)));
@@ -59,7 +81,10 @@
         continue;
       }
       if (d.n === 0) continue;
-      for (const [role, sends] of [[own, way === 'out'], [peer, way === 'in']]) {
+      for (const [role, sends] of [
+        [own, way === 'out'],
+        [peer, way === 'in'],
+      ]) {
         const name = `${role} ${kind}`;
         kinds[name] ??= [0, 0];
         kinds[name][0] += d.n / span;
@@ -74,7 +99,8 @@
   }
   for (const [role, table] of Object.entries(duties)) {
     const n = counts[role] ?? 1;
-    for (const row of Object.values(table)) for (const key of Object.keys(row)) row[key] = Number((row[key] / n).toFixed(3));
+    for (const row of Object.values(table))
+      for (const key of Object.keys(row)) row[key] = Number((row[key] / n).toFixed(3));
     roles[role] ??= { cpuS: 0, procs: [] };
   }
   const out = {};
@@ -82,9 +108,20 @@
     const n = counts[role] ?? 1;
     const table = duties[role] ?? {};
     const sum = (key) => Object.values(table).reduce((x, row) => x + row[key], 0);
-    out[role] = { count: counts[role] ?? null, cpuMsS: (1000 * r.cpuS) / s / n, procs: r.procs, messagesS: sum('messages'), bytesS: sum('bytes'), conns: (conns[role] ?? 0) / n, dialsS: (dialled[role] ?? 0) / n, rss: rss[role] ?? [], duties: table };
+    out[role] = {
+      count: counts[role] ?? null,
+      cpuMsS: (1000 * r.cpuS) / s / n,
+      procs: r.procs,
+      messagesS: sum('messages'),
+      bytesS: sum('bytes'),
+      conns: (conns[role] ?? 0) / n,
+      dialsS: (dialled[role] ?? 0) / n,
+      rss: rss[role] ?? [],
+      duties: table,
+    };
   }
-  for (const [name, row] of Object.entries(kinds)) kinds[name] = row.map((x) => Number((x / (counts[name.split(' ')[0]] ?? 1)).toFixed(3)));
+  for (const [name, row] of Object.entries(kinds))
+    kinds[name] = row.map((x) => Number((x / (counts[name.split(' ')[0]] ?? 1)).toFixed(3)));
   return { kinds, seconds: Number(s.toFixed(2)), fromNs: a.ns, toNs: b.ns, roles: out };
 }
 
--- a/tools/capacity/plan.mjs
+++ b/tools/capacity/plan.mjs
@@ -8,7 +8,8 @@
 
 function zonesOf() {
   const out = [];
-  for (let z = 0; z < ZONES_A_REGION; z += 1) for (let r = 1; r <= REGIONS; r += 1) out.push({ zone: `r${r}-${'ab'[z]}`, region: `r${r}` });
+  for (let z = 0; z < ZONES_A_REGION; z += 1)
+    for (let r = 1; r <= REGIONS; r += 1) out.push({ zone: `r${r}-${'ab'[z]}`, region: `r${r}` });
   return out;
 }
 
@@ -17,7 +18,8 @@
   const target = Math.max(1, Math.floor((workers * 0.9) / MODELS));
   for (let i = 1; i <= MODELS; i += 1) models[`model-${i}`] = { minTarget: target, maxTarget: target + 2 };
   const mappings = {};
-  for (let i = 1; i <= tenants; i += 1) mappings[`tenant-${i}`] = { model: `model-${1 + (i % MODELS)}`, kind: `kind-${i % 7}` };
+  for (let i = 1; i <= tenants; i += 1)
+    mappings[`tenant-${i}`] = { model: `model-${1 + (i % MODELS)}`, kind: `kind-${i % 7}` };
   const zoneTable = Object.fromEntries(zones.map((z) => [z.zone, { region: z.region }]));
   return { zones: zoneTable, deployment: { nExtra: 0 }, regions: { r1: { models } }, mappings };
 }
@@ -45,7 +47,15 @@
   const parts = zones.map((at) => ({ at, sluices: [] }));
   for (let i = 0; i < nodes; i += 1) {
     const { at, sluices } = parts[i % parts.length];
-    sluices.push({ name: `sluice-${at.zone}-${sluices.length + 1}`, ...at, listen: address('sluice', at), http: address('sluice', at), seeds, platform, cloud });
+    sluices.push({
+      name: `sluice-${at.zone}-${sluices.length + 1}`,
+      ...at,
+      listen: address('sluice', at),
+      http: address('sluice', at),
+      seeds,
+      platform,
+      cloud,
+    });
   }
   const machines = [];
   for (let i = 0; i < workers; i += 1) {
@@ -64,17 +74,67 @@
   }
   const prices = Object.fromEntries(zones.map((z, i) => [z.zone, { spot: 1 + i / 50, onDemand: 3 + i / 50 }]));
   const children = [];
-  children.push({ name: 'outside', role: 'outside', at: outsideAt, count: 1, tally: tally('outside').file, args: ['basin', 'hollow', '--plan', written('outside', { tally: tally('outside'), wholeProbes, sluices: [], outside: { platform, cloud, prices, workers: machines } })] });
+  children.push({
+    name: 'outside',
+    role: 'outside',
+    at: outsideAt,
+    count: 1,
+    tally: tally('outside').file,
+    args: [
+      'basin',
+      'hollow',
+      '--plan',
+      written('outside', {
+        tally: tally('outside'),
+        wholeProbes,
+        sluices: [],
+        outside: { platform, cloud, prices, workers: machines },
+      }),
+    ],
+  });
   for (const h of heads) {
-    const settings = { ...h, seeds, platform, cloud, dataFolder: join(folder, h.name), logLevel: 'warn', lab: { zones: {}, delayMs: {}, tally: tally(h.name) } };
-    children.push({ name: h.name, role: 'headgate', at: h, count: 1, tally: tally(h.name).file, args: ['headgate', '--settings', written(h.name, settings)] });
+    const settings = {
+      ...h,
+      seeds,
+      platform,
+      cloud,
+      dataFolder: join(folder, h.name),
+      logLevel: 'warn',
+      lab: { zones: {}, delayMs: {}, tally: tally(h.name) },
+    };
+    children.push({
+      name: h.name,
+      role: 'headgate',
+      at: h,
+      count: 1,
+      tally: tally(h.name).file,
+      args: ['headgate', '--settings', written(h.name, settings)],
+    });
   }
   const hollow = [];
   for (const p of parts) {
     if (p.sluices.length === 0) continue;
     const name = `sluices-${p.at.zone}`;
-    hollow.push({ name, role: 'sluice', at: p.at, count: p.sluices.length, tally: tally(name).file, args: ['basin', 'hollow', '--plan', written(name, { tally: tally(name), wholeProbes, sluices: p.sluices })] });
+    hollow.push({
+      name,
+      role: 'sluice',
+      at: p.at,
+      count: p.sluices.length,
+      tally: tally(name).file,
+      args: ['basin', 'hollow', '--plan', written(name, { tally: tally(name), wholeProbes, sluices: p.sluices })],
+    });
   }
   const ordered = Math.floor(0.97 * MODELS * Math.max(1, Math.floor((workers * 0.9) / MODELS)));
-  return { folder, ordered, zones, heads, seeds, children, hollow, platform, cloud, configuration: configurationOf(zones, workers, tenants) };
+  return {
+    folder,
+    ordered,
+    zones,
+    heads,
+    seeds,
+    children,
+    hollow,
+    platform,
+    cloud,
+    configuration: configurationOf(zones, workers, tenants),
+  };
 }
--- a/tools/capacity/plots.mjs
+++ b/tools/capacity/plots.mjs
@@ -5,7 +5,8 @@
 
 export function records(folder) {
   const out = [];
-  for (const file of readdirSync(folder).sort()) if (/^capacity-.*\.json$/.test(file)) out.push({ file, ...JSON.parse(readFileSync(join(folder, file), 'utf8')) });
+  for (const file of readdirSync(folder).sort())
+    if (/^capacity-.*\.json$/.test(file)) out.push({ file, ...JSON.parse(readFileSync(join(folder, file), 'utf8')) });
   return out;
 }
 
@@ -39,14 +40,66 @@
 const CONTROL = ['probing', 'following', 'reporting', 'counts'];
 
 export const PLOTS = {
-  'sluice-bytes': { title: 'A sluice: bytes a second for probing, following, reporting and counts', x: 'nodes', y: 'bytes a second', of: (all) => points(all, nodes, (r) => bytesOf(r, 'sluice', CONTROL)), limit: 5_000 },
-  'sluice-duties': { title: 'A sluice now: bytes a second by duty', x: 'nodes', y: 'bytes a second', of: (all) => series(all.filter((r) => which(r) === 'now'), nodes, Object.fromEntries([...CONTROL, 'list', 'workers'].map((d) => [d, (r) => bytesOf(r, 'sluice', [d])]))) },
-  'sluice-processor': { title: 'A sluice: processor time', x: 'nodes', y: 'ms a second', of: (all) => points(all, nodes, (r) => role(r, 'sluice').cpuMsS), limit: 10 },
-  'sluice-list': { title: "A sluice: bytes a second for reading the platform's list itself", x: 'workers', y: 'bytes a second', of: (all) => points(all, workers, (r) => bytesOf(r, 'sluice', ['list'])) },
-  'headgate-bytes': { title: 'A headgate: bytes a second', x: 'nodes', y: 'bytes a second', of: (all) => points(all, nodes, (r) => role(r, 'headgate').bytesS) },
-  'headgate-processor': { title: 'A headgate: processor time', x: 'nodes', y: 'ms a second', of: (all) => points(all, nodes, (r) => role(r, 'headgate').cpuMsS) },
-  'headgate-memory': { title: 'A headgate: memory resident', x: 'nodes', y: 'MB', of: (all) => points(all, nodes, (r) => memoryOf(r, 'headgate')) },
-  'in-force': { title: 'A change one by one, until in force everywhere', x: 'nodes', y: 'ms', of: (all) => all.flatMap((r) => r.changes.filter((c) => c.inForceMs !== null).map((c) => ({ x: nodes(r), y: c.inForceMs, run: which(r) }))), limit: 8_000, log: true },
+  'sluice-bytes': {
+    title: 'A sluice: bytes a second for probing, following, reporting and counts',
+    x: 'nodes',
+    y: 'bytes a second',
+    of: (all) => points(all, nodes, (r) => bytesOf(r, 'sluice', CONTROL)),
+    limit: 5_000,
+  },
+  'sluice-duties': {
+    title: 'A sluice now: bytes a second by duty',
+    x: 'nodes',
+    y: 'bytes a second',
+    of: (all) =>
+      series(
+        all.filter((r) => which(r) === 'now'),
+        nodes,
+        Object.fromEntries([...CONTROL, 'list', 'workers'].map((d) => [d, (r) => bytesOf(r, 'sluice', [d])])),
+      ),
+  },
+  'sluice-processor': {
+    title: 'A sluice: processor time',
+    x: 'nodes',
+    y: 'ms a second',
+    of: (all) => points(all, nodes, (r) => role(r, 'sluice').cpuMsS),
+    limit: 10,
+  },
+  'sluice-list': {
+    title: "A sluice: bytes a second for reading the platform's list itself",
+    x: 'workers',
+    y: 'bytes a second',
+    of: (all) => points(all, workers, (r) => bytesOf(r, 'sluice', ['list'])),
+  },
+  'headgate-bytes': {
+    title: 'A headgate: bytes a second',
+    x: 'nodes',
+    y: 'bytes a second',
+    of: (all) => points(all, nodes, (r) => role(r, 'headgate').bytesS),
+  },
+  'headgate-processor': {
+    title: 'A headgate: processor time',
+    x: 'nodes',
+    y: 'ms a second',
+    of: (all) => points(all, nodes, (r) => role(r, 'headgate').cpuMsS),
+  },
+  'headgate-memory': {
+    title: 'A headgate: memory resident',
+    x: 'nodes',
+    y: 'MB',
+    of: (all) => points(all, nodes, (r) => memoryOf(r, 'headgate')),
+  },
+  'in-force': {
+    title: 'A change one by one, until in force everywhere',
+    x: 'nodes',
+    y: 'ms',
+    of: (all) =>
+      all.flatMap((r) =>
+        r.changes.filter((c) => c.inForceMs !== null).map((c) => ({ x: nodes(r), y: c.inForceMs, run: which(r) })),
+      ),
+    limit: 8_000,
+    log: true,
+  },
 };
 
 export async function plot(all, folder) {
@@ -57,11 +110,30 @@
     const xs = { field: 'x', type: 'quantitative', title: p.x };
     const ys = { field: 'y', type: 'quantitative', title: p.y, ...(p.log ? { scale: { type: 'log' } } : {}) };
     const layer = [
-      { mark: { type: 'point', filled: true, size: 40 }, encoding: { x: xs, y: ys, color: { field: 'run', type: 'nominal', title: null } } },
-      { mark: { type: 'line', opacity: 0.6 }, encoding: { x: xs, y: { ...ys, aggregate: 'mean' }, color: { field: 'run', type: 'nominal', title: null } } },
+      {
+        mark: { type: 'point', filled: true, size: 40 },
+        encoding: { x: xs, y: ys, color: { field: 'run', type: 'nominal', title: null } },
+      },
+      {
+        mark: { type: 'line', opacity: 0.6 },
+        encoding: { x: xs, y: { ...ys, aggregate: 'mean' }, color: { field: 'run', type: 'nominal', title: null } },
+      },
     ];
-    if (p.limit !== undefined) layer.push({ data: { values: [{ y: p.limit }] }, mark: { type: 'rule', strokeDash: [4, 3] }, encoding: { y: { field: 'y', type: 'quantitative' } } });
-    const spec = compile({ $schema: 'https://vega.github.io/schema/vega-lite/v5.json', title: p.title, width: 420, height: 220, background: 'white', data: { values }, layer }).spec;
+    if (p.limit !== undefined)
+      layer.push({
+        data: { values: [{ y: p.limit }] },
+        mark: { type: 'rule', strokeDash: [4, 3] },
+        encoding: { y: { field: 'y', type: 'quantitative' } },
+      });
+    const spec = compile({
+      $schema: 'https://vega.github.io/schema/vega-lite/v5.json',
+      title: p.title,
+      width: 420,
+      height: 220,
+      background: 'white',
+      data: { values },
+      layer,
+    }).spec;
     const svg = await new View(parse(spec), { renderer: 'none' }).toSVG();
     writeFileSync(join(folder, `${name}.svg`), `${svg}\n`);
     made.push(name);
--- a/tools/capacity/profile.mjs
+++ b/tools/capacity/profile.mjs
@@ -20,7 +20,10 @@
 ];
 const OUTER = [
   [/transport\/wire\.js|members\/peers\.js|protocol\/messages\.js/, 'wire'],
-  [/transport\/(caller|door)\.js|node_modules\/(got|express|body-parser|keyv|cacheable|responselike|http-|@szmarczak|@sindresorhus|router|finalhandler|send)|node:(_http|http)|undici/, 'http'],
+  [
+    /transport\/(caller|door)\.js|node_modules\/(got|express|body-parser|keyv|cacheable|responselike|http-|@szmarczak|@sindresorhus|router|finalhandler|send)|node:(_http|http)|undici/,
+    'http',
+  ],
 ];
 
 function dutyOfStack(nodes, parent, id) {
@@ -63,6 +66,11 @@
   }
   const s = (toNs - fromNs) / 1e9;
   const out = {};
-  for (const [role, { count, ms }] of Object.entries(roles)) out[role] = Object.fromEntries(Object.entries(ms).sort((a, b) => b[1] - a[1]).map(([duty, t]) => [duty, Number((t / s / count).toFixed(3))]));
+  for (const [role, { count, ms }] of Object.entries(roles))
+    out[role] = Object.fromEntries(
+      Object.entries(ms)
+        .sort((a, b) => b[1] - a[1])
+        .map(([duty, t]) => [duty, Number((t / s / count).toFixed(3))]),
+    );
   return out;
 }
--- a/tools/capacity/run.mjs
+++ b/tools/capacity/run.mjs
@@ -5,9 +5,11 @@
 import { planOf } from './plan.mjs';
 import { dutyShares } from './profile.mjs';
 
-
 async function ask(address, path, body, waitMs = 12_000) {
-  const init = body === undefined ? {} : { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) };
+  const init =
+    body === undefined
+      ? {}
+      : { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) };
   const res = await fetch(`http://${address}${path}`, { ...init, signal: AbortSignal.timeout(waitMs) });
   return { status: res.status, body: await res.json().catch(() => null) };
 }
@@ -22,7 +24,23 @@
 }
 
 export async function runOnce(options, say) {
-  const { nodes, workers, headgates, settle, seconds, changes, burst, restarts, zoneLoss, profile, bin, folder, port, tenants, wholeProbes } = options;
+  const {
+    nodes,
+    workers,
+    headgates,
+    settle,
+    seconds,
+    changes,
+    burst,
+    restarts,
+    zoneLoss,
+    profile,
+    bin,
+    folder,
+    port,
+    tenants,
+    wholeProbes,
+  } = options;
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
   const plan = planOf({ folder, nodes, workers, headgates, port, wholeProbes, tenants });
@@ -51,17 +69,22 @@
     const parts = plan.children.map((c) => children.start(c));
     const heads = plan.heads;
     const head = heads[0].http;
-    await until('headgates', 40, async () => (await Promise.all(heads.map((h) => ask(h.http, '/v1/status')))).every((r) => r.status === 200));
+    await until('headgates', 40, async () =>
+      (await Promise.all(heads.map((h) => ask(h.http, '/v1/status')))).every((r) => r.status === 200),
+    );
     const founded = await ask(head, '/v1/found', { members: plan.seeds });
     if (founded.status !== 200) throw new Error(`founding answered ${founded.status}`);
     const applied = await ask(head, '/v1/configuration', { base: 0, configuration: plan.configuration });
-    if (applied.status !== 200) throw new Error(`the configuration was answered ${applied.status} ${JSON.stringify(applied.body).slice(0, 300)}`);
+    if (applied.status !== 200)
+      throw new Error(`the configuration was answered ${applied.status} ${JSON.stringify(applied.body).slice(0, 300)}`);
     const startedAt = performance.now();
     for (const h of plan.hollow) parts.push(children.start(h));
     const edges = parts.filter((p) => p.role === 'sluice');
     const serving = () => edges.reduce((n, p) => n + (tallyOf(p)?.extra?.serving ?? 0), 0);
     const starting = setInterval(() => say(`${serving()} sluices serve`), 5_000);
-    const servingS = await until('all sluices serving', 120, () => serving() === nodes).finally(() => clearInterval(starting));
+    const servingS = await until('all sluices serving', 120, () => serving() === nodes).finally(() =>
+      clearInterval(starting),
+    );
     say(`${nodes} sluices serve after ${((performance.now() - startedAt) / 1000).toFixed(1)} s`);
     const ordered = await until('workers', 60, async () => {
       const { orders } = (await ask(head, '/v1/orders')).body;
@@ -70,7 +93,14 @@
     await sleep(settle * 1000);
 
     function snapshot() {
-      return { at: performance.now(), ns: Number(process.hrtime.bigint()), load: null, parts: parts.filter((p) => !p.gone).map((p) => ({ name: p.name, role: p.role, count: p.count, proc: procOf(p.pid), tally: tallyOf(p) })) };
+      return {
+        at: performance.now(),
+        ns: Number(process.hrtime.bigint()),
+        load: null,
+        parts: parts
+          .filter((p) => !p.gone)
+          .map((p) => ({ name: p.name, role: p.role, count: p.count, proc: procOf(p.pid), tally: tallyOf(p) })),
+      };
     }
     async function windowOf(s, during = async () => {}) {
       await sleep(300);
@@ -89,7 +119,10 @@
     async function change(at, base) {
       value = value >= 9_000 ? 101 : value + 1;
       const from = hostMs();
-      const got = await ask(heads[at % heads.length].http, '/v1/configuration/amend', { base, changes: [{ path: ['deployment', 'lineLimit'], value }] });
+      const got = await ask(heads[at % heads.length].http, '/v1/configuration/amend', {
+        base,
+        changes: [{ path: ['deployment', 'lineLimit'], value }],
+      });
       return { status: got.status, epoch: got.body?.epoch ?? null, from, ackMs: Math.round(hostMs() - from) };
     }
     function inForceMs(c, left = edges) {
@@ -97,7 +130,9 @@
       for (const p of left) {
         if (p.gone) continue;
         const t = tallyOf(p);
-        const at = Object.entries(t?.extra?.inForceAt ?? {}).filter(([e]) => Number(e) >= c.epoch).map(([, ms]) => ms - t.at + t.hostMs);
+        const at = Object.entries(t?.extra?.inForceAt ?? {})
+          .filter(([e]) => Number(e) >= c.epoch)
+          .map(([, ms]) => ms - t.at + t.hostMs);
         if (at.length === 0) return null;
         last = Math.max(last, Math.min(...at));
       }
@@ -114,10 +149,13 @@
     }
 
     const quiet = await windowOf(seconds);
-    say(`quiet: ${(quiet.roles.sluice.bytesS / 1000).toFixed(1)} KB, ${quiet.roles.sluice.messagesS.toFixed(1)} messages and ${(quiet.roles.sluice.cpuMsS).toFixed(1)} ms a sluice and second; headgate ${(quiet.roles.headgate.bytesS / 1000).toFixed(0)} KB, ${quiet.roles.headgate.cpuMsS.toFixed(0)} ms`);
+    say(
+      `quiet: ${(quiet.roles.sluice.bytesS / 1000).toFixed(1)} KB, ${quiet.roles.sluice.messagesS.toFixed(1)} messages and ${quiet.roles.sluice.cpuMsS.toFixed(1)} ms a sluice and second; headgate ${(quiet.roles.headgate.bytesS / 1000).toFixed(0)} KB, ${quiet.roles.headgate.cpuMsS.toFixed(0)} ms`,
+    );
 
     const single = [];
-    const withChanges = changes > 0 ? await windowOf(Math.max(4, changes * 0.6), () => changed(single, changes, 400)) : null;
+    const withChanges =
+      changes > 0 ? await windowOf(Math.max(4, changes * 0.6), () => changed(single, changes, 400)) : null;
     await sleep(600);
     for (const c of single) c.inForceMs = inForceMs(c);
     const row = [];
@@ -126,7 +164,10 @@
     const burstS = (performance.now() - burstFrom) / 1000;
     await sleep(800);
     for (const c of row) c.inForceMs = inForceMs(c);
-    if (changes > 0) say(`changes in force: ${spreadOf(single.map((c) => c.inForceMs))} ms one by one, ${spreadOf(row.map((c) => c.inForceMs))} ms of ${burst} at once`);
+    if (changes > 0)
+      say(
+        `changes in force: ${spreadOf(single.map((c) => c.inForceMs))} ms one by one, ${spreadOf(row.map((c) => c.inForceMs))} ms of ${burst} at once`,
+      );
 
     let withRestarts = null;
     if (restarts > 0) {
@@ -146,7 +187,12 @@
         for (const p of gone) p.proc.kill('SIGKILL');
         const c = await change(0, await epochNow());
         await sleep(3_000);
-        lost = { zone, sluices: gone.filter((p) => p.role === 'sluice').reduce((n, p) => n + p.count, 0), headgates: gone.filter((p) => p.role === 'headgate').length, change: { status: c.status, ackMs: c.ackMs, inForceMs: inForceMs(c) } };
+        lost = {
+          zone,
+          sluices: gone.filter((p) => p.role === 'sluice').reduce((n, p) => n + p.count, 0),
+          headgates: gone.filter((p) => p.role === 'headgate').length,
+          change: { status: c.status, ackMs: c.ackMs, inForceMs: inForceMs(c) },
+        };
         const dead = await until('the lost ones known as dead', 30, async () => {
           const { nodes: seen } = (await ask(head, '/v1/status')).body;
           for (const n of seen) if (n.zone === zone && n.status === 'dead') names.add(n.name);
@@ -160,7 +206,36 @@
     const memoryMost = children.memory();
     await children.end();
     const shares = profile ? dutyShares(folder, parts, quiet.fromNs, quiet.toNs) : null;
-    return { options: { nodes, workers, headgates, settle, seconds, changes, burst, restarts, zoneLoss, profile, tenants, wholeProbes }, startedS: servingS, orderedS: ordered, memoryMost, processes: parts.length, quiet, changes: single.map(short), withChanges, burst: row.map(short), burstS, withBurst, withRestarts, lost, shares, perNode: perNode(quiet) };
+    return {
+      options: {
+        nodes,
+        workers,
+        headgates,
+        settle,
+        seconds,
+        changes,
+        burst,
+        restarts,
+        zoneLoss,
+        profile,
+        tenants,
+        wholeProbes,
+      },
+      startedS: servingS,
+      orderedS: ordered,
+      memoryMost,
+      processes: parts.length,
+      quiet,
+      changes: single.map(short),
+      withChanges,
+      burst: row.map(short),
+      burstS,
+      withBurst,
+      withRestarts,
+      lost,
+      shares,
+      perNode: perNode(quiet),
+    };
   }
 }
 
--- a/tools/capacity/slopes.mjs
+++ b/tools/capacity/slopes.mjs
@@ -11,22 +11,44 @@
   MEASURES.push({ role, what, unit, over, of });
 }
 for (const role of ['sluice', 'headgate']) {
-  const duties = role === 'sluice' ? ['probing', 'following', 'reporting', 'counts', 'list', 'workers'] : ['probing', 'following', 'reporting', 'counts', 'ledger', 'leases', 'list', 'scaler'];
+  const duties =
+    role === 'sluice'
+      ? ['probing', 'following', 'reporting', 'counts', 'list', 'workers']
+      : ['probing', 'following', 'reporting', 'counts', 'ledger', 'leases', 'list', 'scaler'];
   for (const d of duties) {
-    const over = d === 'list' || d === 'workers' || d === 'scaler' ? 'workers' : d === 'ledger' || d === 'leases' ? 'headgates' : 'nodes';
+    const over =
+      d === 'list' || d === 'workers' || d === 'scaler'
+        ? 'workers'
+        : d === 'ledger' || d === 'leases'
+          ? 'headgates'
+          : 'nodes';
     measure(role, `${d}: messages`, '/s', over, (r) => r.quiet.roles[role].duties[d]?.messages ?? 0);
     measure(role, `${d}: bytes`, 'B/s', over, (r) => r.quiet.roles[role].duties[d]?.bytes ?? 0);
   }
-  measure(role, 'all: bytes between regions', 'B/s', 'nodes', (r) => sum(r.quiet.roles[role].duties, duties, 'betweenRegions'));
-  measure(role, 'all: bytes between zones of a region', 'B/s', 'nodes', (r) => sum(r.quiet.roles[role].duties, duties, 'betweenZones'));
+  measure(role, 'all: bytes between regions', 'B/s', 'nodes', (r) =>
+    sum(r.quiet.roles[role].duties, duties, 'betweenRegions'),
+  );
+  measure(role, 'all: bytes between zones of a region', 'B/s', 'nodes', (r) =>
+    sum(r.quiet.roles[role].duties, duties, 'betweenZones'),
+  );
   measure(role, 'all: bytes inside a zone', 'B/s', 'nodes', (r) => sum(r.quiet.roles[role].duties, duties, 'inZone'));
   measure(role, 'processor time', 'ms/s', 'nodes', (r) => r.quiet.roles[role].cpuMsS);
   measure(role, 'conns open', '', 'nodes', (r) => r.quiet.roles[role].conns);
   measure(role, 'conns dialled', '/s', 'nodes', (r) => r.quiet.roles[role].dialsS);
 }
-measure('headgate', 'memory resident', 'MB', 'nodes', (r) => r.quiet.roles.headgate.rss.reduce((n, p) => n + p.rss, 0) / r.quiet.roles.headgate.rss.length / 1e6);
-measure('fleet', 'change in force, median of one by one', 'ms', 'nodes', (r) => middle(r.changes.map((c) => c.inForceMs)));
-measure('fleet', 'change in force, longest of a burst', 'ms', 'nodes', (r) => Math.max(...r.burst.map((c) => c.inForceMs ?? NaN)));
+measure(
+  'headgate',
+  'memory resident',
+  'MB',
+  'nodes',
+  (r) => r.quiet.roles.headgate.rss.reduce((n, p) => n + p.rss, 0) / r.quiet.roles.headgate.rss.length / 1e6,
+);
+measure('fleet', 'change in force, median of one by one', 'ms', 'nodes', (r) =>
+  middle(r.changes.map((c) => c.inForceMs)),
+);
+measure('fleet', 'change in force, longest of a burst', 'ms', 'nodes', (r) =>
+  Math.max(...r.burst.map((c) => c.inForceMs ?? NaN)),
+);
 
 function middle(xs) {
   const sorted = xs.filter((x) => x !== null).sort((a, b) => a - b);
@@ -41,8 +63,23 @@
 export function slopes(all) {
   const out = [];
   for (const m of BY_PROCESS) {
-    const line = slopeOf(all.flatMap((r) => r.quiet.roles.sluice.rss.filter((p) => p.cpuMsS !== undefined).map((p) => [p.count, m.of(p)])));
-    if (line) out.push({ role: 'sluice', what: m.what, unit: m.unit, over: 'sluices in a process', base: line.base, slope: line.slope, spread: line.spread, runs: all.length, atDesign: null, errorAtDesign: null, measuredAtDesign: [] });
+    const line = slopeOf(
+      all.flatMap((r) => r.quiet.roles.sluice.rss.filter((p) => p.cpuMsS !== undefined).map((p) => [p.count, m.of(p)])),
+    );
+    if (line)
+      out.push({
+        role: 'sluice',
+        what: m.what,
+        unit: m.unit,
+        over: 'sluices in a process',
+        base: line.base,
+        slope: line.slope,
+        spread: line.spread,
+        runs: all.length,
+        atDesign: null,
+        errorAtDesign: null,
+        measuredAtDesign: [],
+      });
   }
   for (const m of MEASURES) {
     const points = all.map((r) => [r.options[m.over], m.of(r)]).filter(([, y]) => Number.isFinite(y));
@@ -50,7 +87,19 @@
     if (!line) continue;
     const at = DESIGN[m.over];
     const measured = points.filter(([x]) => x === at).map(([, y]) => y);
-    out.push({ role: m.role, what: m.what, unit: m.unit, over: m.over, base: line.base, slope: line.slope, spread: line.spread, runs: line.n, atDesign: line.at(at), errorAtDesign: line.errorAt(at), measuredAtDesign: measured });
+    out.push({
+      role: m.role,
+      what: m.what,
+      unit: m.unit,
+      over: m.over,
+      base: line.base,
+      slope: line.slope,
+      spread: line.spread,
+      runs: line.n,
+      atDesign: line.at(at),
+      errorAtDesign: line.errorAt(at),
+      measuredAtDesign: measured,
+    });
   }
   return out;
 }
@@ -62,7 +111,13 @@
 }
 
 export function slopeTable(rows) {
-  const lines = ['| role | what | over | at none | slope for each | spread of the slope | runs | at the design size by the slope | measured at it |', '| --- | --- | --- | --- | --- | --- | --- | --- | --- |'];
-  for (const r of rows) lines.push(`| ${r.role} | ${r.what}${r.unit ? `, ${r.unit}` : ''} | ${r.over} | ${show(r.base)} | ${show(r.slope)} | ${r.spread === null ? '—' : `± ${show(r.spread)}`} | ${r.runs} | ${show(r.atDesign)} | ${r.measuredAtDesign.length === 0 ? '—' : r.measuredAtDesign.map(show).join(', ')} |`);
+  const lines = [
+    '| role | what | over | at none | slope for each | spread of the slope | runs | at the design size by the slope | measured at it |',
+    '| --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+  ];
+  for (const r of rows)
+    lines.push(
+      `| ${r.role} | ${r.what}${r.unit ? `, ${r.unit}` : ''} | ${r.over} | ${show(r.base)} | ${show(r.slope)} | ${r.spread === null ? '—' : `± ${show(r.spread)}`} | ${r.runs} | ${show(r.atDesign)} | ${r.measuredAtDesign.length === 0 ? '—' : r.measuredAtDesign.map(show).join(', ')} |`,
+    );
   return lines.join('\n');
 }
--- a/tools/children.mjs
+++ b/tools/children.mjs
@@ -66,7 +66,10 @@
 }
 export function isOurs(node) {
   try {
-    return readFileSync(`/proc/${node.pid}/cmdline`, 'utf8').split('\0').slice(1, -1).join('\0') === [BIN, ...node.args].join('\0');
+    return (
+      readFileSync(`/proc/${node.pid}/cmdline`, 'utf8').split('\0').slice(1, -1).join('\0') ===
+      [BIN, ...node.args].join('\0')
+    );
   } catch {
     return false;
   }
--- a/tools/children.test.mjs
+++ b/tools/children.test.mjs
@@ -81,7 +81,10 @@
   });
 
   test('leaves none of them running when the shell between npm and it is killed', async () => {
-    const shell = spawn('sh', ['-c', `"${process.execPath}" "${tool}"; true`], { stdio: ['ignore', 'pipe', 'inherit'], env: { ...process.env, npm_lifecycle_event: 'demo' } });
+    const shell = spawn('sh', ['-c', `"${process.execPath}" "${tool}"; true`], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+      env: { ...process.env, npm_lifecycle_event: 'demo' },
+    });
     const lines = createInterface(shell.stdout);
     const [line] = await once(lines, 'line');
     const pids = pidsOf(line);
--- a/tools/claims.mjs
+++ b/tools/claims.mjs
@@ -29,11 +29,20 @@
   const own = handlers[self.name];
   async function call(to, m) {
     const got = await handlers[to].get(m.kind)?.(JSON.parse(JSON.stringify(m)));
-    return got ? { ok: true, value: JSON.parse(JSON.stringify(got)) } : { ok: false, fault: { tag: 'peerSilent', address: to } };
+    return got
+      ? { ok: true, value: JSON.parse(JSON.stringify(got)) }
+      : { ok: false, fault: { tag: 'peerSilent', address: to } };
   }
   const peers = { on: (kind, fn) => own.set(kind, fn), call };
   const ledger = { belief: () => belief, isMember: () => true, self };
-  const made = await createClaims(ledger, peers, createFolderDisk(join(folder, self.name)), HEADGATE_SHAPES.claims, createClock(), createQuietLog().part(''));
+  const made = await createClaims(
+    ledger,
+    peers,
+    createFolderDisk(join(folder, self.name)),
+    HEADGATE_SHAPES.claims,
+    createClock(),
+    createQuietLog().part(''),
+  );
   if (!made.ok) throw new Error(made.fault.tag);
   return made.value;
 }
@@ -48,11 +57,21 @@
 const took = [];
 const started = performance.now();
 for (let n = 0; n < keys; n += batch) {
-  const claims = Array.from({ length: batch }, (_, i) => ({ key: runKey(`auth-${n + i}`, born + Math.floor(((n + i) / keys) * 24 * HOUR_MS)), by: `ticket-${n + i}`, born: born + Math.floor(((n + i) / keys) * 24 * HOUR_MS) }));
+  const claims = Array.from({ length: batch }, (_, i) => ({
+    key: runKey(`auth-${n + i}`, born + Math.floor(((n + i) / keys) * 24 * HOUR_MS)),
+    by: `ticket-${n + i}`,
+    born: born + Math.floor(((n + i) / keys) * 24 * HOUR_MS),
+  }));
   const from = performance.now();
-  const got = await handlers.h2.get('claim')({ kind: 'claim', ledger: 'bench', members: membersMark(belief.members), claims });
+  const got = await handlers.h2.get('claim')({
+    kind: 'claim',
+    ledger: 'bench',
+    members: membersMark(belief.members),
+    claims,
+  });
   took.push(performance.now() - from);
-  if (got.kind !== 'claimAnswer' || got.answers.some((a) => a.tag !== 'claimed')) throw new Error('a claim was not granted');
+  if (got.kind !== 'claimAnswer' || got.answers.some((a) => a.tag !== 'claimed'))
+    throw new Error('a claim was not granted');
 }
 const all = (performance.now() - started) / 1_000;
 globalThis.gc?.();
@@ -61,9 +80,27 @@
 row('keys held', held.size());
 row('memory beside an empty process, MiB', ((after.rss - before.rss) / 2 ** 20).toFixed(0));
 row('of it buffers of the table, MiB', ((after.arrayBuffers - before.arrayBuffers) / 2 ** 20).toFixed(0));
-row('disk set aside, MiB', (['claims-0', 'claims-1', 'claims-2', 'claims-3', 'claims-4', 'claims-5', 'claims-snapshot-0', 'claims-snapshot-1'].reduce((n, f) => n + statSync(join(folder, 'h2', f)).size, 0) / 2 ** 20).toFixed(0));
+row(
+  'disk set aside, MiB',
+  (
+    [
+      'claims-0',
+      'claims-1',
+      'claims-2',
+      'claims-3',
+      'claims-4',
+      'claims-5',
+      'claims-snapshot-0',
+      'claims-snapshot-1',
+    ].reduce((n, f) => n + statSync(join(folder, 'h2', f)).size, 0) /
+    2 ** 20
+  ).toFixed(0),
+);
 row(`claims a second, in batches of ${batch}`, (keys / all).toFixed(0));
-row('batch, p50 / p99 / longest (a snapshot), ms', [0.5, 0.99, 0.9999].map((q) => took[Math.min(took.length - 1, Math.floor(q * took.length))].toFixed(1)).join(' / '));
+row(
+  'batch, p50 / p99 / longest (a snapshot), ms',
+  [0.5, 0.99, 0.9999].map((q) => took[Math.min(took.length - 1, Math.floor(q * took.length))].toFixed(1)).join(' / '),
+);
 held.stop();
 let from = performance.now();
 const again = await open(1);
--- a/tools/demo.mjs
+++ b/tools/demo.mjs
@@ -15,7 +15,9 @@
 const shape = SHAPES[shapeName];
 const seconds = Number(secondsText);
 if (!shape || !(seconds >= 1 && seconds <= 60) || !(Number(rateText) > 0)) {
-  process.stderr.write(`use: npm run demo -- [${Object.keys(SHAPES).join('|')}] [seconds, at most 60] [requests a second and zone]\n`);
+  process.stderr.write(
+    `use: npm run demo -- [${Object.keys(SHAPES).join('|')}] [seconds, at most 60] [requests a second and zone]\n`,
+  );
   process.exit(2);
 }
 
@@ -25,13 +27,21 @@
 }
 function isBuilt() {
   if (!existsSync(BIN)) return false;
-  const sources = Math.max(newest(join(ROOT, 'src')), ...['tsconfig.json', 'tsconfig.build.json', 'package-lock.json'].map((f) => statSync(join(ROOT, f)).mtimeMs));
+  const sources = Math.max(
+    newest(join(ROOT, 'src')),
+    ...['tsconfig.json', 'tsconfig.build.json', 'package-lock.json'].map((f) => statSync(join(ROOT, f)).mtimeMs),
+  );
   return statSync(BIN).mtimeMs > sources;
 }
 async function build() {
   if (isBuilt()) return true;
   process.stdout.write('Building.\n');
-  return (await runNode(join(ROOT, 'node_modules/typescript/bin/tsc'), ['-p', 'tsconfig.build.json'], { cwd: ROOT, stdio: 'inherit' })) === 0;
+  return (
+    (await runNode(join(ROOT, 'node_modules/typescript/bin/tsc'), ['-p', 'tsconfig.build.json'], {
+      cwd: ROOT,
+      stdio: 'inherit',
+    })) === 0
+  );
 }
 
 function isFree(port) {
@@ -55,7 +65,12 @@
   if (!existsSync(folder)) return [];
   return readdirSync(folder)
     .filter((f) => f.startsWith(prefix))
-    .flatMap((f) => readFileSync(join(folder, f), 'utf8').split('\n').slice(0, -1).map((l) => JSON.parse(l)));
+    .flatMap((f) =>
+      readFileSync(join(folder, f), 'utf8')
+        .split('\n')
+        .slice(0, -1)
+        .map((l) => JSON.parse(l)),
+    );
 }
 function percent(share) {
   return `${(share * 100).toFixed(1)} %`;
@@ -103,7 +118,9 @@
 function fleet(...args) {
   return runNode(join(ROOT, 'tools/fleet.mjs'), args, { env, stdio: ['ignore', 'ignore', 'inherit'] });
 }
-process.stdout.write(`Starting ${shapeName}'s fleet on loopback from port ${env.FLEET_PORT}; its logs and journals are in ${FOLDER}.\n`);
+process.stdout.write(
+  `Starting ${shapeName}'s fleet on loopback from port ${env.FLEET_PORT}; its logs and journals are in ${FOLDER}.\n`,
+);
 if ((await fleet('start', shapeName)) !== 0) await leave(1);
 onLeave(() => stopFleet(FOLDER));
 const { nodes } = JSON.parse(readFileSync(join(FOLDER, 'fleet.json'), 'utf8'));
@@ -128,5 +145,7 @@
 process.stdout.write(`\n${rows.map(([what, value]) => `${what.padEnd(28)} ${value}`).join('\n')}\n`);
 for (const b of check.broken.slice(0, 10)) process.stdout.write(`  ${b.rule}: ${b.detail}\n`);
 const left = nodes.filter(runs).map((n) => n.name);
-process.stdout.write(`${left.length === 0 ? `All ${nodes.length} processes ended` : `Still running: ${left.join(', ')}`}; ${((performance.now() - began) / 1_000).toFixed(0)} s in all.\n`);
+process.stdout.write(
+  `${left.length === 0 ? `All ${nodes.length} processes ended` : `Still running: ${left.join(', ')}`}; ${((performance.now() - began) / 1_000).toFixed(0)} s in all.\n`,
+);
 await leave(held && loaded === 0 && left.length === 0 && f.success > 0 ? 0 : 1);
--- a/tools/figures.mjs
+++ b/tools/figures.mjs
@@ -31,11 +31,29 @@
     shed: origins.filter((r) => r.result.startsWith('shed')).length / Math.max(1, origins.length),
     retries: firsts === 0 ? 0 : (arrived.length - firsts) / firsts,
     prefixHits: tokens === 0 ? 0 : hits / tokens,
-    firstP50: quantile(streams.map((r) => r.firstMs), 0.5),
-    firstP99: quantile(streams.map((r) => r.firstMs), 0.99),
-    wholeP50: quantile(streams.map((r) => r.wholeMs), 0.5),
-    wholeP99: quantile(streams.map((r) => r.wholeMs), 0.99),
-    onceP50: quantile(once.map((r) => r.wholeMs), 0.5),
-    onceP99: quantile(once.map((r) => r.wholeMs), 0.99),
+    firstP50: quantile(
+      streams.map((r) => r.firstMs),
+      0.5,
+    ),
+    firstP99: quantile(
+      streams.map((r) => r.firstMs),
+      0.99,
+    ),
+    wholeP50: quantile(
+      streams.map((r) => r.wholeMs),
+      0.5,
+    ),
+    wholeP99: quantile(
+      streams.map((r) => r.wholeMs),
+      0.99,
+    ),
+    onceP50: quantile(
+      once.map((r) => r.wholeMs),
+      0.5,
+    ),
+    onceP99: quantile(
+      once.map((r) => r.wholeMs),
+      0.99,
+    ),
   };
 }
--- a/tools/fleet.mjs
+++ b/tools/fleet.mjs
@@ -3,7 +3,19 @@
 import { existsSync, mkdirSync, openSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import { join, resolve } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { alive, BIN, isOurs, leave, leaveWhenCut, onLeave, ROOT, runNode, runs, startChild, stopNodes } from './children.mjs';
+import {
+  alive,
+  BIN,
+  isOurs,
+  leave,
+  leaveWhenCut,
+  onLeave,
+  ROOT,
+  runNode,
+  runs,
+  startChild,
+  stopNodes,
+} from './children.mjs';
 import { SHAPES } from './shapes.mjs';
 
 const [, , verb, shapeName = 'kutfo', ...rest] = process.argv;
@@ -11,7 +23,9 @@
 const BASE = Number(process.env.FLEET_PORT ?? 21000);
 
 function usage(text) {
-  process.stderr.write(`${text}\nuse: node tools/fleet.mjs start|stop|status|load|kill|restart|freeze|thaw|move|cut|fill|heal|reclaim|check [shape|name] [...]\n`);
+  process.stderr.write(
+    `${text}\nuse: node tools/fleet.mjs start|stop|status|load|kill|restart|freeze|thaw|move|cut|fill|heal|reclaim|check [shape|name] [...]\n`,
+  );
   process.exit(2);
 }
 
@@ -51,7 +65,12 @@
 
 function plan(shape) {
   const nodes = [];
-  const lab = { zones: {}, delayMs: shape.delayMs, switches: join(FOLDER, 'switches.json'), ...(process.env.FLEET_WITHOUT ? { withoutPolicy: process.env.FLEET_WITHOUT } : {}) };
+  const lab = {
+    zones: {},
+    delayMs: shape.delayMs,
+    switches: join(FOLDER, 'switches.json'),
+    ...(process.env.FLEET_WITHOUT ? { withoutPolicy: process.env.FLEET_WITHOUT } : {}),
+  };
   let port = BASE;
   function address(zone) {
     port += 1;
@@ -62,22 +81,83 @@
   const platform = address(null);
   const cloud = address(null);
   const zones = Object.keys(shape.zones);
-  const heads = zones.map((zone, i) => ({ name: `headgate-${i + 1}`, zone, listen: address(zone), http: address(zone) }));
-  const sluices = zones.flatMap((zone) => Array.from({ length: shape.sluices[zone] }, (_, i) => ({ name: `sluice-${zone}-${i + 1}`, zone, listen: address(zone), http: address(zone) })));
+  const heads = zones.map((zone, i) => ({
+    name: `headgate-${i + 1}`,
+    zone,
+    listen: address(zone),
+    http: address(zone),
+  }));
+  const sluices = zones.flatMap((zone) =>
+    Array.from({ length: shape.sluices[zone] }, (_, i) => ({
+      name: `sluice-${zone}-${i + 1}`,
+      zone,
+      listen: address(zone),
+      http: address(zone),
+    })),
+  );
   const workers = zones.flatMap((zone) => [
-    ...Array.from({ length: shape.machines[zone] }, (_, i) => ({ name: `machine-${zone}-${i + 1}`, zone, http: address(zone), model: null })),
-    ...Array.from({ length: shape.fixed.perZone[zone] }, (_, i) => ({ name: `gateway-${zone}-${i + 1}`, zone, http: address(zone), model: shape.fixed.model })),
+    ...Array.from({ length: shape.machines[zone] }, (_, i) => ({
+      name: `machine-${zone}-${i + 1}`,
+      zone,
+      http: address(zone),
+      model: null,
+    })),
+    ...Array.from({ length: shape.fixed.perZone[zone] }, (_, i) => ({
+      name: `gateway-${zone}-${i + 1}`,
+      zone,
+      http: address(zone),
+      model: shape.fixed.model,
+    })),
   ]);
   const labFile = join(FOLDER, 'lab.json');
   const seeds = heads.map((h) => h.listen);
-  nodes.push({ name: 'platform', args: ['basin', 'platform', '--http', platform, '--journal', join(FOLDER, 'journals', 'platform.jsonl')] });
-  const prices = Object.entries(shape.prices).map(([z, [s, o]]) => `${z}=${s}/${o}`).join(',');
-  nodes.push({ name: 'cloud', args: ['basin', 'cloud', '--http', cloud, '--platform', platform, '--prices', prices, '--journal', join(FOLDER, 'journals', 'cloud.jsonl')] });
+  nodes.push({
+    name: 'platform',
+    args: ['basin', 'platform', '--http', platform, '--journal', join(FOLDER, 'journals', 'platform.jsonl')],
+  });
+  const prices = Object.entries(shape.prices)
+    .map(([z, [s, o]]) => `${z}=${s}/${o}`)
+    .join(',');
+  nodes.push({
+    name: 'cloud',
+    args: [
+      'basin',
+      'cloud',
+      '--http',
+      cloud,
+      '--platform',
+      platform,
+      '--prices',
+      prices,
+      '--journal',
+      join(FOLDER, 'journals', 'cloud.jsonl'),
+    ],
+  });
   for (const h of [...heads, ...sluices]) {
     const core = heads.includes(h);
     const file = join(FOLDER, 'settings', `${h.name}.json`);
-    const settings = { name: h.name, zone: h.zone, region: shape.zones[h.zone], listen: h.listen, http: h.http, seeds, platform, cloud, dataFolder: join(FOLDER, 'data', h.name), lab };
-    nodes.push({ name: h.name, role: core ? 'headgate' : 'sluice', zone: h.zone, http: h.http, listen: h.listen, settings, file, args: [core ? 'headgate' : 'sluice', '--settings', file] });
+    const settings = {
+      name: h.name,
+      zone: h.zone,
+      region: shape.zones[h.zone],
+      listen: h.listen,
+      http: h.http,
+      seeds,
+      platform,
+      cloud,
+      dataFolder: join(FOLDER, 'data', h.name),
+      lab,
+    };
+    nodes.push({
+      name: h.name,
+      role: core ? 'headgate' : 'sluice',
+      zone: h.zone,
+      http: h.http,
+      listen: h.listen,
+      settings,
+      file,
+      args: [core ? 'headgate' : 'sluice', '--settings', file],
+    });
   }
   for (const w of workers) {
     nodes.push({
@@ -85,10 +165,38 @@
       role: 'worker',
       zone: w.zone,
       http: w.http,
-      args: ['basin', 'worker', '--id', w.name, '--zone', w.zone, '--region', shape.zones[w.zone], '--http', w.http, '--platform', platform, '--cloud', cloud, '--journal', join(FOLDER, 'journals', `${w.name}.jsonl`), ...(w.model ? ['--model', w.model] : [])],
+      args: [
+        'basin',
+        'worker',
+        '--id',
+        w.name,
+        '--zone',
+        w.zone,
+        '--region',
+        shape.zones[w.zone],
+        '--http',
+        w.http,
+        '--platform',
+        platform,
+        '--cloud',
+        cloud,
+        '--journal',
+        join(FOLDER, 'journals', `${w.name}.jsonl`),
+        ...(w.model ? ['--model', w.model] : []),
+      ],
     });
   }
-  return { shape: shapeName, nodes, lab, labFile, platform, cloud, core: heads.map((h) => h.http).join(','), members: seeds.join(','), sluices: sluices.map((s) => s.http).join(',') };
+  return {
+    shape: shapeName,
+    nodes,
+    lab,
+    labFile,
+    platform,
+    cloud,
+    core: heads.map((h) => h.http).join(','),
+    members: seeds.join(','),
+    sluices: sluices.map((s) => s.http).join(','),
+  };
 }
 
 async function until(what, seconds, test) {
@@ -105,7 +213,12 @@
   return res.json();
 }
 async function post(address, path, body) {
-  const res = await fetch(`http://${address}${path}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), signal: AbortSignal.timeout(15000) });
+  const res = await fetch(`http://${address}${path}`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+    signal: AbortSignal.timeout(15000),
+  });
   return { status: res.status, body: await res.json().catch(() => null) };
 }
 
@@ -132,19 +245,32 @@
     saveState(state);
   }
   const heads = state.nodes.filter((n) => n.role === 'headgate');
-  const up = await until('headgates', 30, async () => (await Promise.all(heads.map((h) => get(h.http, '/v1/status')))).length === heads.length);
+  const up = await until(
+    'headgates',
+    30,
+    async () => (await Promise.all(heads.map((h) => get(h.http, '/v1/status')))).length === heads.length,
+  );
   if (!up) await leave(1);
   if ((await valve(state, ['found', '--members', state.members])) !== 0) await leave(1);
   const first = heads[0].http;
-  await until('sluices', 20, async () => Object.keys((await get(first, '/v1/status')).sluices).length === state.nodes.filter((n) => n.role === 'sluice').length);
-  if ((await valve(state, ['apply', join(ROOT, shape.configuration)])) !== 0) process.stderr.write('the configuration was not confirmed\n');
+  await until(
+    'sluices',
+    20,
+    async () =>
+      Object.keys((await get(first, '/v1/status')).sluices).length ===
+      state.nodes.filter((n) => n.role === 'sluice').length,
+  );
+  if ((await valve(state, ['apply', join(ROOT, shape.configuration)])) !== 0)
+    process.stderr.write('the configuration was not confirmed\n');
   const ready = await until('workers', 60, async () => {
     const { orders } = await get(first, '/v1/orders');
     const open = orders.filter((o) => ['intended', 'placed', 'ready'].includes(o.status) && o.kind === 'spot');
     return open.length > 0 && open.every((o) => o.status === 'ready');
   });
   whole = true;
-  process.stdout.write(`${ready ? 'The fleet serves' : 'The fleet is up'}; core ${state.core}; sluices ${state.sluices}\n`);
+  process.stdout.write(
+    `${ready ? 'The fleet serves' : 'The fleet is up'}; core ${state.core}; sluices ${state.sluices}\n`,
+  );
 }
 
 function nodeNamed(state, name) {
@@ -173,7 +299,10 @@
   const node = nodeNamed(state, name);
   if (alive(node.pid)) usage(`${name} still runs`);
   const settings = JSON.parse(readFileSync(node.file, 'utf8'));
-  const taken = state.nodes.flatMap((n) => [n.http, n.listen]).filter(Boolean).map((a) => Number(a.split(':')[1]));
+  const taken = state.nodes
+    .flatMap((n) => [n.http, n.listen])
+    .filter(Boolean)
+    .map((a) => Number(a.split(':')[1]));
   const port = Math.max(state.lastPort ?? 0, ...taken) + 1;
   const was = settings.http;
   settings.listen = `127.0.0.1:${port}`;
@@ -194,8 +323,31 @@
   const runs = zones.map(
     (zone) =>
       new Promise((done) => {
-        const near = state.nodes.filter((n) => n.role === 'sluice').sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
-        const args = ['basin', 'origin', '--name', `origin-${zone}`, '--zone', zone, '--lab', state.labFile, '--sluices', near.map((n) => n.http).join(','), '--once', shape.fixed.model, '--models', shape.models.join(','), '--rate', rate, '--seconds', seconds, '--journal', join(FOLDER, 'journals', `origin-${zone}.jsonl`)];
+        const near = state.nodes
+          .filter((n) => n.role === 'sluice')
+          .sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
+        const args = [
+          'basin',
+          'origin',
+          '--name',
+          `origin-${zone}`,
+          '--zone',
+          zone,
+          '--lab',
+          state.labFile,
+          '--sluices',
+          near.map((n) => n.http).join(','),
+          '--once',
+          shape.fixed.model,
+          '--models',
+          shape.models.join(','),
+          '--rate',
+          rate,
+          '--seconds',
+          seconds,
+          '--journal',
+          join(FOLDER, 'journals', `origin-${zone}.jsonl`),
+        ];
         if (shape.homes) args.push('--kind', shape.kind);
         const child = startChild(process.execPath, [BIN, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
         let out = '';
@@ -225,7 +377,10 @@
 }
 
 function status() {
-  for (const n of loadState().nodes) process.stdout.write(`${n.name.padEnd(20)} ${String(n.pid).padEnd(8)} ${n.pid && alive(n.pid) ? 'runs' : 'gone'}\n`);
+  for (const n of loadState().nodes)
+    process.stdout.write(
+      `${n.name.padEnd(20)} ${String(n.pid).padEnd(8)} ${n.pid && alive(n.pid) ? 'runs' : 'gone'}\n`,
+    );
 }
 
 leaveWhenCut(2_000);
--- a/tools/installed.mjs
+++ b/tools/installed.mjs
@@ -13,5 +13,7 @@
 export async function install() {
   if (isInstalled()) return true;
   process.stdout.write('Installing the packages of package-lock.json.\n');
-  return (await run('npm', ['ci', '--no-fund', '--no-audit', '--loglevel=error'], { cwd: ROOT, stdio: 'inherit' })) === 0;
+  return (
+    (await run('npm', ['ci', '--no-fund', '--no-audit', '--loglevel=error'], { cwd: ROOT, stdio: 'inherit' })) === 0
+  );
 }
--- a/tools/known-red.mjs
+++ b/tools/known-red.mjs
@@ -11,7 +11,8 @@
   const known = new Map();
   for (const line of lines) {
     const [test, cause, issue, ...more] = line.split('\t').map((part) => part.trim());
-    if (!test || !cause || !issue || more.length > 0) faults.push(`not a test, a cause and an issue, apart by tabs: ${JSON.stringify(line)}`);
+    if (!test || !cause || !issue || more.length > 0)
+      faults.push(`not a test, a cause and an issue, apart by tabs: ${JSON.stringify(line)}`);
     else if (known.has(test)) faults.push(`named twice: ${test}`);
     else known.set(test, { cause, issue });
   }
@@ -28,7 +29,8 @@
   const seen = new Set();
   for (const suite of report.testResults) {
     const path = relative(root, suite.name);
-    if (suite.status === 'failed' && suite.assertionResults.every((a) => a.status !== 'failed')) found.broken.push(path);
+    if (suite.status === 'failed' && suite.assertionResults.every((a) => a.status !== 'failed'))
+      found.broken.push(path);
     for (const a of suite.assertionResults) {
       const test = `${path}: ${a.fullName}`;
       if (known.has(test)) {
@@ -44,7 +46,8 @@
 
 export function verdictOf(found, report, code) {
   const onlyKnown = found.red.length > 0 && report.numFailedTests === found.red.length && found.failed.length === 0;
-  const excused = onlyKnown && found.broken.length === 0 && report.numRuntimeErrorTestSuites === 0 && !report.wasInterrupted;
+  const excused =
+    onlyKnown && found.broken.length === 0 && report.numRuntimeErrorTestSuites === 0 && !report.wasInterrupted;
   return code === 0 || excused ? 0 : code;
 }
 
--- a/tools/known-red.test.mjs
+++ b/tools/known-red.test.mjs
@@ -11,7 +11,13 @@
     assertionResults: Object.entries(tests ?? {}).map(([fullName, status]) => ({ fullName, status })),
   }));
   const failed = testResults.flatMap((s) => s.assertionResults).filter((a) => a.status === 'failed').length;
-  return { testResults, numFailedTests: failed, numRuntimeErrorTestSuites: Object.values(suites).filter((t) => t === null).length, wasInterrupted: false, ...more };
+  return {
+    testResults,
+    numFailedTests: failed,
+    numRuntimeErrorTestSuites: Object.values(suites).filter((t) => t === null).length,
+    wasInterrupted: false,
+    ...more,
+  };
 }
 function judged(text, suites, more) {
   const { known, faults } = readKnownRed(text);
@@ -24,19 +30,27 @@
 
 describe('known red tests', () => {
   test('a listed test that fails is passed over and told with its cause', () => {
-    const { verdict, told } = judged(HEADER + LINE, { 'src/a.test.ts': { 'lease ends on time': 'failed', other: 'passed' } });
+    const { verdict, told } = judged(HEADER + LINE, {
+      'src/a.test.ts': { 'lease ends on time': 'failed', other: 'passed' },
+    });
     expect(verdict).toBe(0);
-    expect(told).toEqual(['Known red, passed over: src/a.test.ts: lease ends on time: a slow clock (docs/failures.md, Unproved)']);
+    expect(told).toEqual([
+      'Known red, passed over: src/a.test.ts: lease ends on time: a slow clock (docs/failures.md, Unproved)',
+    ]);
   });
 
   test('a listed test that passes is told', () => {
     const { verdict, told } = judged(HEADER + LINE, { 'src/a.test.ts': { 'lease ends on time': 'passed' } });
     expect(verdict).toBe(0);
-    expect(told).toEqual(['Listed in KNOWN-RED.txt, yet it passes; take its line out: src/a.test.ts: lease ends on time']);
+    expect(told).toEqual([
+      'Listed in KNOWN-RED.txt, yet it passes; take its line out: src/a.test.ts: lease ends on time',
+    ]);
   });
 
   test('a listed test that did not run is told', () => {
-    expect(judged(HEADER + LINE, { 'src/b.test.ts': { x: 'passed' } }).told).toEqual(['Listed in KNOWN-RED.txt, not among the tests that ran: src/a.test.ts: lease ends on time']);
+    expect(judged(HEADER + LINE, { 'src/b.test.ts': { x: 'passed' } }).told).toEqual([
+      'Listed in KNOWN-RED.txt, not among the tests that ran: src/a.test.ts: lease ends on time',
+    ]);
   });
 
   test.each([
--- a/tools/place.mjs
+++ b/tools/place.mjs
@@ -19,16 +19,49 @@
   const belief = emptyBelief();
   belief.epoch = 1;
   belief.ticketKey = 'key';
-  belief.configuration = { zones: Object.fromEntries(regions.map((r) => [`${r}-1`, { region: r }])), deployment: { rampS: 0 }, regions: { a: { models: { m: {} } } } };
-  const listed = Array.from({ length: size }, (_, i) => ({ id: `w${i}`, machine: `m${i}`, address: `w${i}`, model: 'm', zone: `${regions[i % 3]}-1`, region: regions[i % 3], kind: 'fixed', state: 'ready' }));
+  belief.configuration = {
+    zones: Object.fromEntries(regions.map((r) => [`${r}-1`, { region: r }])),
+    deployment: { rampS: 0 },
+    regions: { a: { models: { m: {} } } },
+  };
+  const listed = Array.from({ length: size }, (_, i) => ({
+    id: `w${i}`,
+    machine: `m${i}`,
+    address: `w${i}`,
+    model: 'm',
+    zone: `${regions[i % 3]}-1`,
+    region: regions[i % 3],
+    kind: 'fixed',
+    state: 'ready',
+  }));
   table.takeList(listed, 0);
-  for (const w of listed) table.takeFitness(w.id, { id: w.id, incarnation: 'i', model: 'm', state: 'ready', running: 0, readyForMs: 1e9 }, 0);
-  const nodes = Array.from({ length: Math.max(3, Math.floor(size / 3)) }, (_, i) => ({ name: `s${i}`, role: 'sluice', run: 'r', incarnation: 1, address: `s${i}`, http: `s${i}`, zone: `${regions[i % 3]}-1`, region: regions[i % 3], status: 'alive' }));
+  for (const w of listed)
+    table.takeFitness(w.id, { id: w.id, incarnation: 'i', model: 'm', state: 'ready', running: 0, readyForMs: 1e9 }, 0);
+  const nodes = Array.from({ length: Math.max(3, Math.floor(size / 3)) }, (_, i) => ({
+    name: `s${i}`,
+    role: 'sluice',
+    run: 'r',
+    incarnation: 1,
+    address: `s${i}`,
+    http: `s${i}`,
+    zone: `${regions[i % 3]}-1`,
+    region: regions[i % 3],
+    status: 'alive',
+  }));
   const membership = { all: () => nodes, get: () => null, events: { on() {} }, leave() {}, stop() {} };
   const follower = { belief: () => belief, islanded: () => false, sharedNow: () => 0 };
   const clock = { mono: () => 0, wall: () => 0 };
   const given = whole ? { ...table, candidates: (ask) => table.candidates({ ...ask, whole: true }) } : table;
-  const placer = createPlacer({ self: { name: 's0', run: 'r', zone: 'a-1', region: 'a', http: 's0' }, ready: () => true, follower, membership, table: given, policies: POLICIES, clock, rng: createRng(1) });
+  const placer = createPlacer({
+    self: { name: 's0', run: 'r', zone: 'a-1', region: 'a', http: 's0' },
+    ready: () => true,
+    follower,
+    membership,
+    table: given,
+    policies: POLICIES,
+    clock,
+    rng: createRng(1),
+  });
   return { table, placer };
 }
 
@@ -53,9 +86,16 @@
   }
 }
 
-process.stdout.write('| workers of the model | all looked at, µs | at most 64, µs | ratio | prefix hits, all | prefix hits, at most 64 |\n| --- | --- | --- | --- | --- | --- |\n');
+process.stdout.write(
+  '| workers of the model | all looked at, µs | at most 64, µs | ratio | prefix hits, all | prefix hits, at most 64 |\n| --- | --- | --- | --- | --- | --- |\n',
+);
 for (const size of sizes) {
   const runs = [];
-  for (let i = 0; i < 3; i += 1) runs.push(i % 2 === 0 ? [measure(size, true), measure(size, false)] : [measure(size, false), measure(size, true)].reverse());
-  process.stdout.write(`| ${size} | ${spread(runs.map((r) => r[0].us))} | ${spread(runs.map((r) => r[1].us))} | ${spread(runs.map((r) => r[0].us / r[1].us))} | ${spread(runs.map((r) => r[0].hits))} | ${spread(runs.map((r) => r[1].hits))} |\n`);
+  for (let i = 0; i < 3; i += 1)
+    runs.push(
+      i % 2 === 0 ? [measure(size, true), measure(size, false)] : [measure(size, false), measure(size, true)].reverse(),
+    );
+  process.stdout.write(
+    `| ${size} | ${spread(runs.map((r) => r[0].us))} | ${spread(runs.map((r) => r[1].us))} | ${spread(runs.map((r) => r[0].us / r[1].us))} | ${spread(runs.map((r) => r[0].hits))} | ${spread(runs.map((r) => r[1].hits))} |\n`,
+  );
 }
--- a/tools/runbooks.mjs
+++ b/tools/runbooks.mjs
@@ -23,10 +23,17 @@
   return run(BIN, ['valve', ...args, '--core', state().core]);
 }
 async function cloud(path, body) {
-  await fetch(`http://${state().cloud}${path}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), signal: AbortSignal.timeout(3000) });
+  await fetch(`http://${state().cloud}${path}`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+    signal: AbortSignal.timeout(3000),
+  });
 }
 function inZone(zone) {
-  return state().nodes.filter((n) => n.zone === zone).map((n) => n.name);
+  return state()
+    .nodes.filter((n) => n.zone === zone)
+    .map((n) => n.name);
 }
 async function spot(has) {
   for (const zone of ['hu-1', 'at-1', 'ro-1']) await cloud('/lab/zone', { zone, spot: has });
@@ -56,7 +63,14 @@
       },
     },
   ],
-  ['replace-core-machine', { inputs: { name: 'headgate-3', address: () => state().nodes.find((n) => n.name === 'headgate-3').listen }, before: () => fleet('kill', 'headgate-3'), during: () => fleet('restart', 'headgate-3', '--wipe') }],
+  [
+    'replace-core-machine',
+    {
+      inputs: { name: 'headgate-3', address: () => state().nodes.find((n) => n.name === 'headgate-3').listen },
+      before: () => fleet('kill', 'headgate-3'),
+      during: () => fleet('restart', 'headgate-3', '--wipe'),
+    },
+  ],
   ['evacuate-and-hand-back', { inputs: { zone: 'ro-1' } }],
   [
     'region-lost',
@@ -98,10 +112,24 @@
 
 function argsOf(name, inputs, record) {
   const given = Object.entries(inputs ?? {}).map(([k, v]) => `${k}=${typeof v === 'function' ? v() : v}`);
-  return ['runbook', 'run', join(ROOT, 'runbooks', `${name}.yaml`), '--core', state().core, '--record', record, ...(given.length > 0 ? ['--input', given.join(',')] : [])];
+  return [
+    'runbook',
+    'run',
+    join(ROOT, 'runbooks', `${name}.yaml`),
+    '--core',
+    state().core,
+    '--record',
+    record,
+    ...(given.length > 0 ? ['--input', given.join(',')] : []),
+  ];
 }
 function steps(record) {
-  return existsSync(record) ? readFileSync(record, 'utf8').split('\n').filter(Boolean).map((l) => JSON.parse(l)) : [];
+  return existsSync(record)
+    ? readFileSync(record, 'utf8')
+        .split('\n')
+        .filter(Boolean)
+        .map((l) => JSON.parse(l))
+    : [];
 }
 async function interrupted(args, record) {
   const child = startChild(process.execPath, [BIN, ...args], { env, stdio: ['pipe', 'ignore', 'ignore'] });
@@ -124,10 +152,18 @@
   const during = play.during?.();
   const code = await run(BIN, [...argsOf(name, play.inputs, record), '--yes']);
   await during;
-  const changing = parse(readFileSync(join(ROOT, 'runbooks', `${name}.yaml`), 'utf8')).steps.map((s) => ['set', 'evacuate', 'restore', 'forget', 'reopenClaims'].some((k) => k in s));
+  const changing = parse(readFileSync(join(ROOT, 'runbooks', `${name}.yaml`), 'utf8')).steps.map((s) =>
+    ['set', 'evacuate', 'restore', 'forget', 'reopenClaims'].some((k) => k in s),
+  );
   const done = steps(record).filter((s) => s.outcome === 'done' && changing[s.step]);
   const twice = done.length - new Set(done.map((s) => s.step)).size;
-  results.push([name, code === 0 ? 'done' : `left with ${code}`, before, twice, ((Date.now() - from) / 1000).toFixed(1)]);
+  results.push([
+    name,
+    code === 0 ? 'done' : `left with ${code}`,
+    before,
+    twice,
+    ((Date.now() - from) / 1000).toFixed(1),
+  ]);
   process.stdout.write(`${results.at(-1).join(' | ')}\n`);
   if (code !== 0) process.stdout.write(`${JSON.stringify(steps(record).at(-1))}\n`);
   await sleep(2_000);
@@ -143,6 +179,14 @@
   unmet[name] = code !== 0 && steps(record).every((s) => s.outcome !== 'done') ? `refused (${code})` : 'NOT refused';
 }
 await fleet('stop');
-process.stdout.write('| runbook | interrupted, then resumed | steps done before | changes made twice | s, resumed | without a majority |\n| --- | --- | --- | --- | --- | --- |\n');
-for (const [name, end, before, twice, s] of results) process.stdout.write(`| ${name} | ${end} | ${before} | ${twice} | ${s} | ${unmet[name]} |\n`);
-await leave(results.every((r) => r[1] === 'done' && r[2] > 0 && r[3] === 0) && Object.values(unmet).every((u) => u.startsWith('refused')) ? 0 : 1);
+process.stdout.write(
+  '| runbook | interrupted, then resumed | steps done before | changes made twice | s, resumed | without a majority |\n| --- | --- | --- | --- | --- | --- |\n',
+);
+for (const [name, end, before, twice, s] of results)
+  process.stdout.write(`| ${name} | ${end} | ${before} | ${twice} | ${s} | ${unmet[name]} |\n`);
+await leave(
+  results.every((r) => r[1] === 'done' && r[2] > 0 && r[3] === 0) &&
+    Object.values(unmet).every((u) => u.startsWith('refused'))
+    ? 0
+    : 1,
+);
--- a/tools/scale.mjs
+++ b/tools/scale.mjs
@@ -8,7 +8,9 @@
   process.stderr.write('use: node tools/scale.mjs [10,100,300]\n');
   process.exit(2);
 }
-process.stdout.write('| nodes | workers | frames a node and second | bytes a node and second | HTTP calls a node and second | change in force, ms | place, µs | real s for one simulated |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n');
+process.stdout.write(
+  '| nodes | workers | frames a node and second | bytes a node and second | HTTP calls a node and second | change in force, ms | place, µs | real s for one simulated |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n',
+);
 for (const nodes of sizes) {
   const each = Math.floor((nodes - 3) / 3);
   const machines = Math.max(3, Math.ceil(nodes / 6));
@@ -16,7 +18,13 @@
   const configuration = structuredClone(SMALL.configuration);
   configuration.regions.hungary.models.summary.minTarget = machines;
   configuration.regions.hungary.models.summary.maxTarget = 1000;
-  const fleet = createSimFleet(1, { ...SMALL, sluices: spread, machines: { 'hu-1': machines, 'at-1': machines, 'ro-1': machines }, configuration, ringFileBytes: 1048576 });
+  const fleet = createSimFleet(1, {
+    ...SMALL,
+    sluices: spread,
+    machines: { 'hu-1': machines, 'at-1': machines, 'ro-1': machines },
+    configuration,
+    ringFileBytes: 1048576,
+  });
   if (!(await fleet.start())) throw new Error(`a fleet of ${nodes} did not start`);
   await fleet.run(5_000);
   const before = fleet.load();
@@ -26,8 +34,14 @@
   const after = fleet.load();
   const { epoch } = (await fleet.operator(0, 'GET', '/v1/configuration')).value.body;
   const from = fleet.world.now();
-  const got = await fleet.operator(0, 'POST', '/v1/configuration/amend', { base: epoch, changes: [{ path: ['deployment', 'lineLimit'], value: 65 }] });
-  const inForce = got.ok && got.value.status === 200 ? (fleet.world.now() - from).toFixed(0) : `not within 2800 (${got.ok ? got.value.status : got.fault.tag})`;
+  const got = await fleet.operator(0, 'POST', '/v1/configuration/amend', {
+    base: epoch,
+    changes: [{ path: ['deployment', 'lineLimit'], value: 65 }],
+  });
+  const inForce =
+    got.ok && got.value.status === 200
+      ? (fleet.world.now() - from).toFixed(0)
+      : `not within 2800 (${got.ok ? got.value.status : got.fault.tag})`;
   const placer = fleet.sluices[0].sluice;
   const ask = { model: 'summary', inputTokens: 100, outputTokens: 10, parts: ['a', 'b', 'c'], repeatable: true };
   const start = performance.now();
@@ -35,6 +49,8 @@
   for (; n < 500; n += 1) placer.place({ ...ask, parts: ['a', `b${n % 20}`, `c${n}`] });
   const placeUs = ((performance.now() - start) * 1000) / n;
   const per = (key) => ((after[key] - before[key]) / 10 / (3 * each + 3)).toFixed(key === 'bytes' ? 0 : 1);
-  process.stdout.write(`| ${3 * each + 3} | ${3 * machines + 3} | ${per('frames')} | ${per('bytes')} | ${per('calls')} | ${inForce} | ${placeUs.toFixed(0)} | ${took.toFixed(3)} |\n`);
+  process.stdout.write(
+    `| ${3 * each + 3} | ${3 * machines + 3} | ${per('frames')} | ${per('bytes')} | ${per('calls')} | ${inForce} | ${placeUs.toFixed(0)} | ${took.toFixed(3)} |\n`,
+  );
 }
 process.exit(0);
--- a/tools/site.mjs
+++ b/tools/site.mjs
@@ -28,12 +28,22 @@
 const folder = mkdtempSync(join(tmpdir(), 'millfield-run-'));
 onLeave(() => rmSync(folder, { recursive: true, force: true }));
 const outfile = join(folder, 'run.mjs');
-await build({ entryPoints: [join(ROOT, 'platform/standin/run.ts')], outfile, bundle: true, platform: 'node', format: 'esm', target: 'node20', logLevel: 'warning' });
+await build({
+  entryPoints: [join(ROOT, 'platform/standin/run.ts')],
+  outfile,
+  bundle: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  logLevel: 'warning',
+});
 const { deployBuild, runScenarios, scenarioNames } = await import(pathToFileURL(outfile).href);
 const names = scenarioNames();
 const unknown = args.filter((a) => !names.includes(a));
 if (list || unknown.length > 0) {
-  process.stdout.write(`use: node tools/site.mjs [--rate N] [--seed N] [--built | --clean] [--deploy FILE] [scenario...]\nscenarios: ${names.join(', ')}\n`);
+  process.stdout.write(
+    `use: node tools/site.mjs [--rate N] [--seed N] [--built | --clean] [--deploy FILE] [scenario...]\nscenarios: ${names.join(', ')}\n`,
+  );
   await leave(list ? 0 : 2);
 }
 const [command, ...how] = clean ? ['sh', '-c', deployBuild(deployFile)] : [process.execPath, 'platform/build.mjs'];
--- a/tools/tests.mjs
+++ b/tools/tests.mjs
@@ -21,7 +21,16 @@
 if (!(await install())) await leave(1);
 if ((await step('Types', 'node_modules/typescript/bin/tsc', '-p', 'tsconfig.json', '--noEmit')) !== 0) await leave(1);
 if ((await step('Lint', 'node_modules/eslint/bin/eslint.js', '.')) !== 0) await leave(1);
-const code = await step('Tests', '--experimental-vm-modules', '--no-warnings', 'node_modules/jest/bin/jest.js', '--json', '--outputFile', file, ...process.argv.slice(2));
+const code = await step(
+  'Tests',
+  '--experimental-vm-modules',
+  '--no-warnings',
+  'node_modules/jest/bin/jest.js',
+  '--json',
+  '--outputFile',
+  file,
+  ...process.argv.slice(2),
+);
 const report = JSON.parse(readFileSync(file, 'utf8'));
 const found = weigh(report, known);
 for (const line of tell(found, known)) process.stdout.write(`${line}\n`);
--- a/tools/trial.mjs
+++ b/tools/trial.mjs
@@ -72,7 +72,14 @@
 }
 function journals(prefix) {
   const folder = join(FOLDER, 'journals');
-  return readdirSync(folder).filter((f) => f.startsWith(prefix)).flatMap((f) => readFileSync(join(folder, f), 'utf8').split('\n').slice(0, -1).map((l) => JSON.parse(l)));
+  return readdirSync(folder)
+    .filter((f) => f.startsWith(prefix))
+    .flatMap((f) =>
+      readFileSync(join(folder, f), 'utf8')
+        .split('\n')
+        .slice(0, -1)
+        .map((l) => JSON.parse(l)),
+    );
 }
 const serves = (name) => async () => (await status(name)).fresh;
 async function returned(name) {
@@ -117,43 +124,76 @@
     await sleep(10_000);
     const to = Date.now();
     expect('handed back', (await valve('restore', zone)) === 0);
-    const late = journals('').filter((r) => r.who === 'worker' && r.event === 'arrived' && r.zone === zone && r.at > from && r.at < to);
+    const late = journals('').filter(
+      (r) => r.who === 'worker' && r.event === 'arrived' && r.zone === zone && r.at > from && r.at < to,
+    );
     expect('nothing reached the evacuated zone', late.length === 0, `${late.length} did`);
   },
   async race() {
     const wins = [];
     for (let n = 0; n < 4; n += 1) {
       const base = String(await epoch());
-      const codes = await Promise.all([valve('set', '/deployment/lineLimit', String(70 + n), '--base', base), valve('set', '/deployment/lineLimit', String(90 + n), '--base', base)]);
+      const codes = await Promise.all([
+        valve('set', '/deployment/lineLimit', String(70 + n), '--base', base),
+        valve('set', '/deployment/lineLimit', String(90 + n), '--base', base),
+      ]);
       wins.push([...codes].sort().join());
     }
-    expect('of two operators on one base exactly one wins, four times', wins.every((w) => w === '0,5'), wins.join(' '));
+    expect(
+      'of two operators on one base exactly one wins, four times',
+      wins.every((w) => w === '0,5'),
+      wins.join(' '),
+    );
   },
   async reclaim() {
     await fleet('reclaim', '3', '400');
     await sleep(6_000);
     const told = journals('origin-').filter((r) => r.result === 'cut' || r.result === 'workerFailed').length;
-    expect('machines were reclaimed', journals('cloud').some((r) => r.event === 'reclaiming'), `${told} streams told of it so far`);
+    expect(
+      'machines were reclaimed',
+      journals('cloud').some((r) => r.event === 'reclaiming'),
+      `${told} streams told of it so far`,
+    );
   },
   async isolated() {
     const zone = zones[2];
     const inside = nodesOf('sluice', zone)[0].name;
-    for (const z of zones.slice(0, 2)) for (const [a, b] of [[z, zone], [zone, z]]) await fleet('cut', a, b);
+    for (const z of zones.slice(0, 2))
+      for (const [a, b] of [
+        [z, zone],
+        [zone, z],
+      ])
+        await fleet('cut', a, b);
     await until('region isolated: its sluice knows', 10, async () => (await status(inside)).islanded);
     const base = await epoch();
-    expect('a change is agreed, not confirmed by all', (await valve('set', '/deployment/lineLimit', '111', '--base', String(base))) === 6);
+    expect(
+      'a change is agreed, not confirmed by all',
+      (await valve('set', '/deployment/lineLimit', '111', '--base', String(base))) === 6,
+    );
     await sleep(4_000);
     const marks = journals(`origin-${zone}`).filter((r) => r.at > Date.now() - 4_000);
-    expect('it serves its own', marks.some((r) => r.result === 'success'), `${marks.length} asked`);
+    expect(
+      'it serves its own',
+      marks.some((r) => r.result === 'success'),
+      `${marks.length} asked`,
+    );
     await fleet('heal');
-    await until('region isolated, then healed: it holds the newest', 10, async () => (await status(inside)).epoch > base);
+    await until(
+      'region isolated, then healed: it holds the newest',
+      10,
+      async () => (await status(inside)).epoch > base,
+    );
   },
   async oneWay() {
     await fleet('cut', zones[1], zones[0]);
     await sleep(5_000);
     const seen = journals('origin-').filter((r) => r.at > Date.now() - 4_000);
     const good = seen.filter((r) => r.result === 'success').length;
-    expect('with one way between two regions lost, callers are served', good > seen.length * 0.8, `${good} of ${seen.length}`);
+    expect(
+      'with one way between two regions lost, callers are served',
+      good > seen.length * 0.8,
+      `${good} of ${seen.length}`,
+    );
     await fleet('heal');
     await sleep(2_000);
   },
@@ -172,8 +212,15 @@
   async fullDisk() {
     await fleet('fill', 'headgate-1');
     await sleep(500);
-    expect('a change is agreed without the full one', [0, 6].includes(await valve('set', '/deployment/lineLimit', '112')));
-    await until('headgate without room: says that it cannot write', 10, async () => (await status('headgate-1')).writable === false);
+    expect(
+      'a change is agreed without the full one',
+      [0, 6].includes(await valve('set', '/deployment/lineLimit', '112')),
+    );
+    await until(
+      'headgate without room: says that it cannot write',
+      10,
+      async () => (await status('headgate-1')).writable === false,
+    );
     await fleet('heal');
     await fleet('kill', 'headgate-1');
     await sleep(300);
@@ -189,7 +236,9 @@
     const from = Date.now();
     await until('region lost and back cold: its sluice serves', 12, serves(nodesOf('sluice', zone)[0].name));
     await until('… its headgate is whole', 12, () => returned(nodesOf('headgate', zone)[0].name));
-    await until('… a worker of it answers a request', 12, async () => journals('').some((r) => r.who === 'worker' && r.zone === zone && r.event === 'end' && r.at > from));
+    await until('… a worker of it answers a request', 12, async () =>
+      journals('').some((r) => r.who === 'worker' && r.zone === zone && r.event === 'end' && r.at > from),
+    );
   },
   async allKilled() {
     const before = await epoch();
@@ -198,11 +247,23 @@
     await sleep(1_000);
     for (const n of nodes) await fleet('restart', n.name);
     const back = Date.now();
-    for (const zone of zones) await until(`all killed: the edge of zone ${zones.indexOf(zone) + 1} serves, from the last restart`, 12, serves(nodesOf('sluice', zone)[0].name));
+    for (const zone of zones)
+      await until(
+        `all killed: the edge of zone ${zones.indexOf(zone) + 1} serves, from the last restart`,
+        12,
+        serves(nodesOf('sluice', zone)[0].name),
+      );
     await until('… the configuration reads back', 12, async () => (await epoch()) === before);
     for (const zone of zones) {
       for (const once of [true, false]) {
-        await until(`… a ${once ? 'run-once request' : 'stream'} of zone ${zones.indexOf(zone) + 1} succeeded`, 12, async () => journals(`origin-${zone}`).some((r) => r.result === 'success' && r.repeatable === !once && r.at - r.wholeMs > back));
+        await until(
+          `… a ${once ? 'run-once request' : 'stream'} of zone ${zones.indexOf(zone) + 1} succeeded`,
+          12,
+          async () =>
+            journals(`origin-${zone}`).some(
+              (r) => r.result === 'success' && r.repeatable === !once && r.at - r.wholeMs > back,
+            ),
+        );
       }
     }
     expect('… an operator change is accepted', (await valve('set', '/deployment/lineLimit', '113')) === 0);
@@ -220,7 +281,8 @@
   await play().catch((e) => expect(`${name} ran`, false, String(e)));
   await sleep(2_500);
 }
-if (Date.now() - began > (SECONDS - 8) * 1_000) expect('the load lasted as long as the faults', false, `${Date.now() - began} ms of faults`);
+if (Date.now() - began > (SECONDS - 8) * 1_000)
+  expect('the load lasted as long as the faults', false, `${Date.now() - began} ms of faults`);
 await load;
 await sleep(3_000);
 const verdict = await fleet('check');
@@ -228,7 +290,18 @@
 const tally = {};
 for (const r of origins) tally[r.result] = (tally[r.result] ?? 0) + 1;
 await fleet('stop');
-process.stdout.write(`\n| ${shape} | ms |\n| --- | --- |\n${rows.map(([what, ms]) => `| ${what} | ${ms} |`).join('\n')}\n\n`);
-process.stdout.write(`${origins.length} requests: ${JSON.stringify(tally)}; longest wait of one not served ${quantile(origins.filter((r) => r.result !== 'success').map((r) => r.wholeMs), 1)} ms\n`);
-say(verdict === 0 && failures === 0 ? 'Every rule held.' : `broken: check left with ${verdict}, ${failures} expectations failed`);
+process.stdout.write(
+  `\n| ${shape} | ms |\n| --- | --- |\n${rows.map(([what, ms]) => `| ${what} | ${ms} |`).join('\n')}\n\n`,
+);
+process.stdout.write(
+  `${origins.length} requests: ${JSON.stringify(tally)}; longest wait of one not served ${quantile(
+    origins.filter((r) => r.result !== 'success').map((r) => r.wholeMs),
+    1,
+  )} ms\n`,
+);
+say(
+  verdict === 0 && failures === 0
+    ? 'Every rule held.'
+    : `broken: check left with ${verdict}, ${failures} expectations failed`,
+);
 await leave(verdict === 0 && failures === 0 ? 0 : 1);
