--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,7 @@
+import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
+import { DOCUMENTED } from './tools/lint/documented.mjs';
+import { moduleComment } from './tools/lint/module-comment.mjs';
 
 const onlyDeclarations = [
   { selector: 'ArrowFunctionExpression', message: 'Functions are declared: function name() {}.' },
@@ -33,9 +36,38 @@
 
 const TOP = ['programs', 'basin', 'sim', 'flume', 'runbook', 'operator'];
 
+const typeChecked = {
+  files: ['src/**/*.ts', 'platform/**/*.ts'],
+  extends: [tseslint.configs.recommendedTypeChecked],
+  languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+  // Handlers of an asynchronous interface are declared async also where they have nothing to
+  // wait for: an exception then is a rejected promise, never thrown at the caller.
+  rules: { '@typescript-eslint/require-await': 'off' },
+};
+
+const documented = {
+  files: DOCUMENTED,
+  ignores: ['**/*.test.ts'],
+  plugins: { jsdoc, local: { rules: { 'module-comment': moduleComment } } },
+  rules: {
+    'local/module-comment': 'error',
+    'jsdoc/require-jsdoc': [
+      'error',
+      {
+        publicOnly: true,
+        enableFixer: false,
+        require: { FunctionDeclaration: true },
+        contexts: ['TSTypeAliasDeclaration', 'TSInterfaceDeclaration', 'VariableDeclaration'],
+      },
+    ],
+    'jsdoc/require-description': ['error', { contexts: ['any'] }],
+  },
+};
+
 export default tseslint.config(
   { ignores: ['dist/', 'node_modules/', '.fleet/'] },
   ...tseslint.configs.recommended,
+  typeChecked,
   {
     files: ['src/**/*.ts', 'platform/**/*.ts'],
     rules: {
@@ -65,4 +97,5 @@
       'no-restricted-globals': ['error', 'setTimeout', 'setInterval'],
     },
   },
+  documented,
 );
--- a/src/base/depth.ts
+++ b/src/base/depth.ts
@@ -1,3 +1,9 @@
+/**
+ * Depth of parsed documents. Called where a body of unknown origin is read, before
+ * anything recursive looks at it, so that a deeply nested one cannot exhaust the stack.
+ */
+
+/** Whether a value nests objects or arrays more than `most` levels deep. Iterative, so safe for any depth. */
 export function deeperThan(u: unknown, most: number): boolean {
   let level: unknown[] = [u];
   for (let depth = 0; level.length > 0; depth += 1) {
--- a/src/base/line.ts
+++ b/src/base/line.ts
@@ -1,7 +1,15 @@
+/**
+ * A queue in front of an asynchronous worker that takes commands in batches. Used for
+ * writing to disk and for proposals: what arrives while a batch is worked on goes into the
+ * next one, in order of arrival, so that one flush or one agreement serves many callers.
+ */
+
+/** Puts commands in the queue, each promise giving its own answer; `length` counts those not begun. */
 export type Line<C, A> = { readonly put: (command: C) => Promise<A>; readonly length: () => number };
 
 type Waiting<C, A> = { readonly command: C; readonly done: (answer: A) => void };
 
+/** A queue whose worker must give as many answers as it took commands, in their order. */
 export function createLine<C, A>(work: (commands: readonly C[]) => Promise<readonly A[]>): Line<C, A> {
   let waiting: Waiting<C, A>[] = [];
   let busy = false;
--- a/src/coordination/ledger/follower.test.ts
+++ b/src/coordination/ledger/follower.test.ts
@@ -27,7 +27,7 @@
   const peers: Peers = {
     open: () => Promise.resolve({ ok: true, value: { address: '', close: () => Promise.resolve() } }),
     on: (kind, handler) => {
-      handlers.set(kind, handler as never);
+      handlers.set(kind, handler);
     },
     call: (to, m) =>
       Promise.resolve(
--- a/src/coordination/ledger/operator-identity.test.ts
+++ b/src/coordination/ledger/operator-identity.test.ts
@@ -41,7 +41,7 @@
   }
   async function ordinaryEntries(node: string): Promise<void> {
     const ledger = core.node(node).headgate?.ledger;
-    const all = Array.from({ length: ENTRIES_BETWEEN }, (_, target) =>
+    const all = Array.from({ length: ENTRIES_BETWEEN }, async (_, target) =>
       ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000),
     );
     const agreed = await core.finish(Promise.all(all), 10_000);
@@ -158,7 +158,7 @@
 
 async function manyEntries(core: SimCore): Promise<void> {
   const ledger = core.node('h2').headgate?.ledger;
-  const all = Array.from({ length: ENTRIES_BETWEEN }, (_, target) =>
+  const all = Array.from({ length: ENTRIES_BETWEEN }, async (_, target) =>
     ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000),
   );
   expect((await core.finish(Promise.all(all), 10_000))?.every((a) => a?.ok)).toBe(true);
--- a/src/coordination/members/peers.ts
+++ b/src/coordination/members/peers.ts
@@ -128,7 +128,7 @@
       }
       const handler = handlers.get(f.m.kind);
       if (!handler) return;
-      const given = handler(f.m as never, link.peer);
+      const given = handler(f.m, link.peer);
       if (f.t === 'call') void answer(f.id, given);
     }
     async function answer(id: number, given: Promise<Message> | Message | null): Promise<void> {
--- a/src/programs/gauge.ts
+++ b/src/programs/gauge.ts
@@ -22,7 +22,7 @@
   return typeof v === 'string' ? v : undefined;
 }
 
-function pad(s: unknown, n: number): string {
+function pad(s: string | number | boolean | null | undefined, n: number): string {
   return String(s ?? '-').padEnd(n);
 }
 
--- a/src/programs/runbook.ts
+++ b/src/programs/runbook.ts
@@ -43,7 +43,8 @@
 }
 
 function readBook(ctx: Ctx, inputs: Readonly<Record<string, string>> | null): Runbook | null {
-  const file = String(ctx.args['file'] ?? '');
+  const named = ctx.args['file'];
+  const file = typeof named === 'string' ? named : '';
   let text: string;
   try {
     text = readFileSync(file, 'utf8');
--- a/src/protocol/aims.ts
+++ b/src/protocol/aims.ts
@@ -65,9 +65,9 @@
       if (mapping !== undefined) fault(`${at}/mapping`, 'nothing, for changes are of the whole deployment', mapping);
     } else {
       if ((model === undefined) === (mapping === undefined)) fault(at, 'either a model or a mapping', aim);
-      if (model !== undefined && !models.has(String(model)))
+      if (model !== undefined && !models.has(written(model)))
         fault(`${at}/model`, `one of ${[...models].sort().join(', ')}`, model);
-      if (mapping !== undefined && !mappings.has(String(mapping)))
+      if (mapping !== undefined && !mappings.has(written(mapping)))
         fault(`${at}/mapping`, `one of ${[...mappings].sort().join(', ')}`, mapping);
     }
     if (typeof objective !== 'number' || objective <= 0 || objective > 1)
@@ -90,3 +90,8 @@
   }
   return faults.length > 0 ? err(faults) : ok(out);
 }
+
+// A name as written: YAML reads one of digits as a number.
+function written(name: unknown): string {
+  return typeof name === 'string' || typeof name === 'number' || typeof name === 'boolean' ? String(name) : '';
+}
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -119,7 +119,7 @@
   return ok({
     ...(doc as Configuration),
     zones: zones as Configuration['zones'],
-    deployment: (top['deployment'] ?? {}) as Settings,
+    deployment: top['deployment'] ?? {},
     regions: regions as Configuration['regions'],
   });
 }
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -42,7 +42,7 @@
     return u === null || codec.is(u);
   }
   function validate(u: unknown, c: t.Context): t.Validation<A | null> {
-    return u === null ? t.success(u) : (codec.validate(u, c) as t.Validation<A | null>);
+    return u === null ? t.success(u) : codec.validate(u, c);
   }
   return new t.Type<A | null>(`${codec.name}, or null`, is, validate, t.identity);
 }
--- a/src/runbook/document.ts
+++ b/src/runbook/document.ts
@@ -165,7 +165,7 @@
         );
         continue;
       }
-      const raw = isScalar(pair.value) ? pair.value.value : (pair.value as Node | null)?.toJS(doc);
+      const raw: unknown = isScalar(pair.value) ? pair.value.value : (pair.value as Node | null)?.toJS(doc);
       const value = filled(raw, at);
       if (!typeFits(type, value)) fault(at, `${what}: ${key} must be a ${type}; found ${JSON.stringify(value)}`);
       out[key] = value;
--- a/src/transport/disk.ts
+++ b/src/transport/disk.ts
@@ -136,7 +136,7 @@
         return await readFile(join(folder, name));
       } catch (e) {
         if (typeof e === 'object' && e !== null && 'code' in e && e.code === 'ENOENT') return null;
-        return Promise.reject(e);
+        return Promise.reject(e instanceof Error ? e : new Error(String(e)));
       }
     }
     return guarded(name, go);
--- a/src/transport/door.ts
+++ b/src/transport/door.ts
@@ -32,8 +32,8 @@
     method: req.method,
     path: req.path,
     params: flat(req.params),
-    query: flat(req.query as Record<string, unknown>),
-    headers: flat(req.headers as Record<string, unknown>),
+    query: flat(req.query),
+    headers: flat(req.headers),
     body: req.body as unknown,
     gone,
   };
--- a/tools/tests.mjs
+++ b/tools/tests.mjs
@@ -20,6 +20,8 @@
 if (faults.length > 0) await leave(1);
 if (!(await install())) await leave(1);
 if ((await step('Types', 'node_modules/typescript/bin/tsc', '-p', 'tsconfig.json', '--noEmit')) !== 0) await leave(1);
+if ((await step('Format', 'node_modules/prettier/bin/prettier.cjs', '--check', '.', '--log-level', 'warn')) !== 0)
+  await leave(1);
 if ((await step('Lint', 'node_modules/eslint/bin/eslint.js', '.')) !== 0) await leave(1);
 const code = await step(
   'Tests',
