--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,7 @@
   };
 }
 
-const TOP = ['programs', 'basin', 'sim', 'flume', 'runbook', 'operator'];
+const TOP = ['programs', 'standin', 'sim', 'client', 'runbook', 'operator'];
 
 const typeChecked = {
   files: ['src/**/*.ts', 'platform/**/*.ts'],
--- a/examples/embed.mjs
+++ b/examples/embed.mjs
@@ -1,9 +1,9 @@
-import { createFlume, runKey } from 'millfield/flume';
+import { createClient, runKey } from 'millfield/client';
 
-const sluices = (process.argv[2] ?? '127.0.0.1:7300').split(',');
-const flume = createFlume({ sluices, zone: 'hu-1' });
+const proxies = (process.argv[2] ?? '127.0.0.1:7300').split(',');
+const client = createClient({ proxies, zone: 'hu-1' });
 
-const authorisation = await flume.send({
+const authorisation = await client.send({
   mapping: 'card-authorisation',
   parts: [{ hash: 'terminal-71', tokens: 24, text: 'Authorise 41.20 EUR at pump 4.' }],
   outputTokens: 8,
@@ -13,7 +13,7 @@
 if (authorisation.ok) console.log('authorised:', authorisation.value.text.trim());
 else console.log('not authorised:', JSON.stringify(authorisation.fault));
 
-const summary = await flume.stream({
+const summary = await client.stream({
   mapping: 'fraud-case',
   parts: [
     { hash: 'fleet-rules-v3', tokens: 400, text: 'Rules of the fleet.' },
--- a/src/base/depth.ts
+++ b/src/base/depth.ts
@@ -1,5 +1,5 @@
 /**
- * Depth of parsed documents. Called where a body of unknown origin is read, before
+ * Depth of parsed documents. Called where a body of unknown caller is read, before
  * anything recursive looks at it, so that a deeply nested one cannot exhaust the stack.
  */
 
--- a/src/flume/flume.ts
+++ b/src/client/client.ts
@@ -8,27 +8,27 @@
   readPlaced,
   REQUESTS_PATH,
   TICKET_HEADER,
-} from '../protocol/origin-wire.js';
-import type { Failure, PlaceAsk, Placed } from '../protocol/origin-wire.js';
+} from '../protocol/caller-wire.js';
+import type { Failure, PlaceAsk, Placed } from '../protocol/caller-wire.js';
 import type { Part } from '../protocol/worker-wire.js';
 import { addPiece, checkSeal, startSeal } from '../state/seal.js';
-import { createGotCaller } from '../transport/caller.js';
+import { createGotHttpClient } from '../transport/http-client.js';
 import { createClock } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
 import { createEdgeWatch } from './edge-watch.js';
-import type { Caller, HttpAnswer } from '../transport/http.js';
+import type { HttpClient, HttpAnswer } from '../transport/http.js';
 import type { Address } from '../transport/wire.js';
 
 export { runKey } from '../state/run-key.js';
 
-export type FlumeSettings = {
-  readonly sluices: readonly Address[];
+export type ClientSettings = {
+  readonly proxies: readonly Address[];
   readonly zone?: string;
   readonly placeWaitMs?: number;
   readonly requestWaitMs?: number;
 };
 
-export type FlumeAsk = {
+export type ClientAsk = {
   readonly model?: string;
   readonly mapping?: string;
   readonly kind?: string;
@@ -39,34 +39,34 @@
   readonly key?: string;
 };
 
-export type FlumeFault =
+export type ClientFault =
   | {
       readonly tag: 'failed';
       readonly failure: Failure;
       readonly retryAfterS: number;
       readonly requestId: string | null;
     }
-  | { readonly tag: 'noSluice' }
+  | { readonly tag: 'noProxy' }
   | { readonly tag: 'wrongSeal'; readonly requestId: string }
   | { readonly tag: 'outcomeUnknown'; readonly requestId: string };
 
-export type FlumeAnswer = {
+export type ClientAnswer = {
   readonly requestId: string;
-  readonly dispatchId: string;
+  readonly attemptId: string;
   readonly text: string;
   readonly pieces: number;
 };
 
-export type FlumeEvent =
+export type ClientEvent =
   | { readonly tag: 'piece'; readonly n: number; readonly text: string }
-  | { readonly tag: 'sealed'; readonly dispatchId: string }
-  | { readonly tag: 'fault'; readonly fault: FlumeFault };
+  | { readonly tag: 'sealed'; readonly attemptId: string }
+  | { readonly tag: 'fault'; readonly fault: ClientFault };
 
-export type FlumeStream = { readonly requestId: string; readonly events: AsyncIterable<FlumeEvent> };
+export type ClientStream = { readonly requestId: string; readonly events: AsyncIterable<ClientEvent> };
 
-export type Flume = {
-  readonly send: (ask: FlumeAsk) => Promise<Result<FlumeAnswer, FlumeFault>>;
-  readonly stream: (ask: FlumeAsk) => Promise<Result<FlumeStream, FlumeFault>>;
+export type Client = {
+  readonly send: (ask: ClientAsk) => Promise<Result<ClientAnswer, ClientFault>>;
+  readonly stream: (ask: ClientAsk) => Promise<Result<ClientStream, ClientFault>>;
 };
 
 type Opened = { readonly placed: Placed; readonly answer: HttpAnswer; readonly leave: () => void };
@@ -74,23 +74,23 @@
 const PLACINGS = 3;
 const SILENT_REST_MS = 5_000;
 
-export function createFlume(settings: FlumeSettings): Flume {
-  return createFlumeOver(settings, createGotCaller(1_000), createClock());
+export function createClient(settings: ClientSettings): Client {
+  return createClientOver(settings, createGotHttpClient(1_000), createClock());
 }
 
-export function createFlumeOver(settings: FlumeSettings, caller: Caller, clock: Clock): Flume {
-  const edges = createEdgeWatch(caller, clock);
+export function createClientOver(settings: ClientSettings, httpClient: HttpClient, clock: Clock): Client {
+  const edges = createEdgeWatch(httpClient, clock);
   const silentAt = new Map<Address, number>();
 
   function inTurn(): readonly Address[] {
     const good: Address[] = [];
     const silent: Address[] = [];
-    for (const s of settings.sluices)
+    for (const s of settings.proxies)
       (clock.mono() - (silentAt.get(s) ?? -SILENT_REST_MS) < SILENT_REST_MS ? silent : good).push(s);
     return [...good, ...silent];
   }
 
-  function placeAsk(ask: FlumeAsk, without: readonly string[]): PlaceAsk {
+  function placeAsk(ask: ClientAsk, without: readonly string[]): PlaceAsk {
     let inputTokens = 0;
     const parts: string[] = [];
     for (const p of ask.parts) {
@@ -111,17 +111,17 @@
     };
   }
 
-  function failureOf(answer: HttpAnswer, requestId: string | null): FlumeFault | null {
+  function failureOf(answer: HttpAnswer, requestId: string | null): ClientFault | null {
     const read = readFailure(answer.body);
     if (!read.ok) return null;
     const after = Number(answer.headers['retry-after'] ?? 0);
     return { tag: 'failed', failure: read.value.error, retryAfterS: Number.isFinite(after) ? after : 0, requestId };
   }
 
-  async function place(ask: FlumeAsk, without: readonly string[]): Promise<Result<Placed, FlumeFault>> {
-    let refusal: FlumeFault = { tag: 'noSluice' };
+  async function place(ask: ClientAsk, without: readonly string[]): Promise<Result<Placed, ClientFault>> {
+    let refusal: ClientFault = { tag: 'noProxy' };
     for (const address of inTurn()) {
-      const got = await caller.call({
+      const got = await httpClient.call({
         method: 'POST',
         address,
         path: PLACE_PATH,
@@ -144,13 +144,13 @@
     return err(refusal);
   }
 
-  function worthAnother(fault: FlumeFault | null): boolean {
+  function worthAnother(fault: ClientFault | null): boolean {
     if (fault === null || fault.tag !== 'failed' || fault.failure.tag !== 'shed') return false;
     const { reason } = fault.failure;
     return reason === 'ticketForeign' || reason === 'ticketExpired' || reason === 'stopping' || reason === 'notReady';
   }
 
-  async function submit(ask: FlumeAsk, stream: boolean): Promise<Result<Opened, FlumeFault>> {
+  async function submit(ask: ClientAsk, stream: boolean): Promise<Result<Opened, ClientFault>> {
     const silent: string[] = [];
     for (let tries = 1; ; tries += 1) {
       const placed = await place(ask, silent);
@@ -158,7 +158,7 @@
       const { address, ticket, requestId } = placed.value;
       const stop = new AbortController();
       const leave = edges.follow(address, stop.abort.bind(stop));
-      const got = await caller.call({
+      const got = await httpClient.call({
         method: 'POST',
         address,
         path: REQUESTS_PATH,
@@ -176,9 +176,9 @@
       });
       if (!got.ok || !stream || got.value.status !== 200) leave();
       if (!got.ok) {
-        silent.push(placed.value.sluice);
+        silent.push(placed.value.proxy);
         if (got.fault.tag === 'neverSent' && tries < PLACINGS) continue;
-        return err(got.fault.tag === 'neverSent' ? { tag: 'noSluice' } : { tag: 'outcomeUnknown', requestId });
+        return err(got.fault.tag === 'neverSent' ? { tag: 'noProxy' } : { tag: 'outcomeUnknown', requestId });
       }
       if (got.value.status === 200) return ok({ placed: placed.value, answer: got.value, leave });
       const failed = failureOf(got.value, requestId);
@@ -187,7 +187,7 @@
     }
   }
 
-  async function send(ask: FlumeAsk): Promise<Result<FlumeAnswer, FlumeFault>> {
+  async function send(ask: ClientAsk): Promise<Result<ClientAnswer, ClientFault>> {
     const opened = await submit(ask, false);
     if (!opened.ok) return opened;
     const { requestId } = opened.value.placed;
@@ -200,17 +200,17 @@
       text += piece.text;
     }
     if (checkSeal(check, read.value.seal)) return err({ tag: 'wrongSeal', requestId });
-    return ok({ requestId, dispatchId: read.value.seal.dispatchId, text, pieces: read.value.pieces.length });
+    return ok({ requestId, attemptId: read.value.seal.attemptId, text, pieces: read.value.pieces.length });
   }
 
-  async function stream(ask: FlumeAsk): Promise<Result<FlumeStream, FlumeFault>> {
+  async function stream(ask: ClientAsk): Promise<Result<ClientStream, ClientFault>> {
     const opened = await submit(ask, true);
     if (!opened.ok) return opened;
     const { requestId } = opened.value.placed;
     return ok({ requestId, events: watched(requestId, opened.value) });
   }
 
-  async function* watched(requestId: string, opened: Opened): AsyncGenerator<FlumeEvent> {
+  async function* watched(requestId: string, opened: Opened): AsyncGenerator<ClientEvent> {
     try {
       yield* eventsOf(requestId, opened.answer);
     } finally {
@@ -218,7 +218,7 @@
     }
   }
 
-  async function* eventsOf(requestId: string, answer: HttpAnswer): AsyncGenerator<FlumeEvent> {
+  async function* eventsOf(requestId: string, answer: HttpAnswer): AsyncGenerator<ClientEvent> {
     const check = startSeal(requestId, null);
     for await (const line of answer.lines) {
       if (!line.ok) {
@@ -248,7 +248,7 @@
         const wrong = checkSeal(check, at.seal);
         yield wrong
           ? { tag: 'fault', fault: { tag: 'wrongSeal', requestId } }
-          : { tag: 'sealed', dispatchId: at.seal.dispatchId };
+          : { tag: 'sealed', attemptId: at.seal.attemptId };
         return;
       }
       if (addPiece(check, at.piece)) {
--- /dev/null
+++ b/src/client/edge-watch.ts
@@ -0,0 +1,43 @@
+import { EDGE_HEALTH_PATH } from '../protocol/caller-wire.js';
+import { pause } from '../transport/clock.js';
+import type { Clock } from '../transport/clock.js';
+import type { HttpClient } from '../transport/http.js';
+import type { Address } from '../transport/wire.js';
+
+export type EdgeWatch = { readonly follow: (proxy: Address, onDark: () => void) => () => void };
+
+const LOOK_MS = 1_000;
+const SILENCES_DARK = 3;
+
+export function createEdgeWatch(httpClient: HttpClient, clock: Clock): EdgeWatch {
+  const followers = new Map<Address, Set<() => void>>();
+
+  async function look(proxy: Address, set: Set<() => void>): Promise<void> {
+    let silences = 0;
+    for (;;) {
+      await pause(clock, LOOK_MS);
+      if (set.size === 0) break;
+      const got = await httpClient.call({ method: 'GET', address: proxy, path: EDGE_HEALTH_PATH, timeoutMs: LOOK_MS });
+      silences = got.ok ? 0 : silences + 1;
+      if (silences < SILENCES_DARK) continue;
+      for (const fn of [...set]) fn();
+      break;
+    }
+    if (followers.get(proxy) === set) followers.delete(proxy);
+  }
+
+  function follow(proxy: Address, onDark: () => void): () => void {
+    const have = followers.get(proxy);
+    const set = have ?? new Set<() => void>();
+    set.add(onDark);
+    if (!have) {
+      followers.set(proxy, set);
+      void look(proxy, set);
+    }
+    function leave(): void {
+      set.delete(onDark);
+    }
+    return leave;
+  }
+  return { follow };
+}
--- a/src/coordination/controller-status.ts
+++ b/src/coordination/controller-status.ts
@@ -1,10 +1,10 @@
 /**
- * What a controller tells operators of itself and of the deployment: the body of `GET /v1/status` and the gauges
+ * What a controller tells operators of itself and of the deployment: the body of `GET /v1/status` and the inspects
  * of `GET /metrics`. Both are told from this controller's own knowledge, at once and without asking anyone; while
  * it hears no majority, `quorate` is false and the figures of the core are unknown.
  */
-import { memberId } from '../state/belief.js';
-import type { Belief } from '../state/belief.js';
+import { memberId } from '../state/control-state.js';
+import type { ControlState } from '../state/control-state.js';
 import type { CoreHealth } from '../state/core-health.js';
 import type { Clock } from '../transport/clock.js';
 import type { Meters } from '../transport/meters.js';
@@ -28,7 +28,7 @@
 export type ControllerStatus = {
   /** The body of the status answer. */
   readonly body: () => unknown;
-  /** Sets the gauges to what they are now. */
+  /** Sets the inspects to what they are now. */
   readonly meter: (meters: Meters) => void;
 };
 
@@ -37,16 +37,16 @@
 export function createControllerStatus(deps: ControllerStatusDeps): ControllerStatus {
   const { ledger, claims, push, coreHealth, clock } = deps;
 
-  function sluiceRows(): Record<string, unknown> {
+  function proxyRows(): Record<string, unknown> {
     const rows: Record<string, unknown> = {};
-    for (const name of Object.keys(ledger.belief().sluices)) {
+    for (const name of Object.keys(ledger.controlState().proxies)) {
       const report = push.reports().get(name);
       const at = push.heardAt(name);
       rows[name] = {
         slot: push.confirmedSlot(name),
         heardMs: at === null ? null : Math.round(clock.mono() - at),
         shed: report?.shed ?? null,
-        dispatched: report?.dispatched ?? null,
+        attempted: report?.attempted ?? null,
         retried: report?.retried ?? null,
       };
     }
@@ -56,7 +56,7 @@
   function workerRows(): Record<string, WorkerVerdicts> {
     const rows: Record<string, WorkerVerdicts> = {};
     for (const report of push.reports().values()) {
-      for (const [worker, verdict] of Object.entries(report.fitness)) {
+      for (const [worker, verdict] of Object.entries(report.health)) {
         const seen = rows[worker] ?? { fit: 0, unfit: 0 };
         seen[verdict] += 1;
         rows[worker] = seen;
@@ -66,15 +66,15 @@
   }
 
   function body(): unknown {
-    const state = ledger.belief();
+    const state = ledger.controlState();
     return {
       name: deps.name,
-      role: 'headgate',
+      role: 'controller',
       member: memberId(ledger.self),
       isMember: ledger.isMember(),
       ledger: state.ledger,
       slot: state.slot,
-      epoch: state.epoch,
+      version: state.version,
       writable: ledger.writable(),
       quorate: push.quorate(),
       core: coreHealth.current(),
@@ -87,24 +87,24 @@
       evacuated: state.evacuated,
       zoneSets: state.zoneSets,
       targets: state.targets,
-      sluices: sluiceRows(),
+      proxies: proxyRows(),
       workers: workerRows(),
       ordersInFlight: ordersInFlight(state),
     };
   }
 
   function meter(meters: Meters): void {
-    const state = ledger.belief();
+    const state = ledger.controlState();
     meters.set('millfield_slot', 'Newest ledger slot', state.slot);
-    meters.set('millfield_epoch', 'Configuration in force', state.epoch);
+    meters.set('millfield_version', 'Configuration in force', state.version);
     meters.set('millfield_quorate', '1 while a majority is heard', push.quorate() ? 1 : 0);
     meters.set('millfield_writable', '1 while the ring takes writes', ledger.writable() ? 1 : 0);
     meters.set('millfield_holds_scaler', '1 on the holder of the scaler duty', deps.holdsScaler() ? 1 : 0);
     meters.set('millfield_claims_held', 'Run-once keys remembered', claims.size());
     meters.set('millfield_claims_ready', '1 once claims are whole', claims.ready() ? 1 : 0);
     meters.set(
-      'millfield_sluices_behind',
-      'Sluices that have not confirmed the newest slot',
+      'millfield_proxies_behind',
+      'Proxies that have not confirmed the newest slot',
       push.unconfirmed(state.slot).length,
     );
     const health = coreHealth.current();
@@ -120,7 +120,7 @@
   return { body, meter };
 }
 
-function ordersInFlight(state: Belief): unknown[] {
+function ordersInFlight(state: ControlState): unknown[] {
   const rows: unknown[] = [];
   for (const order of Object.values(state.orders)) {
     if (order.status === 'ready') continue;
@@ -136,7 +136,7 @@
   return rows;
 }
 
-/** All gauges have a label, so that one without a known value is missing from the answer instead of being 0. */
+/** All inspects have a label, so that one without a known value is missing from the answer instead of being 0. */
 function meterCore(meters: Meters, group: string, health: CoreHealth): void {
   const labels = { group };
   meters.set(
@@ -154,7 +154,7 @@
     meters.set('millfield_core_spare_losses', 'Further losses that the core bears', health.spareLosses, labels);
 }
 
-function meterOrders(meters: Meters, state: Belief): void {
+function meterOrders(meters: Meters, state: ControlState): void {
   const counts = new Map<string, number>();
   for (const order of Object.values(state.orders)) {
     const key = `${order.model} ${order.kind} ${order.status}`;
--- a/src/coordination/headgate.ts
+++ b/src/coordination/controller.ts
@@ -3,7 +3,7 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type { NodeInfo } from '../state/node-info.js';
-import { memberId, SCALER_DUTY } from '../state/belief.js';
+import { memberId, SCALER_DUTY } from '../state/control-state.js';
 import type { Disk, DiskFault } from '../transport/disk.js';
 import type { RingFault, RingShape } from '../transport/ring.js';
 import { newId } from '../transport/rng.js';
@@ -19,13 +19,13 @@
 import { createLedger } from './ledger/ledger.js';
 import type { Ledger } from './ledger/ledger.js';
 import { createMembership } from './members/membership.js';
-import { metricsRoute } from './metrics-door.js';
+import { metricsRoute } from './metrics-http-server.js';
 import type { NodeDeps, NodeIdentity } from './node.js';
 import { followMovedHeads } from './members/moved-heads.js';
-import { operatorRoutes } from './ledger/operator-door.js';
+import { operatorRoutes } from './ledger/operator-http-server.js';
 import { createPeers } from './members/peers.js';
-import { createCrowdRelay } from './ledger/crowd-relay.js';
-import { createAttest } from './ledger/attest.js';
+import { createFleetLoadRelay } from './ledger/fleet-load-relay.js';
+import { createQuorumAttestation } from './ledger/quorum-attestation.js';
 import { createControllerStatus } from './controller-status.js';
 import { createCoreHealthWatch } from './ledger/core-health-watch.js';
 import { createPush } from './ledger/push.js';
@@ -35,7 +35,7 @@
 import { createScaler } from './scaling/scaler.js';
 import type { Scaler } from './scaling/scaler.js';
 
-export type Headgate = {
+export type Controller = {
   readonly wire: Address;
   readonly http: Address;
   readonly push: Pick<Push, 'reports' | 'heardAt' | 'quorate'>;
@@ -46,11 +46,12 @@
   readonly stop: () => Promise<void>;
 };
 
-export type HeadgateFault = WireFault | RingFault | { readonly tag: 'noDisk' } | { readonly tag: 'identityUnreadable' };
+export type ControllerFault =
+  WireFault | RingFault | { readonly tag: 'noDisk' } | { readonly tag: 'identityUnreadable' };
 
 const IDENTITY_FILE = 'identity.json';
 
-type Identity = { readonly incarnation: string; readonly founders: readonly Address[] | null };
+type Identity = { readonly incarnation: string; readonly bootstrapMembers: readonly Address[] | null };
 
 async function identityOf(
   id: NodeIdentity,
@@ -63,8 +64,8 @@
     const read = parsedIdentity(kept.value.toString());
     return read === null ? err({ tag: 'identityUnreadable' }) : ok(read);
   }
-  const founds = id.founding === true && id.seeds.includes(id.advertised);
-  const made: Identity = { incarnation: newId(rng, 'i'), founders: founds ? id.seeds : null };
+  const bootstraps = id.bootstrap === true && id.seeds.includes(id.advertised);
+  const made: Identity = { incarnation: newId(rng, 'i'), bootstrapMembers: bootstraps ? id.seeds : null };
   const saved = await saveIdentity(disk, made);
   return saved.ok ? ok(made) : saved;
 }
@@ -76,20 +77,23 @@
 function parsedIdentity(text: string): Identity | null {
   const v = parsedJson(text);
   if (!isTable(v) || typeof v['incarnation'] !== 'string' || v['incarnation'] === '') return null;
-  const founders = v['founders'];
-  return { incarnation: v['incarnation'], founders: Array.isArray(founders) ? founders.map(String) : null };
+  const bootstrapMembers = v['bootstrapMembers'];
+  return {
+    incarnation: v['incarnation'],
+    bootstrapMembers: Array.isArray(bootstrapMembers) ? bootstrapMembers.map(String) : null,
+  };
 }
 
-export type HeadgateShapes = { readonly ledger: RingShape; readonly claims: RingShape };
+export type ControllerShapes = { readonly ledger: RingShape; readonly claims: RingShape };
 
 const MB = 1_048_576;
 
-export const HEADGATE_SHAPES: HeadgateShapes = {
+export const CONTROLLER_SHAPES: ControllerShapes = {
   ledger: { name: 'ledger', files: 6, fileBytes: 8 * MB, snapshotBytes: 48 * MB },
   claims: { name: 'claims', files: 6, fileBytes: 4 * MB, snapshotBytes: 70 * MB },
 };
 
-export function shapesFor(diskBytes: number): HeadgateShapes {
+export function shapesFor(diskBytes: number): ControllerShapes {
   const unit = Math.max(MB / 4, Math.min(8 * MB, Math.floor(diskBytes / 64)));
   return {
     ledger: { name: 'ledger', files: 4, fileBytes: unit, snapshotBytes: 3 * unit },
@@ -97,18 +101,18 @@
   };
 }
 
-export async function startHeadgate(
+export async function startController(
   id: NodeIdentity,
   deps: NodeDeps,
-  given?: HeadgateShapes,
-): Promise<Result<Headgate, HeadgateFault>> {
-  const { clock, rng, logs, caller, disk } = deps;
-  const log = logs.part('headgate');
+  given?: ControllerShapes,
+): Promise<Result<Controller, ControllerFault>> {
+  const { clock, rng, logs, httpClient, disk } = deps;
+  const log = logs.part('controller');
   if (!disk) return err({ tag: 'noDisk' });
-  const shapes = given ?? (id.diskBytes === undefined ? HEADGATE_SHAPES : shapesFor(id.diskBytes));
+  const shapes = given ?? (id.diskBytes === undefined ? CONTROLLER_SHAPES : shapesFor(id.diskBytes));
   const identity = await identityOf(id, disk, rng);
   if (!identity.ok) return identity;
-  const { incarnation, founders } = identity.value;
+  const { incarnation, bootstrapMembers } = identity.value;
   const self: { name: string; incarnation: string; address: Address } = {
     name: id.name,
     incarnation,
@@ -117,7 +121,7 @@
   const peers = createPeers(deps.wire, clock, logs.part('peers'));
   const node: NodeInfo = {
     name: id.name,
-    role: 'headgate',
+    role: 'controller',
     run: id.run,
     incarnation: await nextLife(disk, log),
     address: id.advertised,
@@ -129,7 +133,7 @@
 
   async function renew(): Promise<boolean> {
     const next = newId(rng, 'i');
-    const saved = await saveIdentity(disk as Disk, { incarnation: next, founders: null });
+    const saved = await saveIdentity(disk as Disk, { incarnation: next, bootstrapMembers: null });
     if (saved.ok) self.incarnation = next;
     return saved.ok;
   }
@@ -142,7 +146,7 @@
     shape: shapes.ledger,
     self,
     seeds: id.seeds,
-    founders,
+    bootstrapMembers,
     renew,
     keepsClaims: id.claims !== false,
   });
@@ -163,9 +167,9 @@
     clock,
     log: logs.part('core'),
   });
-  const attest = createAttest(ledger, clock);
-  const push = createPush(ledger, attest, peers, clock, logs.part('push'));
-  const crowd = createCrowdRelay(ledger, peers, clock, rng);
+  const quorumAttestation = createQuorumAttestation(ledger, clock);
+  const push = createPush(ledger, quorumAttestation, peers, clock, logs.part('push'));
+  const fleetLoad = createFleetLoadRelay(ledger, peers, clock, rng);
   const aims = createAimKeeper(ledger, peers, clock);
   const lease =
     id.cloud === null && !deps.listReader
@@ -175,14 +179,14 @@
   if (!opened.ok) return opened;
   function contacts(): Set<Address> {
     const out = new Set<Address>(id.seeds);
-    for (const m of ledger.belief().members) out.add(m.address);
+    for (const m of ledger.controlState().members) out.add(m.address);
     return out;
   }
   const membership = createMembership(node, contacts, peers, clock, rng, logs.part('members'));
-  followMovedHeads(membership, ledger.belief, peers);
+  followMovedHeads(membership, ledger.controlState, peers);
   function heads(): Set<Address> {
-    const out = new Set<Address>(ledger.belief().members.length > 0 ? [] : id.seeds);
-    for (const m of ledger.belief().members) out.add(m.address);
+    const out = new Set<Address>(ledger.controlState().members.length > 0 ? [] : id.seeds);
+    for (const m of ledger.controlState().members) out.add(m.address);
     return out;
   }
   const list = deps.listReader
@@ -207,9 +211,9 @@
       ledger,
       lease: held,
       push,
-      cloud: createCloudClient(caller, cloud),
-      platform: createPlatformClient(caller, id.platform),
-      caller,
+      cloud: createCloudClient(httpClient, cloud),
+      platform: createPlatformClient(httpClient, id.platform),
+      httpClient,
       clock,
       rng,
       log: logs.part('scaler'),
@@ -231,17 +235,17 @@
     holdsScaler,
   });
   const routes = operatorRoutes({ ledger, push, aims, clock, status: status.body });
-  function openDoor(): Promise<Result<Listener, WireFault>> {
-    return deps.door.open(id.httpListen, [...routes, metricsRoute(deps.meters(), status.meter)]);
+  function openHttpServer(): Promise<Result<Listener, WireFault>> {
+    return deps.httpServer.open(id.httpListen, [...routes, metricsRoute(deps.meters(), status.meter)]);
   }
-  const door = id.operatorDoor === false ? null : await openDoor();
-  if (door && !door.ok) {
+  const httpServer = id.operatorHttpServer === false ? null : await openHttpServer();
+  if (httpServer && !httpServer.ok) {
     await stopAll();
-    return door;
+    return httpServer;
   }
-  const served = door?.value ?? null;
+  const served = httpServer?.value ?? null;
   log.info(
-    `Headgate ${memberId(self)} at ${served?.address ?? 'no door of its own'}, peers at ${opened.value.address}.`,
+    `Controller ${memberId(self)} at ${served?.address ?? 'no server of its own'}, peers at ${opened.value.address}.`,
   );
 
   async function stopAll(): Promise<void> {
@@ -252,8 +256,8 @@
     membership.leave();
     membership.stop();
     push.stop();
-    crowd.stop();
-    attest.stop();
+    fleetLoad.stop();
+    quorumAttestation.stop();
     coreHealth.stop();
     aims.stop();
     if (claims.ok) claims.value.stop();
--- a/src/coordination/edge/claim-client.ts
+++ b/src/coordination/edge/claim-client.ts
@@ -1,7 +1,7 @@
 import { createLine } from '../../base/line.js';
 import type { Claim, ClaimAnswer, ClaimEnd } from '../../state/claim.js';
-import { majorityOf, memberId, membersMark } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { majorityOf, memberId, membersMark } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import type { Member } from '../../state/entry.js';
 import type { RunKey } from '../../state/run-key.js';
 import { pause } from '../../transport/clock.js';
@@ -25,9 +25,9 @@
 const ENDS_TRIED = 12;
 const ENDS_PAUSE_MS = 30_000;
 
-export function createClaimClient(believed: () => Belief, peers: Peers, clock: Clock): ClaimClient {
+export function createClaimClient(currentControlState: () => ControlState, peers: Peers, clock: Clock): ClaimClient {
   async function work(claims: readonly Claim[]): Promise<readonly Promise<ClaimOutcome>[]> {
-    const b = believed();
+    const b = currentControlState();
     const need = majorityOf(b.members);
     const out: Promise<ClaimOutcome>[] = [];
     const settle: ((o: ClaimOutcome) => void)[] = [];
@@ -42,7 +42,7 @@
   }
 
   async function collect(
-    b: Belief,
+    b: ControlState,
     need: number,
     claims: readonly Claim[],
     settle: readonly ((o: ClaimOutcome) => void)[],
@@ -100,7 +100,7 @@
     function settleTaken(): void {
       let contested = false;
       for (const i of open) if (tally(i).no) contested = true;
-      if (contested) clock.wakeup(PATIENCE_MS, finish);
+      if (contested) clock.timer(PATIENCE_MS, finish);
     }
     for (const m of b.members) void ask(m);
   }
@@ -125,7 +125,7 @@
     }
   }
   async function spread(ends: readonly ClaimEnd[]): Promise<readonly null[]> {
-    const b = believed();
+    const b = currentControlState();
     for (const m of b.members) void deliver(m.address, b.ledger, ends);
     return ends.map(nothing);
   }
--- a/src/coordination/edge/directory.test.ts
+++ b/src/coordination/edge/directory.test.ts
@@ -2,11 +2,11 @@
 import { createWorld } from '../../sim/world.js';
 import type { Report } from '../../state/report.js';
 import { DEFAULT_LIMITS } from '../../state/serving.js';
-import type { DoorMapping, Serving } from '../../state/serving.js';
+import type { RouteMapping, Serving } from '../../state/serving.js';
 import { addressesFor, createDirectory, DIRECTORY_TUNING, homesOf } from './directory.js';
-import type { ToldSluice } from './directory.js';
+import type { ToldProxy } from './directory.js';
 
-function sluice(name: string, zone: string, more: Partial<ToldSluice> = {}): ToldSluice {
+function proxy(name: string, zone: string, more: Partial<ToldProxy> = {}): ToldProxy {
   return {
     name,
     zone,
@@ -19,23 +19,23 @@
   };
 }
 const FLEET = [
-  sluice('a1', 'north-a'),
-  sluice('a2', 'north-a'),
-  sluice('b1', 'north-b'),
-  sluice('c1', 'south-a'),
-  sluice('d1', 'west-a'),
+  proxy('a1', 'north-a'),
+  proxy('a2', 'north-a'),
+  proxy('b1', 'north-b'),
+  proxy('c1', 'south-a'),
+  proxy('d1', 'west-a'),
 ];
-function without(names: readonly string[], how: Partial<ToldSluice>): ToldSluice[] {
+function without(names: readonly string[], how: Partial<ToldProxy>): ToldProxy[] {
   return FLEET.map((s) => (names.includes(s.name) ? { ...s, ...how } : s));
 }
-function answer(told: readonly ToldSluice[], zone = 'north-a', near: readonly string[] = []): string {
+function answer(told: readonly ToldProxy[], zone = 'north-a', near: readonly string[] = []): string {
   return addressesFor(told, { host: 'h.example', zone, region: zone.split('-')[0] as string }, { homes: [], near })
     .addresses.sort()
     .join(' ');
 }
 
-describe('where an origin is sent', () => {
-  test('to the ready sluices of its own zone', () => {
+describe('where a caller is sent', () => {
+  test('to the ready proxies of its own zone', () => {
     expect(answer(FLEET)).toBe('a1 a2');
     expect(answer(FLEET, 'north-b')).toBe('b1');
   });
@@ -54,8 +54,8 @@
     },
   );
 
-  test('a zone that lost over half of its sluices shares with its region', () => {
-    const more = [...FLEET, sluice('a3', 'north-a')];
+  test('a zone that lost over half of its proxies shares with its region', () => {
+    const more = [...FLEET, proxy('a3', 'north-a')];
     const lost = more.map((s) => (s.name === 'a1' || s.name === 'a2' ? { ...s, ready: false } : s));
     expect(answer(lost)).toBe('a3 b1');
     expect(answer(lost.map((s) => (s.ready ? s : { ...s, heardAgoMs: 31_000 })))).toBe('a3');
@@ -73,15 +73,15 @@
   });
 
   test('of many each host has its own 64, the same at each asking, and all are used alike', () => {
-    const many: ToldSluice[] = [];
-    for (let i = 0; i < 200; i += 1) many.push(sluice(`s${i}`, 'north-a'));
+    const many: ToldProxy[] = [];
+    for (let i = 0; i < 200; i += 1) many.push(proxy(`s${i}`, 'north-a'));
     const uses = new Map<string, number>();
     for (let h = 0; h < 300; h += 1) {
-      const origin = { host: `h${h}.example`, zone: 'north-a', region: 'north' };
-      const got = addressesFor(many, origin, { homes: [], near: [] }).addresses;
+      const caller = { host: `h${h}.example`, zone: 'north-a', region: 'north' };
+      const got = addressesFor(many, caller, { homes: [], near: [] }).addresses;
       expect(got.length).toBe(DIRECTORY_TUNING.most);
       expect(new Set(got).size).toBe(got.length);
-      expect(addressesFor([...many].reverse(), origin, { homes: [], near: [] }).addresses).toEqual(got);
+      expect(addressesFor([...many].reverse(), caller, { homes: [], near: [] }).addresses).toEqual(got);
       for (const a of got) uses.set(a, (uses.get(a) ?? 0) + 1);
     }
     const counts = [...uses.values()];
@@ -91,7 +91,7 @@
 });
 
 function servingWith(homesByHost: readonly (readonly [string, readonly string[]])[]): Serving {
-  const mappings: Record<string, DoorMapping> = {};
+  const mappings: Record<string, RouteMapping> = {};
   homesByHost.forEach(([host, homes], i) => {
     mappings[`m${i}`] = {
       at: i,
@@ -104,7 +104,7 @@
       deadlineMs: 1_000,
       aimMs: null,
       pauseMs: null,
-      dispatches: 1,
+      attempts: 1,
       shares: [{ model: 'm', share: 1 }],
       split: false,
       homes,
@@ -166,37 +166,37 @@
   test('is led to proxies of its homes that were told to stop, while they take what comes, before any region that is no home', () => {
     const stopping = { ready: false, draining: true };
     const told = FLEET.map((s) => (s.zone === 'west-a' ? s : { ...s, ready: false }));
-    const caller = { host: 'bound.example', zone: 'north-a', region: 'north' };
+    const httpClient = { host: 'bound.example', zone: 'north-a', region: 'north' };
     const next = { homes: HOMES, near: ['west'] };
-    const with1 = (name: string, how: Partial<ToldSluice>) => told.map((s) => (s.name === name ? { ...s, ...how } : s));
-    expect(addressesFor(with1('b1', stopping), caller, next)).toEqual({ addresses: ['b1'], lasting: false });
-    expect(addressesFor(with1('c1', stopping), caller, next)).toEqual({ addresses: ['c1'], lasting: false });
+    const with1 = (name: string, how: Partial<ToldProxy>) => told.map((s) => (s.name === name ? { ...s, ...how } : s));
+    expect(addressesFor(with1('b1', stopping), httpClient, next)).toEqual({ addresses: ['b1'], lasting: false });
+    expect(addressesFor(with1('c1', stopping), httpClient, next)).toEqual({ addresses: ['c1'], lasting: false });
     expect(
       addressesFor(
         with1('c1', { ready: true }).map((s) => (s.name === 'b1' ? { ...s, ...stopping } : s)),
-        caller,
+        httpClient,
         next,
       ),
     ).toEqual({ addresses: ['c1'], lasting: false });
-    expect(addressesFor(with1('b1', { ...stopping, heardAgoMs: 2_100 }), caller, next)).toEqual({
+    expect(addressesFor(with1('b1', { ...stopping, heardAgoMs: 2_100 }), httpClient, next)).toEqual({
       addresses: ['d1'],
       lasting: false,
     });
-    expect(addressesFor(with1('b1', stopping), caller, { homes: [], near: ['west'] })).toEqual({
+    expect(addressesFor(with1('b1', stopping), httpClient, { homes: [], near: ['west'] })).toEqual({
       addresses: ['d1'],
       lasting: false,
     });
   });
 
   test('is told to ask again soon, and so is nobody who is sent to ready proxies of its own region', () => {
-    const caller = { host: 'h.example', zone: 'north-a', region: 'north' };
+    const httpClient = { host: 'h.example', zone: 'north-a', region: 'north' };
     const next = { homes: [], near: [] };
-    expect(addressesFor(FLEET, caller, next).lasting).toBe(true);
-    expect(addressesFor(without(['a1', 'a2'], { ready: false }), caller, next)).toEqual({
+    expect(addressesFor(FLEET, httpClient, next).lasting).toBe(true);
+    expect(addressesFor(without(['a1', 'a2'], { ready: false }), httpClient, next)).toEqual({
       addresses: ['b1'],
       lasting: true,
     });
-    expect(addressesFor(without(['a1', 'a2', 'b1'], { ready: false }), caller, next).lasting).toBe(false);
+    expect(addressesFor(without(['a1', 'a2', 'b1'], { ready: false }), httpClient, next).lasting).toBe(false);
   });
 
   test('finds the home first that most mappings of the host share', () => {
--- a/src/coordination/edge/directory.ts
+++ b/src/coordination/edge/directory.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../../transport/clock.js';
 import type { Address } from '../../transport/wire.js';
 
-export type ToldSluice = {
+export type ToldProxy = {
   readonly name: string;
   readonly zone: string;
   readonly region: string;
@@ -14,7 +14,7 @@
   readonly heardAgoMs: number;
 };
 
-export type Origin = { readonly host: string; readonly zone: string; readonly region: string };
+export type Caller = { readonly host: string; readonly zone: string; readonly region: string };
 
 export type DirectoryTuning = {
   readonly unheardMs: number;
@@ -51,8 +51,8 @@
  * that were told to stop but still take what comes.
  */
 export function addressesFor(
-  told: readonly ToldSluice[],
-  origin: Origin,
+  told: readonly ToldProxy[],
+  caller: Caller,
   next: NextRegions,
   tuning: DirectoryTuning = DIRECTORY_TUNING,
 ): Found {
@@ -60,50 +60,50 @@
   const serving = heard.length > 0 ? heard : told.filter(isReady);
   const found = nearest();
   const lasting = found.length > 0 && found.every(isLasting);
-  return { addresses: someOf(found, origin, tuning.most), lasting };
+  return { addresses: someOf(found, caller, tuning.most), lasting };
 
-  function isLasting(s: ToldSluice): boolean {
-    return s.ready && s.region === origin.region;
+  function isLasting(s: ToldProxy): boolean {
+    return s.ready && s.region === caller.region;
   }
 
-  function isReady(s: ToldSluice): boolean {
+  function isReady(s: ToldProxy): boolean {
     return s.ready;
   }
-  function isHeard(s: ToldSluice): boolean {
+  function isHeard(s: ToldProxy): boolean {
     return s.ready && s.heardAgoMs <= tuning.unheardMs;
   }
-  function inZone(s: ToldSluice): boolean {
-    return s.zone === origin.zone && s.region === origin.region;
+  function inZone(s: ToldProxy): boolean {
+    return s.zone === caller.zone && s.region === caller.region;
   }
-  function isMissed(s: ToldSluice): boolean {
+  function isMissed(s: ToldProxy): boolean {
     return inZone(s) && s.heardAgoMs <= tuning.forgottenMs;
   }
-  function nearest(): readonly ToldSluice[] {
+  function nearest(): readonly ToldProxy[] {
     const zone = serving.filter(inZone);
     if (zone.length > 0 && zone.length >= tuning.fewestShare * told.filter(isMissed).length) return zone;
-    const allowed = [origin.region, ...next.homes];
+    const allowed = [caller.region, ...next.homes];
     const draining = next.homes.length > 0 ? told.filter(isDraining) : [];
     return (
       firstRegion(serving, allowed) ?? firstRegion(draining, allowed) ?? firstRegion(serving, next.near) ?? serving
     );
   }
-  function isDraining(s: ToldSluice): boolean {
+  function isDraining(s: ToldProxy): boolean {
     return s.draining && s.heardAgoMs <= tuning.unheardMs;
   }
 }
 
-function firstRegion(proxies: readonly ToldSluice[], regions: readonly string[]): readonly ToldSluice[] | null {
+function firstRegion(proxies: readonly ToldProxy[], regions: readonly string[]): readonly ToldProxy[] | null {
   for (const region of regions) {
-    const found: ToldSluice[] = [];
+    const found: ToldProxy[] = [];
     for (const proxy of proxies) if (proxy.region === region) found.push(proxy);
     if (found.length > 0) return found;
   }
   return null;
 }
 
-function someOf(sluices: readonly ToldSluice[], origin: Origin, most: number): Address[] {
+function someOf(proxies: readonly ToldProxy[], caller: Caller, most: number): Address[] {
   const ranked: Ranked[] = [];
-  for (const s of sluices) ranked.push({ http: s.http, rank: hash32(`${origin.host} ${origin.zone} ${s.name}`) });
+  for (const s of proxies) ranked.push({ http: s.http, rank: hash32(`${caller.host} ${caller.zone} ${s.name}`) });
   ranked.sort(byRank);
   const out: Address[] = [];
   for (const r of ranked.slice(0, most)) out.push(r.http);
@@ -115,7 +115,7 @@
 
 export type Told = { readonly reports: () => Reports; readonly heardAt: (name: string) => number | null };
 
-export type Directory = { readonly addressesFor: (origin: Origin) => Found };
+export type Directory = { readonly addressesFor: (caller: Caller) => Found };
 
 /** The settings in force, as far as the controller knows them. */
 export type ServingInForce = () => Serving | null;
@@ -154,8 +154,8 @@
 ): Directory {
   let firstAt: number | null = null;
 
-  function rows(now: number): ToldSluice[] {
-    const out: ToldSluice[] = [];
+  function rows(now: number): ToldProxy[] {
+    const out: ToldProxy[] = [];
     for (const r of told.reports().values()) {
       const at = told.heardAt(r.reporter);
       if (at !== null)
@@ -171,17 +171,17 @@
     }
     return out;
   }
-  function forOrigin(origin: Origin): Found {
+  function forCaller(caller: Caller): Found {
     const now = clock.mono();
-    const sluices = rows(now);
-    if (sluices.length > 0) firstAt ??= now;
-    for (const s of sluices) if (firstAt !== null) firstAt = Math.min(firstAt, now - s.heardAgoMs);
+    const proxies = rows(now);
+    if (proxies.length > 0) firstAt ??= now;
+    for (const s of proxies) if (firstAt !== null) firstAt = Math.min(firstAt, now - s.heardAgoMs);
     if (firstAt === null || now - firstAt < tuning.warmMs) return { addresses: [], lasting: false };
-    return addressesFor(sluices, origin, nextRegions(origin), tuning);
+    return addressesFor(proxies, caller, nextRegions(caller), tuning);
   }
-  function nextRegions(origin: Origin): NextRegions {
-    const homes = homesOf(serving(), origin.host);
+  function nextRegions(caller: Caller): NextRegions {
+    const homes = homesOf(serving(), caller.host);
     return { homes: homes.includes(region) ? [region, ...homes] : homes, near: [region] };
   }
-  return { addressesFor: forOrigin };
+  return { addressesFor: forCaller };
 }
--- a/src/coordination/edge/dispatcher.ts
+++ b/src/coordination/edge/dispatcher.ts
@@ -1,5 +1,5 @@
 import type { Result } from '../../base/result.js';
-import type { Failure, ShedReason, Submit } from '../../protocol/origin-wire.js';
+import type { Failure, ShedReason, Submit } from '../../protocol/caller-wire.js';
 import { readNotRun, readStreamLine, readWhole, RUN_PATH } from '../../protocol/worker-wire.js';
 import type { Run, StreamLine, Whole } from '../../protocol/worker-wire.js';
 import type { Seal } from '../../state/seal.js';
@@ -15,8 +15,8 @@
 import type { WorkerRow } from '../../state/worker-row.js';
 import type { WorkerTable } from '../../state/worker-table.js';
 import { every } from '../../transport/clock.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
-import type { Caller, HttpAnswer } from '../../transport/http.js';
+import type { Clock, Timer } from '../../transport/clock.js';
+import type { HttpClient, HttpAnswer } from '../../transport/http.js';
 import type { Log } from '../../transport/log.js';
 import { newId } from '../../transport/rng.js';
 import type { Rng } from '../../transport/rng.js';
@@ -36,7 +36,7 @@
 export type Tally = {
   readonly requests: Readonly<Record<string, number>>;
   readonly shed: number;
-  readonly dispatched: number;
+  readonly attempted: number;
   readonly retried: number;
   readonly cut: number;
   readonly waiting: number;
@@ -66,14 +66,14 @@
   readonly placer: Placer;
   readonly table: WorkerTable;
   readonly claims: ClaimClient;
-  readonly caller: Caller;
+  readonly httpClient: HttpClient;
   readonly clock: Clock;
   readonly rng: Rng;
   readonly log: Log;
 };
 
 export function createDispatcher(deps: DispatcherDeps): Dispatcher {
-  const { ready, placer, table, claims, caller, clock, rng, log } = deps;
+  const { ready, placer, table, claims, httpClient, clock, rng, log } = deps;
   const budget = createRetryBudget();
   const waiters = new Set<Waiter>();
   const lineLengths = new Map<string, number>();
@@ -81,7 +81,7 @@
   const requests: Record<string, number> = {};
   const paces = new Map<string, LinePace>();
   let shedCount = 0;
-  let dispatched = 0;
+  let attempted = 0;
   let retried = 0;
   let cut = 0;
   let open = true;
@@ -163,10 +163,10 @@
   function nextPoke(model: string, ms: number): Promise<void> {
     function start(resolve: () => void): void {
       const waiter: Waiter = { model, poke };
-      const wakeup: Wakeup = clock.wakeup(ms, poke);
+      const timer: Timer = clock.timer(ms, poke);
       waiters.add(waiter);
       function poke(): void {
-        wakeup.cancel();
+        timer.cancel();
         waiters.delete(waiter);
         resolve();
       }
@@ -213,8 +213,8 @@
         }
       }
       if (n > 0) retried += 1;
-      else budget.noteDispatch(values.retryShare);
-      dispatched += 1;
+      else budget.noteAttempt(values.retryShare);
+      attempted += 1;
       const end = await tryWorker(got, ticket, body, values, until, gone, sealed);
       if (end.tag === 'done') {
         table.served(candidate.ix);
@@ -258,14 +258,14 @@
     const { candidate, row } = seated;
     const run: Run = {
       requestId: ticket.requestId,
-      dispatchId: newId(rng, 'd'),
+      attemptId: newId(rng, 'd'),
       model: ticket.model,
       parts: body.parts,
       outputTokens: body.outputTokens,
       stream: body.stream,
     };
     const flight = flights.takeOff(row, values.pieceWaitMs);
-    const got = await caller.call({
+    const got = await httpClient.call({
       method: 'POST',
       address: candidate.address,
       path: RUN_PATH,
@@ -287,7 +287,7 @@
       answer.status === 503 &&
       notRun.ok &&
       notRun.value.requestId === run.requestId &&
-      notRun.value.dispatchId === run.dispatchId
+      notRun.value.attemptId === run.attemptId
     ) {
       table.refused(candidate.ix);
       return { tag: 'notRun' };
@@ -301,7 +301,7 @@
 
   function wholeEnd(run: Run, candidate: Candidate, body: unknown): TryEnd {
     const read = readWhole(body);
-    const check = startSeal(run.requestId, run.dispatchId);
+    const check = startSeal(run.requestId, run.attemptId);
     let good = read.ok;
     if (read.ok) {
       for (const piece of read.value.pieces) if (addPiece(check, piece)) good = false;
@@ -323,7 +323,7 @@
     gone: () => boolean,
     sealed: () => void,
   ): Promise<TryEnd> {
-    const check = startSeal(run.requestId, run.dispatchId);
+    const check = startSeal(run.requestId, run.attemptId);
     const lines = answer.lines[Symbol.asyncIterator]();
     const first = await heard();
     if (first.tag === 'fault') {
@@ -379,7 +379,7 @@
   function tally(): Tally {
     let waiting = 0;
     for (const n of lineLengths.values()) waiting += n;
-    return { requests: { ...requests }, shed: shedCount, dispatched, retried, cut, waiting, inFlight: flights.open() };
+    return { requests: { ...requests }, shed: shedCount, attempted, retried, cut, waiting, inFlight: flights.open() };
   }
   function stopTaking(): void {
     open = false;
--- a/src/coordination/edge/list-source.ts
+++ b/src/coordination/edge/list-source.ts
@@ -52,8 +52,7 @@
 
   async function askOthers(fault: CloudFault): Promise<Result<SeenList, CloudFault>> {
     const others: NodeInfo[] = [];
-    for (const n of membership.all())
-      if (n.role === 'sluice' && n.status === 'alive' && n.name !== name) others.push(n);
+    for (const n of membership.all()) if (n.role === 'proxy' && n.status === 'alive' && n.name !== name) others.push(n);
     let best: SeenList | null = null;
     async function one(n: NodeInfo): Promise<void> {
       const from = clock.mono();
--- a/src/coordination/edge/open-sluice.test.ts
+++ b/src/coordination/edge/open-proxy.test.ts
@@ -6,9 +6,9 @@
 import type { Report } from '../../state/report.js';
 import type { Serving } from '../../state/serving.js';
 import { createQuietLog } from '../../transport/log.js';
-import type { OpenRequest, Outlets, SendEvents } from '../../transport/open-http.js';
+import type { OpenRequest, ConnectionPool, SendEvents } from '../../transport/open-http.js';
 import { createRng } from '../../transport/rng.js';
-import { startOpenSluice } from './open-sluice.js';
+import { startOpenProxy } from './open-proxy.js';
 
 const SERVING: Serving = {
   number: 1,
@@ -25,24 +25,24 @@
       deadlineMs: 20_000,
       aimMs: 800,
       pauseMs: null,
-      dispatches: 1,
+      attempts: 1,
       shares: [{ model: 'm', share: 1 }],
       split: false,
       homes: [],
     },
   },
-  models: { m: { at: 0, fitnessPath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
+  models: { m: { at: 0, probePath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
 };
 
 async function rig(seed: number) {
-  const core = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: 20 });
+  const core = createSimCore(seed, { controllers: 3, seeds: 3, regionMs: 20 });
   core.startAll();
   const names = core.nodes.map((n) => n.name);
   expect(await core.until(20_000, () => core.whole(names))).toBe(true);
   core.world.host('s1', 'zone-h1');
   const { wire, clock } = core.lab('s1');
   const sent: SendEvents[] = [];
-  const outlets: Outlets = {
+  const connectionPool: ConnectionPool = {
     send: (_what, events) => {
       sent.push(events);
       return { cut: () => undefined };
@@ -54,11 +54,11 @@
     made: () => 0,
     stop: () => undefined,
   };
-  const doors: ((req: OpenRequest) => void)[] = [];
+  const httpServers: ((req: OpenRequest) => void)[] = [];
   const stoppedListening: number[] = [];
   let listed = true;
   let tellList = (): void => undefined;
-  const started = startOpenSluice(
+  const started = startOpenProxy(
     {
       name: 's1',
       run: 'run-1',
@@ -75,10 +75,10 @@
       logs: createQuietLog(),
       words: W,
       tuning: EDGE_TUNING,
-      outlets,
-      door: {
+      connectionPool,
+      httpServer: {
         open: (address, handle) => {
-          doors.push(handle);
+          httpServers.push(handle);
           return Promise.resolve({
             ok: true,
             value: {
@@ -119,14 +119,14 @@
   );
   const got = await core.finish(started, 5_000);
   if (!got?.ok) throw new Error('did not start');
-  const sluice = got.value;
+  const proxy = got.value;
   tellList();
   const answers: { status: number; headers: string[]; ended: boolean }[] = [];
   function ask(path = '/x/1'): void {
     const answer = { status: 0, headers: [] as string[], ended: false };
     answers.push(answer);
-    const all: Record<string, string> = { host: 'a.example', [W.dispatchId]: `q${answers.length}` };
-    doors[0]?.({
+    const all: Record<string, string> = { host: 'a.example', [W.attemptId]: `q${answers.length}` };
+    httpServers[0]?.({
       method: 'POST',
       target: path,
       headers: Object.entries(all).flat(),
@@ -148,21 +148,25 @@
     });
   }
   function answer(i: number): void {
-    const h = { [W.dispatchId]: `q${i + 1}`, [W.seal]: 's' } as Record<string, string>;
+    const h = { [W.attemptId]: `q${i + 1}`, [W.seal]: 's' } as Record<string, string>;
     sent[i]?.head(200, Object.entries(h).flat(), (n) => h[n] ?? null);
     sent[i]?.data(Buffer.from('out'));
     sent[i]?.end();
   }
   function reported(): Report | undefined {
-    return core.node('h1').headgate!.push.reports().get('s1');
+    return core.node('h1').controller!.push.reports().get('s1');
   }
   async function configure(): Promise<void> {
-    const ledger = core.node('h1').headgate!.ledger;
+    const ledger = core.node('h1').controller!.ledger;
     const work = ledger.propose(
       {
         id: 'first',
         cause: 'A test configures.',
-        act: { tag: 'configured', base: ledger.belief().epoch, changes: [{ path: ['serving'], value: SERVING }] },
+        act: {
+          tag: 'configured',
+          base: ledger.controlState().version,
+          changes: [{ path: ['serving'], value: SERVING }],
+        },
       },
       2_000,
     );
@@ -171,7 +175,7 @@
   return {
     core,
     clock,
-    sluice,
+    proxy,
     sent,
     answers,
     ask,
@@ -186,19 +190,19 @@
 }
 
 test.each([1, 2])(
-  'a sluice that is told to stop names itself unready at once, and ends only when all that it took is answered (seed %i)',
+  'a proxy that is told to stop names itself unready at once, and ends only when all that it took is answered (seed %i)',
   async (seed) => {
     const r = await rig(seed);
     await r.configure();
-    expect(await r.core.until(5_000, () => r.sluice.ready())).toBe(true);
+    expect(await r.core.until(5_000, () => r.proxy.ready())).toBe(true);
     r.ask();
     await r.core.world.advance(10);
     expect(r.sent).toHaveLength(1);
     let ended = false;
-    void r.sluice.drain(8_000).then(() => {
+    void r.proxy.drain(8_000).then(() => {
       ended = true;
     });
-    expect(r.sluice.ready()).toBe(false);
+    expect(r.proxy.ready()).toBe(false);
     await r.core.world.advance(5_000);
     expect(ended).toBe(false);
     r.answer(0);
@@ -209,14 +213,14 @@
   },
 );
 
-test('a sluice that is told to stop is named for a while, and takes no new connection near its end', async () => {
+test('a proxy that is told to stop is named for a while, and takes no new connection near its end', async () => {
   const r = await rig(5);
   await r.configure();
-  expect(await r.core.until(5_000, () => r.sluice.ready())).toBe(true);
+  expect(await r.core.until(5_000, () => r.proxy.ready())).toBe(true);
   r.ask();
   await r.core.world.advance(10);
   const from = r.clock.mono();
-  void r.sluice.drain(8_000);
+  void r.proxy.drain(8_000);
   await r.core.world.advance(1_800);
   expect(r.reported()).toMatchObject({ ready: false, draining: true });
   await r.core.world.advance(900);
--- a/src/coordination/edge/open-sluice.ts
+++ b/src/coordination/edge/open-proxy.ts
@@ -4,15 +4,15 @@
 import type { NodeInfo } from '../../state/node-info.js';
 import type { Report } from '../../state/report.js';
 import type { OpenWords } from '../../protocol/open-words.js';
-import { createDispatchBudget } from '../../state/dispatch-budget.js';
-import { createDoorTable } from '../../state/door-table.js';
-import type { DoorTable } from '../../state/door-table.js';
+import { createAttemptBudget } from '../../state/attempt-budget.js';
+import { createRouteTable } from '../../state/route-table.js';
+import type { RouteTable } from '../../state/route-table.js';
 import type { EdgeTuning } from '../../state/edge-tuning.js';
-import { createWorkerBook } from '../../state/worker-book.js';
+import { createWorkerRegistry } from '../../state/worker-registry.js';
 import { every, pause } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { LogRoot } from '../../transport/log.js';
-import type { OpenDoor, Outlets } from '../../transport/open-http.js';
+import type { OpenHttpServer, ConnectionPool } from '../../transport/open-http.js';
 import type { Rng } from '../../transport/rng.js';
 import type { Address, Wire, WireFault } from '../../transport/wire.js';
 import { createFollower } from '../ledger/follower.js';
@@ -25,7 +25,7 @@
 import { createRelay } from './relay.js';
 import type { RelayTally } from './relay.js';
 
-export type OpenSluiceIdentity = {
+export type OpenProxyIdentity = {
   readonly name: string;
   readonly run: string;
   readonly zone: string;
@@ -35,19 +35,19 @@
   readonly seeds: readonly Address[];
 };
 
-export type OpenSluiceDeps = {
+export type OpenProxyDeps = {
   readonly clock: Clock;
   readonly rng: Rng;
   readonly wire: Wire;
-  readonly door: OpenDoor;
-  readonly outlets: Outlets;
+  readonly httpServer: OpenHttpServer;
+  readonly connectionPool: ConnectionPool;
   readonly logs: LogRoot;
   readonly words: OpenWords;
   readonly tuning: EdgeTuning;
-  readonly feed: (peers: Peers, headgates: () => readonly Address[]) => ListFeed;
+  readonly feed: (peers: Peers, controllers: () => readonly Address[]) => ListFeed;
 };
 
-export type OpenSluice = {
+export type OpenProxy = {
   readonly front: Address;
   readonly ready: () => boolean;
   readonly tally: () => RelayTally;
@@ -69,12 +69,12 @@
 const LINGER_MS = 3_000;
 const LAST_CALL_MS = 1_500;
 
-export async function startOpenSluice(
-  id: OpenSluiceIdentity,
-  deps: OpenSluiceDeps,
-): Promise<Result<OpenSluice, WireFault>> {
+export async function startOpenProxy(
+  id: OpenProxyIdentity,
+  deps: OpenProxyDeps,
+): Promise<Result<OpenProxy, WireFault>> {
   const { clock, rng, logs, tuning } = deps;
-  const log = logs.part('sluice');
+  const log = logs.part('proxy');
   const peers = createPeers(deps.wire, clock, logs.part('peers'));
   const life = await nextLife(null, log);
   const follower = await createFollower(id, id.seeds, peers, clock, null, logs.part('follow'));
@@ -86,28 +86,31 @@
     zone: id.zone,
     region: id.region,
     http: id.front,
-    role: 'sluice',
+    role: 'proxy',
     incarnation: life,
     address: id.listen,
     status: 'alive',
   };
-  const membership = createMembership(node, follower.headgates, peers, clock, rng, logs.part('members'));
-  followMovedHeads(membership, follower.belief, peers);
-  const book = createWorkerBook({ name: id.name, zone: id.zone, region: id.region, held: deps.outlets.idle }, tuning);
-  const budget = createDispatchBudget({
+  const membership = createMembership(node, follower.controllers, peers, clock, rng, logs.part('members'));
+  followMovedHeads(membership, follower.controlState, peers);
+  const book = createWorkerRegistry(
+    { name: id.name, zone: id.zone, region: id.region, held: deps.connectionPool.idle },
+    tuning,
+  );
+  const budget = createAttemptBudget({
     ratio: tuning.retryRatio,
     slack: tuning.retrySlack,
     windowMs: tuning.retryWindowMs,
   });
-  const feed = deps.feed(peers, follower.headgates);
-  let table: DoorTable | null = null;
-  let tableEpoch = -1;
+  const feed = deps.feed(peers, follower.controllers);
+  let table: RouteTable | null = null;
+  let tableVersion = -1;
   let closing = false;
   let mayBeNamed = true;
   let endsAt: number | null = null;
   let intakeUntil = 0;
 
-  function current(): DoorTable | null {
+  function current(): RouteTable | null {
     return follower.fresh() && feed.asOf() !== null ? table : null;
   }
   function isClosing(): boolean {
@@ -124,7 +127,7 @@
     tuning,
     book,
     budget,
-    outlets: deps.outlets,
+    connectionPool: deps.connectionPool,
     clock,
     rng,
     log: logs.part('relay'),
@@ -134,11 +137,11 @@
   });
 
   function onMoved(): void {
-    const b = follower.belief();
+    const b = follower.controlState();
     const serving = b.configuration.serving;
-    if (serving && b.epoch !== tableEpoch) {
-      tableEpoch = b.epoch;
-      table = createDoorTable(serving);
+    if (serving && b.version !== tableVersion) {
+      tableVersion = b.version;
+      table = createRouteTable(serving);
       limit();
     }
     function preemptive(model: string): readonly string[] {
@@ -148,8 +151,8 @@
       return (table?.traits(model)?.coldS ?? 0) * 1_000;
     }
     book.takeZones(b.evacuated, preemptive, clock.mono(), coldMs);
-    book.sharers(b.sluices);
-    budget.sharers(Object.keys(b.sluices).length);
+    book.sharers(b.proxies);
+    budget.sharers(Object.keys(b.proxies).length);
     relay.wake();
   }
   follower.events.on('moved', onMoved);
@@ -160,12 +163,12 @@
   feed.events.on('changed', onList);
   onMoved();
 
-  const door = await deps.door.open(id.front, relay.handle);
-  if (!door.ok) {
+  const httpServer = await deps.httpServer.open(id.front, relay.handle);
+  if (!httpServer.ok) {
     await peers.close();
-    return err(door.fault);
+    return err(httpServer.fault);
   }
-  const front = door.value;
+  const front = httpServer.value;
   function limit(): void {
     const limits = table?.serving.limits;
     if (limits) front.limit({ headerMs: limits.headerMs, idleMs: limits.idleMs });
@@ -182,10 +185,10 @@
   function report(): void {
     const t = relay.tally();
     count += 1;
-    const fitness: Report['fitness'] = {};
+    const health: Report['health'] = {};
     const now = clock.mono();
     for (const row of book.rows())
-      if (row.present && row.fails >= 3 && row.badUntil > now) fitness[row.entry.id] = 'unfit';
+      if (row.present && row.fails >= 3 && row.badUntil > now) health[row.entry.id] = 'unfit';
     const told: Report = {
       reporter: id.name,
       run: id.run,
@@ -193,10 +196,10 @@
       count,
       requests: t.requests,
       shed: t.shed,
-      dispatched: t.dispatched,
+      attempted: t.attempted,
       retried: t.retried,
-      slot: follower.belief().slot,
-      fitness,
+      slot: follower.controlState().slot,
+      health,
       http: id.front,
       ready: ready(),
       zone: id.zone,
@@ -223,12 +226,12 @@
     follower.tellAll({ kind: 'usage', told: { name: id.name, run: id.run, count: told, rows } });
   }
   const telling = every(clock, USAGE_MS, tellUsage);
-  function onCrowd(m: MessageOf<'crowd'>): null {
-    book.takeCrowd(m.rows, clock.mono());
+  function onFleetLoad(m: MessageOf<'fleetLoad'>): null {
+    book.takeFleetLoad(m.rows, clock.mono());
     relay.wake();
     return null;
   }
-  peers.on('crowd', onCrowd);
+  peers.on('fleetLoad', onFleetLoad);
   let wasReady = false;
   function look(): void {
     relay.turn();
@@ -239,15 +242,15 @@
       report();
     }
   }
-  let looking = clock.wakeup(LOOK_OPENING_MS, lookAgain);
+  let looking = clock.timer(LOOK_OPENING_MS, lookAgain);
   function lookAgain(): void {
     look();
-    looking = clock.wakeup(wasReady ? LOOK_MS : LOOK_OPENING_MS, lookAgain);
+    looking = clock.timer(wasReady ? LOOK_MS : LOOK_OPENING_MS, lookAgain);
   }
   function stopLooking(): void {
     looking.cancel();
   }
-  log.info(`Opaque door at ${id.front}, peers at ${opened.value.address}.`);
+  log.info(`Opaque server at ${id.front}, peers at ${opened.value.address}.`);
 
   async function drain(longestMs: number): Promise<void> {
     const from = clock.mono();
@@ -276,7 +279,7 @@
     feed.stop();
     membership.stop();
     follower.stop();
-    deps.outlets.stop();
+    deps.connectionPool.stop();
     await front.close();
     await peers.close();
     log.info('Stopped.');
--- a/src/coordination/edge/placer.ts
+++ b/src/coordination/edge/placer.ts
@@ -2,7 +2,7 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import type { NodeInfo } from '../../state/node-info.js';
-import type { Failure, PlaceAsk, Placed, ShedReason } from '../../protocol/origin-wire.js';
+import type { Failure, PlaceAsk, Placed, ShedReason } from '../../protocol/caller-wire.js';
 import type { Candidate, PlaceContext } from '../../state/candidate.js';
 import { placeAmong } from '../../state/policies.js';
 import type { Choice, Policy } from '../../state/policies.js';
@@ -33,7 +33,7 @@
   readonly homesOf: (model: string, bound: Bound) => readonly string[] | null;
 };
 
-export type SluiceSelf = {
+export type ProxySelf = {
   readonly name: string;
   readonly run: string;
   readonly zone: string;
@@ -43,7 +43,7 @@
 
 export const TICKET_LIFE_MS = 30_000;
 
-export function sluiceId(node: { readonly name: string; readonly run: string }): string {
+export function proxyId(node: { readonly name: string; readonly run: string }): string {
   return `${node.name}#${node.run}`;
 }
 
@@ -52,7 +52,7 @@
 }
 
 export type PlacerDeps = {
-  readonly self: SluiceSelf;
+  readonly self: ProxySelf;
   readonly ready: () => boolean;
   readonly follower: Follower;
   readonly membership: Membership;
@@ -72,11 +72,11 @@
   let modelsAt = -1;
 
   function resolved(model: string): ResolvedModel | null {
-    const b = follower.belief();
-    if (modelsAt !== b.epoch) {
+    const b = follower.controlState();
+    if (modelsAt !== b.version) {
       models = new Map();
       for (const rm of resolveAll(b.configuration)) models.set(rm.model, rm);
-      modelsAt = b.epoch;
+      modelsAt = b.version;
     }
     return models.get(model) ?? null;
   }
@@ -92,12 +92,12 @@
   }
   membership.events.on('changed', onChanged);
 
-  function sluicesUp(): Ups {
+  function proxiesUp(): Ups {
     if (ups) return ups;
     const all: NodeInfo[] = [];
     const byZone = new Map<string, NodeInfo[]>();
     for (const n of membership.all()) {
-      if (n.role !== 'sluice' || !isUp(n)) continue;
+      if (n.role !== 'proxy' || !isUp(n)) continue;
       all.push(n);
       byZone.set(n.zone, [...(byZone.get(n.zone) ?? []), n]);
     }
@@ -109,18 +109,18 @@
     let share = 0;
     for (const c of all) share += Math.min(1, c.running / c.limit);
     return {
-      ...originOf(where),
+      ...callerOf(where),
       ownRegion: self.region,
       homes: where.homes,
-      islanded: follower.islanded(),
+      partitioned: follower.partitioned(),
       seed: seedOf(where),
       avoid: where.avoid,
       meanShare: all.length === 0 ? 0 : share / all.length,
     };
   }
 
-  function originOf(where: Where): { readonly zone: string; readonly region: string } {
-    const told = where.from === undefined ? undefined : follower.belief().configuration.zones[where.from];
+  function callerOf(where: Where): { readonly zone: string; readonly region: string } {
+    const told = where.from === undefined ? undefined : follower.controlState().configuration.zones[where.from];
     return told && where.from !== undefined
       ? { zone: where.from, region: told.region }
       : { zone: self.zone, region: self.region };
@@ -140,8 +140,8 @@
       homes,
       values: rm.values,
       zone: self.zone,
-      near: originOf(where).zone,
-      zonesWithSluice: sluicesUp().zones,
+      near: callerOf(where).zone,
+      zonesWithProxy: proxiesUp().zones,
       now: clock.mono(),
       seed: seedOf(where),
       whole,
@@ -164,7 +164,8 @@
   for (const p of policies) if (p.name !== 'room') roomy.push(p);
 
   function homesOf(model: string, bound: Bound): readonly string[] | null {
-    const mapped = bound.mapping === null ? undefined : follower.belief().configuration.mappings?.[bound.mapping]?.kind;
+    const mapped =
+      bound.mapping === null ? undefined : follower.controlState().configuration.mappings?.[bound.mapping]?.kind;
     const kind = mapped ?? bound.kind;
     const allowed = kind === null ? undefined : resolved(model)?.values.homes[kind];
     if (!allowed) return bound.asked;
@@ -174,18 +175,18 @@
     return both;
   }
 
-  function pickSluice(
+  function pickProxy(
     worker: Candidate,
     homes: readonly string[] | null,
     without: readonly string[],
     seed: string,
   ): NodeInfo | null {
-    const { all, byZone } = sluicesUp();
+    const { all, byZone } = proxiesUp();
     const near = (byZone.get(worker.zone) ?? []).filter(isAlive);
-    return bestSluice(near, worker, homes, without, seed) ?? bestSluice(all, worker, homes, without, seed);
+    return bestProxy(near, worker, homes, without, seed) ?? bestProxy(all, worker, homes, without, seed);
   }
 
-  function bestSluice(
+  function bestProxy(
     among: readonly NodeInfo[],
     worker: Candidate,
     homes: readonly string[] | null,
@@ -209,7 +210,7 @@
   }
 
   function place(ask: PlaceAsk): Result<Placed, Failure> {
-    const b = follower.belief();
+    const b = follower.controlState();
     if (!ready()) return err(shed('notReady'));
     const mapping = ask.mapping === undefined ? null : (b.configuration.mappings?.[ask.mapping] ?? null);
     if (ask.mapping !== undefined && !mapping) return err({ tag: 'unknownModel' });
@@ -230,12 +231,12 @@
     const choice = first.tag === 'none' && first.stoppedBy === 'room' ? among(where, roomy) : first;
     if (choice.tag === 'none') return err(shed('noWorker'));
     const requestId = newId(rng, 'req');
-    const node = pickSluice(choice.candidate, homes, ask.without ?? [], requestId);
+    const node = pickProxy(choice.candidate, homes, ask.without ?? [], requestId);
     if (!node) return err(shed('noWorker'));
     const ticket: Ticket = {
       id: newId(rng, 'ticket'),
       requestId,
-      sluice: sluiceId(node),
+      proxy: proxyId(node),
       model,
       region: node.region,
       bound,
@@ -243,7 +244,7 @@
       expiresAt: follower.sharedNow() + TICKET_LIFE_MS,
     };
     return ok({
-      sluice: node.name,
+      proxy: node.name,
       address: node.http,
       ticket: signTicket(ticket, b.ticketKey),
       requestId,
--- a/src/coordination/edge/sluice-door.ts
+++ b/src/coordination/edge/proxy-http-server.ts
@@ -1,12 +1,12 @@
-import type { Failure, PlaceAsk, Submit } from '../../protocol/origin-wire.js';
+import type { Failure, PlaceAsk, Submit } from '../../protocol/caller-wire.js';
 import {
-  EDGE_FITNESS_PATH,
+  EDGE_HEALTH_PATH,
   PLACE_PATH,
   readPlace,
   readSubmit,
   REQUESTS_PATH,
   TICKET_HEADER,
-} from '../../protocol/origin-wire.js';
+} from '../../protocol/caller-wire.js';
 import { mappingSubject, noteIn } from '../../state/aim-counts.js';
 import type { CountTable, Ended } from '../../state/aim-counts.js';
 import { readRunKey, runKey } from '../../state/run-key.js';
@@ -17,8 +17,8 @@
 import type { HttpReply, HttpRequest, Route } from '../../transport/http.js';
 import type { AnswerLine, Dispatcher } from './dispatcher.js';
 import type { Follower } from '../ledger/follower.js';
-import { shed, sluiceId, TICKET_LIFE_MS } from './placer.js';
-import type { Placer, SluiceSelf } from './placer.js';
+import { shed, proxyId, TICKET_LIFE_MS } from './placer.js';
+import type { Placer, ProxySelf } from './placer.js';
 
 const STATUS: Readonly<Record<Failure['tag'], number>> = {
   shed: 503,
@@ -40,8 +40,8 @@
   return { status, headers: waits ? { 'retry-after': String(retryAfterS) } : {}, body: { error: failure } };
 }
 
-export type SluiceDoorDeps = {
-  readonly self: SluiceSelf;
+export type ProxyHttpServerDeps = {
+  readonly self: ProxySelf;
   readonly ready: () => boolean;
   readonly follower: Follower;
   readonly placer: Placer;
@@ -51,7 +51,7 @@
   readonly counts: CountTable;
 };
 
-export function sluiceRoutes(deps: SluiceDoorDeps): Route[] {
+export function proxyRoutes(deps: ProxyHttpServerDeps): Route[] {
   const { self, ready, follower, placer, dispatcher, clock, status, counts } = deps;
   const burnt = createBurntTickets();
 
@@ -75,7 +75,7 @@
     const text = req.headers[TICKET_HEADER];
     if (text === undefined) return { tag: 'malformed', detail: `the ${TICKET_HEADER} header is missing` };
     if (!ready()) return shed('notReady');
-    const read = readTicket(text, follower.belief().ticketKey, sluiceId(self), follower.sharedNow());
+    const read = readTicket(text, follower.controlState().ticketKey, proxyId(self), follower.sharedNow());
     if (typeof read === 'string') return shed(read);
     const homes = placer.homesOf(read.model, read.bound);
     if (homes !== null && !homes.includes(self.region)) return shed('outsideHomes');
@@ -151,7 +151,7 @@
 
   function modelOf(ask: PlaceAsk): string {
     const mapped =
-      ask.mapping === undefined ? undefined : follower.belief().configuration.mappings?.[ask.mapping]?.model;
+      ask.mapping === undefined ? undefined : follower.controlState().configuration.mappings?.[ask.mapping]?.model;
     return mapped ?? ask.model ?? '';
   }
   function count(model: string, mapping: string | null, e: Ended): void {
@@ -159,7 +159,7 @@
     if (mapping !== null) noteIn(counts, mappingSubject(mapping), e);
   }
 
-  async function fitness(): Promise<HttpReply> {
+  async function health(): Promise<HttpReply> {
     return { status: 200, body: { name: self.name, ready: ready() } };
   }
   async function tell(): Promise<HttpReply> {
@@ -169,7 +169,7 @@
   return [
     { method: 'POST', path: PLACE_PATH, handle: place },
     { method: 'POST', path: REQUESTS_PATH, maxBytes: 64 * 1_048_576, gate, handle: submit },
-    { method: 'GET', path: EDGE_FITNESS_PATH, handle: fitness },
+    { method: 'GET', path: EDGE_HEALTH_PATH, handle: health },
     { method: 'GET', path: '/v1/status', handle: tell },
   ];
 }
--- a/src/coordination/edge/sluice.ts
+++ b/src/coordination/edge/proxy.ts
@@ -16,29 +16,29 @@
 import { nextLife } from '../ledger/life.js';
 import type { Meters } from '../../transport/meters.js';
 import { createMembership } from '../members/membership.js';
-import { metricsRoute } from '../metrics-door.js';
+import { metricsRoute } from '../metrics-http-server.js';
 import type { NodeDeps, NodeIdentity } from '../node.js';
 import { createListSource } from './list-source.js';
 import { followMovedHeads, spotsOf } from '../members/moved-heads.js';
 import { createPeers } from '../members/peers.js';
 import { createPlacer } from './placer.js';
-import type { Placer, SluiceSelf } from './placer.js';
-import { sluiceRoutes } from './sluice-door.js';
+import type { Placer, ProxySelf } from './placer.js';
+import { proxyRoutes } from './proxy-http-server.js';
 import { createWorkerWatch } from './worker-watch.js';
 
-export type SluiceView = {
+export type ProxyView = {
   readonly slot: number;
-  readonly epoch: number;
+  readonly version: number;
   readonly configuration: Configuration;
   readonly serving: boolean;
-  readonly islanded: boolean;
+  readonly partitioned: boolean;
 };
 
-export type Sluice = {
+export type Proxy = {
   readonly wire: Address;
   readonly http: Address;
   readonly tally: () => Tally;
-  readonly view: () => SluiceView;
+  readonly view: () => ProxyView;
   readonly place: Placer['place'];
   readonly stop: () => Promise<void>;
 };
@@ -47,9 +47,9 @@
 const COUNTS_EVERY = 10;
 const STOP_WAIT_MS = 10_000;
 
-export async function startSluice(id: NodeIdentity, deps: NodeDeps): Promise<Result<Sluice, WireFault>> {
-  const { clock, rng, logs, caller } = deps;
-  const log = logs.part('sluice');
+export async function startProxy(id: NodeIdentity, deps: NodeDeps): Promise<Result<Proxy, WireFault>> {
+  const { clock, rng, logs, httpClient } = deps;
+  const log = logs.part('proxy');
   const peers = createPeers(deps.wire, clock, logs.part('peers'));
   const table = createWorkerTable();
   const life = await nextLife(deps.disk, log);
@@ -57,17 +57,26 @@
   const opened = await peers.open(id.listen);
   if (!opened.ok) return opened;
 
-  const self: SluiceSelf = { name: id.name, run: id.run, zone: id.zone, region: id.region, http: id.http };
-  const node: NodeInfo = { ...self, role: 'sluice', incarnation: life, address: id.advertised, status: 'alive' };
-  const membership = createMembership(node, follower.headgates, peers, clock, rng, logs.part('members'));
-  followMovedHeads(membership, follower.belief, peers);
+  const self: ProxySelf = { name: id.name, run: id.run, zone: id.zone, region: id.region, http: id.http };
+  const node: NodeInfo = { ...self, role: 'proxy', incarnation: life, address: id.advertised, status: 'alive' };
+  const membership = createMembership(node, follower.controllers, peers, clock, rng, logs.part('members'));
+  followMovedHeads(membership, follower.controlState, peers);
   follower.knowSpots(spotsOf(membership));
   const placer = createPlacer({ self, ready, follower, membership, table, policies: deps.policies, clock, rng });
-  const claims = createClaimClient(follower.belief, peers, clock);
-  const dispatcher = createDispatcher({ ready, placer, table, claims, caller, clock, rng, log: logs.part('dispatch') });
+  const claims = createClaimClient(follower.controlState, peers, clock);
+  const dispatcher = createDispatcher({
+    ready,
+    placer,
+    table,
+    claims,
+    httpClient,
+    clock,
+    rng,
+    log: logs.part('attempt'),
+  });
   const source = createListSource({
     name: id.name,
-    platform: createPlatformClient(caller, id.platform),
+    platform: createPlatformClient(httpClient, id.platform),
     membership,
     peers,
     clock,
@@ -77,7 +86,7 @@
     zone: id.zone,
     table,
     source,
-    caller,
+    httpClient,
     clock,
     log: logs.part('workers'),
     onChange: dispatcher.wake,
@@ -89,7 +98,7 @@
   }
 
   function onMoved(): void {
-    table.takeBelief(follower.belief());
+    table.takeControlState(follower.controlState());
     watch.probeStrangers();
     dispatcher.wake();
   }
@@ -115,10 +124,10 @@
       count,
       requests: t.requests,
       shed: t.shed,
-      dispatched: t.dispatched,
+      attempted: t.attempted,
       retried: t.retried,
-      slot: follower.belief().slot,
-      fitness: watch.verdicts(),
+      slot: follower.controlState().slot,
+      health: watch.verdicts(),
       http: id.http,
       ready: taking && ready(),
       zone: id.zone,
@@ -146,14 +155,14 @@
         reported: r.reported,
       });
     }
-    const b = follower.belief();
+    const b = follower.controlState();
     return {
       name: id.name,
-      role: 'sluice',
+      role: 'proxy',
       slot: b.slot,
-      epoch: b.epoch,
+      version: b.version,
       fresh: ready(),
-      islanded: follower.islanded(),
+      partitioned: follower.partitioned(),
       platformAgeMs: watch.listAgeMs(),
       tally: dispatcher.tally(),
       workers,
@@ -166,18 +175,18 @@
     for (const [model, n] of Object.entries(t.requests))
       m.count('millfield_requests_total', 'Requests asked for', n, { model });
     m.count('millfield_shed_total', 'Requests shed as not run', t.shed);
-    m.count('millfield_dispatches_total', 'Dispatches to workers', t.dispatched);
-    m.count('millfield_retries_total', 'Dispatches beyond the first', t.retried);
+    m.count('millfield_attempts_total', 'Attempts to workers', t.attempted);
+    m.count('millfield_retries_total', 'Attempts beyond the first', t.retried);
     m.count('millfield_streams_cut_total', 'Streams that broke off', t.cut);
     m.set('millfield_line_length', 'Requests waiting for a worker', t.waiting);
     m.set('millfield_requests_open', 'Requests in flight at workers', t.inFlight);
-    m.set('millfield_slot', 'Newest ledger slot', follower.belief().slot);
-    m.set('millfield_epoch', 'Configuration in force', follower.belief().epoch);
-    m.set('millfield_serving', '1 once a headgate was heard', ready() ? 1 : 0);
-    m.set('millfield_islanded', '1 while no headgate is heard', follower.islanded() ? 1 : 0);
+    m.set('millfield_slot', 'Newest ledger slot', follower.controlState().slot);
+    m.set('millfield_version', 'Configuration in force', follower.controlState().version);
+    m.set('millfield_serving', '1 once a controller was heard', ready() ? 1 : 0);
+    m.set('millfield_partitioned', '1 while no controller is heard', follower.partitioned() ? 1 : 0);
     m.set('millfield_platform_age_ms', "Age of the platform's list", watch.listAgeMs() ?? -1);
     for (const r of table.rows()) {
-      m.set('millfield_worker_in_flight', 'Requests of this sluice on a worker', r.inFlight, {
+      m.set('millfield_worker_in_flight', 'Requests of this proxy on a worker', r.inFlight, {
         worker: r.listed.id,
         model: r.listed.model,
       });
@@ -185,25 +194,25 @@
   }
 
   const routes = [
-    ...sluiceRoutes({ self, ready, follower, placer, dispatcher, clock, status, counts }),
+    ...proxyRoutes({ self, ready, follower, placer, dispatcher, clock, status, counts }),
     metricsRoute(deps.meters(), meter),
   ];
-  const door = await deps.door.open(id.httpListen, routes);
-  if (!door.ok) {
+  const httpServer = await deps.httpServer.open(id.httpListen, routes);
+  if (!httpServer.ok) {
     await peers.close();
-    return err(door.fault);
+    return err(httpServer.fault);
   }
-  log.info(`Serves ${id.zone} at ${door.value.address}, peers at ${opened.value.address}.`);
-  const served = door.value;
+  log.info(`Serves ${id.zone} at ${httpServer.value.address}, peers at ${opened.value.address}.`);
+  const served = httpServer.value;
 
-  function view(): SluiceView {
-    const b = follower.belief();
+  function view(): ProxyView {
+    const b = follower.controlState();
     return {
       slot: b.slot,
-      epoch: b.epoch,
+      version: b.version,
       configuration: b.configuration,
       serving: ready(),
-      islanded: follower.islanded(),
+      partitioned: follower.partitioned(),
     };
   }
 
--- a/src/coordination/edge/pushed-list.ts
+++ b/src/coordination/edge/pushed-list.ts
@@ -1,6 +1,6 @@
 import { createEvents } from '../../base/events.js';
 import type { WorkerEntry } from '../../state/worker-entry.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Clock, Timer } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import type { Rng } from '../../transport/rng.js';
 import type { Address } from '../../transport/wire.js';
@@ -44,7 +44,7 @@
   let spread = false;
   let asking = false;
   let stopped = false;
-  let next: Wakeup | null = null;
+  let next: Timer | null = null;
 
   function pushedNewest(): boolean {
     const at = book.asOf();
@@ -67,7 +67,7 @@
     const askDue = news.fresh()
       ? Math.min(now + pace.freshMs - news.heardMs(), renewedAt + pace.renewMs)
       : now + ASK_PAUSE_MS;
-    next = clock.wakeup(Math.max(1, Math.min(askDue, ownDue) - now), tick);
+    next = clock.timer(Math.max(1, Math.min(askDue, ownDue) - now), tick);
   }
   function tick(): void {
     void turn();
@@ -88,7 +88,7 @@
     ownDue = clock.mono() - news.heardMs() + pace.ownMs + OWN_JITTER_MS * rng.next();
     ownPauseMs = OWN_PAUSE_MS;
     spread = false;
-    if (readsItself) log.info('Hears the list from a headgate again.');
+    if (readsItself) log.info('Hears the list from a controller again.');
     readsItself = false;
   }
   function onMissed(): void {
@@ -134,7 +134,7 @@
   async function readItself(): Promise<void> {
     const from = clock.mono();
     ownDue = from + pace.readMs + OWN_PAUSE_MS;
-    if (!readsItself) log.warn('Hears no list from any headgate; reads it from the platform.');
+    if (!readsItself) log.warn('Hears no list from any controller; reads it from the platform.');
     readsItself = true;
     const got = await readWithin(reader, clock, pace.readMs);
     news.noteTurn();
--- a/src/coordination/edge/read-within.ts
+++ b/src/coordination/edge/read-within.ts
@@ -12,9 +12,9 @@
     function late(): void {
       resolve(null);
     }
-    const wakeup = clock.wakeup(ms, late);
+    const timer = clock.timer(ms, late);
     function read(got: Result<readonly WorkerEntry[], ListFault>): void {
-      wakeup.cancel();
+      timer.cancel();
       resolve(got);
     }
     void reader.read().then(read);
--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -1,21 +1,21 @@
 import { expect, test } from '@jest/globals';
 import { OPEN_WORDS as W } from '../../protocol/open-words.js';
-import { createDispatchBudget } from '../../state/dispatch-budget.js';
-import type { BudgetBounds } from '../../state/dispatch-budget.js';
-import { createDoorTable } from '../../state/door-table.js';
+import { createAttemptBudget } from '../../state/attempt-budget.js';
+import type { BudgetBounds } from '../../state/attempt-budget.js';
+import { createRouteTable } from '../../state/route-table.js';
 import { EDGE_TUNING } from '../../state/edge-tuning.js';
 import { DEFAULT_LIMITS } from '../../state/serving.js';
-import type { DoorMapping, Serving } from '../../state/serving.js';
-import { createWorkerBook } from '../../state/worker-book.js';
+import type { RouteMapping, Serving } from '../../state/serving.js';
+import { createWorkerRegistry } from '../../state/worker-registry.js';
 import type { WorkerEntry } from '../../state/worker-entry.js';
 import { createWorld } from '../../sim/world.js';
 import { every, turnOver } from '../../transport/clock.js';
 import { createQuietLog } from '../../transport/log.js';
-import type { OpenRequest, Outlets, RawHeaders, SendEvents, Sending } from '../../transport/open-http.js';
+import type { OpenRequest, ConnectionPool, RawHeaders, SendEvents, Sending } from '../../transport/open-http.js';
 import { createRng } from '../../transport/rng.js';
 import { createRelay } from './relay.js';
 
-const MAPPING: DoorMapping = {
+const MAPPING: RouteMapping = {
   at: 0,
   host: 'a.example',
   prefix: '/x/',
@@ -26,7 +26,7 @@
   deadlineMs: 5_000,
   aimMs: 800,
   pauseMs: null,
-  dispatches: 2,
+  attempts: 2,
   shares: [{ model: 'm', share: 1 }],
   split: false,
   homes: [],
@@ -52,7 +52,7 @@
 }
 
 async function rig(
-  mapping: Partial<DoorMapping>,
+  mapping: Partial<RouteMapping>,
   entries: readonly WorkerEntry[],
   bounds: BudgetBounds = { ratio: 0.2, slack: 50, windowMs: 10_000 },
 ) {
@@ -66,7 +66,7 @@
     s.headers = s.what.headers();
     if (s.headers === null) s.events.failed({ tag: 'withheld' });
   }
-  const outlets: Outlets = {
+  const connectionPool: ConnectionPool = {
     send: (what, events) => {
       const s: Sending2 = { what, events, cut: false, headers: null };
       sent.push(s);
@@ -90,12 +90,12 @@
     number: 1,
     mappings: { r: { ...MAPPING, ...mapping } },
     limits: DEFAULT_LIMITS,
-    models: { m: { at: 0, fitnessPath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
+    models: { m: { at: 0, probePath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
   };
-  const table = createDoorTable(serving);
-  const book = createWorkerBook({ name: 's0', zone: 'z1', region: 'r1', held: () => 1 }, EDGE_TUNING);
+  const table = createRouteTable(serving);
+  const book = createWorkerRegistry({ name: 's0', zone: 'z1', region: 'r1', held: () => 1 }, EDGE_TUNING);
   book.takeList(entries, clock.mono());
-  const budget = createDispatchBudget(bounds);
+  const budget = createAttemptBudget(bounds);
   let closing = false;
   let lastEndAt: number | null = null;
   const relay = createRelay({
@@ -103,7 +103,7 @@
     tuning: EDGE_TUNING,
     book,
     budget,
-    outlets,
+    connectionPool,
     clock,
     rng: createRng(1),
     log: createQuietLog().part('t'),
@@ -115,7 +115,7 @@
     const answer: Answer = { status: 0, headers: [], body: '', ended: false, cut: false };
     const watchers: (() => void)[] = [];
     let gone = false;
-    const all: Record<string, string> = { host: 'a.example', [W.dispatchId]: 'q1', ...headers };
+    const all: Record<string, string> = { host: 'a.example', [W.attemptId]: 'q1', ...headers };
     const req: OpenRequest = {
       method: 'POST',
       target: '/x/1',
@@ -188,12 +188,12 @@
 }
 
 function sealed(s: Sending2, body: string, id = 'q1'): void {
-  const h = { [W.dispatchId]: id, [W.seal]: 's' } as Record<string, string>;
+  const h = { [W.attemptId]: id, [W.seal]: 's' } as Record<string, string>;
   s.events.head(200, Object.entries(h).flat(), (n) => h[n] ?? null);
   s.events.data(Buffer.from(body));
 }
 function notRun(s: Sending2): void {
-  const h = { [W.dispatchId]: 'q1', [W.notRun]: '1' } as Record<string, string>;
+  const h = { [W.attemptId]: 'q1', [W.notRun]: '1' } as Record<string, string>;
   s.events.head(503, Object.entries(h).flat(), (n) => h[n] ?? null);
   s.events.end();
 }
@@ -212,11 +212,11 @@
 
 test('an answer for somebody else, without seal or encoded is never passed as a success', async () => {
   for (const spoil of [
-    { [W.dispatchId]: 'q9', [W.seal]: 's' },
-    { [W.dispatchId]: 'q1' },
-    { [W.dispatchId]: 'q1', [W.seal]: 's', 'content-encoding': 'gzip' },
+    { [W.attemptId]: 'q9', [W.seal]: 's' },
+    { [W.attemptId]: 'q1' },
+    { [W.attemptId]: 'q1', [W.seal]: 's', 'content-encoding': 'gzip' },
   ] as Record<string, string>[]) {
-    const r = await rig({ kind: 'once', dispatches: 3 }, [entry('w'), entry('vv')]);
+    const r = await rig({ kind: 'once', attempts: 3 }, [entry('w'), entry('vv')]);
     const { answer } = r.ask();
     await r.world.advance(1);
     r.sent[0]!.events.head(200, Object.entries(spoil).flat(), (n) => spoil[n] ?? null);
@@ -245,7 +245,7 @@
   const r = await rig({ kind: 'once' }, [entry('w')]);
   const { answer } = r.ask();
   await r.world.advance(1);
-  const h = { [W.dispatchId]: 'q1' } as Record<string, string>;
+  const h = { [W.attemptId]: 'q1' } as Record<string, string>;
   r.sent[0]!.events.head(503, Object.entries(h).flat(), (n) => h[n] ?? null);
   r.sent[0]!.events.end();
   await r.world.advance(1);
@@ -253,7 +253,7 @@
 });
 
 test('a refusal comes at once, with a time to come back, when the dispatches are used up', async () => {
-  const r = await rig({ dispatches: 1 }, [entry('w')]);
+  const r = await rig({ attempts: 1 }, [entry('w')]);
   const { answer } = r.ask();
   await r.world.advance(1);
   notRun(r.sent[0]!);
@@ -294,7 +294,7 @@
   expect(r.sent).toHaveLength(1);
 });
 
-test('an event that is told twice ends a stream rather than reach its origin', async () => {
+test('an event that is told twice ends a stream rather than reach its caller', async () => {
   const r = await rig({ kind: 'stream' }, [entry('w')]);
   const { answer } = r.ask();
   await r.world.advance(1);
@@ -325,7 +325,7 @@
   expect(one.answer.status).toBe(0);
 });
 
-test('a cold worker gets no more than its rate allows this sluice', async () => {
+test('a cold worker gets no more than its rate allows this proxy', async () => {
   const r = await rig({ aimMs: 100 }, [entry('w', 'z1', 'r1', { coldMs: 60_000, places: 500 })]);
   r.book.sharers(Object.fromEntries(['s0', 's1', 's2', 's3'].map((n) => [n, { region: 'r1' }])));
   const asked = Array.from({ length: 30 }, () => r.ask());
@@ -347,7 +347,7 @@
   expect(r.sent).toHaveLength(2);
 });
 
-test('an origin that leaves ends the work of its worker', async () => {
+test('a caller that leaves ends the work of its worker', async () => {
   const r = await rig({}, [entry('w')]);
   const { leave } = r.ask();
   await r.world.advance(1);
@@ -406,17 +406,17 @@
   expect(r.sent.slice(2).map((s) => s.what.address)).toContain(r.checks[0]!.address);
 });
 
-test('a conn that closed under a request which may run once is no proof that it was not read', async () => {
-  for (const [kind, dispatches] of [
+test('a connection that closed under a request which may run once is no proof that it was not read', async () => {
+  for (const [kind, attempts] of [
     ['once', 1],
     ['repeatable', 2],
   ] as const) {
-    const r = await rig({ kind, dispatches: 3 }, [entry('w'), entry('vv')]);
+    const r = await rig({ kind, attempts: 3 }, [entry('w'), entry('vv')]);
     const { answer } = r.ask();
     await r.world.advance(1);
     r.sent[0]!.events.failed({ tag: 'closedUnread' });
     await r.world.advance(1);
-    expect(r.sent).toHaveLength(dispatches);
+    expect(r.sent).toHaveLength(attempts);
     expect(answer.status).toBe(kind === 'once' ? 502 : 0);
   }
 });
@@ -449,7 +449,7 @@
     body: 'hi',
   });
   expect(sent.get('host')).toBe('a.example');
-  expect(sent.get(W.dispatchId)).toBe('q1');
+  expect(sent.get(W.attemptId)).toBe('q1');
   expect(sent.get('x-own')).toBe('kept');
   expect(sent.has('connection')).toBe(false);
   expect(sent.get(W.expectWorker)).toBe('w');
@@ -480,14 +480,14 @@
 });
 
 function refusedFor(s: Sending2, status: number, id: string | null): void {
-  const h: Record<string, string> = { [W.notRun]: '1', ...(id === null ? {} : { [W.dispatchId]: id }) };
+  const h: Record<string, string> = { [W.notRun]: '1', ...(id === null ? {} : { [W.attemptId]: id }) };
   s.events.head(status, Object.entries(h).flat(), (n) => h[n] ?? null);
   s.events.end();
 }
 
 test("another request's word that it was not run is no word about this one", async () => {
   for (const status of [421, 429, 503]) {
-    const r = await rig({ kind: 'once', dispatches: 3 }, [entry('w'), entry('vv')]);
+    const r = await rig({ kind: 'once', attempts: 3 }, [entry('w'), entry('vv')]);
     const { answer } = r.ask();
     await r.world.advance(1);
     refusedFor(r.sent[0]!, status, 'q9');
@@ -499,7 +499,7 @@
 
 test('a refusal without any id counts as ours on a new connection alone', async () => {
   for (const fresh of [true, false]) {
-    const r = await rig({ kind: 'once', dispatches: 1 }, [entry('w')]);
+    const r = await rig({ kind: 'once', attempts: 1 }, [entry('w')]);
     const { answer } = r.ask();
     await r.world.advance(1);
     if (fresh) r.sent[0]!.events.connected!(1);
@@ -519,7 +519,7 @@
     const r = await rig({ kind: 'once' }, [entry('w')]);
     const { answer } = r.ask();
     await r.world.advance(1);
-    const h = { [W.dispatchId]: 'q1', [W.seal]: 's' } as Record<string, string>;
+    const h = { [W.attemptId]: 'q1', [W.seal]: 's' } as Record<string, string>;
     r.sent[0]!.events.head(given, Object.entries(h).flat(), (n) => h[n] ?? null);
     r.sent[0]!.events.end();
     await r.world.advance(1);
--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -1,17 +1,17 @@
 import type { OpenWords } from '../../protocol/open-words.js';
 import { createEventSplitter } from '../../state/event-splitter.js';
 import type { EventSplitter } from '../../state/event-splitter.js';
-import type { Door, DoorTable } from '../../state/door-table.js';
-import type { DispatchBudget } from '../../state/dispatch-budget.js';
+import type { MatchedRoute, RouteTable } from '../../state/route-table.js';
+import type { AttemptBudget } from '../../state/attempt-budget.js';
 import type { EdgeTuning } from '../../state/edge-tuning.js';
 import { createStandstill } from '../../state/standstill.js';
-import type { Part } from '../../state/kept-parts.js';
-import type { DoorMapping } from '../../state/serving.js';
-import type { BookRow, Hold, PlaceAsk, WorkerBook } from '../../state/worker-book.js';
+import type { Part } from '../../state/prefix-cache.js';
+import type { RouteMapping } from '../../state/serving.js';
+import type { BookRow, Hold, PlaceAsk, WorkerRegistry } from '../../state/worker-registry.js';
 import { pause } from '../../transport/clock.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Clock, Timer } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
-import type { OpenRequest, Outlets, RawHeaders, SendFault, Sent } from '../../transport/open-http.js';
+import type { OpenRequest, ConnectionPool, RawHeaders, SendFault, Sent } from '../../transport/open-http.js';
 import type { Rng } from '../../transport/rng.js';
 
 import { createSilenceWatch } from './silence-watch.js';
@@ -20,13 +20,13 @@
 export type RelayDeps = {
   readonly words: OpenWords;
   readonly tuning: EdgeTuning;
-  readonly book: WorkerBook;
-  readonly budget: DispatchBudget;
-  readonly outlets: Outlets;
+  readonly book: WorkerRegistry;
+  readonly budget: AttemptBudget;
+  readonly connectionPool: ConnectionPool;
   readonly clock: Clock;
   readonly rng: Rng;
   readonly log: Log;
-  readonly table: () => DoorTable | null;
+  readonly table: () => RouteTable | null;
   readonly closing: () => boolean;
   /** When this process has stopped and a request that is only now taken must be done; null while any may be taken. */
   readonly lastEndAt: () => number | null;
@@ -35,7 +35,7 @@
 export type RelayTally = {
   requests: Record<string, number>;
   shed: number;
-  dispatched: number;
+  attempted: number;
   retried: number;
   resumed: number;
   cut: number;
@@ -86,7 +86,7 @@
 
 type Job = {
   readonly req: OpenRequest;
-  readonly door: Door;
+  readonly route: MatchedRoute;
   readonly model: string;
   readonly body: Buffer;
   readonly repeatable: boolean;
@@ -98,7 +98,7 @@
   readonly tokens: number;
   readonly outTokens: number;
   readonly avoid: Set<string>;
-  dispatches: number;
+  attempts: number;
   headPassed: boolean;
   lastEvent: number | null;
   unnumbered: boolean;
@@ -107,14 +107,14 @@
 
 type Taken = { readonly row: BookRow; readonly hold: Hold };
 
-type Waiter = { readonly job: Job; readonly go: (taken: Taken | null) => void; readonly until: number; wakeup: Wakeup };
+type Waiter = { readonly job: Job; readonly go: (taken: Taken | null) => void; readonly until: number; timer: Timer };
 
 export function createRelay(deps: RelayDeps): Relay {
-  const { words, tuning, book, budget, outlets, clock, rng, log } = deps;
+  const { words, tuning, book, budget, connectionPool, clock, rng, log } = deps;
   const counts: RelayTally = {
     requests: {},
     shed: 0,
-    dispatched: 0,
+    attempted: 0,
     retried: 0,
     resumed: 0,
     cut: 0,
@@ -123,7 +123,7 @@
   };
   const line: Waiter[] = [];
   const standstill = createStandstill();
-  const watch = createSilenceWatch({ book, outlets, clock, log, silentMs: tuning.silentMs, onReached: wake });
+  const watch = createSilenceWatch({ book, connectionPool, clock, log, silentMs: tuning.silentMs, onReached: wake });
 
   function refuse(req: OpenRequest, status: number, tag: string, afterS: number | null): void {
     const body = Buffer.from(JSON.stringify({ error: { tag } }));
@@ -155,22 +155,22 @@
       return;
     }
     const path = req.target.split('?', 1)[0] ?? '/';
-    const door = table.match(req.get('host') ?? '', path);
+    const route = table.match(req.get('host') ?? '', path);
     const got = await req.body(table.serving.limits.bodyBytes);
     if (!got.ok) {
       if (got.fault.tag === 'bodyTooLarge') refuse(req, 413, 'bodyTooLarge', null);
       return;
     }
-    if (!door) {
+    if (!route) {
       refuse(req, 404, 'noMapping', null);
       return;
     }
-    const id = req.get(words.dispatchId);
+    const id = req.get(words.attemptId);
     if (id === null || id === '') {
-      refuse(req, 400, 'noDispatchId', null);
+      refuse(req, 400, 'noAttemptId', null);
       return;
     }
-    const job = jobOf(req, door, id, got.value, cameAt);
+    const job = jobOf(req, route, id, got.value, cameAt);
     const lastEndAt = deps.lastEndAt();
     if (lastEndAt !== null && expectedEnd(job) > lastEndAt) {
       shed(job, 'leaving', ELSEWHERE_S);
@@ -182,7 +182,7 @@
     counts.open -= 1;
   }
 
-  async function opened(req: OpenRequest): Promise<DoorTable | null> {
+  async function opened(req: OpenRequest): Promise<RouteTable | null> {
     const until = clock.mono() + tuning.openingMs;
     while (clock.mono() < until && !req.answerer.gone()) {
       await pause(clock, OPENING_LOOK_MS);
@@ -192,15 +192,15 @@
     return null;
   }
 
-  function jobOf(req: OpenRequest, door: Door, id: string, body: Buffer, cameAt: number): Job {
-    const m = door.mapping;
+  function jobOf(req: OpenRequest, route: MatchedRoute, id: string, body: Buffer, cameAt: number): Job {
+    const m = route.mapping;
     const given = Number(req.get(words.deadline) ?? NaN);
     const left = Math.min(m.deadlineMs, Number.isFinite(given) && given > 0 ? given : m.deadlineMs);
     const [tokens, out] = tokensOf(req.get(words.tokens));
     const stream = m.kind === 'stream';
     return {
       req,
-      door,
+      route,
       model: shareOf(m, rng),
       body,
       id,
@@ -212,7 +212,7 @@
       tokens,
       outTokens: out,
       avoid: new Set(),
-      dispatches: 0,
+      attempts: 0,
       headPassed: false,
       lastEvent: numberOr(req.get(words.lastEvent)),
       unnumbered: false,
@@ -222,13 +222,13 @@
 
   /** When a request that begins now is over at the latest, as far as can be told beforehand. */
   function expectedEnd(job: Job): number {
-    const { aimMs } = job.door.mapping;
+    const { aimMs } = job.route.mapping;
     const takes = job.stream ? STREAM_START_MS + STREAM_TOKEN_MS * job.outTokens : 2 * (aimMs ?? STREAM_START_MS);
     return Math.min(job.until, clock.mono() + takes);
   }
 
   function askOf(job: Job): PlaceAsk {
-    const m = job.door.mapping;
+    const m = job.route.mapping;
     return {
       model: job.model,
       traits: deps.table()?.traits(job.model) ?? null,
@@ -245,7 +245,7 @@
 
   async function run(job: Job): Promise<void> {
     const { req } = job;
-    const aim = job.door.mapping.aimMs ?? 2_000;
+    const aim = job.route.mapping.aimMs ?? 2_000;
     budget.arrived(job.model, clock.mono());
     for (;;) {
       await settled();
@@ -269,15 +269,15 @@
         );
         return;
       }
-      if (job.dispatches > 0) counts.retried += 1;
+      if (job.attempts > 0) counts.retried += 1;
       const { row } = taken;
       const { reserved } = job;
       job.reserved = false;
-      const end = await dispatch(job, taken);
+      const end = await attempt(job, taken);
       if (end.tag === 'done' || end.tag === 'gone') return;
       const unsent = end.tag === 'neverSent' || end.tag === 'withheld';
       if (unsent) job.reserved = reserved;
-      else job.dispatches += 1;
+      else job.attempts += 1;
       if (end.tag === 'late') {
         giveUp(job, 'late', null);
         return;
@@ -298,7 +298,7 @@
       const again =
         left > 30 &&
         (end.tag === 'neverSent' ||
-          ((end.tag === 'notRun' || job.repeatable) && job.dispatches < job.door.mapping.dispatches && reserve(job)));
+          ((end.tag === 'notRun' || job.repeatable) && job.attempts < job.route.mapping.attempts && reserve(job)));
       if (again) {
         if (end.tag === 'passedPart') counts.resumed += 1;
         continue;
@@ -382,11 +382,11 @@
     const now = clock.mono();
     const until = Math.min(
       job.until - 20,
-      job.dispatches === 0 && !job.headPassed ? Math.max(job.cameAt + aim * tuning.lineShare, now) : now + 400,
+      job.attempts === 0 && !job.headPassed ? Math.max(job.cameAt + aim * tuning.lineShare, now) : now + 400,
     );
     function start(resolve: (taken: Taken | null) => void): void {
       function go(taken: Taken | null): void {
-        w.wakeup.cancel();
+        w.timer.cancel();
         const i = line.indexOf(w);
         if (i >= 0) line.splice(i, 1);
         counts.waiting = line.length;
@@ -395,7 +395,7 @@
       function late(): void {
         go(null);
       }
-      const w: Waiter = { job, go, until, wakeup: clock.wakeup(Math.max(0, until - now), late) };
+      const w: Waiter = { job, go, until, timer: clock.timer(Math.max(0, until - now), late) };
       const rank = rankOf(job);
       let at = line.length;
       while (at > 0 && rankOf((line[at - 1] as Waiter).job) > rank) at -= 1;
@@ -428,13 +428,13 @@
   function arm(): void {
     if (ticking) return;
     ticking = true;
-    clock.wakeup(LINE_LOOK_MS, tick);
+    clock.timer(LINE_LOOK_MS, tick);
   }
 
-  function dispatch(job: Job, taken: Taken): Promise<End> {
+  function attempt(job: Job, taken: Taken): Promise<End> {
     const { req } = job;
     const { row, hold } = taken;
-    counts.dispatched += 1;
+    counts.attempted += 1;
     const left = job.until - clock.mono();
     let written = false;
     // At the moment of writing: what is left of the deadline by then, or nothing any more.
@@ -455,7 +455,7 @@
       let over = false;
       const flight: WatchedFlight = { sentAt: clock.mono(), heardAt: 0, onSilent };
       watch.begin(row, flight);
-      const deadline = clock.wakeup(Math.max(1, left), late);
+      const deadline = clock.timer(Math.max(1, left), late);
       let sent: Sent | null = null;
 
       function finish(end: End): void {
@@ -475,18 +475,18 @@
           return;
         }
         log.warn(
-          `${row.entry.id} gave ${job.door.name} ${job.id} no end in ${Math.round(left)} ms: status ${status}, last event ${job.lastEvent ?? 'none'}, silent for ${Math.round(clock.mono() - Math.max(flight.heardAt, flight.sentAt))} ms.`,
+          `${row.entry.id} gave ${job.route.name} ${job.id} no end in ${Math.round(left)} ms: status ${status}, last event ${job.lastEvent ?? 'none'}, silent for ${Math.round(clock.mono() - Math.max(flight.heardAt, flight.sentAt))} ms.`,
         );
         finish({ tag: 'late' });
         sent?.cut();
       }
-      function originGone(): void {
+      function callerGone(): void {
         if (over) return;
         finish({ tag: 'gone' });
         sent?.cut();
       }
       function onSilent(): void {
-        if (over || !job.repeatable || job.dispatches + 1 >= job.door.mapping.dispatches || !reserve(job)) return;
+        if (over || !job.repeatable || job.attempts + 1 >= job.route.mapping.attempts || !reserve(job)) return;
         finish(job.headPassed ? { tag: 'passedPart' } : { tag: 'unknown' });
         sent?.cut();
       }
@@ -506,7 +506,7 @@
         raw = h;
         const coldMs = Number(get(words.coldMs) ?? 0);
         if (coldMs > 0) book.cold(row, clock.mono(), coldMs);
-        if (!isOurs(get(words.dispatchId), s === 421 || get(words.notRun) !== null)) {
+        if (!isOurs(get(words.attemptId), s === 421 || get(words.notRun) !== null)) {
           spoilt();
           return;
         }
@@ -611,8 +611,8 @@
         freshConnection = true;
         book.took(row, ms);
       }
-      req.answerer.onGone(originGone);
-      sent = outlets.send(
+      req.answerer.onGone(callerGone);
+      sent = connectionPool.send(
         {
           address: row.entry.address,
           method: req.method,
@@ -639,7 +639,7 @@
       out.push(name, headers[i + 1] as string);
     }
     out.push(words.deadline, String(Math.max(1, Math.floor(left))), words.expectWorker, row.entry.id);
-    const rank = job.door.mapping.rank;
+    const rank = job.route.mapping.rank;
     if (rank !== null) out.push(words.urgency, String(Math.max(0, Math.min(9, rank))));
     if (job.headPassed && job.lastEvent !== null) out.push(words.lastEvent, String(job.lastEvent));
     return out;
@@ -656,7 +656,7 @@
 }
 
 function rankOf(job: Job): number {
-  return job.door.mapping.rank ?? 5;
+  return job.route.mapping.rank ?? 5;
 }
 
 function cleaned(headers: RawHeaders): string[] {
@@ -683,7 +683,7 @@
   return out;
 }
 
-function shareOf(m: DoorMapping, rng: Rng): string {
+function shareOf(m: RouteMapping, rng: Rng): string {
   let sum = 0;
   for (const s of m.shares) sum += s.share;
   let at = rng.next() * sum;
--- a/src/coordination/edge/silence-watch.ts
+++ b/src/coordination/edge/silence-watch.ts
@@ -1,7 +1,7 @@
-import type { BookRow, WorkerBook } from '../../state/worker-book.js';
+import type { BookRow, WorkerRegistry } from '../../state/worker-registry.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
-import type { Outlets } from '../../transport/open-http.js';
+import type { ConnectionPool } from '../../transport/open-http.js';
 
 export type WatchedFlight = { readonly sentAt: number; heardAt: number; readonly onSilent: () => void };
 
@@ -13,8 +13,8 @@
 };
 
 export type SilenceWatchDeps = {
-  readonly book: WorkerBook;
-  readonly outlets: Outlets;
+  readonly book: WorkerRegistry;
+  readonly connectionPool: ConnectionPool;
   readonly clock: Clock;
   readonly log: Log;
   readonly silentMs: number;
@@ -25,7 +25,7 @@
 const RECHECK_MS = 1_500;
 
 export function createSilenceWatch(deps: SilenceWatchDeps): SilenceWatch {
-  const { book, outlets, clock, log } = deps;
+  const { book, connectionPool, clock, log } = deps;
   const flights = new Map<BookRow, Set<WatchedFlight>>();
   const checking = new Set<BookRow>();
   const spokenFor = new Map<BookRow, number>();
@@ -73,13 +73,13 @@
       suspectZone(row);
       for (const f of [...(flights.get(row) ?? [])]) f.onSilent();
     }
-    outlets.check(row.entry.address, book.connectMs(row), done);
+    connectionPool.check(row.entry.address, book.connectMs(row), done);
   }
 
   function suspectZone(row: BookRow): void {
     for (const other of book.rows()) {
       if (other === row || other.unproven || !other.present || other.entry.zone !== row.entry.zone) continue;
-      if (!book.fewSharers() && other.running === 0 && outlets.open(other.entry.address) === 0) continue;
+      if (!book.fewSharers() && other.running === 0 && connectionPool.open(other.entry.address) === 0) continue;
       const of = flights.get(other);
       if (of && quietMs(of, clock.mono()) < deps.silentMs / 2) continue;
       other.unproven = true;
@@ -117,7 +117,7 @@
   function arm(): void {
     if (looking) return;
     looking = true;
-    clock.wakeup(LOOK_MS, turn);
+    clock.timer(LOOK_MS, turn);
   }
   function stop(): void {
     stopped = true;
--- a/src/coordination/edge/worker-watch.ts
+++ b/src/coordination/edge/worker-watch.ts
@@ -1,10 +1,10 @@
 import type { WorkerRow } from '../../state/worker-row.js';
 import type { WorkerTable } from '../../state/worker-table.js';
-import { FITNESS_PATH, readFitness } from '../../protocol/worker-wire.js';
+import { HEALTH_PATH, readHealth } from '../../protocol/worker-wire.js';
 import type { Listed } from '../../state/listed.js';
 import { every } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
-import type { Caller } from '../../transport/http.js';
+import type { HttpClient } from '../../transport/http.js';
 import type { Log } from '../../transport/log.js';
 import type { ListSource } from './list-source.js';
 
@@ -27,14 +27,14 @@
   readonly zone: string;
   readonly table: WorkerTable;
   readonly source: ListSource;
-  readonly caller: Caller;
+  readonly httpClient: HttpClient;
   readonly clock: Clock;
   readonly log: Log;
   readonly onChange: () => void;
 };
 
 export function createWorkerWatch(deps: WorkerWatchDeps): WorkerWatch {
-  const { zone, table, source, caller, clock, log, onChange } = deps;
+  const { zone, table, source, httpClient, clock, log, onChange } = deps;
   let listedAt: number | null = null;
   let blind = false;
   const probing = new Set<string>();
@@ -63,15 +63,15 @@
   async function probe(listed: Listed): Promise<void> {
     if (probing.has(listed.id)) return;
     probing.add(listed.id);
-    const got = await caller.call({
+    const got = await httpClient.call({
       method: 'GET',
       address: listed.address,
-      path: FITNESS_PATH,
+      path: HEALTH_PATH,
       timeoutMs: PROBE_WAIT_MS,
     });
     probing.delete(listed.id);
-    const read = got.ok ? readFitness(got.value.body) : null;
-    if (read?.ok && read.value.id === listed.id) table.takeFitness(listed.id, read.value, clock.mono());
+    const read = got.ok ? readHealth(got.value.body) : null;
+    if (read?.ok && read.value.id === listed.id) table.takeHealth(listed.id, read.value, clock.mono());
     else table.takeSilence(listed.id);
     onChange();
   }
--- a/src/coordination/doors.test.ts
+++ b/src/coordination/http-servers.test.ts
@@ -22,8 +22,8 @@
   if (!got.ok) throw new Error(got.fault.tag);
   return { status: got.value.status, body: got.value.body, headers: got.value.headers };
 }
-function sluice(i: number): string {
-  return fleet.sluices[i]?.http ?? '';
+function proxy(i: number): string {
+  return fleet.proxies[i]?.http ?? '';
 }
 const ask = { model: 'summary', inputTokens: 10, outputTokens: 8, parts: ['a'], repeatable: true };
 const submit = { parts: [{ hash: 'a', tokens: 10 }], outputTokens: 8, stream: false };
@@ -31,10 +31,10 @@
   readonly address: string;
   readonly ticket: string;
   readonly requestId: string;
-  readonly sluice: string;
+  readonly proxy: string;
 };
 async function placed(over: object = {}): Promise<Placed> {
-  const got = await call(sluice(0), 'POST', '/v1/place', { ...ask, ...over });
+  const got = await call(proxy(0), 'POST', '/v1/place', { ...ask, ...over });
   expect(got.status).toBe(200);
   return got.body as Placed;
 }
@@ -51,7 +51,7 @@
   return { error: { tag: 'shed', notRun: true, reason } };
 }
 
-describe("the callers' door", () => {
+describe("the callers' server", () => {
   test.each<[string, unknown]>([
     ['no model', { ...ask, model: undefined }],
     ['both model and mapping', { ...ask, mapping: 'x' }],
@@ -59,29 +59,29 @@
     ['an unknown key', { ...ask, colour: 'red' }],
     ['no body', undefined],
   ])('place turns away %s', async (_what, body) => {
-    const got = await call(sluice(0), 'POST', '/v1/place', body ?? 7);
+    const got = await call(proxy(0), 'POST', '/v1/place', body ?? 7);
     expect([got.status, (got.body as { error: { tag: string } }).error.tag]).toEqual([400, 'malformed']);
   });
 
-  test('a place answer goes by the zone of the origin, whichever sluice it asked', async () => {
-    for (const [zone, sluice] of [
-      ['ro-1', 'sluice-ro-1-1'],
-      ['at-1', 'sluice-at-1-1'],
-      ['nowhere', 'sluice-hu-1-1'],
+  test('a place answer goes by the zone of the caller, whichever proxy it asked', async () => {
+    for (const [zone, proxy] of [
+      ['ro-1', 'proxy-ro-1-1'],
+      ['at-1', 'proxy-at-1-1'],
+      ['nowhere', 'proxy-hu-1-1'],
     ]) {
-      expect((await placed({ model: 'card-gateway', zone })).sluice).toBe(sluice);
+      expect((await placed({ model: 'card-gateway', zone })).proxy).toBe(proxy);
     }
   });
 
   test('an unknown model or mapping is told as such', async () => {
     for (const over of [{ model: 'ghost' }, { model: undefined, mapping: 'ghost' }]) {
-      const got = await call(sluice(1), 'POST', '/v1/place', { ...ask, ...over });
+      const got = await call(proxy(1), 'POST', '/v1/place', { ...ask, ...over });
       expect([got.status, got.body]).toEqual([404, { error: { tag: 'unknownModel' } }]);
     }
   });
 
   test('homes that no worker stands in are shed, not run', async () => {
-    const got = await call(sluice(0), 'POST', '/v1/place', {
+    const got = await call(proxy(0), 'POST', '/v1/place', {
       ...ask,
       model: 'card-gateway',
       kind: 'card',
@@ -90,9 +90,9 @@
     expect([got.status, got.body]).toEqual([503, shed('outsideHomes')]);
   });
 
-  test('a ticket serves once, at its sluice, in its time', async () => {
+  test('a ticket serves once, at its proxy, in its time', async () => {
     const p = await placed();
-    const other = fleet.sluices.find((s) => s.http !== p.address)?.http ?? '';
+    const other = fleet.proxies.find((s) => s.http !== p.address)?.http ?? '';
     expect(await send(p, {}, other)).toMatchObject({ status: 409, body: shed('ticketForeign') });
     expect((await send(p)).status).toBe(200);
     expect(await send(p)).toMatchObject({ status: 409, body: shed('ticketUsed') });
@@ -145,16 +145,17 @@
   });
 });
 
-describe("the operators' door", () => {
-  async function epoch(): Promise<number> {
-    return ((await call(fleet.headgates[0]?.http ?? '', 'GET', '/v1/configuration')).body as { epoch: number }).epoch;
+describe("the operators' server", () => {
+  async function version(): Promise<number> {
+    return ((await call(fleet.controllers[0]?.http ?? '', 'GET', '/v1/configuration')).body as { version: number })
+      .version;
   }
   function core(method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<Got> {
-    return call(fleet.headgates[0]?.http ?? '', method, path, body);
+    return call(fleet.controllers[0]?.http ?? '', method, path, body);
   }
 
   test('a stale base loses and is told the winner; an invalid change is never agreed', async () => {
-    const base = await epoch();
+    const base = await version();
     const changes = [
       { path: ['deployment', 'nExtra'], value: 1 },
       { path: ['deployment', 'lineLimit'], value: 50 },
@@ -162,9 +163,9 @@
     const won = await core('POST', '/v1/configuration/amend', { base, changes });
     expect(won.status).toBe(200);
     const lost = await core('POST', '/v1/configuration/amend', { base, changes });
-    expect([lost.status, lost.body]).toEqual([409, { error: { tag: 'staleEpoch', winner: await epoch() } }]);
+    expect([lost.status, lost.body]).toEqual([409, { error: { tag: 'staleVersion', winner: await version() } }]);
     const bad = await core('POST', '/v1/configuration/amend', {
-      base: await epoch(),
+      base: await version(),
       changes: [
         { path: ['deployment', 'nExtra'], value: -1 },
         { path: ['x'], value: 1 },
@@ -186,11 +187,11 @@
     ['nothing at the top', { path: [], value: null }],
     ['a name of the language', { path: ['deployment', '__proto__', 'nExtra'], value: 1 }],
   ])('a wrong type at any depth is told with its place, and not agreed: %s', async (_what, change) => {
-    const base = await epoch();
+    const base = await version();
     const got = await core('POST', '/v1/configuration/amend', { base, changes: [change] });
     expect(got.status).toBe(422);
     expect((got.body as { error: { faults: { path: string }[] } }).error.faults.length).toBeGreaterThan(0);
-    expect(await epoch()).toBe(base);
+    expect(await version()).toBe(base);
   });
 
   test('a difference too large for one entry, and an operation unknown, are refused', async () => {
@@ -201,13 +202,13 @@
       ]),
     );
     const got = await core('POST', '/v1/configuration/amend', {
-      base: await epoch(),
+      base: await version(),
       changes: [{ path: ['mappings'], value: mappings }],
     });
     expect([got.status, (got.body as { error: { tag: string } }).error.tag]).toEqual([413, 'changesTooLarge']);
     expect((await core('POST', '/v1/configuration/burn', {})).status).toBe(404);
     expect(
-      (await core('POST', '/v1/configuration', { base: await epoch(), configuration: {}, colour: 1 })).status,
+      (await core('POST', '/v1/configuration', { base: await version(), configuration: {}, colour: 1 })).status,
     ).toBe(400);
   });
 
@@ -226,22 +227,25 @@
     ]).toEqual([50, 'deployment', 'model', 'default']);
   });
 
-  test('unknown zones, doings twice, and a second founding are refused', async () => {
+  test('unknown zones, doings twice, and a second bootstrap are refused', async () => {
     expect((await core('POST', '/v1/zones/mars/evacuate', {})).status).toBe(404);
     expect((await core('POST', '/v1/zones/hu-1/restore', {})).body).toEqual({ error: { tag: 'unchanged' } });
-    expect((await core('DELETE', '/v1/sluices/nobody')).status).toBe(409);
-    const again = await core('POST', '/v1/found', { members: fleet.headgates.map((h) => h.wire) });
-    expect([again.status, again.body]).toEqual([409, { error: { tag: 'alreadyFounded', member: 'headgate-1' } }]);
+    expect((await core('DELETE', '/v1/proxies/nobody')).status).toBe(409);
+    const again = await core('POST', '/v1/bootstrap', { members: fleet.controllers.map((h) => h.wire) });
+    expect([again.status, again.body]).toEqual([
+      409,
+      { error: { tag: 'alreadyBootstrapped', member: 'controller-1' } },
+    ]);
   });
 
   test('every node tells its metrics', async () => {
-    for (const address of [fleet.headgates[0]?.http ?? '', sluice(0)])
+    for (const address of [fleet.controllers[0]?.http ?? '', proxy(0)])
       expect((await call(address, 'GET', '/metrics')).status).toBe(200);
   });
 
   test('without a majority nothing is acknowledged', async () => {
-    fleet.kill('headgate-2');
-    fleet.kill('headgate-3');
+    fleet.kill('controller-2');
+    fleet.kill('controller-3');
     await fleet.run(3_000);
     expect((await core('GET', '/v1/configuration')).status).toBe(503);
     expect(
--- a/src/coordination/ledger/aim-keeper.ts
+++ b/src/coordination/ledger/aim-keeper.ts
@@ -27,13 +27,13 @@
     return Math.floor((clock.mono() - startedAt) / MINUTE_MS);
   }
   function closePast(): void {
-    for (; closed < minute(); closed += 1) book.close(closed, Object.keys(ledger.belief().sluices));
+    for (; closed < minute(); closed += 1) book.close(closed, Object.keys(ledger.controlState().proxies));
   }
   function onCounts(m: MessageOf<'counts'>): null {
     closePast();
     book.hear(m.reporter, m.incarnation, m.totals, minute());
     if (m.by === undefined)
-      for (const to of ledger.belief().members)
+      for (const to of ledger.controlState().members)
         if (to.name !== ledger.self.name) void peers.tell(to.address, { ...m, by: ledger.self.name });
     return null;
   }
--- a/src/coordination/ledger/catch-up.test.ts
+++ b/src/coordination/ledger/catch-up.test.ts
@@ -19,8 +19,8 @@
   core.kill('h3');
   core.rates.limitWindow(0);
   for (let n = 0; n < 8; n += 1) {
-    const ledger = core.node('h1').headgate?.ledger;
-    const base = ledger?.belief().epoch ?? 0;
+    const ledger = core.node('h1').controller?.ledger;
+    const base = ledger?.controlState().version ?? 0;
     const act = {
       tag: 'configured' as const,
       base,
@@ -34,8 +34,8 @@
 
 async function keepChanging(core: SimCore, at: string, until: () => boolean): Promise<void> {
   for (let n = 0; n < 100 && !until(); n += 1) {
-    const ledger = core.node(at).headgate?.ledger;
-    const base = ledger?.belief().epoch ?? 0;
+    const ledger = core.node(at).controller?.ledger;
+    const base = ledger?.controlState().version ?? 0;
     const act = { tag: 'configured' as const, base, changes: [{ path: ['deployment', 'small'], value: n }] };
     await core.finish(Promise.resolve(ledger?.propose({ cause: 'A test.', act }, 1_500)), 3_000);
     await core.world.advance(100);
@@ -45,17 +45,19 @@
 describe('a state too large for one call', () => {
   test.each([1, 2, 3])('is fetched in parts while others change it (seed %i)', async (seed) => {
     const core = await largeState(seed);
-    const stateBytes = JSON.stringify(core.node('h1').headgate?.ledger.belief()).length;
+    const stateBytes = JSON.stringify(core.node('h1').controller?.ledger.controlState()).length;
     expect(stateBytes).toBeGreaterThan(3_000_000);
     core.start('h3');
     const isWhole = () => {
-      const [h1, h3] = ['h1', 'h3'].map((name) => core.node(name).headgate?.ledger.belief().slot);
+      const [h1, h3] = ['h1', 'h3'].map((name) => core.node(name).controller?.ledger.controlState().slot);
       return h3 !== undefined && h1 === h3;
     };
     await core.world.advance(500);
     await keepChanging(core, 'h1', isWhole);
     expect(isWhole()).toBe(true);
-    expect(core.node('h3').headgate?.ledger.belief()).toEqual(core.node('h1').headgate?.ledger.belief());
+    expect(core.node('h3').controller?.ledger.controlState()).toEqual(
+      core.node('h1').controller?.ledger.controlState(),
+    );
     expect(core.broken).toEqual([]);
   });
 
@@ -64,15 +66,17 @@
     await core.world.advance(2_000);
     core.start('h3');
     await core.world.advance(2_500);
-    expect(core.node('h3').headgate?.ledger.belief().slot).toBeLessThan(
-      core.node('h1').headgate?.ledger.belief().slot ?? 0,
+    expect(core.node('h3').controller?.ledger.controlState().slot).toBeLessThan(
+      core.node('h1').controller?.ledger.controlState().slot ?? 0,
     );
     core.kill(seed % 2 === 0 ? 'h2' : 'h1');
     const left = seed % 2 === 0 ? 'h1' : 'h2';
     expect(
       await core.until(
         10_000,
-        () => core.node('h3').headgate?.ledger.belief().slot === core.node(left).headgate?.ledger.belief().slot,
+        () =>
+          core.node('h3').controller?.ledger.controlState().slot ===
+          core.node(left).controller?.ledger.controlState().slot,
       ),
     ).toBe(true);
     expect((await core.order('h3', 'after')).result?.ok).toBe(true);
--- a/src/coordination/ledger/catch-up.ts
+++ b/src/coordination/ledger/catch-up.ts
@@ -1,5 +1,5 @@
 import type { Message, MessageOf, SlotBatch } from '../../protocol/messages.js';
-import type { Belief } from '../../state/belief.js';
+import type { ControlState } from '../../state/control-state.js';
 import type { Batch } from '../../state/entry.js';
 import type { SnapshotOffer } from '../../state/snapshot-parts.js';
 import type { Clock } from '../../transport/clock.js';
@@ -27,7 +27,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly store: Pick<Store, 'put' | 'recent' | 'page' | 'bytesSince'>;
-  readonly belief: () => Belief;
+  readonly controlState: () => ControlState;
   /** Folds a chosen batch into the next slot. */
   readonly learn: (slot: number, batch: Batch) => Promise<void>;
 };
@@ -53,9 +53,9 @@
 }
 
 export function createCatchUp(deps: CatchUpDeps): CatchUp {
-  const { peers, clock, log, store, belief, learn } = deps;
+  const { peers, clock, log, store, controlState, learn } = deps;
   const underWay = new Map<Address, Promise<void>>();
-  const snapshots = createSnapshotGiver({ peers, clock, log, belief, keepsFrom });
+  const snapshots = createSnapshotGiver({ peers, clock, log, controlState, keepsFrom });
   const taker = createSnapshotTaker(peers, clock, log);
 
   function keepsFrom(slot: number): boolean {
@@ -75,13 +75,17 @@
 
   async function fetchAll(address: Address): Promise<void> {
     for (let i = 0; i < MOST_FETCHES; i += 1) {
-      const at = belief().slot;
-      const reply = await peers.call(address, { kind: 'fetch', ledger: belief().ledger, from: at + 1 }, FETCH_WAIT_MS);
+      const at = controlState().slot;
+      const reply = await peers.call(
+        address,
+        { kind: 'fetch', ledger: controlState().ledger, from: at + 1 },
+        FETCH_WAIT_MS,
+      );
       if (!reply.ok || reply.value.kind !== 'fetched') return;
       const { batches, snapshot } = reply.value;
-      if (snapshot && snapshot.slot > belief().slot && !(await adopt(address, snapshot))) return;
+      if (snapshot && snapshot.slot > controlState().slot && !(await adopt(address, snapshot))) return;
       await learnAll(batches);
-      if (belief().slot === at) return;
+      if (controlState().slot === at) return;
     }
   }
 
@@ -90,12 +94,12 @@
     const taken = await taker.take(address, offer);
     if (taken.tag === 'joined') return true;
     if (taken.tag !== 'whole') return false;
-    const own = belief().ledger;
+    const own = controlState().ledger;
     if (own !== '' && taken.state.ledger !== own) {
       log.error(`${address} gave a snapshot of another ledger; it is not taken.`);
       return false;
     }
-    await store.put({ tag: 'adopt', belief: taken.state });
+    await store.put({ tag: 'adopt', controlState: taken.state });
     return true;
   }
 
@@ -110,7 +114,7 @@
     return snapshots.offer('controller', slot);
   }
   function onFetch(m: MessageOf<'fetch'>): Message {
-    if (m.ledger !== '' && m.ledger !== belief().ledger) return { kind: 'fetched', batches: [] };
+    if (m.ledger !== '' && m.ledger !== controlState().ledger) return { kind: 'fetched', batches: [] };
     const snapshot = m.ledger === '' ? offerToController(m.from) : snapshotInstead(store, m.from, offerToController);
     if (snapshot) return { kind: 'fetched', snapshot, batches: [] };
     return { kind: 'fetched', batches: [...(store.page(m.from, PAGE_BYTES) ?? [])] };
--- a/src/coordination/ledger/claims.test.ts
+++ b/src/coordination/ledger/claims.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import type { Message, MessageOf } from '../../protocol/messages.js';
-import { emptyBelief, majorityOf, memberId, membersMark } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { emptyControlState, majorityOf, memberId, membersMark } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import type { Member } from '../../state/entry.js';
 import { HOUR_MS } from '../../state/claim-table.js';
 import { createPlatter, loseDisk, losePower, simDisk } from '../../sim/sim-disk.js';
@@ -26,17 +26,17 @@
 };
 type Room = {
   readonly world: World;
-  readonly belief: Belief;
+  readonly controlState: ControlState;
   readonly handlers: Map<string, Handlers>;
   readonly lost: { next: (m: Message) => boolean };
 };
 
 function room(): Room {
-  const belief = emptyBelief();
-  belief.ledger = 'ledger-1';
-  belief.members = [1, 2, 3].map((i): Member => ({ name: `h${i}`, incarnation: 'i1', address: `h${i}` }));
-  belief.claimants = belief.members.map(memberId);
-  return { world: createWorld(1), belief, handlers: new Map(), lost: { next: () => false } };
+  const controlState = emptyControlState();
+  controlState.ledger = 'ledger-1';
+  controlState.members = [1, 2, 3].map((i): Member => ({ name: `h${i}`, incarnation: 'i1', address: `h${i}` }));
+  controlState.claimants = controlState.members.map(memberId);
+  return { world: createWorld(1), controlState, handlers: new Map(), lost: { next: () => false } };
 }
 function peersOf(r: Room, address: string): Peers {
   const own: Handlers = new Map();
@@ -48,9 +48,9 @@
   return { call, on: (kind: string, fn: never) => own.set(kind, fn) } as unknown as Peers;
 }
 async function voter(r: Room, at: number, platter: Platter): Promise<Voter> {
-  const self = r.belief.members[at] as Member;
+  const self = r.controlState.members[at] as Member;
   const proc = r.world.begin(r.world.host(self.name, 'z'));
-  const ledger = { belief: () => r.belief, isMember: () => true, self } as unknown as Ledger;
+  const ledger = { controlState: () => r.controlState, isMember: () => true, self } as unknown as Ledger;
   const made = await finish(
     r,
     createClaims(
@@ -76,7 +76,12 @@
   return box.value;
 }
 function claim(r: Room, key: string, by: string, at = born): MessageOf<'claim'> {
-  return { kind: 'claim', ledger: 'ledger-1', members: membersMark(r.belief.members), claims: [{ key, by, born: at }] };
+  return {
+    kind: 'claim',
+    ledger: 'ledger-1',
+    members: membersMark(r.controlState.members),
+    claims: [{ key, by, born: at }],
+  };
 }
 function told(m: Message | null): string {
   return m?.kind === 'claimAnswer' ? (m.answers[0]?.tag ?? '') : (m?.kind ?? 'silent');
@@ -103,7 +108,7 @@
     const handler = r.handlers.get('h1')?.get('claim');
     const first = Promise.resolve(handler?.(claim(r, 'k1', 't1')) ?? null);
     const waiting = Promise.resolve(handler?.(claim(r, 'k2', 't1')) ?? null);
-    r.belief.members = [...r.belief.members.slice(0, 2), { name: 'h4', incarnation: 'i1', address: 'h4' }];
+    r.controlState.members = [...r.controlState.members.slice(0, 2), { name: 'h4', incarnation: 'i1', address: 'h4' }];
     expect(told(await finish(r, first))).toBe('claimed');
     expect(told(await finish(r, waiting))).toBe('cannotVote');
     expect(told(await v.ask(claim(r, 'k2', 't2')))).toBe('claimed');
@@ -136,7 +141,7 @@
     }
     r.world.kill(r.world.host('h1', 'z'));
     loseDisk(platters[0] as Platter);
-    r.belief.members = r.belief.members.map((m) => (m.name === 'h1' ? { ...m, incarnation: 'i2' } : m));
+    r.controlState.members = r.controlState.members.map((m) => (m.name === 'h1' ? { ...m, incarnation: 'i2' } : m));
     const v = await voter(r, 0, platters[0] as Platter);
     expect(told(await v.ask(claim(r, 'k2-77', 't2')))).toBe('cannotVote');
     expect(await r.world.until(10_000, v.ready)).toBe(true);
@@ -148,7 +153,7 @@
     const r = room();
     const v = await voter(r, 1, createPlatter());
     const before = claim(r, 'k', 't1');
-    r.belief.members = r.belief.members.map((m) => (m.name === 'h1' ? { ...m, incarnation: 'i2' } : m));
+    r.controlState.members = r.controlState.members.map((m) => (m.name === 'h1' ? { ...m, incarnation: 'i2' } : m));
     expect(told(await v.ask(before))).toBe('cannotVote');
     expect(told(await v.ask(claim(r, 'k', 't1')))).toBe('claimed');
   });
@@ -178,8 +183,8 @@
 test('a release that gets lost is told again until it is heard; then the key is free', async () => {
   const r = room();
   for (const at of [0, 1, 2]) await voter(r, at, createPlatter());
-  const proc = r.world.begin(r.world.host('sluice', 'z'));
-  const client = createClaimClient(() => r.belief, peersOf(r, 'sluice'), r.world.clockOf(proc));
+  const proc = r.world.begin(r.world.host('proxy', 'z'));
+  const client = createClaimClient(() => r.controlState, peersOf(r, 'proxy'), r.world.clockOf(proc));
   let answersLost = 0;
   r.lost.next = (m) => m.kind === 'claimEnds' && r.world.now() < 20_000;
   const held = r.handlers.get('h2')?.get('claim') as (m: Message) => Promise<Message>;
@@ -191,5 +196,5 @@
   expect((await finish(r, client.claim({ text: 'k', born }, 't2')))?.tag).toBe('taken');
   await r.world.advance(90_000);
   expect((await finish(r, client.claim({ text: 'k', born }, 't3')))?.tag).toBe('claimed');
-  expect(majorityOf(r.belief.members)).toBe(2);
+  expect(majorityOf(r.controlState.members)).toBe(2);
 });
--- a/src/coordination/ledger/claims.ts
+++ b/src/coordination/ledger/claims.ts
@@ -5,7 +5,7 @@
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { Claim, ClaimAnswer, ClaimEnd } from '../../state/claim.js';
-import { majorityOf, memberId, membersMark } from '../../state/belief.js';
+import { majorityOf, memberId, membersMark } from '../../state/control-state.js';
 import { CLAIM_RECORD, createClaimTable, HOUR_MS, unpackClaims } from '../../state/claim-table.js';
 import type { Member } from '../../state/entry.js';
 import type { HourRange } from '../../state/hour-ranges.js';
@@ -119,7 +119,7 @@
   }
 
   function ready(): boolean {
-    return ledger.isMember() && (readyFor === me() || ledger.belief().claimants.includes(me()));
+    return ledger.isMember() && (readyFor === me() || ledger.controlState().claimants.includes(me()));
   }
 
   async function work(commands: readonly Command[]): Promise<readonly (ClaimAnswer[] | null)[]> {
@@ -131,7 +131,7 @@
     const writes: Buffer[] = [];
     let whole = false;
     for (const c of commands) {
-      if (c.tag === 'claim' && c.members !== membersMark(ledger.belief().members)) {
+      if (c.tag === 'claim' && c.members !== membersMark(ledger.controlState().members)) {
         answers.push(null);
         continue;
       }
@@ -178,19 +178,23 @@
   const line = createLine(work);
 
   function mayAnswer(of: string): boolean {
-    return of === ledger.belief().ledger && ready() && !aheadOfDisk;
+    return of === ledger.controlState().ledger && ready() && !aheadOfDisk;
   }
 
   // The members are compared again when the claim comes into the table (in work): whoever reads all claims asks a voter that
   // knows it as a member, and such a voter grants nothing more for the members before.
   async function onClaim(m: MessageOf<'claim'>): Promise<Message> {
-    if (m.ledger !== ledger.belief().ledger || !ready() || m.members !== membersMark(ledger.belief().members))
+    if (
+      m.ledger !== ledger.controlState().ledger ||
+      !ready() ||
+      m.members !== membersMark(ledger.controlState().members)
+    )
       return { kind: 'cannotVote' };
     const answers = await line.put({ tag: 'claim', members: m.members, claims: m.claims });
     return answers ? { kind: 'claimAnswer', voter: me(), answers } : { kind: 'cannotVote' };
   }
   async function onEnds(m: MessageOf<'claimEnds'>): Promise<Message> {
-    if (m.ledger !== ledger.belief().ledger || !ready()) return { kind: 'cannotVote' };
+    if (m.ledger !== ledger.controlState().ledger || !ready()) return { kind: 'cannotVote' };
     return { kind: 'done', agreed: (await line.put({ tag: 'end', ends: m.ends })) !== null };
   }
   function onAsk(m: MessageOf<'claimsAsk'>): Message {
@@ -205,7 +209,7 @@
     };
   }
   function knowsMember(id: string): boolean {
-    for (const m of ledger.belief().members) if (memberId(m) === id) return true;
+    for (const m of ledger.controlState().members) if (memberId(m) === id) return true;
     return false;
   }
   peers.on('claim', onClaim);
@@ -219,7 +223,7 @@
     for (let from = 0; from >= 0;) {
       const got = await peers.call(
         m.address,
-        { kind: 'claimsAsk', ledger: ledger.belief().ledger, asker: me(), from },
+        { kind: 'claimsAsk', ledger: ledger.controlState().ledger, asker: me(), from },
         5_000,
       );
       if (!got.ok || got.value.kind !== 'claimsPage' || got.value.voter !== memberId(m)) return null;
@@ -233,7 +237,7 @@
   async function rebuild(): Promise<void> {
     if (ready() || !ledger.isMember() || rebuilding) return;
     rebuilding = true;
-    const members = ledger.belief().members;
+    const members = ledger.controlState().members;
     const need = members.length - majorityOf(members) + 1;
     const found: Buffer[] = [];
     const forgotten: HourRange[] = [];
--- a/src/coordination/ledger/numbered.test.ts
+++ b/src/coordination/ledger/configuration-service.test.ts
@@ -2,14 +2,14 @@
 import { err, ok } from '../../base/result.js';
 import { DEFAULT_LIMITS } from '../../state/serving.js';
 import { MAX_APPLIED_CHANGES } from '../../state/operator-history.js';
-import type { DoorMapping, Serving } from '../../state/serving.js';
+import type { RouteMapping, Serving } from '../../state/serving.js';
 import { withChanges } from '../../state/settings-tree.js';
 import { createSimLedger } from '../../sim/sim-ledger.js';
 import type { SimLedger } from '../../sim/sim-ledger.js';
-import { createNumberedDoor } from './numbered.js';
-import type { NumberedDoor } from './numbered.js';
+import { createConfigurationService } from './configuration-service.js';
+import type { ConfigurationService } from './configuration-service.js';
 
-const MAPPING: DoorMapping = {
+const MAPPING: RouteMapping = {
   at: 0,
   host: 'a.example',
   prefix: '/p/',
@@ -20,27 +20,28 @@
   deadlineMs: 5_000,
   aimMs: 800,
   pauseMs: null,
-  dispatches: 1,
+  attempts: 1,
   shares: [{ model: 'm', share: 1 }],
   split: false,
   homes: [],
 };
 function serving(number: number, mappings = 1): Serving {
-  const out: Record<string, DoorMapping> = {};
+  const out: Record<string, RouteMapping> = {};
   for (let i = 0; i < mappings; i += 1) out[`r-${i}`] = { ...MAPPING, at: i, prefix: `/p${i}/` };
   return {
     number,
     mappings: out,
-    models: { m: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } },
+    models: { m: { at: 0, probePath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } },
     limits: DEFAULT_LIMITS,
   };
 }
 
 function sharedLedger() {
   const sim = createSimLedger(5);
-  const doorAfter = (ms: number): NumberedDoor => createNumberedDoor({ ledger: sim.ledgerAfter(ms), clock: sim.clock });
-  const now = (): Serving => sim.belief.configuration.serving as Serving;
-  return { ...sim, doorAfter, now };
+  const serviceAfter = (ms: number): ConfigurationService =>
+    createConfigurationService({ ledger: sim.ledgerAfter(ms), clock: sim.clock });
+  const now = (): Serving => sim.controlState.configuration.serving as Serving;
+  return { ...sim, serviceAfter, now };
 }
 
 function ordinaryEntries(s: Pick<SimLedger, 'fold'>, count: number): void {
@@ -57,11 +58,11 @@
 describe('configurations by the operator’s own number', () => {
   test('numbers rise in uneven steps, each on the one before', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(5);
-    expect(await s.run(door.replace(0, serving(7), 'a'))).toEqual(TAKEN(7));
-    expect(await s.run(door.replace(7, serving(12, 2), 'b'))).toEqual(TAKEN(12));
-    expect(await s.run(door.replace(7, serving(20), 'c'))).toEqual(STALE(12));
-    const read = await s.run(door.read());
+    const service = s.serviceAfter(5);
+    expect(await s.run(service.replace(0, serving(7), 'a'))).toEqual(TAKEN(7));
+    expect(await s.run(service.replace(7, serving(12, 2), 'b'))).toEqual(TAKEN(12));
+    expect(await s.run(service.replace(7, serving(20), 'c'))).toEqual(STALE(12));
+    const read = await s.run(service.read());
     expect(read?.ok && read.value.number).toBe(12);
     expect(read?.ok && Object.keys(read.value.mappings)).toEqual(['r-0', 'r-1']);
   });
@@ -73,11 +74,11 @@
     ['a document cut short', null, '/'],
   ])('%s is invalid and changes nothing', async (_name, more, path) => {
     const s = sharedLedger();
-    const door = s.doorAfter(5);
-    await s.run(door.replace(0, serving(7), 'a'));
-    const got = await s.run(door.replace(7, more === null ? null : { ...serving(9), ...more }, 'b'));
+    const service = s.serviceAfter(5);
+    await s.run(service.replace(0, serving(7), 'a'));
+    const got = await s.run(service.replace(7, more === null ? null : { ...serving(9), ...more }, 'b'));
     expect(!got || got.ok || got.fault.tag !== 'invalid' ? got : got.fault.faults.map((f) => f.path)).toEqual([path]);
-    expect(s.belief.slot).toBe(0);
+    expect(s.controlState.slot).toBe(0);
     expect(s.now().number).toBe(7);
   });
 
@@ -88,10 +89,10 @@
       [5, 5],
     ] as const) {
       const s = sharedLedger();
-      await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+      await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
       const both = [
-        s.doorAfter(first).replace(7, serving(8, 2), 'x'),
-        s.doorAfter(second).replace(7, serving(9, 3), 'y'),
+        s.serviceAfter(first).replace(7, serving(8, 2), 'x'),
+        s.serviceAfter(second).replace(7, serving(9, 3), 'y'),
       ];
       const got = await s.run(Promise.all(both));
       const taken = (got ?? []).filter((g) => g.ok);
@@ -103,24 +104,24 @@
 
   test('the same submission sent again, to any node and after newer ones, is the same success; another on that base is stale', async () => {
     const s = sharedLedger();
-    await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
-    await s.run(s.doorAfter(5).replace(7, serving(8, 2), 'b'));
-    const again = await s.run(s.doorAfter(40).replace(0, serving(7), 'a'));
+    await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
+    await s.run(s.serviceAfter(5).replace(7, serving(8, 2), 'b'));
+    const again = await s.run(s.serviceAfter(40).replace(0, serving(7), 'a'));
     expect(again?.ok && again.value.tag).toBe('taken');
-    expect(await s.run(s.doorAfter(40).replace(0, serving(7), 'other'))).toEqual(STALE(8));
+    expect(await s.run(s.serviceAfter(40).replace(0, serving(7), 'other'))).toEqual(STALE(8));
     expect(s.now().number).toBe(8);
-    const twice = [s.doorAfter(5).replace(8, serving(11), 'c'), s.doorAfter(40).replace(8, serving(11), 'c')];
+    const twice = [s.serviceAfter(5).replace(8, serving(11), 'c'), s.serviceAfter(40).replace(8, serving(11), 'c')];
     expect((await s.run(Promise.all(twice)))?.map((g) => g.ok)).toEqual([true, true]);
   });
 
   test('a change keeps its identity past any number of ordinary entries', async () => {
     const s = sharedLedger();
-    await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
-    await s.run(s.doorAfter(5).replace(7, serving(8, 2), 'b'));
+    await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
+    await s.run(s.serviceAfter(5).replace(7, serving(8, 2), 'b'));
     ordinaryEntries(s, 1_100);
-    expect(await s.run(s.doorAfter(40).replace(7, serving(8, 2), 'b'))).toEqual(TAKEN(8));
-    expect(await s.run(s.doorAfter(40).replace(0, serving(7), 'a'))).toEqual(TAKEN(7));
-    expect(await s.run(s.doorAfter(40).replace(7, serving(8, 3), 'other'))).toEqual(STALE(8));
+    expect(await s.run(s.serviceAfter(40).replace(7, serving(8, 2), 'b'))).toEqual(TAKEN(8));
+    expect(await s.run(s.serviceAfter(40).replace(0, serving(7), 'a'))).toEqual(TAKEN(7));
+    expect(await s.run(s.serviceAfter(40).replace(7, serving(8, 3), 'other'))).toEqual(STALE(8));
     expect(Object.keys(s.now().mappings)).toEqual(['r-0', 'r-1']);
   });
 
@@ -131,16 +132,16 @@
       [5, 5],
     ] as const) {
       const s = sharedLedger();
-      await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+      await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
       const sent = [serving(8, 2), serving(8, 3)];
       const got = await s.run(
-        Promise.all([s.doorAfter(first).replace(7, sent[0], 'x'), s.doorAfter(second).replace(7, sent[1], 'y')]),
+        Promise.all([s.serviceAfter(first).replace(7, sent[0], 'x'), s.serviceAfter(second).replace(7, sent[1], 'y')]),
       );
       const winner = (got ?? []).findIndex((g) => g.ok);
       expect((got ?? []).filter((g) => g.ok).length).toBe(1);
       expect(shapeOf(s.now())).toEqual(shapeOf(sent[winner]));
       const again = await s.run(
-        Promise.all([s.doorAfter(second).replace(7, sent[0], 'x'), s.doorAfter(first).replace(7, sent[1], 'y')]),
+        Promise.all([s.serviceAfter(second).replace(7, sent[0], 'x'), s.serviceAfter(first).replace(7, sent[1], 'y')]),
       );
       expect(again?.[winner]).toEqual(TAKEN(8));
       expect(again?.[1 - winner]).toEqual(STALE(8));
@@ -149,7 +150,7 @@
 
   test('a change of one and a whole configuration of another with the same number, base and result are one change', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(5);
+    const service = s.serviceAfter(5);
     const edit = (before: Serving): ReturnType<typeof ok<unknown>> =>
       ok({
         ...before,
@@ -160,37 +161,37 @@
       ...serving(8),
       mappings: { ...serving(8).mappings, extra: { ...MAPPING, at: 1, prefix: '/extra/' } },
     };
-    await s.run(door.replace(0, serving(7), 'a'));
-    expect(await s.run(door.replace(7, result, 'whole'))).toEqual(TAKEN(8));
-    expect(await s.run(s.doorAfter(40).amend(7, edit, 'change'))).toEqual(TAKEN(8));
-    expect(await s.run(s.doorAfter(40).amend(0, edit, 'change'))).toEqual(STALE(8));
+    await s.run(service.replace(0, serving(7), 'a'));
+    expect(await s.run(service.replace(7, result, 'whole'))).toEqual(TAKEN(8));
+    expect(await s.run(s.serviceAfter(40).amend(7, edit, 'change'))).toEqual(TAKEN(8));
+    expect(await s.run(s.serviceAfter(40).amend(0, edit, 'change'))).toEqual(STALE(8));
     const less = (before: Serving): ReturnType<typeof ok<unknown>> => ok({ ...before, number: 8 });
-    expect(await s.run(s.doorAfter(40).amend(7, less, 'less'))).toEqual(STALE(8));
-    expect(await s.run(door.replace(8, serving(9), 'b'))).toEqual(TAKEN(9));
-    expect(await s.run(s.doorAfter(40).amend(7, edit, 'change'))).toEqual(STALE(9));
-    expect(s.belief.slot).toBe(2);
+    expect(await s.run(s.serviceAfter(40).amend(7, less, 'less'))).toEqual(STALE(8));
+    expect(await s.run(service.replace(8, serving(9), 'b'))).toEqual(TAKEN(9));
+    expect(await s.run(s.serviceAfter(40).amend(7, edit, 'change'))).toEqual(STALE(9));
+    expect(s.controlState.slot).toBe(2);
   });
 
   test('a change whose settings fill what another cleared is not the same change, though it would leave what stands as it is', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(5);
-    await s.run(door.replace(0, serving(7, 3), 'a'));
-    expect(await s.run(door.replace(7, serving(8, 1), 'b'))).toEqual(TAKEN(8));
+    const service = s.serviceAfter(5);
+    await s.run(service.replace(0, serving(7, 3), 'a'));
+    expect(await s.run(service.replace(7, serving(8, 1), 'b'))).toEqual(TAKEN(8));
     const without =
       (name: string) =>
       (before: Serving): ReturnType<typeof ok<unknown>> => {
         const mappings = Object.fromEntries(Object.entries(before.mappings).filter(([key]) => key !== name));
         return ok({ ...before, number: 8, mappings });
       };
-    expect(await s.run(s.doorAfter(40).amend(7, without('r-2'), 'c'))).toEqual(STALE(8));
+    expect(await s.run(s.serviceAfter(40).amend(7, without('r-2'), 'c'))).toEqual(STALE(8));
     expect(Object.keys(s.now().mappings)).toEqual(['r-0']);
   });
 
   test('eight under way at once on one base, each sent to two nodes: one is taken, at both', async () => {
     const s = sharedLedger();
-    await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+    await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
     const sends = Array.from({ length: 16 }, (_, i) =>
-      s.doorAfter(1 + ((i * 37) % 60)).replace(7, serving(8 + (i % 8)), `change-${i % 8}`),
+      s.serviceAfter(1 + ((i * 37) % 60)).replace(7, serving(8 + (i % 8)), `change-${i % 8}`),
     );
     const got = (await s.run(Promise.all(sends))) ?? [];
     const winners = got.map((g, i) => (g.ok ? i % 8 : -1)).filter((i) => i >= 0);
@@ -207,12 +208,12 @@
       [60, 60],
     ] as const) {
       const s = sharedLedger();
-      await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
-      const slow = s.doorAfter(first).replace(7, serving(8, 2), 'b');
+      await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
+      const slow = s.serviceAfter(first).replace(7, serving(8, 2), 'b');
       await s.world.advance(100);
-      const got = await s.run(Promise.all([slow, s.doorAfter(second).replace(7, serving(8, 2), 'b')]));
+      const got = await s.run(Promise.all([slow, s.serviceAfter(second).replace(7, serving(8, 2), 'b')]));
       expect(got).toEqual([TAKEN(8), TAKEN(8)]);
-      const { changes } = s.belief.history;
+      const { changes } = s.controlState.history;
       expect(changes.map((c) => c.revision?.number)).toEqual([7, 8]);
     }
   });
@@ -220,23 +221,23 @@
   test('one that is given up and agreed later is taken under its own number, or nothing once another one was taken', async () => {
     for (const other of [false, true]) {
       const s = sharedLedger();
-      await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
-      const late = createNumberedDoor({ ledger: s.ledgerAfter(700), clock: s.clock, agreeMs: 300 });
+      await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
+      const late = createConfigurationService({ ledger: s.ledgerAfter(700), clock: s.clock, agreeMs: 300 });
       const givenUp = late.replace(7, serving(8, 2), 'late');
       await s.world.advance(400);
-      if (other) expect(await s.run(s.doorAfter(5).replace(7, serving(9, 3), 'other'))).toEqual(TAKEN(9));
+      if (other) expect(await s.run(s.serviceAfter(5).replace(7, serving(9, 3), 'other'))).toEqual(TAKEN(9));
       await s.world.advance(2_000);
       void givenUp;
       expect(shapeOf(s.now())).toEqual(shapeOf(other ? serving(9, 3) : serving(8, 2)));
-      expect(await s.run(s.doorAfter(5).replace(7, serving(8, 2), 'late'))).toEqual(other ? STALE(9) : TAKEN(8));
+      expect(await s.run(s.serviceAfter(5).replace(7, serving(8, 2), 'late'))).toEqual(other ? STALE(9) : TAKEN(8));
     }
   });
 
   test('one that is both invalid and late changes nothing', async () => {
     const s = sharedLedger();
-    await s.run(s.doorAfter(5).replace(0, serving(7), 'a'));
+    await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
     for (const draft of [null, { ...serving(9), models: {} }, serving(3)]) {
-      const got = await s.run(s.doorAfter(5).replace(3, draft, 'b'));
+      const got = await s.run(s.serviceAfter(5).replace(3, draft, 'b'));
       expect(got?.ok === false && ['stale', 'invalid'].includes(got.fault.tag)).toBe(true);
     }
     expect(shapeOf(s.now())).toEqual(shapeOf(serving(7)));
@@ -244,57 +245,57 @@
 
   test('one that builds on more than the history holds gets no clear answer, and is not applied again', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(1);
+    const service = s.serviceAfter(1);
     for (let n = 0; n <= MAX_APPLIED_CHANGES; n += 1)
-      expect(await s.run(door.replace(n, serving(n + 1), `change-${n}`))).toEqual(TAKEN(n + 1));
+      expect(await s.run(service.replace(n, serving(n + 1), `change-${n}`))).toEqual(TAKEN(n + 1));
     const newest = MAX_APPLIED_CHANGES + 1;
-    expect(await s.run(door.replace(0, serving(1), 'change-0'))).toEqual(err({ tag: 'outcomeUnknown' }));
-    expect(await s.run(door.replace(1, serving(2), 'change-1'))).toEqual(TAKEN(2));
-    expect(await s.run(door.replace(1, serving(2, 2), 'another'))).toEqual(STALE(newest));
+    expect(await s.run(service.replace(0, serving(1), 'change-0'))).toEqual(err({ tag: 'outcomeUnknown' }));
+    expect(await s.run(service.replace(1, serving(2), 'change-1'))).toEqual(TAKEN(2));
+    expect(await s.run(service.replace(1, serving(2, 2), 'another'))).toEqual(STALE(newest));
     expect(s.now().number).toBe(newest);
   });
 
-  test('an epoch that something else moved is no race lost', async () => {
+  test('a version that something else moved is no race lost', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(50);
-    await s.run(door.replace(0, serving(7), 'a'));
-    const going = door.replace(7, serving(8), 'b');
+    const service = s.serviceAfter(50);
+    await s.run(service.replace(0, serving(7), 'a'));
+    const going = service.replace(7, serving(8), 'b');
     await s.world.advance(30);
     s.fold('other', {
       tag: 'configured',
-      base: s.belief.epoch,
+      base: s.controlState.version,
       changes: [{ path: ['deployment', 'nExtra'], value: 3 }],
     });
     expect(await s.run(going)).toEqual(TAKEN(8));
     expect(s.now().number).toBe(8);
-    expect(s.belief.configuration.deployment).toEqual({ nExtra: 3 });
+    expect(s.controlState.configuration.deployment).toEqual({ nExtra: 3 });
   });
 
   test('without a majority there is no success, and soon; what was agreed unseen is found at the next try', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(5);
+    const service = s.serviceAfter(5);
     s.cut(true);
-    expect(await s.run(door.replace(0, serving(7), 'a'), 1_000)).toEqual(err({ tag: 'noMajority' }));
-    expect(await s.run(door.read(), 1_000)).toEqual(err({ tag: 'noMajority' }));
-    expect(await s.run(door.evacuate('z', true), 1_000)).toEqual(err({ tag: 'noMajority' }));
+    expect(await s.run(service.replace(0, serving(7), 'a'), 1_000)).toEqual(err({ tag: 'noMajority' }));
+    expect(await s.run(service.read(), 1_000)).toEqual(err({ tag: 'noMajority' }));
+    expect(await s.run(service.evacuate('z', true), 1_000)).toEqual(err({ tag: 'noMajority' }));
     s.cut(false);
     s.deaf(true);
-    expect(await s.run(door.replace(0, serving(7), 'a'))).toEqual(err({ tag: 'noMajority' }));
+    expect(await s.run(service.replace(0, serving(7), 'a'))).toEqual(err({ tag: 'noMajority' }));
     s.deaf(false);
-    expect(await s.run(door.replace(0, serving(7), 'a'))).toEqual(TAKEN(7));
-    expect(s.belief.slot).toBe(0);
+    expect(await s.run(service.replace(0, serving(7), 'a'))).toEqual(TAKEN(7));
+    expect(s.controlState.slot).toBe(0);
   });
 
   test('of a thousand mappings a change of one travels alone, and is quick', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(1);
-    await s.run(door.replace(0, serving(7, 1_000), 'a'));
+    const service = s.serviceAfter(1);
+    await s.run(service.replace(0, serving(7, 1_000), 'a'));
     const next = withChanges(serving(9, 1_000), [
       { path: ['mappings', 'r-500', 'deadlineMs'], value: 77 },
       { path: ['mappings', 'r-0'] },
     ]) as Serving;
     for (const [at, m] of Object.values(next.mappings).entries()) (m as { at: number }).at = at;
-    await s.run(door.replace(7, next, 'b'));
+    await s.run(service.replace(7, next, 'b'));
     expect(s.now().mappings['r-500']?.deadlineMs).toBe(77);
     expect(Object.keys(s.now().mappings).length).toBe(999);
     expect(s.entryBytes[1]).toBeLessThan(600);
@@ -304,31 +305,31 @@
 describe('evacuations', () => {
   test('each order is a success however often it is sent', async () => {
     const s = sharedLedger();
-    const door = s.doorAfter(5);
+    const service = s.serviceAfter(5);
     for (const begun of [false, true, true, false, false, true]) {
-      expect(await s.run(door.evacuate('z', begun))).toEqual(ok({ tag: 'taken' }));
-      expect(s.belief.evacuated['z'] !== undefined).toBe(begun);
+      expect(await s.run(service.evacuate('z', begun))).toEqual(ok({ tag: 'taken' }));
+      expect(s.controlState.evacuated['z'] !== undefined).toBe(begun);
     }
   });
 
   test('an order that is agreed late, after the one that takes it back, does nothing', async () => {
     const s = sharedLedger();
-    const slow = s.doorAfter(400).evacuate('z', true);
-    expect(await s.run(s.doorAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
-    expect(await s.run(s.doorAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
+    const slow = s.serviceAfter(400).evacuate('z', true);
+    expect(await s.run(s.serviceAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.serviceAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
     await s.world.advance(4_000);
-    expect(s.belief.evacuated).toEqual({});
+    expect(s.controlState.evacuated).toEqual({});
     void slow;
   });
 
   test('an order that is agreed late does nothing, however many ordinary entries came between', async () => {
     const s = sharedLedger();
-    const slow = s.doorAfter(400).evacuate('z', true);
-    expect(await s.run(s.doorAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
-    expect(await s.run(s.doorAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
+    const slow = s.serviceAfter(400).evacuate('z', true);
+    expect(await s.run(s.serviceAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.serviceAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
     ordinaryEntries(s, 1_100);
     await s.world.advance(4_000);
-    expect(s.belief.evacuated).toEqual({});
+    expect(s.controlState.evacuated).toEqual({});
     expect((await slow).ok).toBe(false);
   });
 });
--- a/src/coordination/ledger/numbered.ts
+++ b/src/coordination/ledger/configuration-service.ts
@@ -3,7 +3,7 @@
 import { faultAt } from '../../protocol/codecs.js';
 import type { ConfigFault } from '../../protocol/codecs.js';
 import { readServing } from '../../protocol/serving.js';
-import type { Belief } from '../../state/belief.js';
+import type { ControlState } from '../../state/control-state.js';
 import type { Change } from '../../state/entry.js';
 import {
   appliedChange,
@@ -31,15 +31,15 @@
 export type Taken = { readonly tag: 'taken'; readonly number: number };
 export type Edit = (serving: Serving) => Result<unknown, readonly ConfigFault[]>;
 
-export type NumberedDoor = {
+export type ConfigurationService = {
   readonly replace: (base: number, draft: unknown, digest: string) => Promise<Result<Taken, NumberedFault>>;
   readonly amend: (base: number, edit: Edit, digest: string) => Promise<Result<Taken, NumberedFault>>;
   readonly read: () => Promise<Result<Serving, NumberedFault>>;
   readonly evacuate: (zone: string, begun: boolean) => Promise<Result<{ readonly tag: 'taken' }, NumberedFault>>;
 };
 
-export type NumberedDoorDeps = {
-  readonly ledger: Pick<Ledger, 'belief' | 'settle' | 'propose'>;
+export type ConfigurationServiceDeps = {
+  readonly ledger: Pick<Ledger, 'controlState' | 'settle' | 'propose'>;
   readonly clock: Clock;
   readonly settleMs?: number;
   readonly agreeMs?: number;
@@ -50,11 +50,11 @@
 
 const NO_MAJORITY: NumberedFault = { tag: 'noMajority' };
 
-function servingOf(b: Belief): Serving {
+function servingOf(b: ControlState): Serving {
   return b.configuration.serving ?? EMPTY_SERVING;
 }
 
-function changesTo(b: Belief, next: Serving): Change[] {
+function changesTo(b: ControlState, next: Serving): Change[] {
   const before = b.configuration.serving;
   if (!before) return [{ path: ['serving'], value: next }];
   const out: Change[] = [];
@@ -67,7 +67,7 @@
   | { readonly tag: 'propose'; readonly next: Serving };
 
 /** What to do about a request for a change, by a state that is no older than the request. */
-function judge(state: Belief, request: string, base: number, edit: Edit): Judged {
+function judge(state: ControlState, request: string, base: number, edit: Edit): Judged {
   const now = servingOf(state);
   const done = appliedChange(state.history, request);
   if (done) return answered(ok({ tag: 'taken', number: done.revision?.number ?? now.number }));
@@ -93,7 +93,7 @@
 }
 
 /** A change that is not known by its request, and doesn't build on what is in force. */
-function judgeLate(state: Belief, base: number, edit: Edit): Result<Taken, NumberedFault> {
+function judgeLate(state: ControlState, base: number, edit: Edit): Result<Taken, NumberedFault> {
   const { number } = servingOf(state);
   if (isInForce(state, base, edit)) return ok({ tag: 'taken', number });
   if (mayBeForgotten(state.history, base)) return err({ tag: 'outcomeUnknown' });
@@ -101,7 +101,7 @@
 }
 
 /** Whether what is in force is just what this change makes of the base that it names: then it is the same change. */
-function isInForce(state: Belief, base: number, edit: Edit): boolean {
+function isInForce(state: ControlState, base: number, edit: Edit): boolean {
   const newest = newestRevision(state.history);
   const { undo } = state.history;
   if (undo === null || newest?.base !== base) return false;
@@ -110,7 +110,7 @@
   return result.ok && result.value.number === newest.number && differences(servingOf(state), result.value).length === 0;
 }
 
-export function createNumberedDoor(deps: NumberedDoorDeps): NumberedDoor {
+export function createConfigurationService(deps: ConfigurationServiceDeps): ConfigurationService {
   const { ledger, clock } = deps;
   const settleMs = deps.settleMs ?? SETTLE_MS;
   const agreeMs = deps.agreeMs ?? AGREE_MS;
@@ -128,19 +128,19 @@
     const until = clock.mono() + agreeMs;
     while (clock.mono() < until) {
       if (!(await settled())) return err(NO_MAJORITY);
-      const state = ledger.belief();
+      const state = ledger.controlState();
       const judged = judge(state, request, base, edit);
       if (judged.tag === 'answer') return judged.answer;
       const { next } = judged;
       const { number } = next;
       const act = {
         tag: 'configured' as const,
-        base: state.epoch,
+        base: state.version,
         changes: changesTo(state, next),
         revision: { request, base, number },
       };
       const agreed = await ledger.propose(
-        { id: `${request}@${state.epoch}`, cause: `The operator put number ${number} on ${base}.`, act },
+        { id: `${request}@${state.version}`, cause: `The operator put number ${number} on ${base}.`, act },
         until - clock.mono(),
       );
       if (!agreed.ok) return err(NO_MAJORITY);
@@ -157,7 +157,7 @@
   }
 
   async function read(): Promise<Result<Serving, NumberedFault>> {
-    return (await settled()) ? ok(servingOf(ledger.belief())) : err(NO_MAJORITY);
+    return (await settled()) ? ok(servingOf(ledger.controlState())) : err(NO_MAJORITY);
   }
 
   /**
@@ -166,12 +166,12 @@
    */
   async function evacuate(zone: string, begun: boolean): Promise<Result<{ readonly tag: 'taken' }, NumberedFault>> {
     if (!(await settled())) return err(NO_MAJORITY);
-    const base = zoneVersion(ledger.belief().history, zone);
+    const base = zoneVersion(ledger.controlState().history, zone);
     const id = `evacuation:${zone}@${base}:${begun ? 'begin' : 'finish'}`;
     const cause = begun ? `The operator evacuates ${zone}.` : `The operator hands ${zone} back.`;
     const agreed = await ledger.propose({ id, cause, act: { tag: 'evacuation', zone, begun, base } }, agreeMs);
     if (!agreed.ok) return err(NO_MAJORITY);
-    const isSo = (ledger.belief().evacuated[zone] !== undefined) === begun;
+    const isSo = (ledger.controlState().evacuated[zone] !== undefined) === begun;
     return agreed.value.outcome.tag === 'applied' || isSo ? ok({ tag: 'taken' }) : err({ tag: 'outcomeUnknown' });
   }
 
--- a/src/coordination/ledger/core-chaos.test.ts
+++ b/src/coordination/ledger/core-chaos.test.ts
@@ -73,11 +73,11 @@
 describe.each([
   [3, 3],
   [5, 3],
-])('a core of %i, %i of them seeds', (headgates, seeds) => {
+])('a core of %i, %i of them seeds', (controllers, seeds) => {
   test.each([...Array(20).keys()])(
     'through ten troubles one after another nothing acknowledged is lost (seed %i)',
     async (seed) => {
-      const core = createSimCore(7_000 + seed, { headgates, seeds, regionMs: 20 });
+      const core = createSimCore(7_000 + seed, { controllers, seeds, regionMs: 20 });
       const r: Run = { core, running: core.nodes.map((n) => n.name), serial: 0, acked: [] };
       core.startAll();
       expect(await core.until(5_000, () => core.whole(r.running))).toBe(true);
--- a/src/coordination/ledger/core-health-watch.test.ts
+++ b/src/coordination/ledger/core-health-watch.test.ts
@@ -6,7 +6,7 @@
 import { createEvents } from '../../base/events.js';
 import { createWorld } from '../../sim/world.js';
 import type { World } from '../../sim/world.js';
-import { emptyBelief, memberId } from '../../state/belief.js';
+import { emptyControlState, memberId } from '../../state/control-state.js';
 import type { Member } from '../../state/entry.js';
 import type { Peers } from '../members/peers.js';
 import { createCoreHealthWatch } from './core-health-watch.js';
@@ -15,7 +15,7 @@
 import { createSimFleet } from '../../sim/sim-fleet.js';
 import type { SimFleet } from '../../sim/sim-fleet.js';
 import type { Log, LogRoot } from '../../transport/log.js';
-import type { Caller } from '../../transport/http.js';
+import type { HttpClient } from '../../transport/http.js';
 
 const SEEDS = [1, 2, 3, 4];
 const THREE = ['h1', 'h2', 'h3'];
@@ -23,7 +23,7 @@
 /** Time in which every judgement has taken up a change: the freshness of an answer, and a turn. */
 const JUDGED_MS = 2_200;
 
-type Stage = { readonly core: SimCore; readonly caller: Caller; readonly lines: string[] };
+type Stage = { readonly core: SimCore; readonly httpClient: HttpClient; readonly lines: string[] };
 
 function collectedLogs(lines: string[]): LogRoot {
   function part(prefix: string): Log {
@@ -33,22 +33,22 @@
   return { part };
 }
 
-async function founded(seed: number, names: readonly string[], more: Partial<CoreShape> = {}): Promise<Stage> {
+async function bootstrapped(seed: number, names: readonly string[], more: Partial<CoreShape> = {}): Promise<Stage> {
   const lines: string[] = [];
   const core = createSimCore(
     seed,
-    { headgates: names.length, seeds: 3, regionMs: 35, operatorDoor: true, ...more },
+    { controllers: names.length, seeds: 3, regionMs: 35, operatorHttpServer: true, ...more },
     collectedLogs(lines),
   );
   core.startAll();
   expect(await core.until(8_000, () => core.whole(names))).toBe(true);
   await core.world.advance(4_000);
-  return { core, caller: core.lab('operator').caller, lines };
+  return { core, httpClient: core.lab('operator').httpClient, lines };
 }
 
 async function get(s: Stage, name: string, path: string): Promise<{ readonly status: number; readonly body: unknown }> {
   const got = await s.core.finish(
-    s.caller.call({ method: 'GET', address: `${s.core.node(name).wire}0`, path, timeoutMs: 3_000 }),
+    s.httpClient.call({ method: 'GET', address: `${s.core.node(name).wire}0`, path, timeoutMs: 3_000 }),
     4_000,
   );
   if (!got?.ok) throw new Error(`${name} does not answer ${path}`);
@@ -67,7 +67,7 @@
 
 describe('the losses that the core bears, told by each controller', () => {
   test.each(SEEDS)('three all well: one; one dead: none, with a warning; back again: one (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     await expectAll(s, THREE, [3, 3, 3, 1, null]);
     s.core.kill('h2');
     await s.core.world.advance(JUDGED_MS);
@@ -85,7 +85,7 @@
   test.each(SEEDS)(
     'the claim holds: with one to spare any one may go, with none the next one stops it (seed %i)',
     async (seed) => {
-      const s = await founded(seed, THREE);
+      const s = await bootstrapped(seed, THREE);
       const lost = THREE[seed % 3] as string;
       const [first, second] = THREE.filter((n) => n !== lost) as [string, string];
       s.core.powerLoss(lost);
@@ -100,7 +100,7 @@
   test.each(SEEDS)(
     'five: two; two dead: none; all along the claim is never above what is left (seed %i)',
     async (seed) => {
-      const s = await founded(seed, FIVE);
+      const s = await bootstrapped(seed, FIVE);
       await expectAll(s, FIVE, [5, 5, 5, 2, null]);
       s.core.kill('h4');
       await s.core.world.advance(JUDGED_MS);
@@ -112,7 +112,7 @@
   );
 
   test.each(SEEDS)('one that does not follow the ledger is in touch and does not count (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     const lagging = s.core.node('h3').platter;
     lagging.failing = true;
     for (let n = 0; n < 6; n += 1) {
@@ -124,7 +124,7 @@
   });
 
   test.each(SEEDS)('a fourth one joined: still one; dead, none; shed, one again (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     s.core.add('h4');
     s.core.start('h4');
     expect(await s.core.until(6_000, () => s.core.whole([...THREE, 'h4']))).toBe(true);
@@ -139,7 +139,7 @@
   });
 
   test.each(SEEDS)('one dead and replaced by a new machine: one again (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     s.core.powerLoss('h2');
     await s.core.world.advance(4_000);
     s.core.add('h4');
@@ -150,7 +150,7 @@
   });
 
   test.each(SEEDS)('one that has joined counts from the moment it holds all, not before (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     s.core.add('h4');
     s.core.start('h4');
     let early = 0;
@@ -158,7 +158,7 @@
       await s.core.world.advance(10);
       const member = (await health(s, 'h1')).ledger.details.find((d) => d.name === 'h4');
       if (!member) continue;
-      const before = s.core.node('h1').headgate?.ledger.belief().slot ?? 0;
+      const before = s.core.node('h1').controller?.ledger.controlState().slot ?? 0;
       if (member.learned < before - 1 && member.lack === null) early += 1;
     }
     expect(early).toBe(0);
@@ -171,7 +171,7 @@
 
   type Bench = {
     readonly world: World;
-    readonly belief: { slot: number };
+    readonly controlState: { slot: number };
     readonly hear: (name: string, learned: number) => void;
     readonly watch: CoreHealthWatch;
   };
@@ -179,11 +179,11 @@
     const world = createWorld(1);
     const clock = world.clockOf(world.begin(world.host('h1', 'z')));
     const events = createEvents<LedgerEvents>();
-    const belief = { ...emptyBelief(), members, slot };
+    const controlState = { ...emptyControlState(), members, slot };
     const ledger = {
-      belief: () => belief,
+      controlState: () => controlState,
       self: members[0] as Member,
-      top: () => belief.slot,
+      top: () => controlState.slot,
       writable: () => true,
       events,
     };
@@ -194,10 +194,17 @@
       events.emit('heard', {
         member,
         askedAt: clock.mono(),
-        standing: { kind: 'standing', ledger: 'l', voter: memberId(member), address: name, learned, top: learned },
+        memberStatus: {
+          kind: 'memberStatus',
+          ledger: 'l',
+          voter: memberId(member),
+          address: name,
+          learned,
+          top: learned,
+        },
       });
     }
-    return { world, belief, hear, watch };
+    return { world, controlState, hear, watch };
   }
   function told(b: Bench): unknown[] {
     const { ledger } = b.watch.current();
@@ -220,11 +227,11 @@
   test('answers that are half a second old under steady changes are not behind', async () => {
     const b = watched(100);
     for (let n = 0; n < 40; n += 1) {
-      b.hear('h2', b.belief.slot);
-      b.hear('h3', b.belief.slot);
+      b.hear('h2', b.controlState.slot);
+      b.hear('h3', b.controlState.slot);
       for (let step = 0; step < 5; step += 1) {
         await b.world.advance(100);
-        b.belief.slot += 4;
+        b.controlState.slot += 4;
         if (n > 8) expect(told(b)).toEqual([3, 3, 1]);
       }
     }
@@ -266,7 +273,7 @@
   const unknown = [3, 1, null, null, 'noMajority'];
 
   test.each(SEEDS)('both ways: within 2.2 s, while the others know; healed it knows again (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     s.core.cutOff(['h1']);
     await s.core.world.advance(JUDGED_MS);
     await expectAll(s, ['h1'], unknown);
@@ -279,7 +286,7 @@
   });
 
   test.each(SEEDS)('one way, either way (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     for (const other of ['h2', 'h3']) {
       if (seed % 2 === 0) s.core.world.cut('h1', other);
       else s.core.world.cut(other, 'h1');
@@ -289,12 +296,12 @@
   });
 
   test.each(SEEDS)('restarted while it is cut off (seed %i)', async (seed) => {
-    const s = await founded(seed, THREE);
+    const s = await bootstrapped(seed, THREE);
     s.core.cutOff(['h1']);
     await s.core.world.advance(500);
     s.core.kill('h1');
     s.core.start('h1');
-    await s.core.until(2_000, () => s.core.node('h1').headgate !== null);
+    await s.core.until(2_000, () => s.core.node('h1').controller !== null);
     for (let n = 0; n < 12; n += 1) {
       await expectAll(s, ['h1'], unknown);
       await s.core.world.advance(500);
@@ -304,7 +311,7 @@
   test.each(SEEDS)(
     'thawed after 20 s in which the others changed: nothing of before is told (seed %i)',
     async (seed) => {
-      const s = await founded(seed, THREE);
+      const s = await bootstrapped(seed, THREE);
       s.core.world.freeze(s.core.node('h1').host);
       await s.core.world.advance(1_000);
       for (let n = 0; n < 8; n += 1) expect((await s.core.order('h2', `z${n}`)).result?.ok).toBe(true);
@@ -313,8 +320,8 @@
       const told: unknown[] = [];
       for (let n = 0; n < 40; n += 1) {
         const { ledger } = await health(s, 'h1');
-        const learned = s.core.node('h1').headgate?.ledger.belief().slot ?? -1;
-        const newest = s.core.node('h2').headgate?.ledger.belief().slot ?? -1;
+        const learned = s.core.node('h1').controller?.ledger.controlState().slot ?? -1;
+        const newest = s.core.node('h2').controller?.ledger.controlState().slot ?? -1;
         if (learned < newest && ledger.spareLosses !== null && ledger.spareLosses > 0) told.push(ledger);
       }
       expect(told).toEqual([]);
@@ -326,7 +333,7 @@
 
 describe('log and metrics', () => {
   test('one line when it turns to none, one when it recovers, none in between and none at a good start', async () => {
-    const s = await founded(5, THREE);
+    const s = await bootstrapped(5, THREE);
     expect(s.lines).toEqual([]);
     s.core.kill('h3');
     await s.core.world.advance(30_000);
@@ -344,7 +351,7 @@
   });
 
   test('a controller that is cut off says once that it does not know', async () => {
-    const s = await founded(6, THREE);
+    const s = await bootstrapped(6, THREE);
     s.core.cutOff(['h1']);
     await s.core.world.advance(30_000);
     expect(s.lines.filter((l) => l.includes('No majority'))).toEqual([
@@ -352,7 +359,7 @@
     ]);
   });
 
-  async function gauges(s: Stage, name: string): Promise<Record<string, string>> {
+  async function inspects(s: Stage, name: string): Promise<Record<string, string>> {
     const text = String((await get(s, name, '/metrics')).body);
     const out: Record<string, string> = {};
     for (const line of text.split('\n')) {
@@ -361,17 +368,17 @@
     }
     return out;
   }
-  test('the gauges tell the same; what is not known is missing, not 0, also when read again', async () => {
-    const s = await founded(7, THREE);
+  test('the inspects tell the same; what is not known is missing, not 0, also when read again', async () => {
+    const s = await bootstrapped(7, THREE);
     const well = { known: '1', members: '3', quorum_size: '2', in_touch: '3', holding_all: '3', spare_losses: '1' };
-    expect(await gauges(s, 'h1')).toEqual(well);
+    expect(await inspects(s, 'h1')).toEqual(well);
     s.core.cutOff(['h1']);
     await s.core.world.advance(JUDGED_MS);
     for (let n = 0; n < 2; n += 1)
-      expect(await gauges(s, 'h1')).toEqual({ known: '0', members: '3', quorum_size: '2', in_touch: '1' });
+      expect(await inspects(s, 'h1')).toEqual({ known: '0', members: '3', quorum_size: '2', in_touch: '1' });
     s.core.world.healAll();
     await s.core.world.advance(6_000);
-    expect(await gauges(s, 'h1')).toEqual(well);
+    expect(await inspects(s, 'h1')).toEqual(well);
   });
 });
 
@@ -391,8 +398,8 @@
   test('a lost disk costs one, until its claims were rebuilt', async () => {
     const fleet = await ready(8);
     expect((await told(fleet)).claims).toMatchObject({ holdingAll: 3, spareLosses: 1, warning: null });
-    fleet.kill('headgate-2');
-    fleet.wipe('headgate-2');
+    fleet.kill('controller-2');
+    fleet.wipe('controller-2');
     await fleet.run(3_000);
     expect((await told(fleet)).claims).toMatchObject({
       inTouch: 2,
@@ -400,23 +407,23 @@
       spareLosses: 0,
       warning: 'noSpareLoss',
     });
-    void fleet.startNode('headgate-2');
+    void fleet.startNode('controller-2');
     await fleet.run(15_000);
     expect((await told(fleet)).claims).toMatchObject({ inTouch: 3, holdingAll: 3, spareLosses: 1, warning: null });
   });
 
   test('a member that can not rebuild its claims counts for the ledger alone', async () => {
     const fleet = await ready(9);
-    const before = fleet.headgates[1]?.headgate?.ledger.self.incarnation;
-    fleet.kill('headgate-2');
-    fleet.wipe('headgate-2');
+    const before = fleet.controllers[1]?.controller?.ledger.self.incarnation;
+    fleet.kill('controller-2');
+    fleet.wipe('controller-2');
     await fleet.run(500);
-    void fleet.startNode('headgate-2');
-    const members = () => fleet.headgates[0]?.headgate?.ledger.belief().members ?? [];
+    void fleet.startNode('controller-2');
+    const members = () => fleet.controllers[0]?.controller?.ledger.controlState().members ?? [];
     expect(
-      await fleet.until(8_000, () => members().some((m) => m.name === 'headgate-2' && m.incarnation !== before)),
+      await fleet.until(8_000, () => members().some((m) => m.name === 'controller-2' && m.incarnation !== before)),
     ).toBe(true);
-    fleet.kill('headgate-3');
+    fleet.kill('controller-3');
     await fleet.run(5_000);
     const core = await told(fleet);
     expect(core.ledger).toMatchObject({ inTouch: 2, holdingAll: 2, spareLosses: 0, warning: 'noSpareLoss' });
--- a/src/coordination/ledger/core-health-watch.ts
+++ b/src/coordination/ledger/core-health-watch.ts
@@ -2,11 +2,11 @@
  * Watches how many further losses the core bears: gathers what each member answers, judges it by
  * `state/core-health.ts`, and logs one line when no loss is borne any more and one when it is again.
  *
- * `headgate.ts` makes one; the status answer, the metrics and the runbooks read it. What it tells is never older
+ * `controller.ts` makes one; the status answer, the metrics and the runbooks read it. What it tells is never older
  * than `IN_TOUCH_MS`: a controller that is cut off from the majority tells that it knows nothing.
  */
 import type { Message, MessageOf } from '../../protocol/messages.js';
-import { memberId } from '../../state/belief.js';
+import { memberId } from '../../state/control-state.js';
 import { coreHealth } from '../../state/core-health.js';
 import type { CoreHealth, MemberView } from '../../state/core-health.js';
 import type { Member } from '../../state/entry.js';
@@ -17,7 +17,7 @@
 import type { Claims } from './claims.js';
 import { createCoreHealthLog } from './core-health-log.js';
 import type { Ledger } from './ledger.js';
-import type { HeardStanding } from './standings.js';
+import type { HeardMemberStatus } from './member-statuses.js';
 
 export type CoreHealthReport = {
   /** Health of the members that agree on the ledger. */
@@ -29,7 +29,7 @@
 export type CoreHealthWatch = { readonly current: () => CoreHealthReport; readonly stop: () => void };
 
 export type CoreHealthWatchDeps = {
-  readonly ledger: Pick<Ledger, 'belief' | 'self' | 'top' | 'writable' | 'events'>;
+  readonly ledger: Pick<Ledger, 'controlState' | 'self' | 'top' | 'writable' | 'events'>;
   /** Null where claims are not in use. */
   readonly claims: Pick<Claims, 'ready'> | null;
   readonly peers: Peers;
@@ -38,7 +38,7 @@
 };
 
 /** A member's answer, or that its claims are whole, by the time at which it was asked. */
-type Heard = { readonly askedAt: number; readonly standing: MessageOf<'standing'> };
+type Heard = { readonly askedAt: number; readonly memberStatus: MessageOf<'memberStatus'> };
 type KnownSlot = { readonly at: number; readonly slot: number };
 
 /** How often the health is judged; the members are asked as often. */
@@ -67,14 +67,14 @@
     return at !== undefined && clock.mono() - at < IN_TOUCH_MS;
   }
 
-  function onHeard({ member, askedAt, standing }: HeardStanding): void {
-    heard.set(memberId(member), { askedAt, standing });
+  function onHeard({ member, askedAt, memberStatus }: HeardMemberStatus): void {
+    heard.set(memberId(member), { askedAt, memberStatus });
   }
   ledger.events.on('heard', onHeard);
 
   function newestKnown(): number {
-    let newest = ledger.belief().slot;
-    for (const { standing } of heard.values()) newest = Math.max(newest, standing.learned);
+    let newest = ledger.controlState().slot;
+    for (const { memberStatus } of heard.values()) newest = Math.max(newest, memberStatus.learned);
     return newest;
   }
   function stoodStill(): boolean {
@@ -91,7 +91,7 @@
   function viewOf(member: Member, settled: number): MemberView {
     const id = memberId(member);
     if (id === me()) {
-      const learned = ledger.belief().slot;
+      const learned = ledger.controlState().slot;
       return {
         id,
         name: member.name,
@@ -104,16 +104,16 @@
       };
     }
     const answer = heard.get(id);
-    const learned = answer?.standing.learned ?? -1;
+    const learned = answer?.memberStatus.learned ?? -1;
     return {
       id,
       name: member.name,
       inTouch: isRecent(answer?.askedAt),
       learned,
-      top: answer?.standing.top ?? -1,
-      writable: answer?.standing.cannotWrite !== true,
+      top: answer?.memberStatus.top ?? -1,
+      writable: answer?.memberStatus.cannotWrite !== true,
       holdsAll: learned >= settled,
-      unheard: answer?.standing.unheard ?? [],
+      unheard: answer?.memberStatus.unheard ?? [],
     };
   }
   function holdsClaims(view: MemberView): boolean {
@@ -125,7 +125,7 @@
     const settled = settledSlot();
     const views: MemberView[] = [];
     const claimViews: MemberView[] = [];
-    for (const member of ledger.belief().members) {
+    for (const member of ledger.controlState().members) {
       const view = viewOf(member, settled);
       views.push(view);
       claimViews.push({ ...view, holdsAll: holdsClaims(view) });
@@ -147,7 +147,7 @@
   }
 
   function forgetFormerMembers(): void {
-    const ids = new Set(ledger.belief().members.map(memberId));
+    const ids = new Set(ledger.controlState().members.map(memberId));
     for (const id of heard.keys()) if (!ids.has(id)) heard.delete(id);
     for (const id of claimsWhole.keys()) if (!ids.has(id)) claimsWhole.delete(id);
   }
@@ -166,7 +166,7 @@
     ledgerLog.note(report.ledger);
     if (!report.claims) return;
     claimsLog.note(report.claims);
-    for (const member of ledger.belief().members) if (memberId(member) !== me()) void askClaims(member);
+    for (const member of ledger.controlState().members) if (memberId(member) !== me()) void askClaims(member);
   }
   const turning = every(clock, TURN_MS, turn);
 
--- a/src/coordination/ledger/crowd-relay.ts
+++ b/src/coordination/ledger/fleet-load-relay.ts
@@ -1,6 +1,6 @@
 import type { MessageOf } from '../../protocol/messages.js';
-import { memberId } from '../../state/belief.js';
-import { createCrowd, sumOf } from '../../state/crowd.js';
+import { memberId } from '../../state/control-state.js';
+import { createFleetLoad, sumOf } from '../../state/fleet-load.js';
 import { every } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import { newId } from '../../transport/rng.js';
@@ -8,15 +8,15 @@
 import type { Peer, Peers } from '../members/peers.js';
 import type { Ledger } from './ledger.js';
 
-export type CrowdRelay = { readonly stop: () => void };
+export type FleetLoadRelay = { readonly stop: () => void };
 
 const RELAY_MS = 300;
 const STALE_MS = 2_500;
-const SLUICES_A_STEP = 12;
+const PROXIES_A_STEP = 12;
 
-export function createCrowdRelay(ledger: Ledger, peers: Peers, clock: Clock, rng: Rng): CrowdRelay {
-  const own = createCrowd(STALE_MS);
-  const others = createCrowd(STALE_MS);
+export function createFleetLoadRelay(ledger: Ledger, peers: Peers, clock: Clock, rng: Rng): FleetLoadRelay {
+  const own = createFleetLoad(STALE_MS);
+  const others = createFleetLoad(STALE_MS);
   const tellers = new Map<string, Peer>();
   const run = newId(rng, 'r');
   let count = 0;
@@ -44,7 +44,7 @@
 
   function relay(): void {
     turns += 1;
-    const slower = 1 + Math.floor(tellers.size / SLUICES_A_STEP);
+    const slower = 1 + Math.floor(tellers.size / PROXIES_A_STEP);
     if (turns % slower !== 0) return;
     const now = clock.mono();
     const mine = own.sums(now);
@@ -53,14 +53,14 @@
       lastOwn = text;
       count += 1;
       const told = { name: ledger.self.name, run, count, rows: mine };
-      for (const m of ledger.belief().members)
+      for (const m of ledger.controlState().members)
         if (memberId(m) !== memberId(ledger.self)) void peers.tell(m.address, { kind: 'usages', told });
     }
     const rows = sumOf(mine, others.sums(now));
     const whole = JSON.stringify(rows);
     if (whole === lastSums) return;
     lastSums = whole;
-    for (const peer of tellers.values()) peer.tell({ kind: 'crowd', rows });
+    for (const peer of tellers.values()) peer.tell({ kind: 'fleetLoad', rows });
   }
   const relaying = every(clock, RELAY_MS, relay);
   return { stop: relaying.cancel };
--- a/src/coordination/ledger/follower.test.ts
+++ b/src/coordination/ledger/follower.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from '@jest/globals';
 import type { Message, MessageKind } from '../../protocol/messages.js';
-import { emptyBelief } from '../../state/belief.js';
+import { emptyControlState } from '../../state/control-state.js';
 import { partOf, snapshotOf } from '../../state/snapshot-parts.js';
 import type { Snapshot } from '../../state/snapshot-parts.js';
 import { createWorld } from '../../sim/world.js';
@@ -57,7 +57,7 @@
   }
   async function believe(slot: number, zones: readonly string[]): Promise<void> {
     const evacuated = Object.fromEntries(zones.map((z) => [z, slot]));
-    offered = snapshotOf(slot, JSON.stringify({ ...emptyBelief(), slot, ledger: 'l1', evacuated }));
+    offered = snapshotOf(slot, JSON.stringify({ ...emptyControlState(), slot, ledger: 'l1', evacuated }));
     hear({ kind: 'changes', ledger: 'l1', snapshot: offered.offer, batches: [] });
     await world.advance(1);
   }
@@ -66,7 +66,7 @@
       kind: 'beat',
       from: 'h1',
       ledger: 'l1',
-      slot: follower.belief().slot,
+      slot: follower.controlState().slot,
       top,
       quorate: true,
       wall: clock.wall(),
@@ -83,7 +83,7 @@
   const { follower, believe } = await rig();
   await believe(7, ['z9']);
   await believe(3, []);
-  expect(follower.belief()).toMatchObject({ slot: 7, evacuated: { z9: 7 } });
+  expect(follower.controlState()).toMatchObject({ slot: 7, evacuated: { z9: 7 } });
 });
 
 test('an attestation counts only once all that it attests has been folded', async () => {
--- a/src/coordination/ledger/follower.ts
+++ b/src/coordination/ledger/follower.ts
@@ -3,15 +3,15 @@
 import { parsedJson } from '../../base/parsed-json.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { Report } from '../../state/report.js';
-import { emptyBelief, foldBatch, isBelief } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { emptyControlState, foldBatch, isControlState } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import { ranked, steps } from '../../state/candidates.js';
 import type { Candidate, Spot } from '../../state/candidates.js';
 import { differenceTo } from '../../state/reports.js';
 import type { SnapshotOffer } from '../../state/snapshot-parts.js';
 import { createSharedTime } from '../../state/shared-time.js';
 import { every } from '../../transport/clock.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Clock, Timer } from '../../transport/clock.js';
 import type { Disk } from '../../transport/disk.js';
 import type { Log } from '../../transport/log.js';
 import type { Address } from '../../transport/wire.js';
@@ -21,15 +21,15 @@
 export type FollowerEvents = { readonly moved: { readonly slot: number } };
 
 export type Follower = {
-  readonly belief: () => Belief;
+  readonly controlState: () => ControlState;
   readonly fresh: () => boolean;
-  readonly islanded: () => boolean;
+  readonly partitioned: () => boolean;
   readonly wokeAt: () => number;
   readonly sharedNow: () => number;
   readonly events: {
     readonly on: <K extends keyof FollowerEvents>(name: K, fn: (e: FollowerEvents[K]) => void) => void;
   };
-  readonly headgates: () => readonly Address[];
+  readonly controllers: () => readonly Address[];
   readonly followed: () => Address | null;
   readonly knowSpots: (spotOf: (name: string) => Spot | null) => void;
   readonly tellAll: (m: Message) => void;
@@ -47,8 +47,8 @@
 const NEARER_MS = 5_000;
 const NONCES_KEPT = 16;
 const GAP_MS = 1_500;
-const ISLANDED_MS = 2_500;
-const KEEP_FILE = 'belief.json';
+const PARTITIONED_MS = 2_500;
+const KEEP_FILE = 'control-state.json';
 const FLOOR_FILE = 'floor.json';
 const KEEP_EVERY_MS = 5_000;
 
@@ -78,10 +78,10 @@
   let soughtAt = 0;
   let attendedAt = 0;
   let lookedAt = 0;
-  let belief = emptyBelief();
+  let controlState = emptyControlState();
   let floor = -1;
   let heardAt: number | null = null;
-  let wasIslanded = false;
+  let wasPartitioned = false;
   let nonce = 0;
   let firstNonce = 1;
   let lastTurn = clock.mono();
@@ -96,10 +96,10 @@
     if (kept.ok && kept.value) {
       const read = parsed(kept.value.toString());
       if (read) {
-        belief = read;
+        controlState = read;
         floor = read.slot;
         savedSlot = read.slot;
-      } else log.warn('The kept belief was unreadable; it is asked for again.');
+      } else log.warn('The kept control state was unreadable; it is asked for again.');
     }
   }
 
@@ -111,12 +111,12 @@
   function parsedFloor(text: string): number {
     const f = parsedJson(text);
     if (!isTable(f) || typeof f['slot'] !== 'number') return -1;
-    return belief.ledger === '' || f['ledger'] === belief.ledger ? f['slot'] : -1;
+    return controlState.ledger === '' || f['ledger'] === controlState.ledger ? f['slot'] : -1;
   }
 
-  function parsed(text: string): Belief | null {
+  function parsed(text: string): ControlState | null {
     const b = parsedJson(text);
-    return isBelief(b) ? b : null;
+    return isControlState(b) ? b : null;
   }
 
   function nextNonce(): number {
@@ -131,8 +131,8 @@
       name: self.name,
       zone: self.zone,
       region: self.region,
-      ledger: belief.ledger,
-      from: belief.slot + 1,
+      ledger: controlState.ledger,
+      from: controlState.slot + 1,
       nonce: nextNonce(),
     };
   }
@@ -152,7 +152,7 @@
         failed: at !== undefined && now - at < FAILED_MS,
       });
     }
-    for (const m of belief.members) add(m.address, m.name);
+    for (const m of controlState.members) add(m.address, m.name);
     for (const s of seeds) add(s, null);
     return ranked(self, out);
   }
@@ -259,7 +259,7 @@
     void ask(nearer);
   }
   function nameOf(address: Address | null): string | null {
-    for (const m of belief.members) if (m.address === address) return m.name;
+    for (const m of controlState.members) if (m.address === address) return m.name;
     return null;
   }
 
@@ -270,7 +270,7 @@
     if (gap <= GAP_MS) return;
     log.warn(`Stood still for ${Math.round(gap)} ms; serves again once it has fresh news.`);
     heardAt = null;
-    wasIslanded = false;
+    wasPartitioned = false;
     firstNonce = nonce + 1;
     wokeAt = now;
     attestedAt = now;
@@ -288,33 +288,33 @@
       seekNearer();
       chooseStandby();
     }
-    const alone = islanded();
-    if (alone !== wasIslanded)
-      log.warn(alone ? 'No headgate is heard; serves its own region only.' : 'Headgates are heard again.');
-    wasIslanded = alone;
+    const alone = partitioned();
+    if (alone !== wasPartitioned)
+      log.warn(alone ? 'No controller is heard; serves its own region only.' : 'Controllers are heard again.');
+    wasPartitioned = alone;
   }
-  const ticking: Wakeup = every(clock, TICK_MS, tick);
+  const ticking: Timer = every(clock, TICK_MS, tick);
   tick();
 
   function accepts(ledger: string): boolean {
-    return belief.ledger === '' || ledger === belief.ledger;
+    return controlState.ledger === '' || ledger === controlState.ledger;
   }
 
   function onChanges(m: MessageOf<'changes'>, peer: Peer): null {
     if (!accepts(m.ledger)) return null;
-    const before = belief.slot;
-    if (m.snapshot && m.snapshot.slot > belief.slot) void adopt(m.snapshot, peer);
+    const before = controlState.slot;
+    if (m.snapshot && m.snapshot.slot > controlState.slot) void adopt(m.snapshot, peer);
     let gap = false;
     for (const b of m.batches) {
-      if (b.slot <= belief.slot) continue;
-      if (b.slot !== belief.slot + 1) {
+      if (b.slot <= controlState.slot) continue;
+      if (b.slot !== controlState.slot + 1) {
         gap = true;
         break;
       }
-      foldBatch(belief, b.slot, b.batch);
+      foldBatch(controlState, b.slot, b.batch);
     }
     if (gap && !taker.isTaking()) peer.tell(followMessage());
-    if (belief.slot > before) noteMoved();
+    if (controlState.slot > before) noteMoved();
     return null;
   }
 
@@ -324,8 +324,8 @@
     if (from === null) return;
     const taken = await taker.take(from, offer);
     if (stopped || taken.tag === 'interrupted' || taken.tag === 'refused') return;
-    if (taken.tag === 'whole' && taken.state.slot > belief.slot && accepts(taken.state.ledger)) {
-      belief = taken.state;
+    if (taken.tag === 'whole' && taken.state.slot > controlState.slot && accepts(taken.state.ledger)) {
+      controlState = taken.state;
       noteMoved();
     }
     peer.tell(followMessage());
@@ -333,10 +333,10 @@
 
   function noteMoved(): void {
     const names = new Set<string>();
-    for (const m of belief.members) names.add(m.name);
+    for (const m of controlState.members) names.add(m.name);
     time.keepOnly(names);
-    events.emit('moved', { slot: belief.slot });
-    for (const to of asked) held.get(to)?.tell({ kind: 'followed', name: self.name, slot: belief.slot });
+    events.emit('moved', { slot: controlState.slot });
+    for (const to of asked) held.get(to)?.tell({ kind: 'followed', name: self.name, slot: controlState.slot });
     void saveFloor();
   }
 
@@ -354,9 +354,10 @@
     }
     if (!accepts(m.ledger) || m.ledger === '') return null;
     time.hear(m.from, m.wall, clock.mono());
-    if (m.slot > belief.slot && !taker.isTaking()) peer.tell(followMessage());
+    if (m.slot > controlState.slot && !taker.isTaking()) peer.tell(followMessage());
     const sentAt = m.echo >= firstNonce ? nonces.get(m.echo) : undefined;
-    if (!m.quorate || sentAt === undefined || belief.ledger === '' || belief.slot < Math.max(m.top, floor)) return null;
+    if (!m.quorate || sentAt === undefined || controlState.ledger === '' || controlState.slot < Math.max(m.top, floor))
+      return null;
     if (heardAt !== null && sentAt <= heardAt) return null;
     heardAt = sentAt;
     touchedAt = clock.mono();
@@ -380,9 +381,9 @@
   async function saveFloor(): Promise<void> {
     if (!disk || savingFloor) return;
     savingFloor = true;
-    while (savedFloor < belief.slot) {
-      const slot = belief.slot;
-      const done = await disk.replace(FLOOR_FILE, Buffer.from(JSON.stringify({ ledger: belief.ledger, slot })));
+    while (savedFloor < controlState.slot) {
+      const slot = controlState.slot;
+      const done = await disk.replace(FLOOR_FILE, Buffer.from(JSON.stringify({ ledger: controlState.ledger, slot })));
       if (!done.ok) {
         log.warn(`Could not keep the newest slot (${done.fault.tag}).`);
         break;
@@ -393,30 +394,30 @@
   }
 
   async function save(): Promise<void> {
-    if (!disk || savedSlot >= belief.slot) return;
-    const slot = belief.slot;
-    const done = await disk.replace(KEEP_FILE, Buffer.from(JSON.stringify(belief)));
+    if (!disk || savedSlot >= controlState.slot) return;
+    const slot = controlState.slot;
+    const done = await disk.replace(KEEP_FILE, Buffer.from(JSON.stringify(controlState)));
     if (done.ok) savedSlot = slot;
-    else log.warn(`Could not keep the belief (${done.fault.tag}).`);
+    else log.warn(`Could not keep the control state (${done.fault.tag}).`);
   }
   function keep(): void {
     void save();
   }
-  const keeping: Wakeup = every(clock, KEEP_EVERY_MS, keep);
+  const keeping: Timer = every(clock, KEEP_EVERY_MS, keep);
 
   peers.on('changes', onChanges);
   peers.on('beat', onBeat);
 
-  function believed(): Belief {
-    return belief;
+  function currentControlState(): ControlState {
+    return controlState;
   }
   function fresh(): boolean {
     noteTurn();
-    return heardAt !== null && belief.slot >= floor;
+    return heardAt !== null && controlState.slot >= floor;
   }
-  function islanded(): boolean {
+  function partitioned(): boolean {
     noteTurn();
-    return heardAt !== null && clock.mono() - heardAt > ISLANDED_MS;
+    return heardAt !== null && clock.mono() - heardAt > PARTITIONED_MS;
   }
   function woke(): number {
     noteTurn();
@@ -425,7 +426,7 @@
   function sharedNow(): number {
     return time.now(clock.mono(), clock.wall());
   }
-  function headgates(): readonly Address[] {
+  function controllers(): readonly Address[] {
     const out = new Set<Address>(followed === null ? [] : [followed]);
     for (const c of candidates()) out.add(c.address);
     return [...out];
@@ -459,13 +460,13 @@
     keeping.cancel();
   }
   return {
-    belief: believed,
+    controlState: currentControlState,
     fresh,
-    islanded,
+    partitioned,
     wokeAt: woke,
     sharedNow,
     events,
-    headgates,
+    controllers,
     followed: following,
     knowSpots,
     tellAll,
