--- a/src/coordination/ledger/following.test.ts
+++ b/src/coordination/ledger/following.test.ts
@@ -11,8 +11,8 @@
 
 type Edge = { readonly name: string; readonly follower: Follower };
 
-async function begun(seed: number, headgates: number): Promise<SimCore> {
-  const core = createSimCore(seed, { headgates, seeds: headgates, regionMs: 35 });
+async function begun(seed: number, controllers: number): Promise<SimCore> {
+  const core = createSimCore(seed, { controllers, seeds: controllers, regionMs: 35 });
   core.startAll();
   const names = core.nodes.map((n) => n.name);
   expect(await core.until(20_000, () => core.whole(names))).toBe(true);
@@ -47,14 +47,14 @@
 }
 
 function serves(e: Edge): boolean {
-  return e.follower.fresh() && !e.follower.islanded();
+  return e.follower.fresh() && !e.follower.partitioned();
 }
 
-async function inForceOrIslanded(core: SimCore, all: readonly Edge[], at: string, zone: string): Promise<Edge[]> {
+async function inForceOrPartitioned(core: SimCore, all: readonly Edge[], at: string, zone: string): Promise<Edge[]> {
   const got = await core.order(at, zone);
   expect(got.result).toEqual(expect.objectContaining({ ok: true }));
   const until = core.world.now() + BOUND_MS;
-  const late = (e: Edge) => serves(e) && e.follower.belief().evacuated[zone] === undefined;
+  const late = (e: Edge) => serves(e) && e.follower.controlState().evacuated[zone] === undefined;
   await core.until(BOUND_MS, () => !all.some(late));
   expect(all.filter(late).map((e) => e.name)).toEqual([]);
   while (core.world.now() < until) await core.world.advance(50);
@@ -62,12 +62,12 @@
   return all.filter(serves);
 }
 
-describe('following one headgate', () => {
+describe('following one controller', () => {
   test('the nearest is followed, and the others are told nothing by it', async () => {
     const core = await begun(1, 5);
     const all = await edges(core, 2);
     expect(all.map((e) => followedBy(core, e))).toEqual(['h1', 'h1', 'h2', 'h2', 'h3', 'h3', 'h4', 'h4', 'h5', 'h5']);
-    expect(await inForceOrIslanded(core, all, 'h2', 'one')).toEqual(all);
+    expect(await inForceOrPartitioned(core, all, 'h2', 'one')).toEqual(all);
   });
 
   const LOSSES: Readonly<Record<string, (core: SimCore, head: string, of: readonly string[]) => void>> = {
@@ -79,33 +79,33 @@
     'mute to its followers': (core, head, of) => of.forEach((s) => core.world.cut(head, s)),
   };
   test.each(Object.keys(LOSSES).flatMap((how, i) => [0, 1, 2].map((n) => [how, 10 * i + n] as const)))(
-    'the followed one is %s: in force within the bound at all, none islanded for long (seed %i)',
+    'the followed one is %s: in force within the bound at all, none partitioned for long (seed %i)',
     async (how, seed) => {
       const core = await begun(100 + seed, seed % 2 === 0 ? 3 : 5);
       const all = await edges(core, 3);
       const lost = all.filter((e) => followedBy(core, e) === 'h1');
       expect(lost.length).toBe(3);
-      let islanded = 0;
+      let partitioned = 0;
       LOSSES[how]?.(
         core,
         'h1',
         lost.map((e) => e.name),
       );
       await core.world.advance(300 * (seed % 3));
-      await inForceOrIslanded(core, all, 'h2', 'first');
+      await inForceOrPartitioned(core, all, 'h2', 'first');
       for (let i = 0; i < 20; i += 1) {
-        if (lost.some((e) => e.follower.islanded())) islanded += 1;
+        if (lost.some((e) => e.follower.partitioned())) partitioned += 1;
         await core.world.advance(50);
       }
-      expect(islanded).toBe(0);
+      expect(partitioned).toBe(0);
       expect(lost.every((e) => followedBy(core, e) !== 'h1')).toBe(true);
-      expect(await inForceOrIslanded(core, all, 'h3', 'second')).toEqual(all);
+      expect(await inForceOrPartitioned(core, all, 'h3', 'second')).toEqual(all);
       expect(core.broken).toEqual([]);
     },
   );
 
   test.each([0, 1, 2, 3])(
-    'a headgate that came back from a freeze attests nothing of before (seed %i)',
+    'a controller that came back from a freeze attests nothing of before (seed %i)',
     async (seed) => {
       const core = await begun(200 + seed, 3);
       const all = await edges(core, 2);
@@ -116,13 +116,15 @@
       core.world.thaw(core.node('h1').host);
       for (let i = 0; i < 100; i += 1) {
         await core.world.advance(20);
-        expect(all.filter((e) => serves(e) && e.follower.belief().evacuated['meanwhile'] === undefined)).toEqual([]);
+        expect(all.filter((e) => serves(e) && e.follower.controlState().evacuated['meanwhile'] === undefined)).toEqual(
+          [],
+        );
       }
     },
   );
 
   test.each([0, 1, 2, 3])(
-    'one that begins anew beside a headgate that is behind serves only with all news (seed %i)',
+    'one that begins anew beside a controller that is behind serves only with all news (seed %i)',
     async (seed) => {
       const core = await begun(300 + seed, 3);
       core.cutOff(['h1']);
@@ -132,25 +134,25 @@
       for (let i = 0; i < 300; i += 1) {
         await core.world.advance(20);
         expect(
-          fresh.filter((e) => e.follower.fresh() && e.follower.belief().evacuated['unseen'] === undefined),
+          fresh.filter((e) => e.follower.fresh() && e.follower.controlState().evacuated['unseen'] === undefined),
         ).toEqual([]);
       }
       expect(fresh.every(serves)).toBe(true);
     },
   );
 
-  test('without a majority all are islanded, and follow again once it is back', async () => {
+  test('without a majority all are partitioned, and follow again once it is back', async () => {
     const core = await begun(400, 3);
     const all = await edges(core, 2);
     core.kill('h2');
     core.kill('h3');
     await core.world.advance(BOUND_MS + 100);
-    expect(all.filter((e) => !e.follower.islanded())).toEqual([]);
+    expect(all.filter((e) => !e.follower.partitioned())).toEqual([]);
     core.start('h2');
     expect(await core.until(6_000, () => all.every(serves))).toBe(true);
   });
 
-  test('a near headgate that comes back is followed again', async () => {
+  test('a near controller that comes back is followed again', async () => {
     const core = await begun(500, 3);
     const all = await edges(core, 2);
     core.kill('h1');
@@ -160,10 +162,10 @@
     expect(all.every(serves)).toBe(true);
   });
 
-  test('what following costs a sluice does not grow with the core or the fleet', async () => {
-    async function cost(headgates: number, each: number): Promise<{ frames: number; bytes: number }> {
+  test('what following costs a proxy does not grow with the core or the fleet', async () => {
+    async function cost(controllers: number, each: number): Promise<{ frames: number; bytes: number }> {
       async function measured(n: number): Promise<{ frames: number; bytes: number; count: number }> {
-        const core = await begun(600, headgates);
+        const core = await begun(600, controllers);
         const all = n === 0 ? [] : await edges(core, n);
         await core.world.advance(3_000);
         const before = core.sent();
--- a/src/coordination/ledger/latency.test.ts
+++ b/src/coordination/ledger/latency.test.ts
@@ -6,8 +6,8 @@
 const THREE = ['h1', 'h2', 'h3'];
 const FIVE = ['h1', 'h2', 'h3', 'h4', 'h5'];
 
-async function founded(seed: number, names: readonly string[]): Promise<SimCore> {
-  const core = createSimCore(seed, { headgates: names.length, seeds: 3, regionMs: 35 });
+async function bootstrapped(seed: number, names: readonly string[]): Promise<SimCore> {
+  const core = createSimCore(seed, { controllers: names.length, seeds: 3, regionMs: 35 });
   core.startAll();
   expect(await core.until(4_000, () => core.whole(names))).toBe(true);
   expect((await core.order('h1', 'first')).result?.ok).toBe(true);
@@ -39,7 +39,7 @@
   test.each([0, 1, 2, 3, 4, 5])(
     'of three: an order and a reading at each other one take under a second, at once and later (seed %i)',
     async (seed) => {
-      const core = await founded(500 + seed, THREE);
+      const core = await bootstrapped(500 + seed, THREE);
       const victim = THREE[seed % 3] as string;
       const others = THREE.filter((n) => n !== victim);
       inTime(await core.order(victim, 'last'));
@@ -54,7 +54,7 @@
         }
       }
       recover(core, how, victim);
-      await core.until(2_000, () => core.node(victim).headgate !== null);
+      await core.until(2_000, () => core.node(victim).controller !== null);
       if (how !== 'frozen' && how !== 'cut off') {
         inTime(await core.order(victim, 'back'));
         zones.push('back');
@@ -68,10 +68,10 @@
 
   test.each([0, 1, 2])('of three, struck while it proposes (seed %i)', async (seed) => {
     for (let ms = 10; ms < 260; ms += 25) {
-      const core = await founded(600 + seed, THREE);
+      const core = await bootstrapped(600 + seed, THREE);
       void core
         .node('h1')
-        .headgate?.ledger.propose(
+        .controller?.ledger.propose(
           { id: 'order-half', cause: 'A test.', act: { tag: 'evacuation', zone: 'half', begun: true } },
           1_500,
         );
@@ -83,7 +83,7 @@
   });
 
   test.each([0, 1, 2])('two of five (seed %i)', async (seed) => {
-    const core = await founded(700 + seed, FIVE);
+    const core = await bootstrapped(700 + seed, FIVE);
     const victims = [FIVE[seed] as string, FIVE[seed + 2] as string];
     if (how === 'cut off') core.cutOff(victims);
     else for (const v of victims) strike(core, how, v);
@@ -96,14 +96,14 @@
   test.each([...Array(12).keys()])(
     'orders at all three at the same moment are all taken within a second (seed %i)',
     async (seed) => {
-      const core = await founded(800 + seed, THREE);
+      const core = await bootstrapped(800 + seed, THREE);
       const all: Promise<unknown>[] = [];
       const took: number[] = [];
       for (const name of THREE) {
         const from = core.world.now();
         const made = core
           .node(name)
-          .headgate?.ledger.propose(
+          .controller?.ledger.propose(
             { id: name, cause: 'A test.', act: { tag: 'evacuation', zone: name, begun: true } },
             1_500,
           );
@@ -118,7 +118,7 @@
   );
 
   test('without a majority an order is told so within its own wait, however many wait', async () => {
-    const core = await founded(900, THREE);
+    const core = await bootstrapped(900, THREE);
     core.powerLoss('h2');
     core.powerLoss('h3');
     const from = core.world.now();
@@ -127,7 +127,10 @@
       await core.finish(Promise.resolve(), 1);
       const got = await core
         .node('h1')
-        .headgate?.ledger.propose({ cause: 'A test.', act: { tag: 'evacuation', zone: `z${n}`, begun: true } }, 1_500);
+        .controller?.ledger.propose(
+          { cause: 'A test.', act: { tag: 'evacuation', zone: `z${n}`, begun: true } },
+          1_500,
+        );
       ends.push(core.world.now() - from);
       return got?.ok;
     });
--- a/src/coordination/ledger/lease.test.ts
+++ b/src/coordination/ledger/lease.test.ts
@@ -2,7 +2,7 @@
 import { createSimNet } from '../../sim/sim-wire.js';
 import { createWorld } from '../../sim/world.js';
 import type { Host, World } from '../../sim/world.js';
-import { emptyBelief, foldBatch } from '../../state/belief.js';
+import { emptyControlState, foldBatch } from '../../state/control-state.js';
 import type { Act } from '../../state/entry.js';
 import { createQuietLog } from '../../transport/log.js';
 import { createRng } from '../../transport/rng.js';
@@ -24,27 +24,27 @@
 async function room(seed: number): Promise<Room> {
   const world = createWorld(seed);
   const net = createSimNet(world);
-  const belief = emptyBelief();
-  belief.ledger = 'ledger-1';
-  belief.members = NAMES.map((name) => ({ name, incarnation: 'i1', address: `${name}:1` }));
+  const controlState = emptyControlState();
+  controlState.ledger = 'ledger-1';
+  controlState.members = NAMES.map((name) => ({ name, incarnation: 'i1', address: `${name}:1` }));
   const hosts = new Map<string, Host>();
   const leases = new Map<string, Lease>();
   let serial = 0;
   function propose(draft: { readonly cause: string; readonly act: Act }): Promise<unknown> {
-    const slot = belief.slot + 1;
-    const [outcome] = foldBatch(belief, slot, {
+    const slot = controlState.slot + 1;
+    const [outcome] = foldBatch(controlState, slot, {
       id: `b${slot}`,
       entries: [{ id: `e${(serial += 1)}`, author: '-', wall: 0, ...draft }],
     });
     return Promise.resolve({ ok: true, value: { slot, outcome } });
   }
-  for (const m of belief.members) {
+  for (const m of controlState.members) {
     const host = world.host(m.name, m.name);
     const proc = world.begin(host);
     const clock = world.clockOf(proc);
     const peers = createPeers(net.wireOf(proc), clock, createQuietLog().part(''));
     void peers.open(m.address);
-    const ledger = { belief: () => belief, isMember: () => true, self: m, propose } as unknown as Ledger;
+    const ledger = { controlState: () => controlState, isMember: () => true, self: m, propose } as unknown as Ledger;
     hosts.set(m.name, host);
     leases.set(
       m.name,
--- a/src/coordination/ledger/lease.ts
+++ b/src/coordination/ledger/lease.ts
@@ -1,4 +1,4 @@
-import { majorityOf, memberId, membersMark } from '../../state/belief.js';
+import { majorityOf, memberId, membersMark } from '../../state/control-state.js';
 import { askGrant, createLeaseBook, dropGrant } from '../../state/lease-book.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { Member } from '../../state/entry.js';
@@ -39,25 +39,25 @@
 
   // A majority of the members after a change need not share anyone with the majority that granted a lease before it, where
   // this node is new among them or where two are gone. Then for one term only the holder that the ledger names is granted it.
-  let members = ledger.belief().members;
+  let members = ledger.controlState().members;
   let othersFrom = 0;
   function noteMembers(): void {
-    const now = ledger.belief().members;
+    const now = ledger.controlState().members;
     if (membersMark(now) === membersMark(members)) return;
     const before = idsOf(members);
     const after = idsOf(now);
     let gone = 0;
     for (const id of before) if (!after.has(id)) gone += 1;
-    const founded = before.size === 0 && ledger.belief().leases[duty] === undefined;
-    const joined = !before.has(me()) && !founded;
+    const bootstrapped = before.size === 0 && ledger.controlState().leases[duty] === undefined;
+    const joined = !before.has(me()) && !bootstrapped;
     const shrank = after.size < before.size && (before.size % 2 !== 0 || gone > 1);
     if (joined || shrank) othersFrom = clock.mono() + LEASE_TERM_MS;
     members = now;
   }
   function mayGrant(m: MessageOf<'leaseAsk'>): boolean {
     noteMembers();
-    if (m.ledger !== ledger.belief().ledger || !ledger.isMember() || m.termMs > LEASE_TERM_MS) return false;
-    return clock.mono() >= othersFrom || ledger.belief().leases[m.duty]?.holder === m.holder;
+    if (m.ledger !== ledger.controlState().ledger || !ledger.isMember() || m.termMs > LEASE_TERM_MS) return false;
+    return clock.mono() >= othersFrom || ledger.controlState().leases[m.duty]?.holder === m.holder;
   }
 
   function onAsk(m: MessageOf<'leaseAsk'>): Message {
@@ -65,7 +65,7 @@
     return { kind: 'leaseAnswer', voter: me(), granted: mine && askGrant(book, m, clock.mono()) };
   }
   function onDrop(m: MessageOf<'leaseDrop'>): null {
-    if (m.ledger === ledger.belief().ledger) dropGrant(book, m.duty, m.holder, m.round);
+    if (m.ledger === ledger.controlState().ledger) dropGrant(book, m.duty, m.holder, m.round);
     return null;
   }
   peers.on('leaseAsk', onAsk);
@@ -77,12 +77,12 @@
 
   function fence(): number | null {
     if (stopped || held === null || leftMs() <= 0) return null;
-    const record = ledger.belief().leases[duty];
+    const record = ledger.controlState().leases[duty];
     return record && record.fence === held ? held : null;
   }
 
   async function askMajority(): Promise<'granted' | 'refused' | 'notAsked'> {
-    const b = ledger.belief();
+    const b = ledger.controlState();
     round += 1;
     const ask: MessageOf<'leaseAsk'> = {
       kind: 'leaseAsk',
@@ -116,7 +116,7 @@
   }
 
   function dropAll(): void {
-    const b = ledger.belief();
+    const b = ledger.controlState();
     const drop: MessageOf<'leaseDrop'> = { kind: 'leaseDrop', ledger: b.ledger, duty, holder: me(), round };
     for (const m of b.members) {
       if (memberId(m) === me()) onDrop(drop);
@@ -141,7 +141,7 @@
       return;
     }
     until = askedAt + LEASE_TERM_MS;
-    const record = ledger.belief().leases[duty];
+    const record = ledger.controlState().leases[duty];
     if (!expired && held !== null && record?.fence === held) return;
     held = null;
     const taken = await ledger.propose(
--- a/src/coordination/ledger/ledger.test.ts
+++ b/src/coordination/ledger/ledger.test.ts
@@ -4,14 +4,14 @@
 
 const THREE = ['h1', 'h2', 'h3'];
 
-async function founded(seed: number): Promise<SimCore> {
+async function bootstrapped(seed: number): Promise<SimCore> {
   const core = createSimCore(seed);
   core.startAll();
   expect(await core.until(4_000, () => core.whole(THREE))).toBe(true);
   return core;
 }
 async function change(core: SimCore, at: string, base: number, bytes: number): Promise<unknown> {
-  const ledger = core.node(at).headgate?.ledger;
+  const ledger = core.node(at).controller?.ledger;
   const act = {
     tag: 'configured' as const,
     base,
@@ -21,7 +21,7 @@
 }
 
 test('an order that no record can hold is refused, and harms no later one', async () => {
-  const core = await founded(1);
+  const core = await bootstrapped(1);
   expect(await change(core, 'h1', 0, 300_000)).toMatchObject({
     ok: false,
     fault: { tag: 'cannotWrite', fault: { tag: 'recordTooLarge' } },
@@ -30,8 +30,8 @@
 });
 
 test('orders that together pass a record are taken one after another', async () => {
-  const core = await founded(2);
-  const ledger = core.node('h1').headgate?.ledger;
+  const core = await bootstrapped(2);
+  const ledger = core.node('h1').controller?.ledger;
   const all = ['a', 'b', 'c'].map((zone) =>
     Promise.resolve(
       ledger?.propose(
@@ -48,8 +48,8 @@
   expect(got?.map((r) => r?.ok)).toEqual([true, true, true]);
 });
 
-test('what is kept in memory of past slots is bounded in bytes; a member that lacks more takes the whole belief', async () => {
-  const core = await founded(3);
+test('what is kept in memory of past slots is bounded in bytes; a member that lacks more takes the whole control state', async () => {
+  const core = await bootstrapped(3);
   core.kill('h3');
   let base = 0;
   for (let n = 0; n < 40; n += 1) {
@@ -60,33 +60,33 @@
     expect(got.ok).toBe(true);
     base = got.value.slot;
   }
-  const ledger = core.node('h1').headgate?.ledger;
+  const ledger = core.node('h1').controller?.ledger;
   expect(ledger?.since(1)).toBeNull();
   expect(JSON.stringify(ledger?.since(base - 5)).length).toBeGreaterThan(500_000);
   core.start('h3');
-  expect(await core.until(3_000, () => core.node('h3').headgate?.ledger.belief().slot === base)).toBe(true);
+  expect(await core.until(3_000, () => core.node('h3').controller?.ledger.controlState().slot === base)).toBe(true);
   core.kill('h1');
   core.start('h1');
-  await core.until(2_000, () => core.node('h1').headgate !== null);
-  expect(core.node('h1').headgate?.ledger.belief().epoch).toBe(base);
+  await core.until(2_000, () => core.node('h1').controller !== null);
+  expect(core.node('h1').controller?.ledger.controlState().version).toBe(base);
   expect(core.broken).toEqual([]);
 });
 
 test.each([1, 2, 3, 4, 5, 6])(
   'one that lags learns what came before it accepts: its disk alone then tells all (seed %i)',
   async (seed) => {
-    const core = await founded(20 + seed);
+    const core = await bootstrapped(20 + seed);
     await core.world.advance(1_500);
     core.world.cut('h2', 'h3');
     core.world.cut('h3', 'h2');
     expect((await core.order('h3', 'a')).result?.ok).toBe(true);
-    await core.until(1_000, () => core.node('h1').headgate?.ledger.belief().evacuated['a'] !== undefined);
+    await core.until(1_000, () => core.node('h1').controller?.ledger.controlState().evacuated['a'] !== undefined);
     expect((await core.order('h1', 'b')).result?.ok).toBe(true);
     core.powerLoss('h3');
     core.powerLoss('h1');
     core.powerLoss('h2');
     core.start('h2');
-    await core.until(1_000, () => core.node('h2').headgate !== null);
-    expect(Object.keys(core.node('h2').headgate?.ledger.belief().evacuated ?? {})).toContain('a');
+    await core.until(1_000, () => core.node('h2').controller !== null);
+    expect(Object.keys(core.node('h2').controller?.ledger.controlState().evacuated ?? {})).toContain('a');
   },
 );
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -4,11 +4,11 @@
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf, SlotBatch } from '../../protocol/messages.js';
 import type { Ballot } from '../../state/ballot.js';
-import { majorityOf, memberId, membersMark, operationOf } from '../../state/belief.js';
-import type { Belief, Outcome } from '../../state/belief.js';
+import { majorityOf, memberId, membersMark, operationOf } from '../../state/control-state.js';
+import type { ControlState, Outcome } from '../../state/control-state.js';
 import type { Batch, Entry, Member } from '../../state/entry.js';
 import { every, pause, within } from '../../transport/clock.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Clock, Timer } from '../../transport/clock.js';
 import type { Disk } from '../../transport/disk.js';
 import type { Log } from '../../transport/log.js';
 import type { RingFault, RingShape } from '../../transport/ring.js';
@@ -17,14 +17,14 @@
 import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
 import { createCatchUp } from './catch-up.js';
-import { createFounding, foundedEntry } from './founding.js';
-import { createJoining } from './joining.js';
+import { createSelfBootstrap, bootstrapEntry } from './self-bootstrap.js';
+import { createMembershipChanges } from './membership-changes.js';
 import { poll } from './poll.js';
 import type { AskMember, Votes } from './poll.js';
 import type { Agreed, Draft, ProposeFault } from './proposal.js';
 import { runRound } from './round.js';
-import { createStandings, STANDING_MS } from './standings.js';
-import type { HeardStanding } from './standings.js';
+import { createMemberStatuses, MEMBER_STATUS_MS } from './member-statuses.js';
+import type { HeardMemberStatus } from './member-statuses.js';
 import { openStore } from './store.js';
 import type { SnapshotGiver } from './snapshot-giver.js';
 import type { Store, StoreCommand } from './store.js';
@@ -32,27 +32,27 @@
 export type LedgerEvents = {
   readonly folded: { readonly slot: number; readonly batch: Batch; readonly outcomes: readonly Outcome[] };
   readonly adopted: { readonly slot: number };
-  readonly heard: HeardStanding;
+  readonly heard: HeardMemberStatus;
 };
 
-export type FoundFault =
-  | { readonly tag: 'alreadyFounded'; readonly member: string }
+export type BootstrapFault =
+  | { readonly tag: 'alreadyBootstrapped'; readonly member: string }
   | { readonly tag: 'memberSilent'; readonly address: Address };
 
 export type Ledger = {
-  readonly belief: () => Belief;
+  readonly controlState: () => ControlState;
   readonly events: { readonly on: <K extends keyof LedgerEvents>(name: K, fn: (e: LedgerEvents[K]) => void) => void };
   readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
   readonly settle: (waitMs: number) => Promise<boolean>;
   readonly since: (from: number) => readonly SlotBatch[] | null;
   /** What nodes that lag are told: the kept slots page by page, or a snapshot. */
   readonly history: LedgerHistory;
-  readonly found: (members: readonly Address[]) => Promise<Result<Agreed, FoundFault>>;
+  readonly bootstrap: (members: readonly Address[]) => Promise<Result<Agreed, BootstrapFault>>;
   readonly isMember: () => boolean;
   readonly writable: () => boolean;
   readonly top: () => number;
   readonly heardAt: (id: string) => number | null;
-  readonly askStandings: () => void;
+  readonly askMemberStatuses: () => void;
   readonly self: Member;
   readonly leave: () => Promise<void>;
   readonly stop: () => void;
@@ -69,7 +69,7 @@
   readonly shape: RingShape;
   readonly self: Member;
   readonly seeds: readonly Address[];
-  readonly founders: readonly Address[] | null;
+  readonly bootstrapMembers: readonly Address[] | null;
   readonly renew: () => Promise<boolean>;
   readonly keepsClaims: boolean;
 };
@@ -96,22 +96,22 @@
     events.emit('folded', { slot, batch, outcomes });
   }
   function onAdopt(): void {
-    events.emit('adopted', { slot: store.belief().slot });
+    events.emit('adopted', { slot: store.controlState().slot });
   }
   const opened = await openStore(deps.disk, deps.shape, onFold, onAdopt);
   if (!opened.ok) return opened;
   const store = opened.value;
   const mostBytes = deps.shape.fileBytes - RECORD_ROOM;
-  const { from: catchUp, snapshots } = createCatchUp({ peers, clock, log, store, belief, learn });
+  const { from: catchUp, snapshots } = createCatchUp({ peers, clock, log, store, controlState, learn });
 
-  function belief(): Belief {
-    return store.belief();
+  function controlState(): ControlState {
+    return store.controlState();
   }
   function me(): string {
     return memberId(self);
   }
   function isMember(): boolean {
-    for (const m of belief().members) if (memberId(m) === me()) return true;
+    for (const m of controlState().members) if (memberId(m) === me()) return true;
     return false;
   }
 
@@ -152,7 +152,7 @@
     return ask;
   }
   function ownAnswer(message: Message): Promise<Message> | Message {
-    return message.kind === 'prepare' || message.kind === 'accept' ? onVote(message) : standings.own();
+    return message.kind === 'prepare' || message.kind === 'accept' ? onVote(message) : memberStatuses.own();
   }
 
   async function learn(slot: number, batch: Batch): Promise<void> {
@@ -161,11 +161,11 @@
   }
 
   function spread(slot: number, batch: Batch): void {
-    for (const m of belief().members) {
+    for (const m of controlState().members) {
       if (memberId(m) !== me())
         void peers.tell(m.address, {
           kind: 'learned',
-          ledger: belief().ledger,
+          ledger: controlState().ledger,
           slot,
           batch: batch.id,
           at: self.address,
@@ -181,7 +181,7 @@
 
   async function slotDone(slot: number, waitMs: number): Promise<void> {
     const until = clock.mono() + waitMs;
-    while (belief().slot < slot && clock.mono() < until) await pause(clock, Math.min(15, until - clock.mono()));
+    while (controlState().slot < slot && clock.mono() < until) await pause(clock, Math.min(15, until - clock.mono()));
   }
 
   async function decide(batch: Batch, until: number, isDone: () => boolean): Promise<Result<null, ProposeFault>> {
@@ -189,9 +189,9 @@
     let tookMs = 0;
     for (let tries = 0; clock.mono() < until; tries += 1) {
       if (isDone()) return ok(null);
-      const slot = belief().slot + 1;
+      const slot = controlState().slot + 1;
       const from = clock.mono();
-      const b = belief();
+      const b = controlState();
       const who = { ledger: b.ledger, members: b.members, need: majorityOf(b.members) };
       const end = await runRound(who, slot, { round: top + 1, by: `${me()}/${newId(rng, 'b')}` }, batch, asker(until));
       if (end.tag === 'chosen') {
@@ -203,7 +203,7 @@
       if (blockedBy) return err({ tag: 'cannotWrite', fault: blockedBy });
       if (end.tag === 'behind') {
         await catchUpFrom(end.ahead);
-        if (belief().slot >= slot) top = 0;
+        if (controlState().slot >= slot) top = 0;
         else await pause(clock, 20);
         continue;
       }
@@ -223,13 +223,13 @@
     let until = now;
     let total = 0;
     for (const p of proposals) {
-      if (p.until <= now || operationOf(belief(), p.entry.id) || total + p.bytes > mostBytes) continue;
+      if (p.until <= now || operationOf(controlState(), p.entry.id) || total + p.bytes > mostBytes) continue;
       total += p.bytes;
       fresh.push(p.entry);
       until = Math.min(now + SLICE_MS, Math.max(until, p.until));
     }
     function allFolded(): boolean {
-      for (const e of fresh) if (!operationOf(belief(), e.id)) return false;
+      for (const e of fresh) if (!operationOf(controlState(), e.id)) return false;
       return true;
     }
     let failed: ProposeFault | null = null;
@@ -239,7 +239,7 @@
     }
     const out: Result<Agreed, ProposeFault>[] = [];
     for (const p of proposals) {
-      const done = operationOf(belief(), p.entry.id);
+      const done = operationOf(controlState(), p.entry.id);
       if (done) out.push(ok({ slot: done.slot, outcome: done.outcome }));
       else out.push(err(failed ?? { tag: 'noMajority' }));
     }
@@ -248,7 +248,7 @@
   const line = createLine(work);
 
   function propose(draft: Draft, waitMs: number): Promise<Result<Agreed, ProposeFault>> {
-    if (belief().ledger === '') return Promise.resolve(err({ tag: 'notFounded' }));
+    if (controlState().ledger === '') return Promise.resolve(err({ tag: 'notBootstrapped' }));
     const entry: Entry = {
       id: draft.id ?? newId(rng, 'op'),
       author: self.name,
@@ -274,41 +274,41 @@
   // the ones that were asked; else the new ones are asked. Who reads need not be a member.
   async function settle(waitMs: number): Promise<boolean> {
     const until = clock.mono() + waitMs;
-    while (belief().ledger !== '' && clock.mono() < until) {
-      const asked = membersMark(belief().members);
+    while (controlState().ledger !== '' && clock.mono() < until) {
+      const asked = membersMark(controlState().members);
       const told = await newestTold(until);
       if (!told) await pause(clock, Math.min(ASK_AGAIN_MS, until - clock.mono()));
-      else if ((await reach(told, until)) && membersMark(belief().members) === asked) return true;
+      else if ((await reach(told, until)) && membersMark(controlState().members) === asked) return true;
     }
     return false;
   }
 
   async function newestTold(until: number): Promise<Told | null> {
-    const need = majorityOf(belief().members);
+    const need = majorityOf(controlState().members);
     const askUntil = asker(until);
     async function ask(m: Member): Promise<Message | null> {
-      const got = await askUntil(m, { kind: 'standingAsk' });
-      return got?.kind === 'standing' && got.ledger === belief().ledger ? got : null;
+      const got = await askUntil(m, { kind: 'memberStatusAsk' });
+      return got?.kind === 'memberStatus' && got.ledger === controlState().ledger ? got : null;
     }
     function heardMost(votes: Votes, open: number): boolean {
       return votes.size >= need || votes.size + open < need;
     }
-    const votes = await poll(belief().members, ask, heardMost);
+    const votes = await poll(controlState().members, ask, heardMost);
     if (votes.size < need) return null;
     let top = -1;
     let learned = -1;
     for (const v of votes.values()) {
-      if (v.kind !== 'standing') continue;
+      if (v.kind !== 'memberStatus') continue;
       top = Math.max(top, v.top);
       learned = Math.max(learned, v.learned);
-      if (v.learned > belief().slot) void catchUp(v.address);
+      if (v.learned > controlState().slot) void catchUp(v.address);
     }
     return { top, learned };
   }
 
   async function reach(told: Told, until: number): Promise<boolean> {
     function atTop(): boolean {
-      return belief().slot >= told.top;
+      return controlState().slot >= told.top;
     }
     const waitMs = told.learned >= told.top ? LEARN_WAIT_MS : HELP_AFTER_MS;
     await slotDone(told.top, Math.min(waitMs, until - clock.mono()));
@@ -316,26 +316,27 @@
     return atTop();
   }
 
-  function onFound(m: MessageOf<'found'>): Promise<Message> | Message {
-    const b = belief();
+  function onBootstrap(m: MessageOf<'bootstrap'>): Promise<Message> | Message {
+    const b = controlState();
     const same = b.ledger === m.ledger;
-    if (deps.founders || (b.ledger !== '' && !same)) return { kind: 'foundAnswer', agreed: false, member: self };
-    if (!m.commit || same) return { kind: 'foundAnswer', agreed: true, member: self };
-    return commitFounding(m.slotZero);
+    if (deps.bootstrapMembers || (b.ledger !== '' && !same))
+      return { kind: 'bootstrapAnswer', agreed: false, member: self };
+    if (!m.commit || same) return { kind: 'bootstrapAnswer', agreed: true, member: self };
+    return commitBootstrap(m.slotZero);
   }
-  async function commitFounding(batch: Batch): Promise<Message> {
+  async function commitBootstrap(batch: Batch): Promise<Message> {
     const answer = await store.put({ tag: 'chosen', slot: 0, batch });
-    return { kind: 'foundAnswer', agreed: answer.tag === 'folded', member: self };
+    return { kind: 'bootstrapAnswer', agreed: answer.tag === 'folded', member: self };
   }
 
-  async function found(addresses: readonly Address[]): Promise<Result<Agreed, FoundFault>> {
+  async function bootstrap(addresses: readonly Address[]): Promise<Result<Agreed, BootstrapFault>> {
     const blank: Batch = { id: newId(rng, 'batch'), entries: [] };
     const id = newId(rng, 'ledger');
-    async function ask(address: Address, batch: Batch, commit: boolean): Promise<Result<Member, FoundFault>> {
-      const m: MessageOf<'found'> = { kind: 'found', ledger: id, slotZero: batch, commit };
-      const got = address === self.address ? ok(await onFound(m)) : await peers.call(address, m, VOTE_WAIT_MS);
-      if (!got.ok || got.value.kind !== 'foundAnswer') return err({ tag: 'memberSilent', address });
-      if (!got.value.agreed) return err({ tag: 'alreadyFounded', member: got.value.member.name });
+    async function ask(address: Address, batch: Batch, commit: boolean): Promise<Result<Member, BootstrapFault>> {
+      const m: MessageOf<'bootstrap'> = { kind: 'bootstrap', ledger: id, slotZero: batch, commit };
+      const got = address === self.address ? ok(await onBootstrap(m)) : await peers.call(address, m, VOTE_WAIT_MS);
+      if (!got.ok || got.value.kind !== 'bootstrapAnswer') return err({ tag: 'memberSilent', address });
+      if (!got.value.agreed) return err({ tag: 'alreadyBootstrapped', member: got.value.member.name });
       return ok(got.value.member);
     }
     const members: Member[] = [];
@@ -344,7 +345,7 @@
       if (!got.ok) return got;
       members.push(got.value);
     }
-    const slotZero = foundedEntry(self, id, members, 'The operator founded the ledger.', clock, rng);
+    const slotZero = bootstrapEntry(self, id, members, 'The operator bootstrapped the ledger.', clock, rng);
     for (const address of addresses) {
       const got = await ask(address, slotZero, true);
       if (!got.ok) return got;
@@ -353,10 +354,10 @@
   }
 
   function isSettled(): boolean {
-    return store.top() <= belief().slot;
+    return store.top() <= controlState().slot;
   }
   async function watch(): Promise<void> {
-    await joining.turn();
+    await membershipChanges.turn();
     if (!isMember() || isSettled()) {
       danglingSince = -1;
       return;
@@ -376,25 +377,25 @@
   }
 
   async function learnUpTo(slot: number, ballot: Ballot): Promise<void> {
-    for (const m of belief().members) {
+    for (const m of controlState().members) {
       if (memberId(m) === me() || !ballot.by.startsWith(`${memberId(m)}/`)) continue;
       await within(clock, LEARN_WAIT_MS, catchUp(m.address));
-      if (belief().slot < slot) await within(clock, LEARN_WAIT_MS, catchUp(m.address));
+      if (controlState().slot < slot) await within(clock, LEARN_WAIT_MS, catchUp(m.address));
     }
   }
 
   async function onVote(m: MessageOf<'prepare'> | MessageOf<'accept'>): Promise<Message> {
-    if (m.ledger === belief().ledger && m.slot > belief().slot + 1) await learnUpTo(m.slot - 1, m.ballot);
-    const voter = m.ledger === founding.ballotOf ? m.slot === 0 : m.ledger === belief().ledger && isMember();
-    if (!voter || m.slot > belief().slot + 1) return { kind: 'cannotVote' };
+    if (m.ledger === controlState().ledger && m.slot > controlState().slot + 1) await learnUpTo(m.slot - 1, m.ballot);
+    const voter = m.ledger === selfBootstrap.ballotOf ? m.slot === 0 : m.ledger === controlState().ledger && isMember();
+    if (!voter || m.slot > controlState().slot + 1) return { kind: 'cannotVote' };
     if (m.kind === 'prepare') return vote({ tag: 'prepare', slot: m.slot, ballot: m.ballot });
     return vote({ tag: 'accept', slot: m.slot, ballot: m.ballot, batch: m.batch });
   }
   function onLearned(m: MessageOf<'learned'>): null {
-    const blank = belief().ledger === '' && m.slot === 0 && m.ledger === founding.ballotOf;
-    if (!blank && (m.ledger !== belief().ledger || m.slot <= belief().slot)) return null;
+    const blank = controlState().ledger === '' && m.slot === 0 && m.ledger === selfBootstrap.ballotOf;
+    if (!blank && (m.ledger !== controlState().ledger || m.slot <= controlState().slot)) return null;
     const accepted = store.accepted(m.slot);
-    if (m.slot === belief().slot + 1 && accepted?.id === m.batch) void learn(m.slot, accepted);
+    if (m.slot === controlState().slot + 1 && accepted?.id === m.batch) void learn(m.slot, accepted);
     else void catchUp(m.at);
     return null;
   }
@@ -402,27 +403,35 @@
   peers.on('prepare', onVote);
   peers.on('accept', onVote);
   peers.on('learned', onLearned);
-  peers.on('found', onFound);
+  peers.on('bootstrap', onBootstrap);
 
   function beat(): void {
     if (stopped) return;
-    standings.ask();
+    memberStatuses.ask();
     void watchOnce();
   }
-  function onHeard(heard: HeardStanding): void {
-    if (heard.standing.learned > belief().slot) void catchUp(heard.standing.address);
+  function onHeard(heard: HeardMemberStatus): void {
+    if (heard.memberStatus.learned > controlState().slot) void catchUp(heard.memberStatus.address);
     events.emit('heard', heard);
   }
-  const standings = createStandings({ clock, peers, self, belief, top: store.top, writable: store.writable, onHeard });
-  peers.on('standingAsk', standings.own);
-  const joining = createJoining({
+  const memberStatuses = createMemberStatuses({
+    clock,
+    peers,
+    self,
+    controlState,
+    top: store.top,
+    writable: store.writable,
+    onHeard,
+  });
+  peers.on('memberStatusAsk', memberStatuses.own);
+  const membershipChanges = createMembershipChanges({
     rng,
     peers,
     log,
     self,
     seeds: deps.seeds,
-    belief,
-    standings,
+    controlState,
+    memberStatuses,
     propose,
     settle,
     catchUp,
@@ -430,46 +439,46 @@
     mayShrinkOdd: !deps.keepsClaims,
   });
   function ledgerName(): string {
-    return belief().ledger;
+    return controlState().ledger;
   }
   function learnZero(batch: Batch): Promise<void> {
     return learn(0, batch);
   }
-  const founding = createFounding({
+  const selfBootstrap = createSelfBootstrap({
     clock,
     rng,
     peers,
     log,
     self,
-    founders: deps.founders,
+    bootstrapMembers: deps.bootstrapMembers,
     ledgerName,
     askVote: asker(Infinity),
     learnZero,
     seek: beat,
   });
-  const beating: Wakeup = every(clock, STANDING_MS, beat);
+  const beating: Timer = every(clock, MEMBER_STATUS_MS, beat);
   beat();
 
   function stop(): void {
     stopped = true;
-    founding.stop();
+    selfBootstrap.stop();
     beating.cancel();
   }
   return ok({
-    belief,
+    controlState,
     events,
     propose,
     settle,
     since: store.recent,
     history: { ...snapshots, page: store.page, bytesSince: store.bytesSince },
-    found,
+    bootstrap,
     isMember,
     writable: store.writable,
     top: store.top,
-    heardAt: standings.heardAt,
-    askStandings: standings.ask,
+    heardAt: memberStatuses.heardAt,
+    askMemberStatuses: memberStatuses.ask,
     self,
-    leave: joining.leave,
+    leave: membershipChanges.leave,
     stop,
   });
 }
--- a/src/coordination/ledger/standings.ts
+++ b/src/coordination/ledger/member-statuses.ts
@@ -1,12 +1,12 @@
 import type { MessageOf } from '../../protocol/messages.js';
-import { majorityOf, memberId } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { majorityOf, memberId } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import type { Member } from '../../state/entry.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Peers } from '../members/peers.js';
 
-export type Standings = {
-  readonly own: () => MessageOf<'standing'>;
+export type MemberStatuses = {
+  readonly own: () => MessageOf<'memberStatus'>;
   readonly ask: () => void;
   readonly heardAt: (id: string) => number | null;
   readonly hears: (id: string) => boolean;
@@ -14,31 +14,31 @@
   readonly mostUnheard: (id: string) => boolean;
 };
 
-export type StandingsDeps = {
+export type MemberStatusesDeps = {
   readonly clock: Clock;
   readonly peers: Peers;
   readonly self: Member;
-  readonly belief: () => Belief;
+  readonly controlState: () => ControlState;
   readonly top: () => number;
   readonly writable: () => boolean;
-  readonly onHeard: (heard: HeardStanding) => void;
+  readonly onHeard: (heard: HeardMemberStatus) => void;
 };
 
-export type HeardStanding = {
+export type HeardMemberStatus = {
   readonly member: Member;
   readonly askedAt: number;
-  readonly standing: MessageOf<'standing'>;
+  readonly memberStatus: MessageOf<'memberStatus'>;
 };
 
 type Heard = { readonly at: number; readonly unheard: readonly string[] };
 
-export const STANDING_MS = 500;
+export const MEMBER_STATUS_MS = 500;
 const ASK_MS = 1_000;
 const UNHEARD_MS = 2_500;
 const FRESH_MS = 1_600;
 const STOOD_STILL_MS = 1_500;
 
-export function createStandings(deps: StandingsDeps): Standings {
+export function createMemberStatuses(deps: MemberStatusesDeps): MemberStatuses {
   const { clock, peers, self } = deps;
   const heard = new Map<string, Heard>();
   let lastTurn = clock.mono();
@@ -55,7 +55,7 @@
 
   function others(): Member[] {
     const out: Member[] = [];
-    for (const m of deps.belief().members) if (memberId(m) !== memberId(self)) out.push(m);
+    for (const m of deps.controlState().members) if (memberId(m) !== memberId(self)) out.push(m);
     return out;
   }
 
@@ -70,12 +70,12 @@
     return at !== null && clock.mono() - at < FRESH_MS;
   }
 
-  function own(): MessageOf<'standing'> {
-    const b = deps.belief();
+  function own(): MessageOf<'memberStatus'> {
+    const b = deps.controlState();
     const unheard: string[] = [];
     for (const m of others()) if (unheardMs(memberId(m)) > UNHEARD_MS) unheard.push(memberId(m));
     return {
-      kind: 'standing',
+      kind: 'memberStatus',
       ledger: b.ledger,
       voter: memberId(self),
       address: self.address,
@@ -93,16 +93,16 @@
       const other = memberId(m);
       if (other !== id && hears(other) && heard.get(other)?.unheard.includes(id)) n += 1;
     }
-    return n >= majorityOf(deps.belief().members);
+    return n >= majorityOf(deps.controlState().members);
   }
 
   async function askOne(m: Member): Promise<void> {
     const askedAt = clock.mono();
-    const got = await peers.call(m.address, { kind: 'standingAsk' }, ASK_MS);
-    if (!got.ok || got.value.kind !== 'standing' || got.value.voter !== memberId(m)) return;
+    const got = await peers.call(m.address, { kind: 'memberStatusAsk' }, ASK_MS);
+    if (!got.ok || got.value.kind !== 'memberStatus' || got.value.voter !== memberId(m)) return;
     if (askedAt < since) return;
     heard.set(memberId(m), { at: askedAt, unheard: got.value.unheard ?? [] });
-    if (got.value.ledger === deps.belief().ledger) deps.onHeard({ member: m, askedAt, standing: got.value });
+    if (got.value.ledger === deps.controlState().ledger) deps.onHeard({ member: m, askedAt, memberStatus: got.value });
   }
 
   function ask(): void {
--- a/src/coordination/ledger/joining.test.ts
+++ b/src/coordination/ledger/membership-changes.test.ts
@@ -5,12 +5,12 @@
 import { createQuietLog } from '../../transport/log.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
-const FIVE = { headgates: 5, seeds: 3, regionMs: 35 };
+const FIVE = { controllers: 5, seeds: 3, regionMs: 35 };
 
-async function founded(
+async function bootstrapped(
   seed: number,
   names: readonly string[],
-  shape = { headgates: names.length, seeds: 3, regionMs: 35 },
+  shape = { controllers: names.length, seeds: 3, regionMs: 35 },
 ): Promise<SimCore> {
   const core = createSimCore(seed, shape);
   core.startAll();
@@ -26,14 +26,14 @@
   expect(got.tookMs).toBeLessThan(1_000);
 }
 function identity(core: SimCore, name: string): string {
-  return core.node(name).headgate?.ledger.self.incarnation ?? '';
+  return core.node(name).controller?.ledger.self.incarnation ?? '';
 }
 
 describe('the members of the core', () => {
   test.each(SEEDS)(
-    'five headgates of which three are seeds: all five are members within 4 s (seed %i)',
+    'five controllers of which three are seeds: all five are members within 4 s (seed %i)',
     async (seed) => {
-      const core = await founded(seed, ['h1', 'h2', 'h3', 'h4', 'h5'], FIVE);
+      const core = await bootstrapped(seed, ['h1', 'h2', 'h3', 'h4', 'h5'], FIVE);
       await ordered(core, 'h5', 'a');
       for (const n of core.nodes) expect(await core.evacuatedAt(n.name)).toEqual(['a']);
       expect(core.broken).toEqual([]);
@@ -41,7 +41,7 @@
   );
 
   test.each(SEEDS)('one is gone for good, then a new machine comes: it takes its place (seed %i)', async (seed) => {
-    const core = await founded(seed, ['h1', 'h2', 'h3']);
+    const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
     await ordered(core, 'h1', 'a');
     core.powerLoss('h2');
     await core.world.advance(core.world.rng.next() * 4_000);
@@ -57,7 +57,7 @@
   test.each(SEEDS)(
     'a planned replacement: the new one comes, then the old one is told to end (seed %i)',
     async (seed) => {
-      const core = await founded(seed, ['h1', 'h2', 'h3']);
+      const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
       core.add('h4');
       core.start('h4');
       expect(await core.until(4_000, () => core.whole(['h1', 'h2', 'h3', 'h4']))).toBe(true);
@@ -74,7 +74,7 @@
   test.each(SEEDS)(
     'of four, one that dies without a word is shed after 3 s; three never shrink (seed %i)',
     async (seed) => {
-      const core = await founded(seed, ['h1', 'h2', 'h3']);
+      const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
       core.add('h4');
       core.start('h4');
       expect(await core.until(4_000, () => core.whole(['h1', 'h2', 'h3', 'h4']))).toBe(true);
@@ -95,7 +95,7 @@
   test.each(SEEDS)(
     'one whose place was taken while it was cut off joins anew, under a new identity (seed %i)',
     async (seed) => {
-      const core = await founded(seed, ['h1', 'h2', 'h3']);
+      const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
       const before = identity(core, 'h2');
       core.cutOff(['h2']);
       core.add('h4');
@@ -116,7 +116,7 @@
   );
 
   test.each(SEEDS)('a joiner has no vote before it has learned that it is a member (seed %i)', async (seed) => {
-    const core = await founded(seed, ['h1', 'h2', 'h3']);
+    const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
     await ordered(core, 'h1', 'a');
     const lab = core.lab('lab');
     const peers = createPeers(lab.wire, lab.clock, createQuietLog().part('lab'));
@@ -127,7 +127,7 @@
     }
     core.start('h4');
     await core.world.advance(500);
-    for (const ledger of [core.node('h1').headgate?.ledger.belief().ledger ?? '', 'ledger-x']) {
+    for (const ledger of [core.node('h1').controller?.ledger.controlState().ledger ?? '', 'ledger-x']) {
       const got = await core.finish(
         peers.call(core.node('h4').wire, { kind: 'prepare', ledger, slot: 1, ballot: { round: 9, by: 'lab' } }, 1_000),
         2_000,
@@ -141,7 +141,7 @@
 
 describe('disks lost right after an acknowledgement', () => {
   test.each([...Array(24).keys()])('one of three, sometimes while the others lose power (seed %i)', async (seed) => {
-    const core = await founded(300 + seed, ['h1', 'h2', 'h3']);
+    const core = await bootstrapped(300 + seed, ['h1', 'h2', 'h3']);
     const at = ['h1', 'h2', 'h3'][seed % 3] as string;
     const lost = ['h1', 'h2', 'h3'][Math.floor(seed / 3) % 3] as string;
     await ordered(core, at, 'a');
@@ -152,7 +152,10 @@
     const from = core.world.now();
     await core.until(
       4_000,
-      () => core.node('h1').headgate !== null && core.node('h2').headgate !== null && core.node('h3').headgate !== null,
+      () =>
+        core.node('h1').controller !== null &&
+        core.node('h2').controller !== null &&
+        core.node('h3').controller !== null,
     );
     let taken = false;
     for (let n = 0; !taken && core.world.now() - from < 4_000; n += 1)
@@ -165,7 +168,7 @@
 
   test.each([...Array(24).keys()])('two of five, sometimes while the others lose power (seed %i)', async (seed) => {
     const all = ['h1', 'h2', 'h3', 'h4', 'h5'];
-    const core = await founded(400 + seed, all, FIVE);
+    const core = await bootstrapped(400 + seed, all, FIVE);
     const at = all[seed % 5] as string;
     await ordered(core, at, 'a');
     const lost = [all[Math.floor(seed / 5) % 5] as string, all[(Math.floor(seed / 5) + 1 + (seed % 4)) % 5] as string];
--- a/src/coordination/ledger/joining.ts
+++ b/src/coordination/ledger/membership-changes.ts
@@ -1,7 +1,7 @@
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
-import { memberId, MOST_MEMBERS } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { memberId, MOST_MEMBERS } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import type { Act, Member } from '../../state/entry.js';
 import type { Log } from '../../transport/log.js';
 import { shuffled } from '../../transport/rng.js';
@@ -9,18 +9,18 @@
 import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
 import type { Agreed, Draft, ProposeFault } from './proposal.js';
-import type { Standings } from './standings.js';
+import type { MemberStatuses } from './member-statuses.js';
 
-export type Joining = { readonly turn: () => Promise<void>; readonly leave: () => Promise<void> };
+export type MembershipChanges = { readonly turn: () => Promise<void>; readonly leave: () => Promise<void> };
 
-export type JoiningDeps = {
+export type MembershipChangesDeps = {
   readonly rng: Rng;
   readonly peers: Peers;
   readonly log: Log;
   readonly self: Member;
   readonly seeds: readonly Address[];
-  readonly belief: () => Belief;
-  readonly standings: Standings;
+  readonly controlState: () => ControlState;
+  readonly memberStatuses: MemberStatuses;
   readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
   readonly settle: (waitMs: number) => Promise<boolean>;
   readonly catchUp: (from: Address) => Promise<void>;
@@ -35,12 +35,12 @@
 const IN_TURN_MS = 1_000;
 const LEAVE_MS = 1_000;
 
-export function createJoining(deps: JoiningDeps): Joining {
-  const { rng, peers, log, self, belief, standings, propose } = deps;
-  let former = belief().ledger !== '';
+export function createMembershipChanges(deps: MembershipChangesDeps): MembershipChanges {
+  const { rng, peers, log, self, controlState, memberStatuses, propose } = deps;
+  let former = controlState().ledger !== '';
 
   function held(): Member | null {
-    for (const m of belief().members) if (memberId(m) === memberId(self)) return m;
+    for (const m of controlState().members) if (memberId(m) === memberId(self)) return m;
     return null;
   }
 
@@ -51,11 +51,11 @@
 
   async function answers(m: Member): Promise<boolean> {
     if (memberId(m) === memberId(self)) return true;
-    const got = await peers.call(m.address, { kind: 'standingAsk' }, ASK_MS);
-    return got.ok && got.value.kind === 'standing' && got.value.voter === memberId(m);
+    const got = await peers.call(m.address, { kind: 'memberStatusAsk' }, ASK_MS);
+    return got.ok && got.value.kind === 'memberStatus' && got.value.voter === memberId(m);
   }
   async function silentNow(): Promise<Member[]> {
-    const members = belief().members;
+    const members = controlState().members;
     const heard = await Promise.all(members.map(answers));
     const out: Member[] = [];
     for (let i = 0; i < members.length; i += 1) if (!heard[i]) out.push(members[i] as Member);
@@ -63,21 +63,22 @@
   }
 
   async function admission(joiner: Member): Promise<Act | null> {
-    for (const old of belief().members)
+    for (const old of controlState().members)
       if (old.name === joiner.name) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
-    for (const old of belief().members)
+    for (const old of controlState().members)
       if (old.address === joiner.address) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
     const silent = await silentNow();
     if (silent.length === 0)
-      return belief().members.length < MOST_MEMBERS ? { tag: 'memberAdded', member: joiner } : null;
+      return controlState().members.length < MOST_MEMBERS ? { tag: 'memberAdded', member: joiner } : null;
     for (const old of silent)
-      if (standings.mostUnheard(memberId(old))) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
+      if (memberStatuses.mostUnheard(memberId(old)))
+        return { tag: 'memberReplaced', old: memberId(old), member: joiner };
     return null;
   }
 
   async function onRejoin(m: MessageOf<'rejoin'>): Promise<Message> {
-    if (m.ledger !== belief().ledger || !held()) return { kind: 'done', agreed: false };
-    for (const old of belief().members)
+    if (m.ledger !== controlState().ledger || !held()) return { kind: 'done', agreed: false };
+    for (const old of controlState().members)
       if (memberId(old) === memberId(m.member) && old.address === m.member.address)
         return { kind: 'done', agreed: true };
     const act = await admission(m.member);
@@ -99,12 +100,12 @@
       log.info(`Known at ${self.address}.`);
   }
 
-  async function standingsOf(targets: Iterable<Address>): Promise<MessageOf<'standing'>[]> {
-    const out: MessageOf<'standing'>[] = [];
+  async function memberStatusesOf(targets: Iterable<Address>): Promise<MessageOf<'memberStatus'>[]> {
+    const out: MessageOf<'memberStatus'>[] = [];
     async function one(to: Address): Promise<void> {
-      const got = await peers.call(to, { kind: 'standingAsk' }, ASK_MS);
-      if (!got.ok || got.value.kind !== 'standing' || got.value.ledger === '') return;
-      if (belief().ledger === '' || got.value.ledger === belief().ledger) out.push(got.value);
+      const got = await peers.call(to, { kind: 'memberStatusAsk' }, ASK_MS);
+      if (!got.ok || got.value.kind !== 'memberStatus' || got.value.ledger === '') return;
+      if (controlState().ledger === '' || got.value.ledger === controlState().ledger) out.push(got.value);
       else log.error(`${to} belongs to another ledger; it is ignored.`);
     }
     const asks: Promise<void>[] = [];
@@ -112,28 +113,33 @@
     await Promise.all(asks);
     return out.sort(furthestFirst);
   }
-  function furthestFirst(a: MessageOf<'standing'>, b: MessageOf<'standing'>): number {
+  function furthestFirst(a: MessageOf<'memberStatus'>, b: MessageOf<'memberStatus'>): number {
     return b.learned - a.learned;
   }
 
   async function seek(): Promise<void> {
     const targets = new Set<Address>(deps.seeds);
-    for (const m of belief().members) targets.add(m.address);
+    for (const m of controlState().members) targets.add(m.address);
     targets.delete(self.address);
-    const heard = await standingsOf(targets);
+    const heard = await memberStatusesOf(targets);
     const best = heard[0];
     if (!best) return;
-    if (best.learned > belief().slot) await deps.catchUp(best.address);
+    if (best.learned > controlState().slot) await deps.catchUp(best.address);
     if (held()?.address === self.address) return;
     if (former && !held()) {
       if (!(await deps.renew())) return;
       former = false;
       log.info(`No longer a member; joins anew as ${memberId(self)}.`);
     }
-    const doors: Address[] = [];
-    for (const m of belief().members) for (const h of heard) if (h.address === m.address) doors.push(m.address);
-    for (const to of shuffled(rng, doors).slice(0, 2)) {
-      const asked = await peers.call(to, { kind: 'rejoin', ledger: belief().ledger, member: { ...self } }, ADMIT_MS);
+    const addresses: Address[] = [];
+    for (const m of controlState().members)
+      for (const h of heard) if (h.address === m.address) addresses.push(m.address);
+    for (const to of shuffled(rng, addresses).slice(0, 2)) {
+      const asked = await peers.call(
+        to,
+        { kind: 'rejoin', ledger: controlState().ledger, member: { ...self } },
+        ADMIT_MS,
+      );
       if (!asked.ok || asked.value.kind !== 'done' || !asked.value.agreed) continue;
       await deps.catchUp(to);
       if (held()?.address === self.address) log.info(`Joined the ledger as ${memberId(self)}.`);
@@ -143,9 +149,9 @@
 
   function turnOf(): number {
     let n = 0;
-    for (const m of belief().members) {
+    for (const m of controlState().members) {
       if (memberId(m) === memberId(self)) return n;
-      if (standings.hears(memberId(m))) n += 1;
+      if (memberStatuses.hears(memberId(m))) n += 1;
     }
     return n;
   }
@@ -153,14 +159,16 @@
   function isDead(m: Member): boolean {
     const id = memberId(m);
     return (
-      id !== memberId(self) && standings.unheardMs(id) >= DEAD_MS + IN_TURN_MS * turnOf() && standings.mostUnheard(id)
+      id !== memberId(self) &&
+      memberStatuses.unheardMs(id) >= DEAD_MS + IN_TURN_MS * turnOf() &&
+      memberStatuses.mostUnheard(id)
     );
   }
 
   // An even group bears as many losses with one member fewer, and an odd one bears one more with two dead ones fewer. But a
   // run-once claim that three of five hold may then be held by one of three only; where claims are kept, an odd group stays.
   async function shedDead(): Promise<void> {
-    const members = belief().members;
+    const members = controlState().members;
     const dead = members.filter(isDead);
     const isEven = members.length % 2 === 0;
     const needed = isEven ? 1 : 2;
@@ -173,8 +181,9 @@
 
   function inTouch(): boolean {
     let n = 1;
-    for (const m of belief().members) if (memberId(m) !== memberId(self) && standings.hears(memberId(m))) n += 1;
-    return 2 * n > belief().members.length;
+    for (const m of controlState().members)
+      if (memberId(m) !== memberId(self) && memberStatuses.hears(memberId(m))) n += 1;
+    return 2 * n > controlState().members.length;
   }
 
   async function turn(): Promise<void> {
@@ -186,7 +195,7 @@
   }
 
   async function leave(): Promise<void> {
-    if (!held() || belief().members.length % 2 !== 0) return;
+    if (!held() || controlState().members.length % 2 !== 0) return;
     await propose(
       { cause: `${self.name} was told to end.`, act: { tag: 'memberRemoved', old: memberId(self) } },
       LEAVE_MS,
--- a/src/coordination/ledger/operator-door.ts
+++ b/src/coordination/ledger/operator-http-server.ts
@@ -3,8 +3,8 @@
 import { readerOf } from '../../protocol/read-shape.js';
 import type { Act, Change } from '../../state/entry.js';
 import { ChangeShape } from '../../state/entry.js';
-import { memberId, operationOf } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { memberId, operationOf } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import { operatorRequest, versionMayBeForgotten } from '../../state/operator-history.js';
 import { differences, resolveAll, withChanges } from '../../state/settings-tree.js';
 import type { HttpReply, HttpRequest, Route } from '../../transport/http.js';
@@ -38,7 +38,7 @@
   return { status, ...(status === 503 ? { headers: { 'retry-after': '1' } } : {}), body: { error } };
 }
 
-export type OperatorDoorDeps = {
+export type OperatorHttpServerDeps = {
   readonly ledger: Ledger;
   readonly push: Push;
   readonly aims: AimKeeper;
@@ -46,7 +46,7 @@
   readonly status: () => unknown;
 };
 
-export function operatorRoutes(deps: OperatorDoorDeps): Route[] {
+export function operatorRoutes(deps: OperatorHttpServerDeps): Route[] {
   const { ledger, push, aims, clock, status } = deps;
   async function agree(act: Act, cause: string, operation: string | undefined): Promise<HttpReply> {
     const from = clock.mono();
@@ -60,32 +60,32 @@
         got.fault.tag === 'cannotWrite' ? { tag: 'cannotWrite', fault: got.fault.fault } : { tag: got.fault.tag },
       );
     const { slot, outcome } = got.value;
-    if (outcome.tag === 'staleEpoch') return fail(409, { tag: 'staleEpoch', winner: outcome.winner });
+    if (outcome.tag === 'staleVersion') return fail(409, { tag: 'staleVersion', winner: outcome.winner });
     if (outcome.tag !== 'applied') return fail(409, { tag: 'unchanged' });
     const waiting = await push.confirm(slot, CONFIRM_MS);
     aims.noteChange(waiting.length === 0 ? clock.mono() - from : Infinity);
-    if (waiting.length === 0) return { status: 200, body: { acknowledged: true, epoch: slot } };
-    return { status: 202, body: { acknowledged: false, epoch: slot, waiting } };
+    if (waiting.length === 0) return { status: 200, body: { acknowledged: true, version: slot } };
+    return { status: 202, body: { acknowledged: false, version: slot, waiting } };
   }
 
   async function configure(
     base: number,
-    make: (b: Belief) => unknown,
+    make: (b: ControlState) => unknown,
     operation: string | undefined,
   ): Promise<HttpReply> {
     if (!(await ledger.settle(AGREE_MS))) return fail(503, { tag: 'noMajority' });
-    const b = ledger.belief();
+    const b = ledger.controlState();
     const done = operation === undefined ? null : operationOf(b, operatorRequest(operation));
     const forgotten = operation !== undefined && versionMayBeForgotten(b.history, base);
-    if (!done && b.epoch !== base && forgotten) return fail(503, { tag: 'outcomeUnknown' });
-    if (!done && b.epoch !== base) return fail(409, { tag: 'staleEpoch', winner: b.epoch });
+    if (!done && b.version !== base && forgotten) return fail(503, { tag: 'outcomeUnknown' });
+    if (!done && b.version !== base) return fail(409, { tag: 'staleVersion', winner: b.version });
     const next = readConfiguration(make(b));
     if (!done && !next.ok) return fail(422, { tag: 'invalidConfiguration', faults: next.fault });
     const changes: Change[] = next.ok ? differences(b.configuration, next.value) : [];
     if (JSON.stringify(changes).length > MAX_CHANGES) return fail(413, { tag: 'changesTooLarge', most: MAX_CHANGES });
     return agree(
       { tag: 'configured', base, changes },
-      `The operator changed ${changes.length} settings on epoch ${base}.`,
+      `The operator changed ${changes.length} settings on version ${base}.`,
       operation,
     );
   }
@@ -102,7 +102,7 @@
   async function amend(req: HttpRequest): Promise<HttpReply> {
     const ask = readAmend(req.body);
     if (!ask.ok) return fail(400, ask.fault);
-    function amended(b: Belief): unknown {
+    function amended(b: ControlState): unknown {
       return ask.ok ? withChanges(b.configuration, ask.value.changes) : null;
     }
     return configure(ask.value.base, amended, ask.value.operation);
@@ -110,12 +110,12 @@
 
   async function readBack(): Promise<HttpReply> {
     const settled = await ledger.settle(AGREE_MS);
-    const b = ledger.belief();
-    if (!settled) return fail(503, { tag: 'noMajority', epoch: b.epoch });
+    const b = ledger.controlState();
+    if (!settled) return fail(503, { tag: 'noMajority', version: b.version });
     return {
       status: 200,
       body: {
-        epoch: b.epoch,
+        version: b.version,
         configuration: b.configuration,
         evacuated: Object.keys(b.evacuated).sort(),
         resolved: resolveAll(b.configuration),
@@ -128,7 +128,8 @@
     if (!ask.ok) return fail(400, ask.fault);
     const name = req.params['zone'] ?? '';
     if (!(await ledger.settle(AGREE_MS))) return fail(503, { tag: 'noMajority' });
-    if (!Object.hasOwn(ledger.belief().configuration.zones, name)) return fail(404, { tag: 'unknownZone', zone: name });
+    if (!Object.hasOwn(ledger.controlState().configuration.zones, name))
+      return fail(404, { tag: 'unknownZone', zone: name });
     return agree(
       { tag: 'evacuation', zone: name, begun },
       begun ? `The operator evacuates ${name}.` : `The operator hands ${name} back.`,
@@ -144,20 +145,20 @@
 
   function forget(req: HttpRequest): Promise<HttpReply> {
     const name = req.params['name'] ?? '';
-    return agree({ tag: 'sluiceForgotten', name }, `The operator forgot the sluice ${name}.`, undefined);
+    return agree({ tag: 'proxyForgotten', name }, `The operator forgot the proxy ${name}.`, undefined);
   }
 
-  async function found(req: HttpRequest): Promise<HttpReply> {
+  async function bootstrap(req: HttpRequest): Promise<HttpReply> {
     const ask = readFound(req.body);
     if (!ask.ok) return fail(400, ask.fault);
-    const got = await ledger.found(ask.value.members);
+    const got = await ledger.bootstrap(ask.value.members);
     return got.ok
-      ? { status: 200, body: { acknowledged: true, ledger: ledger.belief().ledger } }
+      ? { status: 200, body: { acknowledged: true, ledger: ledger.controlState().ledger } }
       : fail(409, got.fault);
   }
 
   function reopenClaims(): Promise<HttpReply> {
-    const members = ledger.belief().members.map(memberId);
+    const members = ledger.controlState().members.map(memberId);
     return agree(
       { tag: 'claimsReopened', members },
       'The operator accepted that run-once claims were lost with their disks.',
@@ -178,7 +179,7 @@
   }
 
   async function history(req: HttpRequest): Promise<HttpReply> {
-    const b = ledger.belief();
+    const b = ledger.controlState();
     const wanted = req.query['model'];
     const out = [];
     for (const order of [...b.closed, ...Object.values(b.orders)])
@@ -191,7 +192,7 @@
 
   async function entries(req: HttpRequest): Promise<HttpReply> {
     const from = Number(req.query['from'] ?? 0);
-    const b = ledger.belief();
+    const b = ledger.controlState();
     const first = Math.max(0, Number.isInteger(from) && from >= 0 ? from : 0);
     const batches = ledger.since(first);
     return {
@@ -210,9 +211,9 @@
     { method: 'GET', path: '/v1/configuration', handle: readBack },
     { method: 'POST', path: '/v1/zones/:zone/evacuate', handle: evacuate },
     { method: 'POST', path: '/v1/zones/:zone/restore', handle: restore },
-    { method: 'DELETE', path: '/v1/sluices/:name', handle: forget },
+    { method: 'DELETE', path: '/v1/proxies/:name', handle: forget },
     { method: 'POST', path: '/v1/claims/reopen', handle: reopenClaims },
-    { method: 'POST', path: '/v1/found', handle: found },
+    { method: 'POST', path: '/v1/bootstrap', handle: bootstrap },
     { method: 'GET', path: '/v1/aims', handle: aimMinutes },
     { method: 'GET', path: '/v1/status', handle: tell },
     { method: 'GET', path: '/v1/orders', handle: history },
--- a/src/coordination/ledger/operator-identity.test.ts
+++ b/src/coordination/ledger/operator-identity.test.ts
@@ -4,8 +4,8 @@
 import type { SimCore } from '../../sim/sim-core.js';
 import { DEFAULT_LIMITS } from '../../state/serving.js';
 import type { Serving } from '../../state/serving.js';
-import { createNumberedDoor } from './numbered.js';
-import type { NumberedDoor } from './numbered.js';
+import { createConfigurationService } from './configuration-service.js';
+import type { ConfigurationService } from './configuration-service.js';
 
 const THREE = ['h1', 'h2', 'h3'];
 const ENTRIES_BETWEEN = 1_100;
@@ -14,7 +14,7 @@
   return {
     number,
     mappings: {},
-    models: { [`m-${number}`]: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } },
+    models: { [`m-${number}`]: { at: 0, probePath: '/h', maxConns: 9, coldS: 0, coldRateS: 0, engine: null } },
     limits: DEFAULT_LIMITS,
   };
 }
@@ -25,22 +25,22 @@
   readonly numberAt: (node: string) => Promise<number>;
 };
 
-async function founded(seed: number): Promise<{ readonly core: SimCore; readonly operator: Operator }> {
+async function bootstrapped(seed: number): Promise<{ readonly core: SimCore; readonly operator: Operator }> {
   const core = createSimCore(seed);
   const { clock } = core.lab('operator');
   core.startAll();
   expect(await core.until(4_000, () => core.whole(THREE))).toBe(true);
 
-  function doorOf(node: string): NumberedDoor {
-    const headgate = core.node(node).headgate;
-    if (!headgate) throw new Error(`${node} does not run`);
-    return createNumberedDoor({ ledger: headgate.ledger, clock });
+  function httpServerOf(node: string): ConfigurationService {
+    const controller = core.node(node).controller;
+    if (!controller) throw new Error(`${node} does not run`);
+    return createConfigurationService({ ledger: controller.ledger, clock });
   }
   function replace(node: string, base: number, number: number, digest = `${base}-${number}`): Promise<unknown> {
-    return core.finish(doorOf(node).replace(base, serving(number), digest), 10_000);
+    return core.finish(httpServerOf(node).replace(base, serving(number), digest), 10_000);
   }
   async function ordinaryEntries(node: string): Promise<void> {
-    const ledger = core.node(node).headgate?.ledger;
+    const ledger = core.node(node).controller?.ledger;
     const all = Array.from({ length: ENTRIES_BETWEEN }, async (_, target) =>
       ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000),
     );
@@ -48,7 +48,7 @@
     expect(agreed?.every((a) => a?.ok)).toBe(true);
   }
   async function numberAt(node: string): Promise<number> {
-    const read = await core.finish(doorOf(node).read(), 10_000);
+    const read = await core.finish(httpServerOf(node).read(), 10_000);
     return read?.ok ? read.value.number : -1;
   }
   return { core, operator: { replace, ordinaryEntries, numberAt } };
@@ -72,7 +72,7 @@
 }
 
 test('a change sent again after many ordinary entries is the same change at every node', async () => {
-  const { core, operator } = await founded(31);
+  const { core, operator } = await bootstrapped(31);
   await twoChanges(operator);
   await operator.ordinaryEntries('h2');
   await expectSameChange(operator, THREE);
@@ -80,11 +80,11 @@
 });
 
 test('a change sent again to a member that learned of it by a snapshot alone is the same change', async () => {
-  const { core, operator } = await founded(32);
+  const { core, operator } = await bootstrapped(32);
   core.kill('h2');
   await twoChanges(operator);
   await operator.ordinaryEntries('h1');
-  const ledger = core.node('h1').headgate?.ledger;
+  const ledger = core.node('h1').controller?.ledger;
   for (let n = 0; n < 40; n += 1) {
     const act = { tag: 'targetChanged' as const, model: `${n}-`.repeat(40), target: n };
     const cause = 'x'.repeat(1_000);
@@ -96,14 +96,14 @@
   }
   expect(ledger?.since(1)).toBeNull();
   core.start('h2');
-  const top = ledger?.belief().slot;
-  expect(await core.until(4_000, () => core.node('h2').headgate?.ledger.belief().slot === top)).toBe(true);
+  const top = ledger?.controlState().slot;
+  expect(await core.until(4_000, () => core.node('h2').controller?.ledger.controlState().slot === top)).toBe(true);
   await expectSameChange(operator, ['h2']);
   expect(core.broken).toEqual([]);
 });
 
 test.each([1, 2, 3, 4])('a change sent again after all have lost power is the same change (seed %i)', async (seed) => {
-  const { core, operator } = await founded(40 + seed);
+  const { core, operator } = await bootstrapped(40 + seed);
   await twoChanges(operator);
   await operator.ordinaryEntries('h2');
   for (const name of THREE) core.powerLoss(name);
@@ -117,7 +117,7 @@
 test.each([1, 2, 3, 4])(
   'a change sent again after the member that took it was replaced is the same change (seed %i)',
   async (seed) => {
-    const { core, operator } = await founded(50 + seed);
+    const { core, operator } = await bootstrapped(50 + seed);
     await twoChanges(operator);
     core.powerLoss('h3');
     await operator.ordinaryEntries('h2');
@@ -133,56 +133,54 @@
   },
 );
 
-type AdminAnswer = { readonly status: number; readonly epoch: number };
+type AdminAnswer = { readonly status: number; readonly version: number };
 
-async function admin(
-  seed: number,
-): Promise<{
+async function admin(seed: number): Promise<{
   readonly core: SimCore;
   readonly post: (node: string, path: string, body: object) => Promise<AdminAnswer>;
 }> {
-  const core = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: 35, operatorDoor: true });
-  const { caller } = core.lab('operator');
+  const core = createSimCore(seed, { controllers: 3, seeds: 3, regionMs: 35, operatorHttpServer: true });
+  const { httpClient } = core.lab('operator');
   core.startAll();
   expect(await core.until(4_000, () => core.whole(THREE))).toBe(true);
   async function post(node: string, path: string, body: object): Promise<AdminAnswer> {
     const got = await core.finish(
-      caller.call({ method: 'POST', address: `${core.node(node).wire}0`, path, body, timeoutMs: 8_000 }),
+      httpClient.call({ method: 'POST', address: `${core.node(node).wire}0`, path, body, timeoutMs: 8_000 }),
       10_000,
     );
-    if (!got?.ok) return { status: 0, epoch: -1 };
-    return { status: got.value.status, epoch: (got.value.body as { readonly epoch?: number }).epoch ?? -1 };
+    if (!got?.ok) return { status: 0, version: -1 };
+    return { status: got.value.status, version: (got.value.body as { readonly version?: number }).version ?? -1 };
   }
   return { core, post };
 }
 
 async function manyEntries(core: SimCore): Promise<void> {
-  const ledger = core.node('h2').headgate?.ledger;
+  const ledger = core.node('h2').controller?.ledger;
   const all = Array.from({ length: ENTRIES_BETWEEN }, async (_, target) =>
     ledger?.propose({ cause: 'A test.', act: { tag: 'targetChanged', model: 'm', target } }, 9_000),
   );
   expect((await core.finish(Promise.all(all), 10_000))?.every((a) => a?.ok)).toBe(true);
 }
 
-test('a change with an operation id keeps it past ordinary entries; another id on the same epoch is late', async () => {
+test('a change with an operation id keeps it past ordinary entries; another id on the same version is late', async () => {
   const { core, post } = await admin(61);
   const configuration = { zones: { z: { region: 'r' } }, deployment: {}, regions: {} };
   const first = await post('h1', '/v1/configuration', { base: 0, configuration, operation: 'first' });
   expect(first.status).toBe(200);
   const changes = [{ path: ['deployment', 'nExtra'], value: 3 }];
-  const second = await post('h3', '/v1/configuration/amend', { base: first.epoch, changes, operation: 'second' });
+  const second = await post('h3', '/v1/configuration/amend', { base: first.version, changes, operation: 'second' });
   expect(second.status).toBe(200);
   await manyEntries(core);
   for (const node of THREE) {
     expect(await post(node, '/v1/configuration', { base: 0, configuration, operation: 'first' })).toEqual(first);
-    expect(await post(node, '/v1/configuration/amend', { base: first.epoch, changes, operation: 'second' })).toEqual(
+    expect(await post(node, '/v1/configuration/amend', { base: first.version, changes, operation: 'second' })).toEqual(
       second,
     );
     expect(
-      (await post(node, '/v1/configuration/amend', { base: first.epoch, changes, operation: 'third' })).status,
+      (await post(node, '/v1/configuration/amend', { base: first.version, changes, operation: 'third' })).status,
     ).toBe(409);
   }
-  expect(core.node('h1').headgate?.ledger.belief().epoch).toBe(second.epoch);
+  expect(core.node('h1').controller?.ledger.controlState().version).toBe(second.version);
 });
 
 test('an order on a zone with an operation id is applied once, also when it is sent again after the one that takes it back', async () => {
@@ -194,5 +192,5 @@
   expect((await post('h2', '/v1/zones/z/restore', { operation: 'finish' })).status).toBe(200);
   await manyEntries(core);
   for (const node of THREE) expect(await post(node, '/v1/zones/z/evacuate', { operation: 'begin' })).toEqual(begun);
-  expect(core.node('h3').headgate?.ledger.belief().evacuated).toEqual({});
+  expect(core.node('h3').controller?.ledger.controlState().evacuated).toEqual({});
 });
--- a/src/coordination/ledger/partition.test.ts
+++ b/src/coordination/ledger/partition.test.ts
@@ -7,7 +7,7 @@
 const FIVE = ['h1', 'h2', 'h3', 'h4', 'h5'];
 
 async function bootstrapped(seed: number, names: readonly string[]): Promise<SimCore> {
-  const core = createSimCore(seed, { headgates: names.length, seeds: 3, regionMs: 35 });
+  const core = createSimCore(seed, { controllers: names.length, seeds: 3, regionMs: 35 });
   core.startAll();
   expect(await core.until(6_000, () => core.whole(names))).toBe(true);
   return core;
@@ -133,10 +133,10 @@
   const noList = { read: () => Promise.resolve(err({ tag: 'listSilent' as const })) };
 
   function holders(core: SimCore): string[] {
-    return core.nodes.filter((n) => n.host.running && n.headgate?.holdsScaler()).map((n) => n.name);
+    return core.nodes.filter((n) => n.host.running && n.controller?.holdsScaler()).map((n) => n.name);
   }
   async function withLease(seed: number, names: readonly string[]): Promise<SimCore> {
-    const core = createSimCore(seed, { headgates: names.length, seeds: 3, regionMs: 35, listReader: () => noList });
+    const core = createSimCore(seed, { controllers: names.length, seeds: 3, regionMs: 35, listReader: () => noList });
     core.startAll();
     expect(await core.until(6_000, () => core.whole(names))).toBe(true);
     expect(await core.until(20_000, () => holders(core).length === 1)).toBe(true);
--- a/src/coordination/ledger/poll.ts
+++ b/src/coordination/ledger/poll.ts
@@ -1,5 +1,5 @@
 import type { Message } from '../../protocol/messages.js';
-import { memberId } from '../../state/belief.js';
+import { memberId } from '../../state/control-state.js';
 import type { Member } from '../../state/entry.js';
 
 export type Votes = ReadonlyMap<string, Message>;
--- a/src/coordination/ledger/proposal.ts
+++ b/src/coordination/ledger/proposal.ts
@@ -1,10 +1,10 @@
-import type { Outcome } from '../../state/belief.js';
+import type { Outcome } from '../../state/control-state.js';
 import type { Act } from '../../state/entry.js';
 import type { RingFault } from '../../transport/ring.js';
 
 export type ProposeFault =
   | { readonly tag: 'noMajority' }
-  | { readonly tag: 'notFounded' }
+  | { readonly tag: 'notBootstrapped' }
   | { readonly tag: 'cannotWrite'; readonly fault: RingFault };
 
 export type Draft = { readonly id?: string; readonly cause: string; readonly act: Act; readonly fence?: number };
--- a/src/coordination/ledger/push.ts
+++ b/src/coordination/ledger/push.ts
@@ -1,14 +1,14 @@
 import type { MessageOf } from '../../protocol/messages.js';
 import type { Report } from '../../state/report.js';
-import { memberId, majorityOf } from '../../state/belief.js';
+import { memberId, majorityOf } from '../../state/control-state.js';
 import { differenceTo, mergeReport } from '../../state/reports.js';
 import type { Reports } from '../../state/reports.js';
 import type { Member } from '../../state/entry.js';
 import { every, pause } from '../../transport/clock.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Clock, Timer } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import type { SnapshotOffer } from '../../state/snapshot-parts.js';
-import type { Attest } from './attest.js';
+import type { QuorumAttestation } from './quorum-attestation.js';
 import { PAGE_BYTES, snapshotInstead } from './catch-up.js';
 import type { Ledger } from './ledger.js';
 import type { Peer, Peers } from '../members/peers.js';
@@ -43,7 +43,13 @@
 const FOLLOWER_SILENT_MS = 5_000;
 const NONCES_KEPT = 8;
 
-export function createPush(ledger: Ledger, attest: Attest, peers: Peers, clock: Clock, log: Log): Push {
+export function createPush(
+  ledger: Ledger,
+  quorumAttestation: QuorumAttestation,
+  peers: Peers,
+  clock: Clock,
+  log: Log,
+): Push {
   const followers = new Map<string, Follower>();
   const acked = new Map<string, number>();
   const heard = new Map<string, number>();
@@ -61,7 +67,7 @@
 
   /** Tells a proxy all slots it was not told yet, in pages, or offers it a snapshot to fetch. */
   function serve(f: Follower): void {
-    const b = ledger.belief();
+    const b = ledger.controlState();
     if (b.ledger === '' || f.sent >= b.slot) return;
     const snapshot = snapshotInstead(ledger.history, f.sent + 1, offerToProxy);
     if (snapshot) {
@@ -77,14 +83,14 @@
   }
 
   async function note(m: Pick<Follower, 'name' | 'zone' | 'region'>): Promise<void> {
-    const known = ledger.belief().sluices[m.name];
+    const known = ledger.controlState().proxies[m.name];
     if ((known && known.zone === m.zone && known.region === m.region) || noting.has(m.name) || !ledger.isMember())
       return;
     noting.add(m.name);
     await ledger.propose(
       {
         cause: `${m.name} asked to follow.`,
-        act: { tag: 'sluiceKnown', name: m.name, zone: m.zone, region: m.region },
+        act: { tag: 'proxyKnown', name: m.name, zone: m.zone, region: m.region },
       },
       3_000,
     );
@@ -92,7 +98,7 @@
   }
 
   function onFollow(m: MessageOf<'follow'>, peer: Peer): null {
-    const foreign = m.ledger !== '' && ledger.belief().ledger !== '' && m.ledger !== ledger.belief().ledger;
+    const foreign = m.ledger !== '' && ledger.controlState().ledger !== '' && m.ledger !== ledger.controlState().ledger;
     if (foreign) {
       log.error(`${m.name} follows another ledger; it is turned away.`);
       peer.close();
@@ -116,7 +122,7 @@
     followers.set(m.name, f);
     if (before?.peer !== peer) peer.onClosed(gone);
     serve(f);
-    attest.askSoon();
+    quorumAttestation.askSoon();
     void note(m);
     return null;
     function gone(): void {
@@ -144,7 +150,7 @@
   function onFollowed(m: MessageOf<'followed'>): null {
     if (!noteConfirmed(m.name, m.slot)) return null;
     confirmed[m.name] = m.slot;
-    if (!confirming) clock.wakeup(CONFIRMED_MS, relayConfirmed);
+    if (!confirming) clock.timer(CONFIRMED_MS, relayConfirmed);
     confirming = true;
     return null;
   }
@@ -160,7 +166,7 @@
   }
   function others(): Member[] {
     const out: Member[] = [];
-    for (const m of ledger.belief().members) if (memberId(m) !== memberId(ledger.self)) out.push(m);
+    for (const m of ledger.controlState().members) if (memberId(m) !== memberId(ledger.self)) out.push(m);
     return out;
   }
 
@@ -202,13 +208,13 @@
   }
 
   function attestedOf(f: Follower): { readonly echo: number; readonly top: number } {
-    const a = attest.newest();
+    const a = quorumAttestation.newest();
     let echo = 0;
     for (const q of f.asked) if (a && q.at <= a.asOf) echo = Math.max(echo, q.nonce);
     return { echo, top: a?.top ?? ledger.top() };
   }
   function tellBeat(f: Follower): void {
-    const b = ledger.belief();
+    const b = ledger.controlState();
     const { echo, top } = attestedOf(f);
     f.attested = echo;
     f.beatAt = clock.mono();
@@ -219,23 +225,23 @@
       slot: b.slot,
       top,
       quorate: echo > 0,
-      wall: attest.sharedNow(),
+      wall: quorumAttestation.sharedNow(),
       echo,
     });
   }
   function onTold(): void {
     for (const f of followers.values()) if (f.attested === 0 && attestedOf(f).echo > 0) tellBeat(f);
   }
-  attest.events.on('told', onTold);
+  quorumAttestation.events.on('told', onTold);
 
   function quorate(): boolean {
     if (!ledger.isMember() || !ledger.writable()) return false;
     let n = 0;
-    for (const m of ledger.belief().members) {
+    for (const m of ledger.controlState().members) {
       const at = ledger.heardAt(memberId(m));
       if (memberId(m) === memberId(ledger.self) || (at !== null && clock.mono() - at < QUORATE_MS)) n += 1;
     }
-    return n >= majorityOf(ledger.belief().members);
+    return n >= majorityOf(ledger.controlState().members);
   }
 
   function beat(): void {
@@ -250,7 +256,7 @@
       void note(f);
     }
   }
-  const beating: Wakeup = every(clock, BEAT_MS, beat);
+  const beating: Timer = every(clock, BEAT_MS, beat);
 
   function gossip(): void {
     relays += 1;
@@ -272,7 +278,7 @@
     }
     if (!(await peers.tell(m.address, { kind: 'reports', by: ledger.self.name, reports: rows }))) told.delete(m.name);
   }
-  const gossiping: Wakeup = every(clock, GOSSIP_MS, gossip);
+  const gossiping: Timer = every(clock, GOSSIP_MS, gossip);
 
   function onFolded(): void {
     for (const f of followers.values()) serve(f);
@@ -283,7 +289,7 @@
 
   function unconfirmed(slot: number): string[] {
     const out: string[] = [];
-    for (const name of Object.keys(ledger.belief().sluices)) if (confirmedSlot(name) < slot) out.push(name);
+    for (const name of Object.keys(ledger.controlState().proxies)) if (confirmedSlot(name) < slot) out.push(name);
     return out;
   }
   function confirmedSlot(name: string): number {
--- a/src/coordination/ledger/attest.ts
+++ b/src/coordination/ledger/quorum-attestation.ts
@@ -1,14 +1,14 @@
 import { createEvents } from '../../base/events.js';
-import { majorityOf, memberId } from '../../state/belief.js';
+import { majorityOf, memberId } from '../../state/control-state.js';
 import { createSharedTime } from '../../state/shared-time.js';
 import { every } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Ledger } from './ledger.js';
-import type { HeardStanding } from './standings.js';
+import type { HeardMemberStatus } from './member-statuses.js';
 
 export type Attestation = { readonly asOf: number; readonly top: number };
 
-export type Attest = {
+export type QuorumAttestation = {
   readonly newest: () => Attestation | null;
   readonly askSoon: () => void;
   readonly sharedNow: () => number;
@@ -22,7 +22,7 @@
 const TOGETHER_MS = 5;
 const OLDEST_MS = 1_000;
 
-export function createAttest(ledger: Ledger, clock: Clock): Attest {
+export function createQuorumAttestation(ledger: Ledger, clock: Clock): QuorumAttestation {
   const events = createEvents<{ readonly told: null }>();
   const told = new Map<string, Told>();
   const time = createSharedTime();
@@ -32,12 +32,12 @@
     return id === memberId(ledger.self);
   }
 
-  function onHeard(e: HeardStanding): void {
-    const { member, askedAt, standing } = e;
-    if (standing.wall !== undefined) time.hear(member.name, standing.wall, clock.mono());
+  function onHeard(e: HeardMemberStatus): void {
+    const { member, askedAt, memberStatus } = e;
+    if (memberStatus.wall !== undefined) time.hear(member.name, memberStatus.wall, clock.mono());
     const have = told.get(memberId(member));
     if (have && have.askedAt >= askedAt) return;
-    told.set(memberId(member), { askedAt, top: standing.top });
+    told.set(memberId(member), { askedAt, top: memberStatus.top });
     events.emit('told', null);
   }
   ledger.events.on('heard', onHeard);
@@ -45,7 +45,7 @@
   function turn(): void {
     const names = new Set<string>([ledger.self.name]);
     const ids = new Set<string>();
-    for (const m of ledger.belief().members) {
+    for (const m of ledger.controlState().members) {
       names.add(m.name);
       ids.add(memberId(m));
     }
@@ -59,16 +59,16 @@
   function askSoon(): void {
     if (soon) return;
     soon = true;
-    clock.wakeup(TOGETHER_MS, now);
+    clock.timer(TOGETHER_MS, now);
     function now(): void {
       soon = false;
       turn();
-      ledger.askStandings();
+      ledger.askMemberStatuses();
     }
   }
 
   function newest(): Attestation | null {
-    const b = ledger.belief();
+    const b = ledger.controlState();
     if (!ledger.isMember() || !ledger.writable()) return null;
     const known: Told[] = [];
     for (const m of b.members) {
--- a/src/coordination/ledger/round.ts
+++ b/src/coordination/ledger/round.ts
@@ -1,7 +1,7 @@
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import { compareBallots } from '../../state/ballot.js';
 import type { Ballot } from '../../state/ballot.js';
-import { memberId } from '../../state/belief.js';
+import { memberId } from '../../state/control-state.js';
 import type { Batch, Member } from '../../state/entry.js';
 import { poll } from './poll.js';
 import type { AskMember, Votes } from './poll.js';
--- a/src/coordination/ledger/second-loss.test.ts
+++ b/src/coordination/ledger/second-loss.test.ts
@@ -6,7 +6,7 @@
 const ACK_WITHIN_MS = 5_000;
 
 async function bootstrapped(seed: number, names: readonly string[], claims = false): Promise<SimCore> {
-  const core = createSimCore(seed, { headgates: names.length, seeds: 3, regionMs: 35, claims });
+  const core = createSimCore(seed, { controllers: names.length, seeds: 3, regionMs: 35, claims });
   core.startAll();
   expect(await core.until(6_000, () => core.whole(names))).toBe(true);
   return core;
@@ -32,7 +32,7 @@
       await Promise.all([core.end('h2'), core.end('h3')]);
       await core.world.advance(8_000);
       core.powerLoss(['h1', 'h4', 'h5'][seed % 3] as string);
-      const left = ['h1', 'h4', 'h5'].filter((name) => core.node(name).headgate !== null);
+      const left = ['h1', 'h4', 'h5'].filter((name) => core.node(name).controller !== null);
       await confirmed(core, left[0] as string, 'b');
       for (const name of left) expect(await core.evacuatedAt(name)).toEqual(['a', 'b']);
       expect(core.broken).toEqual([]);
@@ -48,7 +48,7 @@
       core.powerLoss('h5');
       await core.world.advance(9_000);
       core.powerLoss(['h1', 'h3', 'h4'][seed % 3] as string);
-      const left = ['h1', 'h3', 'h4'].filter((name) => core.node(name).headgate !== null);
+      const left = ['h1', 'h3', 'h4'].filter((name) => core.node(name).controller !== null);
       await confirmed(core, left[0] as string, 'b');
       for (const name of left) expect(await core.evacuatedAt(name)).toEqual(['a', 'b']);
       for (const name of ['h2', 'h5']) core.start(name);
--- a/src/coordination/ledger/founding.test.ts
+++ b/src/coordination/ledger/self-bootstrap.test.ts
@@ -3,15 +3,15 @@
 import type { SimCore } from '../../sim/sim-core.js';
 
 const THREE = ['h1', 'h2', 'h3'];
-const THREE_OF_FIVE = { headgates: 5, seeds: 3, regionMs: 35 };
+const THREE_OF_FIVE = { controllers: 5, seeds: 3, regionMs: 35 };
 
 function ledgers(core: SimCore): string[] {
   const found = new Set<string>();
-  for (const n of core.nodes) found.add(n.headgate?.ledger.belief().ledger ?? '');
+  for (const n of core.nodes) found.add(n.controller?.ledger.controlState().ledger ?? '');
   return [...found];
 }
 
-describe('founding at the first start of all', () => {
+describe('bootstrap at the first start of all', () => {
   test.each([1, 2, 3, 4, 5, 6])(
     'three seeds found one ledger within two seconds, and take an order (seed %i)',
     async (seed) => {
@@ -24,13 +24,13 @@
     },
   );
 
-  test.each([1, 2, 3])('one seed alone founds its own (seed %i)', async (seed) => {
-    const core = createSimCore(seed, { headgates: 1, seeds: 1, regionMs: 35 });
+  test.each([1, 2, 3])('one seed alone bootstraps its own (seed %i)', async (seed) => {
+    const core = createSimCore(seed, { controllers: 1, seeds: 1, regionMs: 35 });
     core.startAll();
     expect(await core.until(2_000, () => core.whole(['h1']))).toBe(true);
   });
 
-  test.each([1, 2, 3, 4])('a headgate that is not among the seeds founds nothing (seed %i)', async (seed) => {
+  test.each([1, 2, 3, 4])('a controller that is not among the seeds bootstraps nothing (seed %i)', async (seed) => {
     const core = createSimCore(seed, THREE_OF_FIVE);
     for (const name of ['h4', 'h5', 'h1']) core.start(name);
     await core.world.advance(6_000);
--- a/src/coordination/ledger/snapshot-giver.ts
+++ b/src/coordination/ledger/snapshot-giver.ts
@@ -1,5 +1,5 @@
 import type { Message, MessageOf } from '../../protocol/messages.js';
-import type { Belief } from '../../state/belief.js';
+import type { ControlState } from '../../state/control-state.js';
 import { proxyState } from '../../state/proxy-state.js';
 import { isBounded, partOf, snapshotOf } from '../../state/snapshot-parts.js';
 import type { Snapshot, SnapshotOffer } from '../../state/snapshot-parts.js';
@@ -24,7 +24,7 @@
   readonly peers: Pick<Peers, 'on'>;
   readonly clock: Clock;
   readonly log: Log;
-  readonly belief: () => Belief;
+  readonly controlState: () => ControlState;
   /** Whether all slots from this one on are still kept as batches. */
   readonly keepsFrom: (slot: number) => boolean;
 };
@@ -37,7 +37,7 @@
 const MOST_PINNED_EACH = 2;
 
 export function createSnapshotGiver(deps: SnapshotGiverDeps): SnapshotGiver {
-  const { peers, clock, log, belief } = deps;
+  const { peers, clock, log, controlState } = deps;
   let pinned: Pinned[] = [];
 
   function isFresh(pin: Pinned): boolean {
@@ -54,7 +54,7 @@
   }
 
   function pin(view: SnapshotView): Pinned | null {
-    const state = belief();
+    const state = controlState();
     const snapshot = snapshotOf(state.slot, JSON.stringify(view === 'proxy' ? proxyState(state) : state));
     if (!isBounded(snapshot.offer)) {
       log.error(
@@ -77,7 +77,7 @@
   }
 
   function offer(view: SnapshotView, slot: number): SnapshotOffer | null {
-    if (belief().ledger === '' || slot > belief().slot) return null;
+    if (controlState().ledger === '' || slot > controlState().slot) return null;
     pinned = pinned.filter(isFresh);
     const offered = reusable(view, slot) ?? pin(view);
     if (!offered) return null;
--- a/src/coordination/ledger/snapshot-taker.ts
+++ b/src/coordination/ledger/snapshot-taker.ts
@@ -1,6 +1,6 @@
 import { parsedJson } from '../../base/parsed-json.js';
-import { isBelief } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { isControlState } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import { addPart, assembled, createAssembly, isBounded, nextPart } from '../../state/snapshot-parts.js';
 import type { Assembly, SnapshotOffer } from '../../state/snapshot-parts.js';
 import type { Clock } from '../../transport/clock.js';
@@ -19,7 +19,7 @@
 };
 
 export type SnapshotTake =
-  | { readonly tag: 'whole'; readonly state: Belief }
+  | { readonly tag: 'whole'; readonly state: ControlState }
   /** The giver fell silent or was lost; what came is kept. */
   | { readonly tag: 'interrupted' }
   /** The giver no longer has it, or what it gave is not what it offered; nothing is kept. */
@@ -83,7 +83,7 @@
   function stateIn(from: Address, held: Assembly): SnapshotTake {
     const text = assembled(held);
     const state = text.ok ? parsedJson(text.value) : null;
-    if (text.ok && isBelief(state) && state.slot === held.offer.slot) return { tag: 'whole', state };
+    if (text.ok && isControlState(state) && state.slot === held.offer.slot) return { tag: 'whole', state };
     log.warn(`A snapshot from ${from} is not what was offered; it is not taken.`);
     return REFUSED;
   }
--- a/src/coordination/ledger/snapshots.test.ts
+++ b/src/coordination/ledger/snapshots.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import type { Message, MessageKind, MessageOf } from '../../protocol/messages.js';
-import { emptyBelief } from '../../state/belief.js';
-import type { Belief } from '../../state/belief.js';
+import { emptyControlState } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
 import { partCount, PART_LENGTH } from '../../state/snapshot-parts.js';
 import type { SnapshotOffer } from '../../state/snapshot-parts.js';
 import { createWorld } from '../../sim/world.js';
@@ -13,13 +13,13 @@
 
 const log = createQuietLog().part('snapshots');
 
-function stateAt(slot: number, note = 'x', length = 5 * PART_LENGTH): Belief {
+function stateAt(slot: number, note = 'x', length = 5 * PART_LENGTH): ControlState {
   return {
-    ...emptyBelief(),
+    ...emptyControlState(),
     slot,
     ledger: 'l1',
-    configuration: { ...emptyBelief().configuration, deployment: { note: note.repeat(length) } },
-  } as Belief;
+    configuration: { ...emptyControlState().configuration, deployment: { note: note.repeat(length) } },
+  } as ControlState;
 }
 
 type Ask = (m: MessageOf<'snapshotAsk'>) => Message | Promise<Message>;
@@ -32,7 +32,7 @@
   const asks: string[] = [];
   const hooks: { before: (to: string, m: MessageOf<'snapshotAsk'>) => void } = { before: () => undefined };
 
-  function giver(address: string, first: Belief) {
+  function giver(address: string, first: ControlState) {
     let state = first;
     let kept = 0;
     const on = (kind: MessageKind, handler: unknown) => {
@@ -42,10 +42,10 @@
       peers: { on: on as never },
       clock,
       log,
-      belief: () => state,
+      controlState: () => state,
       keepsFrom: (slot) => slot >= kept,
     });
-    return { ...made, become: (next: Belief) => (state = next), keepFrom: (slot: number) => (kept = slot) };
+    return { ...made, become: (next: ControlState) => (state = next), keepFrom: (slot: number) => (kept = slot) };
   }
   const taker = createSnapshotTaker(
     {
@@ -135,7 +135,7 @@
 
   test('a whole text that is no state, or one of another slot than offered, is not taken', async () => {
     const { giver, take } = rig();
-    expect(await take('a', giver('a', { slot: 7, ledger: 'l1' } as Belief).offer('controller', 0))).toEqual({
+    expect(await take('a', giver('a', { slot: 7, ledger: 'l1' } as ControlState).offer('controller', 0))).toEqual({
       tag: 'refused',
     });
   });
--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -13,8 +13,8 @@
 } from '../../state/acceptor.js';
 import type { Acceptor, SlotState, Vote } from '../../state/acceptor.js';
 import type { Ballot } from '../../state/ballot.js';
-import { emptyBelief, foldBatch } from '../../state/belief.js';
-import type { Belief, Outcome } from '../../state/belief.js';
+import { emptyControlState, foldBatch } from '../../state/control-state.js';
+import type { ControlState, Outcome } from '../../state/control-state.js';
 import type { Batch } from '../../state/entry.js';
 import { createRecentSlots } from '../../state/recent-slots.js';
 import type { RecentSlot } from '../../state/recent-slots.js';
@@ -26,7 +26,7 @@
   | { readonly tag: 'prepare'; readonly slot: number; readonly ballot: Ballot }
   | { readonly tag: 'accept'; readonly slot: number; readonly ballot: Ballot; readonly batch: Batch }
   | { readonly tag: 'chosen'; readonly slot: number; readonly batch: Batch }
-  | { readonly tag: 'adopt'; readonly belief: Belief };
+  | { readonly tag: 'adopt'; readonly controlState: ControlState };
 
 export type StoreAnswer =
   | { readonly tag: 'vote'; readonly vote: Vote }
@@ -36,7 +36,7 @@
 
 export type Store = {
   readonly put: (command: StoreCommand) => Promise<StoreAnswer>;
-  readonly belief: () => Belief;
+  readonly controlState: () => ControlState;
   /** The chosen batches from that slot on; null if the first of them is no longer kept, empty if there is none yet. */
   readonly recent: (from: number) => readonly RecentSlot[] | null;
   /** As many of these as fit the bound in bytes, but one at least. */
@@ -51,7 +51,7 @@
   | { readonly t: 'slot'; readonly slot: number; readonly state: SlotState }
   | { readonly t: 'chosen'; readonly slot: number; readonly batch: Batch };
 
-type Snapshot = { readonly belief: Belief; readonly slots: readonly (readonly [number, SlotState])[] };
+type Snapshot = { readonly controlState: ControlState; readonly slots: readonly (readonly [number, SlotState])[] };
 
 function encoded(value: Saved | Snapshot): Buffer {
   return Buffer.from(JSON.stringify(value));
@@ -66,22 +66,22 @@
   const opened = await openRing(disk, shape);
   if (!opened.ok) return opened;
   const { ring, snapshot, records } = opened.value;
-  let belief = emptyBelief();
+  let controlState = emptyControlState();
   let acc: Acceptor = createAcceptor(0);
   const recent = createRecentSlots();
   let canWrite = true;
 
   if (snapshot) {
     const saved = JSON.parse(snapshot.toString()) as Snapshot;
-    belief = saved.belief;
-    acc = createAcceptor(belief.slot + 1);
+    controlState = saved.controlState;
+    acc = createAcceptor(controlState.slot + 1);
     for (const [slot, state] of saved.slots) restoreSlot(acc, slot, state);
   }
   for (const rec of records) {
     const saved = JSON.parse(rec.toString()) as Saved;
     if (saved.t === 'slot') restoreSlot(acc, saved.slot, saved.state);
-    else if (saved.slot === belief.slot + 1) {
-      foldBatch(belief, saved.slot, saved.batch);
+    else if (saved.slot === controlState.slot + 1) {
+      foldBatch(controlState, saved.slot, saved.batch);
       raiseFloor(acc, saved.slot + 1);
       recent.remember(saved.slot, saved.batch, rec.length);
     }
@@ -100,17 +100,17 @@
         return { tag: 'vote', vote };
       }
       case 'chosen': {
-        if (command.slot !== belief.slot + 1) return { tag: 'outOfOrder' };
-        const outcomes = foldBatch(belief, command.slot, command.batch);
+        if (command.slot !== controlState.slot + 1) return { tag: 'outOfOrder' };
+        const outcomes = foldBatch(controlState, command.slot, command.batch);
         raiseFloor(acc, command.slot + 1);
         recent.remember(command.slot, command.batch, write({ t: 'chosen', slot: command.slot, batch: command.batch }));
         onFold(command.slot, command.batch, outcomes);
         return { tag: 'folded', outcomes };
       }
       case 'adopt': {
-        if (command.belief.slot <= belief.slot) return { tag: 'outOfOrder' };
-        belief = structuredClone(command.belief);
-        raiseFloor(acc, belief.slot + 1);
+        if (command.controlState.slot <= controlState.slot) return { tag: 'outOfOrder' };
+        controlState = structuredClone(command.controlState);
+        raiseFloor(acc, controlState.slot + 1);
         recent.clear();
         onAdopt();
         return { tag: 'folded', outcomes: [] };
@@ -119,7 +119,7 @@
   }
 
   async function compacted(): Promise<Result<null, RingFault>> {
-    return ring.compact(encoded({ belief, slots: [...acc.slots] }));
+    return ring.compact(encoded({ controlState, slots: [...acc.slots] }));
   }
 
   async function work(commands: readonly StoreCommand[]): Promise<readonly StoreAnswer[]> {
@@ -153,20 +153,20 @@
 
   const line = createLine(work);
 
-  function believed(): Belief {
-    return belief;
+  function currentControlState(): ControlState {
+    return controlState;
   }
   function since(from: number): readonly RecentSlot[] | null {
-    return from > belief.slot ? [] : recent.since(from);
+    return from > controlState.slot ? [] : recent.since(from);
   }
   function page(from: number, mostBytes: number): readonly RecentSlot[] | null {
-    return from > belief.slot ? [] : recent.page(from, mostBytes);
+    return from > controlState.slot ? [] : recent.page(from, mostBytes);
   }
   function bytesSince(from: number): number | null {
-    return from > belief.slot ? 0 : recent.bytesSince(from);
+    return from > controlState.slot ? 0 : recent.bytesSince(from);
   }
   function top(): number {
-    return Math.max(belief.slot, highestAccepted(acc));
+    return Math.max(controlState.slot, highestAccepted(acc));
   }
   function accepted(slot: number): Batch | null {
     return acceptedAt(acc, slot)?.batch ?? null;
@@ -174,5 +174,14 @@
   function writable(): boolean {
     return canWrite;
   }
-  return ok({ put: line.put, belief: believed, recent: since, page, bytesSince, top, accepted, writable });
+  return ok({
+    put: line.put,
+    controlState: currentControlState,
+    recent: since,
+    page,
+    bytesSince,
+    top,
+    accepted,
+    writable,
+  });
 }
--- a/src/coordination/members/membership.test.ts
+++ b/src/coordination/members/membership.test.ts
@@ -37,7 +37,7 @@
     runs += 1;
     const self = {
       name,
-      role: 'sluice' as const,
+      role: 'proxy' as const,
       run: `run-${runs}`,
       incarnation: 0,
       address: addressOf(at),
--- a/src/coordination/members/peers.test.ts
+++ b/src/coordination/members/peers.test.ts
@@ -19,13 +19,13 @@
   for (const p of open) await p.close();
 });
 
-test('a garbage frame ends that conn only, with a log line', async () => {
+test('a garbage frame ends that connection only, with a log line', async () => {
   const server = peers();
-  server.on('standingAsk', () => ({ kind: 'done', agreed: true }));
+  server.on('memberStatusAsk', () => ({ kind: 'done', agreed: true }));
   const at = await server.open('127.0.0.1:0');
   if (!at.ok) throw new Error(at.fault.tag);
   const friend = peers();
-  const ask = () => friend.call(at.value.address, { kind: 'standingAsk' }, 2_000);
+  const ask = () => friend.call(at.value.address, { kind: 'memberStatusAsk' }, 2_000);
   expect(await ask()).toEqual({ ok: true, value: { kind: 'done', agreed: true } });
 
   const hp = splitAddress(at.value.address);
@@ -41,7 +41,7 @@
 });
 
 test('an address where no one listens is told as unreachable', async () => {
-  expect(await peers().call('127.0.0.1:1', { kind: 'standingAsk' }, 1_000)).toEqual({
+  expect(await peers().call('127.0.0.1:1', { kind: 'memberStatusAsk' }, 1_000)).toEqual({
     ok: false,
     fault: { tag: 'peerUnreachable', address: '127.0.0.1:1' },
   });
--- a/src/coordination/members/peers.ts
+++ b/src/coordination/members/peers.ts
@@ -2,9 +2,9 @@
 import type { Result } from '../../base/result.js';
 import { readFrame } from '../../protocol/messages.js';
 import type { Message, MessageKind, MessageOf } from '../../protocol/messages.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Clock, Timer } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
-import type { Address, Conn, Listener, Wire, WireFault } from '../../transport/wire.js';
+import type { Address, Connection, Listener, Wire, WireFault } from '../../transport/wire.js';
 
 export type PeerFault =
   | { readonly tag: 'peerUnreachable'; readonly address: Address }
@@ -28,9 +28,9 @@
   readonly close: () => Promise<void>;
 };
 
-type Waiting = { readonly done: (m: Message | null) => void; readonly wakeup: Wakeup };
+type Waiting = { readonly done: (m: Message | null) => void; readonly timer: Timer };
 type Link = {
-  readonly conn: Conn;
+  readonly connection: Connection;
   readonly peer: Peer;
   readonly waiting: Map<number, Waiting>;
   readonly owe: () => void;
@@ -54,19 +54,19 @@
   let nextId = 1;
   let stopped = false;
 
-  function linkOf(conn: Conn, idleMs: number, onGone: () => void): Link {
+  function linkOf(connection: Connection, idleMs: number, onGone: () => void): Link {
     const watchers: (() => void)[] = [];
     const waiting = new Map<number, Waiting>();
     let owedSince: number | null = null;
-    let silence: Wakeup | null = null;
+    let silence: Timer | null = null;
     let usedAt = clock.mono();
-    let idle: Wakeup = clock.wakeup(idleMs, checkIdle);
+    let idle: Timer = clock.timer(idleMs, checkIdle);
 
     function owe(): void {
       usedAt = clock.mono();
       if (owedSince !== null) return;
       owedSince = usedAt;
-      silence = clock.wakeup(SILENT_MS, checkSilence);
+      silence = clock.timer(SILENT_MS, checkSilence);
     }
     function heard(): void {
       usedAt = clock.mono();
@@ -76,7 +76,7 @@
     function checkSilence(): void {
       if (owedSince === null || link.closed) return;
       if (clock.mono() - owedSince < SILENT_MS + STOOD_STILL_MS) {
-        conn.close();
+        connection.close();
         return;
       }
       owedSince = null;
@@ -85,18 +85,25 @@
     function checkIdle(): void {
       if (link.closed) return;
       const left = usedAt + idleMs - clock.mono();
-      if (left <= 0 && !link.held) conn.close();
-      else idle = clock.wakeup(Math.max(1_000, left), checkIdle);
+      if (left <= 0 && !link.held) connection.close();
+      else idle = clock.timer(Math.max(1_000, left), checkIdle);
     }
     function tell(m: Message): void {
       usedAt = clock.mono();
-      conn.send({ t: 'tell', m });
+      connection.send({ t: 'tell', m });
     }
     function onClosed(fn: () => void): void {
       if (link.closed) fn();
       else watchers.push(fn);
     }
-    const link: Link = { conn, peer: { tell, onClosed, close: conn.close }, waiting, owe, closed: false, held: false };
+    const link: Link = {
+      connection,
+      peer: { tell, onClosed, close: connection.close },
+      waiting,
+      owe,
+      closed: false,
+      held: false,
+    };
     function closed(): void {
       if (link.closed) return;
       link.closed = true;
@@ -104,7 +111,7 @@
       idle.cancel();
       onGone();
       for (const w of waiting.values()) {
-        w.wakeup.cancel();
+        w.timer.cancel();
         w.done(null);
       }
       waiting.clear();
@@ -114,15 +121,15 @@
       heard();
       const f = readFrame(body);
       if (!f) {
-        log.warn(`Conn to ${conn.peer} ended: a frame had no known shape.`);
-        conn.close();
+        log.warn(`Connection to ${connection.peer} ended: a frame had no known shape.`);
+        connection.close();
         return;
       }
       if (f.t === 'answer') {
         const w = waiting.get(f.id);
         if (!w) return;
         waiting.delete(f.id);
-        w.wakeup.cancel();
+        w.timer.cancel();
         w.done(f.m);
         return;
       }
@@ -133,9 +140,9 @@
     }
     async function answer(id: number, given: Promise<Message> | Message | null): Promise<void> {
       const m = await given;
-      if (m) conn.send({ t: 'answer', id, m });
+      if (m) connection.send({ t: 'answer', id, m });
     }
-    conn.attach({ frame, closed, heard });
+    connection.attach({ frame, closed, heard });
     return link;
   }
 
@@ -171,9 +178,9 @@
       function late(): void {
         resolve(null);
       }
-      const wakeup = clock.wakeup(waitMs, late);
+      const timer = clock.timer(waitMs, late);
       function linked(link: Link | null): void {
-        wakeup.cancel();
+        timer.cancel();
         resolve(link);
       }
       void made.then(linked);
@@ -197,8 +204,8 @@
         held.waiting.delete(id);
         done(null);
       }
-      held.waiting.set(id, { done, wakeup: clock.wakeup(left, late) });
-      held.conn.send({ t: 'call', id, m });
+      held.waiting.set(id, { done, timer: clock.timer(left, late) });
+      held.connection.send({ t: 'call', id, m });
       if (waitMs <= SLOW_CALL_MS) held.owe();
     }
     const got = await new Promise<Message | null>(ask);
@@ -224,12 +231,12 @@
   }
 
   async function open(address: Address): Promise<Result<Listener, WireFault>> {
-    function accept(conn: Conn): void {
+    function accept(connection: Connection): void {
       let link: Link | null = null;
       function gone(): void {
         if (link) inbound.delete(link);
       }
-      link = linkOf(conn, IDLE_IN_MS, gone);
+      link = linkOf(connection, IDLE_IN_MS, gone);
       inbound.add(link);
     }
     const opened = await wire.listen(address, accept);
@@ -239,8 +246,8 @@
 
   async function close(): Promise<void> {
     stopped = true;
-    for (const link of inbound) link.conn.close();
-    for (const made of [...links.values()]) (await made)?.conn.close();
+    for (const link of inbound) link.connection.close();
+    for (const made of [...links.values()]) (await made)?.connection.close();
     await listener?.close();
   }
 
@@ -248,7 +255,7 @@
     if ((movedTo.get(old) ?? old) === now) return;
     if (old === now) movedTo.delete(old);
     else movedTo.set(old, now);
-    live.get(old)?.conn.close();
+    live.get(old)?.connection.close();
   }
   return { open, on, call, tell, hold, knownAt, close };
 }
--- a/src/coordination/members/silent-peers.test.ts
+++ b/src/coordination/members/silent-peers.test.ts
@@ -16,7 +16,7 @@
   readonly b: Peers;
   readonly seen: Peer[];
 };
-const ASK: Message = { kind: 'standingAsk' };
+const ASK: Message = { kind: 'memberStatusAsk' };
 const DONE: Message = { kind: 'done', agreed: true };
 
 async function finish<T>(world: World, work: Promise<T>, limitMs = 60_000): Promise<T | null> {
@@ -37,7 +37,7 @@
     const proc = world.begin(host);
     const clock = world.clockOf(proc);
     const peers = createPeers(net.wireOf(proc), clock, createQuietLog().part(''));
-    peers.on('standingAsk', async (_m, peer) => {
+    peers.on('memberStatusAsk', async (_m, peer) => {
       seen.push(peer);
       if (answerMs > 0) await pause(clock, answerMs);
       return DONE;
@@ -56,7 +56,7 @@
 }
 
 describe('a peer that says nothing more', () => {
-  test('a conn that owes an answer for 1.2 s is closed, and the next call dials anew', async () => {
+  test('a connection that owes an answer for 1.2 s is closed, and the next call dials anew', async () => {
     const r = await room();
     const link = await heldLink(r);
     expect(await finish(r.world, r.a.call('b:1', ASK, 500))).toEqual({ ok: true, value: DONE });
@@ -88,7 +88,7 @@
     expect(await finish(r.world, r.a.call('b:1', ASK, 5_000))).toEqual({ ok: true, value: DONE });
   });
 
-  test('a conn that nobody uses is closed at both ends in time; a held one stays', async () => {
+  test('a connection that nobody uses is closed at both ends in time; a held one stays', async () => {
     const idle = await room();
     await finish(idle.world, idle.a.call('b:1', ASK, 500));
     let inboundClosed = false;
@@ -105,7 +105,7 @@
     expect(link.closedAt).toBe(0);
   });
 
-  test('an inbound conn whose peer vanished without a word is let go', async () => {
+  test('an inbound connection whose peer vanished without a word is let go', async () => {
     const r = await room();
     await finish(r.world, r.a.call('b:1', ASK, 500));
     let closed = false;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -1,7 +1,7 @@
 import type { Policy } from '../state/policies.js';
 import type { Clock } from '../transport/clock.js';
 import type { Disk } from '../transport/disk.js';
-import type { Caller, Door } from '../transport/http.js';
+import type { HttpClient, HttpServer } from '../transport/http.js';
 import type { LogRoot } from '../transport/log.js';
 import type { Meters } from '../transport/meters.js';
 import type { Rng } from '../transport/rng.js';
@@ -12,8 +12,8 @@
   readonly clock: Clock;
   readonly rng: Rng;
   readonly wire: Wire;
-  readonly door: Door;
-  readonly caller: Caller;
+  readonly httpServer: HttpServer;
+  readonly httpClient: HttpClient;
   readonly disk: Disk | null;
   readonly logs: LogRoot;
   readonly policies: readonly Policy[];
@@ -33,9 +33,9 @@
   readonly seeds: readonly Address[];
   readonly platform: Address;
   readonly cloud: Address | null;
-  readonly founding?: boolean;
+  readonly bootstrap?: boolean;
   readonly diskBytes?: number;
   readonly claims?: boolean;
-  readonly operatorDoor?: boolean;
+  readonly operatorHttpServer?: boolean;
   readonly zones?: readonly string[];
 };
--- a/src/coordination/scaling/cloud-client.ts
+++ b/src/coordination/scaling/cloud-client.ts
@@ -12,7 +12,7 @@
 import { readWorkerList, WORKERS_PATH } from '../../protocol/platform-wire.js';
 import type { Listed } from '../../state/listed.js';
 import type { Price } from '../../state/scaler-decide.js';
-import type { Caller } from '../../transport/http.js';
+import type { HttpClient } from '../../transport/http.js';
 import type { Address } from '../../transport/wire.js';
 
 export type CloudFault =
@@ -31,9 +31,15 @@
 
 const WAIT_MS = 2_000;
 
-export function createCloudClient(caller: Caller, address: Address): CloudClient {
+export function createCloudClient(httpClient: HttpClient, address: Address): CloudClient {
   async function place(order: CloudOrder): Promise<Result<Machine, CloudFault>> {
-    const got = await caller.call({ method: 'POST', address, path: MACHINES_PATH, body: order, timeoutMs: WAIT_MS });
+    const got = await httpClient.call({
+      method: 'POST',
+      address,
+      path: MACHINES_PATH,
+      body: order,
+      timeoutMs: WAIT_MS,
+    });
     if (!got.ok) return err({ tag: 'cloudSilent' });
     if (readNoCapacity(got.value.body).ok) return err({ tag: 'noCapacity' });
     const read = readMachine(got.value.body);
@@ -43,7 +49,7 @@
     return ok(read.value.machine);
   }
   async function machines(owner: string): Promise<Result<Machine[], CloudFault>> {
-    const got = await caller.call({
+    const got = await httpClient.call({
       method: 'GET',
       address,
       path: `${MACHINES_PATH}?owner=${encodeURIComponent(owner)}`,
@@ -54,7 +60,7 @@
     return read.ok ? ok(read.value.machines) : err({ tag: 'cloudNonsense', detail: read.fault.detail });
   }
   async function release(machine: string): Promise<Result<null, CloudFault>> {
-    const got = await caller.call({
+    const got = await httpClient.call({
       method: 'DELETE',
       address,
       path: `${MACHINES_PATH}/${encodeURIComponent(machine)}`,
@@ -66,7 +72,7 @@
       : err({ tag: 'cloudNonsense', detail: `status ${got.value.status}` });
   }
   async function prices(): Promise<Result<Record<string, Price>, CloudFault>> {
-    const got = await caller.call({ method: 'GET', address, path: PRICES_PATH, timeoutMs: WAIT_MS });
+    const got = await httpClient.call({ method: 'GET', address, path: PRICES_PATH, timeoutMs: WAIT_MS });
     if (!got.ok) return err({ tag: 'cloudSilent' });
     const read = readPrices(got.value.body);
     if (!read.ok) return err({ tag: 'cloudNonsense', detail: read.fault.detail });
@@ -77,9 +83,9 @@
   return { place, machines, release, prices };
 }
 
-export function createPlatformClient(caller: Caller, address: Address): PlatformClient {
+export function createPlatformClient(httpClient: HttpClient, address: Address): PlatformClient {
   async function workers(): Promise<Result<Listed[], CloudFault>> {
-    const got = await caller.call({ method: 'GET', address, path: WORKERS_PATH, timeoutMs: 900 });
+    const got = await httpClient.call({ method: 'GET', address, path: WORKERS_PATH, timeoutMs: 900 });
     if (!got.ok) return err({ tag: 'cloudSilent' });
     const read = readWorkerList(got.value.body);
     return read.ok ? ok(read.value.workers) : err({ tag: 'cloudNonsense', detail: read.fault.detail });
--- a/src/coordination/scaling/list-duty.test.ts
+++ b/src/coordination/scaling/list-duty.test.ts
@@ -82,7 +82,7 @@
         const entries = last.entries.map((e) =>
           e.remainingMs === null ? e : { ...e, remainingMs: Math.max(0, e.remainingMs - (world.now() - last.at)) },
         );
-        clock.wakeup(shut ? READ_WAIT_MS : 2 * world.delay(proc.host, platform.host), () =>
+        clock.timer(shut ? READ_WAIT_MS : 2 * world.delay(proc.host, platform.host), () =>
           resolve(shut ? err({ tag: 'listSilent' }) : ok(entries)),
         );
       });
@@ -162,7 +162,7 @@
 const DRAINED = [1, 2, 3, 4, 5, 6].map((n) => worker(n, n === 2 ? { leaving: true, remainingMs: 5_000 } : {}));
 
 describe('the list by duty', () => {
-  test('on a calm day one headgate reads, once a second, and no sluice does', async () => {
+  test('on a calm day one controller reads, once a second, and no proxy does', async () => {
     const room = await started(1);
     const from = room.world.now();
     const sent = room.net.sent().bytes;
@@ -174,7 +174,7 @@
     expect((room.net.sent().bytes - sent) / 20).toBeLessThan(9 * 200);
   });
 
-  test('350 sluices do not poll, neither on a calm day nor when the reader is killed', async () => {
+  test('350 proxies do not poll, neither on a calm day nor when the reader is killed', async () => {
     const room = await started(2, 5, 350);
     const from = room.world.now();
     await room.world.advance(5_000);
@@ -204,7 +204,7 @@
     ['unheard', 7, (room: Room) => cutOff(room, reader(room), true, false)],
     ['deaf', 8, (room: Room) => cutOff(room, reader(room), false, true)],
   ] as const)(
-    'with the reader %s, every sluice in touch sees a drain within 2 s of its being listed',
+    'with the reader %s, every proxy in touch sees a drain within 2 s of its being listed',
     async (_, seed, strike) => {
       for (let s = 0; s < 5; s += 1) {
         const room = await started(seed + 100 * s);
@@ -273,7 +273,7 @@
     expect(room.calls.filter((c) => c.at > thawed && c.by === old.host.name)).toEqual([]);
   });
 
-  test('what a frozen sluice finds waiting at waking does not pass for fresh', async () => {
+  test('what a frozen proxy finds waiting at waking does not pass for fresh', async () => {
     const room = await started(10);
     const edge = room.edges[0] as Edge;
     room.world.freeze(edge.host);
@@ -290,7 +290,7 @@
     expect(edge.feed?.asOf()).toBeGreaterThanOrEqual(wokeAt);
   });
 
-  test('a sluice that hears no headgate reads the platform itself, at most once a second, until it hears one again', async () => {
+  test('a proxy that hears no controller reads the platform itself, at most once a second, until it hears one again', async () => {
     const room = await started(11);
     const edge = room.edges[1] as Edge;
     for (const h of room.heads) cutBoth(room, h.host, edge.host);
@@ -309,7 +309,7 @@
     expect(seesLeaving(edge, 'w2')).toBe(true);
   });
 
-  test('while the platform is down the sluices wait, and see the list soon after it is back', async () => {
+  test('while the platform is down the proxies wait, and see the list soon after it is back', async () => {
     const room = await started(12, 3, 40);
     room.platform.down = true;
     const from = room.world.now();
@@ -332,7 +332,7 @@
     expect(callsSince(room, back)).toEqual({ heads: 3, edges: 0, readers: 1 });
   });
 
-  test('when only the reader cannot reach the platform, another headgate takes over', async () => {
+  test('when only the reader cannot reach the platform, another controller takes over', async () => {
     const room = await started(13);
     const blind = reader(room);
     cutBoth(room, blind.host, room.platform.host);
@@ -341,7 +341,7 @@
     expect(reader(room)).not.toBe(blind);
   });
 
-  test('all headgates killed at once: the sluices read by themselves, and follow again what starts from nothing', async () => {
+  test('all controllers killed at once: the proxies read by themselves, and follow again what starts from nothing', async () => {
     const room = await started(14);
     for (let i = 0; i < 3; i += 1) {
       const killed = reader(room);
--- a/src/coordination/scaling/list-duty.ts
+++ b/src/coordination/scaling/list-duty.ts
@@ -3,7 +3,7 @@
 import { compareNumbers, isEmptyChange } from '../../state/list-book.js';
 import type { ListNumber } from '../../state/list-book.js';
 import type { WorkerEntry } from '../../state/worker-entry.js';
-import type { Clock, Wakeup } from '../../transport/clock.js';
+import type { Clock, Timer } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import { newId } from '../../transport/rng.js';
 import type { Rng } from '../../transport/rng.js';
@@ -46,11 +46,11 @@
   let stopped = false;
   let busy = false;
   let asking = false;
-  let next: Wakeup | null = null;
+  let next: Timer | null = null;
 
   function arm(ms: number): void {
     next?.cancel();
-    if (!stopped) next = clock.wakeup(Math.max(0, ms), tick);
+    if (!stopped) next = clock.timer(Math.max(0, ms), tick);
   }
   function tick(): void {
     void turn();
@@ -181,7 +181,7 @@
   async function readOnce(): Promise<void> {
     const from = clock.mono();
     const was = reading;
-    const waiting = clock.wakeup(pace.readMs * SLOW_SHARE, tellSilent);
+    const waiting = clock.timer(pace.readMs * SLOW_SHARE, tellSilent);
     const got = await readWithin(reader, clock, pace.readMs);
     waiting.cancel();
     news.noteTurn();
--- a/src/coordination/scaling/observer.test.ts
+++ b/src/coordination/scaling/observer.test.ts
@@ -2,10 +2,10 @@
 import { err, ok } from '../../base/result.js';
 import { ledgerAsk, ordersAsk } from '../../operator/asks.js';
 import { createCore } from '../../operator/core.js';
-import { ledgerText, ordersText } from '../../programs/gauge.js';
+import { ledgerText, ordersText } from '../../programs/inspect.js';
 import { createSimCore } from '../../sim/sim-core.js';
 import type { SimCore } from '../../sim/sim-core.js';
-import type { Belief } from '../../state/belief.js';
+import type { ControlState } from '../../state/control-state.js';
 import type { Entry, Step } from '../../state/entry.js';
 import type { Report } from '../../state/report.js';
 import { DEFAULT_LIMITS } from '../../state/serving.js';
@@ -44,12 +44,12 @@
     };
   }
   const core = createSimCore(seed, {
-    headgates: 3,
+    controllers: 3,
     seeds: 3,
     regionMs: 35,
     zones: ZONES,
     listReader,
-    operatorDoor: true,
+    operatorHttpServer: true,
   });
   core.startAll();
   expect(await core.until(5_000, () => core.whole(THREE))).toBe(true);
@@ -57,7 +57,7 @@
     number: 1,
     mappings: {},
     models: {
-      m: { at: 0, fitnessPath: '/h', maxConns: 9, coldS: 3, coldRateS: 9, engine: { batch: 64, kvTokens: 1 } },
+      m: { at: 0, probePath: '/h', maxConns: 9, coldS: 3, coldRateS: 9, engine: { batch: 64, kvTokens: 1 } },
     },
     limits: DEFAULT_LIMITS,
   };
@@ -65,26 +65,26 @@
     { path: ['serving'], value: serving },
     { path: ['deployment'], value: deployment },
   ];
-  const first = core.node('h1').headgate?.ledger;
+  const first = core.node('h1').controller?.ledger;
   await core.finish(
     first?.propose({ cause: 'An operator.', act: { tag: 'configured', base: 0, changes } }, 3_000) ??
       Promise.resolve(null),
     5_000,
   );
-  expect(await core.until(20_000, () => Object.keys(belief(core).orders).length >= 9)).toBe(true);
+  expect(await core.until(20_000, () => Object.keys(controlState(core).orders).length >= 9)).toBe(true);
   await core.world.advance(2_000);
   return { core, platform };
 }
-function belief(core: SimCore): Belief {
-  let best: Belief | null = null;
+function controlState(core: SimCore): ControlState {
+  let best: ControlState | null = null;
   for (const n of core.nodes) {
-    const b = n.headgate?.ledger.belief();
+    const b = n.controller?.ledger.controlState();
     if (b && (best === null || b.slot > best.slot)) best = b;
   }
-  return best as Belief;
+  return best as ControlState;
 }
 function holders(core: SimCore): string[] {
-  return core.nodes.filter((n) => n.host.running && !n.host.frozen && n.headgate?.holdsScaler()).map((n) => n.name);
+  return core.nodes.filter((n) => n.host.running && !n.host.frozen && n.controller?.holdsScaler()).map((n) => n.name);
 }
 async function holder(core: SimCore): Promise<string> {
   expect(await core.until(20_000, () => holders(core).length === 1)).toBe(true);
@@ -93,15 +93,15 @@
 function decisions(core: SimCore, from = 0): { slot: number; entry: Entry; steps: readonly Step[] }[] {
   const out: { slot: number; entry: Entry; steps: readonly Step[] }[] = [];
   const newest = core.nodes
-    .map((n) => n.headgate?.ledger)
-    .reduce((a, b) => ((b?.belief().slot ?? -1) > (a?.belief().slot ?? -1) ? b : a));
+    .map((n) => n.controller?.ledger)
+    .reduce((a, b) => ((b?.controlState().slot ?? -1) > (a?.controlState().slot ?? -1) ? b : a));
   for (const { slot, batch } of newest?.since(from) ?? [])
     for (const entry of batch.entries)
       if (entry.act.tag === 'decided') out.push({ slot, entry, steps: entry.act.steps });
   return out;
 }
 function sets(core: SimCore): string {
-  const z = belief(core).zoneSets['m'];
+  const z = controlState(core).zoneSets['m'];
   return `${z?.active.join('')}|${z?.preemptive.join('')}`;
 }
 function change(d: Day, id: string, more: Partial<WorkerEntry> | null): void {
@@ -116,10 +116,10 @@
     count,
     requests: {},
     shed: 0,
-    dispatched: 0,
+    attempted: 0,
     retried: 0,
     slot: 0,
-    fitness: {},
+    health: {},
     http: 'x:1',
     ready: true,
     zone: 'a',
@@ -134,12 +134,12 @@
     expect(decisions(core).map((d) => d.steps.map((s) => s.act.tag))).toEqual([
       ['zonesMoved', 'targetChanged', 'ordersAdopted'],
     ]);
-    const { slot } = belief(core);
+    const { slot } = controlState(core);
     await core.world.advance(60_000);
-    expect(belief(core).slot).toBe(slot);
+    expect(controlState(core).slot).toBe(slot);
   });
 
-  test('a short-notice drain demotes its zone, a launch restores it, and gauge tells who decided it and why', async () => {
+  test('a short-notice drain demotes its zone, a launch restores it, and inspect tells who decided it and why', async () => {
     const d = await day(2);
     change(d, 'w1', { leaving: true, remainingMs: 6_000 });
     expect(await d.core.until(5_000, () => sets(d.core) === 'ac|b')).toBe(true);
@@ -153,18 +153,18 @@
 
     await d.core.world.advance(500);
     const at = await holder(d.core);
-    const fence = belief(d.core).leases['scaler']?.fence;
-    const gauge = createCore(
+    const fence = controlState(d.core).leases['scaler']?.fence;
+    const inspect = createCore(
       ['h1', 'h2', 'h3'].map((n) => `${d.core.node(n).wire}0`),
-      d.core.lab('gauge').caller,
+      d.core.lab('inspect').httpClient,
     );
-    const orders = ordersText((await d.core.finish(gauge.ask(ordersAsk('m')), 5_000))?.body);
+    const orders = ordersText((await d.core.finish(inspect.ask(ordersAsk('m')), 5_000))?.body);
     expect(orders).toMatch(
       new RegExp(
         `found-w1 m spot in b: lost, machine w1\\n.*placed +by ${at}.* \\(fence ${fence}\\): Stood in the list.*\\n.*\\n.*lost +by ${at}.* \\(fence ${fence}\\): Taken away at short notice: \\d+ ms were left`,
       ),
     );
-    const ledger = ledgerText((await d.core.finish(gauge.ask(ledgerAsk('0')), 5_000))?.body);
+    const ledger = ledgerText((await d.core.finish(inspect.ask(ledgerAsk('0')), 5_000))?.body);
     expect(ledger).toMatch(/zonesMoved +A spot worker was lost in b\./);
     expect(ledger).toMatch(/zonesMoved +A launch became ready in b\./);
   });
@@ -178,7 +178,7 @@
         expect(await d.core.until(5_000, () => sets(d.core) === 'ac|b')).toBe(true);
         const was = await holder(d.core);
         const { host } = d.core.node(was);
-        const { slot } = belief(d.core);
+        const { slot } = controlState(d.core);
         if (how === 'kill') d.core.kill(was);
         if (how === 'freeze') d.core.world.freeze(host);
         if (how === 'cut') d.core.cutOff([was]);
@@ -200,7 +200,7 @@
           'ordersAdopted',
           'zonesMoved',
         ]);
-        const { leases } = belief(d.core);
+        const { leases } = controlState(d.core);
         for (const x of since)
           expect([x.entry.author.startsWith(now), x.entry.fence]).toEqual([true, leases['scaler']?.fence]);
         expect(d.core.broken).toEqual([]);
@@ -211,8 +211,8 @@
   test('decisions of an old holder that come late fold to nothing', async () => {
     const d = await day(40);
     const was = await holder(d.core);
-    const old = d.core.node(was).headgate?.ledger;
-    const fence = belief(d.core).leases['scaler']?.fence as number;
+    const old = d.core.node(was).controller?.ledger;
+    const fence = controlState(d.core).leases['scaler']?.fence as number;
     d.core.world.freeze(d.core.node(was).host);
     expect(await d.core.until(25_000, () => holders(d.core).some((n) => n !== was))).toBe(true);
     d.core.world.thaw(d.core.node(was).host);
@@ -222,46 +222,46 @@
       10_000,
     );
     expect(got).toMatchObject({ ok: true, value: { outcome: { tag: 'staleFence' } } });
-    expect(belief(d.core).targets['m']).toBe(1);
+    expect(controlState(d.core).targets['m']).toBe(1);
   });
 
-  test('all headgates restarted: the orders stand as they stood, and nothing is written twice', async () => {
+  test('all controllers restarted: the orders stand as they stood, and nothing is written twice', async () => {
     const d = await day(50);
-    const before = Object.keys(belief(d.core).orders).sort();
+    const before = Object.keys(controlState(d.core).orders).sort();
     for (const n of THREE) d.core.powerLoss(n);
     d.core.startAll();
     await d.core.world.advance(500);
     expect(await d.core.until(20_000, () => d.core.whole(THREE))).toBe(true);
     await holder(d.core);
     await d.core.world.advance(5_000);
-    expect(Object.keys(belief(d.core).orders).sort()).toEqual(before);
+    expect(Object.keys(controlState(d.core).orders).sort()).toEqual(before);
     expect(decisions(d.core)).toHaveLength(1);
   });
 
   test('while the platform is silent nothing is held to be lost', async () => {
     const d = await day(60);
     d.platform.down = true;
-    const { slot } = belief(d.core);
+    const { slot } = controlState(d.core);
     await d.core.world.advance(30_000);
     d.platform.down = false;
     await d.core.world.advance(10_000);
-    expect(belief(d.core).slot).toBe(slot);
+    expect(controlState(d.core).slot).toBe(slot);
   });
 
   test('a list that empties and fills again within a second and a half loses nobody', async () => {
     const d = await day(61);
     const { list } = d.platform;
-    const { slot } = belief(d.core);
+    const { slot } = controlState(d.core);
     d.platform.list = [];
     await d.core.world.advance(1_100);
     d.platform.list = list;
     await d.core.world.advance(10_000);
-    expect(belief(d.core).slot).toBe(slot);
+    expect(controlState(d.core).slot).toBe(slot);
   });
 
-  test('the target follows what the sluices count, and one whose reports stop does not make it fall', async () => {
+  test('the target follows what the proxies count, and one whose reports stop does not make it fall', async () => {
     const d = await day(70, { windowS: 5, holdS: 5, qTar: 2 });
-    const { wire, clock } = d.core.lab('sluice-1');
+    const { wire, clock } = d.core.lab('proxy-1');
     const peers = createPeers(wire, clock, createQuietLog().part('peers'));
     let n = 0;
     async function send(seconds: number, perSecond: number): Promise<void> {
@@ -270,7 +270,7 @@
         for (const name of THREE)
           void peers.tell(d.core.node(name).wire, {
             kind: 'reports',
-            reports: [report('sluice-1', i + 1, { requests: { m: n } })],
+            reports: [report('proxy-1', i + 1, { requests: { m: n } })],
           });
         await d.core.world.advance(500);
       }
@@ -278,35 +278,35 @@
     await d.core.finish(
       d.core
         .node('h1')
-        .headgate?.ledger.propose(
-          { cause: '-', act: { tag: 'sluiceKnown', name: 'sluice-1', zone: 'a', region: 'a' } },
+        .controller?.ledger.propose(
+          { cause: '-', act: { tag: 'proxyKnown', name: 'proxy-1', zone: 'a', region: 'a' } },
           3_000,
         ) ?? Promise.resolve(null),
       5_000,
     );
     await send(20, 10);
-    expect(belief(d.core).targets['m']).toBe(5);
+    expect(controlState(d.core).targets['m']).toBe(5);
     await d.core.world.advance(20_000);
-    expect(belief(d.core).targets['m']).toBe(5);
+    expect(controlState(d.core).targets['m']).toBe(5);
   });
 
   test.each([
     ['most', 3, 1],
     ['one of nine', 1, 0],
   ] as const)(
-    'a worker that %s sluices find unfit for long, while it is listed, is lost or not',
+    'a worker that %s proxies find unfit for long, while it is listed, is lost or not',
     async (_, saying, lost) => {
       const d = await day(80);
-      const { wire, clock } = d.core.lab('sluices');
+      const { wire, clock } = d.core.lab('proxies');
       const peers = createPeers(wire, clock, createQuietLog().part('peers'));
       for (let i = 1; i <= 30; i += 1) {
         const reports = [...Array(9).keys()].map((k) =>
-          report(`s${k}`, i, { fitness: k < saying ? { w4: 'unfit' } : {} }),
+          report(`s${k}`, i, { health: k < saying ? { w4: 'unfit' } : {} }),
         );
         for (const name of THREE) void peers.tell(d.core.node(name).wire, { kind: 'reports', reports });
         await d.core.world.advance(500);
       }
-      expect(belief(d.core).closed.filter((o) => o.machine === 'w4' && o.status === 'lost')).toHaveLength(lost);
+      expect(controlState(d.core).closed.filter((o) => o.machine === 'w4' && o.status === 'lost')).toHaveLength(lost);
     },
   );
 });
--- a/src/coordination/scaling/observer.ts
+++ b/src/coordination/scaling/observer.ts
@@ -55,7 +55,7 @@
 
   function notePlanned(list: readonly WorkerEntry[]): void {
     const held = new Set<string | null>();
-    for (const order of Object.values(ledger.belief().orders)) held.add(order.machine);
+    for (const order of Object.values(ledger.controlState().orders)) held.add(order.machine);
     for (const id of planned) if (!held.has(id)) planned.delete(id);
     for (const w of list) if (w.leaving && w.remainingMs === null && held.has(w.id)) planned.add(w.id);
   }
@@ -68,7 +68,7 @@
       const at = push.heardAt(r.reporter);
       if (at === null || now - at > REPORT_FRESH_MS) continue;
       reporters += 1;
-      for (const [id, verdict] of Object.entries(r.fitness))
+      for (const [id, verdict] of Object.entries(r.health))
         votes.set(id, (votes.get(id) ?? 0) + (verdict === 'unfit' ? 1 : -1));
     }
     const out = new Set<string>();
@@ -96,17 +96,19 @@
   }
 
   function decide(list: readonly WorkerEntry[]): Step[] {
-    const belief = ledger.belief();
+    const controlState = ledger.controlState();
     const dead = deadWorkers(list);
-    const rules = observedRules(belief.configuration, deps.zones);
+    const rules = observedRules(controlState.configuration, deps.zones);
     const configured = new Set<string>();
     for (const rule of rules) configured.add(rule.model);
-    const steps = decideRetired(belief, configured, list);
+    const steps = decideRetired(controlState, configured, list);
     for (const rule of rules) {
       const kept = memory.get(rule.model) ?? observedMemory();
       memory.set(rule.model, kept);
       const rate = rates.rate(rule.model, rule.values.windowS * 1_000);
-      steps.push(...decideObserved(rule, belief, { now: clock.mono(), list, rate, dead, planned }, kept, nextOrderId));
+      steps.push(
+        ...decideObserved(rule, controlState, { now: clock.mono(), list, rate, dead, planned }, kept, nextOrderId),
+      );
     }
     return steps;
   }
@@ -114,7 +116,7 @@
   async function turn(fence: number): Promise<void> {
     rates.observe();
     const list = seenList();
-    if (!list || ledger.belief().configuration.serving === undefined) return;
+    if (!list || ledger.controlState().configuration.serving === undefined) return;
     const steps = decide(list);
     const [first] = steps;
     if (!first || !mayAct(fence)) return;
--- a/src/coordination/scaling/rate-watch.ts
+++ b/src/coordination/scaling/rate-watch.ts
@@ -13,7 +13,7 @@
   function observe(): void {
     const now = clock.mono();
     let whole = true;
-    for (const name of Object.keys(ledger.belief().sluices)) {
+    for (const name of Object.keys(ledger.controlState().proxies)) {
       const at = push.heardAt(name);
       if (at === null || now - at > REPORT_FRESH_MS) whole = false;
     }
--- a/src/coordination/scaling/scaler.ts
+++ b/src/coordination/scaling/scaler.ts
@@ -7,11 +7,11 @@
 import type { Decision, Price, ScalerMemory, SeenMachine, Sight } from '../../state/scaler-decide.js';
 import type { Rate } from '../../state/target.js';
 import type { Machine } from '../../protocol/cloud-wire.js';
-import { FITNESS_PATH, readFitness } from '../../protocol/worker-wire.js';
+import { HEALTH_PATH, readHealth } from '../../protocol/worker-wire.js';
 import type { Listed } from '../../state/listed.js';
 import { pause } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
-import type { Caller } from '../../transport/http.js';
+import type { HttpClient } from '../../transport/http.js';
 import type { Log } from '../../transport/log.js';
 import { newId } from '../../transport/rng.js';
 import type { Rng } from '../../transport/rng.js';
@@ -29,7 +29,7 @@
   readonly push: Push;
   readonly cloud: CloudClient;
   readonly platform: PlatformClient;
-  readonly caller: Caller;
+  readonly httpClient: HttpClient;
   readonly clock: Clock;
   readonly rng: Rng;
   readonly log: Log;
@@ -43,7 +43,7 @@
 const MOST_SEEN = 10_000;
 
 export function createScaler(deps: ScalerDeps): Scaler {
-  const { ledger, lease, push, cloud, platform, caller, clock, rng, log } = deps;
+  const { ledger, lease, push, cloud, platform, httpClient, clock, rng, log } = deps;
   const rates = createRateWatch(ledger, push, clock);
   let memory: ScalerMemory = new Map();
   let prices: Record<string, Price> = {};
@@ -96,8 +96,8 @@
       for (const r of push.reports().values()) {
         const at = push.heardAt(r.reporter);
         if (at === null || now - at > REPORT_FRESH_MS) continue;
-        if (r.fitness[w.id] === 'fit') fit += 1;
-        if (r.fitness[w.id] === 'unfit') unfit += 1;
+        if (r.health[w.id] === 'fit') fit += 1;
+        if (r.health[w.id] === 'unfit') unfit += 1;
       }
       if (fit > 0 || unfit === 0) {
         unfitSince.delete(w.id);
@@ -116,7 +116,7 @@
 
   async function settleIntended(fence: number, machines: readonly SeenMachine[] | null): Promise<void> {
     const work: Promise<void>[] = [];
-    for (const order of Object.values(ledger.belief().orders))
+    for (const order of Object.values(ledger.controlState().orders))
       if (order.status === 'intended') work.push(settleOne(order));
     await Promise.all(work);
 
@@ -130,7 +130,7 @@
         });
         return;
       }
-      if (ledger.belief().evacuated[order.zone] !== undefined) {
+      if (ledger.controlState().evacuated[order.zone] !== undefined) {
         if (machines) await record(fence, `${order.zone} is being evacuated.`, { tag: 'orderFailed', order: order.id });
         return;
       }
@@ -138,7 +138,7 @@
         if (!mayAct(fence) || lease.leftMs() < ACTION_LEFT_MS) return;
         const got = await cloud.place({
           key: order.id,
-          owner: ledger.belief().ledger,
+          owner: ledger.controlState().ledger,
           model: order.model,
           zone: order.zone,
           kind: order.kind,
@@ -175,7 +175,7 @@
     const now = clock.mono();
     const still = new Map<string, number>();
     const work: Promise<void>[] = [];
-    for (const order of Object.values(ledger.belief().orders)) {
+    for (const order of Object.values(ledger.controlState().orders)) {
       if (order.status !== 'draining') continue;
       still.set(order.id, drainSince.get(order.id) ?? now);
       work.push(finishOne(order));
@@ -188,8 +188,13 @@
       if (now - since < 2 * TICK_MS) return;
       const worker = workerOf(workers, order.machine);
       if (worker && now - since < drainLimitMs(order.model)) {
-        const got = await caller.call({ method: 'GET', address: worker.address, path: FITNESS_PATH, timeoutMs: 900 });
-        const fit = got.ok ? readFitness(got.value.body) : null;
+        const got = await httpClient.call({
+          method: 'GET',
+          address: worker.address,
+          path: HEALTH_PATH,
+          timeoutMs: 900,
+        });
+        const fit = got.ok ? readHealth(got.value.body) : null;
         if (fit?.ok && fit.value.running > 0) return;
       }
       if (!mayAct(fence) || lease.leftMs() < ACTION_LEFT_MS) return;
@@ -200,7 +205,7 @@
   }
 
   function valuesOf(model: string): Resolved | null {
-    for (const rm of resolveAll(ledger.belief().configuration)) if (rm.model === model) return rm.values;
+    for (const rm of resolveAll(ledger.controlState().configuration)) if (rm.model === model) return rm.values;
     return null;
   }
   function drainLimitMs(model: string): number {
@@ -215,7 +220,7 @@
     if (!machines) return;
     const now = clock.mono();
     const open = new Set<string>();
-    for (const order of Object.values(ledger.belief().orders)) if (isOpen(order.status)) open.add(order.id);
+    for (const order of Object.values(ledger.controlState().orders)) if (isOpen(order.status)) open.add(order.id);
     for (const m of machines) {
       if (m.state === 'gone' || m.state === 'reclaiming' || open.has(m.key)) {
         orphanSince.delete(m.id);
@@ -235,8 +240,8 @@
   async function turn(fence: number): Promise<void> {
     rates.observe();
     await pollPrices();
-    const owner = ledger.belief().ledger;
-    const asOf = ledger.belief().slot;
+    const owner = ledger.controlState().ledger;
+    const asOf = ledger.controlState().slot;
     const [seenMachines, seenWorkers] = await Promise.all([cloud.machines(owner), platform.workers()]);
     const machines = seenMachines.ok ? seenMachines.value : null;
     const workers = seenWorkers.ok ? seenWorkers.value : null;
@@ -259,7 +264,7 @@
     const dead = deadMachines(workers);
     const failures = failedZones;
     failedZones = [];
-    for (const rm of resolveAll(ledger.belief().configuration)) {
+    for (const rm of resolveAll(ledger.controlState().configuration)) {
       if (!rm.values.scaled) continue;
       const rate: Rate | null = rates.rate(rm.model, rm.values.windowS * 1_000);
       const failedIn: string[] = [];
@@ -275,7 +280,7 @@
         asOf,
         seenBefore,
       };
-      for (const d of decideModel(rm, ledger.belief(), sight, memory, nextOrderId)) wanted.push(d);
+      for (const d of decideModel(rm, ledger.controlState(), sight, memory, nextOrderId)) wanted.push(d);
     }
     if (wanted.length > 0) await agree(fence, wanted);
     if (wanted.some(isIntent)) await settleIntended(fence, machines);
@@ -286,7 +291,7 @@
     for (const m of machines ?? []) seenBefore.add(m.id);
     if (seenBefore.size < MOST_SEEN) return;
     const held = new Set<string | null>();
-    for (const order of Object.values(ledger.belief().orders)) held.add(order.machine);
+    for (const order of Object.values(ledger.controlState().orders)) held.add(order.machine);
     for (const id of seenBefore) if (!held.has(id)) seenBefore.delete(id);
   }
 
--- a/src/operator/aims.test.ts
+++ b/src/operator/aims.test.ts
@@ -69,7 +69,7 @@
 
 describe('a report', () => {
   function coreOf(fleet: SimFleet): Core {
-    const at = (address: string): number => fleet.headgates.findIndex((h) => h.http === address);
+    const at = (address: string): number => fleet.controllers.findIndex((h) => h.http === address);
     async function askAt(
       address: string,
       ask: { method: 'GET' | 'POST' | 'DELETE'; path: string },
@@ -80,8 +80,8 @@
     return {
       addresses: [],
       askAt,
-      ask: (a) => askAt(fleet.headgates[0]?.http ?? '', a),
-      epoch: () => Promise.resolve(null),
+      ask: (a) => askAt(fleet.controllers[0]?.http ?? '', a),
+      version: () => Promise.resolve(null),
     };
   }
   async function reported(fleet: SimFleet): Promise<Record<string, AimRow> | null> {
@@ -89,7 +89,7 @@
     const rows = aims.ok
       ? await reportAims(
           coreOf(fleet),
-          fleet.headgates.map((h) => h.http),
+          fleet.controllers.map((h) => h.http),
           aims.value,
         )
       : null;
@@ -112,8 +112,8 @@
     await fleet.run(61_000);
     expect((await reported(fleet))?.['summaries succeed']).toMatchObject({ state: 'unknown', attained: null });
     await busy(fleet, 130, 3);
-    const base = ((await fleet.operator(1, 'GET', '/v1/configuration')) as { value: { body: { epoch: number } } }).value
-      .body.epoch;
+    const base = ((await fleet.operator(1, 'GET', '/v1/configuration')) as { value: { body: { version: number } } })
+      .value.body.version;
     await fleet.operator(1, 'POST', '/v1/configuration/amend', {
       base,
       changes: [{ path: ['deployment', 'lineLimit'], value: 9 }],
@@ -146,19 +146,19 @@
 
     await fleet.run(180_000);
     await busy(fleet, 60, 2);
-    fleet.kill('sluice-hu-1-1');
-    void fleet.startNode('sluice-hu-1-1');
+    fleet.kill('proxy-hu-1-1');
+    void fleet.startNode('proxy-hu-1-1');
     await fleet.run(70_000);
     const restarted = await reported(fleet);
-    expect(restarted?.['summaries succeed']).toMatchObject({ state: 'unknown', unknownOf: ['sluice-hu-1-1'] });
+    expect(restarted?.['summaries succeed']).toMatchObject({ state: 'unknown', unknownOf: ['proxy-hu-1-1'] });
     expect(restarted?.['summaries succeed']?.unknownMinutes).toBeGreaterThan(0);
   });
 
   test('is not given without a majority', async () => {
     const fleet = createSimFleet(32);
     expect(await fleet.start()).toBe(true);
-    fleet.kill('headgate-2');
-    fleet.kill('headgate-3');
+    fleet.kill('controller-2');
+    fleet.kill('controller-3');
     await fleet.run(5_000);
     expect(await reported(fleet)).toBeNull();
   });
--- a/src/operator/asks.ts
+++ b/src/operator/asks.ts
@@ -26,14 +26,14 @@
 export function zoneAsk(zone: string, act: 'evacuate' | 'restore', operation: string): CoreAsk {
   return { method: 'POST', path: `/v1/zones/${encodeURIComponent(zone)}/${act}`, body: { operation } };
 }
-export function forgetAsk(sluice: string): CoreAsk {
-  return { method: 'DELETE', path: `/v1/sluices/${encodeURIComponent(sluice)}` };
+export function forgetAsk(proxy: string): CoreAsk {
+  return { method: 'DELETE', path: `/v1/proxies/${encodeURIComponent(proxy)}` };
 }
 export function reopenAsk(): CoreAsk {
   return { method: 'POST', path: '/v1/claims/reopen', body: {} };
 }
 export function foundAsk(members: readonly string[]): CoreAsk {
-  return { method: 'POST', path: '/v1/found', body: { members } };
+  return { method: 'POST', path: '/v1/bootstrap', body: { members } };
 }
 
 export function placeOf(path: string): string[] {
--- a/src/operator/core-report.test.ts
+++ b/src/operator/core-report.test.ts
@@ -88,26 +88,26 @@
 });
 
 describe('asked of a simulated core', () => {
-  async function founded(
+  async function bootstrapped(
     seed: number,
   ): Promise<{ readonly sim: SimCore; readonly at: (names: readonly string[]) => Core }> {
-    const sim = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: 35, operatorDoor: true });
+    const sim = createSimCore(seed, { controllers: 3, seeds: 3, regionMs: 35, operatorHttpServer: true });
     sim.startAll();
     expect(await sim.until(8_000, () => sim.whole(THREE))).toBe(true);
     await sim.world.advance(4_000);
-    const { caller } = sim.lab('operator');
+    const { httpClient } = sim.lab('operator');
     return {
       sim,
       at: (names) =>
         createCore(
           names.map((n) => `${sim.node(n).wire}0`),
-          caller,
+          httpClient,
         ),
     };
   }
 
   test('one address is enough to hear all; the table tells members, losses and words', async () => {
-    const { sim, at } = await founded(1);
+    const { sim, at } = await bootstrapped(1);
     const report = await sim.finish(askCoreReport(at(['h2'])), 20_000);
     expect(report?.ledger).toMatchObject({ members: 3, agreeing: 3, spareLosses: 1, warning: null });
     const lines = coreText(report as NonNullable<typeof report>).split('\n');
@@ -116,7 +116,7 @@
   });
 
   test('one dead: none to spare, with a warning, and who would stop it', async () => {
-    const { sim, at } = await founded(2);
+    const { sim, at } = await bootstrapped(2);
     sim.kill('h3');
     await sim.world.advance(4_000);
     const report = await sim.finish(askCoreReport(at(THREE)), 20_000);
@@ -131,7 +131,7 @@
   });
 
   test('one that is cut off, asked alone, leads to the others; with those out of reach nothing is known', async () => {
-    const { sim, at } = await founded(3);
+    const { sim, at } = await bootstrapped(3);
     sim.cutOff(['h1']);
     await sim.world.advance(4_000);
     expect((await sim.finish(askCoreReport(at(['h1'])), 20_000))?.ledger).toMatchObject({
@@ -145,7 +145,7 @@
   });
 
   test('nobody answers: nothing is reported', async () => {
-    const { sim, at } = await founded(4);
+    const { sim, at } = await bootstrapped(4);
     for (const name of THREE) sim.kill(name);
     expect(await sim.finish(askCoreReport(at(THREE)), 20_000)).toBeNull();
   });
--- a/src/programs/valve.ts
+++ b/src/programs/admin.ts
@@ -21,10 +21,14 @@
 }
 
 function acknowledged(body: unknown): string {
-  const b = body as { readonly acknowledged?: boolean; readonly epoch?: number; readonly waiting?: readonly string[] };
+  const b = body as {
+    readonly acknowledged?: boolean;
+    readonly version?: number;
+    readonly waiting?: readonly string[];
+  };
   if (b.acknowledged)
-    return b.epoch === undefined ? 'Acknowledged.' : `Acknowledged: slot ${b.epoch} is in force on every sluice.`;
-  return `Agreed in slot ${b.epoch ?? '?'}, not yet confirmed by: ${(b.waiting ?? []).join(', ')}.`;
+    return b.version === undefined ? 'Acknowledged.' : `Acknowledged: slot ${b.version} is in force on every proxy.`;
+  return `Agreed in slot ${b.version ?? '?'}, not yet confirmed by: ${(b.waiting ?? []).join(', ')}.`;
 }
 
 function baseOf(ctx: Ctx): number | null | undefined {
@@ -36,7 +40,7 @@
 
 const CHANGE_ARGS = {
   ...CORE_ARGS,
-  base: { type: 'string', description: 'Epoch that the change was made on (default: the newest, asked first)' },
+  base: { type: 'string', description: 'Version that the change was made on (default: the newest, asked first)' },
   operation: { type: 'string', description: 'Operation id: the same id twice is the same change' },
 } as const satisfies ArgsDef;
 
@@ -69,7 +73,7 @@
     return leaveUsage();
   }
   const core = coreOf(ctx.args);
-  const base = asked ?? (await core.epoch());
+  const base = asked ?? (await core.version());
   const answer = base === null ? null : await core.ask(made.value(base, operationOf(ctx)));
   report(answer, ctx.args['json'] === true, acknowledged);
 }
@@ -123,12 +127,12 @@
 
   function shown(body: unknown): string {
     const b = body as {
-      readonly epoch: number;
+      readonly version: number;
       readonly configuration: unknown;
       readonly evacuated: readonly string[];
       readonly resolved: readonly ResolvedRow[];
     };
-    const head = `epoch ${b.epoch}; evacuated: ${b.evacuated.length > 0 ? b.evacuated.join(', ') : 'none'}`;
+    const head = `version ${b.version}; evacuated: ${b.evacuated.length > 0 ? b.evacuated.join(', ') : 'none'}`;
     if (ctx.args['resolved'] !== true) return `${head}\n${JSON.stringify(b.configuration, null, 2)}`;
     const rows: string[] = [head];
     for (const r of b.resolved) {
@@ -169,17 +173,17 @@
 
 const FORGET_ARGS = {
   ...CORE_ARGS,
-  sluice: { type: 'positional', description: 'Name of a sluice that is gone for good', required: true },
+  proxy: { type: 'positional', description: 'Name of a proxy that is gone for good', required: true },
 } as const satisfies ArgsDef;
 
 async function runForget(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, FORGET_ARGS)) return leaveUsage();
-  report(await coreOf(ctx.args).ask(forgetAsk(textOf(ctx, 'sluice') ?? '')), ctx.args['json'] === true, acknowledged);
+  report(await coreOf(ctx.args).ask(forgetAsk(textOf(ctx, 'proxy') ?? '')), ctx.args['json'] === true, acknowledged);
 }
 
 const FOUND_ARGS = {
   ...CORE_ARGS,
-  members: { type: 'string', description: 'Node addresses of every headgate, joined by commas', required: true },
+  members: { type: 'string', description: 'Node addresses of every controller, joined by commas', required: true },
 } as const satisfies ArgsDef;
 
 async function runFound(ctx: Ctx): Promise<void> {
@@ -202,11 +206,11 @@
   report(await coreOf(ctx.args).ask(reopenAsk()), ctx.args['json'] === true, acknowledged);
 }
 
-export const valveCommand = defineCommand({
-  meta: { name: 'valve', description: "Operator's commands" },
+export const adminCommand = defineCommand({
+  meta: { name: 'admin', description: "Operator's commands" },
   subCommands: {
-    found: defineCommand({
-      meta: { name: 'found', description: 'Found the ledger on blank headgates, once' },
+    bootstrap: defineCommand({
+      meta: { name: 'bootstrap', description: 'Bootstrap the ledger on blank controllers, once' },
       args: FOUND_ARGS,
       run: runFound,
     }),
@@ -241,7 +245,7 @@
       run: runReopen,
     }),
     forget: defineCommand({
-      meta: { name: 'forget', description: 'Forget a sluice that is gone for good' },
+      meta: { name: 'forget', description: 'Forget a proxy that is gone for good' },
       args: FORGET_ARGS,
       run: runForget,
     }),
--- a/src/programs/ask-core.ts
+++ b/src/programs/ask-core.ts
@@ -1,6 +1,6 @@
 import { createCore } from '../operator/core.js';
 import type { Core, CoreAnswer } from '../operator/core.js';
-import { createGotCaller } from '../transport/caller.js';
+import { createGotHttpClient } from '../transport/http-client.js';
 import { EXIT } from './exit-codes.js';
 import type { ExitCode } from './exit-codes.js';
 import { complain, leave, say } from './flags.js';
@@ -8,7 +8,7 @@
 export const CORE_ARGS = {
   core: {
     type: 'string',
-    description: 'Addresses of headgates for operators, joined by commas',
+    description: 'Addresses of controllers for operators, joined by commas',
     default: '127.0.0.1:7200',
   },
   json: { type: 'boolean', description: 'Print the answer as JSON' },
@@ -20,7 +20,7 @@
 }
 
 export function coreOf(args: Readonly<Record<string, unknown>>): Core {
-  return createCore(addressesOf(args), createGotCaller(1_000));
+  return createCore(addressesOf(args), createGotHttpClient(1_000));
 }
 
 export function exitCodeOf(answer: CoreAnswer | null): ExitCode {
@@ -32,7 +32,7 @@
 export function report(answer: CoreAnswer | null, json: boolean, readable: (body: unknown) => string): void {
   leave(exitCodeOf(answer));
   if (!answer) {
-    complain('No headgate answered.');
+    complain('No controller answered.');
     return;
   }
   if (json) {
--- a/src/programs/composition.ts
+++ b/src/programs/composition.ts
@@ -1,18 +1,18 @@
 import 'reflect-metadata';
 import { Container } from 'inversify';
 import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
-import { fullDisk } from '../basin/full-disk.js';
-import { pathTable, slowCaller, slowWire } from '../basin/slow-net.js';
-import type { PathTo } from '../basin/slow-net.js';
+import { fullDisk } from '../standin/full-disk.js';
+import { pathTable, slowHttpClient, slowWire } from '../standin/slow-net.js';
+import type { PathTo } from '../standin/slow-net.js';
 import { POLICIES } from '../state/policies.js';
 import type { Policy } from '../state/policies.js';
-import { createGotCaller } from '../transport/caller.js';
+import { createGotHttpClient } from '../transport/http-client.js';
 import { createClock } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
 import { createFolderDisk } from '../transport/disk.js';
 import type { Disk } from '../transport/disk.js';
-import { createExpressDoor } from '../transport/door.js';
-import type { Caller, Door } from '../transport/http.js';
+import { createExpressHttpServer } from '../transport/http-server.js';
+import type { HttpClient, HttpServer } from '../transport/http.js';
 import { createLogRoot } from '../transport/log.js';
 import type { LogRoot } from '../transport/log.js';
 import { createMeters } from '../transport/meters.js';
@@ -23,7 +23,7 @@
 import { switchesAt } from '../transport/switch-file.js';
 import type { Switches } from '../transport/switch-file.js';
 import type { Lab, NodeSettings } from './settings.js';
-import type { Place } from '../basin/tally.js';
+import type { Place } from '../standin/tally.js';
 import { placeAt, tallyInto } from './tally-file.js';
 
 export const T = {
@@ -33,8 +33,8 @@
   logs: Symbol.for('logs'),
   switches: Symbol.for('switches'),
   wire: Symbol.for('wire'),
-  door: Symbol.for('door'),
-  caller: Symbol.for('caller'),
+  httpServer: Symbol.for('httpServer'),
+  httpClient: Symbol.for('caller'),
   disk: Symbol.for('disk'),
   policies: Symbol.for('policies'),
   deps: Symbol.for('deps'),
@@ -68,18 +68,18 @@
     const wire = createTcpWire(box.get<LogRoot>(T.logs).part('wire'), DIAL_MS, tally && tally.meterOf(ownPlace()));
     return isSlow(lab) ? slowWire(wire, box.get<Clock>(T.clock), pathsOf(lab)) : wire;
   }
-  function makeCaller(): Caller {
-    const got = createGotCaller(CONNECT_MS);
-    const caller = tally ? tally.countedCaller(ownPlace(), got) : got;
-    return isSlow(lab) ? slowCaller(caller, box.get<Clock>(T.clock), pathsOf(lab)) : caller;
+  function makeHttpClient(): HttpClient {
+    const got = createGotHttpClient(CONNECT_MS);
+    const httpClient = tally ? tally.countedHttpClient(ownPlace(), got) : got;
+    return isSlow(lab) ? slowHttpClient(httpClient, box.get<Clock>(T.clock), pathsOf(lab)) : httpClient;
   }
   function makePolicies(): readonly Policy[] {
     const kept: Policy[] = [];
     for (const p of POLICIES) if (p.name !== lab?.withoutPolicy) kept.push(p);
     return kept;
   }
-  function makeDoor(): Door {
-    return createExpressDoor(box.get<LogRoot>(T.logs).part('door'));
+  function makeHttpServer(): HttpServer {
+    return createExpressHttpServer(box.get<LogRoot>(T.logs).part('httpServer'));
   }
   function makeDisk(): Disk | null {
     if (settings.dataFolder === null) return null;
@@ -100,8 +100,8 @@
       clock: box.get<Clock>(T.clock),
       rng: box.get<Rng>(T.rng),
       wire: box.get<Wire>(T.wire),
-      door: box.get<Door>(T.door),
-      caller: box.get<Caller>(T.caller),
+      httpServer: box.get<HttpServer>(T.httpServer),
+      httpClient: box.get<HttpClient>(T.httpClient),
       disk: box.get<Disk | null>(T.disk),
       logs: box.get<LogRoot>(T.logs),
       policies: box.get<readonly Policy[]>(T.policies),
@@ -131,8 +131,8 @@
   box.bind(T.logs).toDynamicValue(makeLogs).inSingletonScope();
   box.bind(T.switches).toDynamicValue(makeSwitches).inSingletonScope();
   box.bind(T.wire).toDynamicValue(makeWire).inSingletonScope();
-  box.bind(T.door).toDynamicValue(makeDoor).inSingletonScope();
-  box.bind(T.caller).toDynamicValue(makeCaller).inSingletonScope();
+  box.bind(T.httpServer).toDynamicValue(makeHttpServer).inSingletonScope();
+  box.bind(T.httpClient).toDynamicValue(makeHttpClient).inSingletonScope();
   box.bind(T.disk).toDynamicValue(makeDisk).inSingletonScope();
   box.bind(T.deps).toDynamicValue(makeDeps).inSingletonScope();
   box.bind(T.identity).toDynamicValue(makeIdentity).inSingletonScope();
--- a/src/programs/daemons.ts
+++ b/src/programs/daemons.ts
@@ -1,8 +1,8 @@
 import { defineCommand } from 'citty';
 import type { ArgsDef } from 'citty';
-import { HEADGATE_SHAPES, startHeadgate } from '../coordination/headgate.js';
+import { CONTROLLER_SHAPES, startController } from '../coordination/controller.js';
 import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
-import { startSluice } from '../coordination/edge/sluice.js';
+import { startProxy } from '../coordination/edge/proxy.js';
 import type { Result } from '../base/result.js';
 import { compose, T } from './composition.js';
 import { EXIT } from './exit-codes.js';
@@ -70,30 +70,30 @@
   return out;
 }
 
-function runSluice(ctx: {
+function runProxy(ctx: {
   readonly rawArgs: string[];
   readonly args: Readonly<Record<string, unknown>>;
 }): Promise<void> {
-  return runDaemon(ctx.rawArgs, picked(ctx.args), { dataFolder: false, cloud: false }, startSluice);
+  return runDaemon(ctx.rawArgs, picked(ctx.args), { dataFolder: false, cloud: false }, startProxy);
 }
-function startCore(id: NodeIdentity, deps: NodeDeps): ReturnType<typeof startHeadgate> {
-  return startHeadgate(id, deps, HEADGATE_SHAPES);
+function startCore(id: NodeIdentity, deps: NodeDeps): ReturnType<typeof startController> {
+  return startController(id, deps, CONTROLLER_SHAPES);
 }
-function runHeadgate(ctx: {
+function runController(ctx: {
   readonly rawArgs: string[];
   readonly args: Readonly<Record<string, unknown>>;
 }): Promise<void> {
   return runDaemon(ctx.rawArgs, picked(ctx.args), { dataFolder: true, cloud: true }, startCore);
 }
 
-export const sluiceCommand = defineCommand({
-  meta: { name: 'sluice', description: 'Edge daemon: places, dispatches and relays requests' },
+export const proxyCommand = defineCommand({
+  meta: { name: 'proxy', description: 'Edge daemon: places, dispatches and relays requests' },
   args: NODE_ARGS,
-  run: runSluice,
+  run: runProxy,
 });
 
-export const headgateCommand = defineCommand({
-  meta: { name: 'headgate', description: 'Core node: agrees the ledger, scales workers, serves operators' },
+export const controllerCommand = defineCommand({
+  meta: { name: 'controller', description: 'Core node: agrees the ledger, scales workers, serves operators' },
   args: NODE_ARGS,
-  run: runHeadgate,
+  run: runController,
 });
--- a/src/programs/hollow.ts
+++ b/src/programs/hollow.ts
@@ -1,17 +1,17 @@
 import { readFileSync } from 'node:fs';
 import { createInterface } from 'node:readline';
 import type { ArgsDef } from 'citty';
-import { startBasinCloud } from '../basin/cloud.js';
-import { hollowDoor, hollowWorkers, localDoors, startHollowSluices } from '../basin/hollow.js';
-import type { HollowPart, HollowSluice } from '../basin/hollow.js';
-import { startBasinPlatform } from '../basin/platform.js';
-import type { Place } from '../basin/tally.js';
-import { startBasinWorker, WORKER_DEFAULTS } from '../basin/worker.js';
+import { startStandinCloud } from '../standin/cloud.js';
+import { hollowHttpServer, hollowWorkers, localHttpServers, startHollowProxies } from '../standin/hollow.js';
+import type { HollowPart, HollowProxy } from '../standin/hollow.js';
+import { startStandinPlatform } from '../standin/platform.js';
+import type { Place } from '../standin/tally.js';
+import { startStandinWorker, WORKER_DEFAULTS } from '../standin/worker.js';
 import type { NodeDeps } from '../coordination/node.js';
 import { POLICIES } from '../state/policies.js';
-import { createGotCaller } from '../transport/caller.js';
+import { createGotHttpClient } from '../transport/http-client.js';
 import { createClock } from '../transport/clock.js';
-import { createExpressDoor } from '../transport/door.js';
+import { createExpressHttpServer } from '../transport/http-server.js';
 import { createNoJournal } from '../transport/journal.js';
 import { createLogRoot } from '../transport/log.js';
 import { createMeters } from '../transport/meters.js';
@@ -28,7 +28,7 @@
 export type HollowPlan = {
   readonly tally: TallySettings;
   readonly wholeProbes: boolean;
-  readonly sluices: readonly HollowSluice[];
+  readonly proxies: readonly HollowProxy[];
   readonly outside?: {
     readonly platform: string;
     readonly cloud: string;
@@ -41,7 +41,7 @@
   plan: {
     type: 'string',
     required: true,
-    description: 'File that names the sluices and workers of this process (made by tools/capacity.mjs)',
+    description: 'File that names the proxies and workers of this process (made by tools/capacity.mjs)',
   },
 } as const satisfies ArgsDef;
 
@@ -60,27 +60,27 @@
     return part?.tally() ?? null;
   }
   const tally = tallyInto(plan.tally, extra);
-  const shared = hollowWorkers(createGotCaller(DIAL_MS), clock);
+  const shared = hollowWorkers(createGotHttpClient(DIAL_MS), clock);
 
   if (plan.outside && !(await startOutside(plan.outside))) return leave(EXIT.cannotListen);
-  if (plan.sluices.length > 0) {
-    const started = await startHollowSluices(plan.sluices, depsOf, clock);
+  if (plan.proxies.length > 0) {
+    const started = await startHollowProxies(plan.proxies, depsOf, clock);
     if (!started.ok) {
-      complain(`hollow sluices could not start: ${JSON.stringify(started.fault)}`);
+      complain(`hollow proxies could not start: ${JSON.stringify(started.fault)}`);
       process.exit(EXIT.cannotListen);
     }
     part = started.value;
   }
 
-  function depsOf(of: HollowSluice): NodeDeps {
-    const own: Place = { role: 'sluice', zone: of.zone, region: of.region };
-    const counted = tally.countedCaller(own, createGotCaller(DIAL_MS));
+  function depsOf(of: HollowProxy): NodeDeps {
+    const own: Place = { role: 'proxy', zone: of.zone, region: of.region };
+    const counted = tally.countedHttpClient(own, createGotHttpClient(DIAL_MS));
     return {
       clock,
       rng: createOsRng(),
       wire: createTcpWire(logs.part('wire'), DIAL_MS, tally.meterOf(own)),
-      door: hollowDoor(),
-      caller: plan.wholeProbes ? counted : tally.countedCaller(own, shared),
+      httpServer: hollowHttpServer(),
+      httpClient: plan.wholeProbes ? counted : tally.countedHttpClient(own, shared),
       disk: null,
       logs,
       policies: POLICIES,
@@ -89,14 +89,14 @@
   }
 
   async function startOutside(o: NonNullable<HollowPlan['outside']>): Promise<boolean> {
-    const local = localDoors(createExpressDoor(logs.part('basin')), createGotCaller(DIAL_MS));
+    const local = localHttpServers(createExpressHttpServer(logs.part('standin')), createGotHttpClient(DIAL_MS));
     const journal = createNoJournal();
-    const deps = { clock, rng: createOsRng(), door: local.door, caller: local.caller, journal };
-    const platform = await startBasinPlatform(o.platform, clock, local.door, journal);
-    const cloud = await startBasinCloud({ address: o.cloud, platform: o.platform, prices: o.prices }, deps);
+    const deps = { clock, rng: createOsRng(), httpServer: local.httpServer, httpClient: local.httpClient, journal };
+    const platform = await startStandinPlatform(o.platform, clock, local.httpServer, journal);
+    const cloud = await startStandinCloud({ address: o.cloud, platform: o.platform, prices: o.prices }, deps);
     let all = platform.ok && cloud.ok;
     for (const w of o.workers) {
-      const got = await startBasinWorker(
+      const got = await startStandinWorker(
         {
           ...WORKER_DEFAULTS,
           id: w.id,
--- a/src/programs/gauge.ts
+++ b/src/programs/inspect.ts
@@ -30,7 +30,7 @@
   readonly name: string;
   readonly ledger: string;
   readonly slot: number;
-  readonly epoch: number;
+  readonly version: number;
   readonly quorate: boolean;
   readonly writable: boolean;
   readonly core?: { readonly ledger: CoreHealth; readonly claims: CoreHealth | null };
@@ -48,14 +48,14 @@
     Record<string, { readonly active: readonly string[]; readonly preemptive: readonly string[] }>
   >;
   readonly targets: Readonly<Record<string, number>>;
-  readonly sluices: Readonly<
+  readonly proxies: Readonly<
     Record<
       string,
       {
         readonly slot: number | null;
         readonly heardMs: number | null;
         readonly shed: number;
-        readonly dispatched: number;
+        readonly attempted: number;
         readonly retried: number;
       }
     >
@@ -74,7 +74,7 @@
 function statusText(body: unknown): string {
   const s = body as Status;
   const rows = [
-    `${s.name}: ledger ${s.ledger || 'not founded'}, slot ${s.slot}, epoch ${s.epoch}, ${s.quorate ? 'quorate' : 'no majority'}, ${s.writable ? 'writable' : 'cannot write'}`,
+    `${s.name}: ledger ${s.ledger || 'not bootstrapped'}, slot ${s.slot}, version ${s.version}, ${s.quorate ? 'quorate' : 'no majority'}, ${s.writable ? 'writable' : 'cannot write'}`,
   ];
   if (s.core) rows.push(`core: ${ownWordText(s.core.ledger)}`);
   if (s.core?.claims) rows.push(`claims: ${ownWordText(s.core.claims)}`);
@@ -88,13 +88,13 @@
       `model ${pad(model, 18)} target ${pad(s.targets[model], 4)} active ${z.active.join(',') || '-'} preemptive ${z.preemptive.join(',') || '-'}`,
     );
   }
-  rows.push('sluices');
-  for (const [name, x] of Object.entries(s.sluices)) {
+  rows.push('proxies');
+  for (const [name, x] of Object.entries(s.proxies)) {
     rows.push(
-      `  ${pad(name, 14)} slot ${pad(x.slot, 7)} heard ${pad(x.heardMs === null ? '-' : `${x.heardMs}ms`, 8)} dispatched ${pad(x.dispatched, 8)} retried ${pad(x.retried, 6)} shed ${x.shed ?? '-'}`,
+      `  ${pad(name, 14)} slot ${pad(x.slot, 7)} heard ${pad(x.heardMs === null ? '-' : `${x.heardMs}ms`, 8)} dispatched ${pad(x.attempted, 8)} retried ${pad(x.retried, 6)} shed ${x.shed ?? '-'}`,
     );
   }
-  rows.push('workers, as the sluices find them');
+  rows.push('workers, as the proxies find them');
   for (const [id, w] of Object.entries(s.workers).sort())
     rows.push(`  ${pad(id, 20)} fit for ${pad(w.fit, 4)} unfit for ${w.unfit}`);
   rows.push(`orders in flight: ${s.ordersInFlight.length}`);
@@ -209,7 +209,7 @@
   say(ctx.args['json'] === true ? JSON.stringify(rows, null, 2) : aimsText(rows));
 }
 function noMajority(): void {
-  complain('No headgate with a majority answered; nothing is reported.');
+  complain('No controller with a majority answered; nothing is reported.');
   leave(EXIT.unreachable);
 }
 
@@ -221,11 +221,11 @@
   if (told.ledger.spareLosses === null) leave(EXIT.unreachable);
 }
 
-export const gaugeCommand = defineCommand({
-  meta: { name: 'gauge', description: 'Reads the state of the deployment; changes nothing' },
+export const inspectCommand = defineCommand({
+  meta: { name: 'inspect', description: 'Reads the state of the deployment; changes nothing' },
   subCommands: {
     status: defineCommand({
-      meta: { name: 'status', description: 'Nodes, duties, zone sets, sluices' },
+      meta: { name: 'status', description: 'Nodes, duties, zone sets, proxies' },
       args: CORE_ARGS,
       run: runStatus,
     }),
--- a/src/programs/main.ts
+++ b/src/programs/main.ts
@@ -1,19 +1,19 @@
 #!/usr/bin/env node
 import { defineCommand, runMain } from 'citty';
-import { basinCommand } from './basin.js';
-import { headgateCommand, sluiceCommand } from './daemons.js';
-import { gaugeCommand } from './gauge.js';
+import { standinCommand } from './standin.js';
+import { controllerCommand, proxyCommand } from './daemons.js';
+import { inspectCommand } from './inspect.js';
 import { complain, leaveUsage } from './flags.js';
 import { runbookCommand } from './runbook.js';
-import { valveCommand } from './valve.js';
+import { adminCommand } from './admin.js';
 import { VERSION } from './version.js';
 
 const subCommands = {
-  sluice: sluiceCommand,
-  headgate: headgateCommand,
-  valve: valveCommand,
-  gauge: gaugeCommand,
-  basin: basinCommand,
+  proxy: proxyCommand,
+  controller: controllerCommand,
+  admin: adminCommand,
+  inspect: inspectCommand,
+  standin: standinCommand,
   runbook: runbookCommand,
 };
 
--- a/src/programs/package.test.ts
+++ b/src/programs/package.test.ts
@@ -49,12 +49,12 @@
 }
 
 describe('the packed package, in a folder of a caller', () => {
-  test('gives millfield/flume to a caller', () => {
+  test('gives millfield/client to a caller', () => {
     expect(
       node(
         '--input-type=module',
         '-e',
-        "import { createFlume } from 'millfield/flume'; console.log(typeof createFlume({ sluices: [] }).send)",
+        "import { createClient } from 'millfield/client'; console.log(typeof createClient({ proxies: [] }).send)",
       ).trim(),
     ).toBe('function');
   });
--- a/src/programs/basin.ts
+++ b/src/programs/standin.ts
@@ -2,17 +2,17 @@
 import type { ArgsDef } from 'citty';
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { startBasinCloud } from '../basin/cloud.js';
-import { checkRecords } from '../basin/check.js';
-import type { Rec } from '../basin/check.js';
-import { runOrigin } from '../basin/origin.js';
-import { startBasinPlatform } from '../basin/platform.js';
-import { startBasinWorker, WORKER_DEFAULTS } from '../basin/worker.js';
-import { pathTable, slowCaller } from '../basin/slow-net.js';
-import { createGotCaller } from '../transport/caller.js';
+import { startStandinCloud } from '../standin/cloud.js';
+import { checkRecords } from '../standin/check.js';
+import type { Rec } from '../standin/check.js';
+import { runCaller } from '../standin/caller.js';
+import { startStandinPlatform } from '../standin/platform.js';
+import { startStandinWorker, WORKER_DEFAULTS } from '../standin/worker.js';
+import { pathTable, slowHttpClient } from '../standin/slow-net.js';
+import { createGotHttpClient } from '../transport/http-client.js';
 import { createClock } from '../transport/clock.js';
-import { createExpressDoor } from '../transport/door.js';
-import type { Caller } from '../transport/http.js';
+import { createExpressHttpServer } from '../transport/http-server.js';
+import type { HttpClient } from '../transport/http.js';
 import { createFileJournal, createNoJournal } from '../transport/journal.js';
 import type { Journal } from '../transport/journal.js';
 import { createLogRoot } from '../transport/log.js';
@@ -37,14 +37,14 @@
   const path = textOf(ctx, 'journal');
   return path === undefined ? createNoJournal() : createFileJournal(path);
 }
-function callerOf(ctx: Ctx): Caller {
-  const caller = createGotCaller(1_000);
+function httpClientOf(ctx: Ctx): HttpClient {
+  const httpClient = createGotHttpClient(1_000);
   const file = textOf(ctx, 'lab');
-  if (file === undefined) return caller;
+  if (file === undefined) return httpClient;
   const lab = JSON.parse(readFileSync(file, 'utf8')) as Lab;
   const clock = createClock();
   const switches = switchesAt(lab.switches);
-  return slowCaller(caller, clock, pathTable(textOf(ctx, 'zone') ?? '', lab.zones, lab.delayMs, switches));
+  return slowHttpClient(httpClient, clock, pathTable(textOf(ctx, 'zone') ?? '', lab.zones, lab.delayMs, switches));
 }
 
 const COMMON = {
@@ -68,7 +68,7 @@
 
 async function runWorker(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, WORKER_ARGS)) return leaveUsage();
-  const started = await startBasinWorker(
+  const started = await startStandinWorker(
     {
       id: textOf(ctx, 'id') ?? '',
       zone: textOf(ctx, 'zone') ?? '',
@@ -85,8 +85,8 @@
     {
       clock: createClock(),
       rng: createOsRng(),
-      door: createExpressDoor(createLogRoot('warn').part('basin')),
-      caller: callerOf(ctx),
+      httpServer: createExpressHttpServer(createLogRoot('warn').part('standin')),
+      httpClient: httpClientOf(ctx),
       journal: journalOf(ctx),
     },
   );
@@ -95,7 +95,7 @@
 }
 
 function failedStart(fault: { readonly tag: string }): void {
-  complain(`basin could not start: ${JSON.stringify(fault)}`);
+  complain(`standin could not start: ${JSON.stringify(fault)}`);
   leave(EXIT.cannotListen);
 }
 
@@ -106,10 +106,10 @@
 
 async function runPlatform(ctx: Ctx): Promise<void> {
   if (!flagsFit(ctx.rawArgs, PLATFORM_ARGS)) return leaveUsage();
-  const started = await startBasinPlatform(
+  const started = await startStandinPlatform(
     textOf(ctx, 'http') ?? '',
     createClock(),
-    createExpressDoor(createLogRoot('warn').part('basin')),
+    createExpressHttpServer(createLogRoot('warn').part('standin')),
     journalOf(ctx),
   );
   if (!started.ok) return failedStart(started.fault);
@@ -134,13 +134,13 @@
     }
     prices[m[1] as string] = { spot: Number(m[2]), onDemand: Number(m[3]) };
   }
-  const started = await startBasinCloud(
+  const started = await startStandinCloud(
     { address: textOf(ctx, 'http') ?? '', platform: textOf(ctx, 'platform') ?? '', prices },
     {
       clock: createClock(),
       rng: createOsRng(),
-      door: createExpressDoor(createLogRoot('warn').part('basin')),
-      caller: callerOf(ctx),
+      httpServer: createExpressHttpServer(createLogRoot('warn').part('standin')),
+      httpClient: httpClientOf(ctx),
       journal: journalOf(ctx),
     },
   );
@@ -148,11 +148,11 @@
   onStop(started.value.stop);
 }
 
-const ORIGIN_ARGS = {
+const CALLER_ARGS = {
   ...COMMON,
-  name: { type: 'string', default: 'origin', description: 'Name in the journal' },
+  name: { type: 'string', default: 'caller', description: 'Name in the journal' },
   zone: { type: 'string', required: true, description: 'Zone that the callers sit in' },
-  sluices: { type: 'string', required: true, description: 'Addresses of sluices, joined by commas' },
+  proxies: { type: 'string', required: true, description: 'Addresses of proxies, joined by commas' },
   once: { type: 'string', description: 'Model whose requests may not be repeated' },
   kind: { type: 'string', description: 'Kind of those requests' },
   models: { type: 'string', description: 'Models to stream from, joined by commas' },
@@ -163,14 +163,14 @@
   seed: { type: 'string', description: 'Seed of the traffic' },
 } as const satisfies ArgsDef;
 
-async function runOriginCommand(ctx: Ctx): Promise<void> {
-  if (!flagsFit(ctx.rawArgs, ORIGIN_ARGS)) return leaveUsage();
+async function runCallerCommand(ctx: Ctx): Promise<void> {
+  if (!flagsFit(ctx.rawArgs, CALLER_ARGS)) return leaveUsage();
   const seed = textOf(ctx, 'seed');
   const journal = journalOf(ctx);
-  const tally = await runOrigin(
+  const tally = await runCaller(
     {
-      name: textOf(ctx, 'name') ?? 'origin',
-      sluices: (textOf(ctx, 'sluices') ?? '').split(','),
+      name: textOf(ctx, 'name') ?? 'caller',
+      proxies: (textOf(ctx, 'proxies') ?? '').split(','),
       zone: textOf(ctx, 'zone') ?? '',
       runOnceModel: textOf(ctx, 'once') ?? null,
       streamModels: (textOf(ctx, 'models') ?? '').split(',').filter(Boolean),
@@ -184,7 +184,7 @@
     {
       clock: createClock(),
       rng: seed === undefined ? createOsRng() : createRng(Number(seed)),
-      caller: callerOf(ctx),
+      httpClient: httpClientOf(ctx),
       journal,
     },
   );
@@ -225,8 +225,8 @@
   leave(report.broken.length > 0 || empty ? EXIT.refused : EXIT.ok);
 }
 
-export const basinCommand = defineCommand({
-  meta: { name: 'basin', description: 'Stand-ins for workers, platform, cloud and callers' },
+export const standinCommand = defineCommand({
+  meta: { name: 'standin', description: 'Stand-ins for workers, platform, cloud and callers' },
   subCommands: {
     worker: defineCommand({
       meta: { name: 'worker', description: 'A model worker' },
@@ -239,13 +239,13 @@
       run: runPlatform,
     }),
     cloud: defineCommand({ meta: { name: 'cloud', description: 'The cloud API' }, args: CLOUD_ARGS, run: runCloud }),
-    origin: defineCommand({
-      meta: { name: 'origin', description: 'Callers' },
-      args: ORIGIN_ARGS,
-      run: runOriginCommand,
+    caller: defineCommand({
+      meta: { name: 'caller', description: 'Callers' },
+      args: CALLER_ARGS,
+      run: runCallerCommand,
     }),
     hollow: defineCommand({
-      meta: { name: 'hollow', description: 'Many sluices without traffic, or many workers, in one process' },
+      meta: { name: 'hollow', description: 'Many proxies without traffic, or many workers, in one process' },
       args: HOLLOW_ARGS,
       run: runHollow,
     }),
--- a/src/programs/tally-file.ts
+++ b/src/programs/tally-file.ts
@@ -1,6 +1,6 @@
 import { readFileSync, renameSync, writeFileSync } from 'node:fs';
-import { createTally } from '../basin/tally.js';
-import type { Place, Places, Tally } from '../basin/tally.js';
+import { createTally } from '../standin/tally.js';
+import type { Place, Places, Tally } from '../standin/tally.js';
 
 export type TallySettings = { readonly file: string; readonly places: string };
 
--- a/src/protocol/origin-wire.ts
+++ b/src/protocol/caller-wire.ts
@@ -25,7 +25,7 @@
 export type PlaceAsk = Static<typeof PlaceShape>;
 
 export const PlacedShape = Type.Object({
-  sluice: Id,
+  proxy: Id,
   address: Id,
   ticket: Type.String(),
   requestId: Id,
@@ -90,6 +90,6 @@
 export const readAnswerLine = readerOf(AnswerLineShape);
 
 export const PLACE_PATH = '/v1/place';
-export const EDGE_FITNESS_PATH = '/v1/fitness';
+export const EDGE_HEALTH_PATH = '/v1/health';
 export const REQUESTS_PATH = '/v1/requests';
 export const TICKET_HEADER = 'x-millfield-ticket';
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -5,7 +5,7 @@
 import { isTable } from '../base/is-table.js';
 import { CountsShape } from '../state/aim-counts.js';
 import { ClaimAnswerShape, ClaimEndShape, ClaimShape } from '../state/claim.js';
-import { ToldUsageShape, UsageRowsShape } from '../state/crowd.js';
+import { ToldUsageShape, UsageRowsShape } from '../state/fleet-load.js';
 import { BatchShape, MemberShape } from '../state/entry.js';
 import { ListNumberShape } from '../state/list-book.js';
 import { ListedShape } from '../state/listed.js';
@@ -35,9 +35,9 @@
   Type.Object({ kind: Type.Literal('alreadyChosen'), voter: Str }),
   Type.Object({ kind: Type.Literal('cannotVote') }),
   Type.Object({ kind: Type.Literal('learned'), ledger: Str, slot: Slot, batch: Str, at: Str }),
-  Type.Object({ kind: Type.Literal('standingAsk') }),
+  Type.Object({ kind: Type.Literal('memberStatusAsk') }),
   Type.Object({
-    kind: Type.Literal('standing'),
+    kind: Type.Literal('memberStatus'),
     ledger: Type.String(),
     voter: Str,
     address: Str,
@@ -61,11 +61,11 @@
     text: Type.String({ maxLength: PART_LENGTH }),
   }),
   Type.Object({ kind: Type.Literal('snapshotGone'), digest: Str }),
-  Type.Object({ kind: Type.Literal('found'), ledger: Str, slotZero: BatchShape, commit: Type.Boolean() }),
-  Type.Object({ kind: Type.Literal('foundAnswer'), agreed: Type.Boolean(), member: MemberShape }),
-  Type.Object({ kind: Type.Literal('foundingAsk'), founders: Str }),
+  Type.Object({ kind: Type.Literal('bootstrap'), ledger: Str, slotZero: BatchShape, commit: Type.Boolean() }),
+  Type.Object({ kind: Type.Literal('bootstrapAnswer'), agreed: Type.Boolean(), member: MemberShape }),
+  Type.Object({ kind: Type.Literal('bootstrapVoteAsk'), bootstrapMembers: Str }),
   Type.Object({
-    kind: Type.Literal('foundingAnswer'),
+    kind: Type.Literal('bootstrapVoteAnswer'),
     member: MemberShape,
     ledger: Type.String(),
     votes: Type.Boolean(),
@@ -159,7 +159,7 @@
   }),
   Type.Object({ kind: Type.Literal('usage'), told: ToldUsageShape }),
   Type.Object({ kind: Type.Literal('usages'), told: ToldUsageShape }),
-  Type.Object({ kind: Type.Literal('crowd'), rows: UsageRowsShape }),
+  Type.Object({ kind: Type.Literal('fleetLoad'), rows: UsageRowsShape }),
   Type.Object({ kind: Type.Literal('listAsk') }),
   Type.Object({
     kind: Type.Literal('listTold'),
--- a/src/protocol/open-words.ts
+++ b/src/protocol/open-words.ts
@@ -1,5 +1,5 @@
 export type OpenWords = {
-  readonly dispatchId: string;
+  readonly attemptId: string;
   readonly deadline: string;
   readonly prefix: string;
   readonly tokens: string;
@@ -12,7 +12,7 @@
 };
 
 export const OPEN_WORDS: OpenWords = {
-  dispatchId: 'millfield-dispatch',
+  attemptId: 'millfield-attempt',
   deadline: 'millfield-deadline-ms',
   prefix: 'millfield-prefix',
   tokens: 'millfield-tokens',
--- a/src/protocol/serving.test.ts
+++ b/src/protocol/serving.test.ts
@@ -1,19 +1,19 @@
 import { describe, expect, test } from '@jest/globals';
 import { DEFAULT_LIMITS } from '../state/serving.js';
-import type { DoorMapping, ModelTraits, Serving } from '../state/serving.js';
+import type { RouteMapping, ModelTraits, Serving } from '../state/serving.js';
 import { withChanges } from '../state/settings-tree.js';
 import { readConfiguration } from './configuration.js';
 import { readServing } from './serving.js';
 
 const MODEL: ModelTraits = {
   at: 0,
-  fitnessPath: '/health',
+  probePath: '/health',
   maxConns: 10,
   coldS: 0,
   coldRateS: 0,
   engine: { batch: 64, kvTokens: 1_000 },
 };
-function mapping(more: Partial<DoorMapping>): DoorMapping {
+function mapping(more: Partial<RouteMapping>): RouteMapping {
   return {
     at: 0,
     host: 'a.example',
@@ -25,7 +25,7 @@
     deadlineMs: 5_000,
     aimMs: 800,
     pauseMs: null,
-    dispatches: 1,
+    attempts: 1,
     shares: [
       { model: 'm', share: 90 },
       { model: 'n', share: 10 },
@@ -103,7 +103,7 @@
     ],
     ['no host', ['mappings', 'x', 'host'], undefined, '/mappings/x/host: a host; nothing'],
     ['no number', ['number'], undefined, `/number: a whole number from 1 to ${Number.MAX_SAFE_INTEGER}; nothing`],
-    ['no dispatches', ['mappings', 'x', 'dispatches'], 0, '/mappings/x/dispatches: a whole number from 1 to 1000; 0'],
+    ['no dispatches', ['mappings', 'x', 'attempts'], 0, '/mappings/x/attempts: a whole number from 1 to 1000; 0'],
     ['mappings in a list', ['mappings'], [], '/mappings: a table; []'],
     ['a model in a text', ['models', 'm'], 'm', '/models/m: a model; "m"'],
     ['a limit of no bytes', ['limits', 'headerBytes'], 0, '/limits/headerBytes: a number above 0; 0'],
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -2,7 +2,7 @@
 import { isTable } from '../base/is-table.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { DoorMapping, EngineTraits, ModelTraits, OriginLimits, Serving, Share } from '../state/serving.js';
+import type { RouteMapping, EngineTraits, ModelTraits, CallerLimits, Serving, Share } from '../state/serving.js';
 import { faultAt, faultsIn, real, text, whole } from './codecs.js';
 import type { ConfigFault } from './codecs.js';
 
@@ -50,7 +50,7 @@
 type Codecs<T> = { readonly [K in Exclude<keyof T, 'extra'>]-?: t.Mixed };
 
 const SHARE: Codecs<Share> = { model: Filled, share: Amount };
-const MAPPING: Codecs<DoorMapping> = {
+const MAPPING: Codecs<RouteMapping> = {
   at: Count,
   host: text('a host', isHost),
   prefix: text('a path that begins and ends with a slash', isPrefix),
@@ -61,7 +61,7 @@
   deadlineMs: Above,
   aimMs: orNull(Above),
   pauseMs: orNull(Above),
-  dispatches: whole(1, 1_000),
+  attempts: whole(1, 1_000),
   shares: t.readonlyArray(t.type(SHARE, 'a share'), 'a list of shares'),
   split: Flag,
   homes: t.readonlyArray(Filled, 'a list of regions'),
@@ -69,13 +69,13 @@
 const ENGINE: Codecs<EngineTraits> = { batch: whole(1, MOST), kvTokens: Amount };
 const MODEL: Codecs<ModelTraits> = {
   at: Count,
-  fitnessPath: text('a path', isPath),
+  probePath: text('a path', isPath),
   maxConns: whole(1, MOST),
   coldS: Amount,
   coldRateS: Amount,
   engine: orNull(t.type(ENGINE, 'a table of batch and kvTokens')),
 };
-const LIMITS: Codecs<OriginLimits> = { headerBytes: Above, bodyBytes: Amount, headerMs: Above, idleMs: Above };
+const LIMITS: Codecs<CallerLimits> = { headerBytes: Above, bodyBytes: Amount, headerMs: Above, idleMs: Above };
 const Mapping = t.type(MAPPING, 'a mapping');
 const Model = t.type(MODEL, 'a model');
 const Limits = t.type(LIMITS, 'a table of limits');
@@ -108,7 +108,7 @@
   items<ModelTraits>('models', top['models'], Model);
   const models = isTable(top['models']) ? top['models'] : {};
   const taken = new Map<string, string>();
-  for (const [name, mapping] of items<DoorMapping>('mappings', top['mappings'], Mapping)) {
+  for (const [name, mapping] of items<RouteMapping>('mappings', top['mappings'], Mapping)) {
     const place = `${mapping.host.toLowerCase()} ${mapping.prefix}`;
     const other = taken.get(place);
     if (other !== undefined)
--- a/src/protocol/worker-wire.ts
+++ b/src/protocol/worker-wire.ts
@@ -1,6 +1,6 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
-import { FitnessShape } from '../state/fitness.js';
+import { HealthShape } from '../state/health.js';
 import { PieceShape, SealShape } from '../state/seal.js';
 import { readerOf } from './read-shape.js';
 
@@ -15,7 +15,7 @@
 
 export const RunShape = Type.Object({
   requestId: Id,
-  dispatchId: Id,
+  attemptId: Id,
   model: Id,
   parts: Type.Array(PartShape, { maxItems: 1_024 }),
   outputTokens: Type.Integer({ minimum: 0, maximum: 10_000_000 }),
@@ -32,13 +32,13 @@
 ]);
 export type StreamLine = Static<typeof StreamLineShape>;
 
-export const NotRunShape = Type.Object({ notRun: Type.Literal(true), requestId: Id, dispatchId: Id });
+export const NotRunShape = Type.Object({ notRun: Type.Literal(true), requestId: Id, attemptId: Id });
 
 export const readRun = readerOf(RunShape);
 export const readWhole = readerOf(WholeShape);
 export const readStreamLine = readerOf(StreamLineShape);
 export const readNotRun = readerOf(NotRunShape);
-export const readFitness = readerOf(FitnessShape);
+export const readHealth = readerOf(HealthShape);
 
 export const RUN_PATH = '/v1/run';
-export const FITNESS_PATH = '/v1/fitness';
+export const HEALTH_PATH = '/v1/health';
