--- a/src/runbook/core-runbooks.test.ts
+++ b/src/runbook/core-runbooks.test.ts
@@ -30,8 +30,8 @@
     clock: fleet.world.clockOf(proc),
     core: (at) =>
       createCore(
-        at.map((i) => fleet.headgates[i]?.http ?? ''),
-        fleet.callerOf(proc),
+        at.map((i) => fleet.controllers[i]?.http ?? ''),
+        fleet.httpClientOf(proc),
       ),
   };
 }
@@ -62,22 +62,22 @@
   );
   return { end, records, asked };
 }
-const planned = book('before-core-work', { name: 'headgate-2' });
+const planned = book('before-core-work', { name: 'controller-2' });
 const FIRST = 'A majority says that the core bears a further loss';
 
 describe('before planned work on the core', () => {
   test('all well: the work is asked for, and the core bears a loss again at the end', async () => {
     const d = await desk(31);
     const got = await play(d, planned, d.core(ALL), () => {
-      d.fleet.kill('headgate-2');
-      d.fleet.world.at(20_000, () => void d.fleet.startNode('headgate-2'));
+      d.fleet.kill('controller-2');
+      d.fleet.world.at(20_000, () => void d.fleet.startNode('controller-2'));
     });
     expect([got.end, got.asked]).toEqual([{ tag: 'done' }, ['The work']]);
   });
 
   test('another member is dead: refused before anyone is asked, naming it', async () => {
     const d = await desk(32);
-    d.fleet.kill('headgate-3');
+    d.fleet.kill('controller-3');
     await d.fleet.run(3_000);
     const unmet = await d.fleet.finish(unmetAtStart(planned, d.core(ALL), d.clock), 60_000);
     expect(unmet?.step.name).toBe(FIRST);
@@ -85,14 +85,14 @@
     expect(got.end).toMatchObject({
       tag: 'stopped',
       outcome: 'unmet',
-      seen: expect.stringContaining('headgate-3 silent'),
+      seen: expect.stringContaining('controller-3 silent'),
     });
     expect(got.asked).toEqual([]);
   });
 
   test('two are dead: refused, as no majority knows', async () => {
     const d = await desk(33);
-    for (const name of ['headgate-1', 'headgate-3']) d.fleet.kill(name);
+    for (const name of ['controller-1', 'controller-3']) d.fleet.kill(name);
     await d.fleet.run(3_000);
     const got = await play(d, planned, d.core(ALL));
     expect(got.end).toMatchObject({
@@ -105,30 +105,30 @@
 
   test('the only one that is named is cut off: the others are asked, and their word counts', async () => {
     const d = await desk(34);
-    d.fleet.cutOff(['headgate-1']);
+    d.fleet.cutOff(['controller-1']);
     await d.fleet.run(3_000);
     const got = await play(d, planned, d.core([0]));
     expect(got.end).toMatchObject({
       tag: 'stopped',
       outcome: 'unmet',
-      seen: expect.stringContaining('ledger bears 0 of at least 1 (headgate-1 silent)'),
+      seen: expect.stringContaining('ledger bears 0 of at least 1 (controller-1 silent)'),
     });
   });
 
   test('the controller does not come back: late, and no word of success', async () => {
     const d = await desk(35);
-    const got = await play(d, planned, d.core(ALL), () => d.fleet.kill('headgate-2'));
+    const got = await play(d, planned, d.core(ALL), () => d.fleet.kill('controller-2'));
     expect(got.end).toMatchObject({
       tag: 'stopped',
       outcome: 'late',
       step: { name: 'The core bears a further loss again' },
-      seen: expect.stringContaining('headgate-2 silent'),
+      seen: expect.stringContaining('controller-2 silent'),
     });
   });
 
   test('a disk that takes no writes is a loss already', async () => {
     const d = await desk(36);
-    const sick = d.fleet.headgates[2];
+    const sick = d.fleet.controllers[2];
     if (sick) sick.platter.failing = true;
     await d.fleet.operator(0, 'POST', '/v1/zones/at-1/evacuate', {});
     await d.fleet.run(3_000);
@@ -136,27 +136,27 @@
     expect(got.end).toMatchObject({
       tag: 'stopped',
       outcome: 'unmet',
-      seen: expect.stringContaining('headgate-3 cannotWrite'),
+      seen: expect.stringContaining('controller-3 cannotWrite'),
     });
   });
 });
 
 describe('replace a controller', () => {
-  const step = 'The core goes on without headgate-2';
+  const step = 'The core goes on without controller-2';
   function replace(d: Desk): Runbook {
-    return book('replace-core-machine', { name: 'headgate-2', address: d.fleet.headgates[1]?.wire ?? '' });
+    return book('replace-core-machine', { name: 'controller-2', address: d.fleet.controllers[1]?.wire ?? '' });
   }
 
   test('a lost one is replaced, and the last step says that the core bears a loss again', async () => {
     const d = await desk(41);
-    d.fleet.kill('headgate-2');
-    d.fleet.wipe('headgate-2');
+    d.fleet.kill('controller-2');
+    d.fleet.wipe('controller-2');
     await d.fleet.run(6_000);
     const got = await play(
       d,
       replace(d),
       d.core(ALL),
-      (s) => void (s.name.startsWith('Start') && d.fleet.startNode('headgate-2')),
+      (s) => void (s.name.startsWith('Start') && d.fleet.startNode('controller-2')),
     );
     expect(got.end).toEqual({ tag: 'done' });
     expect(got.records.find((r) => r.name === 'The core bears a further loss again')).toMatchObject({
@@ -167,7 +167,7 @@
 
   test('refused while another one lacks what the core needs: its loss would be the second', async () => {
     const d = await desk(42);
-    const sick = d.fleet.headgates[2];
+    const sick = d.fleet.controllers[2];
     if (sick) sick.platter.failing = true;
     await d.fleet.operator(0, 'POST', '/v1/zones/at-1/evacuate', {});
     await d.fleet.run(3_000);
@@ -176,7 +176,7 @@
       tag: 'stopped',
       outcome: 'unmet',
       step: { name: step },
-      seen: expect.stringContaining('ledger would stop without headgate-2 (headgate-3 cannotWrite)'),
+      seen: expect.stringContaining('ledger would stop without controller-2 (controller-3 cannotWrite)'),
     });
     expect(got.asked).toEqual([]);
   });
--- a/src/runbook/document.ts
+++ b/src/runbook/document.ts
@@ -9,7 +9,7 @@
   | { readonly tag: 'goesOnWithout'; readonly name: string }
   | { readonly tag: 'writable'; readonly name: string }
   | { readonly tag: 'claimsReady'; readonly name: string }
-  | { readonly tag: 'sluicesConfirmed' }
+  | { readonly tag: 'proxiesConfirmed' }
   | { readonly tag: 'node'; readonly name: string; readonly status: string }
   | { readonly tag: 'member'; readonly name: string; readonly address: string | null }
   | { readonly tag: 'evacuated'; readonly zone: string; readonly is: boolean }
@@ -29,7 +29,7 @@
   | { readonly tag: 'evacuate'; readonly zone: string }
   | { readonly tag: 'restore'; readonly zone: string }
   | { readonly tag: 'set'; readonly path: string; readonly value: unknown }
-  | { readonly tag: 'forget'; readonly sluice: string }
+  | { readonly tag: 'forget'; readonly proxy: string }
   | { readonly tag: 'reopenClaims' }
   | { readonly tag: 'person'; readonly does: string };
 
@@ -53,7 +53,7 @@
   goesOnWithout: { needs: { name: 'text' }, may: {} },
   writable: { needs: { name: 'text' }, may: {} },
   claimsReady: { needs: { name: 'text' }, may: {} },
-  sluicesConfirmed: { needs: {}, may: {} },
+  proxiesConfirmed: { needs: {}, may: {} },
   node: { needs: { name: 'text', status: 'text' }, may: {} },
   member: { needs: { name: 'text' }, may: { address: 'text' } },
   evacuated: { needs: { zone: 'text', is: 'flag' }, may: {} },
@@ -68,7 +68,7 @@
   evacuate: { needs: { zone: 'text' }, may: {} },
   restore: { needs: { zone: 'text' }, may: {} },
   set: { needs: { path: 'text', value: 'any' }, may: {} },
-  forget: { needs: { sluice: 'text' }, may: {} },
+  forget: { needs: { proxy: 'text' }, may: {} },
   reopenClaims: { needs: {}, may: {} },
   person: { needs: { does: 'text' }, may: {} },
 };
--- a/src/runbook/observe-core.test.ts
+++ b/src/runbook/observe-core.test.ts
@@ -28,7 +28,7 @@
     const core = { ledger: health(address, ledgerBehind), claims: claimsBehind && health(address, claimsBehind) };
     return { status: 200, body: { name: address, member: `${address}#i`, slot: 9, members: [], nodes: [], core } };
   }
-  return { addresses: THREE, askAt, ask: () => Promise.resolve(null), epoch: () => Promise.resolve(null) };
+  return { addresses: THREE, askAt, ask: () => Promise.resolve(null), version: () => Promise.resolve(null) };
 }
 const spare = { tag: 'spareLosses', atLeast: 1 } as const satisfies Condition;
 const without = { tag: 'goesOnWithout', name: 'h1' } as const satisfies Condition;
--- a/src/runbook/observe.ts
+++ b/src/runbook/observe.ts
@@ -16,7 +16,7 @@
   readonly members: readonly { readonly name: string; readonly address: string }[];
   readonly nodes: readonly { readonly name: string; readonly status: string; readonly http: string }[];
   readonly evacuated: Readonly<Record<string, number>>;
-  readonly sluices: Readonly<Record<string, { readonly slot: number; readonly heardMs: number | null }>>;
+  readonly proxies: Readonly<Record<string, { readonly slot: number; readonly heardMs: number | null }>>;
 };
 
 const HEARD_MS = 3_000;
@@ -53,7 +53,7 @@
   if (c.tag === 'ready' || c.tag === 'zoneOrders') return ordersSeen(core, c);
   if (c.tag === 'spareLosses' || c.tag === 'goesOnWithout') return coreSeen(core, c);
   const got = await core.ask(statusAsk());
-  if (!got || got.status !== 200) return { met: false, text: 'no headgate answers' };
+  if (!got || got.status !== 200) return { met: false, text: 'no controller answers' };
   const s = got.body as Status;
   switch (c.tag) {
     case 'quorate':
@@ -68,13 +68,13 @@
         text: `${c.name} ${met ? 'is' : 'is not'} ${c.tag === 'writable' ? 'able to write' : 'ready for claims'}`,
       };
     }
-    case 'sluicesConfirmed': {
+    case 'proxiesConfirmed': {
       const late: string[] = [];
-      for (const [name, x] of Object.entries(s.sluices))
+      for (const [name, x] of Object.entries(s.proxies))
         if (x.slot < s.slot || x.heardMs === null || x.heardMs > HEARD_MS) late.push(name);
       return {
         met: late.length === 0,
-        text: late.length === 0 ? `all sluices stand at slot ${s.slot}` : `behind or silent: ${late.join(', ')}`,
+        text: late.length === 0 ? `all proxies stand at slot ${s.slot}` : `behind or silent: ${late.join(', ')}`,
       };
     }
     case 'node': {
@@ -108,7 +108,7 @@
 
 async function ordersSeen(core: Core, c: Extract<Condition, { tag: 'ready' | 'zoneOrders' }>): Promise<Seen> {
   const got = await core.ask(ordersAsk());
-  if (!got || got.status !== 200) return { met: false, text: 'no headgate answers' };
+  if (!got || got.status !== 200) return { met: false, text: 'no controller answers' };
   const { orders } = got.body as { readonly orders: readonly Order[] };
   let n = 0;
   for (const o of orders) {
@@ -122,7 +122,7 @@
 
 async function settingSeen(core: Core, path: string, is: unknown): Promise<Seen> {
   const got = await core.ask(readAsk());
-  if (!got || got.status !== 200) return { met: false, text: 'no headgate with a majority answers' };
+  if (!got || got.status !== 200) return { met: false, text: 'no controller with a majority answers' };
   let at: unknown = (got.body as { readonly configuration: unknown }).configuration;
   for (const step of placeOf(path))
     at =
--- a/src/runbook/run.test.ts
+++ b/src/runbook/run.test.ts
@@ -29,8 +29,8 @@
   return {
     proc,
     core: createCore(
-      fleet.headgates.map((h) => h.http),
-      fleet.callerOf(proc),
+      fleet.controllers.map((h) => h.http),
+      fleet.httpClientOf(proc),
     ),
   };
 }
@@ -62,29 +62,29 @@
     const b = book('evacuate-and-hand-back', { zone: 'hu-1' });
     const first = await play(fleet, b, (s) => s.work.tag !== 'person');
     expect(first.end).toMatchObject({ tag: 'stopped', outcome: 'declined' });
-    const belief = () => fleet.headgates[0]?.headgate?.ledger.belief();
-    expect(Object.keys(belief()?.evacuated ?? {})).toEqual(['hu-1']);
-    const slot = belief()?.slot ?? 0;
+    const controlState = () => fleet.controllers[0]?.controller?.ledger.controlState();
+    expect(Object.keys(controlState()?.evacuated ?? {})).toEqual(['hu-1']);
+    const slot = controlState()?.slot ?? 0;
     const second = await play(fleet, b, yes, first.records);
     expect(second.end).toEqual({ tag: 'done' });
     expect(second.records.filter((r) => r.outcome === 'doneBefore').map((r) => r.name)).toEqual(['Empty hu-1']);
-    expect(belief()?.evacuated).toEqual({});
-    expect(belief()?.slot).toBeGreaterThan(slot);
+    expect(controlState()?.evacuated).toEqual({});
+    expect(controlState()?.slot).toBeGreaterThan(slot);
     const third = await play(fleet, b, yes, [...first.records, ...second.records]);
     expect(third.records.some((r) => r.outcome === 'doneBefore')).toBe(false);
   });
 
   test('a dry run changes nothing', async () => {
     const fleet = await ready(62);
-    const epoch = fleet.headgates[0]?.headgate?.ledger.belief().epoch;
+    const version = fleet.controllers[0]?.controller?.ledger.controlState().version;
     const got = await play(fleet, book('roll-out-setting', {}), () => false, [], true);
     expect(got.end).toEqual({ tag: 'wouldDo' });
-    expect(fleet.headgates[0]?.headgate?.ledger.belief().epoch).toBe(epoch);
+    expect(fleet.controllers[0]?.controller?.ledger.controlState().version).toBe(version);
   });
 
   test('a setting is rolled out and taken back', async () => {
     const fleet = await ready(63);
-    const extra = () => fleet.headgates[1]?.headgate?.ledger.belief().configuration.deployment.nExtra;
+    const extra = () => fleet.controllers[1]?.controller?.ledger.controlState().configuration.deployment.nExtra;
     expect((await play(fleet, book('roll-out-setting', {}), yes)).end).toEqual({ tag: 'done' });
     expect(extra()).toBe(3);
     expect((await play(fleet, book('take-back-setting', {}), yes)).end).toEqual({ tag: 'done' });
@@ -93,16 +93,20 @@
 
   test('replace a core machine', async () => {
     const fleet = await ready(64);
-    fleet.kill('headgate-2');
-    fleet.wipe('headgate-2');
+    fleet.kill('controller-2');
+    fleet.wipe('controller-2');
     await fleet.run(6_000);
-    const h = fleet.headgates[1];
-    const got = await play(fleet, book('replace-core-machine', { name: 'headgate-2', address: h?.wire ?? '' }), (s) => {
-      if (s.name.startsWith('Start')) void fleet.startNode('headgate-2');
-      return true;
-    });
+    const h = fleet.controllers[1];
+    const got = await play(
+      fleet,
+      book('replace-core-machine', { name: 'controller-2', address: h?.wire ?? '' }),
+      (s) => {
+        if (s.name.startsWith('Start')) void fleet.startNode('controller-2');
+        return true;
+      },
+    );
     expect(got.end).toEqual({ tag: 'done' });
-    expect(h?.headgate?.ledger.isMember()).toBe(true);
+    expect(h?.controller?.ledger.isMember()).toBe(true);
   });
 
   test('region lost, then back cold', async () => {
@@ -113,14 +117,14 @@
       .map((h) => h.name);
     for (const name of gone) fleet.powerLoss(name);
     await fleet.run(4_000);
-    expect((await play(fleet, book('region-lost', { zone: 'ro-1', sluice: 'sluice-ro-1-1' }), yes)).end).toEqual({
+    expect((await play(fleet, book('region-lost', { zone: 'ro-1', proxy: 'proxy-ro-1-1' }), yes)).end).toEqual({
       tag: 'done',
     });
     for (const name of gone) void fleet.startNode(name);
-    expect((await play(fleet, book('region-back-cold', { zone: 'ro-1', node: 'sluice-ro-1-1' }), yes)).end).toEqual({
+    expect((await play(fleet, book('region-back-cold', { zone: 'ro-1', node: 'proxy-ro-1-1' }), yes)).end).toEqual({
       tag: 'done',
     });
-    expect(fleet.headgates[0]?.headgate?.ledger.belief().evacuated).toEqual({});
+    expect(fleet.controllers[0]?.controller?.ledger.controlState().evacuated).toEqual({});
   });
 
   test('spot drought', async () => {
@@ -128,7 +132,7 @@
     const zones = ['hu-1', 'at-1', 'ro-1'];
     for (const zone of zones)
       await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/zone', body: { zone, spot: false } });
-    for (const o of Object.values(fleet.headgates[0]?.headgate?.ledger.belief().orders ?? {})) {
+    for (const o of Object.values(fleet.controllers[0]?.controller?.ledger.controlState().orders ?? {})) {
       await fleet.call({
         method: 'POST',
         address: fleet.cloudAddress,
@@ -147,38 +151,38 @@
     const fleet = await ready(67);
     const bounce: Hands = (s) => {
       if (s.work.tag !== 'person') return true;
-      const name = s.work.does.includes('sluice') ? 'sluice-at-1-1' : 'headgate-3';
+      const name = s.work.does.includes('proxy') ? 'proxy-at-1-1' : 'controller-3';
       fleet.kill(name);
       fleet.world.at(1_000, () => void fleet.startNode(name));
       return true;
     };
-    expect((await play(fleet, book('upgrade-node', { name: 'sluice-at-1-1' }), bounce)).end).toEqual({ tag: 'done' });
-    const h = fleet.headgates[2];
+    expect((await play(fleet, book('upgrade-node', { name: 'proxy-at-1-1' }), bounce)).end).toEqual({ tag: 'done' });
+    const h = fleet.controllers[2];
     if (h) h.platter.failing = true;
     await fleet.operator(0, 'POST', '/v1/zones/at-1/evacuate', {});
     await fleet.run(1_000);
     if (h) h.platter.failing = false;
-    expect((await play(fleet, book('full-disk', { name: 'headgate-3' }), bounce)).end).toEqual({ tag: 'done' });
-    expect(h?.headgate?.ledger.writable()).toBe(true);
+    expect((await play(fleet, book('full-disk', { name: 'controller-3' }), bounce)).end).toEqual({ tag: 'done' });
+    expect(h?.controller?.ledger.writable()).toBe(true);
   });
 
   test('an unmet precondition stops before anything is changed; a late step says so', async () => {
     const fleet = await ready(68);
-    fleet.kill('sluice-ro-1-1');
+    fleet.kill('proxy-ro-1-1');
     await fleet.run(5_000);
     const b = book('evacuate-and-hand-back', { zone: 'hu-1' });
     const unmet = await fleet.finish(
       unmetAtStart(b, coreOf(fleet).core, fleet.world.clockOf(fleet.world.begin(fleet.world.host('looker', 'lab')))),
       20_000,
     );
-    expect(unmet?.step.name).toBe('All sluices are up to date');
+    expect(unmet?.step.name).toBe('All proxies are up to date');
     const got = await play(fleet, b, yes);
     expect(got.end).toMatchObject({ tag: 'stopped', outcome: 'unmet' });
-    expect(fleet.headgates[0]?.headgate?.ledger.belief().evacuated).toEqual({});
-    const late = await play(fleet, book('region-back-cold', { zone: 'hu-1', node: 'sluice-ro-1-1' }), yes);
+    expect(fleet.controllers[0]?.controller?.ledger.controlState().evacuated).toEqual({});
+    const late = await play(fleet, book('region-back-cold', { zone: 'hu-1', node: 'proxy-ro-1-1' }), yes);
     expect(late.end).toMatchObject({ tag: 'stopped', outcome: 'unmet' });
     await fleet.operator(0, 'POST', '/v1/zones/hu-1/evacuate', {});
-    const waited = await play(fleet, book('region-back-cold', { zone: 'hu-1', node: 'sluice-ro-1-1' }), yes);
+    const waited = await play(fleet, book('region-back-cold', { zone: 'hu-1', node: 'proxy-ro-1-1' }), yes);
     expect(waited.end).toMatchObject({ tag: 'stopped', outcome: 'late' });
   });
 });
--- a/src/runbook/run.ts
+++ b/src/runbook/run.ts
@@ -100,7 +100,7 @@
     if (work.tag === 'person') return ['done', 'a person did it'];
     const ask = await askOf(step, `${runId}:${i}`);
     const answer = ask ? await core.ask(ask) : null;
-    if (!answer) return ['refused', 'no headgate answers'];
+    if (!answer) return ['refused', 'no controller answers'];
     const unchanged =
       answer.status === 409 &&
       (answer.body as { readonly error?: { readonly tag?: string } }).error?.tag === 'unchanged';
@@ -115,11 +115,11 @@
       case 'restore':
         return zoneAsk(work.zone, work.tag, operation);
       case 'set': {
-        const base = await core.epoch();
+        const base = await core.version();
         return base === null ? null : amendAsk(base, [{ path: placeOf(work.path), value: work.value }], operation);
       }
       case 'forget':
-        return forgetAsk(work.sluice);
+        return forgetAsk(work.proxy);
       case 'reopenClaims':
         return reopenAsk();
       default:
--- a/src/sim/chaos-operators.ts
+++ b/src/sim/chaos-operators.ts
@@ -32,9 +32,9 @@
 /** Share of confirmed changes that are sent once more. */
 const REPEATED_SHARE = 0.15;
 
-export function epochOf(a: HttpAnswer): number {
-  const b = a.body as { readonly epoch?: unknown } | null;
-  return typeof b?.epoch === 'number' ? b.epoch : -1;
+export function versionOf(a: HttpAnswer): number {
+  const b = a.body as { readonly version?: unknown } | null;
+  return typeof b?.version === 'number' ? b.version : -1;
 }
 export function configurationOf(a: HttpAnswer): unknown {
   return (a.body as { readonly configuration?: unknown } | null)?.configuration ?? null;
@@ -72,7 +72,7 @@
   function tellWatchers({ base, value }: Change, answer: ChangeAnswer, reply: HttpAnswer): void {
     if (answer === 'stale' || answer === 'invalid') watchers.refused(value);
     if (answer !== 'confirmed') return;
-    const version = epochOf(reply);
+    const version = versionOf(reply);
     watchers.won(base, version);
     if (reply.status === 200) watchers.acked(version, value);
     else watchers.agreed(version, value);
@@ -92,7 +92,7 @@
     const reply = await fleet.operator(at, 'POST', '/v1/configuration/amend', body, limitMs);
     const answer = answerOf(reply);
     if (answer === 'unclear' || !reply.ok) return answer;
-    noteAnswer(answer, answer === 'confirmed' ? epochOf(reply.value) : undefined);
+    noteAnswer(answer, answer === 'confirmed' ? versionOf(reply.value) : undefined);
     tellWatchers(change, answer, reply.value);
     return answer;
   }
@@ -124,13 +124,13 @@
   let serial = 100;
   const first = await fleet.operator(0, 'GET', '/v1/configuration');
   const initial = first.ok
-    ? { number: epochOf(first.value), content: contentOf(first.value) }
+    ? { number: versionOf(first.value), content: contentOf(first.value) }
     : { number: -1, content: 'none' };
   const history = createCallHistory(world.now, initial);
   const sender = createChangeSender(fleet, watchers, history, anyController, createRng(seed * 13 + 5));
 
   function anyController(): number {
-    return below(rng, fleet.headgates.length);
+    return below(rng, fleet.controllers.length);
   }
   function changeTo(base: number, value: number): Change {
     return { request: `change-${value}`, base, value };
@@ -141,7 +141,7 @@
     const noteRead = history.readSent(`controller ${at + 1}`);
     const read = await fleet.operator(at, 'GET', '/v1/configuration');
     if (!read.ok || read.value.status !== 200) return null;
-    const base = epochOf(read.value);
+    const base = versionOf(read.value);
     noteRead(base, contentOf(read.value));
     watchers.read(`controller ${at + 1}`, floor, base, configurationOf(read.value));
     return base;
--- a/src/sim/chaos.ts
+++ b/src/sim/chaos.ts
@@ -1,11 +1,11 @@
-import type { Broken } from '../basin/check.js';
-import { tagOf } from '../basin/origin.js';
-import { createFlumeOver } from '../flume/flume.js';
+import type { Broken } from '../standin/check.js';
+import { tagOf } from '../standin/caller.js';
+import { createClientOver } from '../client/client.js';
 import { below, createRng } from '../transport/rng.js';
 import type { LogRoot } from '../transport/log.js';
 import { FAULTS, inZone, names, nodeNames, pick } from './faults.js';
 import type { FaultAct, FaultName } from './faults.js';
-import { configurationOf, contentOf, createOperators, epochOf } from './chaos-operators.js';
+import { configurationOf, contentOf, createOperators, versionOf } from './chaos-operators.js';
 import type { Operators } from './chaos-operators.js';
 import { createSimFleet } from './sim-fleet.js';
 import type { SimFleet } from './sim-fleet.js';
@@ -128,7 +128,7 @@
       first.length === fleet.zones.length && calm.length === fleet.zones.length && last.length === fleet.zones.length
     );
   }
-  if (!(await world.until(200_000, allOver, watchers.step))) fault('answered', 'an origin still waits');
+  if (!(await world.until(200_000, allOver, watchers.step))) fault('answered', 'a caller still waits');
 
   await readBack(fleet, watchers, ops, fault);
   await repeatKeys(fleet, fault);
@@ -146,12 +146,12 @@
   if (lastAsked === 0 || lastGood < lastAsked * 0.97)
     fault('serveAgain', `${lastGood} of ${lastAsked} succeeded after the faults: ${JSON.stringify(calm)}`);
   const portrait: string[] = [];
-  for (let i = 0; i < fleet.headgates.length; i += 1) {
+  for (let i = 0; i < fleet.controllers.length; i += 1) {
     const got = await fleet.operator(i, 'GET', '/v1/status');
-    portrait.push(got.ok ? statusText(got.value.body) : `headgate ${i + 1}: ${got.fault.tag}`);
+    portrait.push(got.ok ? statusText(got.value.body) : `controller ${i + 1}: ${got.fault.tag}`);
   }
-  for (const s of fleet.sluices)
-    portrait.push(`${s.name} ${JSON.stringify({ ...s.sluice?.view(), configuration: undefined })}`);
+  for (const s of fleet.proxies)
+    portrait.push(`${s.name} ${JSON.stringify({ ...s.proxy?.view(), configuration: undefined })}`);
   portrait.push(`orders: ${ordersText(fleet)}`);
   return {
     seed,
@@ -175,7 +175,7 @@
   const { world } = fleet;
   world.healAll();
   fleet.turbulence(CALM);
-  for (const n of [...fleet.headgates, ...fleet.sluices]) {
+  for (const n of [...fleet.controllers, ...fleet.proxies]) {
     n.platter.failing = false;
     n.platter.full = false;
   }
@@ -211,8 +211,8 @@
 
 function wholeCore(fleet: SimFleet): boolean {
   let whole = 0;
-  for (const h of fleet.headgates) if (h.headgate?.claimsReady()) whole += 1;
-  return whole >= fleet.headgates.length - 1;
+  for (const h of fleet.controllers) if (h.controller?.claimsReady()) whole += 1;
+  return whole >= fleet.controllers.length - 1;
 }
 
 function strikeDisaster(fleet: SimFleet, what: 'power' | 'region' | 'core' | 'edges', zone: string): string {
@@ -227,12 +227,12 @@
       }
       return `${zone} is lost, workers and disks too`;
     case 'core':
-      for (const name of names(fleet.headgates)) fleet.powerLoss(name);
-      return 'all headgates lose power';
+      for (const name of names(fleet.controllers)) fleet.powerLoss(name);
+      return 'all controllers lose power';
     case 'edges':
-      for (const name of names(fleet.sluices)) fleet.kill(name);
+      for (const name of names(fleet.proxies)) fleet.kill(name);
       for (const w of fleet.workers) if (w.fixed) fleet.kill(w.id);
-      return 'all sluices and fixed workers are killed';
+      return 'all proxies and fixed workers are killed';
   }
 }
 
@@ -240,7 +240,7 @@
   const out: Record<string, number> = {};
   for (const zone of fleet.zones) for (const kind of ['once', 'stream']) out[`${kind} ${zone}`] = NEVER;
   for (const r of fleet.records) {
-    if (r['who'] !== 'origin' || r['result'] !== 'success' || !String(r['origin']).startsWith('probe-')) continue;
+    if (r['who'] !== 'caller' || r['result'] !== 'success' || !String(r['caller']).startsWith('probe-')) continue;
     const what = `${r['repeatable'] === false ? 'once' : 'stream'} ${String(r['zone'])}`;
     if (out[what] === NEVER) out[what] = Math.round((r['at'] as number) - from);
   }
@@ -253,21 +253,21 @@
   ops: Operators,
   fault: (rule: string, detail: string) => void,
 ): Promise<void> {
-  for (let i = 0; i < fleet.headgates.length; i += 1) {
+  for (let i = 0; i < fleet.controllers.length; i += 1) {
     const floor = watchers.newest();
-    const noteRead = ops.history.readSent(`headgate ${i + 1}`);
+    const noteRead = ops.history.readSent(`controller ${i + 1}`);
     const read = await fleet.operator(i, 'GET', '/v1/configuration');
     const status = read.ok ? read.value.status : 0;
     if (!read.ok || status !== 200) {
-      fault('serveAgain', `headgate ${i + 1} answers no read (${status})`);
+      fault('serveAgain', `controller ${i + 1} answers no read (${status})`);
       continue;
     }
-    watchers.read(`headgate ${i + 1}`, floor, epochOf(read.value), configurationOf(read.value));
-    noteRead(epochOf(read.value), contentOf(read.value));
+    watchers.read(`controller ${i + 1}`, floor, versionOf(read.value), configurationOf(read.value));
+    noteRead(versionOf(read.value), contentOf(read.value));
     const evacuated = (read.value.body as { readonly evacuated: readonly string[] }).evacuated;
     for (const [zone, begun] of Object.entries(ops.evacuations())) {
       if (evacuated.includes(zone) !== begun)
-        fault('readBack', `headgate ${i + 1} reads ${zone} as ${begun ? 'not ' : ''}evacuated`);
+        fault('readBack', `controller ${i + 1} reads ${zone} as ${begun ? 'not ' : ''}evacuated`);
     }
   }
 }
@@ -276,19 +276,19 @@
 
 async function repeatKeys(fleet: SimFleet, fault: (rule: string, detail: string) => void): Promise<void> {
   const proc = fleet.world.begin(fleet.world.host('again', fleet.zones[0] as string));
-  const flume = createFlumeOver(
-    { sluices: fleet.sluices.map(httpOf) },
-    fleet.callerOf(proc),
+  const client = createClientOver(
+    { proxies: fleet.proxies.map(httpOf) },
+    fleet.httpClientOf(proc),
     fleet.world.clockOf(proc),
   );
   const answered: string[] = [];
   for (const r of fleet.records)
-    if (r['who'] === 'origin' && r['repeatable'] === false && r['result'] === 'success')
+    if (r['who'] === 'caller' && r['repeatable'] === false && r['result'] === 'success')
       answered.push(String(r['key']));
   const step = Math.max(1, Math.floor(answered.length / KEYS_REPEATED));
   const work: Promise<void>[] = [];
   async function again(key: string): Promise<void> {
-    const got = await flume.send({
+    const got = await client.send({
       model: fleet.shape.fixed.model,
       ...(fleet.shape.kind ? { kind: fleet.shape.kind } : {}),
       parts: [{ hash: 'again', tokens: 8 }],
@@ -327,7 +327,7 @@
     'member',
     'isMember',
     'slot',
-    'epoch',
+    'version',
     'writable',
     'quorate',
     'claimsReady',
@@ -341,8 +341,8 @@
 }
 function ordersText(fleet: SimFleet): string {
   const out: string[] = [];
-  for (const h of fleet.headgates) {
-    const b = h.headgate?.ledger.belief();
+  for (const h of fleet.controllers) {
+    const b = h.controller?.ledger.controlState();
     if (b) for (const o of Object.values(b.orders)) out.push(`${o.kind} ${o.zone} ${o.status}`);
     if (b) break;
   }
--- a/src/sim/core-scenarios.ts
+++ b/src/sim/core-scenarios.ts
@@ -1,13 +1,13 @@
 import { SMALL } from './shapes.js';
 import { createWatchers } from './watchers.js';
-import { amend, epochAt, epochOf, namesIn, servesAgain, share, statusOf, waitingOf } from './stage.js';
+import { amend, versionAt, versionOf, namesIn, servesAgain, share, statusOf, waitingOf } from './stage.js';
 import type { Stage } from './stage.js';
 
 export async function holderLost(s: Stage): Promise<void> {
   const { fleet } = s;
   const was = fleet.holder();
   const busy = fleet.traffic({ zone: 'at-1', seconds: 15 });
-  fleet.kill(fleet.headgates[was]?.name ?? '');
+  fleet.kill(fleet.controllers[was]?.name ?? '');
   const from = fleet.world.now();
   function another(): boolean {
     return fleet.holder() >= 0;
@@ -23,96 +23,96 @@
 export async function holderFrozen(s: Stage): Promise<void> {
   const { fleet } = s;
   const was = fleet.holder();
-  const old = fleet.headgates[was];
-  const oldFence = old?.headgate?.ledger.belief().leases['scaler']?.fence ?? -1;
+  const old = fleet.controllers[was];
+  const oldFence = old?.controller?.ledger.controlState().leases['scaler']?.fence ?? -1;
   fleet.world.freeze(fleet.hostOf(old?.name ?? ''));
   await fleet.run(12_000);
   s.expect('lease', fleet.holder() >= 0, 'no other took the duty');
-  const before = fleet.headgates[(was + 1) % 3]?.headgate?.ledger.belief().slot ?? 0;
+  const before = fleet.controllers[(was + 1) % 3]?.controller?.ledger.controlState().slot ?? 0;
   fleet.world.thaw(fleet.hostOf(old?.name ?? ''));
   await fleet.run(4_000);
-  const batches = fleet.headgates[(was + 1) % 3]?.headgate?.ledger.since(before + 1) ?? [];
+  const batches = fleet.controllers[(was + 1) % 3]?.controller?.ledger.since(before + 1) ?? [];
   let late = 0;
   for (const b of batches) for (const e of b.batch.entries) if (e.fence === oldFence) late += 1;
   s.told.facts['entries with the old fence'] = late;
   s.expect('fence', late === 0, `${late} entries came with the old fence`);
-  s.expect('fence', old?.headgate?.holdsScaler() === false, 'the woken one still believes');
+  s.expect('fence', old?.controller?.holdsScaler() === false, 'the woken one still believes');
 }
 
 export async function allPowerLost(s: Stage): Promise<void> {
   const { fleet } = s;
   const busy = fleet.traffic({ zone: 'hu-1', seconds: 6 });
   await fleet.run(3_000);
-  const base = await epochAt(fleet, 0);
+  const base = await versionAt(fleet, 0);
   const done = await amend(fleet, 1, base, 77);
-  const nodes = [...fleet.headgates, ...fleet.sluices];
+  const nodes = [...fleet.controllers, ...fleet.proxies];
   for (const n of nodes) fleet.powerLoss(n.name);
   await fleet.run(4_000);
   for (const n of nodes) void fleet.startNode(n.name);
   await servesAgain(s, 12_000, 'hu-1');
   await fleet.finish(busy, 200_000);
   for (let i = 0; i < 3; i += 1)
-    s.expect('readBack', (await epochAt(fleet, i)) === epochOf(done), `headgate ${i + 1} reads another epoch`);
+    s.expect('readBack', (await versionAt(fleet, i)) === versionOf(done), `controller ${i + 1} reads another version`);
 }
 
 export async function regionLost(s: Stage): Promise<void> {
   const { fleet } = s;
-  for (const name of namesIn(fleet, 'ro-1')) if (!name.startsWith('origin')) fleet.powerLoss(name);
+  for (const name of namesIn(fleet, 'ro-1')) if (!name.startsWith('caller')) fleet.powerLoss(name);
   await servesAgain(s, 12_000, 'at-1');
   const t = await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 10 }), 60_000);
   s.told.facts['success share'] = share(t, 'success');
   s.expect('serves', share(t, 'success') > 0.99, JSON.stringify(t));
-  const base = await epochAt(fleet, 0);
+  const base = await versionAt(fleet, 0);
   const got = await amend(fleet, 0, base, 78);
   s.expect(
     'majority',
-    statusOf(got) === 202 && waitingOf(got).join() === 'sluice-ro-1-1',
+    statusOf(got) === 202 && waitingOf(got).join() === 'proxy-ro-1-1',
     `answered ${statusOf(got)} waiting for ${waitingOf(got).join()}`,
   );
-  for (const name of namesIn(fleet, 'ro-1')) if (!name.startsWith('origin')) void fleet.startNode(name);
+  for (const name of namesIn(fleet, 'ro-1')) if (!name.startsWith('caller')) void fleet.startNode(name);
   await fleet.run(8_000);
   s.expect(
-    'noOlderEpoch',
-    fleet.sluices[2]?.sluice?.view().epoch === epochOf(got),
-    'the region came back with an older epoch',
+    'noOlderVersion',
+    fleet.proxies[2]?.proxy?.view().version === versionOf(got),
+    'the region came back with an older version',
   );
 }
 
 export async function regionIsolated(s: Stage): Promise<void> {
   const { fleet } = s;
-  fleet.cutOff([...namesIn(fleet, 'hu-1'), 'origin-inside']);
-  fleet.world.host('origin-inside', 'hu-1');
+  fleet.cutOff([...namesIn(fleet, 'hu-1'), 'caller-inside']);
+  fleet.world.host('caller-inside', 'hu-1');
   await fleet.run(3_500);
   const inside = await fleet.finish(
-    fleet.traffic({ zone: 'hu-1', seconds: 8, runOnceShare: 0, name: 'origin-inside' }),
+    fleet.traffic({ zone: 'hu-1', seconds: 8, runOnceShare: 0, name: 'caller-inside' }),
     60_000,
   );
   s.told.facts['success share inside'] = share(inside, 'success');
-  s.expect('island', share(inside, 'success') > 0.9, JSON.stringify(inside));
+  s.expect('partition', share(inside, 'success') > 0.9, JSON.stringify(inside));
   s.expect(
-    'island',
-    fleet.sluices[0]?.sluice?.view().islanded === true,
-    'the sluice does not know that it is islanded',
+    'partition',
+    fleet.proxies[0]?.proxy?.view().partitioned === true,
+    'the proxy does not know that it is partitioned',
   );
-  const base = await epochAt(fleet, 1);
+  const base = await versionAt(fleet, 1);
   const got = await amend(fleet, 1, base, 79);
   s.expect('majority', statusOf(got) === 202, `the majority answered ${statusOf(got)}`);
   const alone = await fleet.operator(0, 'GET', '/v1/configuration');
-  s.expect('majority', statusOf(alone) === 503, `the headgate alone answered ${statusOf(alone)}`);
+  s.expect('majority', statusOf(alone) === 503, `the controller alone answered ${statusOf(alone)}`);
   const from = fleet.world.now();
   fleet.world.healAll();
   function caughtUp(): boolean {
-    return fleet.sluices[0]?.sluice?.view().epoch === epochOf(got);
+    return fleet.proxies[0]?.proxy?.view().version === versionOf(got);
   }
-  s.expect('heals', await fleet.until(12_000, caughtUp), 'the sluice stayed behind');
+  s.expect('heals', await fleet.until(12_000, caughtUp), 'the proxy stayed behind');
   s.told.recoverMs = Math.round(fleet.world.now() - from);
 }
 
 export async function oneWayLoss(s: Stage): Promise<void> {
   const { fleet } = s;
-  fleet.world.cut('headgate-1', 'headgate-2');
-  fleet.world.cut('sluice-hu-1-1', 'headgate-3');
-  const base = await epochAt(fleet, 1);
+  fleet.world.cut('controller-1', 'controller-2');
+  fleet.world.cut('proxy-hu-1-1', 'controller-3');
+  const base = await versionAt(fleet, 1);
   const got = await amend(fleet, 1, base, 80);
   s.expect('majority', statusOf(got) === 200 || statusOf(got) === 202, `answered ${statusOf(got)}`);
   const t = await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 8 }), 60_000);
@@ -122,21 +122,21 @@
 
 export async function diskLost(s: Stage): Promise<void> {
   const { fleet } = s;
-  const h = fleet.headgates[1];
-  const was = h?.headgate?.ledger.self.incarnation;
-  fleet.kill('headgate-2');
-  fleet.wipe('headgate-2');
+  const h = fleet.controllers[1];
+  const was = h?.controller?.ledger.self.incarnation;
+  fleet.kill('controller-2');
+  fleet.wipe('controller-2');
   await fleet.run(500);
   const from = fleet.world.now();
-  void fleet.startNode('headgate-2');
+  void fleet.startNode('controller-2');
   function whole(): boolean {
-    return h?.headgate?.ledger.isMember() === true && h.headgate.claimsReady();
+    return h?.controller?.ledger.isMember() === true && h.controller.claimsReady();
   }
   s.expect('rejoin', await fleet.until(12_000, whole), 'it did not rejoin');
   s.told.recoverMs = Math.round(fleet.world.now() - from);
-  s.expect('incarnation', h?.headgate?.ledger.self.incarnation !== was, 'it votes as its old self');
-  fleet.kill('headgate-3');
-  const got = await amend(fleet, 1, await epochAt(fleet, 1), 81);
+  s.expect('incarnation', h?.controller?.ledger.self.incarnation !== was, 'it votes as its old self');
+  fleet.kill('controller-3');
+  const got = await amend(fleet, 1, await versionAt(fleet, 1), 81);
   s.expect('majority', statusOf(got) === 200, `with the repaired one as half of the majority: ${statusOf(got)}`);
 }
 
@@ -145,22 +145,22 @@
   const busy = fleet.traffic({ zone: 'ro-1', seconds: 24, perSecond: 4 });
   for (let i = 0; i < 3; i += 1) {
     const from = fleet.world.now();
-    fleet.moveHeadgate(i);
-    const h = fleet.headgates[i];
+    fleet.moveController(i);
+    const h = fleet.controllers[i];
     function arrived(): boolean {
-      const b = h?.headgate?.ledger.belief();
+      const b = h?.controller?.ledger.controlState();
       if (!b) return false;
       for (const m of b.members) if (m.name === h?.name) return m.address === h.wire;
       return false;
     }
-    s.expect('moved', await fleet.until(12_000, arrived), `headgate ${i + 1} did not come back at its new address`);
+    s.expect('moved', await fleet.until(12_000, arrived), `controller ${i + 1} did not come back at its new address`);
     s.told.recoverMs = Math.max(s.told.recoverMs ?? 0, Math.round(fleet.world.now() - from));
     await fleet.run(2_500);
   }
   const t = await fleet.finish(busy, 60_000);
   s.told.facts['success share'] = share(t, 'success');
   s.expect('serves', share(t, 'success') > 0.98, JSON.stringify(t));
-  const got = await amend(fleet, 0, await epochAt(fleet, 0), 82);
+  const got = await amend(fleet, 0, await versionAt(fleet, 0), 82);
   s.expect('majority', statusOf(got) === 200, `after all seeds moved: ${statusOf(got)}`);
 }
 
@@ -168,38 +168,38 @@
   const { fleet } = s;
   const from = fleet.world.now();
   function atHome(): boolean {
-    for (const h of fleet.headgates) {
-      const ledger = h.headgate?.ledger;
-      if (!ledger?.isMember() || !h.headgate?.claimsReady()) return false;
-      for (const m of ledger.belief().members)
-        for (const k of fleet.headgates) if (k.name === m.name && k.wire !== m.address) return false;
+    for (const h of fleet.controllers) {
+      const ledger = h.controller?.ledger;
+      if (!ledger?.isMember() || !h.controller?.claimsReady()) return false;
+      for (const m of ledger.controlState().members)
+        for (const k of fleet.controllers) if (k.name === m.name && k.wire !== m.address) return false;
     }
     return true;
   }
   s.expect('rejoin', await fleet.until(limitMs, atHome), 'the core did not come together');
   s.told.recoverMs = Math.round(fleet.world.now() - from);
-  const got = await amend(fleet, 1, await epochAt(fleet, 1), 83);
+  const got = await amend(fleet, 1, await versionAt(fleet, 1), 83);
   s.expect('majority', statusOf(got) === 200, `answered ${statusOf(got)}`);
 }
 
 export async function movedWhileOneLost(s: Stage): Promise<void> {
   const { fleet } = s;
-  fleet.kill('headgate-1');
-  fleet.wipe('headgate-1');
+  fleet.kill('controller-1');
+  fleet.wipe('controller-1');
   await fleet.run(500);
-  fleet.moveHeadgate(2);
+  fleet.moveController(2);
   await fleet.run(3_000);
-  void fleet.startNode('headgate-1');
+  void fleet.startNode('controller-1');
   await allMembersAtHome(s, 12_000);
 }
 
 export async function twoMovedAtOnce(s: Stage): Promise<void> {
   const { fleet } = s;
-  fleet.moveHeadgate(1);
-  fleet.moveHeadgate(2);
-  fleet.kill('headgate-1');
+  fleet.moveController(1);
+  fleet.moveController(2);
+  fleet.kill('controller-1');
   await fleet.run(4_000);
-  void fleet.startNode('headgate-1');
+  void fleet.startNode('controller-1');
   await allMembersAtHome(s, 12_000);
 }
 
@@ -207,10 +207,10 @@
   const { fleet } = s;
   fleet.keepOldSeeds();
   for (let i = 0; i < 3; i += 1) {
-    fleet.moveHeadgate(i);
+    fleet.moveController(i);
     await fleet.run(4_000);
   }
-  const nodes = [...fleet.headgates, ...fleet.sluices];
+  const nodes = [...fleet.controllers, ...fleet.proxies];
   for (const n of nodes) fleet.kill(n.name);
   await fleet.run(1_000);
   for (const n of nodes) void fleet.startNode(n.name);
@@ -219,7 +219,7 @@
   const t = await fleet.finish(fleet.traffic({ zone: 'ro-1', seconds: 12, runOnceShare: 1, patience: 0 }), 60_000);
   let first = -1;
   for (const r of fleet.records.slice(mark))
-    if (first < 0 && r['who'] === 'origin' && r['result'] === 'success') first = (r['at'] as number) - from;
+    if (first < 0 && r['who'] === 'caller' && r['result'] === 'success') first = (r['at'] as number) - from;
   s.told.recoverMs = Math.round(first);
   s.expect(
     'serveAgain',
@@ -232,7 +232,7 @@
   const { fleet } = s;
   let wins = 0;
   for (let n = 0; n < 15; n += 1) {
-    const base = await epochAt(fleet, 0);
+    const base = await versionAt(fleet, 0);
     const both = await fleet.finish(
       Promise.all([amend(fleet, 0, base, 100 + n), amend(fleet, 2, base, 200 + n), amend(fleet, 1, base, 300 + n)]),
       20_000,
@@ -240,22 +240,22 @@
     const won: number[] = [];
     let told = 0;
     for (const r of both ?? []) {
-      if (statusOf(r) === 200) won.push(epochOf(r));
+      if (statusOf(r) === 200) won.push(versionOf(r));
       else if (statusOf(r) === 409) told += 1;
     }
     s.expect('oneWinner', won.length === 1 && told === 2, `${won.length} won, ${told} were told so`);
     wins += won.length;
-    s.expect('oneWinner', (await epochAt(fleet, 1)) === won[0], 'the winner is not in force');
+    s.expect('oneWinner', (await versionAt(fleet, 1)) === won[0], 'the winner is not in force');
   }
   s.told.facts['races won'] = wins;
 }
 
 export async function acknowledgementLost(s: Stage): Promise<void> {
   const { fleet } = s;
-  const base = await epochAt(fleet, 0);
+  const base = await versionAt(fleet, 0);
   const first = await fleet.call({
     method: 'POST',
-    address: fleet.headgates[0]?.http ?? '',
+    address: fleet.controllers[0]?.http ?? '',
     path: '/v1/configuration/amend',
     body: { base, changes: [{ path: ['deployment', 'lineLimit'], value: 90 }], operation: 'op-lost' },
     timeoutMs: 5,
@@ -266,10 +266,10 @@
   const third = await amend(fleet, 2, base, 90, 'op-lost');
   s.expect(
     'sameApply',
-    statusOf(again) === 200 && epochOf(again) === epochOf(third),
-    `${statusOf(again)} ${epochOf(again)} and ${epochOf(third)}`,
+    statusOf(again) === 200 && versionOf(again) === versionOf(third),
+    `${statusOf(again)} ${versionOf(again)} and ${versionOf(third)}`,
   );
-  s.expect('sameApply', (await epochAt(fleet, 0)) === epochOf(again), 'applied twice');
+  s.expect('sameApply', (await versionAt(fleet, 0)) === versionOf(again), 'applied twice');
 }
 
 export async function largeConfiguration(s: Stage): Promise<void> {
@@ -277,7 +277,7 @@
   const mappings: Record<string, unknown> = {};
   for (let i = 0; i < 5_000; i += 1) mappings[`route-${i}`] = { model: 'summary', kind: `kind-${i % 7}` };
   const whole = { ...(SMALL.configuration as object), mappings };
-  const base = await epochAt(fleet, 0);
+  const base = await versionAt(fleet, 0);
   const from = fleet.world.now();
   const got = await fleet.operator(0, 'POST', '/v1/configuration', { base, configuration: whole });
   s.expect(
@@ -287,11 +287,11 @@
   );
   s.told.recoverMs = Math.round(fleet.world.now() - from);
   const again = await fleet.operator(1, 'POST', '/v1/configuration', {
-    base: epochOf(got),
+    base: versionOf(got),
     configuration: { ...whole, mappings: { ...mappings, 'route-17': { model: 'summary' } } },
   });
   s.expect('inForce', statusOf(again) === 200, `the second answered ${statusOf(again)}`);
-  const batches = fleet.headgates[0]?.headgate?.ledger.since(epochOf(again)) ?? [];
+  const batches = fleet.controllers[0]?.controller?.ledger.since(versionOf(again)) ?? [];
   const size = JSON.stringify(batches[0] ?? '').length;
   s.told.facts['bytes of the difference'] = size;
   s.expect('difference', size < 2_000, `the difference takes ${size} bytes`);
@@ -300,7 +300,7 @@
 export async function acknowledgedInPart(s: Stage): Promise<void> {
   const { fleet } = s;
   const watchers = createWatchers(fleet);
-  const edge = fleet.sluices[1];
+  const edge = fleet.proxies[1];
   const name = edge?.name ?? '';
   const states: readonly (readonly [string, () => void, () => void])[] = [
     ['cut off', cut, fleet.world.healAll],
@@ -330,7 +330,7 @@
   let value = 500;
   let slowest = 0;
   for (const [what, begin, end] of states) {
-    const base = await epochAt(fleet, 0);
+    const base = await versionAt(fleet, 0);
     begin();
     value += 1;
     const got = await amend(fleet, 0, base, value);
@@ -339,13 +339,13 @@
       statusOf(got) === 202 && waitingOf(got).join() === name,
       `${what}: answered ${statusOf(got)} waiting for ${waitingOf(got).join()}`,
     );
-    watchers.agreed(epochOf(got), value);
+    watchers.agreed(versionOf(got), value);
     await fleet.world.advance(6_000, watchers.step);
     end();
     const from = fleet.world.now();
     function inForce(): boolean {
-      const v = edge?.sluice?.view();
-      return v !== undefined && v.serving && !v.islanded && v.epoch >= epochOf(got);
+      const v = edge?.proxy?.view();
+      return v !== undefined && v.serving && !v.partitioned && v.version >= versionOf(got);
     }
     s.expect(
       'inForce',
@@ -353,9 +353,9 @@
       `${what}: not in force 8 s after it was back`,
     );
     slowest = Math.max(slowest, fleet.world.now() - from);
-    const whole = await amend(fleet, 2, epochOf(got), value + 100);
+    const whole = await amend(fleet, 2, versionOf(got), value + 100);
     s.expect('inForce', statusOf(whole) === 200, `${what}: once it is back, answered ${statusOf(whole)}`);
-    watchers.acked(epochOf(whole), value + 100);
+    watchers.acked(versionOf(whole), value + 100);
     await fleet.world.advance(5_000, watchers.step);
   }
   s.told.recoverMs = Math.round(slowest);
--- a/src/sim/faults.ts
+++ b/src/sim/faults.ts
@@ -28,14 +28,14 @@
 
 export function inZone(fleet: SimFleet, zone: string): string[] {
   const out: string[] = [];
-  for (const n of [...fleet.headgates, ...fleet.sluices]) if (n.host.zone === zone) out.push(n.name);
+  for (const n of [...fleet.controllers, ...fleet.proxies]) if (n.host.zone === zone) out.push(n.name);
   for (const w of fleet.workers) if (w.zone === zone) out.push(w.id);
   return out;
 }
 
 function isUp(fleet: SimFleet, name: string): boolean {
-  for (const h of fleet.headgates) if (h.name === name) return h.headgate !== null;
-  for (const s of fleet.sluices) if (s.name === name) return s.sluice !== null;
+  for (const h of fleet.controllers) if (h.name === name) return h.controller !== null;
+  for (const s of fleet.proxies) if (s.name === name) return s.proxy !== null;
   return true;
 }
 
@@ -46,13 +46,13 @@
 }
 
 export function nodeNames(a: { readonly fleet: SimFleet }): string[] {
-  return [...names(a.fleet.sluices), ...names(a.fleet.headgates)];
+  return [...names(a.fleet.proxies), ...names(a.fleet.controllers)];
 }
 
 function runningHeads(a: FaultAct): number {
   let n = 0;
-  for (const h of a.fleet.headgates)
-    if (h.host.running && h.headgate?.ledger.isMember() && h.headgate.claimsReady()) n += 1;
+  for (const h of a.fleet.controllers)
+    if (h.host.running && h.controller?.ledger.isMember() && h.controller.claimsReady()) n += 1;
   return n;
 }
 
@@ -116,34 +116,34 @@
   spell(a, a.fleet.platformAddress, mode, 1_000 + below(a.rng, 4_000));
 }
 function killHead(a: FaultAct): void {
-  const name = pick(a.rng, names(a.fleet.headgates));
+  const name = pick(a.rng, names(a.fleet.controllers));
   a.note(`kills ${name}`);
   a.fleet.kill(name);
   bounce(a, name, 500 + below(a.rng, 8_000));
 }
 function powerHead(a: FaultAct): void {
-  const name = pick(a.rng, names(a.fleet.headgates));
+  const name = pick(a.rng, names(a.fleet.controllers));
   a.note(`${name} loses power`);
   a.fleet.powerLoss(name);
   bounce(a, name, 500 + below(a.rng, 8_000));
 }
 function powerAllHeads(a: FaultAct): void {
-  a.note('all headgates lose power');
-  for (const name of names(a.fleet.headgates)) {
+  a.note('all controllers lose power');
+  for (const name of names(a.fleet.controllers)) {
     a.fleet.powerLoss(name);
     bounce(a, name, 500 + below(a.rng, 3_000));
   }
 }
 function wipeHead(a: FaultAct): void {
-  if (runningHeads(a) < a.fleet.headgates.length) return;
-  const name = pick(a.rng, names(a.fleet.headgates));
+  if (runningHeads(a) < a.fleet.controllers.length) return;
+  const name = pick(a.rng, names(a.fleet.controllers));
   a.note(`${name} loses its disk`);
   a.fleet.kill(name);
   a.fleet.wipe(name);
   bounce(a, name, 500 + below(a.rng, 4_000));
 }
-function killSluice(a: FaultAct): void {
-  const name = pick(a.rng, names(a.fleet.sluices));
+function killProxy(a: FaultAct): void {
+  const name = pick(a.rng, names(a.fleet.proxies));
   a.note(`kills ${name}`);
   a.fleet.kill(name);
   bounce(a, name, 200 + below(a.rng, 5_000));
@@ -196,7 +196,7 @@
   after(a, 1_000 + below(a.rng, 9_000), a.fleet.world.healAll);
 }
 function fullDisk(a: FaultAct): void {
-  const h = pick(a.rng, a.fleet.headgates);
+  const h = pick(a.rng, a.fleet.controllers);
   a.note(`${h.name}'s disk fails writes`);
   h.platter.failing = true;
   function back(): void {
@@ -220,8 +220,8 @@
 }
 function readySpot(a: FaultAct): string[] {
   const out: string[] = [];
-  for (const h of a.fleet.headgates) {
-    for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {}))
+  for (const h of a.fleet.controllers) {
+    for (const o of Object.values(h.controller?.ledger.controlState().orders ?? {}))
       if (o.kind === 'spot' && o.status === 'ready' && o.machine !== null) out.push(o.machine);
     if (out.length > 0) break;
   }
@@ -273,14 +273,15 @@
 }
 function splitThree(a: FaultAct): void {
   a.note('the core falls into three');
-  for (const h of a.fleet.headgates) for (const k of a.fleet.headgates) if (h !== k) a.fleet.world.cut(h.name, k.name);
+  for (const h of a.fleet.controllers)
+    for (const k of a.fleet.controllers) if (h !== k) a.fleet.world.cut(h.name, k.name);
   after(a, 2_000 + below(a.rng, 6_000), a.fleet.world.healAll);
 }
 function moveHead(a: FaultAct): void {
-  if (runningHeads(a) < a.fleet.headgates.length) return;
-  const at = below(a.rng, a.fleet.headgates.length);
-  a.note(`headgate-${at + 1} moves to a new address`);
-  a.fleet.moveHeadgate(at);
+  if (runningHeads(a) < a.fleet.controllers.length) return;
+  const at = below(a.rng, a.fleet.controllers.length);
+  a.note(`controller-${at + 1} moves to a new address`);
+  a.fleet.moveController(at);
 }
 function turbulence(a: FaultAct): void {
   a.note('messages come twice, late and out of order');
@@ -291,7 +292,7 @@
   after(a, 2_000 + below(a.rng, 4_000), calm);
 }
 function noRoom(a: FaultAct): void {
-  const n = pick(a.rng, [...a.fleet.headgates, ...a.fleet.sluices]);
+  const n = pick(a.rng, [...a.fleet.controllers, ...a.fleet.proxies]);
   a.note(`${n.name}'s disk has no room`);
   n.platter.full = true;
   if (a.rng.next() < 0.5) {
@@ -305,8 +306,8 @@
   }
   after(a, 2_000 + below(a.rng, 4_000), room);
 }
-function powerSluice(a: FaultAct): void {
-  const name = pick(a.rng, names(a.fleet.sluices));
+function powerProxy(a: FaultAct): void {
+  const name = pick(a.rng, names(a.fleet.proxies));
   a.note(`${name} loses power`);
   a.fleet.powerLoss(name);
   bounce(a, name, 500 + below(a.rng, 4_000));
@@ -338,7 +339,7 @@
   powerHead,
   powerAllHeads,
   wipeHead,
-  killSluice,
+  killProxy,
   killMany,
   freeze,
   jumpClock,
@@ -357,7 +358,7 @@
   moveHead,
   turbulence,
   noRoom,
-  powerSluice,
+  powerProxy,
   outsideUnseen,
   crowd,
 } as const;
--- a/src/sim/holder-steps.test.ts
+++ b/src/sim/holder-steps.test.ts
@@ -19,8 +19,8 @@
     const r = fleet.records[i];
     if (r?.['who'] === 'cloud' && r['event'] === step) return true;
   }
-  for (const h of fleet.headgates) {
-    for (const b of h.headgate?.ledger.since(fromSlot + 1) ?? [])
+  for (const h of fleet.controllers) {
+    for (const b of h.controller?.ledger.since(fromSlot + 1) ?? [])
       for (const e of b.batch.entries) if (e.act.tag === step) return true;
   }
   return false;
@@ -33,7 +33,7 @@
 ): Promise<{ fleet: SimFleet; struck: boolean }> {
   const fleet = createSimFleet(seed);
   expect(await fleet.start()).toBe(true);
-  const b = fleet.headgates[0]?.headgate?.ledger.belief();
+  const b = fleet.controllers[0]?.controller?.ledger.controlState();
   const victim = Object.values(b?.orders ?? {}).find((o) => o.kind === 'spot' && o.machine !== null);
   const slot = b?.slot ?? 0;
   await fleet.call({
@@ -44,7 +44,7 @@
   });
   const mark = fleet.records.length;
   const struck = await fleet.until(40_000, () => stepSeen(fleet, step, slot, mark));
-  const name = fleet.headgates[fleet.holder()]?.name ?? '';
+  const name = fleet.controllers[fleet.holder()]?.name ?? '';
   if (how === 'kill') fleet.kill(name);
   else fleet.world.freeze(fleet.hostOf(name));
   await fleet.run(9_500);
@@ -62,7 +62,7 @@
     checkMachines(fleet);
     createWatchers(fleet).end();
     expect(fleet.check()).toEqual([]);
-    const open = Object.values(fleet.headgates[0]?.headgate?.ledger.belief().orders ?? {});
+    const open = Object.values(fleet.controllers[0]?.controller?.ledger.controlState().orders ?? {});
     expect(open.map((o) => [o.kind, o.status])).toEqual([
       ['spot', 'ready'],
       ['spot', 'ready'],
--- a/src/sim/lag-scenarios.ts
+++ b/src/sim/lag-scenarios.ts
@@ -27,7 +27,7 @@
 const DISK_BYTES = 512 * 1_048_576;
 
 export async function bootstrapped(seed: number, links: Links): Promise<SimCore> {
-  const core = createSimCore(seed, { headgates: 3, seeds: 3, regionMs: links.regionMs, diskBytes: DISK_BYTES });
+  const core = createSimCore(seed, { controllers: 3, seeds: 3, regionMs: links.regionMs, diskBytes: DISK_BYTES });
   core.rates.limitWindow(links.windowBytes);
   core.startAll();
   function whole(): boolean {
@@ -39,15 +39,15 @@
 }
 
 function slotAt(core: SimCore, name: string): number {
-  return core.node(name).headgate?.ledger.belief().slot ?? -1;
+  return core.node(name).controller?.ledger.controlState().slot ?? -1;
 }
 
 async function agree(
   core: SimCore,
   cause: string,
-  act: Parameters<NonNullable<ReturnType<SimCore['node']>['headgate']>['ledger']['propose']>[0]['act'],
+  act: Parameters<NonNullable<ReturnType<SimCore['node']>['controller']>['ledger']['propose']>[0]['act'],
 ): Promise<void> {
-  const ledger = core.node('h1').headgate?.ledger;
+  const ledger = core.node('h1').controller?.ledger;
   if (ledger) await core.finish(ledger.propose({ cause, act }, 5_000), 30_000);
 }
 
@@ -77,8 +77,8 @@
 
 export async function addChanges(core: SimCore, count: number): Promise<void> {
   for (let n = 0; n < count; n += 1) {
-    const base = core.node('h1').headgate?.ledger.belief().epoch ?? 0;
-    await agree(core, `The operator changed 1 settings on epoch ${base}.`, {
+    const base = core.node('h1').controller?.ledger.controlState().version ?? 0;
+    await agree(core, `The operator changed 1 settings on version ${base}.`, {
       tag: 'configured',
       base,
       changes: [{ path: ['deployment', `setting${n % 50}`], value: n }],
@@ -90,7 +90,7 @@
   const from = core.world.now();
   const sentBefore = core.sent().bytes;
   const reached = await core.until(LIMIT_MS, isWhole);
-  const stateBytes = JSON.stringify(core.node('h1').headgate?.ledger.belief()).length;
+  const stateBytes = JSON.stringify(core.node('h1').controller?.ledger.controlState()).length;
   return {
     ms: reached ? Math.round(core.world.now() - from) : null,
     bytes: core.sent().bytes - sentBefore,
@@ -144,7 +144,7 @@
   core.world.healAll();
   if (blank) follower = await begin();
   function isWhole(): boolean {
-    return follower.belief().slot >= target && follower.fresh() && !follower.islanded();
+    return follower.controlState().slot >= target && follower.fresh() && !follower.partitioned();
   }
   return timed(core, isWhole);
 }
--- a/src/sim/replay.ts
+++ b/src/sim/replay.ts
@@ -1,4 +1,4 @@
-import { emptyBelief, foldBatch } from '../state/belief.js';
+import { emptyControlState, foldBatch } from '../state/control-state.js';
 import type { Act, Kind } from '../state/entry.js';
 import { decideModel, noteLaunchFailed, ordersOf } from '../state/scaler-decide.js';
 import type { ScalerMemory, SeenMachine } from '../state/scaler-decide.js';
@@ -249,7 +249,7 @@
     deployment: { nExtra: rule.nExtra, minTarget: rule.target, holdS: rule.holdS },
     regions: { east: { models: { m: {} } } },
   };
-  const belief = { ...emptyBelief(), configuration };
+  const controlState = { ...emptyControlState(), configuration };
   const rm = resolveModel(configuration, 'east', 'm');
   const memory: ScalerMemory = new Map();
   const machines = new Map<string, Instance>();
@@ -263,7 +263,7 @@
       serial += 1;
       entries.push({ id: `e${serial}`, author: 'replay', wall, cause: '-', act });
     }
-    foldBatch(belief, belief.slot + 1, { id: `b${serial}`, entries });
+    foldBatch(controlState, controlState.slot + 1, { id: `b${serial}`, entries });
   }
   function nextId(): string {
     serial += 1;
@@ -281,7 +281,7 @@
     }
     const decisions = decideModel(
       rm,
-      belief,
+      controlState,
       {
         now: now * 1_000,
         workers,
@@ -290,7 +290,7 @@
         rates: rule.demand ? { m: { perSecond: rule.demand(now), complete: true } } : {},
         deadMachines: new Set(),
         failedIn,
-        asOf: belief.slot,
+        asOf: controlState.slot,
         seenBefore: seen,
       },
       memory,
@@ -301,7 +301,7 @@
     for (const d of decisions) acts.push(d.act);
     fold(acts, now * 1_000);
     const out = [];
-    for (const o of ordersOf(belief, 'm'))
+    for (const o of ordersOf(controlState, 'm'))
       if (o.status === 'intended') out.push({ key: o.id, zone: o.zone, kind: o.kind });
     return out;
   }
@@ -320,7 +320,7 @@
   }
   function drops(now: number): readonly string[] {
     const out: string[] = [];
-    for (const o of ordersOf(belief, 'm')) {
+    for (const o of ordersOf(controlState, 'm')) {
       if (o.status !== 'draining') continue;
       if (o.machine !== null) out.push(o.machine);
       fold([{ tag: 'orderReleased', order: o.id }], now * 1_000);
--- a/src/sim/request-scenarios.ts
+++ b/src/sim/request-scenarios.ts
@@ -1,14 +1,14 @@
-import type { OriginTally } from '../basin/origin.js';
-import { markOf } from '../basin/mark.js';
-import { PLACE_PATH, REQUESTS_PATH, TICKET_HEADER } from '../protocol/origin-wire.js';
-import { tagOf } from '../basin/origin.js';
-import { createFlumeOver } from '../flume/flume.js';
-import type { FlumeAsk } from '../flume/flume.js';
+import type { CallerTally } from '../standin/caller.js';
+import { markOf } from '../standin/mark.js';
+import { PLACE_PATH, REQUESTS_PATH, TICKET_HEADER } from '../protocol/caller-wire.js';
+import { tagOf } from '../standin/caller.js';
+import { createClientOver } from '../client/client.js';
+import type { ClientAsk } from '../client/client.js';
 import { runKey } from '../state/run-key.js';
 import { SIM_WALL } from './world.js';
 import type { SimFleet } from './sim-fleet.js';
 import { createWatchers } from './watchers.js';
-import { amend, epochAt, epochOf, share, statusOf } from './stage.js';
+import { amend, versionAt, versionOf, share, statusOf } from './stage.js';
 import type { Stage } from './stage.js';
 
 export async function crowd(s: Stage): Promise<void> {
@@ -16,7 +16,7 @@
   const calm = await fleet.finish(fleet.traffic({ zone: 'hu-1', seconds: 5, runOnceShare: 0, perSecond: 20 }), 60_000);
   const mark = fleet.records.length;
   const from = fleet.world.now();
-  const many: Promise<OriginTally>[] = [];
+  const many: Promise<CallerTally>[] = [];
   for (const zone of ['hu-1', 'at-1', 'ro-1'])
     many.push(fleet.traffic({ zone, seconds: 10, runOnceShare: 0, perSecond: 90, name: `crowd-${zone}` }));
   await fleet.finish(Promise.all(many), 300_000);
@@ -24,7 +24,7 @@
   let shedLate = 0;
   let sheds = 0;
   for (const r of fleet.records.slice(mark)) {
-    if (r['who'] !== 'origin') continue;
+    if (r['who'] !== 'caller') continue;
     if (r['result'] === 'success') good += 1;
     else if (String(r['result']).startsWith('shed')) {
       sheds += 1;
@@ -51,7 +51,7 @@
   createWatchers(fleet).end();
 }
 
-export async function originsMove(s: Stage): Promise<void> {
+export async function callersMove(s: Stage): Promise<void> {
   const { fleet } = s;
   const shares: number[] = [];
   for (const zone of ['hu-1', 'ro-1', 'at-1', 'hu-1']) {
@@ -93,31 +93,31 @@
 
 type Sent = { readonly tag: string; readonly tookMs: number };
 
-async function sendTo(fleet: SimFleet, zone: string, ask: FlumeAsk, stream: boolean): Promise<Sent> {
+async function sendTo(fleet: SimFleet, zone: string, ask: ClientAsk, stream: boolean): Promise<Sent> {
   const { world } = fleet;
   const proc = world.begin(world.host(`caller-${zone}-${world.now()}-${ask.parts[0]?.hash}`, zone));
   const near: string[] = [];
-  for (const x of fleet.sluices) if (x.host.zone === zone) near.push(x.http);
-  const flume = createFlumeOver({ sluices: near, zone }, fleet.callerOf(proc), world.clockOf(proc));
+  for (const x of fleet.proxies) if (x.host.zone === zone) near.push(x.http);
+  const client = createClientOver({ proxies: near, zone }, fleet.httpClientOf(proc), world.clockOf(proc));
   const from = world.now();
   function over(tag: string): Sent {
     return { tag, tookMs: world.now() - from };
   }
   if (!stream) {
-    const got = await flume.send(ask);
+    const got = await client.send(ask);
     return over(got.ok ? 'success' : tagOf(got.fault));
   }
-  const got = await flume.stream(ask);
+  const got = await client.stream(ask);
   if (!got.ok) return over(tagOf(got.fault));
   for await (const e of got.value.events)
     if (e.tag !== 'piece') return over(e.tag === 'sealed' ? 'success' : tagOf(e.fault));
   return over('nothing');
 }
 
-function streamAsk(i: number): FlumeAsk {
+function streamAsk(i: number): ClientAsk {
   return { model: 'summary', parts: [{ hash: `part-${i}`, tokens: 50 }], outputTokens: 4_000, repeatable: true };
 }
-function onceAsk(i: number): FlumeAsk {
+function onceAsk(i: number): ClientAsk {
   return {
     model: 'card-gateway',
     kind: 'card',
@@ -131,7 +131,7 @@
 async function endsAfter(
   s: Stage,
   cause: () => Promise<void>,
-  makes: readonly ((i: number) => FlumeAsk)[],
+  makes: readonly ((i: number) => ClientAsk)[],
   mostMs: number,
   told = makes.length === 1 ? ['cut'] : ['cut', 'outcomeUnknown'],
 ): Promise<void> {
@@ -152,7 +152,7 @@
   const tags = new Set<string>();
   for (const e of ends) tags.add(e.tag);
   s.expect('honestEnd', ends.length > 0 && [...tags].sort().join() === told.join(), `told ${[...tags].join()}`);
-  s.expect('honestEnd', s.told.recoverMs <= mostMs, `origins waited ${s.told.recoverMs} ms`);
+  s.expect('honestEnd', s.told.recoverMs <= mostMs, `callers waited ${s.told.recoverMs} ms`);
 }
 
 export async function workersDark(s: Stage): Promise<void> {
@@ -189,12 +189,12 @@
     readonly ticket?: string;
     readonly requestId?: string;
     readonly address?: string;
-    readonly sluice?: string;
+    readonly proxy?: string;
   };
   async function placedFor(at: number, homes?: readonly string[]): Promise<Placed> {
     const got = await fleet.call({
       method: 'POST',
-      address: fleet.sluices[at]?.http ?? '',
+      address: fleet.proxies[at]?.http ?? '',
       path: PLACE_PATH,
       body: {
         model: 'card-gateway',
@@ -227,11 +227,11 @@
       : null;
     return error ? `${error.tag} ${error.reason ?? ''}` : `${statusOf(got)}`;
   }
-  const [inside, austria, outside] = fleet.sluices;
+  const [inside, austria, outside] = fleet.proxies;
   const stale = await placedFor(1, ['austria']);
-  s.expect('fault', stale.sluice === austria?.name, `placed at ${stale.sluice}`);
+  s.expect('fault', stale.proxy === austria?.name, `placed at ${stale.proxy}`);
   const narrowed = await fleet.operator(0, 'POST', '/v1/configuration/amend', {
-    base: await epochAt(fleet, 0),
+    base: await versionAt(fleet, 0),
     changes: [{ path: ['regions', 'hungary', 'models', 'card-gateway', 'homes', 'card'], value: ['hungary'] }],
   });
   s.expect('acknowledged', statusOf(narrowed) === 200, `answered ${statusOf(narrowed)}`);
@@ -239,10 +239,10 @@
   s.expect('homes', late === 'shed outsideHomes', `a place answer from before the homes changed is told ${late}`);
 
   const fresh = await placedFor(0);
-  s.expect('fault', fresh.sluice === inside?.name, `placed at ${fresh.sluice}`);
+  s.expect('fault', fresh.proxy === inside?.name, `placed at ${fresh.proxy}`);
   const [body] = (fresh.ticket ?? '').split('.');
   const read = JSON.parse(Buffer.from(body ?? '', 'base64url').toString()) as Record<string, unknown>;
-  const crafted = `${Buffer.from(JSON.stringify({ ...read, sluice: read['sluice'], bound: { mapping: null, kind: null, asked: null } })).toString('base64url')}.${(fresh.ticket ?? '').split('.')[1]}`;
+  const crafted = `${Buffer.from(JSON.stringify({ ...read, proxy: read['proxy'], bound: { mapping: null, kind: null, asked: null } })).toString('base64url')}.${(fresh.ticket ?? '').split('.')[1]}`;
   for (const [what, ticket] of [
     ['as it is', fresh.ticket ?? ''],
     ['crafted', crafted],
@@ -251,7 +251,7 @@
     s.expect('homes', told === 'shed ticketForeign', `a ticket ${what}, used outside its homes, is told ${told}`);
   }
   const told = await submit(fresh, fresh.address ?? '', ['hungary'], crafted);
-  s.expect('homes', told === 'shed ticketForeign', `a crafted ticket at its own sluice is told ${told}`);
+  s.expect('homes', told === 'shed ticketForeign', `a crafted ticket at its own proxy is told ${told}`);
 
   const moved = await placedFor(0);
   fleet.kill(inside?.name ?? '');
@@ -266,21 +266,21 @@
   );
 }
 
-export async function sluiceFrozenMidway(s: Stage): Promise<void> {
+export async function proxyFrozenMidway(s: Stage): Promise<void> {
   async function freezeEdges(): Promise<void> {
-    for (const x of s.fleet.sluices) s.fleet.world.freeze(x.host);
+    for (const x of s.fleet.proxies) s.fleet.world.freeze(x.host);
   }
   await endsAfter(s, freezeEdges, [streamAsk, onceAsk], 7_000, ['outcomeUnknown']);
 }
 
-export async function sluiceFrozen(s: Stage): Promise<void> {
+export async function proxyFrozen(s: Stage): Promise<void> {
   const { fleet } = s;
   const watchers = createWatchers(fleet);
-  const edge = fleet.sluices[0];
+  const edge = fleet.proxies[0];
   const busy = fleet.traffic({ zone: 'hu-1', seconds: 24, perSecond: 10 });
   await fleet.run(2_000);
   fleet.world.freeze(fleet.hostOf(edge?.name ?? ''));
-  for (const h of fleet.headgates)
+  for (const h of fleet.controllers)
     for (const [a, b] of [
       [h.name, edge?.name ?? ''],
       [edge?.name ?? '', h.name],
@@ -288,9 +288,9 @@
       fleet.world.cut(a, b);
   await fleet.run(3_000);
   const got = await fleet.operator(1, 'POST', '/v1/zones/hu-1/evacuate', {});
-  s.expect('fault', statusOf(got) === 202, `answered ${statusOf(got)}, though one sluice stood still`);
+  s.expect('fault', statusOf(got) === 202, `answered ${statusOf(got)}, though one proxy stood still`);
   watchers.evacuated('hu-1');
-  const set = await amend(fleet, 1, await epochAt(fleet, 1), 91);
+  const set = await amend(fleet, 1, await versionAt(fleet, 1), 91);
   await fleet.run(6_000);
   for (let i = 0; i < 20; i += 1) void sendTo(fleet, 'hu-1', { ...streamAsk(900 + i), outputTokens: 8 }, true);
   await fleet.run(500);
@@ -299,8 +299,8 @@
   const from = fleet.world.now();
   fleet.world.healAll();
   function backAndServing(): boolean {
-    const v = edge?.sluice?.view();
-    return v !== undefined && v.serving && v.epoch >= epochOf(set);
+    const v = edge?.proxy?.view();
+    return v !== undefined && v.serving && v.version >= versionOf(set);
   }
   s.expect('wakes', await fleet.until(12_000, backAndServing), 'it never served again');
   s.told.recoverMs = Math.round(fleet.world.now() - from);
@@ -310,7 +310,7 @@
 
 export async function clockBackRestart(s: Stage): Promise<void> {
   const { fleet } = s;
-  const edge = fleet.sluices[0];
+  const edge = fleet.proxies[0];
   for (const disk of ['kept', 'full', 'full', 'wiped']) {
     fleet.kill(edge?.name ?? '');
     if (disk === 'wiped') fleet.wipe(edge?.name ?? '');
@@ -323,21 +323,21 @@
     for (let i = 0; i < 3; i += 1) {
       const status = await fleet.operator(i, 'GET', '/v1/status');
       const told = status.ok
-        ? (status.value.body as { readonly sluices: Record<string, { readonly heardMs: number | null }> }).sluices[
+        ? (status.value.body as { readonly proxies: Record<string, { readonly heardMs: number | null }> }).proxies[
             edge?.name ?? ''
           ]?.heardMs
         : null;
       s.expect(
         'heard',
         typeof told === 'number' && told < 1_500,
-        `headgate ${i + 1} last took a report ${told} ms ago`,
+        `controller ${i + 1} last took a report ${told} ms ago`,
       );
     }
     s.told.recoverMs = Math.round(fleet.world.now() - from);
     for (const at of [1, 2]) {
       const placed = await fleet.call({
         method: 'POST',
-        address: fleet.sluices[at]?.http ?? '',
+        address: fleet.proxies[at]?.http ?? '',
         path: '/v1/place',
         body: {
           model: 'summary',
@@ -359,7 +359,7 @@
         body: { requestId: p.requestId, parts: [{ hash: 'a', tokens: 10 }], outputTokens: 8, stream: false },
       });
       const foreign = sent.ok && sent.value.status === 409;
-      s.expect('known', !foreign, `${fleet.sluices[at]?.name} still places at its former life`);
+      s.expect('known', !foreign, `${fleet.proxies[at]?.name} still places at its former life`);
     }
   }
 }
--- a/src/sim/sabotage.test.ts
+++ b/src/sim/sabotage.test.ts
@@ -119,12 +119,12 @@
     expect(await ran('none')).toEqual([]);
   });
 
-  type View = { slot: number; epoch: number; serving: boolean; islanded: boolean; configuration: object };
+  type View = { slot: number; version: number; serving: boolean; partitioned: boolean; configuration: object };
   type Node = {
     name: string;
     host: { running: boolean; frozen: boolean; zone: string; life: number };
     platter: { failing: boolean; full: boolean };
-    sluice: { view: () => View };
+    proxy: { view: () => View };
   };
   function watched(
     views: readonly View[],
@@ -133,17 +133,17 @@
     const now = { at: 0 };
     const held = [...views];
     const platter = { failing: false, full: false };
-    const sluices = held.map((_, i): Node => ({
+    const proxies = held.map((_, i): Node => ({
       name: `s${i}`,
       host: { running: true, frozen: false, zone: 'z', life: 1 },
       platter,
-      sluice: { view: () => held[i] as View },
+      proxy: { view: () => held[i] as View },
     }));
-    const headgates = [0, 1, 2].map((i) => ({
+    const controllers = [0, 1, 2].map((i) => ({
       name: `h${i}`,
       host: { running: true, frozen: false, zone: 'z', life: 1 },
       platter,
-      headgate: null,
+      controller: null,
     }));
     const world = { now: () => now.at, isTouched: () => false };
     const shape = { configuration: { deployment: { rampS: 3 }, regions: { r: { models: { summary: {} } } } } };
@@ -151,8 +151,8 @@
       world,
       violations: [],
       records,
-      sluices,
-      headgates,
+      proxies,
+      controllers,
       shape,
       hostOf: () => ({ life: 1 }),
     } as unknown as SimFleet;
@@ -160,31 +160,31 @@
   }
   const fresh: View = {
     slot: 5,
-    epoch: 4,
+    version: 4,
     serving: true,
-    islanded: false,
+    partitioned: false,
     configuration: { deployment: { lineLimit: 50 } },
   };
   function over(w: { now: { at: number } }, watchers: { step: () => void }, ms: number): void {
     for (const end = w.now.at + ms; w.now.at < end; w.now.at += 100) watchers.step();
   }
 
-  test('a sluice that slides back, or serves what an acknowledgement replaced, at once or later', () => {
+  test('a proxy that slides back, or serves what an acknowledgement replaced, at once or later', () => {
     const w = watched([fresh, fresh]);
     const watchers = createWatchers(w.fleet);
     watchers.step();
     watchers.acked(4, 50);
     over(w, watchers, 20_000);
     expect(w.fleet.violations).toEqual([]);
-    w.set(0, { ...fresh, epoch: 3 });
+    w.set(0, { ...fresh, version: 3 });
     watchers.acked(4, 50);
     expect(rules(w.fleet.violations)).toEqual(['inForce']);
     over(w, watchers, 200);
-    expect(rules(w.fleet.violations)).toEqual(['inForce', 'noOlderEpoch']);
+    expect(rules(w.fleet.violations)).toEqual(['inForce', 'noOlderVersion']);
   });
 
   test('a node that could hear of a change agreed without all, and does not within 3 s', () => {
-    const w = watched([fresh, { ...fresh, slot: 3, epoch: 2, configuration: {} }]);
+    const w = watched([fresh, { ...fresh, slot: 3, version: 2, configuration: {} }]);
     const watchers = createWatchers(w.fleet);
     over(w, watchers, 8_000);
     watchers.agreed(4, 50);
@@ -194,7 +194,7 @@
     expect(rules(w.fleet.violations)).toEqual(['inForce']);
   });
 
-  test('a refused configuration in any node, or two under one epoch', () => {
+  test('a refused configuration in any node, or two under one version', () => {
     const w = watched([fresh, fresh]);
     const watchers = createWatchers(w.fleet);
     watchers.refused(51);
@@ -233,8 +233,8 @@
       ],
     );
     const closed = [{ id: 'o1', events: [{ author: 'h' }] }];
-    const headgates = [{ name: 'h', headgate: { ledger: { belief: () => ({ orders: {}, closed }) } } }];
-    const fleet = { ...w.fleet, headgates } as unknown as SimFleet;
+    const controllers = [{ name: 'h', controller: { ledger: { controlState: () => ({ orders: {}, closed }) } } }];
+    const fleet = { ...w.fleet, controllers } as unknown as SimFleet;
     checkMachines(fleet);
     expect(fleet.violations.map((v) => v.detail)).toEqual([
       'machine m1 runs, but order o1 is not open for h',
--- a/src/sim/sabotage.ts
+++ b/src/sim/sabotage.ts
@@ -21,7 +21,7 @@
     return Promise.resolve(true);
   }
   function forgetChanges(): void {
-    const state = ledger.belief();
+    const state = ledger.controlState();
     state.operations = [];
     state.history.changes = [];
   }
--- a/src/sim/scenarios.ts
+++ b/src/sim/scenarios.ts
@@ -1,4 +1,4 @@
-import type { Broken } from '../basin/check.js';
+import type { Broken } from '../standin/check.js';
 import { createSimFleet } from './sim-fleet.js';
 import { SMALL } from './shapes.js';
 import type { FleetShape } from './shapes.js';
@@ -24,9 +24,9 @@
   coldReturn,
   crowd,
   homesStale,
-  originsMove,
-  sluiceFrozen,
-  sluiceFrozenMidway,
+  callersMove,
+  proxyFrozen,
+  proxyFrozenMidway,
   swing,
   workersDark,
   workersStall,
@@ -70,18 +70,18 @@
   crowd,
   spotDrought,
   coldReturn,
-  originsMove,
+  callersMove,
   swing,
   pricesDown,
   countsMissing,
   platformUnseen,
   homesStale,
   acknowledgedInPart,
-  sluiceFrozenMidway,
+  proxyFrozenMidway,
   workersDark,
   workersUnlisted,
   workersStall,
-  sluiceFrozen,
+  proxyFrozen,
   clockBackRestart,
 } as const satisfies Record<string, Play>;
 
--- a/src/sim/shapes.ts
+++ b/src/sim/shapes.ts
@@ -1,7 +1,7 @@
 export type FleetShape = {
   readonly zones: Readonly<Record<string, string>>;
   readonly delayMs: Readonly<Record<string, number>>;
-  readonly sluices: Readonly<Record<string, number>>;
+  readonly proxies: Readonly<Record<string, number>>;
   readonly machines: Readonly<Record<string, number>>;
   readonly fixed: { readonly model: string; readonly perZone: number };
   readonly streamModels: readonly string[];
@@ -31,7 +31,7 @@
 
 export const SMALL: FleetShape = {
   ...KUTFO_NET,
-  sluices: { 'hu-1': 1, 'at-1': 1, 'ro-1': 1 },
+  proxies: { 'hu-1': 1, 'at-1': 1, 'ro-1': 1 },
   machines: { 'hu-1': 3, 'at-1': 3, 'ro-1': 3 },
   streamModels: ['summary'],
   perSecond: 5,
@@ -44,7 +44,7 @@
 
 export const KUTFO: FleetShape = {
   ...KUTFO_NET,
-  sluices: { 'hu-1': 2, 'at-1': 2, 'ro-1': 2 },
+  proxies: { 'hu-1': 2, 'at-1': 2, 'ro-1': 2 },
   machines: { 'hu-1': 9, 'at-1': 6, 'ro-1': 6 },
   streamModels: ['fraud-summary', 'driver-notes'],
   perSecond: 10,
@@ -70,7 +70,7 @@
   fixed: { model: 'shop-front', perZone: 1 },
   kind: null,
   homesOfKind: {},
-  sluices: { 'bog-1': 3, 'med-1': 2, 'cal-1': 2 },
+  proxies: { 'bog-1': 3, 'med-1': 2, 'cal-1': 2 },
   machines: { 'bog-1': 8, 'med-1': 6, 'cal-1': 6 },
   streamModels: ['listings', 'replies'],
   perSecond: 12,
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -1,6 +1,6 @@
-import { startHeadgate } from '../coordination/headgate.js';
+import { startController } from '../coordination/controller.js';
 import type { ListReader } from '../coordination/edge/list-feed.js';
-import type { Headgate } from '../coordination/headgate.js';
+import type { Controller } from '../coordination/controller.js';
 import type { Agreed, ProposeFault } from '../coordination/ledger/proposal.js';
 import type { Result } from '../base/result.js';
 import { POLICIES } from '../state/policies.js';
@@ -17,7 +17,7 @@
 import { createWorld } from './world.js';
 import type { Host, World } from './world.js';
 import type { Clock } from '../transport/clock.js';
-import type { Caller } from '../transport/http.js';
+import type { HttpClient } from '../transport/http.js';
 import type { Wire } from '../transport/wire.js';
 
 export type CoreNode = {
@@ -25,24 +25,24 @@
   readonly host: Host;
   readonly wire: string;
   readonly platter: Platter;
-  founding: boolean;
-  headgate: Headgate | null;
+  bootstrap: boolean;
+  controller: Controller | null;
 };
 
 export type CoreShape = {
-  readonly headgates: number;
+  readonly controllers: number;
   readonly seeds: number;
   readonly regionMs: number;
   readonly zones?: readonly string[];
   readonly listReader?: (clock: Clock, host: Host) => ListReader;
-  readonly operatorDoor?: boolean;
+  readonly operatorHttpServer?: boolean;
   readonly diskBytes?: number;
   readonly claims?: boolean;
 };
 
 export type Ordered = { readonly result: Result<Agreed, ProposeFault> | null; readonly tookMs: number };
 
-export type Lab = { readonly wire: Wire; readonly clock: Clock; readonly caller: Caller };
+export type Lab = { readonly wire: Wire; readonly clock: Clock; readonly httpClient: HttpClient };
 
 export type SimCore = {
   readonly world: World;
@@ -74,7 +74,7 @@
 
 export function createSimCore(
   seed: number,
-  shape: CoreShape = { headgates: 3, seeds: 3, regionMs: 35 },
+  shape: CoreShape = { controllers: 3, seeds: 3, regionMs: 35 },
   logs: LogRoot = createQuietLog(),
 ): SimCore {
   const world = createWorld(seed);
@@ -100,14 +100,14 @@
       host: world.host(name, zone),
       wire: address(),
       platter: createPlatter(),
-      founding: false,
-      headgate: null,
+      bootstrap: false,
+      controller: null,
     };
     for (const n of nodes) world.setDelay(n.host.zone, zone, shape.regionMs);
     nodes.push(made);
     return made;
   }
-  for (let i = 1; i <= shape.headgates; i += 1) add(`h${i}`).founding = true;
+  for (let i = 1; i <= shape.controllers; i += 1) add(`h${i}`).bootstrap = true;
   setSeeds(nodes.slice(0, shape.seeds).map(nameOf));
 
   function nameOf(n: CoreNode): string {
@@ -137,8 +137,8 @@
       clock: world.clockOf(proc),
       rng,
       wire: net.wireOf(proc),
-      door: http.doorOf(proc),
-      caller: http.callerOf(proc),
+      httpServer: http.httpServerOf(proc),
+      httpClient: http.httpClientOf(proc),
       disk: simDisk(n.platter, proc, world),
       logs,
       policies: POLICIES,
@@ -157,22 +157,22 @@
       seeds,
       platform: '10.0.9.9:1',
       cloud: null,
-      founding: n.founding,
+      bootstrap: n.bootstrap,
       diskBytes: shape.diskBytes ?? DISK_BYTES,
       claims: shape.claims ?? false,
-      operatorDoor: shape.operatorDoor ?? false,
+      operatorHttpServer: shape.operatorHttpServer ?? false,
       ...(shape.zones ? { zones: shape.zones } : {}),
     };
-    const started = await startHeadgate(identity, deps);
+    const started = await startController(identity, deps);
     if (!world.alive(proc)) return;
     if (!started.ok) {
       broken.push(`${n.name} did not start: ${started.fault.tag}`);
       return;
     }
-    n.headgate = started.value;
+    n.controller = started.value;
     watch(n.name, started.value);
   }
-  function watch(name: string, headgate: Headgate): void {
+  function watch(name: string, controller: Controller): void {
     function folded(e: { readonly slot: number; readonly batch: unknown }): void {
       const text = JSON.stringify(e.batch);
       const held = chosen.get(e.slot);
@@ -181,12 +181,12 @@
       oneLedger();
     }
     function oneLedger(): void {
-      const own = headgate.ledger.belief().ledger;
+      const own = controller.ledger.controlState().ledger;
       if (ledger === '') ledger = own;
       else if (ledger !== own) broken.push(`${name} follows a second ledger`);
     }
-    headgate.ledger.events.on('folded', folded);
-    headgate.ledger.events.on('adopted', oneLedger);
+    controller.ledger.events.on('folded', folded);
+    controller.ledger.events.on('adopted', oneLedger);
   }
 
   function lab(name: string): Lab {
@@ -194,7 +194,7 @@
   }
   function labIn(name: string, zone: string): Lab {
     const proc = world.begin(world.host(name, zone));
-    return { wire: net.wireOf(proc), clock: world.clockOf(proc), caller: http.callerOf(proc) };
+    return { wire: net.wireOf(proc), clock: world.clockOf(proc), httpClient: http.httpClientOf(proc) };
   }
   function start(name: string): void {
     void startOne(node(name));
@@ -205,11 +205,11 @@
   function kill(name: string): void {
     const n = node(name);
     world.kill(n.host);
-    n.headgate = null;
-    n.founding = false;
+    n.controller = null;
+    n.bootstrap = false;
   }
   async function end(name: string): Promise<void> {
-    const stopping = node(name).headgate?.stop();
+    const stopping = node(name).controller?.stop();
     if (stopping) await finish(stopping, 8_000);
     kill(name);
   }
@@ -243,7 +243,7 @@
 
   async function order(name: string, zone: string, waitMs = 1_500): Promise<Ordered> {
     const from = world.now();
-    const at = node(name).headgate;
+    const at = node(name).controller;
     const work = at
       ? at.ledger.propose(
           { id: `order-${zone}`, cause: 'A test evacuates.', act: { tag: 'evacuation', zone, begun: true } },
@@ -254,19 +254,19 @@
     return { result, tookMs: Math.round(world.now() - from) };
   }
   async function evacuatedAt(name: string): Promise<readonly string[] | null> {
-    const at = node(name).headgate;
+    const at = node(name).controller;
     if (!at || !(await finish(at.ledger.settle(1_500), 30_000))) return null;
-    return Object.keys(at.ledger.belief().evacuated).sort();
+    return Object.keys(at.ledger.controlState().evacuated).sort();
   }
   function members(name: string): readonly string[] {
-    return (node(name).headgate?.ledger.belief().members ?? []).map(nameOfMember).sort();
+    return (node(name).controller?.ledger.controlState().members ?? []).map(nameOfMember).sort();
   }
   function nameOfMember(m: { readonly name: string }): string {
     return m.name;
   }
   function whole(names: readonly string[]): boolean {
     for (const name of names) {
-      const at = node(name).headgate;
+      const at = node(name).controller;
       if (!at?.ledger.isMember() || members(name).join() !== [...names].sort().join()) return false;
     }
     return true;
--- a/src/sim/sim-disk.ts
+++ b/src/sim/sim-disk.ts
@@ -40,7 +40,7 @@
       function done(): void {
         resolve(work());
       }
-      clock.wakeup(0.2 + world.rng.next() * 1.5, done);
+      clock.timer(0.2 + world.rng.next() * 1.5, done);
     }
     return new Promise(start);
   }
--- a/src/sim/sim-fleet.ts
+++ b/src/sim/sim-fleet.ts
@@ -1,21 +1,21 @@
-import { startBasinCloud } from '../basin/cloud.js';
-import { checkRecords } from '../basin/check.js';
-import type { Broken, CheckRules, Rec } from '../basin/check.js';
-import { markIn } from '../basin/mark.js';
-import { runOrigin } from '../basin/origin.js';
-import type { OriginSettings, OriginTally } from '../basin/origin.js';
-import { startBasinPlatform } from '../basin/platform.js';
-import { startBasinWorker, WORKER_DEFAULTS } from '../basin/worker.js';
-import { startHeadgate } from '../coordination/headgate.js';
-import type { Headgate, HeadgateShapes } from '../coordination/headgate.js';
+import { startStandinCloud } from '../standin/cloud.js';
+import { checkRecords } from '../standin/check.js';
+import type { Broken, CheckRules, Rec } from '../standin/check.js';
+import { markIn } from '../standin/mark.js';
+import { runCaller } from '../standin/caller.js';
+import type { CallerSettings, CallerTally } from '../standin/caller.js';
+import { startStandinPlatform } from '../standin/platform.js';
+import { startStandinWorker, WORKER_DEFAULTS } from '../standin/worker.js';
+import { startController } from '../coordination/controller.js';
+import type { Controller, ControllerShapes } from '../coordination/controller.js';
 import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
-import { startSluice } from '../coordination/edge/sluice.js';
-import type { Sluice } from '../coordination/edge/sluice.js';
+import { startProxy } from '../coordination/edge/proxy.js';
+import type { Proxy } from '../coordination/edge/proxy.js';
 import { POLICIES } from '../state/policies.js';
 import type { Policy } from '../state/policies.js';
 import type { Result } from '../base/result.js';
-import { REQUESTS_PATH } from '../protocol/origin-wire.js';
-import type { Caller, HttpAnswer, HttpCall, HttpFault } from '../transport/http.js';
+import { REQUESTS_PATH } from '../protocol/caller-wire.js';
+import type { HttpClient, HttpAnswer, HttpCall, HttpFault } from '../transport/http.js';
 import type { Journal } from '../transport/journal.js';
 import { createQuietLog } from '../transport/log.js';
 import type { LogRoot } from '../transport/log.js';
@@ -34,16 +34,16 @@
 import { createWorld } from './world.js';
 import type { Host, Proc, World } from './world.js';
 
-export type SimSluice = {
+export type SimProxy = {
   readonly host: Host;
-  sluice: Sluice | null;
+  proxy: Proxy | null;
   readonly name: string;
   readonly http: string;
   readonly platter: Platter;
 };
-export type SimHeadgate = {
+export type SimController = {
   readonly host: Host;
-  headgate: Headgate | null;
+  controller: Controller | null;
   readonly name: string;
   http: string;
   wire: string;
@@ -62,8 +62,8 @@
   readonly seed: number;
   readonly records: Rec[];
   readonly violations: Broken[];
-  readonly headgates: readonly SimHeadgate[];
-  readonly sluices: readonly SimSluice[];
+  readonly controllers: readonly SimController[];
+  readonly proxies: readonly SimProxy[];
   readonly workers: readonly SimWorker[];
   readonly cloudAddress: string;
   readonly platformAddress: string;
@@ -72,7 +72,7 @@
   readonly kill: (name: string) => void;
   readonly powerLoss: (name: string) => void;
   readonly wipe: (name: string) => void;
-  readonly moveHeadgate: (at: number) => void;
+  readonly moveController: (at: number) => void;
   readonly moveWorker: (id: string) => void;
   readonly keepOldSeeds: () => void;
   readonly turbulence: (t: Turbulence) => void;
@@ -80,7 +80,7 @@
   readonly zones: readonly string[];
   readonly holder: () => number;
   readonly hostOf: (name: string) => Host;
-  readonly callerOf: (proc: Proc) => Caller;
+  readonly httpClientOf: (proc: Proc) => HttpClient;
   readonly cutOff: (names: readonly string[]) => void;
   readonly call: (
     c: Omit<HttpCall, 'timeoutMs'> & { readonly timeoutMs?: number },
@@ -93,8 +93,8 @@
     timeoutMs?: number,
   ) => Promise<Result<HttpAnswer, HttpFault>>;
   readonly traffic: (
-    s: Partial<OriginSettings> & { readonly zone: string; readonly seconds: number },
-  ) => Promise<OriginTally>;
+    s: Partial<CallerSettings> & { readonly zone: string; readonly seconds: number },
+  ) => Promise<CallerTally>;
   readonly run: (ms: number) => Promise<void>;
   readonly until: (limitMs: number, test: () => boolean) => Promise<boolean>;
   readonly finish: <T>(work: Promise<T>, limitMs: number) => Promise<T | null>;
@@ -103,7 +103,7 @@
   readonly load: () => { readonly frames: number; readonly bytes: number; readonly calls: number };
 };
 
-function shapesOf(shape: FleetShape): HeadgateShapes {
+function shapesOf(shape: FleetShape): ControllerShapes {
   const fileBytes = shape.ringFileBytes ?? 48 * 1024;
   return {
     ledger: { name: 'ledger', files: 4, fileBytes, snapshotBytes: Math.max(1_048_576, 4 * fileBytes) },
@@ -168,8 +168,8 @@
       clock: world.clockOf(proc),
       rng: procRng(),
       wire: net.wireOf(proc),
-      door: http.doorOf(proc),
-      caller: http.callerOf(proc),
+      httpServer: http.httpServerOf(proc),
+      httpClient: http.httpClientOf(proc),
       disk: platter ? simDisk(platter, proc, world) : null,
       logs,
       policies,
@@ -182,15 +182,15 @@
   const platformAddress = address();
   const cloudAddress = address();
   const lab = world.host('lab', 'lab');
-  const labCaller = http.callerOf(world.begin(lab));
+  const labHttpClient = http.httpClientOf(world.begin(lab));
 
-  const headgates: SimHeadgate[] = zones.map(headgateOf);
-  const foundingSeeds = headgates.map(wireOf);
+  const controllers: SimController[] = zones.map(controllerOf);
+  const bootstrapSeeds = controllers.map(wireOf);
   let seedsFollow = true;
   function keepOldSeeds(): void {
     seedsFollow = false;
   }
-  const sluices: SimSluice[] = zones.flatMap(sluicesOf);
+  const proxies: SimProxy[] = zones.flatMap(proxiesOf);
   const workers: SimWorker[] = zones.flatMap(workersOf);
 
   function freshPlatter(): Platter {
@@ -198,11 +198,11 @@
     made.lies = sabotage.disksLie === true;
     return made;
   }
-  function headgateOf(zone: string, i: number): SimHeadgate {
-    const name = `headgate-${i + 1}`;
-    const made: SimHeadgate = {
+  function controllerOf(zone: string, i: number): SimController {
+    const name = `controller-${i + 1}`;
+    const made: SimController = {
       host: world.host(name, zone),
-      headgate: null,
+      controller: null,
       name,
       http: address(),
       wire: address(),
@@ -210,19 +210,19 @@
     };
     async function start(proc: Proc): Promise<void> {
       const deps = depsOf(proc, made.platter);
-      const started = await startHeadgate(identityOf(name, zone, made.wire, made.http, deps), deps, shapesOf(shape));
+      const started = await startController(identityOf(name, zone, made.wire, made.http, deps), deps, shapesOf(shape));
       if (!started.ok) {
         records.push({ who: 'sim', at: world.now(), event: 'startFailed', node: name, fault: started.fault });
         return;
       }
-      made.headgate = started.value;
+      made.controller = started.value;
       sabotageLedger(started.value.ledger, sabotage);
       watchLedger(name, started.value);
     }
     starters.set(name, start);
     return made;
   }
-  function wireOf(h: SimHeadgate): string {
+  function wireOf(h: SimController): string {
     return h.wire;
   }
 
@@ -236,14 +236,14 @@
       advertised: wire,
       httpListen: httpAddress,
       http: httpAddress,
-      seeds: seedsFollow ? headgates.map(wireOf) : foundingSeeds,
+      seeds: seedsFollow ? controllers.map(wireOf) : bootstrapSeeds,
       platform: platformAddress,
       cloud: cloudAddress,
     };
   }
 
-  function watchLedger(name: string, headgate: Headgate): void {
-    let last = headgate.ledger.belief().slot;
+  function watchLedger(name: string, controller: Controller): void {
+    let last = controller.ledger.controlState().slot;
     function folded(e: { readonly slot: number; readonly batch: { readonly id: string } }): void {
       const text = JSON.stringify(e.batch);
       const held = chosen.get(e.slot);
@@ -254,25 +254,25 @@
         violations.push({ rule: 'oneLedger', detail: `${name} went back from slot ${last} to ${e.slot}` });
       last = e.slot;
     }
-    headgate.ledger.events.on('folded', folded);
+    controller.ledger.events.on('folded', folded);
   }
 
-  function sluicesOf(zone: string): SimSluice[] {
-    const out: SimSluice[] = [];
-    for (let i = 0; i < (shape.sluices[zone] ?? 0); i += 1) {
-      const name = `sluice-${zone}-${i + 1}`;
+  function proxiesOf(zone: string): SimProxy[] {
+    const out: SimProxy[] = [];
+    for (let i = 0; i < (shape.proxies[zone] ?? 0); i += 1) {
+      const name = `proxy-${zone}-${i + 1}`;
       const wire = address();
-      const made: SimSluice = {
+      const made: SimProxy = {
         host: world.host(name, zone),
-        sluice: null,
+        proxy: null,
         name,
         http: address(),
         platter: createPlatter(),
       };
       async function start(proc: Proc): Promise<void> {
         const deps = depsOf(proc, made.platter);
-        const started = await startSluice(identityOf(name, zone, wire, made.http, deps), deps);
-        made.sluice = started.ok ? started.value : null;
+        const started = await startProxy(identityOf(name, zone, wire, made.http, deps), deps);
+        made.proxy = started.ok ? started.value : null;
       }
       starters.set(name, start);
       out.push(made);
@@ -289,7 +289,7 @@
       const made: SimWorker = { host: world.host(id, zone), id, http: address(), zone, fixed };
       async function start(proc: Proc): Promise<void> {
         const deps = depsOf(proc, null);
-        await startBasinWorker(
+        await startStandinWorker(
           {
             id,
             zone,
@@ -310,11 +310,11 @@
   }
 
   async function startPlatform(proc: Proc): Promise<void> {
-    await startBasinPlatform(platformAddress, world.clockOf(proc), http.doorOf(proc), journal());
+    await startStandinPlatform(platformAddress, world.clockOf(proc), http.httpServerOf(proc), journal());
   }
   async function startCloud(proc: Proc): Promise<void> {
     const deps = depsOf(proc, null);
-    await startBasinCloud(
+    await startStandinCloud(
       {
         address: cloudAddress,
         platform: platformAddress,
@@ -345,11 +345,11 @@
     forget(name);
   }
   function forget(name: string): void {
-    for (const h of headgates) if (h.name === name) h.headgate = null;
-    for (const s of sluices) if (s.name === name) s.sluice = null;
+    for (const h of controllers) if (h.name === name) h.controller = null;
+    for (const s of proxies) if (s.name === name) s.proxy = null;
   }
   function platterOf(name: string): Platter | null {
-    for (const n of [...headgates, ...sluices]) if (n.name === name) return n.platter;
+    for (const n of [...controllers, ...proxies]) if (n.name === name) return n.platter;
     return null;
   }
   function powerLoss(name: string): void {
@@ -364,8 +364,8 @@
     if (platter) loseDisk(platter);
   }
 
-  function moveHeadgate(at: number): void {
-    const h = headgates[at] as SimHeadgate;
+  function moveController(at: number): void {
+    const h = controllers[at] as SimController;
     kill(h.name);
     h.http = address();
     h.wire = address();
@@ -382,9 +382,9 @@
     }
   }
   function holder(): number {
-    for (let i = 0; i < headgates.length; i += 1) {
-      const h = headgates[i] as SimHeadgate;
-      if (h.headgate && !h.host.frozen && h.headgate.holdsScaler()) return i;
+    for (let i = 0; i < controllers.length; i += 1) {
+      const h = controllers[i] as SimController;
+      if (h.controller && !h.host.frozen && h.controller.holdsScaler()) return i;
     }
     return -1;
   }
@@ -402,7 +402,7 @@
   function call(
     c: Omit<HttpCall, 'timeoutMs'> & { readonly timeoutMs?: number },
   ): Promise<Result<HttpAnswer, HttpFault>> {
-    return finish(labCaller.call({ timeoutMs: 12_000, ...c }), 13_000).then(orTimedOut);
+    return finish(labHttpClient.call({ timeoutMs: 12_000, ...c }), 13_000).then(orTimedOut);
   }
   function orTimedOut(r: Result<HttpAnswer, HttpFault> | null): Result<HttpAnswer, HttpFault> {
     return r ?? { ok: false, fault: { tag: 'timedOut' } };
@@ -418,7 +418,7 @@
     const limit = timeoutMs === undefined ? {} : { timeoutMs };
     return call({
       method,
-      address: (headgates[at] as SimHeadgate).http,
+      address: (controllers[at] as SimController).http,
       path,
       ...limit,
       ...(body === undefined ? {} : { body }),
@@ -441,11 +441,11 @@
   }
 
   async function start(): Promise<boolean> {
-    const names = ['platform', 'cloud', ...headgates.map(nameOf), ...sluices.map(nameOf), ...workers.map(idOf)];
+    const names = ['platform', 'cloud', ...controllers.map(nameOf), ...proxies.map(nameOf), ...workers.map(idOf)];
     for (const name of names) void startNode(name);
     await world.advance(1_500);
-    const founded = await operator(0, 'POST', '/v1/found', { members: headgates.map(wireOf) });
-    if (!founded.ok || founded.value.status !== 200) return false;
+    const bootstrapped = await operator(0, 'POST', '/v1/bootstrap', { members: controllers.map(wireOf) });
+    if (!bootstrapped.ok || bootstrapped.value.status !== 200) return false;
     const known = await world.until(20_000, allKnown);
     const applied = await operator(0, 'POST', '/v1/configuration', { base: 0, configuration: shape.configuration });
     if (!known || !applied.ok || applied.value.status !== 200) return false;
@@ -458,13 +458,13 @@
     return w.id;
   }
   function allKnown(): boolean {
-    const b = headgates[0]?.headgate?.ledger.belief();
-    return b !== undefined && Object.keys(b.sluices).length === sluices.length;
+    const b = controllers[0]?.controller?.ledger.controlState();
+    return b !== undefined && Object.keys(b.proxies).length === proxies.length;
   }
 
   function allReady(): boolean {
-    for (const h of headgates) {
-      const b = h.headgate?.ledger.belief();
+    for (const h of controllers) {
+      const b = h.controller?.ledger.controlState();
       if (!b) continue;
       let ready = 0;
       let open = 0;
@@ -478,17 +478,17 @@
   }
 
   function traffic(
-    s: Partial<OriginSettings> & { readonly zone: string; readonly seconds: number },
-  ): Promise<OriginTally> {
-    const name = s.name ?? `origin-${s.zone}-${procs}`;
+    s: Partial<CallerSettings> & { readonly zone: string; readonly seconds: number },
+  ): Promise<CallerTally> {
+    const name = s.name ?? `caller-${s.zone}-${procs}`;
     const proc = world.begin(world.host(name, s.zone));
     const near: string[] = [];
-    for (const x of sluices) if (x.host.zone === s.zone) near.push(x.http);
-    for (const x of sluices) if (x.host.zone !== s.zone) near.push(x.http);
-    return runOrigin(
+    for (const x of proxies) if (x.host.zone === s.zone) near.push(x.http);
+    for (const x of proxies) if (x.host.zone !== s.zone) near.push(x.http);
+    return runCaller(
       {
         name,
-        sluices: near,
+        proxies: near,
         runOnceModel: shape.fixed.model,
         streamModels: shape.streamModels,
         kind: shape.kind,
@@ -498,7 +498,7 @@
         patience: 3,
         ...s,
       },
-      { clock: world.clockOf(proc), rng: procRng(), caller: http.callerOf(proc), journal: journal() },
+      { clock: world.clockOf(proc), rng: procRng(), httpClient: http.httpClientOf(proc), journal: journal() },
     );
   }
 
@@ -522,8 +522,8 @@
     seed,
     records,
     violations,
-    headgates,
-    sluices,
+    controllers,
+    proxies,
     workers,
     cloudAddress,
     platformAddress,
@@ -534,13 +534,13 @@
     kill,
     powerLoss,
     wipe,
-    moveHeadgate,
+    moveController,
     moveWorker,
     keepOldSeeds,
     turbulence: net.disturb,
     holder,
     hostOf,
-    callerOf: http.callerOf,
+    httpClientOf: http.httpClientOf,
     cutOff,
     call,
     operator,
--- a/src/sim/sim-http.ts
+++ b/src/sim/sim-http.ts
@@ -1,8 +1,8 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type {
-  Caller,
-  Door,
+  HttpClient,
+  HttpServer,
   HttpAnswer,
   HttpCall,
   HttpFault,
@@ -16,8 +16,8 @@
 type Open = { readonly proc: Proc; readonly routes: readonly Route[] };
 
 export type SimHttp = {
-  readonly doorOf: (proc: Proc) => Door;
-  readonly callerOf: (proc: Proc) => Caller;
+  readonly httpServerOf: (proc: Proc) => HttpServer;
+  readonly httpClientOf: (proc: Proc) => HttpClient;
   readonly calls: () => number;
 };
 
@@ -48,12 +48,12 @@
 export type BodySeen = (host: Host, path: string, body: unknown) => void;
 
 export function createSimHttp(world: World, onBody: BodySeen): SimHttp {
-  const doors = new Map<Address, Open>();
+  const httpServers = new Map<Address, Open>();
   const onDeath = new Map<Host, Set<() => void>>();
   let made = 0;
 
   function onKill(host: Host): void {
-    for (const [address, d] of doors) if (d.proc.host === host) doors.delete(address);
+    for (const [address, d] of httpServers) if (d.proc.host === host) httpServers.delete(address);
     const fns = onDeath.get(host);
     onDeath.delete(host);
     for (const fn of fns ?? []) fn();
@@ -70,13 +70,13 @@
     return off;
   }
 
-  function doorOf(proc: Proc): Door {
+  function httpServerOf(proc: Proc): HttpServer {
     function open(address: Address, routes: readonly Route[]): Promise<Result<Listener, WireFault>> {
-      if (doors.has(address)) return Promise.resolve(err({ tag: 'addressInUse', address }));
-      doors.set(address, { proc, routes });
+      if (httpServers.has(address)) return Promise.resolve(err({ tag: 'addressInUse', address }));
+      httpServers.set(address, { proc, routes });
       world.own(address, proc.host);
       function close(): Promise<void> {
-        doors.delete(address);
+        httpServers.delete(address);
         return Promise.resolve();
       }
       return Promise.resolve(ok({ address, close }));
@@ -84,7 +84,7 @@
     return { open };
   }
 
-  function callerOf(proc: Proc): Caller {
+  function httpClientOf(proc: Proc): HttpClient {
     function call(c: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
       made += 1;
       function start(resolve: (r: Result<HttpAnswer, HttpFault>) => void): void {
@@ -142,8 +142,8 @@
     world.at(world.delay(proc.host, there), arrive);
 
     function arrive(): void {
-      const door = doors.get(c.address);
-      if (!door || !world.alive(door.proc)) {
+      const httpServer = httpServers.get(c.address);
+      if (!httpServer || !world.alive(httpServer.proc)) {
         back(neverSent);
         return;
       }
@@ -156,7 +156,7 @@
         if (answered) broke?.({ tag: 'broken' });
         else settle(err({ tag: 'broken' }));
       }
-      const d = door;
+      const d = httpServer;
       const cameAt = world.now();
       world.run(d.proc, serve);
       function serve(): void {
@@ -169,12 +169,12 @@
       world.at(world.delay(there, proc.host), fn);
     }
 
-    async function handle(door: Open, off: () => void, cameAt: number): Promise<void> {
+    async function handle(httpServer: Open, off: () => void, cameAt: number): Promise<void> {
       const [path, search] = c.path.split('?') as [string, string | undefined];
       const query: Record<string, string> = {};
       for (const [k, v] of new URLSearchParams(search ?? '')) query[k] = v;
       let reply: HttpReply = { status: 404, body: { error: { tag: 'unknownPath' } } };
-      for (const route of door.routes) {
+      for (const route of httpServer.routes) {
         const params = match(route, c.method, path);
         if (!params) continue;
         const req: HttpRequest = {
@@ -188,11 +188,11 @@
           cameAt,
         };
         const early = route.gate?.({ ...req, body: undefined });
-        if (!early) onBody(door.proc.host, path, req.body);
+        if (!early) onBody(httpServer.proc.host, path, req.body);
         reply = early ?? (await route.handle(req));
         break;
       }
-      if (!world.alive(door.proc)) return;
+      if (!world.alive(httpServer.proc)) return;
       const lines = reply.lines;
       const sent = reply.text ?? copied(reply.body) ?? null;
       const given = reply;
@@ -272,5 +272,5 @@
   function calls(): number {
     return made;
   }
-  return { doorOf, callerOf, calls };
+  return { httpServerOf, httpClientOf, calls };
 }
--- a/src/sim/sim-ledger.ts
+++ b/src/sim/sim-ledger.ts
@@ -2,8 +2,8 @@
 import type { Result } from '../base/result.js';
 import type { Ledger } from '../coordination/ledger/ledger.js';
 import type { Agreed, Draft, ProposeFault } from '../coordination/ledger/proposal.js';
-import { emptyBelief, foldBatch } from '../state/belief.js';
-import type { Belief, Outcome } from '../state/belief.js';
+import { emptyControlState, foldBatch } from '../state/control-state.js';
+import type { ControlState, Outcome } from '../state/control-state.js';
 import type { Act, Entry } from '../state/entry.js';
 import { pause } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
@@ -13,20 +13,20 @@
 export type SimLedger = {
   readonly world: World;
   readonly clock: Clock;
-  readonly belief: Belief;
+  readonly controlState: ControlState;
   readonly entryBytes: readonly number[];
   readonly fold: (id: string, act: Act) => Agreed;
-  readonly ledgerAfter: (ms: number) => Pick<Ledger, 'belief' | 'settle' | 'propose'>;
+  readonly ledgerAfter: (ms: number) => Pick<Ledger, 'controlState' | 'settle' | 'propose'>;
   readonly cut: (on: boolean) => void;
   readonly deaf: (on: boolean) => void;
   readonly run: <T>(work: Promise<T>, limitMs?: number) => Promise<T | null>;
 };
 
-// One agreed ledger that several doors share: a proposal takes its way there, is folded, and is answered after the way back.
+// One agreed ledger that several servers share: a proposal takes its way there, is folded, and is answered after the way back.
 export function createSimLedger(seed: number): SimLedger {
   const world = createWorld(seed);
   const clock = world.clockOf(world.begin(world.host('core', 'a')));
-  const belief = emptyBelief();
+  const controlState = emptyControlState();
   const entryBytes: number[] = [];
   let isCut = false;
   let isDeaf = false;
@@ -35,17 +35,20 @@
   function fold(id: string, act: Act): Agreed {
     const entry: Entry = { id, author: 'sim', wall: 0, cause: 'A test proposed it.', act };
     entryBytes.push(JSON.stringify(entry).length);
-    const outcomes = foldBatch(belief, belief.slot + 1, { id: `batch-${belief.slot}`, entries: [entry] });
-    return { slot: belief.slot, outcome: outcomes[0] as Outcome };
+    const outcomes = foldBatch(controlState, controlState.slot + 1, {
+      id: `batch-${controlState.slot}`,
+      entries: [entry],
+    });
+    return { slot: controlState.slot, outcome: outcomes[0] as Outcome };
   }
-  function believed(): Belief {
-    return belief;
+  function currentControlState(): ControlState {
+    return controlState;
   }
   async function settle(): Promise<boolean> {
     await pause(clock, isCut ? 60_000 : 10);
     return !isCut;
   }
-  function ledgerAfter(ms: number): Pick<Ledger, 'belief' | 'settle' | 'propose'> {
+  function ledgerAfter(ms: number): Pick<Ledger, 'controlState' | 'settle' | 'propose'> {
     async function propose(draft: Draft, waitMs: number): Promise<Result<Agreed, ProposeFault>> {
       await pause(clock, ms);
       proposals += 1;
@@ -53,7 +56,7 @@
       await pause(clock, isDeaf ? waitMs : ms);
       return isDeaf ? err({ tag: 'noMajority' }) : ok(done);
     }
-    return { belief: believed, settle, propose };
+    return { controlState: currentControlState, settle, propose };
   }
   function cut(on: boolean): void {
     isCut = on;
@@ -73,5 +76,5 @@
     await world.until(limitMs, isDone);
     return got[0] ?? null;
   }
-  return { world, clock, belief, entryBytes, fold, ledgerAfter, cut, deaf, run };
+  return { world, clock, controlState, entryBytes, fold, ledgerAfter, cut, deaf, run };
 }
--- a/src/sim/sim-wire.ts
+++ b/src/sim/sim-wire.ts
@@ -1,13 +1,13 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { Address, Conn, ConnEvents, Listener, Wire, WireFault } from '../transport/wire.js';
+import type { Address, Connection, ConnectionEvents, Listener, Wire, WireFault } from '../transport/wire.js';
 import { createLinkRates, createPipe } from './link-rates.js';
 import type { LinkRates, Pipe } from './link-rates.js';
 import type { Host, Proc, World } from './world.js';
 
 type End = {
   readonly proc: Proc;
-  events: ConnEvents | null;
+  events: ConnectionEvents | null;
   closed: boolean;
   lastAt: number;
   readonly pipe: Pipe;
@@ -15,7 +15,7 @@
   readonly held: Held[];
 };
 type Held = { readonly body: string | null; readonly since: number };
-type Listening = { readonly proc: Proc; readonly onConn: (conn: Conn) => void };
+type Listening = { readonly proc: Proc; readonly onConnection: (connection: Connection) => void };
 
 export type Turbulence = { readonly slow: number; readonly twice: number; readonly overtake: number };
 
@@ -133,7 +133,7 @@
     }
   }
 
-  function connOf(own: End, other: End, peer: string): Conn {
+  function connectionOf(own: End, other: End, peer: string): Connection {
     function send(body: unknown): void {
       if (own.closed || !world.alive(own.proc)) return;
       const text = JSON.stringify(body);
@@ -147,7 +147,7 @@
       deliver(own, other, null);
       own.events?.closed();
     }
-    function attach(events: ConnEvents): void {
+    function attach(events: ConnectionEvents): void {
       own.events = events;
       if (own.closed) {
         events.closed();
@@ -163,9 +163,12 @@
   }
 
   function wireOf(proc: Proc): Wire {
-    function listen(address: Address, onConn: (conn: Conn) => void): Promise<Result<Listener, WireFault>> {
+    function listen(
+      address: Address,
+      onConnection: (connection: Connection) => void,
+    ): Promise<Result<Listener, WireFault>> {
       if (listeners.has(address)) return Promise.resolve(err({ tag: 'addressInUse', address }));
-      listeners.set(address, { proc, onConn });
+      listeners.set(address, { proc, onConnection });
       world.own(address, proc.host);
       function close(): Promise<void> {
         listeners.delete(address);
@@ -174,8 +177,8 @@
       return Promise.resolve(ok({ address, close }));
     }
 
-    function dial(address: Address): Promise<Result<Conn, WireFault>> {
-      function start(resolve: (r: Result<Conn, WireFault>) => void): void {
+    function dial(address: Address): Promise<Result<Connection, WireFault>> {
+      function start(resolve: (r: Result<Connection, WireFault>) => void): void {
         const target = world.ownerOf(address);
         function fail(): void {
           world.run(proc, failed);
@@ -199,11 +202,11 @@
           const theirs = endOf(l.proc);
           pairs.add([ours, theirs]);
           function accept(): void {
-            l?.onConn(connOf(theirs, ours, proc.host.name));
+            l?.onConnection(connectionOf(theirs, ours, proc.host.name));
           }
           world.run(l.proc, accept);
           function connected(): void {
-            resolve(ok(connOf(ours, theirs, address)));
+            resolve(ok(connectionOf(ours, theirs, address)));
           }
           world.run(proc, connected);
           sweep();
--- a/src/sim/stage.ts
+++ b/src/sim/stage.ts
@@ -1,4 +1,4 @@
-import type { OriginTally } from '../basin/origin.js';
+import type { CallerTally } from '../standin/caller.js';
 import type { HttpAnswer, HttpFault } from '../transport/http.js';
 import type { Result } from '../base/result.js';
 import type { SimFleet } from './sim-fleet.js';
@@ -11,7 +11,7 @@
 };
 export type Play = (s: Stage) => Promise<void>;
 
-export function share(t: OriginTally | null, what: string): number {
+export function share(t: CallerTally | null, what: string): number {
   let all = 0;
   let hit = 0;
   for (const [k, n] of Object.entries(t ?? {})) {
@@ -24,8 +24,8 @@
 export function statusOf(r: Result<HttpAnswer, HttpFault>): number {
   return r.ok ? r.value.status : 0;
 }
-export function epochOf(r: Result<HttpAnswer, HttpFault>): number {
-  return r.ok ? ((r.value.body as { readonly epoch?: number } | null)?.epoch ?? -1) : -1;
+export function versionOf(r: Result<HttpAnswer, HttpFault>): number {
+  return r.ok ? ((r.value.body as { readonly version?: number } | null)?.version ?? -1) : -1;
 }
 export function waitingOf(r: Result<HttpAnswer, HttpFault>): readonly string[] {
   return r.ok ? ((r.value.body as { readonly waiting?: readonly string[] } | null)?.waiting ?? []) : [];
@@ -44,8 +44,8 @@
     ...(operation ? { operation } : {}),
   });
 }
-export async function epochAt(f: SimFleet, at: number): Promise<number> {
-  return epochOf(await f.operator(at, 'GET', '/v1/configuration'));
+export async function versionAt(f: SimFleet, at: number): Promise<number> {
+  return versionOf(await f.operator(at, 'GET', '/v1/configuration'));
 }
 
 export async function servesAgain(s: Stage, limitMs: number, zone: string): Promise<void> {
@@ -65,7 +65,7 @@
   function firstSuccess(): number | null {
     for (let i = seen; i < fleet.records.length; i += 1) {
       const r = fleet.records[i];
-      if (r?.['who'] === 'origin' && r['result'] === 'success' && String(r['origin']).startsWith('probe'))
+      if (r?.['who'] === 'caller' && r['result'] === 'success' && String(r['caller']).startsWith('probe'))
         return r['at'] as number;
     }
     return null;
@@ -85,8 +85,8 @@
 
 export async function reclaimAll(fleet: SimFleet, remainingMs: number): Promise<() => boolean> {
   const gone = new Set<string>();
-  for (const h of fleet.headgates) {
-    for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {}))
+  for (const h of fleet.controllers) {
+    for (const o of Object.values(h.controller?.ledger.controlState().orders ?? {}))
       if (o.machine !== null) gone.add(o.machine);
   }
   for (const machine of gone)
@@ -97,8 +97,8 @@
       body: { machine, remainingMs },
     });
   function replaced(): boolean {
-    for (const h of fleet.headgates) {
-      for (const o of Object.values(h.headgate?.ledger.belief().orders ?? {}))
+    for (const h of fleet.controllers) {
+      for (const o of Object.values(h.controller?.ledger.controlState().orders ?? {}))
         if (o.machine !== null && gone.has(o.machine)) return false;
     }
     return fleet.allReady();
--- a/src/sim/watchers.ts
+++ b/src/sim/watchers.ts
@@ -4,11 +4,11 @@
 export type Watchers = {
   readonly step: () => void;
   readonly refused: (value: number) => void;
-  readonly won: (base: number, epoch: number) => void;
-  readonly agreed: (epoch: number, value: number) => void;
-  readonly acked: (epoch: number, value: number) => void;
+  readonly won: (base: number, version: number) => void;
+  readonly agreed: (version: number, value: number) => void;
+  readonly acked: (version: number, value: number) => void;
   readonly newest: () => number;
-  readonly read: (who: string, floor: number, epoch: number, configuration: unknown) => void;
+  readonly read: (who: string, floor: number, version: number, configuration: unknown) => void;
   readonly evacuated: (zone: string) => void;
   readonly restored: (zone: string) => void;
   readonly end: () => void;
@@ -37,16 +37,16 @@
 type Seen = {
   readonly name: string;
   readonly slot: number;
-  readonly epoch: number;
+  readonly version: number;
   readonly configuration: Configuration;
   readonly serves: boolean;
   readonly core: boolean;
 };
-type Held = { readonly epoch: number; readonly at: number };
+type Held = { readonly version: number; readonly at: number };
 
 export function createWatchers(fleet: SimFleet): Watchers {
   const { world, violations, records } = fleet;
-  const last = new Map<string, { slot: number; epoch: number; life: number }>();
+  const last = new Map<string, { slot: number; version: number; life: number }>();
   const disturbedAt = new Map<string, number>();
   const evacuations: { readonly zone: string; readonly from: number; until: number }[] = [];
   const winners = new Map<number, number>();
@@ -55,8 +55,8 @@
   const contents = new Map<number, string>();
   const texts = new WeakMap<object, string>();
   const told = new Set<string>();
-  let newest: Held = { epoch: -1, at: 0 };
-  let newestAgreed: Held = { epoch: -1, at: 0 };
+  let newest: Held = { version: -1, at: 0 };
+  let newestAgreed: Held = { version: -1, at: 0 };
   let nextAt = 0;
   let watched = 0;
 
@@ -71,26 +71,26 @@
 
   function seen(): Seen[] {
     const out: Seen[] = [];
-    for (const s of fleet.sluices) {
-      const v = s.sluice?.view();
+    for (const s of fleet.proxies) {
+      const v = s.proxy?.view();
       if (v)
         out.push({
           name: s.name,
           slot: v.slot,
-          epoch: v.epoch,
+          version: v.version,
           configuration: v.configuration,
           serves: v.serving,
           core: false,
         });
     }
-    for (const h of fleet.headgates) {
-      const l = h.headgate?.ledger;
+    for (const h of fleet.controllers) {
+      const l = h.controller?.ledger;
       if (l)
         out.push({
           name: h.name,
-          slot: l.belief().slot,
-          epoch: l.belief().epoch,
-          configuration: l.belief().configuration,
+          slot: l.controlState().slot,
+          version: l.controlState().version,
+          configuration: l.controlState().configuration,
           serves: l.isMember(),
           core: true,
         });
@@ -100,7 +100,7 @@
 
   function noteDisturbed(): void {
     const now = world.now();
-    for (const n of [...fleet.sluices, ...fleet.headgates]) {
+    for (const n of [...fleet.proxies, ...fleet.controllers]) {
       const sick = n.platter.failing || n.platter.full;
       if (!n.host.running || n.host.frozen || sick || world.isTouched(n.name) || !disturbedAt.has(n.name))
         disturbedAt.set(n.name, now);
@@ -111,20 +111,20 @@
   }
   function coreCalm(): boolean {
     let n = 0;
-    for (const h of fleet.headgates) if (calmFor(h.name) >= 2 * IN_FORCE_MS) n += 1;
-    return n > fleet.headgates.length / 2;
+    for (const h of fleet.controllers) if (calmFor(h.name) >= 2 * IN_FORCE_MS) n += 1;
+    return n > fleet.controllers.length / 2;
   }
 
   function forward(n: Seen): void {
     const life = fleet.hostOf(n.name).life;
     const before = last.get(n.name);
     const comparable = before && (!n.core || before.life === life);
-    if (comparable && (n.slot < before.slot || n.epoch < before.epoch))
+    if (comparable && (n.slot < before.slot || n.version < before.version))
       fault(
-        'noOlderEpoch',
-        `${n.name} went from slot ${before.slot} epoch ${before.epoch} to slot ${n.slot} epoch ${n.epoch}`,
+        'noOlderVersion',
+        `${n.name} went from slot ${before.slot} version ${before.version} to slot ${n.slot} version ${n.version}`,
       );
-    last.set(n.name, { slot: n.slot, epoch: n.epoch, life });
+    last.set(n.name, { slot: n.slot, version: n.version, life });
   }
 
   function textOf(c: Configuration): string {
@@ -135,16 +135,16 @@
     return made;
   }
 
-  function checkContent(who: string, epoch: number, text: string, value: number | null): void {
-    const known = contents.get(epoch);
-    if (known === undefined) contents.set(epoch, text);
+  function checkContent(who: string, version: number, text: string, value: number | null): void {
+    const known = contents.get(version);
+    if (known === undefined) contents.set(version, text);
     else if (known !== text)
-      faultOnce('oneContent', `${who} ${epoch}`, `${who} holds another configuration under epoch ${epoch}`);
+      faultOnce('oneContent', `${who} ${version}`, `${who} holds another configuration under version ${version}`);
     if (value !== null && refusedValues.has(value))
       faultOnce('refusedSeen', `${who} ${value}`, `${who} holds ${value}, which was refused`);
-    const agreedValue = values.get(epoch);
+    const agreedValue = values.get(version);
     if (agreedValue !== undefined && value !== agreedValue)
-      faultOnce('readBack', `${who} ${epoch}`, `${who} holds ${value} in epoch ${epoch}, not ${agreedValue}`);
+      faultOnce('readBack', `${who} ${version}`, `${who} holds ${value} in version ${version}, not ${agreedValue}`);
   }
 
   function step(): void {
@@ -153,28 +153,28 @@
     noteDisturbed();
     const core = coreCalm();
     for (const n of seen()) {
-      if (n.epoch > 0) checkContent(n.name, n.epoch, textOf(n.configuration), valueIn(n.configuration));
+      if (n.version > 0) checkContent(n.name, n.version, textOf(n.configuration), valueIn(n.configuration));
       if (!n.serves) continue;
       forward(n);
-      if (!n.core && n.epoch < newest.epoch)
+      if (!n.core && n.version < newest.version)
         faultOnce(
           'inForce',
-          `${n.name} ${newest.epoch}`,
-          `${n.name} serves epoch ${n.epoch} though ${newest.epoch} was acknowledged`,
+          `${n.name} ${newest.version}`,
+          `${n.name} serves version ${n.version} though ${newest.version} was acknowledged`,
         );
       if (
-        newestAgreed.epoch < 0 ||
+        newestAgreed.version < 0 ||
         !core ||
         calmFor(n.name) < 2 * IN_FORCE_MS ||
         world.now() - newestAgreed.at < IN_FORCE_MS
       )
         continue;
       watched += STEP_MS;
-      if (n.epoch < newestAgreed.epoch)
+      if (n.version < newestAgreed.version)
         faultOnce(
           'inForce',
-          `${n.name} ${newestAgreed.epoch} late`,
-          `${n.name} holds epoch ${n.epoch} more than 3 s after ${newestAgreed.epoch} was agreed`,
+          `${n.name} ${newestAgreed.version} late`,
+          `${n.name} holds version ${n.version} more than 3 s after ${newestAgreed.version} was agreed`,
         );
     }
   }
@@ -182,37 +182,37 @@
   function refused(value: number): void {
     refusedValues.add(value);
     for (const n of seen())
-      if (n.epoch > 0) checkContent(n.name, n.epoch, textOf(n.configuration), valueIn(n.configuration));
+      if (n.version > 0) checkContent(n.name, n.version, textOf(n.configuration), valueIn(n.configuration));
   }
-  function won(base: number, epoch: number): void {
+  function won(base: number, version: number): void {
     const other = winners.get(base);
-    if (other !== undefined && other !== epoch)
-      fault('oneWinner', `epochs ${other} and ${epoch} both won on base ${base}`);
-    winners.set(base, epoch);
+    if (other !== undefined && other !== version)
+      fault('oneWinner', `versions ${other} and ${version} both won on base ${base}`);
+    winners.set(base, version);
   }
-  function agreed(epoch: number, value: number): void {
-    values.set(epoch, value);
-    if (epoch > newestAgreed.epoch) newestAgreed = { epoch, at: world.now() };
+  function agreed(version: number, value: number): void {
+    values.set(version, value);
+    if (version > newestAgreed.version) newestAgreed = { version, at: world.now() };
   }
-  function acked(epoch: number, value: number): void {
-    agreed(epoch, value);
-    if (epoch > newest.epoch) newest = { epoch, at: world.now() };
+  function acked(version: number, value: number): void {
+    agreed(version, value);
+    if (version > newest.version) newest = { version, at: world.now() };
     for (const n of seen())
-      if (!n.core && n.serves && n.epoch < epoch)
-        fault('inForce', `${n.name} serves epoch ${n.epoch} though ${epoch} was acknowledged`);
+      if (!n.core && n.serves && n.version < version)
+        fault('inForce', `${n.name} serves version ${n.version} though ${version} was acknowledged`);
   }
-  function newestEpoch(): number {
-    return newest.epoch;
+  function newestVersion(): number {
+    return newest.version;
   }
-  function read(who: string, floor: number, epoch: number, configuration: unknown): void {
-    if (epoch < floor) fault('readBack', `${who} reads epoch ${epoch}, ${floor} was acknowledged before`);
-    checkContent(who, epoch, canonical(configuration), valueIn(configuration));
-    const value = values.get(epoch);
+  function read(who: string, floor: number, version: number, configuration: unknown): void {
+    if (version < floor) fault('readBack', `${who} reads version ${version}, ${floor} was acknowledged before`);
+    checkContent(who, version, canonical(configuration), valueIn(configuration));
+    const value = values.get(version);
     if (value === undefined) return;
     const base = fleet.shape.configuration as { readonly deployment?: object };
     const whole = canonical({ ...base, deployment: { ...base.deployment, lineLimit: value } });
     if (canonical(configuration) !== whole)
-      fault('readBack', `${who} reads a tree that is not the one acknowledged as epoch ${epoch}`);
+      fault('readBack', `${who} reads a tree that is not the one acknowledged as version ${version}`);
   }
   function evacuated(zone: string): void {
     evacuations.push({ zone, from: world.now() + EVACUATION_MS, until: Infinity });
@@ -227,7 +227,7 @@
     const ramped = Math.max(1, Math.floor((rm.limit * sinceMs) / (rm.rampS * 1_000)));
     let near = 0;
     let far = 0;
-    for (const s of fleet.sluices) {
+    for (const s of fleet.proxies) {
       if (s.host.zone === zone) near += 1;
       else far += 1;
     }
@@ -254,7 +254,7 @@
     const machines = new Map<string, string>();
     let firsts = 0;
     let all = 0;
-    const dispatched = new Set<string>();
+    const attempted = new Set<string>();
     for (const rec of records) {
       const at = rec['at'] as number;
       if (rec['who'] === 'cloud' && rec['event'] === 'machine') {
@@ -269,8 +269,8 @@
       if (rec['event'] !== 'arrived') continue;
       all += 1;
       const requestId = String(rec['requestId']);
-      if (!dispatched.has(requestId)) firsts += 1;
-      dispatched.add(requestId);
+      if (!attempted.has(requestId)) firsts += 1;
+      attempted.add(requestId);
       const came = typeof rec['came'] === 'number' ? rec['came'] : at;
       for (const e of evacuations) {
         if (rec['zone'] === e.zone && came > e.from && came < e.until)
@@ -293,7 +293,7 @@
   function watchedMs(): number {
     return watched;
   }
-  return { step, refused, won, agreed, acked, newest: newestEpoch, read, evacuated, restored, end, watchedMs };
+  return { step, refused, won, agreed, acked, newest: newestVersion, read, evacuated, restored, end, watchedMs };
 }
 
 type Settings = { readonly rampS?: number; readonly workerUsageLimit?: number };
@@ -309,8 +309,8 @@
     }
     if (rec['event'] === 'gone') live.delete(String(rec['machine']));
   }
-  for (const h of fleet.headgates) {
-    const b = h.headgate?.ledger.belief();
+  for (const h of fleet.controllers) {
+    const b = h.controller?.ledger.controlState();
     if (!b) continue;
     for (const [machine, key] of live) {
       if (!b.orders[key])
--- a/src/sim/worker-scenarios.ts
+++ b/src/sim/worker-scenarios.ts
@@ -1,6 +1,6 @@
 import { SMALL } from './shapes.js';
 import { createWatchers } from './watchers.js';
-import { epochAt, reclaimAll, share, statusOf } from './stage.js';
+import { versionAt, reclaimAll, share, statusOf } from './stage.js';
 import type { Stage } from './stage.js';
 
 export async function evacuation(s: Stage): Promise<void> {
@@ -56,7 +56,7 @@
   const from = fleet.world.now();
   function ready(kind: string): number {
     let n = 0;
-    for (const o of Object.values(fleet.headgates[0]?.headgate?.ledger.belief().orders ?? {}))
+    for (const o of Object.values(fleet.controllers[0]?.controller?.ledger.controlState().orders ?? {}))
       if (o.kind === kind && o.status === 'ready') n += 1;
     return n;
   }
@@ -82,7 +82,7 @@
   await fleet.call({ method: 'POST', address: fleet.cloudAddress, path: '/lab/prices-down', body: { down: true } });
   await fleet.run(32_000);
   const was = fleet.holder();
-  fleet.kill(fleet.headgates[was]?.name ?? '');
+  fleet.kill(fleet.controllers[was]?.name ?? '');
   const replaced = await reclaimAll(fleet, 300);
   const from = fleet.world.now();
   s.expect('replaced', await fleet.until(60_000, replaced), 'a holder that never saw a price ordered nothing');
@@ -91,7 +91,7 @@
 
 export async function countsMissing(s: Stage): Promise<void> {
   const { fleet } = s;
-  const base = await epochAt(fleet, 0);
+  const base = await versionAt(fleet, 0);
   const set = await fleet.operator(0, 'POST', '/v1/configuration/amend', {
     base,
     changes: [
@@ -102,12 +102,12 @@
   });
   s.expect('acknowledged', statusOf(set) === 200, `answered ${statusOf(set)}`);
   function target(): number {
-    return fleet.headgates[0]?.headgate?.ledger.belief().targets['summary'] ?? -1;
+    return fleet.controllers[0]?.controller?.ledger.controlState().targets['summary'] ?? -1;
   }
-  fleet.kill('sluice-ro-1-1');
+  fleet.kill('proxy-ro-1-1');
   await fleet.run(25_000);
-  s.expect('noScaleIn', target() === 2, `with a sluice unheard the target went to ${target()}`);
-  void fleet.startNode('sluice-ro-1-1');
+  s.expect('noScaleIn', target() === 2, `with a proxy unheard the target went to ${target()}`);
+  void fleet.startNode('proxy-ro-1-1');
   const from = fleet.world.now();
   function scaledIn(): boolean {
     return target() === 1;
@@ -118,7 +118,7 @@
 
 export async function platformUnseen(s: Stage): Promise<void> {
   const { fleet } = s;
-  const blind = fleet.sluices[0]?.name ?? '';
+  const blind = fleet.proxies[0]?.name ?? '';
   fleet.world.cut(blind, 'platform');
   const busy = fleet.traffic({
     zone: 'hu-1',
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -1,5 +1,5 @@
 import { Heap } from 'mnemonist';
-import type { Clock, Wakeup } from '../transport/clock.js';
+import type { Clock, Timer } from '../transport/clock.js';
 import { turnOver } from '../transport/clock.js';
 import { createRng } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
@@ -23,7 +23,7 @@
 export type World = {
   readonly rng: Rng;
   readonly now: () => number;
-  readonly at: (ms: number, fn: () => void) => Wakeup;
+  readonly at: (ms: number, fn: () => void) => Timer;
   readonly host: (name: string, zone: string) => Host;
   readonly hosts: () => readonly Host[];
   readonly begin: (host: Host) => Proc;
@@ -72,7 +72,7 @@
   function now(): number {
     return time;
   }
-  function at(ms: number, fn: () => void): Wakeup {
+  function at(ms: number, fn: () => void): Timer {
     const event: Event = { at: time + Math.max(0, ms), seq: (seq += 1), fn, off: false };
     heap.push(event);
     function cancel(): void {
@@ -119,7 +119,7 @@
     function wall(): number {
       return SIM_WALL + time + p.host.wallOffset;
     }
-    function wakeup(ms: number, fn: () => void): Wakeup {
+    function timer(ms: number, fn: () => void): Timer {
       function fire(): void {
         run(p, fired);
       }
@@ -134,7 +134,7 @@
       }
       return { cancel };
     }
-    return { mono, wall, wakeup };
+    return { mono, wall, timer };
   }
   function kill(h: Host): void {
     if (!h.running) return;
--- a/src/basin/origin.ts
+++ b/src/standin/caller.ts
@@ -1,19 +1,19 @@
-import { createFlumeOver } from '../flume/flume.js';
-import type { FlumeAsk, FlumeFault } from '../flume/flume.js';
+import { createClientOver } from '../client/client.js';
+import type { ClientAsk, ClientFault } from '../client/client.js';
 import { sha256 } from '../base/digest.js';
 import { runKey } from '../state/run-key.js';
 import { markOf } from './mark.js';
 import { pause } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
-import type { Caller } from '../transport/http.js';
+import type { HttpClient } from '../transport/http.js';
 import type { Journal } from '../transport/journal.js';
 import { below, newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import type { Address } from '../transport/wire.js';
 
-export type OriginSettings = {
+export type CallerSettings = {
   readonly name: string;
-  readonly sluices: readonly Address[];
+  readonly proxies: readonly Address[];
   readonly zone: string;
   readonly runOnceModel: string | null;
   readonly streamModels: readonly string[];
@@ -30,28 +30,28 @@
 
 type Given = { readonly text: string; readonly pieces: number };
 
-export type OriginTally = Record<string, number>;
+export type CallerTally = Record<string, number>;
 
-export type OriginDeps = {
+export type CallerDeps = {
   readonly clock: Clock;
   readonly rng: Rng;
-  readonly caller: Caller;
+  readonly httpClient: HttpClient;
   readonly journal: Journal;
 };
 
-export function tagOf(fault: FlumeFault): string {
+export function tagOf(fault: ClientFault): string {
   if (fault.tag !== 'failed') return fault.tag;
   return fault.failure.tag === 'shed' ? `shed:${fault.failure.reason}` : fault.failure.tag;
 }
 
-export function isNotRun(fault: FlumeFault): boolean {
-  return fault.tag === 'noSluice' || (fault.tag === 'failed' && fault.failure.tag === 'shed');
+export function isNotRun(fault: ClientFault): boolean {
+  return fault.tag === 'noProxy' || (fault.tag === 'failed' && fault.failure.tag === 'shed');
 }
 
-export async function runOrigin(s: OriginSettings, deps: OriginDeps): Promise<OriginTally> {
+export async function runCaller(s: CallerSettings, deps: CallerDeps): Promise<CallerTally> {
   const { clock, rng, journal } = deps;
-  const flume = createFlumeOver({ sluices: s.sluices, zone: s.zone }, deps.caller, clock);
-  const tally: OriginTally = {};
+  const client = createClientOver({ proxies: s.proxies, zone: s.zone }, deps.httpClient, clock);
+  const tally: CallerTally = {};
   const open = new Set<Promise<void>>();
   const until = clock.mono() + s.seconds * 1_000;
 
@@ -61,23 +61,23 @@
 
   function note(
     submission: string,
-    ask: FlumeAsk,
+    ask: ClientAsk,
     startedAt: number,
     firstAt: number | null,
     result: string,
     requestId: string | null,
     given: Given | null,
-    dispatchId: string | null,
+    attemptId: string | null,
   ): void {
     count(ask.repeatable ? `stream ${result}` : `once ${result}`);
     journal.note({
-      who: 'origin',
-      origin: s.name,
+      who: 'caller',
+      caller: s.name,
       zone: s.zone,
       at: clock.wall(),
       submission,
       requestId,
-      dispatchId,
+      attemptId,
       key: ask.key ?? null,
       model: ask.model ?? null,
       repeatable: ask.repeatable,
@@ -93,7 +93,7 @@
 
   async function card(): Promise<void> {
     const key = runKey(newId(rng, 'key'), clock.wall());
-    const ask: FlumeAsk = {
+    const ask: ClientAsk = {
       model: s.runOnceModel as string,
       ...(s.kind === null ? {} : { kind: s.kind }),
       ...(s.homes ? { homes: s.homes } : {}),
@@ -105,7 +105,7 @@
     for (let tries = 0; ; tries += 1) {
       const startedAt = clock.mono();
       const submission = newId(rng, 'sub');
-      const got = await flume.send(ask);
+      const got = await client.send(ask);
       if (got.ok) {
         note(
           submission,
@@ -115,7 +115,7 @@
           'success',
           got.value.requestId,
           { text: got.value.text, pieces: got.value.pieces },
-          got.value.dispatchId,
+          got.value.attemptId,
         );
         return;
       }
@@ -129,7 +129,7 @@
   async function summary(): Promise<void> {
     const model = s.streamModels[below(rng, s.streamModels.length)] as string;
     const prefix = below(rng, s.prefixes);
-    const ask: FlumeAsk = {
+    const ask: ClientAsk = {
       model,
       parts: [
         { hash: `${model}-rules`, tokens: 400 },
@@ -145,7 +145,7 @@
     };
     const startedAt = clock.mono();
     const submission = newId(rng, 'sub');
-    const got = await flume.stream(ask);
+    const got = await client.stream(ask);
     if (!got.ok) {
       note(
         submission,
@@ -167,7 +167,7 @@
         given.text += e.text;
         given.pieces += 1;
       } else if (e.tag === 'sealed') {
-        note(submission, ask, startedAt, firstAt, 'success', got.value.requestId, given, e.dispatchId);
+        note(submission, ask, startedAt, firstAt, 'success', got.value.requestId, given, e.attemptId);
       } else note(submission, ask, startedAt, firstAt, tagOf(e.fault), got.value.requestId, given, null);
     }
   }
--- a/src/basin/check.test.ts
+++ b/src/standin/check.test.ts
@@ -7,9 +7,9 @@
 const rules = { regionsOfKind: { card: ['north'] }, leavingMs: 4_000 };
 const MARK = markOf({ key: 'k1', kind: 'card', homes: null }, 'u');
 
-function text(requestId: string, dispatchId: string, pieces: number): string {
+function text(requestId: string, attemptId: string, pieces: number): string {
   let out = '';
-  for (let n = 0; n < pieces; n += 1) out += `${requestId.slice(-6)}/${dispatchId.slice(-6)}/${n} `;
+  for (let n = 0; n < pieces; n += 1) out += `${requestId.slice(-6)}/${attemptId.slice(-6)}/${n} `;
   return out;
 }
 function worker(event: string, over: Rec = {}): Rec {
@@ -22,17 +22,17 @@
     at: 10,
     event,
     requestId: 'req-000001',
-    dispatchId: 'd-000001',
+    attemptId: 'd-000001',
     mark: MARK,
     ...over,
   };
 }
-function origin(over: Rec = {}): Rec {
+function caller(over: Rec = {}): Rec {
   return {
-    who: 'origin',
+    who: 'caller',
     at: 20,
     requestId: 'req-000001',
-    dispatchId: 'd-000001',
+    attemptId: 'd-000001',
     key: 'k1',
     repeatable: false,
     result: 'success',
@@ -46,14 +46,14 @@
   worker('begin'),
   worker('end', { pieces: 2, at: 15 }),
   { who: 'body', region: 'north', mark: MARK, at: 5 },
-  origin(),
+  caller(),
 ];
-const again = { requestId: 'req-000002', dispatchId: 'd-000002', at: 30 };
+const again = { requestId: 'req-000002', attemptId: 'd-000002', at: 30 };
 
 describe('the checker', () => {
   test('holds its peace over a good run, and over an honest cut', () => {
     expect(checkRecords(good, rules).broken).toEqual([]);
-    const cut = origin({ result: 'cut', dispatchId: null, pieces: 1, text: sha256(text('req-000001', 'd-000001', 1)) });
+    const cut = caller({ result: 'cut', attemptId: null, pieces: 1, text: sha256(text('req-000001', 'd-000001', 1)) });
     expect(checkRecords([...good.slice(0, 2), cut], rules).broken).toEqual([]);
   });
 
@@ -61,35 +61,35 @@
     [
       'runOnce',
       'a key run by two requests',
-      [...good, worker('begin', again), origin({ ...again, result: 'outcomeUnknown', at: 31 })],
+      [...good, worker('begin', again), caller({ ...again, result: 'outcomeUnknown', at: 31 })],
     ],
     ['runOnce', 'one dispatch run twice', [...good, worker('begin', { at: 12 })]],
-    ['runOnce', 'a second run whose origin left no record', [...good, worker('begin', again)]],
+    ['runOnce', 'a second run whose caller left no record', [...good, worker('begin', again)]],
     [
       'notRun',
       'shed, yet run',
-      [worker('arrived'), worker('begin'), origin({ result: 'shed:noWorker', dispatchId: null })],
+      [worker('arrived'), worker('begin'), caller({ result: 'shed:noWorker', attemptId: null })],
     ],
     [
       'notRun',
       'shed, and run later',
-      [origin({ result: 'shed:noWorker', dispatchId: null, at: 1 }), worker('begin', { at: 90_000 })],
+      [caller({ result: 'shed:noWorker', attemptId: null, at: 1 }), worker('begin', { at: 90_000 })],
     ],
-    ['sealed', 'a success without an end', [worker('arrived'), worker('begin'), origin()]],
-    ['sealed', "another's success", [...good.slice(0, 3), origin({ requestId: 'req-000009' })]],
+    ['sealed', 'a success without an end', [worker('arrived'), worker('begin'), caller()]],
+    ['sealed', "another's success", [...good.slice(0, 3), caller({ requestId: 'req-000009' })]],
     [
       'spliced',
       'a success that is not whole',
-      [...good.slice(0, 3), origin({ text: sha256(text('req-000001', 'd-000001', 1)) })],
+      [...good.slice(0, 3), caller({ text: sha256(text('req-000001', 'd-000001', 1)) })],
     ],
     [
       'spliced',
       'a cut stream with a piece of another run',
       [
         ...good.slice(0, 2),
-        origin({
+        caller({
           result: 'cut',
-          dispatchId: null,
+          attemptId: null,
           pieces: 2,
           text: sha256(`${text('req-000001', 'd-000001', 1)}000001/000007/1 `),
         }),
@@ -106,7 +106,7 @@
       'an arrival outside the homes it asked for',
       [worker('arrived', { mark: markOf({ key: null, kind: null, homes: ['south'] }, 'u') })],
     ],
-    ['homes', 'a body at a sluice outside', [{ who: 'body', region: 'south', mark: MARK, at: 1 }]],
+    ['homes', 'a body at a proxy outside', [{ who: 'body', region: 'south', mark: MARK, at: 1 }]],
     ['leaving', 'the worker knew', [worker('draining', { at: 0 }), worker('arrived', { at: 4_001 })]],
     [
       'leaving',
--- a/src/basin/check.ts
+++ b/src/standin/check.ts
@@ -12,7 +12,7 @@
   readonly leavingMs: number;
 };
 
-type Ran = { readonly worker: string; readonly region: string; readonly dispatchId: string; readonly at: number };
+type Ran = { readonly worker: string; readonly region: string; readonly attemptId: string; readonly at: number };
 
 function str(rec: Rec, key: string): string {
   const v = rec[key];
@@ -31,7 +31,7 @@
   const ends = new Map<string, Rec>();
   const leaving = new Map<string, number>();
   const keysRun = new Map<string, string[]>();
-  const origins: Rec[] = [];
+  const callers: Rec[] = [];
 
   function count(what: string, n = 1): void {
     counts[what] = (counts[what] ?? 0) + n;
@@ -50,9 +50,9 @@
     return num(a, 'at') - num(b, 'at');
   }
   for (const rec of sorted) {
-    if (rec['who'] === 'origin') {
-      origins.push(rec);
-      count(`origin ${str(rec, 'result')}`);
+    if (rec['who'] === 'caller') {
+      callers.push(rec);
+      count(`caller ${str(rec, 'result')}`);
       continue;
     }
     if (
@@ -61,7 +61,7 @@
     )
       noteLeaving(rec);
     if (rec['who'] === 'body') {
-      count('bodies at sluices');
+      count('bodies at proxies');
       checkHomes(rec, 'its body reached');
     }
     if (rec['who'] !== 'worker') continue;
@@ -70,7 +70,7 @@
     if (event === 'draining') noteLeaving(rec);
     if (event === 'arrived') {
       arrived.set(requestId, (arrived.get(requestId) ?? 0) + 1);
-      count('dispatches');
+      count('attempts');
       checkHomes(rec, 'it reached');
       const since = leaving.get(str(rec, 'machine'));
       const came = typeof rec['came'] === 'number' ? rec['came'] : num(rec, 'at');
@@ -83,7 +83,7 @@
       list.push({
         worker: str(rec, 'worker'),
         region: str(rec, 'region'),
-        dispatchId: str(rec, 'dispatchId'),
+        attemptId: str(rec, 'attemptId'),
         at: num(rec, 'at'),
       });
       ran.set(requestId, list);
@@ -94,11 +94,11 @@
       count('prefill tokens', num(rec, 'tokens'));
       count('prefill hits', num(rec, 'hit'));
     }
-    if (event === 'end') ends.set(str(rec, 'dispatchId'), rec);
+    if (event === 'end') ends.set(str(rec, 'attemptId'), rec);
   }
   count('first dispatches', arrived.size);
 
-  for (const rec of origins) {
+  for (const rec of callers) {
     const requestId = str(rec, 'requestId');
     const runs = ran.get(requestId) ?? [];
     const result = str(rec, 'result');
@@ -123,27 +123,27 @@
 
   function isPrefix(rec: Rec, requestId: string, runs: readonly Ran[]): boolean {
     for (const r of runs)
-      if (sha256(textOf(requestId, r.dispatchId, num(rec, 'pieces'))) === str(rec, 'text')) return true;
+      if (sha256(textOf(requestId, r.attemptId, num(rec, 'pieces'))) === str(rec, 'text')) return true;
     return false;
   }
 
   function checkSuccess(rec: Rec, requestId: string, runs: readonly Ran[]): void {
-    const end = ends.get(str(rec, 'dispatchId'));
+    const end = ends.get(str(rec, 'attemptId'));
     if (!end || str(end, 'requestId') !== requestId) {
       fault('sealed', `${requestId} was told a success that no worker finished`);
       return;
     }
     let known = false;
-    for (const r of runs) if (r.dispatchId === str(rec, 'dispatchId')) known = true;
+    for (const r of runs) if (r.attemptId === str(rec, 'attemptId')) known = true;
     if (!known) fault('sealed', `${requestId} was told a success of a dispatch that never began`);
-    if (sha256(textOf(requestId, str(rec, 'dispatchId'), num(end, 'pieces'))) !== str(rec, 'text'))
+    if (sha256(textOf(requestId, str(rec, 'attemptId'), num(end, 'pieces'))) !== str(rec, 'text'))
       fault('spliced', `${requestId} was given a text that is not its worker's`);
   }
 }
 
-function textOf(requestId: string, dispatchId: string, pieces: number): string {
+function textOf(requestId: string, attemptId: string, pieces: number): string {
   let text = '';
-  for (let n = 0; n < pieces; n += 1) text += `${requestId.slice(-6)}/${dispatchId.slice(-6)}/${n} `;
+  for (let n = 0; n < pieces; n += 1) text += `${requestId.slice(-6)}/${attemptId.slice(-6)}/${n} `;
   return text;
 }
 
--- a/src/basin/cloud.ts
+++ b/src/standin/cloud.ts
@@ -7,7 +7,7 @@
 import type { Price } from '../state/scaler-decide.js';
 import { pause } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
-import type { Caller, Door, HttpReply, HttpRequest } from '../transport/http.js';
+import type { HttpClient, HttpServer, HttpReply, HttpRequest } from '../transport/http.js';
 import type { Journal } from '../transport/journal.js';
 import { newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
@@ -21,7 +21,7 @@
   readonly listLagMs?: number;
 };
 
-export type BasinCloud = {
+export type StandinCloud = {
   readonly address: Address;
   readonly machines: () => readonly Machine[];
   readonly stop: () => Promise<void>;
@@ -30,8 +30,8 @@
 export type CloudDeps = {
   readonly clock: Clock;
   readonly rng: Rng;
-  readonly door: Door;
-  readonly caller: Caller;
+  readonly httpServer: HttpServer;
+  readonly httpClient: HttpClient;
   readonly journal: Journal;
 };
 
@@ -49,8 +49,8 @@
 
 const IDLE_FRESH_MS = 3_000;
 
-export async function startBasinCloud(s: CloudSettings, deps: CloudDeps): Promise<Result<BasinCloud, WireFault>> {
-  const { clock, rng, caller, journal } = deps;
+export async function startStandinCloud(s: CloudSettings, deps: CloudDeps): Promise<Result<StandinCloud, WireFault>> {
+  const { clock, rng, httpClient, journal } = deps;
   const idle = new Map<string, Slot>();
   const held = new Map<string, Held>();
   const byKey = new Map<string, string>();
@@ -131,7 +131,7 @@
   }
 
   async function start(h: Held): Promise<void> {
-    const got = await caller.call({
+    const got = await httpClient.call({
       method: 'POST',
       address: h.slot.address,
       path: '/lab/boot',
@@ -160,7 +160,7 @@
     if (h.machine.state === 'gone') return;
     h.machine = { ...h.machine, state: 'gone' };
     note('gone', { machine: h.machine.id, key: h.machine.key });
-    await caller.call({ method: 'POST', address: h.slot.address, path: '/lab/halt', body: {}, timeoutMs: 3_000 });
+    await httpClient.call({ method: 'POST', address: h.slot.address, path: '/lab/halt', body: {}, timeoutMs: 3_000 });
   }
 
   async function release(req: HttpRequest): Promise<HttpReply> {
@@ -177,7 +177,7 @@
     const ms = read.value.remainingMs;
     h.machine = { ...h.machine, state: 'reclaiming' };
     note('reclaiming', { machine: h.machine.id, key: h.machine.key, remainingMs: ms });
-    await caller.call({
+    await httpClient.call({
       method: 'POST',
       address: s.platform,
       path: `/lab/workers/${h.slot.id}/drain`,
@@ -187,7 +187,7 @@
     function done(): void {
       void end(h as Held);
     }
-    clock.wakeup(ms, done);
+    clock.timer(ms, done);
     return { status: 200, body: {} };
   }
 
@@ -237,7 +237,7 @@
     return out;
   }
 
-  const opened = await deps.door.open(s.address, [
+  const opened = await deps.httpServer.open(s.address, [
     { method: 'POST', path: '/lab/idle', handle: onIdle },
     { method: 'POST', path: MACHINES_PATH, handle: place },
     { method: 'GET', path: MACHINES_PATH, handle: list },
--- a/src/basin/platform.ts
+++ b/src/standin/platform.ts
@@ -6,11 +6,11 @@
 import { ListedShape } from '../state/listed.js';
 import type { Listed } from '../state/listed.js';
 import type { Clock } from '../transport/clock.js';
-import type { Door, HttpReply, HttpRequest } from '../transport/http.js';
+import type { HttpServer, HttpReply, HttpRequest } from '../transport/http.js';
 import type { Journal } from '../transport/journal.js';
 import type { Address, WireFault } from '../transport/wire.js';
 
-export type BasinPlatform = { readonly address: Address; readonly stop: () => Promise<void> };
+export type StandinPlatform = { readonly address: Address; readonly stop: () => Promise<void> };
 
 const readListed = readerOf(ListedShape);
 const readDrain = readerOf(Type.Object({ remainingMs: Type.Number() }));
@@ -24,12 +24,12 @@
 type Held = { readonly listed: Listed; readonly at: number };
 type Drain = { readonly machine: string; readonly by: number };
 
-export async function startBasinPlatform(
+export async function startStandinPlatform(
   address: Address,
   clock: Clock,
-  door: Door,
+  httpServer: HttpServer,
   journal: Journal,
-): Promise<Result<BasinPlatform, WireFault>> {
+): Promise<Result<StandinPlatform, WireFault>> {
   const held = new Map<string, Held>();
   const drains = new Map<string, Drain>();
   const hidden = new Set<string>();
@@ -99,7 +99,7 @@
     return { status: 200, body: {} };
   }
 
-  const opened = await door.open(address, [
+  const opened = await httpServer.open(address, [
     { method: 'POST', path: '/lab/workers', handle: beat },
     { method: 'GET', path: WORKERS_PATH, handle: list },
     { method: 'POST', path: '/lab/workers/:id/drain', handle: drain },
--- a/src/basin/slow-net.ts
+++ b/src/standin/slow-net.ts
@@ -2,9 +2,9 @@
 import type { Result } from '../base/result.js';
 import type { Clock } from '../transport/clock.js';
 import { pause } from '../transport/clock.js';
-import type { Caller, HttpAnswer, HttpCall, HttpFault } from '../transport/http.js';
+import type { HttpClient, HttpAnswer, HttpCall, HttpFault } from '../transport/http.js';
 import type { Switches } from '../transport/switch-file.js';
-import type { Address, Conn, ConnEvents, Wire, WireFault } from '../transport/wire.js';
+import type { Address, Connection, ConnectionEvents, Wire, WireFault } from '../transport/wire.js';
 
 export type Path = { readonly delayMs: number; readonly outCut: () => boolean; readonly inCut: () => boolean };
 export type PathTo = (address: Address) => Path;
@@ -42,7 +42,7 @@
     const held: (() => void)[] = [];
     function pump(): void {
       if (isCut()) {
-        clock.wakeup(HELD_LOOK_MS, pump);
+        clock.timer(HELD_LOOK_MS, pump);
         return;
       }
       for (const item of held.splice(0)) item();
@@ -52,20 +52,20 @@
         held.push(item);
         if (held.length === 1) pump();
       }
-      clock.wakeup(ms, due);
+      clock.timer(ms, due);
     }
     return put;
   }
-  function slowConn(conn: Conn, path: Path): Conn {
+  function slowConnection(connection: Connection, path: Path): Connection {
     const out = inOrder(path.delayMs, path.outCut);
     const back = inOrder(path.delayMs, path.inCut);
     function send(body: unknown): void {
       function go(): void {
-        conn.send(body);
+        connection.send(body);
       }
       out(go);
     }
-    function attach(events: ConnEvents): void {
+    function attach(events: ConnectionEvents): void {
       function frame(body: unknown): void {
         function go(): void {
           events.frame(body);
@@ -75,11 +75,11 @@
       function closed(): void {
         back(events.closed);
       }
-      conn.attach({ frame, closed });
+      connection.attach({ frame, closed });
     }
-    return { peer: conn.peer, send, attach, close: conn.close };
+    return { peer: connection.peer, send, attach, close: connection.close };
   }
-  async function dial(address: Address): Promise<Result<Conn, WireFault>> {
+  async function dial(address: Address): Promise<Result<Connection, WireFault>> {
     const path = pathTo(address);
     if (path.outCut() || path.inCut()) {
       await pause(clock, CONNECT_MS);
@@ -87,12 +87,12 @@
     }
     if (path.delayMs > 0) await pause(clock, 2 * path.delayMs);
     const got = await wire.dial(address);
-    return got.ok ? ok(slowConn(got.value, path)) : got;
+    return got.ok ? ok(slowConnection(got.value, path)) : got;
   }
   return { listen: wire.listen, dial };
 }
 
-export function slowCaller(caller: Caller, clock: Clock, pathTo: PathTo): Caller {
+export function slowHttpClient(httpClient: HttpClient, clock: Clock, pathTo: PathTo): HttpClient {
   async function* slowLines(lines: HttpAnswer['lines'], path: Path): AsyncGenerator<Result<unknown, HttpFault>> {
     let first = true;
     for await (const line of lines) {
@@ -110,7 +110,7 @@
       await pause(clock, Math.min(CONNECT_MS, c.timeoutMs));
       return err({ tag: 'neverSent' });
     }
-    const got = await caller.call(c);
+    const got = await httpClient.call(c);
     while (path.inCut() && c.signal?.aborted !== true) {
       if (clock.mono() >= until) return err({ tag: 'timedOut' });
       await pause(clock, HELD_LOOK_MS);
--- a/src/basin/tally.test.ts
+++ b/src/standin/tally.test.ts
@@ -2,9 +2,9 @@
 import { createTally } from './tally.js';
 
 const places = {
-  '10.0.0.1:1': { role: 'sluice', zone: 'a-1', region: 'a' },
-  '10.0.0.1:2': { role: 'sluice', zone: 'a-1', region: 'a' },
-  '10.0.0.1:3': { role: 'headgate', zone: 'a-2', region: 'a' },
+  '10.0.0.1:1': { role: 'proxy', zone: 'a-1', region: 'a' },
+  '10.0.0.1:2': { role: 'proxy', zone: 'a-1', region: 'a' },
+  '10.0.0.1:3': { role: 'controller', zone: 'a-2', region: 'a' },
   '10.0.0.1:4': { role: 'worker', zone: 'b-1', region: 'b' },
 };
 
@@ -12,17 +12,17 @@
   const tally = createTally(places);
   const meter = tally.meterOf(places['10.0.0.1:1']);
   const probe = { t: 'call', id: 1, m: { kind: 'probe' } };
-  meter.conns('10.0.0.1:2', true, 1);
+  meter.connections('10.0.0.1:2', true, 1);
   meter.frame('out', '10.0.0.1:2', true, 100, probe);
   meter.frame('out', '10.0.0.1:2', true, 50, probe);
   meter.frame('in', '10.0.0.1:3', true, 70, { t: 'tell', m: { kind: 'beat' } });
   meter.frame('in', '10.0.0.1:50123', false, 999, probe);
-  meter.conns('10.0.0.1:2', true, -1);
+  meter.connections('10.0.0.1:2', true, -1);
   expect(tally.rows()).toEqual({
-    'sluice sluice inZone conns open': { n: 0, bytes: 0 },
-    'sluice sluice inZone conns dialled': { n: 1, bytes: 0 },
-    'sluice sluice inZone out probe': { n: 2, bytes: 150 },
-    'sluice headgate betweenZones in beat': { n: 1, bytes: 70 },
+    'proxy proxy inZone connections open': { n: 0, bytes: 0 },
+    'proxy proxy inZone connections dialled': { n: 1, bytes: 0 },
+    'proxy proxy inZone out probe': { n: 2, bytes: 150 },
+    'proxy controller betweenZones in beat': { n: 1, bytes: 70 },
   });
 });
 
@@ -30,11 +30,11 @@
   const tally = createTally(places);
   const call = async () =>
     ({ ok: true, value: { status: 200, headers: {}, body: { a: 1 }, lines: [], abandon: () => {} } }) as never;
-  const caller = tally.countedCaller(places['10.0.0.1:1'], { call });
-  await caller.call({ method: 'GET', address: '10.0.0.1:4', path: '/lab/workers/w1?x=2', timeoutMs: 1 });
-  await caller.call({ method: 'GET', address: '10.0.0.1:4', path: '/lab/workers/w2', timeoutMs: 1 });
+  const httpClient = tally.countedHttpClient(places['10.0.0.1:1'], { call });
+  await httpClient.call({ method: 'GET', address: '10.0.0.1:4', path: '/lab/workers/w1?x=2', timeoutMs: 1 });
+  await httpClient.call({ method: 'GET', address: '10.0.0.1:4', path: '/lab/workers/w2', timeoutMs: 1 });
   expect(tally.rows()).toEqual({
-    'sluice worker betweenRegions out GET:/lab/workers/:id': { n: 2, bytes: 600 },
-    'sluice worker betweenRegions in GET:/lab/workers/:id': { n: 2, bytes: 614 },
+    'proxy worker betweenRegions out GET:/lab/workers/:id': { n: 2, bytes: 600 },
+    'proxy worker betweenRegions in GET:/lab/workers/:id': { n: 2, bytes: 614 },
   });
 });
--- a/src/basin/tally.ts
+++ b/src/standin/tally.ts
@@ -1,5 +1,5 @@
 import { isTable } from '../base/is-table.js';
-import type { Caller, HttpAnswer, HttpCall, HttpFault } from '../transport/http.js';
+import type { HttpClient, HttpAnswer, HttpCall, HttpFault } from '../transport/http.js';
 import type { Result } from '../base/result.js';
 import type { Address, WireMeter } from '../transport/wire.js';
 
@@ -11,7 +11,7 @@
 
 export type Tally = {
   readonly meterOf: (own: Place) => WireMeter;
-  readonly countedCaller: (own: Place, caller: Caller) => Caller;
+  readonly countedHttpClient: (own: Place, httpClient: HttpClient) => HttpClient;
   readonly rows: () => TallyTable;
 };
 
@@ -50,12 +50,12 @@
     function frame(way: 'out' | 'in', peer: Address, dialled: boolean, bytes: number, body: unknown): void {
       if (dialled) add(keyOf(own, peer, `${way} ${kindOf(body)}`), 1, bytes);
     }
-    function conns(peer: Address, dialled: boolean, step: 1 | -1): void {
+    function connections(peer: Address, dialled: boolean, step: 1 | -1): void {
       if (!dialled) return;
-      add(keyOf(own, peer, 'conns open'), step, 0);
-      if (step === 1) add(keyOf(own, peer, 'conns dialled'), 1, 0);
+      add(keyOf(own, peer, 'connections open'), step, 0);
+      if (step === 1) add(keyOf(own, peer, 'connections dialled'), 1, 0);
     }
-    return { frame, conns };
+    return { frame, connections };
   }
 
   function weigh(key: string, body: unknown): number {
@@ -66,12 +66,12 @@
     return w.bytes + HEADERS_BYTES;
   }
 
-  function countedCaller(own: Place, caller: Caller): Caller {
+  function countedHttpClient(own: Place, httpClient: HttpClient): HttpClient {
     async function call(c: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
       const path = c.path.replace(/\?.*$/, '').replace(/\/[^/]*\d[^/]*$/, '/:id');
       const out = keyOf(own, c.address, `out ${c.method}:${path}`);
       add(out, 1, weigh(out, c.body));
-      const got = await caller.call(c);
+      const got = await httpClient.call(c);
       const back = keyOf(own, c.address, `in ${c.method}:${path}`);
       if (got.ok) add(back, 1, weigh(back, c.stream ? undefined : got.value.body));
       return got;
@@ -82,5 +82,5 @@
   function table(): TallyTable {
     return rows;
   }
-  return { meterOf, countedCaller, rows: table };
+  return { meterOf, countedHttpClient, rows: table };
 }
--- a/src/basin/worker.ts
+++ b/src/standin/worker.ts
@@ -3,13 +3,13 @@
 import { ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import { readerOf } from '../protocol/read-shape.js';
-import { FITNESS_PATH, readRun, RUN_PATH } from '../protocol/worker-wire.js';
+import { HEALTH_PATH, readRun, RUN_PATH } from '../protocol/worker-wire.js';
 import { markIn } from './mark.js';
 import type { Run } from '../protocol/worker-wire.js';
 import { addPiece, closeSeal, startSeal } from '../state/seal.js';
 import { every, pause } from '../transport/clock.js';
-import type { Clock, Wakeup } from '../transport/clock.js';
-import type { Caller, Door, HttpReply, HttpRequest, Route } from '../transport/http.js';
+import type { Clock, Timer } from '../transport/clock.js';
+import type { HttpClient, HttpServer, HttpReply, HttpRequest, Route } from '../transport/http.js';
 import type { Journal } from '../transport/journal.js';
 import { newId } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
@@ -41,8 +41,8 @@
 export type WorkerDeps = {
   readonly clock: Clock;
   readonly rng: Rng;
-  readonly door: Door;
-  readonly caller: Caller;
+  readonly httpServer: HttpServer;
+  readonly httpClient: HttpClient;
   readonly journal: Journal;
 };
 
@@ -70,12 +70,15 @@
 type Mode = 'none' | 'silent' | 'truncate' | 'wrongSeal' | 'swapPieces' | 'refuse' | 'stall';
 type State = 'idle' | 'loading' | 'ready' | 'draining';
 
-export type BasinWorker = { readonly address: Address; readonly stop: () => Promise<void> };
+export type StandinWorker = { readonly address: Address; readonly stop: () => Promise<void> };
 
 const CACHE_CHAINS = 4_096;
 
-export async function startBasinWorker(s: WorkerSettings, deps: WorkerDeps): Promise<Result<BasinWorker, WireFault>> {
-  const { clock, rng, journal, caller } = deps;
+export async function startStandinWorker(
+  s: WorkerSettings,
+  deps: WorkerDeps,
+): Promise<Result<StandinWorker, WireFault>> {
+  const { clock, rng, journal, httpClient } = deps;
   let state: State = 'idle';
   let model = '';
   let machine = '';
@@ -97,7 +100,7 @@
       zone: s.zone,
       at: clock.wall(),
       event,
-      ...(run ? { requestId: run.requestId, dispatchId: run.dispatchId } : {}),
+      ...(run ? { requestId: run.requestId, attemptId: run.attemptId } : {}),
       ...extra,
     });
   }
@@ -114,7 +117,7 @@
       note('ready', null);
       void beat();
     }
-    clock.wakeup(s.loadMs, done);
+    clock.timer(s.loadMs, done);
   }
 
   function halt(): void {
@@ -141,7 +144,7 @@
   async function beat(): Promise<void> {
     if (mode === 'silent') return;
     if (state === 'idle') {
-      await caller.call({
+      await httpClient.call({
         method: 'POST',
         address: s.cloud,
         path: '/lab/idle',
@@ -151,7 +154,7 @@
       return;
     }
     const left = remaining();
-    await caller.call({
+    await httpClient.call({
       method: 'POST',
       address: s.platform,
       path: '/lab/workers',
@@ -192,7 +195,7 @@
   }
 
   function textOf(run: Run, n: number): string {
-    return `${run.requestId.slice(-6)}/${run.dispatchId.slice(-6)}/${n} `;
+    return `${run.requestId.slice(-6)}/${run.attemptId.slice(-6)}/${n} `;
   }
 
   function pieceCount(run: Run): number {
@@ -200,7 +203,7 @@
   }
 
   async function* produce(run: Run, mine: number): AsyncGenerator<unknown> {
-    const check = startSeal(run.requestId, run.dispatchId);
+    const check = startSeal(run.requestId, run.attemptId);
     try {
       await prefill(run);
       const total = pieceCount(run);
@@ -213,7 +216,7 @@
         addPiece(check, { n, text: piece.text });
         yield { piece };
       }
-      const seal = closeSeal(check, run.dispatchId);
+      const seal = closeSeal(check, run.attemptId);
       note('end', run, { digest: seal.digest, pieces: seal.pieces });
       yield { seal: mode === 'wrongSeal' ? { ...seal, digest: seal.digest.replace(/^./, flip) } : seal };
     } finally {
@@ -232,7 +235,7 @@
     if (mode === 'silent') await pause(clock, 600_000);
     if (state !== 'ready' || ask.model !== model || running >= s.capacity || mode === 'refuse') {
       note('refused', ask);
-      return { status: 503, body: { notRun: true, requestId: ask.requestId, dispatchId: ask.dispatchId } };
+      return { status: 503, body: { notRun: true, requestId: ask.requestId, attemptId: ask.attemptId } };
     }
     running += 1;
     note('begin', ask, { tokens: ask.outputTokens, mark: markIn(ask.parts) });
@@ -249,7 +252,7 @@
     return { status: 200, body: { pieces, seal } };
   }
 
-  async function fitness(): Promise<HttpReply> {
+  async function health(): Promise<HttpReply> {
     if (mode === 'silent') await pause(clock, 600_000);
     const left = remaining();
     return {
@@ -301,28 +304,28 @@
 
   const routes: Route[] = [
     { method: 'POST', path: RUN_PATH, maxBytes: 64 * 1_048_576, handle: run },
-    { method: 'GET', path: FITNESS_PATH, handle: fitness },
+    { method: 'GET', path: HEALTH_PATH, handle: health },
     { method: 'POST', path: '/lab/boot', handle: onBoot },
     { method: 'POST', path: '/lab/halt', handle: onHalt },
     { method: 'POST', path: '/lab/drain', handle: onDrain },
     { method: 'POST', path: '/lab/fault', handle: onFault },
     { method: 'POST', path: '/lab/cold', handle: onCold },
   ];
-  const opened = await deps.door.open(s.address, routes);
+  const opened = await deps.httpServer.open(s.address, routes);
   if (!opened.ok) return opened;
-  const door: Listener = opened.value;
+  const httpServer: Listener = opened.value;
   if (s.fixedModel !== null) boot(`${s.id}-fixed`, s.fixedModel, 'fixed');
 
   function tick(): void {
     void beat();
   }
-  const beating: Wakeup = every(clock, 500, tick);
+  const beating: Timer = every(clock, 500, tick);
   tick();
 
   async function stop(): Promise<void> {
     beating.cancel();
     life += 1;
-    await door.close();
+    await httpServer.close();
   }
-  return ok({ address: door.address, stop });
+  return ok({ address: httpServer.address, stop });
 }
--- a/src/state/dispatch-budget.test.ts
+++ b/src/state/attempt-budget.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from '@jest/globals';
 import { createRng } from '../transport/rng.js';
-import { createDispatchBudget } from './dispatch-budget.js';
+import { createAttemptBudget } from './attempt-budget.js';
 
 const BOUNDS = { ratio: 0.2, slack: 52, windowMs: 10_000 };
 
@@ -13,9 +13,9 @@
   [6, 2],
   [7, 3],
   [60, 4],
-])('further dispatches of %i sluices together stay inside the bound in every window (seed %i)', (n, seed) => {
+])('further dispatches of %i proxies together stay inside the bound in every window (seed %i)', (n, seed) => {
   const rng = createRng(seed);
-  const budgets = Array.from({ length: n }, () => createDispatchBudget(BOUNDS));
+  const budgets = Array.from({ length: n }, () => createAttemptBudget(BOUNDS));
   for (const b of budgets) b.sharers(n);
   const first: number[] = [];
   const further: number[] = [];
@@ -38,14 +38,14 @@
 });
 
 test('what one model spends is not taken from another', () => {
-  const b = createDispatchBudget(BOUNDS);
+  const b = createAttemptBudget(BOUNDS);
   for (let i = 0; i < 100 && b.take('m', 0); i += 1);
   expect(b.may('m', 0)).toBe(false);
   expect(b.may('n', 0)).toBe(true);
 });
 
 test('what was taken and not sent is there again', () => {
-  const b = createDispatchBudget(BOUNDS);
+  const b = createAttemptBudget(BOUNDS);
   while (b.take('m', 0));
   b.giveBack('m');
   expect([b.take('m', 0), b.take('m', 0)]).toEqual([true, false]);
--- a/src/state/dispatch-budget.ts
+++ b/src/state/attempt-budget.ts
@@ -1,4 +1,4 @@
-export type DispatchBudget = {
+export type AttemptBudget = {
   readonly arrived: (model: string, now: number) => void;
   readonly may: (model: string, now: number) => boolean;
   /** Takes one further dispatch from the budget, or tells that there is none left. */
@@ -12,7 +12,7 @@
 
 const GUARD = 0.85;
 
-export function createDispatchBudget(bounds: BudgetBounds): DispatchBudget {
+export function createAttemptBudget(bounds: BudgetBounds): AttemptBudget {
   const first = new Map<string, number[]>();
   const further = new Map<string, number[]>();
   let sharing = 1;
--- a/src/state/candidate.ts
+++ b/src/state/candidate.ts
@@ -19,7 +19,7 @@
   readonly region: string;
   readonly ownRegion: string;
   readonly homes: readonly string[] | null;
-  readonly islanded: boolean;
+  readonly partitioned: boolean;
   readonly seed: string;
   readonly avoid: ReadonlySet<number>;
   readonly meanShare: number;
--- a/src/state/candidates.test.ts
+++ b/src/state/candidates.test.ts
@@ -24,7 +24,7 @@
   expect(ranked(own, all).map((c) => c.name)).toEqual(['h3', 'h2', 'h1', null, 'h4', 'h5']);
 });
 
-test('equally near ones are shared out among the sluices, and the order is always the same for one', () => {
+test('equally near ones are shared out among the proxies, and the order is always the same for one', () => {
   const all = ['h1', 'h2', 'h3', 'h4', 'h5'].map((n) => candidate(n, 'b-1'));
   const firsts = new Map<string, number>();
   for (let i = 0; i < 500; i += 1) {
--- a/src/state/belief.test.ts
+++ b/src/state/control-state.test.ts
@@ -1,38 +1,38 @@
 import { describe, expect, test } from '@jest/globals';
-import { emptyBelief, foldBatch, isBelief } from './belief.js';
-import type { Belief, Outcome } from './belief.js';
+import { emptyControlState, foldBatch, isControlState } from './control-state.js';
+import type { ControlState, Outcome } from './control-state.js';
 import type { Act, Entry } from './entry.js';
 
 let serial = 0;
 function entry(act: Act, over: Partial<Entry> = {}): Entry {
   return { id: `e${(serial += 1)}`, author: 'h1', wall: 7, cause: 'why', act, ...over };
 }
-function fold(b: Belief, ...entries: Entry[]): Outcome[] {
+function fold(b: ControlState, ...entries: Entry[]): Outcome[] {
   return foldBatch(b, b.slot + 1, { id: `b${(serial += 1)}`, entries });
 }
-function founded(): Belief {
-  const b = emptyBelief();
+function bootstrapped(): ControlState {
+  const b = emptyControlState();
   const members = ['a', 'b', 'c'].map((name) => ({ name, incarnation: '1', address: `${name}:1` }));
-  fold(b, entry({ tag: 'founded', ledger: 'l', ticketKey: 'k', members }));
+  fold(b, entry({ tag: 'bootstrapped', ledger: 'l', ticketKey: 'k', members }));
   return b;
 }
 const applied = { tag: 'applied' };
 
 describe('the fold of the ledger', () => {
   test('of two changes on one base the first wins, even within one slot', () => {
-    const b = founded();
+    const b = bootstrapped();
     const change = (value: number): Act => ({
       tag: 'configured',
       base: 0,
       changes: [{ path: ['deployment', 'nExtra'], value }],
     });
-    expect(fold(b, entry(change(1)), entry(change(2)))).toEqual([applied, { tag: 'staleEpoch', winner: 1 }]);
-    expect([b.epoch, b.configuration.deployment.nExtra]).toEqual([1, 1]);
-    expect(fold(b, entry(change(3)))).toEqual([{ tag: 'staleEpoch', winner: 1 }]);
+    expect(fold(b, entry(change(1)), entry(change(2)))).toEqual([applied, { tag: 'staleVersion', winner: 1 }]);
+    expect([b.version, b.configuration.deployment.nExtra]).toEqual([1, 1]);
+    expect(fold(b, entry(change(3)))).toEqual([{ tag: 'staleVersion', winner: 1 }]);
   });
 
   test('an entry folded twice has the outcome it had', () => {
-    const b = founded();
+    const b = bootstrapped();
     const e = entry({ tag: 'evacuation', zone: 'z', begun: true });
     expect(fold(b, e)).toEqual([applied]);
     fold(b, entry({ tag: 'evacuation', zone: 'z', begun: false }));
@@ -41,7 +41,7 @@
   });
 
   test('an entry with an older fence folds to nothing', () => {
-    const b = founded();
+    const b = bootstrapped();
     fold(b, entry({ tag: 'leaseTaken', duty: 'scaler', holder: 'a#1' }));
     const old = b.slot;
     fold(b, entry({ tag: 'leaseTaken', duty: 'scaler', holder: 'b#1' }));
@@ -52,7 +52,7 @@
   });
 
   test('an order goes its way once, and tells who did what and why', () => {
-    const b = founded();
+    const b = bootstrapped();
     fold(b, entry({ tag: 'orderIntended', order: 'o', model: 'm', zone: 'z', kind: 'spot', accelerator: 'any' }));
     expect(fold(b, entry({ tag: 'orderReady', order: 'o' }))).toEqual([{ tag: 'unfit', why: 'order' }]);
     fold(b, entry({ tag: 'orderPlaced', order: 'o', machine: 'm1' }, { author: 'h2', cause: 'taken' }));
@@ -68,7 +68,7 @@
   });
 
   test('a member is replaced only as it stands now', () => {
-    const b = founded();
+    const b = bootstrapped();
     const member = { name: 'b', incarnation: '2', address: 'b:9' };
     expect(fold(b, entry({ tag: 'memberReplaced', old: 'b#1', member }))).toEqual([applied]);
     expect(fold(b, entry({ tag: 'memberReplaced', old: 'b#1', member }))).toEqual([{ tag: 'unfit', why: 'member' }]);
@@ -76,7 +76,7 @@
   });
 
   test('members are added once each, nine at most, and removed only from a group of even size', () => {
-    const b = founded();
+    const b = bootstrapped();
     const member = (name: string) => ({ name, incarnation: '1', address: `${name}:1` });
     const unfit = { tag: 'unfit', why: 'member' };
     expect(fold(b, entry({ tag: 'memberRemoved', old: 'c#1' }))).toEqual([unfit]);
@@ -95,9 +95,9 @@
     expect(fold(b, entry({ tag: 'memberAdded', member: member('k') }))).toEqual([unfit]);
   });
 
-  test('a belief told or kept is looked at before it is taken', () => {
-    expect(isBelief(JSON.parse(JSON.stringify(founded())))).toBe(true);
-    for (const u of [null, 7, [], {}, { ...founded(), orders: [] }, { ...founded(), slot: 'x' }])
-      expect(isBelief(u)).toBe(false);
+  test('a control state told or kept is looked at before it is taken', () => {
+    expect(isControlState(JSON.parse(JSON.stringify(bootstrapped())))).toBe(true);
+    for (const u of [null, 7, [], {}, { ...bootstrapped(), orders: [] }, { ...bootstrapped(), slot: 'x' }])
+      expect(isControlState(u)).toBe(false);
   });
 });
--- a/src/state/belief.ts
+++ b/src/state/control-state.ts
@@ -20,26 +20,26 @@
 
 export type Outcome =
   | { readonly tag: 'applied' }
-  | { readonly tag: 'staleEpoch'; readonly winner: number }
+  | { readonly tag: 'staleVersion'; readonly winner: number }
   | { readonly tag: 'staleFence'; readonly fence: number }
-  | { readonly tag: 'unfit'; readonly why: 'order' | 'member' | 'founded' | 'unchanged' };
+  | { readonly tag: 'unfit'; readonly why: 'order' | 'member' | 'bootstrapped' | 'unchanged' };
 
-export type KnownSluice = { readonly zone: string; readonly region: string };
+export type KnownProxy = { readonly zone: string; readonly region: string };
 
 export type LeaseRecord = { readonly holder: string; readonly fence: number };
 
 export type DoneOperation = { readonly id: string; readonly slot: number; readonly outcome: Outcome };
 
-export type Belief = {
+export type ControlState = {
   slot: number;
   ledger: string;
   ticketKey: string;
   members: Member[];
   claimants: string[];
-  epoch: number;
+  version: number;
   configuration: Configuration;
   evacuated: Record<string, number>;
-  sluices: Record<string, KnownSluice>;
+  proxies: Record<string, KnownProxy>;
   leases: Record<string, LeaseRecord>;
   orders: Record<string, Order>;
   closed: Order[];
@@ -55,17 +55,17 @@
 const CLOSED_KEPT = 2_000;
 const OPERATIONS_KEPT = 1_024;
 
-export function emptyBelief(): Belief {
+export function emptyControlState(): ControlState {
   return {
     slot: -1,
     ledger: '',
     ticketKey: '',
     members: [],
     claimants: [],
-    epoch: 0,
+    version: 0,
     configuration: EMPTY_CONFIGURATION,
     evacuated: {},
-    sluices: {},
+    proxies: {},
     leases: {},
     orders: {},
     closed: [],
@@ -76,13 +76,13 @@
   };
 }
 
-export function isBelief(u: unknown): u is Belief {
+export function isControlState(u: unknown): u is ControlState {
   if (!isTable(u)) return false;
   const b = u;
-  for (const key of ['slot', 'epoch']) if (!Number.isInteger(b[key])) return false;
+  for (const key of ['slot', 'version']) if (!Number.isInteger(b[key])) return false;
   for (const key of ['ledger', 'ticketKey']) if (typeof b[key] !== 'string') return false;
   for (const key of ['members', 'claimants', 'closed', 'operations']) if (!Array.isArray(b[key])) return false;
-  for (const key of ['configuration', 'evacuated', 'sluices', 'leases', 'orders', 'zoneSets', 'targets'])
+  for (const key of ['configuration', 'evacuated', 'proxies', 'leases', 'orders', 'zoneSets', 'targets'])
     if (!isTable(b[key])) return false;
   return isOperatorHistory(b['history']);
 }
@@ -104,7 +104,7 @@
 const APPLIED: Outcome = { tag: 'applied' };
 
 function moveOrder(
-  b: Belief,
+  b: ControlState,
   slot: number,
   entry: Entry,
   id: string,
@@ -133,12 +133,12 @@
   return { slot, status, author: entry.author, fence: entry.fence ?? 0, cause: entry.cause, wall: entry.wall };
 }
 
-function placeOf(b: Belief, id: string): number {
+function placeOf(b: ControlState, id: string): number {
   for (let i = 0; i < b.members.length; i += 1) if (memberId(b.members[i] as Member) === id) return i;
   return -1;
 }
 
-function stands(b: Belief, member: Member, besides: number): boolean {
+function stands(b: ControlState, member: Member, besides: number): boolean {
   for (let i = 0; i < b.members.length; i += 1) {
     const m = b.members[i] as Member;
     if (i !== besides && (m.name === member.name || m.address === member.address)) return true;
@@ -146,17 +146,17 @@
   return false;
 }
 
-function foldAct(b: Belief, slot: number, entry: Entry, act: Act): Outcome {
+function foldAct(b: ControlState, slot: number, entry: Entry, act: Act): Outcome {
   switch (act.tag) {
-    case 'founded': {
-      if (b.ledger !== '') return { tag: 'unfit', why: 'founded' };
+    case 'bootstrapped': {
+      if (b.ledger !== '') return { tag: 'unfit', why: 'bootstrapped' };
       b.ledger = act.ledger;
       b.ticketKey = act.ticketKey;
       b.members = [...act.members];
       b.claimants = act.members.map(memberId);
       return APPLIED;
     }
-    case 'headgateUp':
+    case 'controllerUp':
       return APPLIED;
     case 'memberReplaced': {
       const at = placeOf(b, act.old);
@@ -186,15 +186,15 @@
     case 'evacuation': {
       return foldEvacuation(b, slot, entry.id, act);
     }
-    case 'sluiceKnown': {
-      const known = b.sluices[act.name];
+    case 'proxyKnown': {
+      const known = b.proxies[act.name];
       if (known && known.zone === act.zone && known.region === act.region) return { tag: 'unfit', why: 'unchanged' };
-      b.sluices[act.name] = { zone: act.zone, region: act.region };
+      b.proxies[act.name] = { zone: act.zone, region: act.region };
       return APPLIED;
     }
-    case 'sluiceForgotten': {
-      if (!b.sluices[act.name]) return { tag: 'unfit', why: 'unchanged' };
-      delete b.sluices[act.name];
+    case 'proxyForgotten': {
+      if (!b.proxies[act.name]) return { tag: 'unfit', why: 'unchanged' };
+      delete b.proxies[act.name];
       return APPLIED;
     }
     case 'leaseTaken': {
@@ -264,11 +264,11 @@
 
 type Configured = Extract<Act, { tag: 'configured' }>;
 
-function foldConfigured(b: Belief, slot: number, id: string, act: Configured): Outcome {
-  if (act.base !== b.epoch) return { tag: 'staleEpoch', winner: b.epoch };
+function foldConfigured(b: ControlState, slot: number, id: string, act: Configured): Outcome {
+  if (act.base !== b.version) return { tag: 'staleVersion', winner: b.version };
   const before = b.configuration;
   b.configuration = withChanges(before, act.changes) as Configuration;
-  b.epoch = slot;
+  b.version = slot;
   const { revision } = act;
   if (revision) {
     const { request, base, number } = revision;
@@ -286,11 +286,11 @@
  * An order that names the zone's version is applied only on that version, and moves it also where the zone stays as it
  * is: what was acknowledged fences off all orders that were sent before it.
  */
-function foldEvacuation(b: Belief, slot: number, id: string, act: Evacuation): Outcome {
+function foldEvacuation(b: ControlState, slot: number, id: string, act: Evacuation): Outcome {
   const { zone, begun, base } = act;
   const version = zoneVersion(b.history, zone);
   const unchanged = begun === (b.evacuated[zone] !== undefined);
-  if (base !== undefined && base !== version) return { tag: 'staleEpoch', winner: version };
+  if (base !== undefined && base !== version) return { tag: 'staleVersion', winner: version };
   if (base === undefined && unchanged) return { tag: 'unfit', why: 'unchanged' };
   if (!unchanged && begun) b.evacuated[zone] = slot;
   if (!unchanged && !begun) delete b.evacuated[zone];
@@ -303,7 +303,7 @@
 }
 
 /** What came of an entry that was folded already: any of the newest, or a change by an operator that is in the history. */
-export function operationOf(b: Belief, id: string): DoneOperation | null {
+export function operationOf(b: ControlState, id: string): DoneOperation | null {
   for (let i = b.operations.length - 1; i >= 0; i -= 1) {
     const op = b.operations[i] as DoneOperation;
     if (op.id === id) return op;
@@ -312,7 +312,7 @@
   return change && { id, slot: change.version, outcome: APPLIED };
 }
 
-function foldEntry(b: Belief, slot: number, entry: Entry): Outcome {
+function foldEntry(b: ControlState, slot: number, entry: Entry): Outcome {
   const before = operationOf(b, entry.id);
   if (before) return before.outcome;
   const lease = b.leases[SCALER_DUTY];
@@ -325,7 +325,7 @@
   return outcome;
 }
 
-export function foldBatch(b: Belief, slot: number, batch: Batch): Outcome[] {
+export function foldBatch(b: ControlState, slot: number, batch: Batch): Outcome[] {
   const out: Outcome[] = [];
   for (const entry of batch.entries) out.push(foldEntry(b, slot, entry));
   b.slot = slot;
--- a/src/state/edge-tuning.ts
+++ b/src/state/edge-tuning.ts
@@ -25,7 +25,7 @@
   readonly preemptiveMs: number;
   readonly knownTokens: number;
   readonly coldGuard: number;
-  readonly connGuard: number;
+  readonly connectionGuard: number;
   readonly connectMs: number;
   readonly connectLeastMs: number;
   readonly silentMs: number;
@@ -71,7 +71,7 @@
   preemptiveMs: 60,
   knownTokens: 150_000,
   coldGuard: 0.8,
-  connGuard: 0.85,
+  connectionGuard: 0.85,
   connectMs: 600,
   connectLeastMs: 240,
   silentMs: 500,
--- a/src/state/entry.ts
+++ b/src/state/entry.ts
@@ -43,8 +43,8 @@
 export type Step = Static<typeof StepShape>;
 
 export const ActShape = Type.Union([
-  Type.Object({ tag: Type.Literal('founded'), ledger: Str, ticketKey: Str, members: Type.Array(MemberShape) }),
-  Type.Object({ tag: Type.Literal('headgateUp'), name: Str, incarnation: Str }),
+  Type.Object({ tag: Type.Literal('bootstrapped'), ledger: Str, ticketKey: Str, members: Type.Array(MemberShape) }),
+  Type.Object({ tag: Type.Literal('controllerUp'), name: Str, incarnation: Str }),
   Type.Object({ tag: Type.Literal('memberReplaced'), old: Str, member: MemberShape }),
   Type.Object({ tag: Type.Literal('memberAdded'), member: MemberShape }),
   Type.Object({ tag: Type.Literal('memberRemoved'), old: Str }),
@@ -61,8 +61,8 @@
     begun: Type.Boolean(),
     base: Type.Optional(Type.Integer({ minimum: -1 })),
   }),
-  Type.Object({ tag: Type.Literal('sluiceKnown'), name: Str, zone: Str, region: Str }),
-  Type.Object({ tag: Type.Literal('sluiceForgotten'), name: Str }),
+  Type.Object({ tag: Type.Literal('proxyKnown'), name: Str, zone: Str, region: Str }),
+  Type.Object({ tag: Type.Literal('proxyForgotten'), name: Str }),
   Type.Object({ tag: Type.Literal('leaseTaken'), duty: Str, holder: Str }),
   ...SCALER_ACTS,
   Type.Object({ tag: Type.Literal('decided'), steps: Type.Array(StepShape, { minItems: 1 }) }),
--- a/src/state/crowd.ts
+++ b/src/state/fleet-load.ts
@@ -17,12 +17,12 @@
 
 type Held = { readonly told: ToldUsage; readonly at: number };
 
-export type Crowd = {
+export type FleetLoad = {
   readonly take: (told: ToldUsage, now: number) => boolean;
   readonly sums: (now: number) => UsageRows;
 };
 
-export function createCrowd(staleMs: number): Crowd {
+export function createFleetLoad(staleMs: number): FleetLoad {
   const held = new Map<string, Held>();
 
   function take(told: ToldUsage, now: number): boolean {
--- a/src/state/fitness.ts
+++ b/src/state/health.ts
@@ -3,7 +3,7 @@
 
 const Id = Type.String({ minLength: 1, maxLength: 256 });
 
-export const FitnessShape = Type.Object({
+export const HealthShape = Type.Object({
   id: Id,
   incarnation: Id,
   model: Type.String(),
@@ -12,4 +12,4 @@
   running: Type.Integer({ minimum: 0 }),
   readyForMs: Type.Number({ minimum: 0 }),
 });
-export type Fitness = Static<typeof FitnessShape>;
+export type Health = Static<typeof HealthShape>;
--- a/src/state/node-info.ts
+++ b/src/state/node-info.ts
@@ -5,7 +5,7 @@
 
 export const NodeShape = Type.Object({
   name: Str,
-  role: Type.Union([Type.Literal('sluice'), Type.Literal('headgate')]),
+  role: Type.Union([Type.Literal('proxy'), Type.Literal('controller')]),
   run: Str,
   incarnation: Type.Integer({ minimum: 0 }),
   address: Str,
--- a/src/state/observed-orders.test.ts
+++ b/src/state/observed-orders.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
-import { emptyBelief, foldBatch } from './belief.js';
-import type { Belief } from './belief.js';
+import { emptyControlState, foldBatch } from './control-state.js';
+import type { ControlState } from './control-state.js';
 import type { Act, Step } from './entry.js';
 import { decideObserved, decideRetired, observedMemory, observedRules } from './observed-orders.js';
 import type { ObservedMemory, ObservedSight } from './observed-orders.js';
@@ -12,7 +12,7 @@
 const ZONES = ['a', 'b', 'c'];
 const TRAITS: ModelTraits = {
   at: 0,
-  fitnessPath: '/h',
+  probePath: '/h',
   maxConns: 9,
   coldS: 3,
   coldRateS: 9,
@@ -20,7 +20,7 @@
 };
 
 type Stage = {
-  belief: Belief;
+  controlState: ControlState;
   memory: ObservedMemory;
   list: WorkerEntry[];
   now: number;
@@ -29,8 +29,8 @@
 };
 
 function stage(deployment: Settings = {}, workers = 6): Stage {
-  const belief = emptyBelief();
-  belief.configuration = {
+  const controlState = emptyControlState();
+  controlState.configuration = {
     zones: {},
     deployment,
     regions: {},
@@ -42,7 +42,7 @@
     },
   };
   const list = [...Array(workers).keys()].map((i) => worker(`w${i}`, ZONES[i % 3] as string));
-  return { belief, memory: observedMemory(), list, now: 0, serial: 0, entries: 0 };
+  return { controlState, memory: observedMemory(), list, now: 0, serial: 0, entries: 0 };
 }
 function worker(id: string, zone: string, more: Partial<WorkerEntry> = {}): WorkerEntry {
   return {
@@ -61,17 +61,17 @@
 }
 function fold(s: Stage, act: Act): void {
   s.serial += 1;
-  foldBatch(s.belief, s.belief.slot + 1, {
+  foldBatch(s.controlState, s.controlState.slot + 1, {
     id: `b${s.serial}`,
     entries: [{ id: `e${s.serial}`, author: 'h1', wall: 0, cause: '-', act }],
   });
 }
 function turn(s: Stage, more: Partial<ObservedSight> = {}, ms = 1_000): Step[] {
   s.now += ms;
-  const [rule] = observedRules(s.belief.configuration, ZONES);
+  const [rule] = observedRules(s.controlState.configuration, ZONES);
   if (!rule) return [];
   const sight: ObservedSight = { now: s.now, list: s.list, rate: null, dead: new Set(), planned: new Set(), ...more };
-  const steps = decideObserved(rule, s.belief, sight, s.memory, () => `o${(s.serial += 1)}`);
+  const steps = decideObserved(rule, s.controlState, sight, s.memory, () => `o${(s.serial += 1)}`);
   if (steps.length > 0) fold(s, { tag: 'decided', steps });
   return steps;
 }
@@ -82,11 +82,11 @@
   return steps.map((s) => s.act.tag);
 }
 function sets(s: Stage): string {
-  const z = s.belief.zoneSets['m'];
+  const z = s.controlState.zoneSets['m'];
   return `${z?.active.join('')}|${z?.preemptive.join('')}`;
 }
 function open(s: Stage): string[] {
-  return Object.values(s.belief.orders)
+  return Object.values(s.controlState.orders)
     .map((o) => `${o.kind} ${o.zone} ${o.status}`)
     .sort();
 }
@@ -101,13 +101,13 @@
   });
 
   test('a model without an engine, or one that is not to be scaled, is left alone', () => {
-    expect(observedRules(stage().belief.configuration, ZONES).map((r) => r.model)).toEqual(['m']);
-    expect(observedRules(stage({ scaled: false }).belief.configuration, ZONES)).toEqual([]);
+    expect(observedRules(stage().controlState.configuration, ZONES).map((r) => r.model)).toEqual(['m']);
+    expect(observedRules(stage({ scaled: false }).controlState.configuration, ZONES)).toEqual([]);
   });
 
   test('Q_Tar follows the batch, and a setting comes first', () => {
-    expect(observedRules(stage().belief.configuration, ZONES)[0]?.values.qTar).toBe(6.4);
-    expect(observedRules(stage({ qTar: 2 }).belief.configuration, ZONES)[0]?.values.qTar).toBe(2);
+    expect(observedRules(stage().controlState.configuration, ZONES)[0]?.values.qTar).toBe(6.4);
+    expect(observedRules(stage({ qTar: 2 }).controlState.configuration, ZONES)[0]?.values.qTar).toBe(2);
   });
 
   test('short notice moves the zone to Z_P, a ready launch there moves it back', () => {
@@ -235,7 +235,7 @@
       act: { tag: 'targetChanged', model: 'm', target: 4 },
     });
     for (let i = 0; i < 20; i += 1) turn(s);
-    expect(s.belief.targets['m']).toBe(4);
+    expect(s.controlState.targets['m']).toBe(4);
   });
 
   test('an evacuated zone leaves Z; its workers do not count, and no order is written for them', () => {
@@ -266,20 +266,20 @@
   test('a model that is configured no more is forgotten as its workers go', () => {
     const s = stage();
     turn(s);
-    expect(decideRetired(s.belief, new Set(['m']), [])).toEqual([]);
-    expect(tags(decideRetired(s.belief, new Set(), s.list))).toEqual([]);
-    expect(tags(decideRetired(s.belief, new Set(), s.list.slice(1)))).toEqual(['orderReleased']);
+    expect(decideRetired(s.controlState, new Set(['m']), [])).toEqual([]);
+    expect(tags(decideRetired(s.controlState, new Set(), s.list))).toEqual([]);
+    expect(tags(decideRetired(s.controlState, new Set(), s.list.slice(1)))).toEqual(['orderReleased']);
   });
 
   test('decisions under another fence fold to nothing', () => {
     const s = stage();
     fold(s, { tag: 'leaseTaken', duty: 'scaler', holder: 'h2' });
     const steps: Step[] = [{ cause: '-', act: { tag: 'targetChanged', model: 'm', target: 9 } }];
-    const [outcome] = foldBatch(s.belief, s.belief.slot + 1, {
+    const [outcome] = foldBatch(s.controlState, s.controlState.slot + 1, {
       id: 'x',
       entries: [{ id: 'x', author: 'h1', wall: 0, cause: '-', fence: 77, act: { tag: 'decided', steps } }],
     });
-    expect(outcome).toEqual({ tag: 'staleFence', fence: s.belief.leases['scaler']?.fence });
-    expect(s.belief.targets).toEqual({});
+    expect(outcome).toEqual({ tag: 'staleFence', fence: s.controlState.leases['scaler']?.fence });
+    expect(s.controlState.targets).toEqual({});
   });
 });
--- a/src/state/observed-orders.ts
+++ b/src/state/observed-orders.ts
@@ -1,4 +1,4 @@
-import type { Belief } from './belief.js';
+import type { ControlState } from './control-state.js';
 import type { Kind, Step } from './entry.js';
 import { decideMixture } from './mixture.js';
 import { counts } from './order.js';
@@ -55,11 +55,15 @@
   return '';
 }
 
-export function decideRetired(belief: Belief, configured: ReadonlySet<string>, list: readonly WorkerEntry[]): Step[] {
+export function decideRetired(
+  controlState: ControlState,
+  configured: ReadonlySet<string>,
+  list: readonly WorkerEntry[],
+): Step[] {
   const listed = new Set<string | null>();
   for (const w of list) listed.add(w.id);
   const steps: Step[] = [];
-  for (const order of Object.values(belief.orders)) {
+  for (const order of Object.values(controlState.orders)) {
     if (configured.has(order.model) || listed.has(order.machine) || steps.length >= MOST_STEPS) continue;
     steps.push({ cause: `${order.model} is served no more.`, act: { tag: 'orderReleased', order: order.id } });
   }
@@ -68,7 +72,7 @@
 
 export function decideObserved(
   rule: ObservedRule,
-  belief: Belief,
+  controlState: ControlState,
   sight: ObservedSight,
   memory: ObservedMemory,
   nextOrderId: () => string,
@@ -76,8 +80,8 @@
   const { model, values } = rule;
   const steps: Step[] = [];
   const zones: string[] = [];
-  for (const z of rule.zones) if (belief.evacuated[z] === undefined) zones.push(z);
-  const before = belief.zoneSets[model];
+  for (const z of rule.zones) if (controlState.evacuated[z] === undefined) zones.push(z);
+  const before = controlState.zoneSets[model];
   let sets: ZoneSets = before ? alignZones(before, zones) : initialZones(zones);
   let why = before ? 'The enabled zones changed.' : 'The model is new: all enabled zones are active.';
   const listed = new Map<string, WorkerEntry>();
@@ -103,7 +107,7 @@
   }
 
   function decideTarget(): number {
-    const known = belief.targets[model];
+    const known = controlState.targets[model];
     if (known === undefined) {
       steps.push({
         cause: 'The model starts at its lowest target.',
@@ -130,7 +134,7 @@
   }
 
   function noteSince(): Order[] {
-    const orders = ordersOf(belief, model);
+    const orders = ordersOf(controlState, model);
     const open = new Set<string>();
     for (const o of orders) open.add(o.id);
     for (const since of [memory.intendedSince, memory.goneSince])
@@ -178,7 +182,7 @@
         cause: 'The platform empties the worker in order.',
         act: { tag: 'orderDraining', order: order.id },
       });
-    else if (sight.dead.has(w.id)) lose(order, 'Listed, but for long no sluice finds it fit.');
+    else if (sight.dead.has(w.id)) lose(order, 'Listed, but for long no proxy finds it fit.');
     else if (order.status === 'placed' && w.coldMs === 0) {
       steps.push({ cause: 'The worker is listed as serving, and warm.', act: { tag: 'orderReady', order: order.id } });
       launched(order.kind, order.zone);
--- a/src/state/operator-history.ts
+++ b/src/state/operator-history.ts
@@ -1,6 +1,6 @@
 /**
  * The operators' part of the replicated state: which changes of the configuration were applied, each under the identity
- * of the request that asked for it. Only the fold writes here; the operators' doors read it to tell a request that is
+ * of the request that asked for it. Only the fold writes here; the operators' servers read it to tell a request that is
  * sent again from one that is late. It is bounded by itself, so no number of other entries pushes a change out of it.
  */
 import { isTable } from '../base/is-table.js';
--- a/src/state/policies.ts
+++ b/src/state/policies.ts
@@ -27,8 +27,8 @@
 function keepFit(c: Candidate): boolean {
   return c.fit;
 }
-function keepIsland(c: Candidate, ctx: PlaceContext): boolean {
-  return !ctx.islanded || (c.region === ctx.ownRegion && c.answersUs);
+function keepPartition(c: Candidate, ctx: PlaceContext): boolean {
+  return !ctx.partitioned || (c.region === ctx.ownRegion && c.answersUs);
 }
 function keepUntried(c: Candidate, ctx: PlaceContext): boolean {
   return !ctx.avoid.has(c.ix);
@@ -58,8 +58,8 @@
   { name: 'homes', keep: keepHomes },
   { name: 'leaving', keep: keepStaying },
   { name: 'evacuated', keep: keepOpenZones },
-  { name: 'fitness', keep: keepFit },
-  { name: 'island', keep: keepIsland },
+  { name: 'health', keep: keepFit },
+  { name: 'partition', keep: keepPartition },
   { name: 'untried', keep: keepUntried },
   { name: 'room', keep: keepRoom },
   PREFIX_POLICY,
--- a/src/state/kept-parts.ts
+++ b/src/state/prefix-cache.ts
@@ -1,12 +1,12 @@
 export type Part = { readonly id: string; readonly tokens: number };
 
-export type KeptParts = {
+export type PrefixCache = {
   readonly known: (parts: readonly Part[]) => number;
   readonly note: (parts: readonly Part[]) => void;
   readonly clear: () => void;
 };
 
-export function createKeptParts(most: number): KeptParts {
+export function createPrefixCache(most: number): PrefixCache {
   const kept = new Map<string, number>();
   let sum = 0;
 
--- a/src/state/proxy-state.ts
+++ b/src/state/proxy-state.ts
@@ -1,4 +1,4 @@
-import type { Belief } from './belief.js';
+import type { ControlState } from './control-state.js';
 import type { Order } from './order.js';
 
 function withoutEvents(order: Order): Order {
@@ -11,7 +11,7 @@
  * controller believes. Left out is what neither its requests nor the fold read: how each order came about.
  * Outcomes of operations are kept, since an entry that is chosen twice must not be folded twice at a proxy either.
  */
-export function proxyState(state: Belief): Belief {
+export function proxyState(state: ControlState): ControlState {
   const orders: Record<string, Order> = {};
   for (const [id, order] of Object.entries(state.orders)) orders[id] = withoutEvents(order);
   return { ...state, orders, closed: state.closed.map(withoutEvents) };
