--- a/src/state/reports.test.ts
+++ b/src/state/reports.test.ts
@@ -3,7 +3,7 @@
 import { differenceTo, mergeReport } from './reports.js';
 import type { Reports } from './reports.js';
 
-function row(count: number, fitness: Report['fitness'], more: Partial<Report> = {}): Report {
+function row(count: number, health: Report['health'], more: Partial<Report> = {}): Report {
   return {
     reporter: 's1',
     run: 'r1',
@@ -11,10 +11,10 @@
     count,
     requests: { m: count },
     shed: 0,
-    dispatched: 0,
+    attempted: 0,
     retried: 0,
     slot: 3,
-    fitness,
+    health,
     http: '10.0.0.1:1',
     ready: true,
     zone: 'z',
@@ -28,7 +28,7 @@
     const first = row(1, { a: 'fit', b: 'fit', c: 'unfit' });
     const second = row(4, { a: 'fit', b: 'unfit', d: 'fit' });
     const told = differenceTo(first, second);
-    expect([told.since, told.fitness, told.gone]).toEqual([1, { b: 'unfit', d: 'fit' }, ['c']]);
+    expect([told.since, told.health, told.gone]).toEqual([1, { b: 'unfit', d: 'fit' }, ['c']]);
     const table: Reports = new Map();
     expect([mergeReport(table, first), mergeReport(table, told)]).toEqual(['merged', 'merged']);
     expect(table.get('s1')).toEqual(second);
@@ -38,7 +38,7 @@
     const first = row(1, { a: 'fit' });
     const table: Reports = new Map([['s1', first]]);
     mergeReport(table, differenceTo(first, row(2, { a: 'unfit' })));
-    expect(first.fitness).toEqual({ a: 'fit' });
+    expect(first.health).toEqual({ a: 'fit' });
   });
 
   test('a difference to a row that is not held is a gap and changes nothing', () => {
--- a/src/state/reports.ts
+++ b/src/state/reports.ts
@@ -18,18 +18,14 @@
   }
   if (!have || have.run !== report.run || have.incarnation !== report.incarnation || have.count !== report.since)
     return 'gap';
-  const whole: Report = { ...report, fitness: changedFitness(have.fitness, report.fitness, report.gone ?? []) };
+  const whole: Report = { ...report, health: changedHealth(have.health, report.health, report.gone ?? []) };
   delete whole.since;
   delete whole.gone;
   table.set(report.reporter, whole);
   return 'merged';
 }
 
-function changedFitness(
-  have: Report['fitness'],
-  changed: Report['fitness'],
-  gone: readonly string[],
-): Report['fitness'] {
+function changedHealth(have: Report['health'], changed: Report['health'], gone: readonly string[]): Report['health'] {
   if (gone.length === 0 && Object.keys(changed).length === 0) return have;
   const out = { ...have, ...changed };
   for (const id of gone) delete out[id];
@@ -38,11 +34,11 @@
 
 export function differenceTo(told: Report | undefined, now: Report): Report {
   if (!told || told.run !== now.run || told.incarnation !== now.incarnation || told.count >= now.count) return now;
-  const fitness: Report['fitness'] = {};
+  const health: Report['health'] = {};
   const gone: string[] = [];
-  if (told.fitness !== now.fitness) {
-    for (const [id, verdict] of Object.entries(now.fitness)) if (told.fitness[id] !== verdict) fitness[id] = verdict;
-    for (const id of Object.keys(told.fitness)) if (now.fitness[id] === undefined) gone.push(id);
+  if (told.health !== now.health) {
+    for (const [id, verdict] of Object.entries(now.health)) if (told.health[id] !== verdict) health[id] = verdict;
+    for (const id of Object.keys(told.health)) if (now.health[id] === undefined) gone.push(id);
   }
-  return { ...now, since: told.count, fitness, ...(gone.length > 0 ? { gone } : {}) };
+  return { ...now, since: told.count, health, ...(gone.length > 0 ? { gone } : {}) };
 }
--- a/src/state/retry-budget.ts
+++ b/src/state/retry-budget.ts
@@ -1,5 +1,5 @@
 export type RetryBudget = {
-  readonly noteDispatch: (share: number) => void;
+  readonly noteAttempt: (share: number) => void;
   readonly spend: () => boolean;
   readonly tokens: () => number;
 };
@@ -8,7 +8,7 @@
 
 export function createRetryBudget(): RetryBudget {
   let tokens = 0;
-  function noteDispatch(share: number): void {
+  function noteAttempt(share: number): void {
     tokens = Math.min(MOST_TOKENS, tokens + share);
   }
   function spend(): boolean {
@@ -19,5 +19,5 @@
   function left(): number {
     return tokens;
   }
-  return { noteDispatch, spend, tokens: left };
+  return { noteAttempt, spend, tokens: left };
 }
--- a/src/state/door-table.ts
+++ b/src/state/route-table.ts
@@ -1,23 +1,23 @@
-import type { DoorMapping, ModelTraits, Serving } from './serving.js';
+import type { RouteMapping, ModelTraits, Serving } from './serving.js';
 
-export type Door = { readonly name: string; readonly mapping: DoorMapping };
+export type MatchedRoute = { readonly name: string; readonly mapping: RouteMapping };
 
-export type DoorTable = {
+export type RouteTable = {
   readonly serving: Serving;
-  readonly match: (host: string, path: string) => Door | null;
+  readonly match: (host: string, path: string) => MatchedRoute | null;
   readonly traits: (model: string) => ModelTraits | null;
 };
 
-export function createDoorTable(serving: Serving): DoorTable {
-  const hosts = new Map<string, Map<string, Door>>();
+export function createRouteTable(serving: Serving): RouteTable {
+  const hosts = new Map<string, Map<string, MatchedRoute>>();
   for (const [name, mapping] of Object.entries(serving.mappings)) {
     const host = mapping.host.toLowerCase();
-    const of = hosts.get(host) ?? new Map<string, Door>();
+    const of = hosts.get(host) ?? new Map<string, MatchedRoute>();
     hosts.set(host, of);
     of.set(mapping.prefix, { name, mapping });
   }
 
-  function match(host: string, path: string): Door | null {
+  function match(host: string, path: string): MatchedRoute | null {
     const of = hosts.get(bare(host));
     if (!of) return null;
     for (let cut = path.lastIndexOf('/'); cut >= 0; cut = cut === 0 ? -1 : path.lastIndexOf('/', cut - 1)) {
--- a/src/state/scaler-decide.test.ts
+++ b/src/state/scaler-decide.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
-import { emptyBelief, foldBatch } from './belief.js';
-import type { Belief } from './belief.js';
+import { emptyControlState, foldBatch } from './control-state.js';
+import type { ControlState } from './control-state.js';
 import type { Act } from './entry.js';
 import { decideModel, noteLaunchFailed, ordersOf } from './scaler-decide.js';
 import type { Decision, ScalerMemory, SeenMachine, Sight } from './scaler-decide.js';
@@ -10,7 +10,7 @@
 const zones = { zone1: { region: 'r1' }, zone2: { region: 'r2' }, zone3: { region: 'r3' } };
 
 type Stage = {
-  belief: Belief;
+  controlState: ControlState;
   memory: ScalerMemory;
   readonly dry: Set<string>;
   readonly machines: Map<string, SeenMachine>;
@@ -25,18 +25,26 @@
     deployment: { minTarget, nExtra, ...extra },
     regions: { r1: { models: { m: {} } } },
   };
-  const belief = { ...emptyBelief(), configuration };
-  return { belief, memory: new Map(), dry: new Set(), machines: new Map(), failedIn: [], seen: new Set(), now: 0 };
+  const controlState = { ...emptyControlState(), configuration };
+  return {
+    controlState,
+    memory: new Map(),
+    dry: new Set(),
+    machines: new Map(),
+    failedIn: [],
+    seen: new Set(),
+    now: 0,
+  };
 }
 
 let serial = 0;
 function fold(s: Stage, acts: readonly Act[]): void {
   const entries = acts.map((act) => ({ id: `e${(serial += 1)}`, author: 'h', wall: s.now, cause: '-', act }));
-  foldBatch(s.belief, s.belief.slot + 1, { id: `b${serial}`, entries });
+  foldBatch(s.controlState, s.controlState.slot + 1, { id: `b${serial}`, entries });
 }
 
 function decide(s: Stage, over: Partial<Sight> = {}): Decision[] {
-  const rm = resolveModel(s.belief.configuration, 'r1', 'm');
+  const rm = resolveModel(s.controlState.configuration, 'r1', 'm');
   const failedIn = s.failedIn;
   s.failedIn = [];
   const sight: Sight = {
@@ -47,16 +55,16 @@
     rates: {},
     deadMachines: new Set(),
     failedIn,
-    asOf: s.belief.slot,
+    asOf: s.controlState.slot,
     seenBefore: s.seen,
     ...over,
   };
-  return decideModel(rm, s.belief, sight, s.memory, () => `o${(serial += 1)}`);
+  return decideModel(rm, s.controlState, sight, s.memory, () => `o${(serial += 1)}`);
 }
 
 function turn(s: Stage): Decision[] {
   s.now += 1_000;
-  for (const o of ordersOf(s.belief, 'm')) {
+  for (const o of ordersOf(s.controlState, 'm')) {
     if (o.status === 'draining') {
       s.machines.delete(o.machine ?? '');
       fold(s, [{ tag: 'orderReleased', order: o.id }]);
@@ -82,18 +90,18 @@
 
 function preempt(s: Stage, zone: string): void {
   s.dry.add(zone);
-  for (const o of ordersOf(s.belief, 'm'))
+  for (const o of ordersOf(s.controlState, 'm'))
     if (o.kind === 'spot' && o.zone === zone && o.machine) s.machines.delete(o.machine);
 }
 
 function readySpot(s: Stage): Record<string, number> {
   const out: Record<string, number> = {};
-  for (const o of ordersOf(s.belief, 'm'))
+  for (const o of ordersOf(s.controlState, 'm'))
     if (o.kind === 'spot' && o.status === 'ready') out[o.zone] = (out[o.zone] ?? 0) + 1;
   return out;
 }
 function onDemand(s: Stage): number {
-  return ordersOf(s.belief, 'm').filter(
+  return ordersOf(s.controlState, 'm').filter(
     (o) => o.kind === 'onDemand' && ['intended', 'placed', 'ready'].includes(o.status),
   ).length;
 }
@@ -108,7 +116,7 @@
     turns(s, 1);
     expect(onDemand(s)).toBe(2);
     turns(s, 12);
-    expect(s.belief.zoneSets['m']?.preemptive).toEqual(['zone2']);
+    expect(s.controlState.zoneSets['m']?.preemptive).toEqual(['zone2']);
     expect(Object.keys(readySpot(s)).sort()).toEqual(['zone1', 'zone3']);
     expect(Object.values(readySpot(s)).reduce((a, b) => a + b, 0)).toBe(4);
     expect(onDemand(s)).toBe(0);
@@ -148,12 +156,12 @@
   test('a preemption notice counts as lost at once, and the zone is demoted', () => {
     const s = stage(2, 1);
     turns(s, 4);
-    const victim = ordersOf(s.belief, 'm').find((o) => o.kind === 'spot');
+    const victim = ordersOf(s.controlState, 'm').find((o) => o.kind === 'spot');
     const machine = s.machines.get(victim?.machine ?? '') as SeenMachine;
     s.machines.set(machine.id, { ...machine, state: 'reclaiming' });
     const acts = turn(s).map((d) => d.act);
     expect(acts).toContainEqual({ tag: 'orderLost', order: victim?.id, preempted: true });
-    expect(s.belief.zoneSets['m']?.preemptive).toEqual([victim?.zone]);
+    expect(s.controlState.zoneSets['m']?.preemptive).toEqual([victim?.zone]);
     expect(acts.filter((a) => a.tag === 'orderIntended' && a.kind === 'spot').length).toBe(1);
     expect(acts.filter((a) => a.tag === 'orderIntended' && a.kind === 'onDemand').length).toBe(1);
   });
@@ -165,14 +173,14 @@
     turns(s, 6);
     expect(readySpot(s)['zone1']).toBeUndefined();
     expect(Object.values(readySpot(s)).reduce((a, b) => a + b, 0)).toBe(3);
-    expect(s.belief.zoneSets['m']?.preemptive).toEqual([]);
+    expect(s.controlState.zoneSets['m']?.preemptive).toEqual([]);
   });
 
   test('with all zones evacuated nothing is ordered', () => {
     const s = stage(2, 1);
     for (const zone of Object.keys(zones)) fold(s, [{ tag: 'evacuation', zone, begun: true }]);
     turns(s, 5);
-    expect(ordersOf(s.belief, 'm')).toEqual([]);
+    expect(ordersOf(s.controlState, 'm')).toEqual([]);
   });
 
   test('what the cloud could not tell is not a loss', () => {
@@ -192,14 +200,14 @@
   test('a new holder waits out the lag of the cloud for no machine whose worker the platform lists no more', () => {
     const s = stage(2, 1);
     turns(s, 4);
-    const [gone, ...held] = ordersOf(s.belief, 'm').map((o) => o.machine ?? '');
-    expect(s.belief.orders[ordersOf(s.belief, 'm')[0]?.id ?? '']?.status).toBe('ready');
+    const [gone, ...held] = ordersOf(s.controlState, 'm').map((o) => o.machine ?? '');
+    expect(s.controlState.orders[ordersOf(s.controlState, 'm')[0]?.id ?? '']?.status).toBe('ready');
     const successor = { ...s, memory: new Map(), seen: new Set<string>() };
     const workers = held.map((machine) => ({ id: `w-${machine}`, machine, state: 'ready' as const }));
     const lostBy = (over: Partial<Sight>) =>
       decide(successor, { machines: [], ...over })
         .filter((d) => d.act.tag === 'orderLost')
-        .map((d) => (d.act.tag === 'orderLost' ? s.belief.orders[d.act.order]?.machine : null));
+        .map((d) => (d.act.tag === 'orderLost' ? s.controlState.orders[d.act.order]?.machine : null));
     expect(lostBy({ workers })).toEqual([gone]);
     expect(lostBy({ workers: null })).toEqual([]);
   });
@@ -215,7 +223,7 @@
       );
       turn(s);
     }
-    expect(s.belief.targets['m']).toBe(1);
+    expect(s.controlState.targets['m']).toBe(1);
     for (let i = 0; i < 6; i += 1) {
       s.now += 1_000;
       fold(
@@ -223,6 +231,6 @@
         decide(s, fast).map((d) => d.act),
       );
     }
-    expect(s.belief.targets['m']).toBe(4);
+    expect(s.controlState.targets['m']).toBe(4);
   });
 });
--- a/src/state/scaler-decide.ts
+++ b/src/state/scaler-decide.ts
@@ -1,4 +1,4 @@
-import type { Belief } from './belief.js';
+import type { ControlState } from './control-state.js';
 import type { Act, Kind } from './entry.js';
 import { decideMixture } from './mixture.js';
 import { counts } from './order.js';
@@ -78,9 +78,9 @@
   memoryOf(memory, model).rest.delete(`${kind} ${zone}`);
 }
 
-export function ordersOf(belief: Belief, model: string): Order[] {
+export function ordersOf(controlState: ControlState, model: string): Order[] {
   const out: Order[] = [];
-  for (const order of Object.values(belief.orders)) if (order.model === model) out.push(order);
+  for (const order of Object.values(controlState.orders)) if (order.model === model) out.push(order);
   return out;
 }
 
@@ -94,7 +94,7 @@
 
 export function decideModel(
   rm: ResolvedModel,
-  belief: Belief,
+  controlState: ControlState,
   sight: Sight,
   memory: ScalerMemory,
   nextOrderId: () => string,
@@ -102,14 +102,14 @@
   const { model, values } = rm;
   const out: Decision[] = [];
   const mem = memoryOf(memory, model);
-  const zones = openZones(values.zones, belief);
-  const before = belief.zoneSets[model];
+  const zones = openZones(values.zones, controlState);
+  const before = controlState.zoneSets[model];
   let sets: ZoneSets = before ? alignZones(before, zones) : initialZones(zones);
   let why = before ? 'The enabled zones changed.' : 'The model is new: all enabled zones are active.';
 
   for (const zone of sight.failedIn) demote(zone, `No spot capacity in ${zone}.`);
   const target = decideTarget();
-  const orders = ordersOf(belief, model);
+  const orders = ordersOf(controlState, model);
   notePlaced();
   const standing = settleOrders();
   decideSpot();
@@ -142,7 +142,7 @@
       minTarget: values.minTarget,
       maxTarget: values.maxTarget,
     };
-    const known = belief.targets[model];
+    const known = controlState.targets[model];
     const rate = sight.rates[model] ?? null;
     if (known === undefined) {
       out.push({
@@ -183,7 +183,7 @@
         lose(order, reason);
         continue;
       }
-      if (belief.evacuated[order.zone] !== undefined && order.status !== 'intended') {
+      if (controlState.evacuated[order.zone] !== undefined && order.status !== 'intended') {
         out.push({ cause: `${order.zone} is being evacuated.`, act: { tag: 'orderDraining', order: order.id } });
         continue;
       }
@@ -327,8 +327,9 @@
   }
 }
 
-export function openZones(zones: readonly string[], belief: Belief): string[] {
+export function openZones(zones: readonly string[], controlState: ControlState): string[] {
   const out: string[] = [];
-  for (const z of zones) if (belief.evacuated[z] === undefined && belief.configuration.zones[z]) out.push(z);
+  for (const z of zones)
+    if (controlState.evacuated[z] === undefined && controlState.configuration.zones[z]) out.push(z);
   return out;
 }
--- a/src/state/seal.test.ts
+++ b/src/state/seal.test.ts
@@ -9,8 +9,8 @@
 
 test('only the whole answer of this request and dispatch fits the seal', () => {
   const seal = sealed(['ab', 'c']);
-  function verdict(requestId: string, dispatchId: string | null, texts: readonly string[]): unknown {
-    const check = startSeal(requestId, dispatchId);
+  function verdict(requestId: string, attemptId: string | null, texts: readonly string[]): unknown {
+    const check = startSeal(requestId, attemptId);
     texts.forEach((text, n) => addPiece(check, { n, text }));
     return checkSeal(check, seal);
   }
--- a/src/state/seal.ts
+++ b/src/state/seal.ts
@@ -7,7 +7,7 @@
 
 export const SealShape = Type.Object({
   requestId: Id,
-  dispatchId: Id,
+  attemptId: Id,
   pieces: Type.Integer({ minimum: 0 }),
   digest: Type.String(),
 });
@@ -20,13 +20,13 @@
 
 export type SealCheck = {
   readonly requestId: string;
-  readonly dispatchId: string | null;
+  readonly attemptId: string | null;
   pieces: number;
   readonly hash: Hash;
 };
 
-export function startSeal(requestId: string, dispatchId: string | null): SealCheck {
-  return { requestId, dispatchId, pieces: 0, hash: createHash('sha256') };
+export function startSeal(requestId: string, attemptId: string | null): SealCheck {
+  return { requestId, attemptId, pieces: 0, hash: createHash('sha256') };
 }
 
 export function addPiece(check: SealCheck, piece: Piece): SealFault | null {
@@ -36,17 +36,17 @@
   return null;
 }
 
-function ending(check: SealCheck, dispatchId: string): string {
-  return check.hash.copy().update(`|${check.requestId}|${dispatchId}|${check.pieces}`).digest('hex');
+function ending(check: SealCheck, attemptId: string): string {
+  return check.hash.copy().update(`|${check.requestId}|${attemptId}|${check.pieces}`).digest('hex');
 }
 
-export function closeSeal(check: SealCheck, dispatchId: string): Seal {
-  return { requestId: check.requestId, dispatchId, pieces: check.pieces, digest: ending(check, dispatchId) };
+export function closeSeal(check: SealCheck, attemptId: string): Seal {
+  return { requestId: check.requestId, attemptId, pieces: check.pieces, digest: ending(check, attemptId) };
 }
 
 export function checkSeal(check: SealCheck, seal: Seal): SealFault | null {
   if (seal.requestId !== check.requestId) return 'foreign';
-  if (check.dispatchId !== null && seal.dispatchId !== check.dispatchId) return 'foreign';
+  if (check.attemptId !== null && seal.attemptId !== check.attemptId) return 'foreign';
   if (seal.pieces !== check.pieces) return 'pieceCount';
-  return seal.digest === ending(check, seal.dispatchId) ? null : 'digest';
+  return seal.digest === ending(check, seal.attemptId) ? null : 'digest';
 }
--- a/src/state/serving-order.test.ts
+++ b/src/state/serving-order.test.ts
@@ -1,11 +1,11 @@
 import { expect, test } from '@jest/globals';
 import { EMPTY_SERVING } from './serving.js';
-import type { DoorMapping, Serving } from './serving.js';
+import type { RouteMapping, Serving } from './serving.js';
 import { withKeptOrder } from './serving-order.js';
 
 function listed(...names: string[]): Serving {
-  const mappings: Record<string, DoorMapping> = {};
-  for (const [at, name] of names.entries()) mappings[name] = { at } as DoorMapping;
+  const mappings: Record<string, RouteMapping> = {};
+  for (const [at, name] of names.entries()) mappings[name] = { at } as RouteMapping;
   return { ...EMPTY_SERVING, mappings };
 }
 function order(s: Serving): string[] {
--- a/src/state/serving.ts
+++ b/src/state/serving.ts
@@ -1,19 +1,19 @@
-export type DoorKind = 'repeatable' | 'once' | 'stream';
+export type RouteKind = 'repeatable' | 'once' | 'stream';
 
 export type Share = { readonly model: string; readonly share: number };
 
-export type DoorMapping = {
+export type RouteMapping = {
   readonly at: number;
   readonly host: string;
   readonly prefix: string;
-  readonly kind: DoorKind;
+  readonly kind: RouteKind;
   readonly resumable: boolean;
   readonly pinned: boolean;
   readonly rank: number | null;
   readonly deadlineMs: number;
   readonly aimMs: number | null;
   readonly pauseMs: number | null;
-  readonly dispatches: number;
+  readonly attempts: number;
   readonly shares: readonly Share[];
   readonly split: boolean;
   readonly homes: readonly string[];
@@ -28,7 +28,7 @@
 
 export type ModelTraits = {
   readonly at: number;
-  readonly fitnessPath: string;
+  readonly probePath: string;
   readonly maxConns: number;
   readonly coldS: number;
   readonly coldRateS: number;
@@ -36,7 +36,7 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
-export type OriginLimits = {
+export type CallerLimits = {
   readonly headerBytes: number;
   readonly bodyBytes: number;
   readonly headerMs: number;
@@ -46,13 +46,13 @@
 
 export type Serving = {
   readonly number: number;
-  readonly mappings: Readonly<Record<string, DoorMapping>>;
+  readonly mappings: Readonly<Record<string, RouteMapping>>;
   readonly models: Readonly<Record<string, ModelTraits>>;
-  readonly limits: OriginLimits;
+  readonly limits: CallerLimits;
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
-export const DEFAULT_LIMITS: OriginLimits = {
+export const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384,
   bodyBytes: 4_194_304,
   headerMs: 3_000,
--- a/src/state/settings-tree.ts
+++ b/src/state/settings-tree.ts
@@ -84,12 +84,12 @@
 };
 
 export type Level = 'default' | 'deployment' | 'region' | 'model';
-export type Origins = Readonly<Record<keyof Resolved, Level>>;
+export type Callers = Readonly<Record<keyof Resolved, Level>>;
 export type ResolvedModel = {
   readonly model: string;
   readonly region: string;
   readonly values: Resolved;
-  readonly levels: Origins;
+  readonly levels: Callers;
 };
 
 export const EMPTY_CONFIGURATION: Configuration = { zones: {}, deployment: {}, regions: {} };
@@ -113,7 +113,7 @@
       break;
     }
   }
-  return { model, region, values: values as unknown as Resolved, levels: levels as Origins };
+  return { model, region, values: values as unknown as Resolved, levels: levels as Callers };
 }
 
 export function resolveAll(cfg: Configuration): ResolvedModel[] {
--- a/src/state/shared-time.test.ts
+++ b/src/state/shared-time.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from '@jest/globals';
 import { createSharedTime } from './shared-time.js';
 
-test('one headgate whose clock jumps does not move the shared time', () => {
+test('one controller whose clock jumps does not move the shared time', () => {
   const time = createSharedTime();
   expect(time.now(5, 77)).toBe(77);
   time.hear('a', 1_000, 0);
@@ -14,7 +14,7 @@
   expect(time.now(100, 0)).toBe(1_110);
 });
 
-test('a headgate that is silent keeps its last word, one that was replaced loses it', () => {
+test('a controller that is silent keeps its last word, one that was replaced loses it', () => {
   const time = createSharedTime();
   time.hear('a', 1_000, 0);
   time.hear('b', 2_000, 0);
--- a/src/state/ticket.test.ts
+++ b/src/state/ticket.test.ts
@@ -5,7 +5,7 @@
 const ticket: Ticket = {
   id: 't1',
   requestId: 'r1',
-  sluice: 's#1',
+  proxy: 's#1',
   model: 'm',
   region: 'north',
   bound: { mapping: null, kind: null, asked: ['north'] },
@@ -13,7 +13,7 @@
   expiresAt: 1_000,
 };
 
-test('a ticket holds for its sluice, its key and its time only', () => {
+test('a ticket holds for its proxy, its key and its time only', () => {
   const text = signTicket(ticket, 'key');
   expect(readTicket(text, 'key', 's#1', 1_000)).toEqual(ticket);
   expect(readTicket(text, 'other', 's#1', 0)).toBe('ticketForeign');
--- a/src/state/ticket.ts
+++ b/src/state/ticket.ts
@@ -10,7 +10,7 @@
 export type Ticket = {
   readonly id: string;
   readonly requestId: string;
-  readonly sluice: string;
+  readonly proxy: string;
   readonly model: string;
   readonly region: string;
   readonly bound: Bound;
@@ -25,11 +25,11 @@
   return `${body}.${hmac(key, body)}`;
 }
 
-export function readTicket(text: string, key: string, sluice: string, now: number): Ticket | TicketFault {
+export function readTicket(text: string, key: string, proxy: string, now: number): Ticket | TicketFault {
   const dot = text.indexOf('.');
   if (key === '' || dot <= 0 || !sameText(text.slice(dot + 1), hmac(key, text.slice(0, dot)))) return 'ticketForeign';
   const ticket = parsedJson(Buffer.from(text.slice(0, dot), 'base64url').toString()) as Ticket | undefined;
-  if (!ticket?.bound || ticket.sluice !== sluice) return 'ticketForeign';
+  if (!ticket?.bound || ticket.proxy !== proxy) return 'ticketForeign';
   return now > ticket.expiresAt ? 'ticketExpired' : ticket;
 }
 
--- a/src/state/worker-pools.test.ts
+++ b/src/state/worker-pools.test.ts
@@ -33,7 +33,7 @@
     expect(few.filter((x) => x.row.listed.zone === 'z0').length).toBeGreaterThanOrEqual(24);
   });
 
-  test('every sluice agrees on the same ones for a prefix, and turns through all the others', () => {
+  test('every proxy agrees on the same ones for a prefix, and turns through all the others', () => {
     const all = rows(600);
     const [a, b] = [poolsOf(all), poolsOf([...all].reverse())];
     const agreed = (p: typeof a): number[] =>
--- a/src/state/worker-book.test.ts
+++ b/src/state/worker-registry.test.ts
@@ -1,13 +1,13 @@
 import { expect, test } from '@jest/globals';
 import { EDGE_TUNING } from './edge-tuning.js';
 import type { ModelTraits } from './serving.js';
-import { createWorkerBook } from './worker-book.js';
-import type { PlaceAsk, WorkerBook } from './worker-book.js';
+import { createWorkerRegistry } from './worker-registry.js';
+import type { PlaceAsk, WorkerRegistry } from './worker-registry.js';
 import type { WorkerEntry } from './worker-entry.js';
 
 const TRAITS: ModelTraits = {
   at: 0,
-  fitnessPath: '/h',
+  probePath: '/h',
   maxConns: 10_000,
   coldS: 3,
   coldRateS: 9.8,
@@ -44,10 +44,10 @@
     ...over,
   };
 }
-function books(n: number, entries: readonly WorkerEntry[]): WorkerBook[] {
+function books(n: number, entries: readonly WorkerEntry[]): WorkerRegistry[] {
   const known = Object.fromEntries(Array.from({ length: n }, (_, i) => [`s${i}`, { region: i % 3 === 0 ? 'r' : 'q' }]));
   return Object.keys(known).map((name) => {
-    const b = createWorkerBook({ name, zone: 'z', region: 'r', held: () => 1 }, EDGE_TUNING);
+    const b = createWorkerRegistry({ name, zone: 'z', region: 'r', held: () => 1 }, EDGE_TUNING);
     b.takeList(entries, 0);
     b.sharers(known);
     return b;
@@ -55,7 +55,7 @@
 }
 
 test.each([1, 3, 6, 7, 20, 73, 350])(
-  'what %i sluices send a cold worker in a second never passes its bound, and is not nothing',
+  'what %i proxies send a cold worker in a second never passes its bound, and is not nothing',
   (n) => {
     const all = books(n, [entry('w', { coldMs: 60_000 })]);
     let sent = 0;
@@ -73,7 +73,7 @@
   },
 );
 
-test('all sluices find the same keeper of a prompt, and the parts of one first part stay with few workers', () => {
+test('all proxies find the same keeper of a prompt, and the parts of one first part stay with few workers', () => {
   const entries = Array.from({ length: 12 }, (_, i) => entry(`w${i}`));
   const all = books(4, entries);
   const seen = new Set<string>();
@@ -103,7 +103,7 @@
   ];
   const first = b!.place(ask({ parts, tokens: 600, pinned: true }));
   const id = first.tag === 'row' ? first.row.entry.id : '';
-  b!.takeCrowd({ [id]: [60, 30_000, 100_000, 0, 9] }, 0);
+  b!.takeFleetLoad({ [id]: [60, 30_000, 100_000, 0, 9] }, 0);
   const next = b!.place(ask({ parts, tokens: 600, pinned: true }));
   expect(next.tag === 'row' && next.row.entry.id).not.toBe(id);
 });
@@ -142,7 +142,7 @@
     if (i % 2 === 0) a!.spoilt(row, 100);
     else a!.served(row, 100);
   }
-  b!.takeCrowd(a!.usage(200), 200);
+  b!.takeFleetLoad(a!.usage(200), 200);
   for (const book of [a!, b!]) {
     for (let i = 0; i < 20; i += 1) {
       const got = book.place(ask({ now: 2_000 }));
@@ -177,7 +177,7 @@
   expect(later.tag === 'row' && later.row.entry.id).toBe('w0');
 });
 
-test('a lost worker is dialled by few of many sluices often, by the others seldom, unless others ran something there', () => {
+test('a lost worker is dialled by few of many proxies often, by the others seldom, unless others ran something there', () => {
   const all = books(73, [entry('w')]);
   let soon = 0;
   for (const b of all) {
@@ -186,7 +186,7 @@
     if (row.badUntil <= 3_000) soon += 1;
     else {
       expect(row.badUntil).toBeGreaterThan(10_000);
-      b.takeCrowd({ w: [1, 0, 0, 0, 1] }, 4_000);
+      b.takeFleetLoad({ w: [1, 0, 0, 0, 1] }, 4_000);
       expect(row.badUntil).toBe(4_000);
     }
   }
--- a/src/state/worker-book.ts
+++ b/src/state/worker-registry.ts
@@ -1,12 +1,12 @@
 import { hash32 } from '../base/digest.js';
 import type { EdgeTuning } from './edge-tuning.js';
-import { createKeptParts } from './kept-parts.js';
-import type { KeptParts, Part } from './kept-parts.js';
+import { createPrefixCache } from './prefix-cache.js';
+import type { PrefixCache, Part } from './prefix-cache.js';
 import { createRateGuard } from './rate-guard.js';
 import type { RateGuard } from './rate-guard.js';
 import { createRunCounts } from './run-counts.js';
 import type { RunCounts } from './run-counts.js';
-import type { UsageRows } from './crowd.js';
+import type { UsageRows } from './fleet-load.js';
 import type { ModelTraits } from './serving.js';
 import type { WorkerEntry } from './worker-entry.js';
 
@@ -28,7 +28,7 @@
   silentSince: number;
   doubtUntil: number;
   fullUntil: number;
-  kept: KeptParts;
+  kept: PrefixCache;
   runs: RunCounts;
   owners: {
     readonly of: Readonly<Record<string, Sharer>>;
@@ -66,7 +66,7 @@
 
 export type Hold = { readonly read: () => void; readonly end: () => void };
 
-export type WorkerBook = {
+export type WorkerRegistry = {
   readonly takeList: (list: readonly WorkerEntry[], now: number) => void;
   readonly takeZones: (
     evacuated: Readonly<Record<string, number>>,
@@ -87,9 +87,9 @@
   readonly moved: (row: BookRow) => void;
   readonly cold: (row: BookRow, now: number, ms: number) => void;
   readonly rows: () => Iterable<BookRow>;
-  readonly sharers: (sluices: Readonly<Record<string, Sharer>>) => void;
+  readonly sharers: (proxies: Readonly<Record<string, Sharer>>) => void;
   readonly usage: (now: number) => UsageRows;
-  readonly takeCrowd: (rows: UsageRows, now: number) => void;
+  readonly takeFleetLoad: (rows: UsageRows, now: number) => void;
   readonly took: (row: BookRow, ms: number) => void;
 };
 
@@ -105,14 +105,14 @@
 const COLD_WINDOW_MS = 1_150;
 const LEAST_SHARE = 2;
 
-export function createWorkerBook(self: BookSelf, tuning: EdgeTuning): WorkerBook {
+export function createWorkerRegistry(self: BookSelf, tuning: EdgeTuning): WorkerRegistry {
   const rows = new Map<string, BookRow>();
   let byModel = new Map<string, BookRow[]>();
   let evacuated: Readonly<Record<string, number>> = {};
   let preemptiveOf: (model: string) => readonly string[] = none;
   const away = new Map<string, number>();
   let sharing = 1;
-  let sluices: Readonly<Record<string, Sharer>> = {};
+  let proxies: Readonly<Record<string, Sharer>> = {};
   let listed = false;
 
   function freshRow(entry: WorkerEntry): BookRow {
@@ -134,7 +134,7 @@
       silentSince: 0,
       doubtUntil: 0,
       fullUntil: 0,
-      kept: createKeptParts(tuning.knownTokens),
+      kept: createPrefixCache(tuning.knownTokens),
       runs: createRunCounts(tuning.runsMs),
       owners: null,
     };
@@ -202,14 +202,14 @@
     return owners.includes(self.name) ? Math.max(1, Math.floor(whole / owners.length)) : 0;
   }
   function ownersOf(row: BookRow, most: number): readonly string[] {
-    if (row.owners && row.owners.of === sluices && row.owners.most === most) return row.owners.names;
+    if (row.owners && row.owners.of === proxies && row.owners.most === most) return row.owners.names;
     const ranks: { readonly name: string; readonly near: boolean; readonly hash: number }[] = [];
-    for (const [name, s] of Object.entries(sluices))
+    for (const [name, s] of Object.entries(proxies))
       ranks.push({ name, near: s.region === row.entry.region, hash: hash32(`${row.entry.id}|${name}`) });
     ranks.sort(nearFirst);
     const names: string[] = [];
     for (const r of ranks.slice(0, most)) names.push(r.name);
-    row.owners = { of: sluices, most, names };
+    row.owners = { of: proxies, most, names };
     return names;
   }
   function nearFirst(
@@ -221,11 +221,11 @@
 
   function placesOf(row: BookRow, ask: PlaceAsk): number {
     const batch = row.entry.places > 0 ? row.entry.places : (ask.traits?.engine?.batch ?? 1);
-    const conns =
+    const connections =
       ask.traits && ask.traits.maxConns > 0
-        ? Math.max(1, Math.floor((ask.traits.maxConns * tuning.connGuard) / sharing))
+        ? Math.max(1, Math.floor((ask.traits.maxConns * tuning.connectionGuard) / sharing))
         : Infinity;
-    return Math.min(batch, conns);
+    return Math.min(batch, connections);
   }
 
   function cost(row: BookRow, ask: PlaceAsk, home: BookRow | null): number {
@@ -388,7 +388,7 @@
     }
     return out;
   }
-  function takeCrowd(sums: UsageRows, now: number): void {
+  function takeFleetLoad(sums: UsageRows, now: number): void {
     for (const row of rows.values()) {
       const sum = sums[row.entry.id];
       const before = row.others;
@@ -401,7 +401,7 @@
     return rows.values();
   }
   function sharers(known: Readonly<Record<string, Sharer>>): void {
-    sluices = { ...known };
+    proxies = { ...known };
     sharing = Math.max(1, Object.keys(known).length);
   }
   return {
@@ -423,7 +423,7 @@
     sharers,
     took,
     usage,
-    takeCrowd,
+    takeFleetLoad,
   };
 }
 
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -1,7 +1,7 @@
-import type { Belief } from './belief.js';
+import type { ControlState } from './control-state.js';
 import type { Candidate } from './candidate.js';
 import type { Order } from './order.js';
-import type { Fitness } from './fitness.js';
+import type { Health } from './health.js';
 import { createIndices } from './indices.js';
 import type { Listed } from './listed.js';
 import { createPrefixTable } from './prefix-table.js';
@@ -14,9 +14,9 @@
 
 export type WorkerTable = {
   readonly takeList: (list: readonly Listed[], now: number) => void;
-  readonly takeFitness: (id: string, fitness: Fitness, now: number) => void;
+  readonly takeHealth: (id: string, health: Health, now: number) => void;
   readonly takeSilence: (id: string) => void;
-  readonly takeBelief: (belief: Belief) => void;
+  readonly takeControlState: (controlState: ControlState) => void;
   readonly rows: () => readonly WorkerRow[];
   readonly row: (ix: number) => WorkerRow | null;
   readonly begin: (ix: number) => WorkerRow | null;
@@ -35,7 +35,7 @@
   readonly values: Resolved;
   readonly zone: string;
   readonly near: string;
-  readonly zonesWithSluice: ReadonlySet<string>;
+  readonly zonesWithProxy: ReadonlySet<string>;
   readonly now: number;
   readonly homes: readonly string[] | null;
   readonly seed: string;
@@ -80,7 +80,7 @@
       }
     }
     pools.rebuild(table.values());
-    applyBelief();
+    applyControlState();
   }
 
   function markLeaving(row: WorkerRow, remainingMs: number | undefined, now: number): void {
@@ -90,20 +90,20 @@
     if (row.leaveBy === null || by < row.leaveBy) row.leaveBy = by;
   }
 
-  function takeFitness(id: string, fitness: Fitness, now: number): void {
+  function takeHealth(id: string, health: Health, now: number): void {
     const row = rowOf(id);
     if (!row) return;
-    if (row.incarnation !== fitness.incarnation) {
+    if (row.incarnation !== health.incarnation) {
       if (row.incarnation !== null) prefixes.forget(row.ix);
-      row.incarnation = fitness.incarnation;
+      row.incarnation = health.incarnation;
     }
     row.answeredAt = now;
     row.silences = 0;
-    row.ready = fitness.state === 'ready' && fitness.model === row.listed.model;
-    row.readyAt = now - fitness.readyForMs;
-    row.reported = fitness.running;
-    row.others = Math.max(0, fitness.running - row.inFlight);
-    if (fitness.state === 'draining') markLeaving(row, fitness.remainingMs, now);
+    row.ready = health.state === 'ready' && health.model === row.listed.model;
+    row.readyAt = now - health.readyForMs;
+    row.reported = health.running;
+    row.others = Math.max(0, health.running - row.inFlight);
+    if (health.state === 'draining') markLeaving(row, health.remainingMs, now);
   }
 
   function takeSilence(id: string): void {
@@ -116,16 +116,17 @@
     return ix === null ? null : (table.get(ix) ?? null);
   }
 
-  function takeBelief(belief: Belief): void {
+  function takeControlState(controlState: ControlState): void {
     orders = new Map();
     departed = new Set();
-    for (const order of Object.values(belief.orders)) if (order.machine !== null) orders.set(order.machine, order);
-    for (const order of belief.closed) if (order.machine !== null) departed.add(order.machine);
-    evacuated = belief.evacuated;
-    applyBelief();
+    for (const order of Object.values(controlState.orders))
+      if (order.machine !== null) orders.set(order.machine, order);
+    for (const order of controlState.closed) if (order.machine !== null) departed.add(order.machine);
+    evacuated = controlState.evacuated;
+    applyControlState();
   }
 
-  function applyBelief(): void {
+  function applyControlState(): void {
     for (const row of table.values()) {
       const order = orders.get(row.listed.machine);
       if (departed.has(row.listed.machine) || order?.status === 'draining') row.leaving = true;
@@ -163,7 +164,7 @@
       const warm = ask.values.rampS === 0 ? 1 : (ask.now - row.readyAt) / (ask.values.rampS * 1_000);
       const ramping = warm < 1;
       const ramped = Math.max(1, Math.floor(ask.values.workerUsageLimit * Math.min(1, warm)));
-      const elsewhere = ramping && listed.zone !== ask.zone && ask.zonesWithSluice.has(listed.zone);
+      const elsewhere = ramping && listed.zone !== ask.zone && ask.zonesWithProxy.has(listed.zone);
       const limit = elsewhere ? 0.5 : ramped;
       out.push({
         ix: row.ix,
@@ -211,9 +212,9 @@
   }
   return {
     takeList,
-    takeFitness,
+    takeHealth,
     takeSilence,
-    takeBelief,
+    takeControlState,
     rows,
     row,
     begin,
--- a/src/transport/clock.ts
+++ b/src/transport/clock.ts
@@ -1,11 +1,11 @@
 import { performance } from 'node:perf_hooks';
 
-export type Wakeup = { readonly cancel: () => void };
+export type Timer = { readonly cancel: () => void };
 
 export type Clock = {
   readonly mono: () => number;
   readonly wall: () => number;
-  readonly wakeup: (ms: number, fn: () => void) => Wakeup;
+  readonly timer: (ms: number, fn: () => void) => Timer;
 };
 
 export function createClock(): Clock {
@@ -15,19 +15,19 @@
   function wall(): number {
     return Date.now();
   }
-  function wakeup(ms: number, fn: () => void): Wakeup {
+  function timer(ms: number, fn: () => void): Timer {
     const handle = setTimeout(fn, Math.max(0, ms));
     function cancel(): void {
       clearTimeout(handle);
     }
     return { cancel };
   }
-  return { mono, wall, wakeup };
+  return { mono, wall, timer };
 }
 
 export function pause(clock: Clock, ms: number): Promise<void> {
   function start(resolve: () => void): void {
-    clock.wakeup(ms, resolve);
+    clock.timer(ms, resolve);
   }
   return new Promise<void>(start);
 }
@@ -37,9 +37,9 @@
     function late(): void {
       resolve(null);
     }
-    const wakeup = clock.wakeup(ms, late);
+    const timer = clock.timer(ms, late);
     function done(value: T): void {
-      wakeup.cancel();
+      timer.cancel();
       resolve(value);
     }
     void work.then(done);
@@ -47,12 +47,12 @@
   return new Promise(start);
 }
 
-export function every(clock: Clock, ms: number, fn: () => void): Wakeup {
+export function every(clock: Clock, ms: number, fn: () => void): Timer {
   let stopped = false;
-  let next: Wakeup = clock.wakeup(ms, tick);
+  let next: Timer = clock.timer(ms, tick);
   function tick(): void {
     if (stopped) return;
-    next = clock.wakeup(ms, tick);
+    next = clock.timer(ms, tick);
     fn();
   }
   function cancel(): void {
--- a/src/transport/outlets.test.ts
+++ b/src/transport/connection-pool.test.ts
@@ -2,9 +2,9 @@
 import { createConnection, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createClock } from './clock.js';
-import { createOpenDoor } from './open-door.js';
-import type { OpenRequest, Outlets, SendFault } from './open-http.js';
-import { createOutlets } from './outlets.js';
+import { createOpenHttpServer } from './open-http-server.js';
+import type { OpenRequest, ConnectionPool, SendFault } from './open-http.js';
+import { createConnectionPool } from './connection-pool.js';
 
 const open: { close: () => void }[] = [];
 afterEach(() => {
@@ -29,14 +29,14 @@
   );
 }
 
-function outlets(): Outlets {
-  const o = createOutlets(createClock());
+function connectionPool(): ConnectionPool {
+  const o = createConnectionPool(createClock());
   open.push({ close: o.stop });
   return o;
 }
 
 type Got = { status: number; body: string; fault: SendFault | null };
-function ask(o: Outlets, address: string, body: string | null = 'x'): Promise<Got> {
+function ask(o: ConnectionPool, address: string, body: string | null = 'x'): Promise<Got> {
   return new Promise((done) => {
     const got: Got = { status: 0, body: '', fault: null };
     o.send(
@@ -63,29 +63,29 @@
 }
 const OK = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi';
 
-test('one conn serves one request after the other', async () => {
-  let conns = 0;
+test('one connection serves one request after the other', async () => {
+  let connections = 0;
   const seen = new Set<Socket>();
   const at = await raw((sock) => {
-    if (!seen.has(sock)) conns += 1;
+    if (!seen.has(sock)) connections += 1;
     seen.add(sock);
     sock.write(OK);
   });
-  const o = outlets();
+  const o = connectionPool();
   for (let i = 0; i < 3; i += 1) expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
-  expect(conns).toBe(1);
+  expect(connections).toBe(1);
   expect(o.made()).toBe(1);
 });
 
 test('bytes behind a whole answer belong to no request', async () => {
   const at = await raw((sock) => sock.write(OK + 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad'));
-  const o = outlets();
+  const o = connectionPool();
   expect(await ask(o, at)).toMatchObject({ body: 'hi', fault: null });
   expect(await ask(o, at)).toMatchObject({ body: 'hi', fault: null });
   expect(o.made()).toBe(2);
 });
 
-test('a late answer on a resting conn ends that conn', async () => {
+test('a late answer on a resting connection ends that connection', async () => {
   let n = 0;
   let late: (() => void) | null = null;
   const at = await raw((sock) => {
@@ -93,7 +93,7 @@
     sock.write(OK);
     if (n === 1) late = () => sock.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad');
   });
-  const o = outlets();
+  const o = connectionPool();
   await ask(o, at);
   late!();
   while (o.idle(at) > 0) await new Promise((r) => setImmediate(r));
@@ -106,36 +106,36 @@
     sock.write('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi');
     sock.end();
   });
-  expect((await ask(outlets(), at)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
 });
 
 test('bytes that are no answer are a broken one', async () => {
   const at = await raw((sock) => sock.write('nonsense\r\n\r\n'));
-  expect((await ask(outlets(), at)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
 });
 
 test('an address without listener was never sent to', async () => {
   const at = await raw(() => undefined);
   open.splice(0).forEach((o) => o.close());
   await new Promise((r) => setImmediate(r));
-  expect((await ask(outlets(), at)).fault).toEqual({ tag: 'neverSent' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'neverSent' });
 });
 
-test('a conn that its worker closes is not used again', async () => {
+test('a connection that its worker closes is not used again', async () => {
   const at = await raw((sock) => {
     sock.write('HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi');
     sock.end();
   });
-  const o = outlets();
+  const o = connectionPool();
   await ask(o, at);
   expect(await ask(o, at)).toMatchObject({ body: 'hi', fault: null });
   expect(o.made()).toBe(2);
 });
 
-test('through the door and out: head, chunks and end as they come, and a cut as a cut', async () => {
-  const door = createOpenDoor();
+test('through the server and out: head, chunks and end as they come, and a cut as a cut', async () => {
+  const httpServer = createOpenHttpServer();
   let cut = false;
-  const opened = await door.open('127.0.0.1:0', (req: OpenRequest) => {
+  const opened = await httpServer.open('127.0.0.1:0', (req: OpenRequest) => {
     void req.body(100).then((b) => {
       req.answerer.head(200, ['X-Body', b.ok ? b.value.toString() : b.fault.tag]);
       req.answerer.write(Buffer.from('one'));
@@ -145,13 +145,13 @@
   });
   if (!opened.ok) throw new Error('listen');
   open.push({ close: () => void opened.value.close() });
-  const o = outlets();
+  const o = connectionPool();
   expect(await ask(o, opened.value.address)).toMatchObject({ status: 200, body: 'one', fault: null });
   cut = true;
   expect((await ask(o, opened.value.address)).fault).toEqual({ tag: 'broken' });
 });
 
-test('a conn that its worker forgot teaches to let conns rest for less', async () => {
+test('a connection that its worker forgot teaches to let connections rest for less', async () => {
   let forget = false;
   const at = await raw((sock) => {
     if (forget) sock.resetAndDestroy();
@@ -159,7 +159,7 @@
   });
   let now = 0;
   const clock = { ...createClock(), mono: () => now };
-  const o = createOutlets(clock);
+  const o = createConnectionPool(clock);
   open.push({ close: o.stop });
   await ask(o, at);
   now = 4_000;
@@ -179,7 +179,7 @@
 test('garbage in the same packet as a whole answer takes nothing from that answer', async () => {
   for (const extra of ['\u0001\u0002 no answer\r\n\r\n', 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad']) {
     const at = await raw((sock) => sock.write(OK + extra));
-    const o = outlets();
+    const o = connectionPool();
     expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
     expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
     expect(o.made()).toBe(2);
@@ -190,7 +190,7 @@
   const at = await raw((sock) =>
     sock.write('HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' + OK),
   );
-  const o = outlets();
+  const o = connectionPool();
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
   expect(o.made()).toBe(1);
@@ -200,7 +200,7 @@
   const at = await raw((sock) =>
     sock.write('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n'),
   );
-  expect((await ask(outlets(), at)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
 });
 
 test('an answer without a length is whole when its connection ends, and broken when that is reset', async () => {
@@ -209,7 +209,7 @@
       sock.write('HTTP/1.1 200 OK\r\n\r\nhi');
       setImmediate(() => (reset ? sock.resetAndDestroy() : sock.end()));
     });
-    expect((await ask(outlets(), at)).fault).toEqual(reset ? { tag: 'broken' } : null);
+    expect((await ask(connectionPool(), at)).fault).toEqual(reset ? { tag: 'broken' } : null);
   }
 });
 
@@ -219,7 +219,7 @@
       sock.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n');
       setImmediate(() => (reset ? sock.resetAndDestroy() : sock.end()));
     });
-    expect((await ask(outlets(), at)).fault).toEqual({ tag: 'broken' });
+    expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
   }
 });
 
@@ -229,7 +229,7 @@
     n += 1;
     sock.write(n === 1 ? `${OK}HTTP/1.1 20` : `0 OK\r\nContent-Length: 3\r\n\r\nbad`);
   });
-  const o = outlets();
+  const o = connectionPool();
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
   expect(await ask(o, at)).toEqual({ status: 0, body: '', fault: { tag: 'broken' } });
 });
@@ -237,23 +237,23 @@
 const LONG = 'x'.repeat(12_000_000);
 
 /** A worker that answers at the head of a request and reads its body only when told to. */
-function earlyWorker(): { readonly at: Promise<string>; readonly conns: { sock: Socket; bytes: number }[] } {
-  const conns: { sock: Socket; bytes: number }[] = [];
+function earlyWorker(): { readonly at: Promise<string>; readonly connections: { sock: Socket; bytes: number }[] } {
+  const connections: { sock: Socket; bytes: number }[] = [];
   const server = createServer((sock) => {
-    const conn = { sock, bytes: 0 };
-    conns.push(conn);
+    const connection = { sock, bytes: 0 };
+    connections.push(connection);
     sock.on('error', () => undefined);
     sock.on('data', (d) => {
-      conn.bytes += d.length;
+      connection.bytes += d.length;
     });
     sock.once('data', () => {
       sock.write(OK);
-      if (conns.length === 1) sock.pause();
+      if (connections.length === 1) sock.pause();
     });
   });
   open.push({
     close: () => {
-      for (const c of conns) c.sock.destroy();
+      for (const c of connections) c.sock.destroy();
       server.close();
     },
   });
@@ -261,19 +261,19 @@
     at: new Promise((done) =>
       server.listen(0, '127.0.0.1', () => done(`127.0.0.1:${(server.address() as AddressInfo).port}`)),
     ),
-    conns,
+    connections,
   };
 }
 
 test('while the body of an early answered request is due its connection serves nobody else, and then it does', async () => {
   const worker = earlyWorker();
   const at = await worker.at;
-  const o = outlets();
+  const o = connectionPool();
   expect(await ask(o, at, LONG)).toEqual({ status: 200, body: 'hi', fault: null });
-  const first = worker.conns[0]!;
+  const first = worker.connections[0]!;
   expect(first.bytes).toBeLessThan(LONG.length);
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
-  expect(worker.conns).toHaveLength(2);
+  expect(worker.connections).toHaveLength(2);
   first.sock.resume();
   while (o.idle(at) < 2) await new Promise((r) => setImmediate(r));
   expect(o.made()).toBe(2);
@@ -282,9 +282,9 @@
 test('bytes that come while the body of an early answered request is due end that connection', async () => {
   const worker = earlyWorker();
   const at = await worker.at;
-  const o = outlets();
+  const o = connectionPool();
   await ask(o, at, LONG);
-  const first = worker.conns[0]!;
+  const first = worker.connections[0]!;
   first.sock.write(OK.slice(0, 9));
   first.sock.resume();
   await new Promise((done) => first.sock.once('close', done));
@@ -297,7 +297,7 @@
     heard += text;
     sock.write(OK);
   });
-  const o = outlets();
+  const o = connectionPool();
   const fault = await new Promise((done) =>
     o.send(
       { address: at, method: 'POST', target: '/held', headers: () => null, body: Buffer.from('x'), connectMs: 500 },
@@ -310,9 +310,9 @@
 });
 
 test('an answer of unknown length that is cut does not look whole to a caller without chunks', async () => {
-  const door = createOpenDoor();
+  const httpServer = createOpenHttpServer();
   let cut = false;
-  const opened = await door.open('127.0.0.1:0', (req: OpenRequest) => {
+  const opened = await httpServer.open('127.0.0.1:0', (req: OpenRequest) => {
     req.answerer.head(200, []);
     req.answerer.write(Buffer.from('one'));
     const finish = (): void => (cut ? req.answerer.cut() : req.answerer.end());
--- a/src/transport/outlets.ts
+++ b/src/transport/connection-pool.ts
@@ -3,7 +3,7 @@
 import { createConnection } from 'node:net';
 import type { Socket } from 'node:net';
 import type { Clock } from './clock.js';
-import type { Outlets, SendEvents, SendFault, Sending, Sent } from './open-http.js';
+import type { ConnectionPool, SendEvents, SendFault, Sending, Sent } from './open-http.js';
 import { splitAddress } from './wire.js';
 import type { Address } from './wire.js';
 
@@ -18,7 +18,7 @@
 const RELEARN = 1.02;
 const REST_OF_BODY_MS = 5_000;
 
-export function createOutlets(clock: Clock): Outlets {
+export function createConnectionPool(clock: Clock): ConnectionPool {
   const places = new Map<Address, Place>();
   let dialled = 0;
   let learnedMs = KEEP_MS;
@@ -81,7 +81,7 @@
     function settle(got: Socket | null): void {
       if (settled) return;
       settled = true;
-      wakeup.cancel();
+      timer.cancel();
       if (!got) s.destroy();
       done(got);
     }
@@ -96,7 +96,7 @@
     function connected(): void {
       settle(s);
     }
-    const wakeup = clock.wakeup(waitMs, refused);
+    const timer = clock.timer(waitMs, refused);
     s.on('error', refused);
     s.once('close', closed);
     s.once('connect', connected);
@@ -180,11 +180,11 @@
         still.destroy();
       }
       function written(): void {
-        wakeup.cancel();
+        timer.cancel();
         still.off('data', drop);
         still.off('free', written);
       }
-      const wakeup = clock.wakeup(REST_OF_BODY_MS, drop);
+      const timer = clock.timer(REST_OF_BODY_MS, drop);
       still.on('data', drop);
       still.once('free', written);
     }
@@ -270,9 +270,9 @@
     learnedMs = Math.min(KEEP_MS, learnedMs * RELEARN);
     const now = clock.mono();
     for (const at of places.values()) for (const idle of [...at.idle]) if (idle.until <= now) idle.drop();
-    sweeping = clock.wakeup(SWEEP_MS, sweep);
+    sweeping = clock.timer(SWEEP_MS, sweep);
   }
-  let sweeping = clock.wakeup(SWEEP_MS, sweep);
+  let sweeping = clock.timer(SWEEP_MS, sweep);
 
   function open(address: Address): number {
     return places.get(address)?.open ?? 0;
--- a/src/transport/caller.ts
+++ b/src/transport/http-client.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { Caller, HttpAnswer, HttpCall, HttpFault } from './http.js';
+import type { HttpClient, HttpAnswer, HttpCall, HttpFault } from './http.js';
 
 const BEFORE_SENDING = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL']);
 
@@ -24,7 +24,7 @@
 
 async function* nothing(): AsyncGenerator<Result<unknown, HttpFault>> {}
 
-export function createGotCaller(connectTimeoutMs: number): Caller {
+export function createGotHttpClient(connectTimeoutMs: number): HttpClient {
   const agent = { http: new Agent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 64 }) };
 
   async function whole(call: HttpCall): Promise<Result<HttpAnswer, HttpFault>> {
--- a/src/transport/door.test.ts
+++ b/src/transport/http-server.test.ts
@@ -1,17 +1,17 @@
 import { afterAll, beforeAll, describe, expect, test } from '@jest/globals';
 import { createConnection } from 'node:net';
-import { createGotCaller } from './caller.js';
+import { createGotHttpClient } from './http-client.js';
 import { splitAddress } from './wire.js';
-import { createExpressDoor } from './door.js';
+import { createExpressHttpServer } from './http-server.js';
 import type { HttpAnswer, HttpFault, HttpReply, HttpRequest, Route } from './http.js';
 import { createQuietLog } from './log.js';
 import type { Listener } from './wire.js';
 import type { Result } from '../base/result.js';
 
-let door: Listener;
+let httpServer: Listener;
 let hasty: Listener;
 let read = 0;
-const caller = createGotCaller(1_000);
+const httpClient = createGotHttpClient(1_000);
 
 async function echo(req: HttpRequest): Promise<HttpReply> {
   read += 1;
@@ -46,27 +46,36 @@
 ];
 
 async function opened(bodyWaitMs?: number): Promise<Listener> {
-  const got = await createExpressDoor(createQuietLog().part('door'), bodyWaitMs).open('127.0.0.1:0', routes);
+  const got = await createExpressHttpServer(createQuietLog().part('httpServer'), bodyWaitMs).open(
+    '127.0.0.1:0',
+    routes,
+  );
   if (!got.ok) throw new Error(got.fault.tag);
   return got.value;
 }
 beforeAll(async () => {
-  door = await opened();
+  httpServer = await opened();
   hasty = await opened(300);
 });
-afterAll(() => Promise.all([door.close(), hasty.close()]));
+afterAll(() => Promise.all([httpServer.close(), hasty.close()]));
 
 function post(path: string, body: unknown, headers = {}): Promise<Result<HttpAnswer, HttpFault>> {
-  return caller.call({ method: 'POST', address: door.address, path, body, headers, timeoutMs: 3_000 });
+  return httpClient.call({ method: 'POST', address: httpServer.address, path, body, headers, timeoutMs: 3_000 });
 }
 async function lines(path: string): Promise<unknown[]> {
-  const got = await caller.call({ method: 'GET', address: door.address, path, timeoutMs: 3_000, stream: true });
+  const got = await httpClient.call({
+    method: 'GET',
+    address: httpServer.address,
+    path,
+    timeoutMs: 3_000,
+    stream: true,
+  });
   const out: unknown[] = [];
   if (got.ok) for await (const line of got.value.lines) out.push(line.ok ? line.value : line.fault.tag);
   return out;
 }
 
-describe('the HTTP door and caller', () => {
+describe('the HTTP server and caller', () => {
   test('carry JSON, parameters and queries', async () => {
     const got = await post('/echo/7?q=x', { a: 1 });
     expect(got.ok && got.value.body).toEqual({ got: { a: 1 }, id: '7', q: 'x' });
@@ -74,7 +83,7 @@
   test('turn away what is too large or not JSON, typed', async () => {
     const large = await post('/echo/7', { a: 'x'.repeat(2_000) });
     expect(large.ok && [large.value.status, large.value.body]).toEqual([413, { error: { tag: 'bodyTooLarge' } }]);
-    const res = await fetch(`http://${door.address}/echo/7`, {
+    const res = await fetch(`http://${httpServer.address}/echo/7`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: '{"a":',
@@ -106,7 +115,7 @@
   });
 
   test('a body nested beyond measure, another method and another type are turned away', async () => {
-    const deep = await fetch(`http://${door.address}/echo/7`, {
+    const deep = await fetch(`http://${httpServer.address}/echo/7`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: `${'['.repeat(200)}${']'.repeat(200)}`,
@@ -115,15 +124,15 @@
       400,
       { error: { tag: 'malformed', detail: '/: expected at most 64 levels' } },
     ]);
-    const put = await fetch(`http://${door.address}/echo/7`, { method: 'PUT', body: '{}' });
+    const put = await fetch(`http://${httpServer.address}/echo/7`, { method: 'PUT', body: '{}' });
     expect([put.status, await put.json()]).toEqual([404, { error: { tag: 'unknownPath' } }]);
-    const plain = await fetch(`http://${door.address}/echo/7`, {
+    const plain = await fetch(`http://${httpServer.address}/echo/7`, {
       method: 'POST',
       headers: { 'content-type': 'text/plain' },
       body: '{"a":1}',
     });
     expect(await plain.json()).toEqual({ id: '7' });
-    const twice = await fetch(`http://${door.address}/echo/7`, {
+    const twice = await fetch(`http://${httpServer.address}/echo/7`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: '{"a":1,"a":2}',
@@ -133,9 +142,9 @@
 
   test('a call that is given up ends at once, and so does the reading of its lines', async () => {
     const stop = new AbortController();
-    const got = await caller.call({
+    const got = await httpClient.call({
       method: 'GET',
-      address: door.address,
+      address: httpServer.address,
       path: '/endless',
       timeoutMs: 60_000,
       stream: true,
@@ -150,9 +159,9 @@
     }
     expect(seen).toEqual([{ n: 1 }, 'broken']);
     const whole = new AbortController();
-    const pending = caller.call({
+    const pending = httpClient.call({
       method: 'GET',
-      address: door.address,
+      address: httpServer.address,
       path: '/endless',
       timeoutMs: 60_000,
       signal: whole.signal,
@@ -176,13 +185,13 @@
     expect([[], [{ n: 1 }]]).toContainEqual(torn.slice(0, -1));
   });
   test('faults are typed', async () => {
-    const boom = await caller.call({ method: 'GET', address: door.address, path: '/boom', timeoutMs: 3_000 });
+    const boom = await httpClient.call({ method: 'GET', address: httpServer.address, path: '/boom', timeoutMs: 3_000 });
     expect(boom.ok && boom.value.status).toBe(500);
-    const text = await caller.call({ method: 'GET', address: door.address, path: '/text', timeoutMs: 3_000 });
+    const text = await httpClient.call({ method: 'GET', address: httpServer.address, path: '/text', timeoutMs: 3_000 });
     expect(text).toEqual({ ok: false, fault: { tag: 'notJson' } });
-    const gone = await caller.call({ method: 'GET', address: '127.0.0.1:1', path: '/', timeoutMs: 3_000 });
+    const gone = await httpClient.call({ method: 'GET', address: '127.0.0.1:1', path: '/', timeoutMs: 3_000 });
     expect(gone).toEqual({ ok: false, fault: { tag: 'neverSent' } });
-    const twice = await createExpressDoor(createQuietLog().part('door')).open(door.address, []);
-    expect(twice).toEqual({ ok: false, fault: { tag: 'addressInUse', address: door.address } });
+    const twice = await createExpressHttpServer(createQuietLog().part('httpServer')).open(httpServer.address, []);
+    expect(twice).toEqual({ ok: false, fault: { tag: 'addressInUse', address: httpServer.address } });
   });
 });
--- a/src/transport/door.ts
+++ b/src/transport/http-server.ts
@@ -6,7 +6,7 @@
 import { closeServer, portOf } from './close-server.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { Door, HttpReply, HttpRequest, Route } from './http.js';
+import type { HttpServer, HttpReply, HttpRequest, Route } from './http.js';
 import type { Log } from './log.js';
 import { splitAddress } from './wire.js';
 import type { Address, Listener, WireFault } from './wire.js';
@@ -60,7 +60,7 @@
   res.end();
 }
 
-export function createExpressDoor(log: Log, bodyWaitMs = BODY_WAIT_MS): Door {
+export function createExpressHttpServer(log: Log, bodyWaitMs = BODY_WAIT_MS): HttpServer {
   function mount(app: Express, route: Route): void {
     function gate(req: Request, res: Response, next: NextFunction): void {
       const early = route.gate?.(shaped(req, res));
--- a/src/transport/http.ts
+++ b/src/transport/http.ts
@@ -30,7 +30,7 @@
   readonly handle: (req: HttpRequest) => Promise<HttpReply>;
 };
 
-export type Door = {
+export type HttpServer = {
   readonly open: (address: Address, routes: readonly Route[]) => Promise<Result<Listener, WireFault>>;
 };
 
@@ -59,4 +59,4 @@
   readonly abandon: () => void;
 };
 
-export type Caller = { readonly call: (call: HttpCall) => Promise<Result<HttpAnswer, HttpFault>> };
+export type HttpClient = { readonly call: (call: HttpCall) => Promise<Result<HttpAnswer, HttpFault>> };
--- a/src/transport/open-door.test.ts
+++ b/src/transport/open-http-server.test.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from 'node:http';
 import { expect, test } from '@jest/globals';
-import { createOpenDoor } from './open-door.js';
+import { createOpenHttpServer } from './open-http-server.js';
 import type { OpenRequest } from './open-http.js';
 
 type Answer = { readonly status: number; readonly body: string } | { readonly failed: string };
@@ -26,7 +26,7 @@
 
 test('a server that stops listening ends what is under way, refuses new connections and closes idle ones', async () => {
   const held: OpenRequest[] = [];
-  const opened = await createOpenDoor().open('127.0.0.1:0', (taken) => {
+  const opened = await createOpenHttpServer().open('127.0.0.1:0', (taken) => {
     if (taken.target === '/held') held.push(taken);
     else answerWith(taken, 'at once');
   });
--- a/src/transport/open-door.ts
+++ b/src/transport/open-http-server.ts
@@ -4,7 +4,15 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import { closeServer, portOf } from './close-server.js';
-import type { Answerer, BodyFault, OpenDoor, OpenLimits, OpenListener, OpenRequest, RawHeaders } from './open-http.js';
+import type {
+  Answerer,
+  BodyFault,
+  OpenHttpServer,
+  OpenLimits,
+  OpenListener,
+  OpenRequest,
+  RawHeaders,
+} from './open-http.js';
 import { splitAddress } from './wire.js';
 import type { Address, WireFault } from './wire.js';
 
@@ -72,7 +80,7 @@
         finish(ok(parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts)));
       }
       function gone(): void {
-        finish(err({ tag: 'originGone' }));
+        finish(err({ tag: 'callerGone' }));
       }
       req.on('data', data);
       req.on('end', end);
@@ -91,7 +99,7 @@
   };
 }
 
-export function createOpenDoor(): OpenDoor {
+export function createOpenHttpServer(): OpenHttpServer {
   function open(address: Address, handle: (req: OpenRequest) => void): Promise<Result<OpenListener, WireFault>> {
     const hp = splitAddress(address);
     if (!hp) return Promise.resolve(err({ tag: 'badAddress', address }));
@@ -113,11 +121,11 @@
       onRequest,
     );
     server.keepAliveTimeout = 15_000;
-    function onConn(sock: Socket): void {
+    function onConnection(sock: Socket): void {
       function nothing(): void {}
       sock.on('error', nothing);
     }
-    server.on('connection', onConn);
+    server.on('connection', onConnection);
     function start(resolve: (r: Result<OpenListener, WireFault>) => void): void {
       function bad(): void {
         resolve(err({ tag: 'addressInUse', address }));
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -3,7 +3,7 @@
 
 export type RawHeaders = readonly string[];
 
-export type BodyFault = { readonly tag: 'bodyTooLarge' } | { readonly tag: 'originGone' };
+export type BodyFault = { readonly tag: 'bodyTooLarge' } | { readonly tag: 'callerGone' };
 
 export type Answerer = {
   readonly head: (status: number, headers: RawHeaders) => void;
@@ -31,7 +31,7 @@
   readonly limit: (limits: OpenLimits) => void;
 };
 
-export type OpenDoor = {
+export type OpenHttpServer = {
   readonly open: (address: Address, handle: (req: OpenRequest) => void) => Promise<Result<OpenListener, WireFault>>;
 };
 
@@ -61,7 +61,7 @@
 
 export type Sent = { readonly cut: () => void };
 
-export type Outlets = {
+export type ConnectionPool = {
   readonly send: (what: Sending, events: SendEvents) => Sent;
   readonly check: (address: Address, waitMs: number, done: (reached: boolean) => void) => void;
   readonly open: (address: Address) => number;
--- a/src/transport/ring.test.ts
+++ b/src/transport/ring.test.ts
@@ -127,6 +127,16 @@
     expect(readLog(await opened(world, platter))).toEqual([...Array(11).keys()]);
   });
 
+  test('records of an older version are told by their file, never taken for an empty disk', async () => {
+    const world = createWorld(10);
+    const platter = createPlatter();
+    const o = await opened(world, platter);
+    expect((await within(world, o.ring.append([Buffer.from('0')]))).ok).toBe(true);
+    (platter.files.get('r-0') as { current: Buffer }).current.write('MILL', 0);
+    const older = await open(world, platter);
+    expect(older).toEqual({ ok: false, fault: { tag: 'olderFormat', file: 'r-0', needed: 'MIL2' } });
+  });
+
   test('a ring without a snapshot fills and says so; a broken disk closes it', async () => {
     const world = createWorld(3);
     const platter = createPlatter();
--- a/src/transport/ring.ts
+++ b/src/transport/ring.ts
@@ -13,6 +13,7 @@
 export type RingFault =
   | DiskFault
   | { readonly tag: 'ringDamaged'; readonly file: string; readonly at: number }
+  | { readonly tag: 'olderFormat'; readonly file: string; readonly needed: 'MIL2' }
   | { readonly tag: 'ringFull' }
   | { readonly tag: 'ringBroken' }
   | { readonly tag: 'recordTooLarge'; readonly bytes: number };
@@ -26,9 +27,12 @@
 
 export type Opened = { readonly ring: Ring; readonly snapshot: Buffer | null; readonly records: readonly Buffer[] };
 
-const MAGIC = 0x4d494c4c;
+/** Opens each record: "MIL2". The digit is the version of what records and snapshots hold. */
+const MAGIC = 0x4d494c32;
+/** Opened the records of version 1 ("MILL"), whose fields had other names. */
+const OLDER_MAGIC = 0x4d494c4c;
 const HEAD = 28;
-const MARK = Buffer.from([0x4d, 0x49, 0x4c, 0x4c]);
+const MARK = Buffer.from('MIL2');
 
 type Found = {
   readonly file: number;
@@ -122,6 +126,19 @@
   return true;
 }
 
+function isOlder(buf: Buffer): boolean {
+  return buf.length >= 4 && buf.readUInt32BE(0) === OLDER_MAGIC;
+}
+
+async function olderFileIn(files: readonly DiskFile[]): Promise<Result<number, DiskFault>> {
+  for (const [i, file] of files.entries()) {
+    const head = await file.read(4);
+    if (!head.ok) return head;
+    if (isOlder(head.value)) return ok(i);
+  }
+  return ok(-1);
+}
+
 export async function openRing(disk: Disk, shape: RingShape): Promise<Result<Opened, RingFault>> {
   const files: DiskFile[] = [];
   const areas: DiskFile[] = [];
@@ -130,6 +147,9 @@
     if (!file.ok) return file;
     files.push(file.value);
   }
+  const older = await olderFileIn(files);
+  if (!older.ok) return older;
+  if (older.value >= 0) return err({ tag: 'olderFormat', file: `${shape.name}-${older.value}`, needed: 'MIL2' });
   let best: Found | null = null;
   for (let i = 0; i < 2; i += 1) {
     const file = await disk.preallocated(`${shape.name}-snapshot-${i}`, shape.snapshotBytes);
--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -12,29 +12,32 @@
   | { readonly tag: 'addressInUse'; readonly address: Address }
   | { readonly tag: 'badAddress'; readonly address: Address };
 
-export type ConnEvents = {
+export type ConnectionEvents = {
   readonly frame: (body: unknown) => void;
   readonly closed: () => void;
   readonly heard?: () => void;
 };
 
-export type Conn = {
+export type Connection = {
   readonly peer: Address;
   readonly send: (body: unknown) => void;
   readonly close: () => void;
-  readonly attach: (events: ConnEvents) => void;
+  readonly attach: (events: ConnectionEvents) => void;
 };
 
 export type Listener = { readonly address: Address; readonly close: () => Promise<void> };
 
 export type Wire = {
-  readonly listen: (address: Address, onConn: (conn: Conn) => void) => Promise<Result<Listener, WireFault>>;
-  readonly dial: (address: Address) => Promise<Result<Conn, WireFault>>;
+  readonly listen: (
+    address: Address,
+    onConnection: (connection: Connection) => void,
+  ) => Promise<Result<Listener, WireFault>>;
+  readonly dial: (address: Address) => Promise<Result<Connection, WireFault>>;
 };
 
 export type WireMeter = {
   readonly frame: (way: 'out' | 'in', peer: Address, dialled: boolean, bytes: number, body: unknown) => void;
-  readonly conns: (peer: Address, dialled: boolean, step: 1 | -1) => void;
+  readonly connections: (peer: Address, dialled: boolean, step: 1 | -1) => void;
 };
 
 export type HostPort = { readonly host: string; readonly port: number };
@@ -51,9 +54,9 @@
 const MAX_UNSENT = 64 * 1024 * 1024;
 
 export function createTcpWire(log: Log, dialTimeoutMs: number, meter: WireMeter | null = null): Wire {
-  function wrap(sock: Socket, peer: Address, dialled: boolean): Conn {
-    meter?.conns(peer, dialled, 1);
-    let events: ConnEvents | null = null;
+  function wrap(sock: Socket, peer: Address, dialled: boolean): Connection {
+    meter?.connections(peer, dialled, 1);
+    let events: ConnectionEvents | null = null;
     let parts: string[] = [];
     let size = 0;
     let done = false;
@@ -65,11 +68,11 @@
       if (done) return;
       done = true;
       sock.destroy();
-      meter?.conns(peer, dialled, -1);
+      meter?.connections(peer, dialled, -1);
       events?.closed();
     }
     function garbage(why: string): void {
-      log.warn(`Conn to ${peer} ended: ${why}.`);
+      log.warn(`Connection to ${peer} ended: ${why}.`);
       finish();
     }
     function line(text: string): void {
@@ -115,7 +118,7 @@
       sock.write(text);
       if (sock.writableLength > MAX_UNSENT) garbage('the peer reads too slowly');
     }
-    function attach(to: ConnEvents): void {
+    function attach(to: ConnectionEvents): void {
       events = to;
       if (done) to.closed();
       else sock.resume();
@@ -123,7 +126,10 @@
     return { peer, send, close: finish, attach };
   }
 
-  function listen(address: Address, onConn: (conn: Conn) => void): Promise<Result<Listener, WireFault>> {
+  function listen(
+    address: Address,
+    onConnection: (connection: Connection) => void,
+  ): Promise<Result<Listener, WireFault>> {
     const hp = splitAddress(address);
     if (!hp) return Promise.resolve(err({ tag: 'badAddress', address }));
     const target = hp;
@@ -135,7 +141,7 @@
           open.delete(sock);
         }
         sock.on('close', gone);
-        onConn(wrap(sock, `${sock.remoteAddress ?? '?'}:${sock.remotePort ?? 0}`, false));
+        onConnection(wrap(sock, `${sock.remoteAddress ?? '?'}:${sock.remotePort ?? 0}`, false));
       }
       const server: Server = createServer(accept);
       function failed(): void {
@@ -157,11 +163,11 @@
     return new Promise(start);
   }
 
-  function dial(address: Address): Promise<Result<Conn, WireFault>> {
+  function dial(address: Address): Promise<Result<Connection, WireFault>> {
     const hp = splitAddress(address);
     if (!hp) return Promise.resolve(err({ tag: 'badAddress', address }));
     const target = hp;
-    function start(resolve: (r: Result<Conn, WireFault>) => void): void {
+    function start(resolve: (r: Result<Connection, WireFault>) => void): void {
       const sock = createConnection({ host: target.host, port: target.port });
       function failed(): void {
         sock.destroy();
--- a/tools/bench.mjs
+++ b/tools/bench.mjs
@@ -2,10 +2,10 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
-import { createFlume } from '../dist/flume/flume.js';
+import { createClient } from '../dist/client/client.js';
 import { playScenario } from '../dist/sim/scenarios.js';
 import { leave, leaveWhenCut, onLeave, ROOT, runNode, stopFleet } from './children.mjs';
-import { originFigures, quantile, spread } from './figures.mjs';
+import { callerFigures, quantile, spread } from './figures.mjs';
 import { SHAPES } from './shapes.mjs';
 
 const FOLDER = join(ROOT, '.fleet-bench');
@@ -32,12 +32,12 @@
 }
 
 async function claimCost(state, shape) {
-  const flume = createFlume({ sluices: state.sluices.split(',') });
+  const client = createClient({ proxies: state.proxies.split(',') });
   const took = { once: [], again: [] };
   for (let i = 0; i < 40; i += 1) {
     for (const kind of i % 2 === 0 ? ['once', 'again'] : ['again', 'once']) {
       const from = performance.now();
-      const got = await flume.send({
+      const got = await client.send({
         model: shape.fixed.model,
         parts: [{ hash: `p${i}${kind}`, tokens: 8 }],
         outputTokens: 8,
@@ -54,12 +54,12 @@
   const core = state.core.split(',')[0];
   const took = [];
   for (let i = 0; i < 5; i += 1) {
-    const { epoch } = await (await fetch(`http://${core}/v1/configuration`)).json();
+    const { version } = await (await fetch(`http://${core}/v1/configuration`)).json();
     const from = performance.now();
     const res = await fetch(`http://${core}/v1/configuration/amend`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
-      body: JSON.stringify({ base: epoch, changes: [{ path: ['deployment', 'lineLimit'], value: 64 + i }] }),
+      body: JSON.stringify({ base: version, changes: [{ path: ['deployment', 'lineLimit'], value: 64 + i }] }),
     });
     if (res.status === 200) took.push(performance.now() - from);
   }
@@ -72,7 +72,7 @@
   try {
     const state = JSON.parse(readFileSync(join(FOLDER, 'fleet.json'), 'utf8'));
     await fleet(['load', shapeName, secondsText, rate]);
-    const figures = originFigures(journals());
+    const figures = callerFigures(journals());
     const claim = await claimCost(state, SHAPES[shapeName]);
     return { ...figures, claimOnce: claim.once, claimAgain: claim.again, inForce: await inForce(state) };
   } finally {
--- a/tools/capacity.mjs
+++ b/tools/capacity.mjs
@@ -10,14 +10,14 @@
 const ROOT = resolve(import.meta.dirname, '..');
 
 const NUMBERS = {
-  nodes: { default: '10', least: 1, most: 400, description: 'Hollow sluices' },
+  nodes: { default: '10', least: 1, most: 400, description: 'Hollow proxies' },
   workers: { default: '30', least: 1, most: 1_000, description: 'Hollow workers' },
-  headgates: { default: '3', least: 1, most: 9, description: 'Headgates (real processes)' },
+  controllers: { default: '3', least: 1, most: 9, description: 'Controllers (real processes)' },
   settle: { default: '8', least: 0, most: 300, description: 'Seconds of rest before the quiet measurement' },
   seconds: { default: '12', least: 2, most: 60, description: 'Length of the quiet measurement' },
   changes: { default: '8', least: 0, most: 60, description: 'Configuration changes, one by one' },
   burst: { default: '20', least: 0, most: 200, description: 'Configuration changes without a pause' },
-  restarts: { default: '0', least: 0, most: 400, description: 'Sluices that are restarted' },
+  restarts: { default: '0', least: 0, most: 400, description: 'Proxies that are restarted' },
   tenants: { default: '870', least: 0, most: 10_000, description: 'Mappings in the configuration' },
   repeats: { default: '1', least: 1, most: 10, description: 'How often the run is made' },
   port: { default: '20000', least: 1_024, most: 60_000, description: 'First of the ports on loopback' },
@@ -31,7 +31,7 @@
     ]),
   ),
   zoneLoss: { type: 'boolean', default: false, description: 'End with the loss of a whole zone' },
-  wholeProbes: { type: 'boolean', default: false, description: "Ask workers' fitness over real conns too" },
+  wholeProbes: { type: 'boolean', default: false, description: "Ask workers' health over real connections too" },
   profile: { type: 'boolean', default: false, description: 'Sample where processor time goes, by duty' },
   dist: { type: 'string', default: 'dist', description: 'Folder of the built program' },
   out: { type: 'string', default: 'docs/runs', description: 'Folder that the record is written to' },
@@ -75,10 +75,10 @@
 
 function tableOf(record) {
   const lines = [
-    '| role | count | processor ms/s | RSS MB a process | conns | messages/s | bytes/s | in zone | between zones | between regions |',
+    '| role | count | processor ms/s | RSS MB a process | connections | messages/s | bytes/s | in zone | between zones | between regions |',
     '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
   ];
-  for (const role of ['sluice', 'headgate', 'outside']) {
+  for (const role of ['proxy', 'controller', 'outside']) {
     const r = record.quiet.roles[role];
     if (!r) continue;
     const by = (key) =>
@@ -87,7 +87,7 @@
         .toFixed(0);
     const rss = r.rss.map((p) => p.rss / 1e6);
     lines.push(
-      `| ${role} | ${r.count} | ${r.cpuMsS.toFixed(2)} | ${Math.min(...rss).toFixed(0)} to ${Math.max(...rss).toFixed(0)} | ${r.conns.toFixed(0)} | ${r.messagesS.toFixed(1)} | ${r.bytesS.toFixed(0)} | ${by('inZone')} | ${by('betweenZones')} | ${by('betweenRegions')} |`,
+      `| ${role} | ${r.count} | ${r.cpuMsS.toFixed(2)} | ${Math.min(...rss).toFixed(0)} to ${Math.max(...rss).toFixed(0)} | ${r.connections.toFixed(0)} | ${r.messagesS.toFixed(1)} | ${r.bytesS.toFixed(0)} | ${by('inZone')} | ${by('betweenZones')} | ${by('betweenRegions')} |`,
     );
   }
   lines.push(
@@ -95,7 +95,7 @@
     '| role | duty | messages/s | bytes/s | sent | received | between regions |',
     '| --- | --- | --- | --- | --- | --- | --- |',
   );
-  for (const role of ['sluice', 'headgate']) {
+  for (const role of ['proxy', 'controller']) {
     for (const [duty, d] of Object.entries(record.quiet.roles[role]?.duties ?? {}).sort(
       (a, b) => b[1].bytes - a[1].bytes,
     ))
@@ -110,7 +110,7 @@
   );
   if (record.lost)
     lines.push(
-      `zone lost (${record.lost.sluices} sluices, ${record.lost.headgates} headgates): change answered ${record.lost.change.status}, in force after ${record.lost.change.inForceMs} ms; all known as dead after ${record.lost.allDeadS?.toFixed(1) ?? 'more than 30'} s`,
+      `zone lost (${record.lost.proxies} proxies, ${record.lost.controllers} controllers): change answered ${record.lost.change.status}, in force after ${record.lost.change.inForceMs} ms; all known as dead after ${record.lost.allDeadS?.toFixed(1) ?? 'more than 30'} s`,
     );
   if (record.shares)
     for (const [role, s] of Object.entries(record.shares))
@@ -127,12 +127,12 @@
   const dist = resolve(ROOT, a.dist);
   const bin = join(dist, 'programs/main.js');
   if (!existsSync(bin)) refuse(`flag --dist: expected a built program; found none at ${bin} (npm run build)`);
-  if (a.port + 2 + 2 * a.headgates + 2 * a.nodes + a.workers > 32_000)
+  if (a.port + 2 + 2 * a.controllers + 2 * a.nodes + a.workers > 32_000)
     refuse('flag --port: the ports would reach those that the system gives out (from 32768)');
   const out = resolve(ROOT, a.out);
   mkdirSync(out, { recursive: true });
   for (let i = 1; i <= a.repeats; i += 1) {
-    const name = a.name || `${a.nodes}n-${a.workers}w-${a.headgates}h`;
+    const name = a.name || `${a.nodes}n-${a.workers}w-${a.controllers}h`;
     const folder = join(ROOT, 'target/capacity', `${name}-${process.pid}`);
     const before = loadavg()[0];
     const began = new Date().toISOString();
@@ -189,7 +189,7 @@
 const main = defineCommand({
   meta: {
     name: 'capacity',
-    description: 'What control costs at a size: hollow sluices and workers against real headgates on loopback',
+    description: 'What control costs at a size: hollow proxies and workers against real controllers on loopback',
   },
   subCommands: {
     run: defineCommand({ meta: { name: 'run', description: 'One or more measured runs' }, args: RUN_ARGS, run }),
--- a/tools/capacity/children.mjs
+++ b/tools/capacity/children.mjs
@@ -23,7 +23,7 @@
           '1000',
         ]
       : [];
-    const small = child.role === 'headgate' ? [] : ['--max-old-space-size=320', '--max-semi-space-size=8'];
+    const small = child.role === 'controller' ? [] : ['--max-old-space-size=320', '--max-semi-space-size=8'];
     const proc = spawn(process.execPath, [...flags, ...small, bin, ...child.args], { stdio: ['pipe', out, out] });
     proc.stdin.on('error', () => {});
     const held = { ...child, proc, pid: proc.pid, gone: false };
--- a/tools/capacity/figures.mjs
+++ b/tools/capacity/figures.mjs
@@ -1,7 +1,7 @@
 export const DUTIES = {
   probing: ['probe', 'probeFor', 'probeAnswer'],
   following: ['follow', 'attend', 'unfollow', 'changes', 'followed', 'confirmed', 'beat'],
-  reporting: ['reports', 'reportsAsk', 'outlived', 'usage', 'usages', 'crowd'],
+  reporting: ['reports', 'reportsAsk', 'outlived', 'usage', 'usages', 'fleetLoad'],
   counts: ['counts'],
   leases: ['leaseAsk', 'leaseAnswer', 'leaseDrop'],
   ledger: [
@@ -13,18 +13,18 @@
     'alreadyChosen',
     'cannotVote',
     'learned',
-    'standingAsk',
-    'standing',
+    'memberStatusAsk',
+    'memberStatus',
     'fetch',
     'fetched',
-    'found',
-    'foundAnswer',
+    'bootstrap',
+    'bootstrapAnswer',
     'rejoin',
     'done',
   ],
   claims: ['claim', 'claimAnswer', 'claimEnds', 'claimsAsk', 'claimsPage'],
   list: ['listAsk', 'listTold', 'GET:/v1/workers'],
-  workers: ['GET:/v1/fitness'],
+  workers: ['GET:/v1/health'],
   scaler: ['POST:/v1/machines', 'GET:/v1/machines', 'GET:/v1/prices'],
 };
 const DUTY_OF = new Map(Object.entries(DUTIES).flatMap(([duty, kinds]) => kinds.map((k) => [k, duty])));
@@ -54,7 +54,7 @@
   const rss = {};
   const roles = {};
   const duties = {};
-  const conns = {};
+  const connections = {};
   const dialled = {};
   const kinds = {};
   const s = (b.at - a.at) / 1000;
@@ -75,8 +75,9 @@
     const span = (now.tally.at - was.tally.at) / 1000;
     for (const [key, d] of Object.entries(minus(was.tally.rows, now.tally.rows))) {
       const [own, peer, distance, way, kind] = key.split(' ');
-      if (way === 'conns') {
-        if (kind === 'open') for (const role of [own, peer]) conns[role] = (conns[role] ?? 0) + now.tally.rows[key].n;
+      if (way === 'connections') {
+        if (kind === 'open')
+          for (const role of [own, peer]) connections[role] = (connections[role] ?? 0) + now.tally.rows[key].n;
         else for (const role of [own, peer]) dialled[role] = (dialled[role] ?? 0) + d.n / span;
         continue;
       }
@@ -114,7 +115,7 @@
       procs: r.procs,
       messagesS: sum('messages'),
       bytesS: sum('bytes'),
-      conns: (conns[role] ?? 0) / n,
+      connections: (connections[role] ?? 0) / n,
       dialsS: (dialled[role] ?? 0) / n,
       rss: rss[role] ?? [],
       duties: table,
@@ -126,7 +127,7 @@
 }
 
 export function perNode(window) {
-  const s = window.roles.sluice;
+  const s = window.roles.proxy;
   return { nodeBytesS: s.bytesS, nodeMessagesS: s.messagesS, nodeCpuMsS: s.cpuMsS };
 }
 
--- a/tools/capacity/plan.mjs
+++ b/tools/capacity/plan.mjs
@@ -24,7 +24,7 @@
   return { zones: zoneTable, deployment: { nExtra: 0 }, regions: { r1: { models } }, mappings };
 }
 
-export function planOf({ folder, nodes, workers, headgates, port, wholeProbes, tenants = TENANTS }) {
+export function planOf({ folder, nodes, workers, controllers, port, wholeProbes, tenants = TENANTS }) {
   mkdirSync(folder, { recursive: true });
   const zones = zonesOf();
   const places = {};
@@ -39,19 +39,24 @@
   const platform = address('platform', outsideAt);
   const cloud = address('cloud', outsideAt);
   const heads = [];
-  for (let i = 0; i < headgates; i += 1) {
+  for (let i = 0; i < controllers; i += 1) {
     const at = zones[i % zones.length];
-    heads.push({ name: `headgate-${i + 1}`, ...at, listen: address('headgate', at), http: address('headgate', at) });
+    heads.push({
+      name: `controller-${i + 1}`,
+      ...at,
+      listen: address('controller', at),
+      http: address('controller', at),
+    });
   }
   const seeds = heads.map((h) => h.listen);
-  const parts = zones.map((at) => ({ at, sluices: [] }));
+  const parts = zones.map((at) => ({ at, proxies: [] }));
   for (let i = 0; i < nodes; i += 1) {
-    const { at, sluices } = parts[i % parts.length];
-    sluices.push({
-      name: `sluice-${at.zone}-${sluices.length + 1}`,
+    const { at, proxies } = parts[i % parts.length];
+    proxies.push({
+      name: `proxy-${at.zone}-${proxies.length + 1}`,
       ...at,
-      listen: address('sluice', at),
-      http: address('sluice', at),
+      listen: address('proxy', at),
+      http: address('proxy', at),
       seeds,
       platform,
       cloud,
@@ -81,13 +86,13 @@
     count: 1,
     tally: tally('outside').file,
     args: [
-      'basin',
+      'standin',
       'hollow',
       '--plan',
       written('outside', {
         tally: tally('outside'),
         wholeProbes,
-        sluices: [],
+        proxies: [],
         outside: { platform, cloud, prices, workers: machines },
       }),
     ],
@@ -104,24 +109,24 @@
     };
     children.push({
       name: h.name,
-      role: 'headgate',
+      role: 'controller',
       at: h,
       count: 1,
       tally: tally(h.name).file,
-      args: ['headgate', '--settings', written(h.name, settings)],
+      args: ['controller', '--settings', written(h.name, settings)],
     });
   }
   const hollow = [];
   for (const p of parts) {
-    if (p.sluices.length === 0) continue;
-    const name = `sluices-${p.at.zone}`;
+    if (p.proxies.length === 0) continue;
+    const name = `proxies-${p.at.zone}`;
     hollow.push({
       name,
-      role: 'sluice',
+      role: 'proxy',
       at: p.at,
-      count: p.sluices.length,
+      count: p.proxies.length,
       tally: tally(name).file,
-      args: ['basin', 'hollow', '--plan', written(name, { tally: tally(name), wholeProbes, sluices: p.sluices })],
+      args: ['standin', 'hollow', '--plan', written(name, { tally: tally(name), wholeProbes, proxies: p.proxies })],
     });
   }
   const ordered = Math.floor(0.97 * MODELS * Math.max(1, Math.floor((workers * 0.9) / MODELS)));
--- a/tools/capacity/plots.mjs
+++ b/tools/capacity/plots.mjs
@@ -40,54 +40,54 @@
 const CONTROL = ['probing', 'following', 'reporting', 'counts'];
 
 export const PLOTS = {
-  'sluice-bytes': {
-    title: 'A sluice: bytes a second for probing, following, reporting and counts',
+  'proxy-bytes': {
+    title: 'A proxy: bytes a second for probing, following, reporting and counts',
     x: 'nodes',
     y: 'bytes a second',
-    of: (all) => points(all, nodes, (r) => bytesOf(r, 'sluice', CONTROL)),
+    of: (all) => points(all, nodes, (r) => bytesOf(r, 'proxy', CONTROL)),
     limit: 5_000,
   },
-  'sluice-duties': {
-    title: 'A sluice now: bytes a second by duty',
+  'proxy-duties': {
+    title: 'A proxy now: bytes a second by duty',
     x: 'nodes',
     y: 'bytes a second',
     of: (all) =>
       series(
         all.filter((r) => which(r) === 'now'),
         nodes,
-        Object.fromEntries([...CONTROL, 'list', 'workers'].map((d) => [d, (r) => bytesOf(r, 'sluice', [d])])),
+        Object.fromEntries([...CONTROL, 'list', 'workers'].map((d) => [d, (r) => bytesOf(r, 'proxy', [d])])),
       ),
   },
-  'sluice-processor': {
-    title: 'A sluice: processor time',
+  'proxy-processor': {
+    title: 'A proxy: processor time',
     x: 'nodes',
     y: 'ms a second',
-    of: (all) => points(all, nodes, (r) => role(r, 'sluice').cpuMsS),
+    of: (all) => points(all, nodes, (r) => role(r, 'proxy').cpuMsS),
     limit: 10,
   },
-  'sluice-list': {
-    title: "A sluice: bytes a second for reading the platform's list itself",
+  'proxy-list': {
+    title: "A proxy: bytes a second for reading the platform's list itself",
     x: 'workers',
     y: 'bytes a second',
-    of: (all) => points(all, workers, (r) => bytesOf(r, 'sluice', ['list'])),
+    of: (all) => points(all, workers, (r) => bytesOf(r, 'proxy', ['list'])),
   },
-  'headgate-bytes': {
-    title: 'A headgate: bytes a second',
+  'controller-bytes': {
+    title: 'A controller: bytes a second',
     x: 'nodes',
     y: 'bytes a second',
-    of: (all) => points(all, nodes, (r) => role(r, 'headgate').bytesS),
+    of: (all) => points(all, nodes, (r) => role(r, 'controller').bytesS),
   },
-  'headgate-processor': {
-    title: 'A headgate: processor time',
+  'controller-processor': {
+    title: 'A controller: processor time',
     x: 'nodes',
     y: 'ms a second',
-    of: (all) => points(all, nodes, (r) => role(r, 'headgate').cpuMsS),
+    of: (all) => points(all, nodes, (r) => role(r, 'controller').cpuMsS),
   },
-  'headgate-memory': {
-    title: 'A headgate: memory resident',
+  'controller-memory': {
+    title: 'A controller: memory resident',
     x: 'nodes',
     y: 'MB',
-    of: (all) => points(all, nodes, (r) => memoryOf(r, 'headgate')),
+    of: (all) => points(all, nodes, (r) => memoryOf(r, 'controller')),
   },
   'in-force': {
     title: 'A change one by one, until in force everywhere',
--- a/tools/capacity/profile.mjs
+++ b/tools/capacity/profile.mjs
@@ -2,26 +2,26 @@
 import { join } from 'node:path';
 
 const FILES = [
-  [/basin\/(tally|hollow)\.js|programs\/(tally-file|hollow)\.js/, () => 'measuring'],
+  [/standin\/(tally|hollow)\.js|programs\/(tally-file|hollow)\.js/, () => 'measuring'],
   [/members\/membership\.js|state\/members\.js/, () => 'probing'],
   [/edge\/worker-watch\.js/, (f) => (/probe/i.test(f) ? 'workers' : 'list')],
   [/state\/worker-(table|pools)\.js|edge\/list-|list-/, () => 'list'],
   [/ledger\/push\.js/, (f) => (/report|gossip|merge/i.test(f) ? 'reporting' : 'following')],
   [/state\/reports\.js/, () => 'reporting'],
-  [/edge\/sluice\.js/, () => 'reporting'],
+  [/edge\/proxy\.js/, () => 'reporting'],
   [/ledger\/follower\.js|state\/shared-time\.js/, () => 'following'],
   [/ledger\/lease\.js|state\/lease-book\.js/, () => 'leases'],
   [/ledger\/(aim-keeper)\.js|state\/aim-/, () => 'counts'],
-  [/ledger\/(operator-door)\.js|settings-tree\.js|protocol\/configuration\.js/, () => 'configuration'],
+  [/ledger\/(operator-server)\.js|settings-tree\.js|protocol\/configuration\.js/, () => 'configuration'],
   [/scaling\/|state\/(scaler-decide|zone-sets|target|rates)\.js/, () => 'scaler'],
   [/ledger\/claims\.js|state\/claim-table\.js/, () => 'claims'],
-  [/ledger\/(ledger|store)\.js|transport\/(ring|disk)\.js|state\/(belief|acceptor|entry)\.js/, () => 'ledger'],
+  [/ledger\/(ledger|store)\.js|transport\/(ring|disk)\.js|state\/(control state|acceptor|entry)\.js/, () => 'ledger'],
   [/edge\/|state\//, () => 'edge'],
 ];
 const OUTER = [
   [/transport\/wire\.js|members\/peers\.js|protocol\/messages\.js/, 'wire'],
   [
-    /transport\/(caller|door)\.js|node_modules\/(got|express|body-parser|keyv|cacheable|responselike|http-|@szmarczak|@sindresorhus|router|finalhandler|send)|node:(_http|http)|undici/,
+    /transport\/(caller|server)\.js|node_modules\/(got|express|body-parser|keyv|cacheable|responselike|http-|@szmarczak|@sindresorhus|router|finalhandler|send)|node:(_http|http)|undici/,
     'http',
   ],
 ];
--- a/tools/capacity/run.mjs
+++ b/tools/capacity/run.mjs
@@ -27,7 +27,7 @@
   const {
     nodes,
     workers,
-    headgates,
+    controllers,
     settle,
     seconds,
     changes,
@@ -43,7 +43,7 @@
   } = options;
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
-  const plan = planOf({ folder, nodes, workers, headgates, port, wholeProbes, tenants });
+  const plan = planOf({ folder, nodes, workers, controllers, port, wholeProbes, tenants });
   const children = createChildren(bin, folder, profile);
   function interrupted() {
     children.end().then(() => process.exit(130));
@@ -69,23 +69,23 @@
     const parts = plan.children.map((c) => children.start(c));
     const heads = plan.heads;
     const head = heads[0].http;
-    await until('headgates', 40, async () =>
+    await until('controllers', 40, async () =>
       (await Promise.all(heads.map((h) => ask(h.http, '/v1/status')))).every((r) => r.status === 200),
     );
-    const founded = await ask(head, '/v1/found', { members: plan.seeds });
-    if (founded.status !== 200) throw new Error(`founding answered ${founded.status}`);
+    const bootstrapped = await ask(head, '/v1/bootstrap', { members: plan.seeds });
+    if (bootstrapped.status !== 200) throw new Error(`bootstrap answered ${bootstrapped.status}`);
     const applied = await ask(head, '/v1/configuration', { base: 0, configuration: plan.configuration });
     if (applied.status !== 200)
       throw new Error(`the configuration was answered ${applied.status} ${JSON.stringify(applied.body).slice(0, 300)}`);
     const startedAt = performance.now();
     for (const h of plan.hollow) parts.push(children.start(h));
-    const edges = parts.filter((p) => p.role === 'sluice');
+    const edges = parts.filter((p) => p.role === 'proxy');
     const serving = () => edges.reduce((n, p) => n + (tallyOf(p)?.extra?.serving ?? 0), 0);
-    const starting = setInterval(() => say(`${serving()} sluices serve`), 5_000);
-    const servingS = await until('all sluices serving', 120, () => serving() === nodes).finally(() =>
+    const starting = setInterval(() => say(`${serving()} proxies serve`), 5_000);
+    const servingS = await until('all proxies serving', 120, () => serving() === nodes).finally(() =>
       clearInterval(starting),
     );
-    say(`${nodes} sluices serve after ${((performance.now() - startedAt) / 1000).toFixed(1)} s`);
+    say(`${nodes} proxies serve after ${((performance.now() - startedAt) / 1000).toFixed(1)} s`);
     const ordered = await until('workers', 60, async () => {
       const { orders } = (await ask(head, '/v1/orders')).body;
       return orders.filter((o) => o.status === 'ready').length >= plan.ordered;
@@ -112,8 +112,8 @@
       const b = snapshot();
       return between(a, b);
     }
-    async function epochNow() {
-      return (await ask(head, '/v1/configuration')).body.epoch;
+    async function versionNow() {
+      return (await ask(head, '/v1/configuration')).body.version;
     }
     let value = 100;
     async function change(at, base) {
@@ -123,7 +123,7 @@
         base,
         changes: [{ path: ['deployment', 'lineLimit'], value }],
       });
-      return { status: got.status, epoch: got.body?.epoch ?? null, from, ackMs: Math.round(hostMs() - from) };
+      return { status: got.status, version: got.body?.version ?? null, from, ackMs: Math.round(hostMs() - from) };
     }
     function inForceMs(c, left = edges) {
       let last = 0;
@@ -131,7 +131,7 @@
         if (p.gone) continue;
         const t = tallyOf(p);
         const at = Object.entries(t?.extra?.inForceAt ?? {})
-          .filter(([e]) => Number(e) >= c.epoch)
+          .filter(([e]) => Number(e) >= c.version)
           .map(([, ms]) => ms - t.at + t.hostMs);
         if (at.length === 0) return null;
         last = Math.max(last, Math.min(...at));
@@ -139,18 +139,18 @@
       return Math.round(last - c.from);
     }
     async function changed(list, n, pauseMs) {
-      let base = await epochNow();
+      let base = await versionNow();
       for (let i = 0; i < n; i += 1) {
         const c = await change(i, base);
         list.push(c);
-        base = c.epoch ?? (await epochNow());
+        base = c.version ?? (await versionNow());
         if (pauseMs > 0) await sleep(pauseMs);
       }
     }
 
     const quiet = await windowOf(seconds);
     say(
-      `quiet: ${(quiet.roles.sluice.bytesS / 1000).toFixed(1)} KB, ${quiet.roles.sluice.messagesS.toFixed(1)} messages and ${quiet.roles.sluice.cpuMsS.toFixed(1)} ms a sluice and second; headgate ${(quiet.roles.headgate.bytesS / 1000).toFixed(0)} KB, ${quiet.roles.headgate.cpuMsS.toFixed(0)} ms`,
+      `quiet: ${(quiet.roles.proxy.bytesS / 1000).toFixed(1)} KB, ${quiet.roles.proxy.messagesS.toFixed(1)} messages and ${quiet.roles.proxy.cpuMsS.toFixed(1)} ms a proxy and second; controller ${(quiet.roles.controller.bytesS / 1000).toFixed(0)} KB, ${quiet.roles.controller.cpuMsS.toFixed(0)} ms`,
     );
 
     const single = [];
@@ -185,12 +185,12 @@
       const fleet = await windowOf(12, async () => {
         const from = performance.now();
         for (const p of gone) p.proc.kill('SIGKILL');
-        const c = await change(0, await epochNow());
+        const c = await change(0, await versionNow());
         await sleep(3_000);
         lost = {
           zone,
-          sluices: gone.filter((p) => p.role === 'sluice').reduce((n, p) => n + p.count, 0),
-          headgates: gone.filter((p) => p.role === 'headgate').length,
+          proxies: gone.filter((p) => p.role === 'proxy').reduce((n, p) => n + p.count, 0),
+          controllers: gone.filter((p) => p.role === 'controller').length,
           change: { status: c.status, ackMs: c.ackMs, inForceMs: inForceMs(c) },
         };
         const dead = await until('the lost ones known as dead', 30, async () => {
@@ -210,7 +210,7 @@
       options: {
         nodes,
         workers,
-        headgates,
+        controllers,
         settle,
         seconds,
         changes,
--- a/tools/capacity/slopes.mjs
+++ b/tools/capacity/slopes.mjs
@@ -1,6 +1,6 @@
 import { slopeOf } from './figures.mjs';
 
-export const DESIGN = { nodes: 350, workers: 600, headgates: 9 };
+export const DESIGN = { nodes: 350, workers: 600, controllers: 9 };
 
 function sum(duties, names, key) {
   return names.reduce((n, d) => n + (duties[d]?.[key] ?? 0), 0);
@@ -10,9 +10,9 @@
 function measure(role, what, unit, over, of) {
   MEASURES.push({ role, what, unit, over, of });
 }
-for (const role of ['sluice', 'headgate']) {
+for (const role of ['proxy', 'controller']) {
   const duties =
-    role === 'sluice'
+    role === 'proxy'
       ? ['probing', 'following', 'reporting', 'counts', 'list', 'workers']
       : ['probing', 'following', 'reporting', 'counts', 'ledger', 'leases', 'list', 'scaler'];
   for (const d of duties) {
@@ -20,7 +20,7 @@
       d === 'list' || d === 'workers' || d === 'scaler'
         ? 'workers'
         : d === 'ledger' || d === 'leases'
-          ? 'headgates'
+          ? 'controllers'
           : 'nodes';
     measure(role, `${d}: messages`, '/s', over, (r) => r.quiet.roles[role].duties[d]?.messages ?? 0);
     measure(role, `${d}: bytes`, 'B/s', over, (r) => r.quiet.roles[role].duties[d]?.bytes ?? 0);
@@ -33,15 +33,15 @@
   );
   measure(role, 'all: bytes inside a zone', 'B/s', 'nodes', (r) => sum(r.quiet.roles[role].duties, duties, 'inZone'));
   measure(role, 'processor time', 'ms/s', 'nodes', (r) => r.quiet.roles[role].cpuMsS);
-  measure(role, 'conns open', '', 'nodes', (r) => r.quiet.roles[role].conns);
-  measure(role, 'conns dialled', '/s', 'nodes', (r) => r.quiet.roles[role].dialsS);
+  measure(role, 'connections open', '', 'nodes', (r) => r.quiet.roles[role].connections);
+  measure(role, 'connections dialled', '/s', 'nodes', (r) => r.quiet.roles[role].dialsS);
 }
 measure(
-  'headgate',
+  'controller',
   'memory resident',
   'MB',
   'nodes',
-  (r) => r.quiet.roles.headgate.rss.reduce((n, p) => n + p.rss, 0) / r.quiet.roles.headgate.rss.length / 1e6,
+  (r) => r.quiet.roles.controller.rss.reduce((n, p) => n + p.rss, 0) / r.quiet.roles.controller.rss.length / 1e6,
 );
 measure('fleet', 'change in force, median of one by one', 'ms', 'nodes', (r) =>
   middle(r.changes.map((c) => c.inForceMs)),
@@ -56,22 +56,22 @@
 }
 
 const BY_PROCESS = [
-  { what: 'processor time of a process, by its sluices', unit: 'ms/s', of: (p) => p.cpuMsS },
-  { what: 'memory resident of a process, by its sluices', unit: 'MB', of: (p) => p.rss / 1e6 },
+  { what: 'processor time of a process, by its proxies', unit: 'ms/s', of: (p) => p.cpuMsS },
+  { what: 'memory resident of a process, by its proxies', unit: 'MB', of: (p) => p.rss / 1e6 },
 ];
 
 export function slopes(all) {
   const out = [];
   for (const m of BY_PROCESS) {
     const line = slopeOf(
-      all.flatMap((r) => r.quiet.roles.sluice.rss.filter((p) => p.cpuMsS !== undefined).map((p) => [p.count, m.of(p)])),
+      all.flatMap((r) => r.quiet.roles.proxy.rss.filter((p) => p.cpuMsS !== undefined).map((p) => [p.count, m.of(p)])),
     );
     if (line)
       out.push({
-        role: 'sluice',
+        role: 'proxy',
         what: m.what,
         unit: m.unit,
-        over: 'sluices in a process',
+        over: 'proxies in a process',
         base: line.base,
         slope: line.slope,
         spread: line.spread,
--- a/tools/children.mjs
+++ b/tools/children.mjs
@@ -87,7 +87,7 @@
 
 /** Ends the detached nodes of a fleet: the product's own in good order, stand-ins at once. */
 export async function stopNodes(nodes) {
-  signalAll(nodes, (n) => (n.role === 'sluice' || n.role === 'headgate' ? 'SIGTERM' : 'SIGKILL'));
+  signalAll(nodes, (n) => (n.role === 'proxy' || n.role === 'controller' ? 'SIGTERM' : 'SIGKILL'));
   if (await gone(() => !nodes.some(runs), NODE_GRACE_MS)) return;
   signalAll(nodes, () => 'SIGKILL');
   await gone(() => !nodes.some(runs), KILL_MS);
--- a/tools/claims.mjs
+++ b/tools/claims.mjs
@@ -4,8 +4,8 @@
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { createClaims } from '../dist/coordination/claims.js';
-import { HEADGATE_SHAPES } from '../dist/coordination/headgate.js';
-import { emptyBelief, memberId, membersMark } from '../dist/state/belief.js';
+import { CONTROLLER_SHAPES } from '../dist/coordination/controller.js';
+import { emptyControlState, memberId, membersMark } from '../dist/state/control-state.js';
 import { HOUR_MS } from '../dist/state/claim-table.js';
 import { runKey } from '../dist/state/run-key.js';
 import { createClock } from '../dist/transport/clock.js';
@@ -18,14 +18,14 @@
   process.exit(2);
 }
 const folder = mkdtempSync(join(tmpdir(), 'millfield-claims-'));
-const belief = emptyBelief();
-belief.ledger = 'bench';
-belief.members = ['h1', 'h2'].map((name) => ({ name, incarnation: 'i', address: name }));
-belief.claimants = [memberId(belief.members[1])];
+const controlState = emptyControlState();
+controlState.ledger = 'bench';
+controlState.members = ['h1', 'h2'].map((name) => ({ name, incarnation: 'i', address: name }));
+controlState.claimants = [memberId(controlState.members[1])];
 const handlers = { h1: new Map(), h2: new Map() };
 
 async function open(at) {
-  const self = belief.members[at];
+  const self = controlState.members[at];
   const own = handlers[self.name];
   async function call(to, m) {
     const got = await handlers[to].get(m.kind)?.(JSON.parse(JSON.stringify(m)));
@@ -34,12 +34,12 @@
       : { ok: false, fault: { tag: 'peerSilent', address: to } };
   }
   const peers = { on: (kind, fn) => own.set(kind, fn), call };
-  const ledger = { belief: () => belief, isMember: () => true, self };
+  const ledger = { controlState: () => controlState, isMember: () => true, self };
   const made = await createClaims(
     ledger,
     peers,
     createFolderDisk(join(folder, self.name)),
-    HEADGATE_SHAPES.claims,
+    CONTROLLER_SHAPES.claims,
     createClock(),
     createQuietLog().part(''),
   );
@@ -66,7 +66,7 @@
   const got = await handlers.h2.get('claim')({
     kind: 'claim',
     ledger: 'bench',
-    members: membersMark(belief.members),
+    members: membersMark(controlState.members),
     claims,
   });
   took.push(performance.now() - from);
--- a/tools/demo.mjs
+++ b/tools/demo.mjs
@@ -4,7 +4,7 @@
 import { createServer } from 'node:net';
 import { join } from 'node:path';
 import { BIN, leave, leaveWhenCut, onLeave, ROOT, runNode, runs, stopFleet } from './children.mjs';
-import { originFigures } from './figures.mjs';
+import { callerFigures } from './figures.mjs';
 import { install } from './installed.mjs';
 import { SHAPES } from './shapes.mjs';
 
@@ -83,7 +83,7 @@
   const from = performance.now();
   const timer = setInterval(tick, 1_000);
   function tick() {
-    const f = originFigures(journals('origin-'));
+    const f = callerFigures(journals('caller-'));
     const s = Math.min(seconds, Math.round((performance.now() - from) / 1_000));
     const line = `load: ${s} of ${seconds} s, ${f.asked} requests ended, ${percent(f.success)} answered, first piece ${ms(f.firstP50)}`;
     process.stdout.write(process.stdout.isTTY ? `\r${line}  ` : `${line}\n`);
@@ -95,7 +95,7 @@
 }
 
 function checkJournals() {
-  const args = [BIN, 'basin', 'check', join(FOLDER, 'journals')];
+  const args = [BIN, 'standin', 'check', join(FOLDER, 'journals')];
   if (shape.homes) args.push('--homes', `${shape.kind}=${shape.homes.join('+')}`);
   const got = spawnSync(process.execPath, args, { encoding: 'utf8', timeout: 30_000, maxBuffer: 64 * 2 ** 20 });
   if (got.stderr) process.stderr.write(got.stderr);
@@ -131,7 +131,7 @@
 stopProgress();
 await fleet('stop');
 const check = checkJournals();
-const f = originFigures(journals());
+const f = callerFigures(journals());
 const held = check.code === 0 && check.broken.length === 0;
 const rows = [
   ['requests', `${f.asked}, ${percent(f.success)} answered, ${percent(f.shed)} refused as not run`],
@@ -140,7 +140,7 @@
   ['run-once request, p50 / p99', `${ms(f.onceP50)} / ${ms(f.onceP99)}`],
   ['prompt tokens found kept', percent(f.prefixHits)],
   ['dispatched a second time', percent(f.retries)],
-  ['rules', held ? `held, over ${check.counts.dispatches} dispatches` : `${check.broken.length} broken`],
+  ['rules', held ? `held, over ${check.counts.attempts} dispatches` : `${check.broken.length} broken`],
 ];
 process.stdout.write(`\n${rows.map(([what, value]) => `${what.padEnd(28)} ${value}`).join('\n')}\n`);
 for (const b of check.broken.slice(0, 10)) process.stdout.write(`  ${b.rule}: ${b.detail}\n`);
--- a/tools/figures.mjs
+++ b/tools/figures.mjs
@@ -15,9 +15,9 @@
   return Math.abs(x) >= 100 ? x.toFixed(0) : x.toFixed(Math.abs(x) >= 10 ? 1 : 3);
 }
 
-export function originFigures(records) {
-  const origins = records.filter((r) => r.who === 'origin');
-  const good = origins.filter((r) => r.result === 'success');
+export function callerFigures(records) {
+  const callers = records.filter((r) => r.who === 'caller');
+  const good = callers.filter((r) => r.result === 'success');
   const streams = good.filter((r) => r.repeatable);
   const once = good.filter((r) => !r.repeatable);
   const arrived = records.filter((r) => r.who === 'worker' && r.event === 'arrived');
@@ -26,9 +26,9 @@
   const hits = prefills.reduce((n, r) => n + r.hit, 0);
   const firsts = new Set(arrived.map((r) => r.requestId)).size;
   return {
-    asked: origins.length,
-    success: good.length / Math.max(1, origins.length),
-    shed: origins.filter((r) => r.result.startsWith('shed')).length / Math.max(1, origins.length),
+    asked: callers.length,
+    success: good.length / Math.max(1, callers.length),
+    shed: callers.filter((r) => r.result.startsWith('shed')).length / Math.max(1, callers.length),
     retries: firsts === 0 ? 0 : (arrived.length - firsts) / firsts,
     prefixHits: tokens === 0 ? 0 : hits / tokens,
     firstP50: quantile(
--- a/tools/fleet.mjs
+++ b/tools/fleet.mjs
@@ -82,14 +82,14 @@
   const cloud = address(null);
   const zones = Object.keys(shape.zones);
   const heads = zones.map((zone, i) => ({
-    name: `headgate-${i + 1}`,
+    name: `controller-${i + 1}`,
     zone,
     listen: address(zone),
     http: address(zone),
   }));
-  const sluices = zones.flatMap((zone) =>
-    Array.from({ length: shape.sluices[zone] }, (_, i) => ({
-      name: `sluice-${zone}-${i + 1}`,
+  const proxies = zones.flatMap((zone) =>
+    Array.from({ length: shape.proxies[zone] }, (_, i) => ({
+      name: `proxy-${zone}-${i + 1}`,
       zone,
       listen: address(zone),
       http: address(zone),
@@ -113,7 +113,7 @@
   const seeds = heads.map((h) => h.listen);
   nodes.push({
     name: 'platform',
-    args: ['basin', 'platform', '--http', platform, '--journal', join(FOLDER, 'journals', 'platform.jsonl')],
+    args: ['standin', 'platform', '--http', platform, '--journal', join(FOLDER, 'journals', 'platform.jsonl')],
   });
   const prices = Object.entries(shape.prices)
     .map(([z, [s, o]]) => `${z}=${s}/${o}`)
@@ -121,7 +121,7 @@
   nodes.push({
     name: 'cloud',
     args: [
-      'basin',
+      'standin',
       'cloud',
       '--http',
       cloud,
@@ -133,7 +133,7 @@
       join(FOLDER, 'journals', 'cloud.jsonl'),
     ],
   });
-  for (const h of [...heads, ...sluices]) {
+  for (const h of [...heads, ...proxies]) {
     const core = heads.includes(h);
     const file = join(FOLDER, 'settings', `${h.name}.json`);
     const settings = {
@@ -150,13 +150,13 @@
     };
     nodes.push({
       name: h.name,
-      role: core ? 'headgate' : 'sluice',
+      role: core ? 'controller' : 'proxy',
       zone: h.zone,
       http: h.http,
       listen: h.listen,
       settings,
       file,
-      args: [core ? 'headgate' : 'sluice', '--settings', file],
+      args: [core ? 'controller' : 'proxy', '--settings', file],
     });
   }
   for (const w of workers) {
@@ -166,7 +166,7 @@
       zone: w.zone,
       http: w.http,
       args: [
-        'basin',
+        'standin',
         'worker',
         '--id',
         w.name,
@@ -195,7 +195,7 @@
     cloud,
     core: heads.map((h) => h.http).join(','),
     members: seeds.join(','),
-    sluices: sluices.map((s) => s.http).join(','),
+    proxies: proxies.map((s) => s.http).join(','),
   };
 }
 
@@ -222,8 +222,8 @@
   return { status: res.status, body: await res.json().catch(() => null) };
 }
 
-function valve(state, args) {
-  return runNode(BIN, ['valve', ...args, '--core', state.core]);
+function admin(state, args) {
+  return runNode(BIN, ['admin', ...args, '--core', state.core]);
 }
 
 async function start() {
@@ -244,23 +244,23 @@
     node.pid = launch(node);
     saveState(state);
   }
-  const heads = state.nodes.filter((n) => n.role === 'headgate');
+  const heads = state.nodes.filter((n) => n.role === 'controller');
   const up = await until(
-    'headgates',
+    'controllers',
     30,
     async () => (await Promise.all(heads.map((h) => get(h.http, '/v1/status')))).length === heads.length,
   );
   if (!up) await leave(1);
-  if ((await valve(state, ['found', '--members', state.members])) !== 0) await leave(1);
+  if ((await admin(state, ['bootstrap', '--members', state.members])) !== 0) await leave(1);
   const first = heads[0].http;
   await until(
-    'sluices',
+    'proxies',
     20,
     async () =>
-      Object.keys((await get(first, '/v1/status')).sluices).length ===
-      state.nodes.filter((n) => n.role === 'sluice').length,
+      Object.keys((await get(first, '/v1/status')).proxies).length ===
+      state.nodes.filter((n) => n.role === 'proxy').length,
   );
-  if ((await valve(state, ['apply', join(ROOT, shape.configuration)])) !== 0)
+  if ((await admin(state, ['apply', join(ROOT, shape.configuration)])) !== 0)
     process.stderr.write('the configuration was not confirmed\n');
   const ready = await until('workers', 60, async () => {
     const { orders } = await get(first, '/v1/orders');
@@ -269,7 +269,7 @@
   });
   whole = true;
   process.stdout.write(
-    `${ready ? 'The fleet serves' : 'The fleet is up'}; core ${state.core}; sluices ${state.sluices}\n`,
+    `${ready ? 'The fleet serves' : 'The fleet is up'}; core ${state.core}; proxies ${state.proxies}\n`,
   );
 }
 
@@ -324,18 +324,18 @@
     (zone) =>
       new Promise((done) => {
         const near = state.nodes
-          .filter((n) => n.role === 'sluice')
+          .filter((n) => n.role === 'proxy')
           .sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
         const args = [
-          'basin',
-          'origin',
+          'standin',
+          'caller',
           '--name',
-          `origin-${zone}`,
+          `caller-${zone}`,
           '--zone',
           zone,
           '--lab',
           state.labFile,
-          '--sluices',
+          '--proxies',
           near.map((n) => n.http).join(','),
           '--once',
           shape.fixed.model,
@@ -346,7 +346,7 @@
           '--seconds',
           seconds,
           '--journal',
-          join(FOLDER, 'journals', `origin-${zone}.jsonl`),
+          join(FOLDER, 'journals', `caller-${zone}.jsonl`),
         ];
         if (shape.homes) args.push('--kind', shape.kind);
         const child = startChild(process.execPath, [BIN, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
@@ -371,7 +371,7 @@
 async function check() {
   const state = loadState();
   const shape = SHAPES[state.shape];
-  const args = ['basin', 'check', join(FOLDER, 'journals')];
+  const args = ['standin', 'check', join(FOLDER, 'journals')];
   if (shape.homes) args.push('--homes', `${shape.kind}=${shape.homes.join('+')}`);
   await leave(await runNode(BIN, args));
 }
--- a/tools/place.mjs
+++ b/tools/place.mjs
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 import { performance } from 'node:perf_hooks';
 import { createPlacer } from '../dist/coordination/placer.js';
-import { emptyBelief } from '../dist/state/belief.js';
+import { emptyControlState } from '../dist/state/control-state.js';
 import { POLICIES } from '../dist/state/policies.js';
 import { createWorkerTable } from '../dist/state/worker-table.js';
 import { createRng } from '../dist/transport/rng.js';
@@ -16,10 +16,10 @@
 
 function setUp(size, whole) {
   const table = createWorkerTable();
-  const belief = emptyBelief();
-  belief.epoch = 1;
-  belief.ticketKey = 'key';
-  belief.configuration = {
+  const controlState = emptyControlState();
+  controlState.version = 1;
+  controlState.ticketKey = 'key';
+  controlState.configuration = {
     zones: Object.fromEntries(regions.map((r) => [`${r}-1`, { region: r }])),
     deployment: { rampS: 0 },
     regions: { a: { models: { m: {} } } },
@@ -36,10 +36,10 @@
   }));
   table.takeList(listed, 0);
   for (const w of listed)
-    table.takeFitness(w.id, { id: w.id, incarnation: 'i', model: 'm', state: 'ready', running: 0, readyForMs: 1e9 }, 0);
+    table.takeHealth(w.id, { id: w.id, incarnation: 'i', model: 'm', state: 'ready', running: 0, readyForMs: 1e9 }, 0);
   const nodes = Array.from({ length: Math.max(3, Math.floor(size / 3)) }, (_, i) => ({
     name: `s${i}`,
-    role: 'sluice',
+    role: 'proxy',
     run: 'r',
     incarnation: 1,
     address: `s${i}`,
@@ -49,7 +49,7 @@
     status: 'alive',
   }));
   const membership = { all: () => nodes, get: () => null, events: { on() {} }, leave() {}, stop() {} };
-  const follower = { belief: () => belief, islanded: () => false, sharedNow: () => 0 };
+  const follower = { controlState: () => controlState, partitioned: () => false, sharedNow: () => 0 };
   const clock = { mono: () => 0, wall: () => 0 };
   const given = whole ? { ...table, candidates: (ask) => table.candidates({ ...ask, whole: true }) } : table;
   const placer = createPlacer({
--- a/tools/runbooks.mjs
+++ b/tools/runbooks.mjs
@@ -19,8 +19,8 @@
 function state() {
   return JSON.parse(readFileSync(join(FOLDER, 'fleet.json'), 'utf8'));
 }
-function valve(...args) {
-  return run(BIN, ['valve', ...args, '--core', state().core]);
+function admin(...args) {
+  return run(BIN, ['admin', ...args, '--core', state().core]);
 }
 async function cloud(path, body) {
   await fetch(`http://${state().cloud}${path}`, {
@@ -47,46 +47,46 @@
 const plays = [
   ['roll-out-setting', {}],
   ['take-back-setting', {}],
-  ['upgrade-node', { inputs: { name: 'sluice-hu-1-2' }, during: () => again('sluice-hu-1-2') }],
+  ['upgrade-node', { inputs: { name: 'proxy-hu-1-2' }, during: () => again('proxy-hu-1-2') }],
   [
     'full-disk',
     {
-      inputs: { name: 'headgate-2' },
+      inputs: { name: 'controller-2' },
       async before() {
-        await fleet('fill', 'headgate-2');
+        await fleet('fill', 'controller-2');
         await sleep(300);
-        await valve('set', '/deployment/lineLimit', '70');
+        await admin('set', '/deployment/lineLimit', '70');
       },
       async during() {
         await fleet('heal');
-        await again('headgate-2');
+        await again('controller-2');
       },
     },
   ],
   [
     'replace-core-machine',
     {
-      inputs: { name: 'headgate-3', address: () => state().nodes.find((n) => n.name === 'headgate-3').listen },
-      before: () => fleet('kill', 'headgate-3'),
-      during: () => fleet('restart', 'headgate-3', '--wipe'),
+      inputs: { name: 'controller-3', address: () => state().nodes.find((n) => n.name === 'controller-3').listen },
+      before: () => fleet('kill', 'controller-3'),
+      during: () => fleet('restart', 'controller-3', '--wipe'),
     },
   ],
   ['evacuate-and-hand-back', { inputs: { zone: 'ro-1' } }],
   [
     'region-lost',
     {
-      inputs: { zone: 'ro-1', sluice: 'sluice-ro-1-2' },
+      inputs: { zone: 'ro-1', proxy: 'proxy-ro-1-2' },
       async before() {
         for (const name of inZone('ro-1')) await fleet('kill', name);
         await sleep(3_000);
-        await valve('forget', 'sluice-ro-1-1');
+        await admin('forget', 'proxy-ro-1-1');
       },
     },
   ],
   [
     'region-back-cold',
     {
-      inputs: { zone: 'ro-1', node: 'sluice-ro-1-1' },
+      inputs: { zone: 'ro-1', node: 'proxy-ro-1-1' },
       async before() {
         for (const name of inZone('ro-1')) await fleet('restart', name);
         await sleep(3_000);
@@ -168,8 +168,8 @@
   if (code !== 0) process.stdout.write(`${JSON.stringify(steps(record).at(-1))}\n`);
   await sleep(2_000);
 }
-await fleet('freeze', 'headgate-2');
-await fleet('freeze', 'headgate-3');
+await fleet('freeze', 'controller-2');
+await fleet('freeze', 'controller-3');
 await sleep(4_000);
 const unmet = {};
 for (const [name, play] of plays) {
--- a/tools/scale.mjs
+++ b/tools/scale.mjs
@@ -20,7 +20,7 @@
   configuration.regions.hungary.models.summary.maxTarget = 1000;
   const fleet = createSimFleet(1, {
     ...SMALL,
-    sluices: spread,
+    proxies: spread,
     machines: { 'hu-1': machines, 'at-1': machines, 'ro-1': machines },
     configuration,
     ringFileBytes: 1048576,
@@ -32,17 +32,17 @@
   await fleet.run(10_000);
   const took = (performance.now() - real) / 10_000;
   const after = fleet.load();
-  const { epoch } = (await fleet.operator(0, 'GET', '/v1/configuration')).value.body;
+  const { version } = (await fleet.operator(0, 'GET', '/v1/configuration')).value.body;
   const from = fleet.world.now();
   const got = await fleet.operator(0, 'POST', '/v1/configuration/amend', {
-    base: epoch,
+    base: version,
     changes: [{ path: ['deployment', 'lineLimit'], value: 65 }],
   });
   const inForce =
     got.ok && got.value.status === 200
       ? (fleet.world.now() - from).toFixed(0)
       : `not within 2800 (${got.ok ? got.value.status : got.fault.tag})`;
-  const placer = fleet.sluices[0].sluice;
+  const placer = fleet.proxies[0].proxy;
   const ask = { model: 'summary', inputTokens: 100, outputTokens: 10, parts: ['a', 'b', 'c'], repeatable: true };
   const start = performance.now();
   let n = 0;
--- a/tools/trial.mjs
+++ b/tools/trial.mjs
@@ -35,18 +35,18 @@
 function status(name) {
   return get(node(name).http, '/v1/status');
 }
-function valve(...args) {
-  return runNode(BIN, ['valve', ...args, '--core', state().core], { stdio: ['ignore', 'ignore', 'inherit'] });
+function admin(...args) {
+  return runNode(BIN, ['admin', ...args, '--core', state().core], { stdio: ['ignore', 'ignore', 'inherit'] });
 }
-async function epoch() {
-  for (const h of nodesOf('headgate')) {
+async function version() {
+  for (const h of nodesOf('controller')) {
     const read = await get(h.http, '/v1/configuration').catch(() => null);
-    if (read?.configuration) return read.epoch;
+    if (read?.configuration) return read.version;
   }
   return null;
 }
 async function holder() {
-  for (const n of nodesOf('headgate')) if ((await status(n.name).catch(() => null))?.holdsScaler) return n.name;
+  for (const n of nodesOf('controller')) if ((await status(n.name).catch(() => null))?.holdsScaler) return n.name;
   return null;
 }
 function say(text) {
@@ -99,31 +99,31 @@
     expect('the woken one knows that it lost the duty', s.leases.scaler.fence > fence && !s.holdsScaler);
   },
   async diskLost() {
-    const before = (await status('headgate-2')).member;
-    await fleet('kill', 'headgate-2');
+    const before = (await status('controller-2')).member;
+    await fleet('kill', 'controller-2');
     await sleep(500);
-    await fleet('restart', 'headgate-2', '--wipe');
-    await until('headgate with its data folder wiped: member with whole claims', 20, () => returned('headgate-2'));
-    expect('it came back as a new incarnation', (await status('headgate-2')).member !== before);
+    await fleet('restart', 'controller-2', '--wipe');
+    await until('controller with its data folder wiped: member with whole claims', 20, () => returned('controller-2'));
+    expect('it came back as a new incarnation', (await status('controller-2')).member !== before);
   },
   async edges() {
-    const edges = nodesOf('sluice');
+    const edges = nodesOf('proxy');
     await fleet('kill', edges[0].name);
     await fleet('freeze', edges[2].name);
     await sleep(7_000);
     expect('a frozen edge does not answer', !(await status(edges[2].name).catch(() => null)));
     await fleet('restart', edges[0].name);
-    await until('sluice killed and restarted: serves', 12, serves(edges[0].name));
+    await until('proxy killed and restarted: serves', 12, serves(edges[0].name));
     await fleet('thaw', edges[2].name);
-    await until('sluice frozen 7 s and woken: serves', 12, serves(edges[2].name));
+    await until('proxy frozen 7 s and woken: serves', 12, serves(edges[2].name));
   },
   async evacuation() {
     const zone = zones[0];
-    expect('evacuation acknowledged', (await valve('evacuate', zone)) === 0);
+    expect('evacuation acknowledged', (await admin('evacuate', zone)) === 0);
     const from = Date.now() + 5_000;
     await sleep(10_000);
     const to = Date.now();
-    expect('handed back', (await valve('restore', zone)) === 0);
+    expect('handed back', (await admin('restore', zone)) === 0);
     const late = journals('').filter(
       (r) => r.who === 'worker' && r.event === 'arrived' && r.zone === zone && r.at > from && r.at < to,
     );
@@ -132,10 +132,10 @@
   async race() {
     const wins = [];
     for (let n = 0; n < 4; n += 1) {
-      const base = String(await epoch());
+      const base = String(await version());
       const codes = await Promise.all([
-        valve('set', '/deployment/lineLimit', String(70 + n), '--base', base),
-        valve('set', '/deployment/lineLimit', String(90 + n), '--base', base),
+        admin('set', '/deployment/lineLimit', String(70 + n), '--base', base),
+        admin('set', '/deployment/lineLimit', String(90 + n), '--base', base),
       ]);
       wins.push([...codes].sort().join());
     }
@@ -148,7 +148,7 @@
   async reclaim() {
     await fleet('reclaim', '3', '400');
     await sleep(6_000);
-    const told = journals('origin-').filter((r) => r.result === 'cut' || r.result === 'workerFailed').length;
+    const told = journals('caller-').filter((r) => r.result === 'cut' || r.result === 'workerFailed').length;
     expect(
       'machines were reclaimed',
       journals('cloud').some((r) => r.event === 'reclaiming'),
@@ -157,21 +157,21 @@
   },
   async isolated() {
     const zone = zones[2];
-    const inside = nodesOf('sluice', zone)[0].name;
+    const inside = nodesOf('proxy', zone)[0].name;
     for (const z of zones.slice(0, 2))
       for (const [a, b] of [
         [z, zone],
         [zone, z],
       ])
         await fleet('cut', a, b);
-    await until('region isolated: its sluice knows', 10, async () => (await status(inside)).islanded);
-    const base = await epoch();
+    await until('region isolated: its proxy knows', 10, async () => (await status(inside)).partitioned);
+    const base = await version();
     expect(
       'a change is agreed, not confirmed by all',
-      (await valve('set', '/deployment/lineLimit', '111', '--base', String(base))) === 6,
+      (await admin('set', '/deployment/lineLimit', '111', '--base', String(base))) === 6,
     );
     await sleep(4_000);
-    const marks = journals(`origin-${zone}`).filter((r) => r.at > Date.now() - 4_000);
+    const marks = journals(`caller-${zone}`).filter((r) => r.at > Date.now() - 4_000);
     expect(
       'it serves its own',
       marks.some((r) => r.result === 'success'),
@@ -181,13 +181,13 @@
     await until(
       'region isolated, then healed: it holds the newest',
       10,
-      async () => (await status(inside)).epoch > base,
+      async () => (await status(inside)).version > base,
     );
   },
   async oneWay() {
     await fleet('cut', zones[1], zones[0]);
     await sleep(5_000);
-    const seen = journals('origin-').filter((r) => r.at > Date.now() - 4_000);
+    const seen = journals('caller-').filter((r) => r.at > Date.now() - 4_000);
     const good = seen.filter((r) => r.result === 'success').length;
     expect(
       'with one way between two regions lost, callers are served',
@@ -198,7 +198,7 @@
     await sleep(2_000);
   },
   async moved() {
-    for (const h of nodesOf('headgate')) {
+    for (const h of nodesOf('controller')) {
       await fleet('kill', h.name);
       await sleep(300);
       await fleet('move', h.name);
@@ -210,22 +210,22 @@
     }
   },
   async fullDisk() {
-    await fleet('fill', 'headgate-1');
+    await fleet('fill', 'controller-1');
     await sleep(500);
     expect(
       'a change is agreed without the full one',
-      [0, 6].includes(await valve('set', '/deployment/lineLimit', '112')),
+      [0, 6].includes(await admin('set', '/deployment/lineLimit', '112')),
     );
     await until(
-      'headgate without room: says that it cannot write',
+      'controller without room: says that it cannot write',
       10,
-      async () => (await status('headgate-1')).writable === false,
+      async () => (await status('controller-1')).writable === false,
     );
     await fleet('heal');
-    await fleet('kill', 'headgate-1');
+    await fleet('kill', 'controller-1');
     await sleep(300);
-    await fleet('restart', 'headgate-1');
-    await until('room made, restarted: whole again', 15, () => returned('headgate-1'));
+    await fleet('restart', 'controller-1');
+    await until('room made, restarted: whole again', 15, () => returned('controller-1'));
   },
   async regionLost() {
     const zone = zones[1];
@@ -234,15 +234,15 @@
     await sleep(4_000);
     for (const n of gone) await fleet('restart', n.name);
     const from = Date.now();
-    await until('region lost and back cold: its sluice serves', 12, serves(nodesOf('sluice', zone)[0].name));
-    await until('… its headgate is whole', 12, () => returned(nodesOf('headgate', zone)[0].name));
+    await until('region lost and back cold: its proxy serves', 12, serves(nodesOf('proxy', zone)[0].name));
+    await until('… its controller is whole', 12, () => returned(nodesOf('controller', zone)[0].name));
     await until('… a worker of it answers a request', 12, async () =>
       journals('').some((r) => r.who === 'worker' && r.zone === zone && r.event === 'end' && r.at > from),
     );
   },
   async allKilled() {
-    const before = await epoch();
-    const nodes = [...nodesOf('headgate'), ...nodesOf('sluice')];
+    const before = await version();
+    const nodes = [...nodesOf('controller'), ...nodesOf('proxy')];
     for (const n of nodes) await fleet('kill', n.name);
     await sleep(1_000);
     for (const n of nodes) await fleet('restart', n.name);
@@ -251,22 +251,22 @@
       await until(
         `all killed: the edge of zone ${zones.indexOf(zone) + 1} serves, from the last restart`,
         12,
-        serves(nodesOf('sluice', zone)[0].name),
+        serves(nodesOf('proxy', zone)[0].name),
       );
-    await until('… the configuration reads back', 12, async () => (await epoch()) === before);
+    await until('… the configuration reads back', 12, async () => (await version()) === before);
     for (const zone of zones) {
       for (const once of [true, false]) {
         await until(
           `… a ${once ? 'run-once request' : 'stream'} of zone ${zones.indexOf(zone) + 1} succeeded`,
           12,
           async () =>
-            journals(`origin-${zone}`).some(
+            journals(`caller-${zone}`).some(
               (r) => r.result === 'success' && r.repeatable === !once && r.at - r.wholeMs > back,
             ),
         );
       }
     }
-    expect('… an operator change is accepted', (await valve('set', '/deployment/lineLimit', '113')) === 0);
+    expect('… an operator change is accepted', (await admin('set', '/deployment/lineLimit', '113')) === 0);
   },
 };
 
@@ -286,16 +286,16 @@
 await load;
 await sleep(3_000);
 const verdict = await fleet('check');
-const origins = journals('origin-');
+const callers = journals('caller-');
 const tally = {};
-for (const r of origins) tally[r.result] = (tally[r.result] ?? 0) + 1;
+for (const r of callers) tally[r.result] = (tally[r.result] ?? 0) + 1;
 await fleet('stop');
 process.stdout.write(
   `\n| ${shape} | ms |\n| --- | --- |\n${rows.map(([what, ms]) => `| ${what} | ${ms} |`).join('\n')}\n\n`,
 );
 process.stdout.write(
-  `${origins.length} requests: ${JSON.stringify(tally)}; longest wait of one not served ${quantile(
-    origins.filter((r) => r.result !== 'success').map((r) => r.wholeMs),
+  `${callers.length} requests: ${JSON.stringify(tally)}; longest wait of one not served ${quantile(
+    callers.filter((r) => r.result !== 'success').map((r) => r.wholeMs),
     1,
   )} ms\n`,
 );
