--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,10 +34,10 @@
   };
 }
 
-const TOP = ['programs', 'standin', 'sim', 'client', 'runbook', 'operator'];
+const TOP = ['standin-platform', 'programs', 'standin', 'sim', 'client', 'runbook', 'operator'];
 
 const typeChecked = {
-  files: ['src/**/*.ts', 'platform/**/*.ts'],
+  files: ['src/**/*.ts', 'platform/**/*.ts', 'standin-platform/**/*.ts'],
   extends: [tseslint.configs.recommendedTypeChecked],
   languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
   // Handlers of an asynchronous interface are declared async also where they have nothing to
@@ -69,7 +69,7 @@
   ...tseslint.configs.recommended,
   typeChecked,
   {
-    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'standin-platform/**/*.ts'],
     rules: {
       'no-restricted-syntax': ['error', ...onlyDeclarations],
       eqeqeq: 'error',
@@ -81,7 +81,7 @@
     },
   },
   {
-    files: ['src/transport/**/*.ts', 'src/programs/**/*.ts', 'platform/**/*.ts'],
+    files: ['src/transport/**/*.ts', 'src/programs/**/*.ts', 'platform/**/*.ts', 'standin-platform/**/*.ts'],
     rules: { 'no-restricted-imports': 'off', 'no-restricted-globals': 'off', 'no-restricted-properties': 'off' },
   },
   layer('base', ...TOP, 'coordination', 'state', 'protocol', 'transport'),
@@ -89,8 +89,14 @@
   layer('protocol', ...TOP, 'coordination', 'transport'),
   layer('state', ...TOP, 'coordination', 'protocol', 'transport'),
   layer('coordination', ...TOP),
+  // The adapter is what is deployed; the stand-in of the platform plays against it and is not.
   {
-    files: ['src/**/*.test.ts', 'platform/**/*.test.ts'],
+    files: ['platform/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    rules: { 'no-restricted-imports': ['error', noneOf('standin-platform')] },
+  },
+  {
+    files: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'standin-platform/**/*.test.ts'],
     rules: {
       'no-restricted-syntax': 'off',
       'no-restricted-imports': 'off',
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,7 @@
 export default {
   testEnvironment: 'node',
   testTimeout: 120_000,
-  roots: ['<rootDir>/src', '<rootDir>/platform', '<rootDir>/tools'],
+  roots: ['<rootDir>/src', '<rootDir>/platform', '<rootDir>/standin-platform', '<rootDir>/tools'],
   extensionsToTreatAsEsm: ['.ts'],
   moduleNameMapper: { '^(\\.{1,2}/.*)\\.js$': '$1' },
   transform: {
--- a/src/programs/imports.test.ts
+++ b/src/programs/imports.test.ts
@@ -35,7 +35,9 @@
 }
 
 describe('imports', () => {
-  const imports = new Map(['src', 'platform', 'tools'].flatMap(filesIn).map((f) => [f, importsOf(f)]));
+  const imports = new Map(
+    ['src', 'platform', 'standin-platform', 'tools'].flatMap(filesIn).map((f) => [f, importsOf(f)]),
+  );
 
   test('a circle is seen, in however many steps', () => {
     const circles = circlesIn(
--- a/platform/standin/ask.ts
+++ b/standin-platform/ask.ts
@@ -1,5 +1,5 @@
-import { parsedJson } from '../../src/base/parsed-json.js';
-import type { Clock } from '../../src/transport/clock.js';
+import { parsedJson } from '../src/base/parsed-json.js';
+import type { Clock } from '../src/transport/clock.js';
 import { openConnection } from './client.js';
 
 export type Reply = { readonly status: number; readonly headers: ReadonlyMap<string, string>; readonly body: unknown };
--- a/platform/standin/caller.ts
+++ b/standin-platform/caller.ts
@@ -1,8 +1,8 @@
-import { pause } from '../../src/transport/clock.js';
-import type { Clock } from '../../src/transport/clock.js';
-import { below, shuffled } from '../../src/transport/rng.js';
-import type { Rng } from '../../src/transport/rng.js';
-import { CALL, HEADER, QUERY, RESOLVED } from '../words.js';
+import { pause } from '../src/transport/clock.js';
+import type { Clock } from '../src/transport/clock.js';
+import { below, shuffled } from '../src/transport/rng.js';
+import type { Rng } from '../src/transport/rng.js';
+import { CALL, HEADER, QUERY, RESOLVED } from '../platform/words.js';
 import { ask } from './ask.js';
 import { openConnection } from './client.js';
 import type { Answer, Connection } from './client.js';
--- a/platform/standin/check-workers.ts
+++ b/standin-platform/check-workers.ts
@@ -1,4 +1,4 @@
-import { MODEL, DOCUMENT } from '../words.js';
+import { MODEL, DOCUMENT } from '../platform/words.js';
 import type { Facts, Note, Visit } from './facts.js';
 import { onlyOf } from './records.js';
 
--- a/platform/standin/client.ts
+++ b/standin-platform/client.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import type { Clock, Timer } from '../../src/transport/clock.js';
+import type { Clock, Timer } from '../src/transport/clock.js';
 import { createResponseReader } from './reader.js';
 import type { Head } from './reader.js';
 
--- a/platform/standin/document.ts
+++ b/standin-platform/document.ts
@@ -1,4 +1,4 @@
-import { DOCUMENT, KIND, LIMITS, MAPPING, MODEL } from '../words.js';
+import { DOCUMENT, KIND, LIMITS, MAPPING, MODEL } from '../platform/words.js';
 import type { Kind } from './records.js';
 
 export type Share = { readonly model: string; readonly share: number };
--- a/platform/standin/events.ts
+++ b/standin-platform/events.ts
@@ -1,4 +1,4 @@
-import { parsedJson } from '../../src/base/parsed-json.js';
+import { parsedJson } from '../src/base/parsed-json.js';
 import type { EventSeen } from './records.js';
 
 export function eventText(e: EventSeen): string {
--- a/platform/standin/list.test.ts
+++ b/standin-platform/list.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
-import { createClock } from '../../src/transport/clock.js';
+import { createClock } from '../src/transport/clock.js';
 import { ask } from './ask.js';
 import { LIST_DEFAULTS, startStandinList } from './list.js';
 import type { ListSpec, StandinList } from './list.js';
--- a/platform/standin/list.ts
+++ b/standin-platform/list.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { pause } from '../../src/transport/clock.js';
-import type { Clock } from '../../src/transport/clock.js';
-import { CALL, LISTED, QUERY, USAGE } from '../words.js';
+import { pause } from '../src/transport/clock.js';
+import type { Clock } from '../src/transport/clock.js';
+import { CALL, LISTED, QUERY, USAGE } from '../platform/words.js';
 import type { Records } from './records.js';
 import type { Seen } from './worker.js';
 
--- a/platform/standin/operator.ts
+++ b/standin-platform/operator.ts
@@ -1,8 +1,8 @@
-import { pause } from '../../src/transport/clock.js';
-import type { Clock } from '../../src/transport/clock.js';
-import { shuffled } from '../../src/transport/rng.js';
-import type { Rng } from '../../src/transport/rng.js';
-import { CALL, DOCUMENT, HEADER } from '../words.js';
+import { pause } from '../src/transport/clock.js';
+import type { Clock } from '../src/transport/clock.js';
+import { shuffled } from '../src/transport/rng.js';
+import type { Rng } from '../src/transport/rng.js';
+import { CALL, DOCUMENT, HEADER } from '../platform/words.js';
 import { ask } from './ask.js';
 import type { Reply } from './ask.js';
 import { amended, numberOf } from './document.js';
--- a/platform/standin/play.ts
+++ b/standin-platform/play.ts
@@ -1,7 +1,7 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { Clock } from '../../src/transport/clock.js';
-import type { Rng } from '../../src/transport/rng.js';
+import type { Clock } from '../src/transport/clock.js';
+import type { Rng } from '../src/transport/rng.js';
 import { BOUNDS } from './facts.js';
 import { reportOf } from './report.js';
 import type { SiteReport } from './report.js';
--- a/platform/standin/run.ts
+++ b/standin-platform/run.ts
@@ -1,5 +1,5 @@
-import { createClock } from '../../src/transport/clock.js';
-import { createRng } from '../../src/transport/rng.js';
+import { createClock } from '../src/transport/clock.js';
+import { createRng } from '../src/transport/rng.js';
 import { readDeployFile } from './deploy-file.js';
 import { playScenario } from './play.js';
 import { SCENARIOS } from './scenarios.js';
--- a/platform/standin/site.test.ts
+++ b/standin-platform/site.test.ts
@@ -2,8 +2,8 @@
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { afterEach, describe, expect, test } from '@jest/globals';
-import { createClock } from '../../src/transport/clock.js';
-import { createRng } from '../../src/transport/rng.js';
+import { createClock } from '../src/transport/clock.js';
+import { createRng } from '../src/transport/rng.js';
 import { brokenRules } from './check.js';
 import { BOUNDS } from './facts.js';
 import { reportOf } from './report.js';
@@ -26,7 +26,7 @@
   folder = mkdtempSync(join(tmpdir(), 'toy-'));
   const deployFile = join(folder, 'system.toml');
   const role = (name: string, on: string, serves: string): string =>
-    `[roles.${name}]\nrun = "node platform/standin/toy.mjs ${name} ${careless}"\non = "${on}"\nshare = 1.0\nserves = ${serves}\n`;
+    `[roles.${name}]\nrun = "node standin-platform/toy.mjs ${name} ${careless}"\non = "${on}"\nshare = 1.0\nserves = ${serves}\n`;
   writeFileSync(
     deployFile,
     `build = "true"\n${role('edge', 'edge', '["edge"]')}${role('core', 'core', '["control_plane", "registry"]')}`,
--- a/platform/standin/worker.test.ts
+++ b/standin-platform/worker.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
-import { createClock } from '../../src/transport/clock.js';
-import { createRng } from '../../src/transport/rng.js';
+import { createClock } from '../src/transport/clock.js';
+import { createRng } from '../src/transport/rng.js';
 import { openConnection } from './client.js';
 import type { Answer, Connection } from './client.js';
 import { createRecords, onlyOf } from './records.js';
--- a/platform/standin/worker.ts
+++ b/standin-platform/worker.ts
@@ -2,11 +2,11 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { pause } from '../../src/transport/clock.js';
-import type { Clock } from '../../src/transport/clock.js';
-import { below } from '../../src/transport/rng.js';
-import type { Rng } from '../../src/transport/rng.js';
-import { CALL, HEADER, USAGE } from '../words.js';
+import { pause } from '../src/transport/clock.js';
+import type { Clock } from '../src/transport/clock.js';
+import { below } from '../src/transport/rng.js';
+import type { Rng } from '../src/transport/rng.js';
+import { CALL, HEADER, USAGE } from '../platform/words.js';
 import { eventText } from './events.js';
 import type { EventSeen, Finished, Records } from './records.js';
 
--- a/tools/site.mjs
+++ b/tools/site.mjs
@@ -29,7 +29,7 @@
 onLeave(() => rmSync(folder, { recursive: true, force: true }));
 const outfile = join(folder, 'run.mjs');
 await build({
-  entryPoints: [join(ROOT, 'platform/standin/run.ts')],
+  entryPoints: [join(ROOT, 'standin-platform/run.ts')],
   outfile,
   bundle: true,
   platform: 'node',
