--- a/src/coordination/ledger/snapshots.test.ts
+++ b/src/coordination/ledger/snapshots.test.ts
@@ -39,7 +39,7 @@
       if (kind === 'snapshotAsk') givers.set(address, handler as Ask);
     };
     const made = createSnapshotGiver({
-      peers: { on: on as never },
+      peers: { on: on },
       clock,
       log,
       controlState: () => state,
--- a/src/programs/core-text.ts
+++ b/src/programs/core-text.ts
@@ -9,7 +9,7 @@
   noSpareLoss: 'WARNING: the next loss may stop it',
 };
 
-function cell(value: unknown, width: number): string {
+function cell(value: string | number | boolean | null | undefined, width: number): string {
   return String(value ?? '-').padEnd(width);
 }
 
--- a/src/sim/chaos-operators.ts
+++ b/src/sim/chaos-operators.ts
@@ -41,7 +41,7 @@
 }
 /** What the operators change in a configuration, as the text that stands for its content in their history. */
 export function contentOf(a: HttpAnswer): string {
-  const configuration = configurationOf(a) as { readonly deployment?: { readonly lineLimit?: unknown } } | null;
+  const configuration = configurationOf(a) as { readonly deployment?: { readonly lineLimit?: number } } | null;
   return String(configuration?.deployment?.lineLimit ?? 'none');
 }
 
