--- a/eslint.config.js
+++ b/eslint.config.js
@@ -65,7 +65,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', '.fleet/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', '.fleet/'] },
   ...tseslint.configs.recommended,
   typeChecked,
   {
