A caller of bound requests is led nowhere while all proxies of its homes restart in order

Ruled out: naming draining proxies longer (they refuse or don't listen by then); never leading past the homes (after a crash or a loss of a region callers would have nobody). Change: for a host with homes, while one there was told to stop and was heard within 5 s, and none is gone without having said so, no address is named; the caller asks again. Conclusion: some callers wait a second longer; none is sent where it may not be handled.

--- a/src/coordination/edge/directory.ts
+++ b/src/coordination/edge/directory.ts
@@ -19,6 +19,8 @@
 export type DirectoryTuning = {
   readonly unheardMs: number;
   readonly forgottenMs: number;
+  /** How long after its last report a proxy that was told to stop is expected back. */
+  readonly restartMs: number;
   readonly warmMs: number;
   readonly most: number;
   readonly fewestShare: number;
@@ -27,6 +29,7 @@
 export const DIRECTORY_TUNING: DirectoryTuning = {
   unheardMs: 2_000,
   forgottenMs: 30_000,
+  restartMs: 5_000,
   warmMs: 700,
   most: 64,
   fewestShare: 0.5,
@@ -48,7 +51,8 @@
 /**
  * The ready proxies of the caller's zone; of its whole region where the zone has lost more than its share; of the
  * host's homes where none is left. Before a caller of a host with homes is led past these, it is led to proxies there
- * that were told to stop but still take what comes.
+ * that were told to stop but still take what comes. While all of them restart in order it is led nowhere and asks
+ * again; it is led past its homes only if a proxy there is gone without having said so, or none is left there.
  */
 export function addressesFor(
   told: readonly ToldProxy[],
@@ -82,10 +86,28 @@
     const zone = serving.filter(inZone);
     if (zone.length > 0 && zone.length >= tuning.fewestShare * told.filter(isMissed).length) return zone;
     const allowed = [caller.region, ...next.homes];
-    const draining = next.homes.length > 0 ? told.filter(isDraining) : [];
-    return (
-      firstRegion(serving, allowed) ?? firstRegion(draining, allowed) ?? firstRegion(serving, next.near) ?? serving
-    );
+    const atHome = firstRegion(serving, allowed);
+    if (atHome) return atHome;
+    if (next.homes.length > 0) {
+      const draining = firstRegion(told.filter(isDraining), allowed);
+      if (draining) return draining;
+      if (restartInOrder(allowed)) return [];
+    }
+    return firstRegion(serving, next.near) ?? serving;
+  }
+  function restartInOrder(regions: readonly string[]): boolean {
+    const known = told.filter(isKnown);
+    return known.some(isExpectedBack) && !known.some(isLost);
+
+    function isKnown(s: ToldProxy): boolean {
+      return regions.includes(s.region) && s.heardAgoMs <= tuning.forgottenMs;
+    }
+  }
+  function isExpectedBack(s: ToldProxy): boolean {
+    return !s.ready && s.heardAgoMs <= tuning.restartMs;
+  }
+  function isLost(s: ToldProxy): boolean {
+    return s.ready && s.heardAgoMs > tuning.unheardMs;
   }
   function isDraining(s: ToldProxy): boolean {
     return s.draining && s.heardAgoMs <= tuning.unheardMs;
