A change confirmed as the same as another one stays confirmed

Cause: a request that makes of its base just what is in force was confirmed, but only the other one's request was on record. Sent again once a newer change was in force, it was refused as stale after it had been confirmed.

Change: the request is added to the history by an entry of its own (changeRepeated) before it is confirmed; the entry does nothing if another number is in force by then, and the request is judged anew. The checker of operators' calls knows both: another request with the same result is confirmed while that is in force, and whatever was confirmed once is never refused.

Before: "what was confirmed as the same change..." answers stale (9) where taken (8) is due.

--- a/src/coordination/ledger/configuration-service.test.ts
+++ b/src/coordination/ledger/configuration-service.test.ts
@@ -164,12 +164,24 @@
     await s.run(service.replace(0, serving(7), 'a'));
     expect(await s.run(service.replace(7, result, 'whole'))).toEqual(TAKEN(8));
     expect(await s.run(s.serviceAfter(40).amend(7, edit, 'change'))).toEqual(TAKEN(8));
-    expect(await s.run(s.serviceAfter(40).amend(0, edit, 'change'))).toEqual(STALE(8));
+    expect(await s.run(s.serviceAfter(40).amend(0, edit, 'on another base'))).toEqual(STALE(8));
     const less = (before: Serving): ReturnType<typeof ok<unknown>> => ok({ ...before, number: 8 });
     expect(await s.run(s.serviceAfter(40).amend(7, less, 'less'))).toEqual(STALE(8));
     expect(await s.run(service.replace(8, serving(9), 'b'))).toEqual(TAKEN(9));
-    expect(await s.run(s.serviceAfter(40).amend(7, edit, 'change'))).toEqual(STALE(9));
-    expect(s.controlState.slot).toBe(2);
+    expect(await s.run(s.serviceAfter(40).amend(7, edit, 'another'))).toEqual(STALE(9));
+    expect(s.controlState.history.changes.filter((c) => c.revision?.number === 8).length).toBe(2);
+  });
+
+  test('what was confirmed as the same change as another one stays so once a newer one is in force', async () => {
+    const s = sharedLedger();
+    const service = s.serviceAfter(5);
+    await s.run(service.replace(0, serving(7), 'a'));
+    expect(await s.run(service.replace(7, serving(8), 'first'))).toEqual(TAKEN(8));
+    expect(await s.run(service.replace(7, serving(8), 'second'))).toEqual(TAKEN(8));
+    expect(await s.run(service.replace(8, serving(9), 'b'))).toEqual(TAKEN(9));
+    expect(await s.run(s.serviceAfter(40).replace(7, serving(8), 'second'))).toEqual(TAKEN(8));
+    expect(await s.run(s.serviceAfter(40).replace(7, serving(8), 'third'))).toEqual(STALE(9));
+    expect(s.controlState.version).toBe(3);
   });
 
   test('a change whose settings fill what another cleared is not the same change, though it would leave what stands as it is', async () => {
--- a/src/coordination/ledger/configuration-service.ts
+++ b/src/coordination/ledger/configuration-service.ts
@@ -8,7 +8,7 @@
 import {
   appliedChange,
   mayBeForgotten,
-  newestRevision,
+  newestNumbered,
   operatorRequest,
   zoneVersion,
 } from '../../state/operator-history.js';
@@ -20,6 +20,7 @@
 import { pause } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Ledger } from './ledger.js';
+import type { Draft } from './proposal.js';
 
 export type NumberedFault =
   | { readonly tag: 'stale'; readonly number: number }
@@ -64,22 +65,51 @@
 
 type Judged =
   | { readonly tag: 'answer'; readonly answer: Result<Taken, NumberedFault> }
-  | { readonly tag: 'propose'; readonly next: Serving };
+  | { readonly tag: 'apply'; readonly number: number; readonly next: Serving }
+  | { readonly tag: 'repeat'; readonly number: number };
 
 /** What to do about a request for a change, by a state that is no older than the request. */
 function judge(state: ControlState, request: string, base: number, edit: Edit): Judged {
   const now = servingOf(state);
   const done = appliedChange(state.history, request);
   if (done) return answered(ok({ tag: 'taken', number: done.revision?.number ?? now.number }));
-  if (now.number !== base) return answered(judgeLate(state, base, edit));
+  if (now.number !== base) return judgeLate(state, base, edit);
   const next = resultOf(now, edit);
-  return next.ok ? { tag: 'propose', next: next.value } : answered(next);
+  return next.ok ? { tag: 'apply', number: next.value.number, next: next.value } : answered(next);
+}
+
+/** A change that is not known by its request, and doesn't build on what is in force. */
+function judgeLate(state: ControlState, base: number, edit: Edit): Judged {
+  const { number } = servingOf(state);
+  if (isInForce(state, base, edit)) return { tag: 'repeat', number };
+  if (mayBeForgotten(state.history, base)) return answered(err({ tag: 'outcomeUnknown' }));
+  return answered(err({ tag: 'stale', number }));
 }
 
 function answered(answer: Result<Taken, NumberedFault>): Judged {
   return { tag: 'answer', answer };
 }
 
+/** The entry that applies a change, or that keeps one more request for the change that is in force. */
+function draftOf(
+  state: ControlState,
+  request: string,
+  base: number,
+  judged: Exclude<Judged, { tag: 'answer' }>,
+): Draft {
+  const { number } = judged;
+  const id = `${request}@${state.version}`;
+  if (judged.tag === 'repeat')
+    return {
+      id,
+      cause: `Another request for number ${number} on ${base}.`,
+      act: { tag: 'changeRepeated', request, number },
+    };
+  const revision = { request, base, number };
+  const act = { tag: 'configured' as const, base: state.version, changes: changesTo(state, judged.next), revision };
+  return { id, cause: `The operator put number ${number} on ${base}.`, act };
+}
+
 /** The configuration that a change makes of the one it builds on. */
 function resultOf(before: Serving, edit: Edit): Result<Serving, NumberedFault> {
   const made = edit(before);
@@ -92,17 +122,9 @@
   return ok(withKeptOrder(before, read.value));
 }
 
-/** A change that is not known by its request, and doesn't build on what is in force. */
-function judgeLate(state: ControlState, base: number, edit: Edit): Result<Taken, NumberedFault> {
-  const { number } = servingOf(state);
-  if (isInForce(state, base, edit)) return ok({ tag: 'taken', number });
-  if (mayBeForgotten(state.history, base)) return err({ tag: 'outcomeUnknown' });
-  return err({ tag: 'stale', number });
-}
-
 /** Whether what is in force is just what this change makes of the base that it names: then it is the same change. */
 function isInForce(state: ControlState, base: number, edit: Edit): boolean {
-  const newest = newestRevision(state.history);
+  const newest = newestNumbered(state.history)?.revision;
   const { undo } = state.history;
   if (undo === null || newest?.base !== base) return false;
   const before = withChanges(state.configuration, undo) as Configuration;
@@ -131,20 +153,9 @@
       const state = ledger.controlState();
       const judged = judge(state, request, base, edit);
       if (judged.tag === 'answer') return judged.answer;
-      const { next } = judged;
-      const { number } = next;
-      const act = {
-        tag: 'configured' as const,
-        base: state.version,
-        changes: changesTo(state, next),
-        revision: { request, base, number },
-      };
-      const agreed = await ledger.propose(
-        { id: `${request}@${state.version}`, cause: `The operator put number ${number} on ${base}.`, act },
-        until - clock.mono(),
-      );
+      const agreed = await ledger.propose(draftOf(state, request, base, judged), until - clock.mono());
       if (!agreed.ok) return err(NO_MAJORITY);
-      if (agreed.value.outcome.tag === 'applied') return ok({ tag: 'taken', number });
+      if (agreed.value.outcome.tag === 'applied') return ok({ tag: 'taken', number: judged.number });
     }
     return err(NO_MAJORITY);
   }
--- a/src/sim/linearizability.test.ts
+++ b/src/sim/linearizability.test.ts
@@ -72,6 +72,14 @@
       'two requests with the same base and result',
       [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'confirmed', { request: 'other' })],
     ],
+    [
+      '… of which the one whose request was not applied is late after a newer one',
+      [
+        change(0, 1, 0, 5, 'confirmed'),
+        change(2, 3, 5, 6, 'confirmed'),
+        change(4, 5, 0, 5, 'stale', { request: 'other' }),
+      ],
+    ],
     ['an invalid change', [change(0, 1, 0, 5, 'invalid'), read(2, 3, 0)]],
     [
       'reads at one time with a change, of either',
@@ -104,6 +112,21 @@
       'refusedAfterConfirmed',
       [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 5, 6, 'confirmed'), change(4, 5, 0, 5, 'stale')],
     ],
+    [
+      '… also where it was confirmed as the same as another one',
+      'refusedAfterConfirmed',
+      [
+        change(0, 1, 0, 5, 'confirmed'),
+        change(2, 3, 0, 5, 'confirmed', { request: 'other' }),
+        change(4, 5, 5, 6, 'confirmed'),
+        change(6, 7, 0, 5, 'stale', { request: 'other' }),
+      ],
+    ],
+    [
+      'one refused though what is in force is its result',
+      'unexplained',
+      [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'stale', { request: 'other' })],
+    ],
     ['… or called invalid', 'refusedAfterConfirmed', [change(0, 1, 0, 5, 'confirmed'), change(2, 3, 0, 5, 'invalid')]],
     ['a confirmed change that is not read', 'olderRead', [change(0, 1, 0, 5, 'confirmed'), read(2, 3, 0)]],
     ['reads that go back', 'olderRead', [change(0, 9, 0, 5, 'confirmed'), read(1, 2, 5), read(3, 4, 0)]],
@@ -138,6 +161,17 @@
 
 /** All orders of all calls, with each unclear one left out or taken in: the definition itself, for a handful of calls. */
 function hasOrder(history: readonly OperatorCall[]): boolean {
+  const isRefused = (call: OperatorCall): call is ChangeCall =>
+    call.kind === 'change' && (call.answer === 'stale' || call.answer === 'invalid');
+  const isTaken = (call: OperatorCall): call is ChangeCall => call.kind === 'change' && call.answer === 'confirmed';
+  if (
+    history
+      .filter(isRefused)
+      .some((refused) =>
+        history.filter(isTaken).some((taken) => taken.request === refused.request && taken.end < refused.start),
+      )
+  )
+    return false;
   type Applied = {
     readonly request: string;
     readonly base: number;
@@ -157,18 +191,19 @@
         if (call.number === now.number && call.content === now.content && next(rest, applied)) return true;
         continue;
       }
-      const isIn = applied.some(
-        (a) =>
-          a.number === call.number &&
-          (a.request === call.request || (a.base === call.base && a.content === call.content)),
-      );
+      const isSame = (a: Applied): boolean =>
+        a.number === call.number &&
+        (a.request === call.request || (a.base === call.base && a.content === call.content));
+      const isIn = applied.some(isSame);
+      const isKnown = applied.some((a) => a.request === call.request);
       const may = !isIn && call.base === now.number;
       if (call.answer === 'unclear' && next(rest, applied)) return true;
       if (call.answer === 'confirmed' && isIn && next(rest, applied)) return true;
       if ((call.answer === 'confirmed' || call.answer === 'unclear') && may && next(rest, [...applied, call]))
         return true;
-      if (call.answer === 'stale' && !isIn && call.base !== now.number && next(rest, applied)) return true;
-      if (call.answer === 'invalid' && !isIn && next(rest, applied)) return true;
+      if (call.answer === 'stale' && !isKnown && !isSame(now) && call.base !== now.number && next(rest, applied))
+        return true;
+      if (call.answer === 'invalid' && !isKnown && next(rest, applied)) return true;
     }
     return false;
   }
--- a/src/sim/linearizability.ts
+++ b/src/sim/linearizability.ts
@@ -70,6 +70,8 @@
 ): LinearizabilityViolation | null {
   const numbered = withNumbers(initial, history);
   if ('kind' in numbered) return numbered;
+  const refused = refusedAfterConfirmed(numbered.calls);
+  if (refused) return refused;
   const search = createSearch(initial, numbered.calls);
   for (const event of eventsOf(numbered.calls)) {
     if (event.isEnd) search.candidates = afterEnd(search, event.call);
@@ -84,6 +86,23 @@
   return null;
 }
 
+/** A request that was confirmed, as its own change or as the same as another one, is never refused afterwards. */
+function refusedAfterConfirmed(calls: readonly OperatorCall[]): LinearizabilityViolation | null {
+  const confirmed = new Map<string, ChangeCall>();
+  for (const call of calls) {
+    if (call.kind !== 'change' || call.answer !== 'confirmed') continue;
+    const first = confirmed.get(call.request);
+    if (!first || call.end < first.end) confirmed.set(call.request, call);
+  }
+  for (const call of calls) {
+    if (call.kind !== 'change' || (call.answer !== 'stale' && call.answer !== 'invalid')) continue;
+    const before = confirmed.get(call.request);
+    if (before && before.end < call.start)
+      return { kind: 'refusedAfterConfirmed', detail: `${textOf(call)}, but ${textOf(before)}` };
+  }
+  return null;
+}
+
 /** Gives unclear changes the number that a read or an answer told for their content. */
 function withNumbers(
   initial: InitialConfiguration,
@@ -210,16 +229,25 @@
 function fits(version: Version, call: OperatorCall): boolean {
   if (call.kind === 'read')
     return version.content === call.content && (version.number === null || version.number === call.number);
-  const isIn = holds(version, call);
-  if (call.answer === 'confirmed') return isIn;
-  return !isIn && (call.answer === 'invalid' || version.number !== call.base);
+  if (call.answer === 'confirmed') return holds(version, call, isSameChange);
+  if (holds(version, call, isSameRequest)) return false;
+  return call.answer === 'invalid' || (version.number !== call.base && !isSameChange(version, call));
+}
+
+function isSameRequest(version: Version, call: ChangeCall): boolean {
+  return version.request === call.request;
+}
+
+/** Another request with the same base, number and result is the same change. */
+function isSameChange(version: Version, call: ChangeCall): boolean {
+  const isSame = isSameRequest(version, call) || (version.base === call.base && version.content === call.content);
+  return isSame && (version.number === null || call.number === null || version.number === call.number);
 }
 
-/** Whether a change is in the history of a register: by its request, or as another one with the same base and result. */
-function holds(version: Version, call: ChangeCall): boolean {
+/** Whether a change is in the history of a register. */
+function holds(version: Version, call: ChangeCall, isSame: (version: Version, call: ChangeCall) => boolean): boolean {
   for (let at: Version | null = version; at?.parent; at = at.parent) {
-    const isSame = at.request === call.request || (at.base === call.base && at.content === call.content);
-    if (isSame && (at.number === null || call.number === null || at.number === call.number)) return true;
+    if (isSame(at, call)) return true;
     if (at.base < call.base) return false;
   }
   return false;
@@ -256,8 +284,6 @@
   }
   for (const other of calls) {
     if (other === call || other.kind !== 'change' || other.answer !== 'confirmed' || other.base !== call.base) continue;
-    if (call.answer !== 'confirmed' && other.request === call.request && other.end < call.start)
-      return { kind: 'refusedAfterConfirmed', detail: `${detail}, but ${textOf(other)}` };
     if (call.answer === 'confirmed' && other.request !== call.request)
       return { kind: 'twoWinners', detail: `${detail}, and ${textOf(other)}` };
   }
--- a/src/state/control-state.ts
+++ b/src/state/control-state.ts
@@ -8,6 +8,7 @@
   isOperatorHistory,
   isOperatorRequest,
   recordChange,
+  recordRepeated,
   recordZoneOrder,
   zoneVersion,
 } from './operator-history.js';
@@ -183,6 +184,9 @@
     case 'configured': {
       return foldConfigured(b, slot, entry.id, act);
     }
+    case 'changeRepeated': {
+      return recordRepeated(b.history, act.request, act.number) ? APPLIED : { tag: 'staleVersion', winner: b.version };
+    }
     case 'evacuation': {
       return foldEvacuation(b, slot, entry.id, act);
     }
--- a/src/state/entry.ts
+++ b/src/state/entry.ts
@@ -55,6 +55,7 @@
     changes: Type.Array(ChangeShape),
     revision: Type.Optional(RevisionShape),
   }),
+  Type.Object({ tag: Type.Literal('changeRepeated'), request: Str, number: Slot }),
   Type.Object({
     tag: Type.Literal('evacuation'),
     zone: Str,
--- a/src/state/operator-history.ts
+++ b/src/state/operator-history.ts
@@ -80,8 +80,8 @@
 function forgetOldest(history: OperatorHistory): void {
   const oldest = history.changes.shift();
   if (!oldest) return;
-  history.forgottenVersion = oldest.version;
-  if (oldest.revision) history.forgottenNumber = oldest.revision.number;
+  history.forgottenVersion = Math.max(history.forgottenVersion, oldest.version);
+  if (oldest.revision) history.forgottenNumber = Math.max(history.forgottenNumber, oldest.revision.number);
 }
 
 /** Adds an order on a zone that was just applied. */
@@ -115,16 +115,31 @@
   return null;
 }
 
+/** A numbered change, as `AppliedChange` has it. */
+export type NumberedChange = AppliedChange & { readonly revision: Revision };
+
+function isNumbered(change: AppliedChange): change is NumberedChange {
+  return change.revision !== undefined;
+}
+
 /** The newest numbered change, if it is also what the configuration holds now. */
-export function newestRevision(history: OperatorHistory): Revision | null {
+export function newestNumbered(history: OperatorHistory): NumberedChange | null {
   if (history.undo === null) return null;
   for (let i = history.changes.length - 1; i >= 0; i -= 1) {
-    const { revision } = history.changes[i] as AppliedChange;
-    if (revision) return revision;
+    const change = history.changes[i] as AppliedChange;
+    if (isNumbered(change)) return change;
   }
   return null;
 }
 
+/** Adds another request for the newest numbered change; false if that is no longer the one with this number. */
+export function recordRepeated(history: OperatorHistory, request: string, number: number): boolean {
+  const newest = newestNumbered(history);
+  if (newest?.revision.number !== number) return false;
+  if (!appliedChange(history, request)) recordChange(history, { ...newest, request }, history.undo);
+  return true;
+}
+
 /** Whether a numbered change on `base` may have been applied so long ago that it is no longer known. */
 export function mayBeForgotten(history: OperatorHistory, base: number): boolean {
   return base < history.forgottenNumber;
