An evacuation that was asked for before a standstill is not taken up after it

Cause: a process frozen between the arrival of an order on a zone and the end of its look at a majority went on with it when it woke, on the zone's version as it was by then. Its caller had long sent it again elsewhere, and the zone may have been handed back meanwhile: it was evacuated anew, behind a confirmed hand-back.

Change: an order goes on only if the look at the majority ended in its time by the process's own monotonic clock, which counts a standstill; otherwise 503.

Before: the test answers taken, and the zone is evacuated. After: noMajority.

--- a/src/coordination/ledger/configuration-service.test.ts
+++ b/src/coordination/ledger/configuration-service.test.ts
@@ -6,6 +6,7 @@
 import { withChanges } from '../../state/settings-tree.js';
 import { createSimLedger } from '../../sim/sim-ledger.js';
 import type { SimLedger } from '../../sim/sim-ledger.js';
+import { pause } from '../../transport/clock.js';
 import { createConfigurationService } from './configuration-service.js';
 import type { ConfigurationService } from './configuration-service.js';
 
@@ -334,6 +335,21 @@
     void slow;
   });
 
+  test('a process that stood still while it asked a majority does not go on with the order', async () => {
+    const s = sharedLedger();
+    const frozen = s.world.host('frozen', 'a');
+    const clock = s.world.clockOf(s.world.begin(frozen));
+    const asked = { ...s.ledgerAfter(5), settle: () => pause(clock, 10).then(() => true) };
+    const late = createConfigurationService({ ledger: asked, clock }).evacuate('z', true);
+    s.world.freeze(frozen);
+    expect(await s.run(s.serviceAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.serviceAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
+    await s.world.advance(5_000);
+    s.world.thaw(frozen);
+    expect(await s.run(late)).toEqual(err({ tag: 'noMajority' }));
+    expect(s.controlState.evacuated).toEqual({});
+  });
+
   test('an order that is agreed late does nothing, however many ordinary entries came between', async () => {
     const s = sharedLedger();
     const slow = s.serviceAfter(400).evacuate('z', true);
--- a/src/coordination/ledger/configuration-service.ts
+++ b/src/coordination/ledger/configuration-service.ts
@@ -173,10 +173,12 @@
 
   /**
    * One proposal, on the zone's version as it was when the order came. It isn't made anew where another order was agreed
-   * first: that one may be the later order, and the caller of this one may be long gone. Whoever still wants it sends it again.
+   * first: that one may be the later order, and the caller of this one may be long gone. Whoever still wants it sends it
+   * again. For the same reason a process that stood still while it asked a majority doesn't go on.
    */
   async function evacuate(zone: string, begun: boolean): Promise<Result<{ readonly tag: 'taken' }, NumberedFault>> {
-    if (!(await settled())) return err(NO_MAJORITY);
+    const cameAt = clock.mono();
+    if (!(await settled()) || clock.mono() - cameAt > settleMs) return err(NO_MAJORITY);
     const base = zoneVersion(ledger.controlState().history, zone);
     const id = `evacuation:${zone}@${base}:${begun ? 'begin' : 'finish'}`;
     const cause = begun ? `The operator evacuates ${zone}.` : `The operator hands ${zone} back.`;
