A controller that was cut off while all others were replaced is found by the new ones

Cause: it knows the addresses of the others from its seeds and the ledger as it folded it. When these have all been replaced, nobody it can ask is there any more; and the new ones never heard of it, as a node is told of another only while that one is up. So it stayed outside for good, refusing each order.

Change: the whole answer to a newcomer's first probe brings dead nodes too; controllers greet one dead controller each 1.5 s; and who seeks the ledger asks controllers that membership knows, beside the seeds and the members.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -19,6 +19,8 @@
 import { createLedger } from './ledger/ledger.js';
 import type { Ledger } from './ledger/ledger.js';
 import { createMembership } from './members/membership.js';
+import type { Membership } from './members/membership.js';
+import { isUp } from '../state/members.js';
 import { metricsRoute } from './metrics-http-server.js';
 import type { NodeDeps, NodeIdentity } from './node.js';
 import { followMovedHeads } from './members/moved-heads.js';
@@ -137,6 +139,12 @@
     if (saved.ok) self.incarnation = next;
     return saved.ok;
   }
+  let nodes: Membership | null = null;
+  function knownControllers(): Set<Address> {
+    const out = new Set<Address>(id.seeds);
+    for (const n of nodes?.all() ?? []) if (n.role === 'controller' && isUp(n)) out.add(n.address);
+    return out;
+  }
   const made = await createLedger({
     clock,
     rng,
@@ -145,7 +153,7 @@
     log: logs.part('ledger'),
     shape: shapes.ledger,
     self,
-    seeds: id.seeds,
+    contacts: knownControllers,
     bootstrapMembers,
     renew,
     keepsClaims: id.claims !== false,
@@ -183,6 +191,7 @@
     return out;
   }
   const membership = createMembership(node, contacts, peers, clock, rng, logs.part('members'));
+  nodes = membership;
   followMovedHeads(membership, ledger.controlState, peers);
   function heads(): Set<Address> {
     const out = new Set<Address>(ledger.controlState().members.length > 0 ? [] : id.seeds);
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -68,7 +68,8 @@
   readonly log: Log;
   readonly shape: RingShape;
   readonly self: Member;
-  readonly seeds: readonly Address[];
+  /** Addresses of controllers that are known otherwise than by the ledger: the seeds, and those heard of by membership. */
+  readonly contacts: () => Iterable<Address>;
   readonly bootstrapMembers: readonly Address[] | null;
   readonly renew: () => Promise<boolean>;
   readonly keepsClaims: boolean;
@@ -430,7 +431,7 @@
     peers,
     log,
     self,
-    seeds: deps.seeds,
+    contacts: deps.contacts,
     controlState,
     memberStatuses,
     propose,
--- a/src/coordination/ledger/membership-changes.ts
+++ b/src/coordination/ledger/membership-changes.ts
@@ -21,7 +21,7 @@
   readonly peers: Peers;
   readonly log: Log;
   readonly self: Member;
-  readonly seeds: readonly Address[];
+  readonly contacts: () => Iterable<Address>;
   readonly controlState: () => ControlState;
   readonly memberStatuses: MemberStatuses;
   readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
@@ -123,7 +123,7 @@
   }
 
   async function seek(): Promise<void> {
-    const targets = new Set<Address>(deps.seeds);
+    const targets = new Set<Address>(deps.contacts());
     for (const m of controlState().members) targets.add(m.address);
     targets.delete(self.address);
     const heard = await memberStatusesOf(targets);
--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -31,6 +31,8 @@
 const NEWS_BYTES = 1_000;
 const TIMES_TOLD = 4;
 const FAR_EACH = 4;
+const SEED_EACH = 8;
+const GONE_EACH = 3;
 const COMPARE_MS = 10_000;
 const FORGET_MS = 600_000;
 
@@ -60,7 +62,7 @@
   function take(news: readonly (NodeInfo | NodeNews)[], all = false): void {
     for (const told of news) {
       const n = wholeNews(members, self.name, told);
-      if (!n || (!isUp(n) && !members.has(n.name))) continue;
+      if (!n || (!isUp(n) && !members.has(n.name) && !(all && n.status === 'dead'))) continue;
       const step = mergeNode(members, self.name, n);
       if (step.refuted) log.warn(`Was held for ${n.status}; refutes it.`);
       if (!step.changed) continue;
@@ -239,7 +241,8 @@
   async function turn(): Promise<void> {
     expire();
     turns += 1;
-    if (turns % 8 === 1) void greetSeed();
+    if (turns % SEED_EACH === 1) void greetSeed();
+    if (turns % GONE_EACH === 0) void greetGone();
     const target = nextTarget();
     if (!target) return;
     if (await probe(target.address, DIRECT_MS)) return;
@@ -256,11 +259,24 @@
     for (const n of members.values()) if (n.status === 'alive') known.add(n.address);
     for (const contact of contacts())
       if (!known.has(contact) && contact !== self.address) await probe(contact, 2 * DIRECT_MS);
+    await greetOne(isDead);
+  }
+  // A controller that was cut off while the others were replaced knows none of those that are there now: they have to greet it.
+  async function greetGone(): Promise<void> {
+    if (self.role === 'controller') await greetOne(isDeadController);
+  }
+  async function greetOne(isWanted: (n: NodeInfo) => boolean): Promise<void> {
     const gone: NodeInfo[] = [];
-    for (const n of members.values()) if (n.status === 'dead') gone.push(n);
+    for (const n of members.values()) if (isWanted(n)) gone.push(n);
     const again = shuffled(rng, gone)[0];
     if (again) await probe(again.address, DIRECT_MS);
   }
+  function isDead(n: NodeInfo): boolean {
+    return n.status === 'dead';
+  }
+  function isDeadController(n: NodeInfo): boolean {
+    return n.role === 'controller' && isDead(n);
+  }
 
   function tick(): void {
     void turn();
--- a/src/sim/sim-core.ts
+++ b/src/sim/sim-core.ts
@@ -67,7 +67,7 @@
   readonly finish: <T>(work: Promise<T>, limitMs: number) => Promise<T | null>;
   readonly sent: () => { readonly frames: number; readonly bytes: number };
   readonly rates: LinkRates;
-  readonly broken: readonly string[];
+  readonly broken: string[];
 };
 
 const DISK_BYTES = 16 * 1_048_576;
