--- a/src/coordination/ledger/cut-off.test.ts
+++ b/src/coordination/ledger/cut-off.test.ts
@@ -176,4 +176,31 @@
       await healed(d, [...d.names, 'h4'].sort());
     },
   );
+
+  // What was confirmed is on two disks; one of them is lost and the other one is away. The machine with the blank disk answers at
+  // the address of the member that it was, and learns from the one that lags.
+  test.each(SEEDS)('a blank disk does not count under the identity that it had (seed %i)', async (seed) => {
+    const d = await dayOf(250 + seed, 3);
+    const [away, lost, lags] = [0, 1, 2].map((i) => d.names[(seed + i) % 3]) as [string, string, string];
+    cut(d, [lags], [away, lost], 'both');
+    await order(d, away);
+    await order(d, lost);
+    d.core.powerLoss(away);
+    d.core.powerLoss(lost);
+    d.core.wipe(lost);
+    d.core.world.healAll();
+    d.core.start(lost);
+    for (const end = d.core.world.now() + 6_000; d.core.world.now() < end;) {
+      for (const name of [lags, lost]) {
+        if (!d.core.node(name).controller) continue;
+        expect(await reads(d, name)).toBeNull();
+        const got = await d.core.order(name, 'alone', 300);
+        expect(got.result?.ok).toBe(false);
+      }
+      await d.core.world.advance(100);
+    }
+    d.core.start(away);
+    await d.core.until(1_000, () => d.core.node(away).controller !== null);
+    await healed(d);
+  });
 });
