One function decides what may follow a send, by a typed outcome

Cause: what may follow a send was spread over the relay's 600 lines as a condition over seven tags, and differed from the ticketed server's. Two rows were wrong: a request written in part and reset was sent again without being counted as an attempt or against the budget, and a repeatable request that may have run was told by 503 that it had not.

Ruled out: telling from an error of the first write that nothing was written; it shows that the peer had gone, not that the kernel took no byte before.

Change: `decide` in state/attempt-outcome.ts, from 14 outcomes to 7 decisions; docs/repeats.md has the table. Attempts are counted when written.

The 31 tests at the opaque server pass as they were, but for the names of faults.

--- /dev/null
+++ b/src/coordination/edge/attempt.ts
@@ -0,0 +1,190 @@
+/**
+ * One attempt of a relayed request at one worker: sends it, watches the worker, and ends with a typed
+ * outcome. Whoever calls decides what follows. The attempt ends its connection whenever the outcome is
+ * known before the answer's end, so that nothing of a late answer can meet another request.
+ */
+import type { OpenWords } from '../../protocol/open-words.js';
+import type { AttemptOutcome } from '../../state/attempt-outcome.js';
+import type { Standstill } from '../../state/standstill.js';
+import type { BookRow, WorkerRegistry } from '../../state/worker-registry.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { ConnectionPool, RawHeaders, SendEvents, SendFault, Sending, Sent } from '../../transport/open-http.js';
+import { createAnswerReader } from './answer-reader.js';
+import type { CallerAnswers, HeldAnswer } from './caller-answers.js';
+import { hasBody, requestHeaders } from './forwarded-headers.js';
+import type { RelayedRequest } from './relayed-request.js';
+import type { SilenceWatch, WatchedFlight } from './silence-watch.js';
+import type { HeldWorker } from './worker-queue.js';
+
+/** How an attempt ended; `answer` is set for a held answer, be it a success or a failure. */
+export type AttemptEnd = { readonly outcome: AttemptOutcome; readonly answer: HeldAnswer | null };
+
+export type AttemptDeps = {
+  readonly words: OpenWords;
+  readonly registry: WorkerRegistry;
+  readonly connectionPool: ConnectionPool;
+  readonly watch: SilenceWatch;
+  readonly standstill: Standstill;
+  readonly answers: CallerAnswers;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** True if an attempt whose worker can't be reached is to be given up for another one. */
+  readonly leavesSilent: (request: RelayedRequest) => boolean;
+  /** Told at the end of each attempt, when its place is free again. */
+  readonly onEnd: () => void;
+};
+
+export type Attempt = (request: RelayedRequest, held: HeldWorker) => Promise<AttemptEnd>;
+
+/** A worker that turned a request away is passed over for so long. */
+const FULL_MS = 60;
+/** The worker's own status at the deadline: no sign of trouble. */
+const GATEWAY_TIMEOUT = 504;
+
+export function createAttempt(deps: AttemptDeps): Attempt {
+  const { words, registry, connectionPool, watch, standstill, clock, log } = deps;
+
+  function attempt(request: RelayedRequest, held: HeldWorker): Promise<AttemptEnd> {
+    function start(resolve: (end: AttemptEnd) => void): void {
+      run(request, held, resolve);
+    }
+    return new Promise(start);
+  }
+
+  function run(request: RelayedRequest, { row, hold }: HeldWorker, resolve: (end: AttemptEnd) => void): void {
+    const { incoming } = request;
+    const reader = createAnswerReader(words, request, deps.answers);
+    const flight: WatchedFlight = { sentAt: clock.mono(), heardAt: 0, onSilent };
+    const leftMs = request.deadlineAt - clock.mono();
+    let sent: Sent | null = null;
+    let written = false;
+    let freshConnection = false;
+    let over = false;
+    watch.begin(row, flight);
+    const deadline = clock.timer(Math.max(1, leftMs), late);
+
+    function finish(outcome: AttemptOutcome): void {
+      if (over) return;
+      over = true;
+      deadline.cancel();
+      watch.end(row, flight);
+      hold.end();
+      note(row, outcome, reader.status());
+      const answer = isHeld(request, outcome) ? reader.held() : null;
+      resolve({ outcome, answer });
+      deps.onEnd();
+    }
+    function giveUp(outcome: AttemptOutcome): void {
+      if (over) return;
+      finish(outcome);
+      sent?.cut();
+    }
+
+    function late(): void {
+      if (over) return;
+      if (written)
+        log.warn(
+          lateText(request, row, leftMs, reader.status(), clock.mono() - Math.max(flight.heardAt, flight.sentAt)),
+        );
+      giveUp(written ? { tag: 'deadline' } : { tag: 'withheld' });
+    }
+    function callerGone(): void {
+      giveUp({ tag: 'callerGone' });
+    }
+    function onSilent(): void {
+      if (!over && written && deps.leavesSilent(request)) giveUp({ tag: 'silent' });
+    }
+
+    /** Called when the connection is up. Null holds the request back; else it counts as sent from here. */
+    function headers(): RawHeaders | null {
+      const now = clock.mono();
+      if (over || now >= request.deadlineAt || standstill.observe(now) !== null || incoming.answerer.gone())
+        return null;
+      written = true;
+      request.attempts += 1;
+      request.reserved = false;
+      return requestHeaders(words, request, row.entry.id, request.deadlineAt - now);
+    }
+    function connected(ms: number): void {
+      freshConnection = true;
+      registry.took(row, ms);
+    }
+    function head(status: number, raw: RawHeaders, get: (name: string) => string | null): void {
+      if (over) return;
+      const coldMs = Number(get(words.coldMs) ?? 0);
+      if (coldMs > 0) registry.cold(row, clock.mono(), coldMs);
+      const outcome = reader.head(status, raw, get, freshConnection);
+      if (outcome) giveUp(outcome);
+    }
+    function data(chunk: Buffer): void {
+      if (over) return;
+      flight.heardAt = clock.mono();
+      const outcome = reader.data(chunk);
+      if (request.answerBegun) hold.read();
+      if (outcome) giveUp(outcome);
+    }
+    function end(): void {
+      if (!over) finish(reader.end());
+    }
+    function failed(fault: SendFault): void {
+      if (!over) finish(fault.tag === 'reset' || fault.tag === 'garbled' ? reader.broken(fault.tag) : fault);
+    }
+
+    incoming.answerer.onGone(callerGone);
+    const sending: Sending = {
+      address: row.entry.address,
+      method: incoming.method,
+      target: incoming.target,
+      headers,
+      body: request.body.length > 0 || hasBody(incoming) ? request.body : null,
+      connectMs: Math.min(leftMs, registry.connectMs(row)),
+    };
+    const events: SendEvents = { connected, head, data, end, failed };
+    sent = connectionPool.send(sending, events);
+    if (over) sent.cut();
+  }
+
+  /** Tells the registry what the outcome says of the worker. */
+  function note(row: BookRow, outcome: AttemptOutcome, status: number): void {
+    const now = clock.mono();
+    switch (outcome.tag) {
+      case 'notConnected':
+        watch.unreached(row);
+        return;
+      case 'wrongWorker':
+        registry.moved(row);
+        return;
+      case 'notExecuted':
+        registry.full(row, now, FULL_MS);
+        return;
+      case 'answered':
+        registry.served(row, now);
+        return;
+      case 'workerFailed':
+        if (status >= 500 && status !== GATEWAY_TIMEOUT) registry.spoilt(row, now);
+        return;
+      case 'garbled':
+      case 'answerCut':
+      case 'resetWritten':
+        registry.spoilt(row, now);
+        return;
+      case 'withheld':
+      case 'resetUnwritten':
+      case 'resetPartlyWritten':
+      case 'silent':
+      case 'deadline':
+      case 'callerGone':
+    }
+  }
+  return attempt;
+}
+
+function isHeld(request: RelayedRequest, outcome: AttemptOutcome): boolean {
+  return outcome.tag === 'workerFailed' || (outcome.tag === 'answered' && !request.stream);
+}
+
+function lateText(request: RelayedRequest, row: BookRow, leftMs: number, status: number, quietMs: number): string {
+  const last = request.lastEvent ?? 'none';
+  return `${row.entry.id} gave ${request.route.name} ${request.id} no end in ${Math.round(leftMs)} ms: status ${status}, last event ${last}, silent for ${Math.round(quietMs)} ms.`;
+}
--- /dev/null
+++ b/src/coordination/edge/forwarded-headers.ts
@@ -0,0 +1,64 @@
+/** Headers on their way through the relay: which go along, and which are the relay's own. */
+import type { OpenWords } from '../../protocol/open-words.js';
+import type { OpenRequest, RawHeaders } from '../../transport/open-http.js';
+import type { RelayedRequest } from './relayed-request.js';
+
+/** Headers that concern one connection only, and those that frame a body: each side sets its own. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'transfer-encoding',
+  'te',
+  'trailer',
+  'upgrade',
+  'content-length',
+  'expect',
+  'proxy-authenticate',
+  'proxy-authorization',
+]);
+
+const LEAST_URGENT = 9;
+
+/** The head of a request as its worker gets it, with what is left of its deadline. */
+export function requestHeaders(words: OpenWords, request: RelayedRequest, workerId: string, leftMs: number): string[] {
+  const out: string[] = [];
+  const { headers } = request.incoming;
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = (headers[i] as string).toLowerCase();
+    if (HOP_BY_HOP.has(name) || name === words.deadline || name === words.expectWorker || name === words.urgency)
+      continue;
+    if (name === words.lastEvent && request.answerBegun) continue;
+    out.push(headers[i] as string, headers[i + 1] as string);
+  }
+  out.push(words.deadline, String(Math.max(1, Math.floor(leftMs))), words.expectWorker, workerId);
+  const { rank } = request.route.mapping;
+  if (rank !== null) out.push(words.urgency, String(Math.max(0, Math.min(LEAST_URGENT, rank))));
+  if (request.answerBegun && request.lastEvent !== null) out.push(words.lastEvent, String(request.lastEvent));
+  return out;
+}
+
+/** The head of a worker's answer as the caller gets it. */
+export function answerHeaders(headers: RawHeaders): string[] {
+  const out: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string;
+    if (!HOP_BY_HOP.has(name.toLowerCase())) out.push(name, headers[i + 1] as string);
+  }
+  return out;
+}
+
+/** All headers but one. */
+export function withoutHeader(headers: RawHeaders, unwanted: string): string[] {
+  const out: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string;
+    if (name.toLowerCase() !== unwanted) out.push(name, headers[i + 1] as string);
+  }
+  return out;
+}
+
+/** True if the caller framed a body, be it an empty one. */
+export function hasBody(incoming: OpenRequest): boolean {
+  return incoming.get('content-length') !== null || incoming.get('transfer-encoding') !== null;
+}
--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -235,7 +235,7 @@
   await r.world.advance(1);
   expect(r.sent).toHaveLength(2);
   expect(r.sent[1]!.what.address).not.toBe(r.sent[0]!.what.address);
-  r.sent[1]!.events.failed({ tag: 'broken' });
+  r.sent[1]!.events.failed({ tag: 'reset' });
   await r.world.advance(1);
   expect(r.sent).toHaveLength(2);
   expect(answer.status).toBe(502);
@@ -267,7 +267,7 @@
   const { answer } = r.ask();
   await r.world.advance(1);
   sealed(r.sent[0]!, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda');
-  r.sent[0]!.events.failed({ tag: 'broken' });
+  r.sent[0]!.events.failed({ tag: 'reset' });
   await r.world.advance(1);
   expect(r.sent).toHaveLength(2);
   const h = r.sent[1]!.headers!;
@@ -288,7 +288,7 @@
   const { answer } = r.ask();
   await r.world.advance(1);
   sealed(r.sent[0]!, 'id: 1\ndata: a\n\n');
-  r.sent[0]!.events.failed({ tag: 'broken' });
+  r.sent[0]!.events.failed({ tag: 'reset' });
   await r.world.advance(1);
   expect(answer).toMatchObject({ ended: false, cut: true });
   expect(r.sent).toHaveLength(1);
@@ -395,7 +395,7 @@
   const r = await rig({}, [entry('w'), entry('vv'), entry('uuu', 'z2')]);
   r.ask();
   await r.world.advance(1);
-  r.sent[0]!.events.failed({ tag: 'neverSent' });
+  r.sent[0]!.events.failed({ tag: 'notConnected' });
   await r.world.advance(1);
   expect(r.sent.map((s) => s.what.address)).toEqual([r.sent[0]!.what.address, '10.0.0.1:3']);
   expect(r.checks).toHaveLength(1);
@@ -414,7 +414,7 @@
     const r = await rig({ kind, attempts: 3 }, [entry('w'), entry('vv')]);
     const { answer } = r.ask();
     await r.world.advance(1);
-    r.sent[0]!.events.failed({ tag: 'closedUnread' });
+    r.sent[0]!.events.failed({ tag: 'resetPartlyWritten' });
     await r.world.advance(1);
     expect(r.sent).toHaveLength(attempts);
     expect(answer.status).toBe(kind === 'once' ? 502 : 0);
@@ -539,7 +539,7 @@
   expect(r.sent).toHaveLength(100);
   const failing = r.sent.filter((s) => s.what.address === r.sent[0]!.what.address);
   expect(failing.length).toBeGreaterThan(40);
-  for (const s of failing) s.events.failed({ tag: 'broken' });
+  for (const s of failing) s.events.failed({ tag: 'reset' });
   await r.world.advance(1_000);
   expect(r.sent.length - 100).toBeGreaterThan(0);
   expect(r.sent.length - 100).toBeLessThanOrEqual(0.1 * 100 + 20);
@@ -555,7 +555,7 @@
     const { answer } = r.ask();
     await r.world.advance(1);
     sealed(r.sent[0]!, text);
-    r.sent[0]!.events.failed({ tag: 'broken' });
+    r.sent[0]!.events.failed({ tag: 'reset' });
     await r.world.advance(1);
     expect([r.sent.length, answer.cut]).toEqual(again ? [2, false] : [1, true]);
   }
--- /dev/null
+++ b/src/coordination/edge/relayed-request.ts
@@ -0,0 +1,132 @@
+/**
+ * One request as the relay holds it from its arrival to the last byte of its answer: what is fixed by the
+ * caller and the route, and what changes from attempt to attempt.
+ */
+import type { OpenWords } from '../../protocol/open-words.js';
+import type { Repeatability } from '../../state/attempt-outcome.js';
+import type { Part } from '../../state/prefix-cache.js';
+import type { MatchedRoute } from '../../state/route-table.js';
+import type { RouteMapping } from '../../state/serving.js';
+import type { OpenRequest } from '../../transport/open-http.js';
+import type { Rng } from '../../transport/rng.js';
+
+/** A request under way. Times are milliseconds of the process's monotonic clock. */
+export type RelayedRequest = {
+  readonly incoming: OpenRequest;
+  readonly route: MatchedRoute;
+  readonly model: string;
+  readonly body: Buffer;
+  readonly repeatability: Repeatability;
+  readonly stream: boolean;
+  /** The caller's id of this try; every answer of a worker must bear it. */
+  readonly id: string;
+  readonly cameAt: number;
+  readonly deadlineAt: number;
+  readonly parts: readonly Part[];
+  readonly tokens: number;
+  readonly outTokens: number;
+  /** Workers that were tried and are passed over while there are others. */
+  readonly avoid: Set<string>;
+  /** Attempts whose request was written. */
+  attempts: number;
+  /** One further attempt has been taken from the budget and not been written yet. */
+  reserved: boolean;
+  mayHaveRun: boolean;
+  /** The head of an answer has been passed to the caller. */
+  answerBegun: boolean;
+  /** Number of the last event that was passed on, or that the caller has by its own word. */
+  lastEvent: number | null;
+  /** An event without a number was passed on, so that nobody can go on after the last. */
+  unnumbered: boolean;
+};
+
+const DEFAULT_RANK = 5;
+/** Slow side of what a stream takes until its first token, and for each further one. */
+const STREAM_START_MS = 600;
+const STREAM_TOKEN_MS = 10;
+
+/** Reads what the relay needs from a request whose body has come. */
+export function createRelayedRequest(
+  words: OpenWords,
+  rng: Rng,
+  incoming: OpenRequest,
+  route: MatchedRoute,
+  id: string,
+  body: Buffer,
+  cameAt: number,
+): RelayedRequest {
+  const { mapping } = route;
+  const [tokens, outTokens] = tokensOf(incoming.get(words.tokens));
+  const stream = mapping.kind === 'stream';
+  return {
+    incoming,
+    route,
+    model: modelByShare(mapping, rng),
+    body,
+    repeatability: mapping.kind === 'repeatable' ? 'repeatable' : stream && mapping.resumable ? 'resumable' : 'once',
+    stream,
+    id,
+    cameAt,
+    deadlineAt: cameAt + deadlineOf(incoming.get(words.deadline), mapping.deadlineMs),
+    parts: partsOf(incoming.get(words.prefix)),
+    tokens,
+    outTokens,
+    avoid: new Set(),
+    attempts: 0,
+    reserved: false,
+    mayHaveRun: false,
+    answerBegun: false,
+    lastEvent: numberIn(incoming.get(words.lastEvent)),
+    unnumbered: false,
+  };
+}
+
+/** The class of urgency, 0 first. */
+export function rankOf(request: RelayedRequest): number {
+  return request.route.mapping.rank ?? DEFAULT_RANK;
+}
+
+/** When a request that begins now is over at the latest, as far as can be told beforehand. */
+export function expectedEnd(request: RelayedRequest, now: number): number {
+  const { aimMs } = request.route.mapping;
+  const takes = request.stream ? STREAM_START_MS + STREAM_TOKEN_MS * request.outTokens : 2 * (aimMs ?? STREAM_START_MS);
+  return Math.min(request.deadlineAt, now + takes);
+}
+
+/** A number in a header, or null. */
+export function numberIn(text: string | null): number | null {
+  if (text === null || text.trim() === '') return null;
+  const number = Number(text);
+  return Number.isFinite(number) ? number : null;
+}
+
+function deadlineOf(text: string | null, routeMs: number): number {
+  const given = numberIn(text);
+  return given !== null && given > 0 ? Math.min(routeMs, given) : routeMs;
+}
+
+function modelByShare(mapping: RouteMapping, rng: Rng): string {
+  let sum = 0;
+  for (const share of mapping.shares) sum += share.share;
+  let at = rng.next() * sum;
+  for (const share of mapping.shares) {
+    at -= share.share;
+    if (at < 0) return share.model;
+  }
+  return mapping.shares[mapping.shares.length - 1]?.model ?? '';
+}
+
+function tokensOf(text: string | null): [number, number] {
+  const [prompt, out] = (text ?? '').split(',');
+  return [numberIn(prompt ?? null) ?? 0, numberIn(out ?? null) ?? 0];
+}
+
+function partsOf(text: string | null): Part[] {
+  const parts: Part[] = [];
+  for (const piece of (text ?? '').split(',')) {
+    const at = piece.lastIndexOf(':');
+    const tokens = Number(piece.slice(at + 1));
+    if (at > 0 && Number.isFinite(tokens)) parts.push({ id: piece.slice(0, at).trim(), tokens });
+  }
+  return parts;
+}
--- a/src/state/event-splitter.ts
+++ b/src/state/event-splitter.ts
@@ -37,3 +37,10 @@
   const m = /(?:^|\n)id: ?(\d+)\r?\n/.exec(bytes.toString('latin1'));
   return m ? Number(m[1]) : null;
 }
+
+const COLON = 58;
+
+/** True for an event of comment lines alone, which tells nothing and may come any number of times. */
+export function isComment(event: Buffer): boolean {
+  return event[0] === COLON && !/\n[^:\r\n]/.test(event.toString('latin1'));
+}
--- a/src/transport/connection-pool.test.ts
+++ b/src/transport/connection-pool.test.ts
@@ -106,19 +106,19 @@
     sock.write('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi');
     sock.end();
   });
-  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'reset' });
 });
 
 test('bytes that are no answer are a broken one', async () => {
   const at = await raw((sock) => sock.write('nonsense\r\n\r\n'));
-  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'garbled' });
 });
 
 test('an address without listener was never sent to', async () => {
   const at = await raw(() => undefined);
   open.splice(0).forEach((o) => o.close());
   await new Promise((r) => setImmediate(r));
-  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'neverSent' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'notConnected' });
 });
 
 test('a connection that its worker closes is not used again', async () => {
@@ -148,7 +148,7 @@
   const o = connectionPool();
   expect(await ask(o, opened.value.address)).toMatchObject({ status: 200, body: 'one', fault: null });
   cut = true;
-  expect((await ask(o, opened.value.address)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(o, opened.value.address)).fault).toEqual({ tag: 'reset' });
 });
 
 test('a connection that its worker forgot teaches to let connections rest for less', async () => {
@@ -164,7 +164,7 @@
   await ask(o, at);
   now = 4_000;
   forget = true;
-  expect((await ask(o, at)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(o, at)).fault).toEqual({ tag: 'reset' });
   forget = false;
   await ask(o, at);
   const before = o.made();
@@ -200,7 +200,7 @@
   const at = await raw((sock) =>
     sock.write('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n'),
   );
-  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
+  expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'reset' });
 });
 
 test('an answer without a length is whole when its connection ends, and broken when that is reset', async () => {
@@ -209,7 +209,7 @@
       sock.write('HTTP/1.1 200 OK\r\n\r\nhi');
       setImmediate(() => (reset ? sock.resetAndDestroy() : sock.end()));
     });
-    expect((await ask(connectionPool(), at)).fault).toEqual(reset ? { tag: 'broken' } : null);
+    expect((await ask(connectionPool(), at)).fault).toEqual(reset ? { tag: 'reset' } : null);
   }
 });
 
@@ -219,7 +219,7 @@
       sock.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n');
       setImmediate(() => (reset ? sock.resetAndDestroy() : sock.end()));
     });
-    expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'broken' });
+    expect((await ask(connectionPool(), at)).fault).toEqual({ tag: 'reset' });
   }
 });
 
@@ -231,7 +231,7 @@
   });
   const o = connectionPool();
   expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
-  expect(await ask(o, at)).toEqual({ status: 0, body: '', fault: { tag: 'broken' } });
+  expect(await ask(o, at)).toEqual({ status: 0, body: '', fault: { tag: 'garbled' } });
 });
 
 const LONG = 'x'.repeat(12_000_000);
--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -16,6 +16,8 @@
 const LEARNED_LEAST_MS = 400;
 const LEARNED_FROM_MS = 100;
 const RELEARN = 1.02;
+/** Codes of the runtime's HTTP parser. */
+const PARSE_ERROR = 'HPE_';
 const REST_OF_BODY_MS = 5_000;
 
 export function createConnectionPool(clock: Clock): ConnectionPool {
@@ -132,8 +134,9 @@
     function broke(e?: { readonly code?: string }): void {
       if (over || res?.complete === true) return;
       if (reused && res === null && restedMs > LEARNED_FROM_MS && e?.code === 'ECONNRESET') forgotten(restedMs);
-      const unread = reused && res === null && e?.code === 'ECONNRESET' && req !== null && !req.writableFinished;
-      fail(unread ? { tag: 'closedUnread' } : { tag: 'broken' });
+      if (e?.code?.startsWith(PARSE_ERROR) === true) fail({ tag: 'garbled' });
+      else if (res === null && req?.writableFinished === false) fail({ tag: 'resetPartlyWritten' });
+      else fail({ tag: 'reset' });
     }
 
     function onResponse(r: IncomingMessage): void {
@@ -195,6 +198,10 @@
         return;
       }
       sock = s;
+      if (s.destroyed) {
+        fail({ tag: 'resetUnwritten' });
+        return;
+      }
       function own(): Socket {
         return s;
       }
@@ -245,7 +252,7 @@
       const from = clock.mono();
       function done(s: Socket | null): void {
         if (!s) {
-          fail({ tag: 'neverSent' });
+          fail({ tag: 'notConnected' });
           return;
         }
         events.connected?.(clock.mono() - from);
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -35,11 +35,14 @@
   readonly open: (address: Address, handle: (req: OpenRequest) => void) => Promise<Result<OpenListener, WireFault>>;
 };
 
+/** How a sending failed; the outcomes of state/attempt-outcome.ts say what each means. */
 export type SendFault =
-  | { readonly tag: 'neverSent' }
+  | { readonly tag: 'notConnected' }
   | { readonly tag: 'withheld' }
-  | { readonly tag: 'closedUnread' }
-  | { readonly tag: 'broken' };
+  | { readonly tag: 'resetUnwritten' }
+  | { readonly tag: 'resetPartlyWritten' }
+  | { readonly tag: 'reset' }
+  | { readonly tag: 'garbled' };
 
 export type SendEvents = {
   readonly connected?: (ms: number) => void;
