--- /dev/null
+++ b/src/coordination/edge/worker-call.ts
@@ -0,0 +1,185 @@
+/**
+ * One attempt of a request with a ticket at one worker, ending with a typed outcome. A whole answer is
+ * given once its seal holds; a stream is given at its first good line and checked as it goes on.
+ */
+import type { Result } from '../../base/result.js';
+import type { Failure } from '../../protocol/caller-wire.js';
+import { readNotRun, readStreamLine, readWhole, RUN_PATH } from '../../protocol/worker-wire.js';
+import type { Run, StreamLine, Whole } from '../../protocol/worker-wire.js';
+import type { AttemptOutcome } from '../../state/attempt-outcome.js';
+import type { Candidate } from '../../state/candidate.js';
+import { addPiece, checkSeal, startSeal } from '../../state/seal.js';
+import type { Seal, SealCheck } from '../../state/seal.js';
+import type { WorkerRow } from '../../state/worker-row.js';
+import type { WorkerTable } from '../../state/worker-table.js';
+import type { Clock } from '../../transport/clock.js';
+import type { HttpAnswer, HttpClient, HttpFault } from '../../transport/http.js';
+import type { Log } from '../../transport/log.js';
+import type { Flight, Flights } from './flights.js';
+
+/** A line of a stream as callers get it: pieces, and at the end exactly one seal or error. */
+export type AnswerLine = StreamLine | { readonly error: Failure };
+
+/** How the attempt ended. `failure` says what the caller is told if the request may have run. */
+export type WorkerCallEnd =
+  | { readonly tag: 'whole'; readonly answer: Whole }
+  | { readonly tag: 'stream'; readonly lines: AsyncIterable<AnswerLine> }
+  | { readonly tag: 'failed'; readonly outcome: AttemptOutcome; readonly failure: Failure };
+
+export type WorkerCall = {
+  readonly candidate: Candidate;
+  readonly row: WorkerRow;
+  readonly run: Run;
+  readonly deadlineAt: number;
+  readonly pieceWaitMs: number;
+  readonly gone: () => boolean;
+  /** Told when the seal of the whole answer has been checked. */
+  readonly sealed: () => void;
+};
+
+export type WorkerCallDeps = {
+  readonly table: WorkerTable;
+  readonly flights: Flights;
+  readonly httpClient: HttpClient;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Gives the worker's place back. */
+  readonly leave: (row: WorkerRow) => void;
+  /** Told of each stream that broke off after its first piece. */
+  readonly onCut: () => void;
+};
+
+type GoodLine =
+  | { readonly tag: 'piece'; readonly piece: { readonly n: number; readonly text: string } }
+  | { readonly tag: 'seal'; readonly seal: Seal };
+type NextLine = GoodLine | { readonly tag: 'fault'; readonly outcome: AttemptOutcome; readonly failure: Failure };
+
+const RETRY_AFTER_S = 1;
+const WORKER_FAILED: Failure = { tag: 'workerFailed' };
+const BAD_SEAL: Failure = { tag: 'badSeal' };
+
+export function createWorkerCalls(deps: WorkerCallDeps): (call: WorkerCall) => Promise<WorkerCallEnd> {
+  const { table, flights, httpClient, clock, log } = deps;
+
+  async function callWorker(call: WorkerCall): Promise<WorkerCallEnd> {
+    const { candidate, run } = call;
+    const flight = flights.takeOff(call.row, call.pieceWaitMs);
+    const got = await httpClient.call({
+      method: 'POST',
+      address: candidate.address,
+      path: RUN_PATH,
+      body: run,
+      timeoutMs: call.deadlineAt - clock.mono(),
+      stream: run.stream,
+      signal: flight.stop.signal,
+    });
+    if (got.ok && got.value.status === 200 && run.stream) return streamEnd(call, flight, got.value);
+    land(flight);
+    if (!got.ok) return faultEnd(candidate, got.fault);
+    return got.value.status === 200 ? wholeEnd(call, got.value.body) : refusalEnd(call, got.value);
+  }
+
+  function faultEnd(candidate: Candidate, fault: HttpFault): WorkerCallEnd {
+    if (fault.tag === 'neverSent') table.takeSilence(candidate.id);
+    return { tag: 'failed', outcome: outcomeOf(fault), failure: WORKER_FAILED };
+  }
+
+  function refusalEnd({ candidate, run }: WorkerCall, answer: HttpAnswer): WorkerCallEnd {
+    const notRun = readNotRun(answer.body);
+    const ours = notRun.ok && notRun.value.requestId === run.requestId && notRun.value.attemptId === run.attemptId;
+    if (answer.status === 503 && ours) {
+      table.refused(candidate.ix);
+      return { tag: 'failed', outcome: { tag: 'notExecuted', retryAfterS: RETRY_AFTER_S }, failure: WORKER_FAILED };
+    }
+    answer.abandon();
+    return { tag: 'failed', outcome: { tag: 'workerFailed' }, failure: WORKER_FAILED };
+  }
+
+  function wholeEnd({ candidate, run }: WorkerCall, body: unknown): WorkerCallEnd {
+    const read = readWhole(body);
+    if (read.ok && sealHolds(run, read.value))
+      return { tag: 'whole', answer: { pieces: read.value.pieces, seal: read.value.seal } };
+    log.warn(`${candidate.id} gave a response whose seal does not hold.`);
+    return { tag: 'failed', outcome: { tag: 'garbled' }, failure: BAD_SEAL };
+  }
+
+  async function streamEnd(call: WorkerCall, flight: Flight, answer: HttpAnswer): Promise<WorkerCallEnd> {
+    const check = startSeal(call.run.requestId, call.run.attemptId);
+    const lines = answer.lines[Symbol.asyncIterator]();
+    const first = await heard();
+    if (first.tag === 'fault') {
+      land(flight);
+      answer.abandon();
+      return { tag: 'failed', outcome: first.outcome, failure: first.failure };
+    }
+    return { tag: 'stream', lines: relay(first) };
+
+    async function heard(): Promise<NextLine> {
+      const next = await nextLine(lines, check);
+      flight.heard();
+      return next;
+    }
+
+    async function* relay(head: GoodLine): AsyncGenerator<AnswerLine> {
+      try {
+        for (let at: NextLine = head; ; at = await heard()) {
+          if (at.tag === 'fault') {
+            deps.onCut();
+            yield {
+              error:
+                at.failure.tag === 'badSeal'
+                  ? at.failure
+                  : { tag: 'cut', pieces: check.pieces, retryAfterS: RETRY_AFTER_S },
+            };
+            return;
+          }
+          if (at.tag === 'seal') {
+            call.sealed();
+            yield { seal: at.seal };
+            return;
+          }
+          yield { piece: at.piece };
+          if (call.gone()) return;
+        }
+      } finally {
+        land(flight);
+        answer.abandon();
+      }
+    }
+  }
+
+  function land(flight: Flight): void {
+    if (flights.land(flight)) deps.leave(flight.row);
+  }
+  return callWorker;
+}
+
+function outcomeOf(fault: HttpFault): AttemptOutcome {
+  switch (fault.tag) {
+    case 'neverSent':
+      return { tag: 'notConnected' };
+    case 'broken':
+      return { tag: 'resetWritten' };
+    case 'timedOut':
+      return { tag: 'deadline' };
+    case 'notJson':
+      return { tag: 'garbled' };
+  }
+}
+
+function sealHolds(run: Run, answer: Whole): boolean {
+  const check = startSeal(run.requestId, run.attemptId);
+  for (const piece of answer.pieces) if (addPiece(check, piece)) return false;
+  return !checkSeal(check, answer.seal);
+}
+
+async function nextLine(lines: AsyncIterator<Result<unknown, unknown>>, check: SealCheck): Promise<NextLine> {
+  const next = await lines.next();
+  if (next.done || !next.value.ok) return { tag: 'fault', outcome: { tag: 'answerCut' }, failure: WORKER_FAILED };
+  const read = readStreamLine(next.value.value);
+  if (!read.ok) return { tag: 'fault', outcome: { tag: 'garbled' }, failure: BAD_SEAL };
+  const line = read.value;
+  const fault = 'piece' in line ? addPiece(check, line.piece) : checkSeal(check, line.seal);
+  if (fault) return { tag: 'fault', outcome: { tag: 'garbled' }, failure: BAD_SEAL };
+  return 'piece' in line ? { tag: 'piece', piece: line.piece } : { tag: 'seal', seal: line.seal };
+}
