Closed orders leave the replicated state; controllers keep them beside it

Cause: of 1.8 MB of state after 2,100 orders 1.7 MB were closed orders, which the fold never reads and a proxy never uses; each proxy held, wrote and was sent all of them.

Change: the state names only the orders that its newest slot closed, and the newest 256 machines that departed.

--- a/src/coordination/ledger/catch-up.test.ts
+++ b/src/coordination/ledger/catch-up.test.ts
@@ -1,16 +1,39 @@
 import { describe, expect, test } from '@jest/globals';
-import { bootstrapped, controllerBehind, NARROW } from '../../sim/lag-scenarios.js';
+import {
+  addChanges,
+  addOrders,
+  bootstrapped,
+  controllerBehind,
+  NARROW,
+  proxyBehind,
+  stepOrders,
+} from '../../sim/lag-scenarios.js';
 import type { SimCore } from '../../sim/sim-core.js';
+import { foldBatch, isControlState } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
+import type { Batch } from '../../state/entry.js';
+import { proxyState } from '../../state/proxy-state.js';
 
 const FAR_BEHIND = { orders: 2_000, changes: 1_000 };
 
 describe('on links of 35 ms one way with windows of 64 KB', () => {
-  test.each([1, 2, 3])(
+  test.each([1, 2])(
     'a controller 1,000 changes and 2,000 orders behind is whole within 4 s (seed %i)',
     async (seed) => {
       expect((await controllerBehind(seed, FAR_BEHIND)).ms).toBeLessThan(4_000);
     },
   );
+
+  test.each([1, 2])(
+    'a proxy on a line of 7 Mbit/s, cut off meanwhile, serves with all of it within 2 s (seed %i)',
+    async (seed) => {
+      expect((await proxyBehind(seed, FAR_BEHIND, false)).ms).toBeLessThan(2_000);
+    },
+  );
+
+  test.each([1, 2])('a proxy on a line of 7 Mbit/s that begins anew serves within 2 s (seed %i)', async (seed) => {
+    expect((await proxyBehind(seed, FAR_BEHIND, true)).ms).toBeLessThan(2_000);
+  });
 });
 
 /** A state of some 3 MB, of which no slots are kept that a lagging controller could be told one by one. */
@@ -83,3 +106,82 @@
     expect(core.broken).toEqual([]);
   });
 });
+
+describe('closed orders are kept by controllers, not in the replicated state', () => {
+  function closedAt(core: SimCore, name: string): string {
+    return JSON.stringify(core.node(name).controller?.ledger.closedOrders.all());
+  }
+
+  test.each([1, 2, 3])(
+    'one that lost its disk tells again who ordered what and why, from the others (seed %i)',
+    async (seed) => {
+      const core = await bootstrapped(seed, NARROW);
+      await addOrders(core, 600);
+      const told = closedAt(core, 'h1');
+      expect(told.length).toBeGreaterThan(300_000);
+      expect(JSON.stringify(core.node('h1').controller?.ledger.controlState()).length).toBeLessThan(100_000);
+      core.powerLoss('h3');
+      core.wipe('h3');
+      core.start('h3');
+      expect(
+        await core.until(
+          20_000,
+          () =>
+            core.whole(['h1', 'h2', 'h3']) &&
+            core.node('h3').controller?.ledger.closedOrders.lacking() === null &&
+            closedAt(core, 'h3') === told,
+        ),
+      ).toBe(true);
+      core.kill('h3');
+      core.start('h3');
+      expect(await core.until(2_000, () => core.node('h3').controller !== null && closedAt(core, 'h3') === told)).toBe(
+        true,
+      );
+      expect(core.broken).toEqual([]);
+    },
+  );
+
+  test.each([1, 2, 3])('all lose their power, then two their disks one after another (seed %i)', async (seed) => {
+    const core = await bootstrapped(seed, NARROW);
+    await addOrders(core, 100);
+    const told = closedAt(core, 'h1');
+    for (const name of ['h1', 'h2', 'h3']) core.powerLoss(name);
+    core.startAll();
+    await core.until(10_000, () => core.whole(['h1', 'h2', 'h3']));
+    for (const name of ['h1', 'h2']) {
+      core.powerLoss(name);
+      core.wipe(name);
+      core.start(name);
+      const isBack = () =>
+        core.whole(['h1', 'h2', 'h3']) && core.node(name).controller?.ledger.closedOrders.lacking() === null;
+      expect(await core.until(20_000, isBack)).toBe(true);
+    }
+    for (const name of ['h1', 'h2', 'h3']) expect(closedAt(core, name)).toBe(told);
+    expect(core.broken).toEqual([]);
+  });
+});
+
+describe('the state that a proxy is given', () => {
+  test('folds on as the whole one: the same members, configuration, zones, machines', async () => {
+    const core = await bootstrapped(4, NARROW);
+    await addOrders(core, 40);
+    await addChanges(core, 5);
+    await stepOrders(core, 12, ['intended', 'placed']);
+    await addChanges(core, 1);
+    const before = core.node('h1').controller?.ledger.since(1) ?? [];
+    const whole = structuredClone(core.node('h1').controller?.ledger.controlState() as ControlState);
+    const given = JSON.parse(JSON.stringify(proxyState(whole))) as ControlState;
+    expect(isControlState(given)).toBe(true);
+    const from = whole.slot + 1;
+    expect(JSON.stringify(given).length).toBeLessThan(JSON.stringify(whole).length - 12 * 200);
+    await stepOrders(core, 12, ['ready', 'lost']);
+    await addOrders(core, 30);
+    await addChanges(core, 3);
+    const later = core.node('h1').controller?.ledger.since(from) ?? [];
+    expect(later.length).toBeGreaterThan(5);
+    for (const { slot, batch } of later) expect(foldBatch(given, slot, batch)).toEqual(foldBatch(whole, slot, batch));
+    const again = before[before.length - 1]?.batch as Batch;
+    expect(foldBatch(given, whole.slot + 1, again)).toEqual(foldBatch(whole, whole.slot + 1, again));
+    expect(proxyState(given)).toEqual(proxyState(whole));
+  });
+});
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -6,6 +6,7 @@
 import type { Ballot } from '../../state/ballot.js';
 import { majorityOf, memberId, membersMark, operationOf } from '../../state/control-state.js';
 import type { ControlState, Outcome } from '../../state/control-state.js';
+import type { ClosedOrders } from '../../state/closed-orders.js';
 import type { Batch, Entry, Member } from '../../state/entry.js';
 import { every, pause, within } from '../../transport/clock.js';
 import type { Clock, Timer } from '../../transport/clock.js';
@@ -16,6 +17,7 @@
 import type { Rng } from '../../transport/rng.js';
 import type { Address } from '../../transport/wire.js';
 import type { Peers } from '../members/peers.js';
+import { createClosedOrdersFetch } from './closed-orders-fetch.js';
 import { createCatchUp } from './catch-up.js';
 import { createSelfBootstrap, bootstrapEntry } from './self-bootstrap.js';
 import { createMembershipChanges } from './membership-changes.js';
@@ -44,6 +46,8 @@
   readonly events: { readonly on: <K extends keyof LedgerEvents>(name: K, fn: (e: LedgerEvents[K]) => void) => void };
   readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
   readonly settle: (waitMs: number) => Promise<boolean>;
+  /** The orders that were closed, as far as this controller knows them. */
+  readonly closedOrders: Pick<ClosedOrders, 'all' | 'lacking'>;
   readonly since: (from: number) => readonly SlotBatch[] | null;
   /** What nodes that lag are told: the kept slots page by page, or a snapshot. */
   readonly history: LedgerHistory;
@@ -103,6 +107,15 @@
   if (!opened.ok) return opened;
   const store = opened.value;
   const mostBytes = deps.shape.fileBytes - RECORD_ROOM;
+  const closedFetch = createClosedOrdersFetch({
+    peers,
+    clock,
+    log,
+    self,
+    controlState,
+    closed: store.closed,
+    put: store.put,
+  });
   const { from: catchUp, snapshots } = createCatchUp({ peers, clock, log, store, controlState, learn });
 
   function controlState(): ControlState {
@@ -465,12 +478,14 @@
     stopped = true;
     selfBootstrap.stop();
     beating.cancel();
+    closedFetch.stop();
   }
   return ok({
     controlState,
     events,
     propose,
     settle,
+    closedOrders: store.closed,
     since: store.recent,
     history: { ...snapshots, page: store.page, bytesSince: store.bytesSince },
     bootstrap,
--- a/src/coordination/ledger/operator-http-server.ts
+++ b/src/coordination/ledger/operator-http-server.ts
@@ -182,11 +182,18 @@
     const b = ledger.controlState();
     const wanted = req.query['model'];
     const out = [];
-    for (const order of [...b.closed, ...Object.values(b.orders)])
+    for (const order of [...ledger.closedOrders.all(), ...Object.values(b.orders)])
       if (wanted === undefined || order.model === wanted) out.push(order);
     return {
       status: 200,
-      body: { slot: b.slot, orders: out, zoneSets: b.zoneSets, targets: b.targets, leases: b.leases },
+      body: {
+        slot: b.slot,
+        complete: ledger.closedOrders.lacking() === null,
+        orders: out,
+        zoneSets: b.zoneSets,
+        targets: b.targets,
+        leases: b.leases,
+      },
     };
   }
 
--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -16,6 +16,8 @@
 import { emptyControlState, foldBatch } from '../../state/control-state.js';
 import type { ControlState, Outcome } from '../../state/control-state.js';
 import type { Batch } from '../../state/entry.js';
+import { createClosedOrders } from '../../state/closed-orders.js';
+import type { ClosedOrders, SavedClosedOrders } from '../../state/closed-orders.js';
 import { createRecentSlots } from '../../state/recent-slots.js';
 import type { RecentSlot } from '../../state/recent-slots.js';
 import type { Disk } from '../../transport/disk.js';
@@ -26,7 +28,8 @@
   | { readonly tag: 'prepare'; readonly slot: number; readonly ballot: Ballot }
   | { readonly tag: 'accept'; readonly slot: number; readonly ballot: Ballot; readonly batch: Batch }
   | { readonly tag: 'chosen'; readonly slot: number; readonly batch: Batch }
-  | { readonly tag: 'adopt'; readonly controlState: ControlState };
+  | { readonly tag: 'adopt'; readonly controlState: ControlState }
+  | { readonly tag: 'fillClosed'; readonly orders: readonly string[]; readonly whole: boolean };
 
 export type StoreAnswer =
   | { readonly tag: 'vote'; readonly vote: Vote }
@@ -42,6 +45,7 @@
   /** As many of these as fit the bound in bytes, but one at least. */
   readonly page: (from: number, mostBytes: number) => readonly RecentSlot[] | null;
   readonly bytesSince: (from: number) => number | null;
+  readonly closed: ClosedOrders;
   readonly top: () => number;
   readonly accepted: (slot: number) => Batch | null;
   readonly writable: () => boolean;
@@ -51,7 +55,14 @@
   | { readonly t: 'slot'; readonly slot: number; readonly state: SlotState }
   | { readonly t: 'chosen'; readonly slot: number; readonly batch: Batch };
 
-type Snapshot = { readonly controlState: ControlState; readonly slots: readonly (readonly [number, SlotState])[] };
+type Snapshot = {
+  readonly controlState: ControlState;
+  readonly closed: SavedClosedOrders;
+  readonly slots: readonly (readonly [number, SlotState])[];
+};
+
+/** Of the snapshot's area, so that the state itself always has room. */
+const CLOSED_SHARE = 1 / 4;
 
 function encoded(value: Saved | Snapshot): Buffer {
   return Buffer.from(JSON.stringify(value));
@@ -69,24 +80,31 @@
   let controlState = emptyControlState();
   let acc: Acceptor = createAcceptor(0);
   const recent = createRecentSlots();
+  let saved: Snapshot | null = null;
   let canWrite = true;
 
   if (snapshot) {
-    const saved = JSON.parse(snapshot.toString()) as Snapshot;
+    saved = JSON.parse(snapshot.toString()) as Snapshot;
     controlState = saved.controlState;
     acc = createAcceptor(controlState.slot + 1);
     for (const [slot, state] of saved.slots) restoreSlot(acc, slot, state);
   }
+  const closed = createClosedOrders(shape.snapshotBytes * CLOSED_SHARE, saved ? saved.closed : null);
   for (const rec of records) {
-    const saved = JSON.parse(rec.toString()) as Saved;
-    if (saved.t === 'slot') restoreSlot(acc, saved.slot, saved.state);
-    else if (saved.slot === controlState.slot + 1) {
-      foldBatch(controlState, saved.slot, saved.batch);
-      raiseFloor(acc, saved.slot + 1);
-      recent.remember(saved.slot, saved.batch, rec.length);
+    const record = JSON.parse(rec.toString()) as Saved;
+    if (record.t === 'slot') restoreSlot(acc, record.slot, record.state);
+    else if (record.slot === controlState.slot + 1) {
+      foldBatch(controlState, record.slot, record.batch);
+      keepClosed();
+      raiseFloor(acc, record.slot + 1);
+      recent.remember(record.slot, record.batch, rec.length);
     }
   }
 
+  function keepClosed(): void {
+    for (const order of controlState.closed) closed.add(order);
+  }
+
   function decide(command: StoreCommand, write: (saved: Saved) => number): StoreAnswer {
     switch (command.tag) {
       case 'prepare': {
@@ -102,6 +120,7 @@
       case 'chosen': {
         if (command.slot !== controlState.slot + 1) return { tag: 'outOfOrder' };
         const outcomes = foldBatch(controlState, command.slot, command.batch);
+        keepClosed();
         raiseFloor(acc, command.slot + 1);
         recent.remember(command.slot, command.batch, write({ t: 'chosen', slot: command.slot, batch: command.batch }));
         onFold(command.slot, command.batch, outcomes);
@@ -109,23 +128,29 @@
       }
       case 'adopt': {
         if (command.controlState.slot <= controlState.slot) return { tag: 'outOfOrder' };
+        closed.skip({ from: controlState.slot + 1, to: command.controlState.slot });
         controlState = structuredClone(command.controlState);
+        keepClosed();
         raiseFloor(acc, controlState.slot + 1);
         recent.clear();
         onAdopt();
         return { tag: 'folded', outcomes: [] };
       }
+      case 'fillClosed': {
+        closed.fill(command.orders, command.whole);
+        return { tag: 'folded', outcomes: [] };
+      }
     }
   }
 
   async function compacted(): Promise<Result<null, RingFault>> {
-    return ring.compact(encoded({ controlState, slots: [...acc.slots] }));
+    return ring.compact(encoded({ controlState, closed: closed.saved(), slots: [...acc.slots] }));
   }
 
   async function work(commands: readonly StoreCommand[]): Promise<readonly StoreAnswer[]> {
     const answers: StoreAnswer[] = [];
     const writes: Buffer[] = [];
-    let adopted = false;
+    let whole = false;
     function write(saved: Saved): number {
       const record = encoded(saved);
       writes.push(record);
@@ -133,10 +158,10 @@
     }
     for (const command of commands) {
       answers.push(decide(command, write));
-      if (command.tag === 'adopt') adopted = true;
+      if (command.tag === 'adopt' || command.tag === 'fillClosed') whole = true;
     }
     let written: Result<null, RingFault> = ok(null);
-    if (adopted) written = await compacted();
+    if (whole) written = await compacted();
     else if (writes.length > 0) {
       if (ring.crowded()) written = await compacted();
       if (written.ok) written = await ring.append(writes);
@@ -180,6 +205,7 @@
     recent: since,
     page,
     bytesSince,
+    closed,
     top,
     accepted,
     writable,
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -18,6 +18,8 @@
 const Num = Type.Number();
 const Slot = Type.Integer({ minimum: -1 });
 const Index = Type.Integer({ minimum: 0 });
+const SlotRangeShape = Type.Object({ from: Slot, to: Slot });
+const ClosedCursorShape = Type.Object({ slot: Slot, id: Str });
 const BallotShape = Type.Object({ round: Type.Integer({ minimum: 0 }), by: Type.String() });
 const AcceptedShape = Type.Object({ ballot: BallotShape, batch: BatchShape });
 
@@ -61,6 +63,18 @@
     text: Type.String({ maxLength: PART_LENGTH }),
   }),
   Type.Object({ kind: Type.Literal('snapshotGone'), digest: Str }),
+  Type.Object({
+    kind: Type.Literal('closedAsk'),
+    ledger: Str,
+    slots: SlotRangeShape,
+    after: Type.Union([ClosedCursorShape, Type.Null()]),
+  }),
+  Type.Object({
+    kind: Type.Literal('closedPage'),
+    orders: Type.Array(Type.String()),
+    next: Type.Union([ClosedCursorShape, Type.Null()]),
+    lacking: Type.Boolean(),
+  }),
   Type.Object({ kind: Type.Literal('bootstrap'), ledger: Str, slotZero: BatchShape, commit: Type.Boolean() }),
   Type.Object({ kind: Type.Literal('bootstrapAnswer'), agreed: Type.Boolean(), member: MemberShape }),
   Type.Object({ kind: Type.Literal('bootstrapVoteAsk'), bootstrapMembers: Str }),
--- /dev/null
+++ b/src/state/closed-orders.ts
@@ -0,0 +1,140 @@
+import { isTable } from '../base/is-table.js';
+import { parsedJson } from '../base/parsed-json.js';
+import type { Order } from './order.js';
+
+/**
+ * The orders that were closed, as a controller keeps them: who ordered which machine, when and why. They are
+ * no part of the replicated state, which names only those that its newest slot closed; each controller adds
+ * these here as it folds, writes them with its own snapshot, and asks others for those it did not fold itself.
+ * Bounded in number and in bytes, the oldest first; sorted by the slot that closed them, then by id.
+ */
+export type ClosedOrders = {
+  readonly add: (order: Order) => void;
+  /** Notes that these slots were not folded here, so that orders closed in them may be lacking. */
+  readonly skip: (slots: SlotRange) => void;
+  /** Slots whose closed orders may be lacking here; null while all are known. */
+  readonly lacking: () => SlotRange | null;
+  /** Takes what another controller told of the lacking slots; `whole` if that was all that there is. */
+  readonly fill: (texts: readonly string[], whole: boolean) => void;
+  readonly page: (slots: SlotRange, after: ClosedCursor | null, mostLength: number) => ClosedPage;
+  readonly all: () => Order[];
+  readonly saved: () => SavedClosedOrders;
+};
+
+export type SlotRange = { readonly from: number; readonly to: number };
+
+/** The place of one closed order in the list. */
+export type ClosedCursor = { readonly slot: number; readonly id: string };
+
+export type ClosedPage = {
+  readonly orders: readonly string[];
+  /** Where the next page goes on; null after the last one. */
+  readonly next: ClosedCursor | null;
+  /** Whether some of the asked slots are lacking here too. */
+  readonly lacking: boolean;
+};
+
+export type ClosedOrder = ClosedCursor & { readonly text: string };
+
+/** The form on the disk, inside the controller's own snapshot. */
+export type SavedClosedOrders = { readonly orders: readonly ClosedOrder[]; readonly lacking: SlotRange | null };
+
+/** At some 700 bytes each, and hundreds of orders a day, this is what an operator can be told of the last days. */
+export const MOST_CLOSED = 2_000;
+
+function compare(a: ClosedCursor, b: ClosedCursor): number {
+  return a.slot - b.slot || (a.id < b.id ? -1 : a.id > b.id ? 1 : 0);
+}
+
+function closedOf(order: Order, text: string): ClosedOrder | null {
+  const last = order.events[order.events.length - 1];
+  return last ? { slot: last.slot, id: order.id, text } : null;
+}
+
+function parsedOrder(text: string): Order | null {
+  const order = parsedJson(text);
+  if (!isTable(order) || typeof order['id'] !== 'string' || !Array.isArray(order['events'])) return null;
+  for (const event of order['events']) if (!isTable(event) || !Number.isInteger(event['slot'])) return null;
+  return order as Order;
+}
+
+function isWithin(closed: ClosedOrder, slots: SlotRange): boolean {
+  return closed.slot >= slots.from && closed.slot <= slots.to;
+}
+
+export function createClosedOrders(mostBytes: number, before: SavedClosedOrders | null): ClosedOrders {
+  let list: ClosedOrder[] = before ? [...before.orders] : [];
+  let lacking = before ? before.lacking : null;
+  let length = 0;
+  for (const closed of list) length += closed.text.length;
+
+  function insert(closed: ClosedOrder): void {
+    let at = list.length;
+    while (at > 0 && compare(list[at - 1] as ClosedOrder, closed) > 0) at -= 1;
+    if (at > 0 && compare(list[at - 1] as ClosedOrder, closed) === 0) return;
+    list.splice(at, 0, closed);
+    length += closed.text.length;
+  }
+
+  /** Orders older than the oldest that has room are nobody's to ask for any more. */
+  function trim(): void {
+    let dropped = 0;
+    while (list.length - dropped > MOST_CLOSED || length > mostBytes) {
+      length -= (list[dropped] as ClosedOrder).text.length;
+      dropped += 1;
+    }
+    if (dropped === 0) return;
+    list = list.slice(dropped);
+    const oldest = list[0];
+    if (lacking && (!oldest || lacking.to < oldest.slot)) lacking = null;
+  }
+
+  function add(order: Order): void {
+    const closed = closedOf(order, JSON.stringify(order));
+    if (closed) insert(closed);
+    trim();
+  }
+  function skip(slots: SlotRange): void {
+    lacking = lacking ? { from: Math.min(lacking.from, slots.from), to: Math.max(lacking.to, slots.to) } : slots;
+  }
+  function lackingSlots(): SlotRange | null {
+    return lacking;
+  }
+
+  function fill(texts: readonly string[], whole: boolean): void {
+    const slots = lacking;
+    if (!slots) return;
+    for (const text of texts) {
+      const order = parsedOrder(text);
+      const closed = order && closedOf(order, text);
+      if (closed && isWithin(closed, slots)) insert(closed);
+    }
+    if (whole) lacking = null;
+    trim();
+  }
+
+  function page(slots: SlotRange, after: ClosedCursor | null, mostLength: number): ClosedPage {
+    const orders: string[] = [];
+    let size = 0;
+    let last: ClosedOrder | null = null;
+    const isLacking = lacking !== null && lacking.from <= slots.to && slots.from <= lacking.to;
+    for (const closed of list) {
+      if (!isWithin(closed, slots) || (after && compare(closed, after) <= 0)) continue;
+      size += closed.text.length;
+      if (last && size > mostLength) return { orders, next: { slot: last.slot, id: last.id }, lacking: isLacking };
+      orders.push(closed.text);
+      last = closed;
+    }
+    return { orders, next: null, lacking: isLacking };
+  }
+
+  function all(): Order[] {
+    const out: Order[] = [];
+    for (const closed of list) out.push(JSON.parse(closed.text) as Order);
+    return out;
+  }
+  function saved(): SavedClosedOrders {
+    return { orders: list, lacking };
+  }
+  return { add, skip, lacking: lackingSlots, fill, page, all, saved };
+}
--- a/src/state/control-state.test.ts
+++ b/src/state/control-state.test.ts
@@ -57,7 +57,6 @@
     expect(fold(b, entry({ tag: 'orderReady', order: 'o' }))).toEqual([{ tag: 'unfit', why: 'order' }]);
     fold(b, entry({ tag: 'orderPlaced', order: 'o', machine: 'm1' }, { author: 'h2', cause: 'taken' }));
     fold(b, entry({ tag: 'orderLost', order: 'o', preempted: true }));
-    expect(fold(b, entry({ tag: 'orderPlaced', order: 'o', machine: 'm2' }))).toEqual([{ tag: 'unfit', why: 'order' }]);
     expect(b.orders).toEqual({});
     expect(b.closed[0]).toMatchObject({ id: 'o', status: 'lost', machine: 'm1' });
     expect(b.closed[0]?.events.map((e) => [e.status, e.author, e.cause])).toEqual([
@@ -65,6 +64,22 @@
       ['placed', 'h2', 'taken'],
       ['lost', 'h1', 'why'],
     ]);
+    expect(fold(b, entry({ tag: 'orderPlaced', order: 'o', machine: 'm2' }))).toEqual([{ tag: 'unfit', why: 'order' }]);
+    expect([b.orders, b.departed]).toEqual([{}, ['m1']]);
+  });
+
+  test('the state names the orders that its newest slot closed, and the newest 256 machines that departed', () => {
+    const b = bootstrapped();
+    for (let n = 0; n < 300; n += 1) {
+      fold(b, entry({ tag: 'orderIntended', order: `o${n}`, model: 'm', zone: 'z', kind: 'spot', accelerator: 'any' }));
+      fold(b, entry({ tag: 'orderPlaced', order: `o${n}`, machine: `m${n}` }));
+      fold(b, entry({ tag: 'orderLost', order: `o${n}`, preempted: true }));
+      expect(b.closed.map((o) => o.id)).toEqual([`o${n}`]);
+    }
+    fold(b);
+    expect(b.closed).toEqual([]);
+    expect([b.departed.length, b.departed[0], b.departed[255]]).toEqual([256, 'm44', 'm299']);
+    expect(JSON.stringify({ ...b, operations: [] }).length).toBeLessThan(5_000);
   });
 
   test('a member is replaced only as it stands now', () => {
--- a/src/state/control-state.ts
+++ b/src/state/control-state.ts
@@ -43,7 +43,10 @@
   proxies: Record<string, KnownProxy>;
   leases: Record<string, LeaseRecord>;
   orders: Record<string, Order>;
+  /** Orders that the newest slot closed. Controllers keep them (`closed-orders.ts`); the state names them only until the next slot. */
   closed: Order[];
+  /** Machines of the orders closed last, oldest first: a proxy places nothing on them though they are still listed. */
+  departed: string[];
   zoneSets: Record<string, ZoneSets>;
   targets: Record<string, number>;
   operations: DoneOperation[];
@@ -53,7 +56,8 @@
 export const SCALER_DUTY = 'scaler';
 export const MOST_MEMBERS = 9;
 const LEAST_ODD_SHRUNK = 5;
-const CLOSED_KEPT = 2_000;
+/** Far more machines than go while the platform's list, read each second or so, still names one. */
+const DEPARTED_KEPT = 256;
 const OPERATIONS_KEPT = 1_024;
 
 export function emptyControlState(): ControlState {
@@ -70,6 +74,7 @@
     leases: {},
     orders: {},
     closed: [],
+    departed: [],
     zoneSets: {},
     targets: {},
     operations: [],
@@ -82,7 +87,8 @@
   const b = u;
   for (const key of ['slot', 'version']) if (!Number.isInteger(b[key])) return false;
   for (const key of ['ledger', 'ticketKey']) if (typeof b[key] !== 'string') return false;
-  for (const key of ['members', 'claimants', 'closed', 'operations']) if (!Array.isArray(b[key])) return false;
+  for (const key of ['members', 'claimants', 'closed', 'departed', 'operations'])
+    if (!Array.isArray(b[key])) return false;
   for (const key of ['configuration', 'evacuated', 'proxies', 'leases', 'orders', 'zoneSets', 'targets'])
     if (!isTable(b[key])) return false;
   return isOperatorHistory(b['history']);
@@ -126,7 +132,8 @@
   }
   delete b.orders[id];
   b.closed.push(moved);
-  if (b.closed.length > CLOSED_KEPT) b.closed.splice(0, b.closed.length - CLOSED_KEPT);
+  if (moved.machine !== null) b.departed.push(moved.machine);
+  if (b.departed.length > DEPARTED_KEPT) b.departed.splice(0, b.departed.length - DEPARTED_KEPT);
   return APPLIED;
 }
 
@@ -331,6 +338,7 @@
 
 export function foldBatch(b: ControlState, slot: number, batch: Batch): Outcome[] {
   const out: Outcome[] = [];
+  b.closed = [];
   for (const entry of batch.entries) out.push(foldEntry(b, slot, entry));
   b.slot = slot;
   return out;
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -118,10 +118,9 @@
 
   function takeControlState(controlState: ControlState): void {
     orders = new Map();
-    departed = new Set();
     for (const order of Object.values(controlState.orders))
       if (order.machine !== null) orders.set(order.machine, order);
-    for (const order of controlState.closed) if (order.machine !== null) departed.add(order.machine);
+    departed = new Set(controlState.departed);
     evacuated = controlState.evacuated;
     applyControlState();
   }
