--- a/src/sim/sim-disk.ts
+++ b/src/sim/sim-disk.ts
@@ -13,14 +13,27 @@
   return { files: new Map(), full: false, failing: false, lies: false };
 }
 
+/** How many bytes, from its start, of a write that was not synced are on the disk after a loss of power. */
+export type WriteFate = (bytes: number, index: number) => number;
+
+/** Each write that was not synced is lost, kept, or kept in part. */
 export function losePower(platter: Platter, world: World): void {
+  function drawn(bytes: number): number {
+    const fate = below(world.rng, 3);
+    if (fate === 0) return 0;
+    return fate === 1 ? bytes : below(world.rng, bytes + 1);
+  }
+  losePowerWith(platter, drawn);
+}
+
+/** The same with the fate of each write chosen by the test; writes are counted over all files. */
+export function losePowerWith(platter: Platter, fate: WriteFate): void {
+  let index = 0;
   for (const file of platter.files.values()) {
     const kept = Buffer.from(file.synced);
     for (const w of file.unsynced) {
-      const fate = below(world.rng, 3);
-      if (fate === 0) continue;
-      const length = fate === 1 ? w.data.length : below(world.rng, w.data.length + 1);
-      w.data.copy(kept, w.at, 0, length);
+      w.data.copy(kept, w.at, 0, fate(w.data.length, index));
+      index += 1;
     }
     file.current = kept;
     file.synced = Buffer.from(kept);
@@ -28,6 +41,41 @@
   }
 }
 
+/** A disk that takes so many writes, syncs and replacements, and then never answers again: the process stops there. */
+export function stoppingDisk(disk: Disk, operations: number): { readonly disk: Disk; readonly used: () => number } {
+  let done = 0;
+  function guarded<T>(work: () => Promise<T>): Promise<T> {
+    done += 1;
+    return done > operations ? new Promise<T>(never) : work();
+  }
+  function never(): void {}
+  async function preallocated(name: string, size: number): Promise<Result<DiskFile, DiskFault>> {
+    const opened = await disk.preallocated(name, size);
+    if (!opened.ok) return opened;
+    const file = opened.value;
+    function write(at: number, data: Buffer): Promise<Result<null, DiskFault>> {
+      function go(): Promise<Result<null, DiskFault>> {
+        return file.write(at, data);
+      }
+      return guarded(go);
+    }
+    function sync(): Promise<Result<null, DiskFault>> {
+      return guarded(file.sync);
+    }
+    return ok({ read: file.read, write, sync });
+  }
+  function replace(name: string, data: Buffer): Promise<Result<null, DiskFault>> {
+    function go(): Promise<Result<null, DiskFault>> {
+      return disk.replace(name, data);
+    }
+    return guarded(go);
+  }
+  function used(): number {
+    return Math.min(done, operations);
+  }
+  return { disk: { ...disk, preallocated, replace }, used };
+}
+
 export function loseDisk(platter: Platter): void {
   platter.files.clear();
 }
--- a/src/state/closed-orders.test.ts
+++ b/src/state/closed-orders.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
 import { createClosedOrders, MOST_CLOSED } from './closed-orders.js';
-import type { ClosedCursor } from './closed-orders.js';
+import type { ClosedCursor, SavedClosedOrders } from './closed-orders.js';
 import type { Order } from './order.js';
 
 const ROOM = 4 * 1_048_576;
@@ -43,7 +43,7 @@
     const orders = createClosedOrders(ROOM, null);
     orders.add(closed(3, 'c'));
     orders.skip({ from: 4, to: 9 });
-    const again = createClosedOrders(ROOM, JSON.parse(JSON.stringify(orders.saved())));
+    const again = createClosedOrders(ROOM, JSON.parse(JSON.stringify(orders.saved())) as SavedClosedOrders);
     expect([again.all(), again.lacking()]).toEqual([[closed(3, 'c')], { from: 4, to: 9 }]);
   });
 
--- a/src/transport/ring.ts
+++ b/src/transport/ring.ts
@@ -18,6 +18,21 @@
   | { readonly tag: 'ringBroken' }
   | { readonly tag: 'recordTooLarge'; readonly bytes: number };
 
+/**
+ * A fixed number of preallocated files with checksummed records, and two preallocated areas for
+ * snapshots, which are written in turn. Nothing that was answered with success is lost with the
+ * power, and nothing is read back that was not written. What holds at any moment:
+ *
+ * - Records and snapshots share one sequence of numbers without gaps. A snapshot takes a number of its
+ *   own, so records written after it can't follow on records before it if the snapshot is unreadable.
+ * - Each time a file is begun it gets the next generation. A snapshot covers all generations up to its
+ *   own; a file is begun again only once a synced snapshot covers what it holds.
+ * - While a snapshot is written the other area holds the last one, and all files since are untouched: one
+ *   that is torn costs nothing.
+ * - Only the newest batch can be torn. It is cut on opening; a gap anywhere else is damage (`ringDamaged`).
+ * - After a write or a sync that failed it is unknown what the disk holds, so nothing more is taken until
+ *   the ring is opened again.
+ */
 export type Ring = {
   readonly append: (records: readonly Buffer[]) => Promise<Result<null, RingFault>>;
   readonly compact: (snapshot: Buffer) => Promise<Result<null, RingFault>>;
@@ -249,13 +264,13 @@
     if (HEAD + snapshot.length > shape.snapshotBytes) return err({ tag: 'recordTooLarge', bytes: snapshot.length });
     const to = 1 - area;
     const file = areas[to] as DiskFile;
-    const wrote = await file.write(0, packed(gen, seq, 0, snapshot));
-    if (!wrote.ok) return wrote;
-    const synced = await file.sync();
+    const wrote = await file.write(0, packed(gen, seq + 1, 0, snapshot));
+    const synced = wrote.ok ? await file.sync() : wrote;
     if (!synced.ok) {
       broken = true;
       return synced;
     }
+    seq += 1;
     area = to;
     oldest = gen + 1;
     at = shape.fileBytes;
