--- a/src/state/attempt-budget.ts
+++ b/src/state/attempt-budget.ts
@@ -1,3 +1,10 @@
+/**
+ * Bounds further attempts of opaque requests by the platform's rule: a share of the first ones
+ * of the last window plus a slack, which all proxies share. Stays a little below the bound,
+ * as the others are counted elsewhere.
+ */
+
+/** Counts first attempts, and takes or gives back further ones; `sharers` tells how many proxies share the slack. */
 export type AttemptBudget = {
   readonly arrived: (model: string, now: number) => void;
   readonly may: (model: string, now: number) => boolean;
@@ -8,10 +15,12 @@
   readonly sharers: (n: number) => void;
 };
 
+/** The rule: share, slack and window. */
 export type BudgetBounds = { readonly ratio: number; readonly slack: number; readonly windowMs: number };
 
 const GUARD = 0.85;
 
+/** No attempts yet. */
 export function createAttemptBudget(bounds: BudgetBounds): AttemptBudget {
   const first = new Map<string, number[]>();
   const further = new Map<string, number[]>();
--- a/src/state/health.ts
+++ b/src/state/health.ts
@@ -1,8 +1,11 @@
+/** What a worker tells of its health when it is probed. */
+
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 
 const Id = Type.String({ minLength: 1, maxLength: 256 });
 
+/** A health report; a new incarnation means that the worker restarted and holds nothing. */
 export const HealthShape = Type.Object({
   id: Id,
   incarnation: Id,
@@ -12,4 +15,5 @@
   running: Type.Integer({ minimum: 0 }),
   readyForMs: Type.Number({ minimum: 0 }),
 });
+/** A checked report. */
 export type Health = Static<typeof HealthShape>;
--- a/src/state/hour-ranges.ts
+++ b/src/state/hour-ranges.ts
@@ -1,5 +1,12 @@
+/**
+ * A small set of ranges of hours, for what claims were forgotten. Ranges near each other are
+ * joined, and the oldest ones when there are too many: the set may grow by that, never shrink.
+ */
+
+/** First and last hour of a range, both included. */
 export type HourRange = readonly [number, number];
 
+/** Adds ranges and tells what they cover. */
 export type HourRanges = {
   readonly has: (hour: number) => boolean;
   readonly add: (range: HourRange) => void;
@@ -9,6 +16,7 @@
 const GAP = 3;
 const MOST = 500;
 
+/** An empty set. */
 export function createHourRanges(): HourRanges {
   let ranges: HourRange[] = [];
 
--- a/src/state/indices.ts
+++ b/src/state/indices.ts
@@ -1,3 +1,9 @@
+/**
+ * Numbers for names, given in the order of first use and never taken back, so that tables can
+ * be arrays.
+ */
+
+/** `of` gives a new name a number; `find` does not. */
 export type Indices = {
   readonly of: (name: string) => number;
   readonly find: (name: string) => number | null;
@@ -5,6 +11,7 @@
   readonly size: () => number;
 };
 
+/** No names yet. */
 export function createIndices(): Indices {
   const byName = new Map<string, number>();
   const names: string[] = [];
--- a/src/state/line-pace.ts
+++ b/src/state/line-pace.ts
@@ -1,3 +1,9 @@
+/**
+ * How fast a queue moves, by when places in it lately became free. Used to tell callers early
+ * that they would wait too long.
+ */
+
+/** Notes each place that became free, and expects the wait behind `ahead` others. */
 export type LinePace = {
   readonly note: (now: number) => void;
   readonly expectedWaitMs: (ahead: number, now: number) => number | null;
@@ -7,6 +13,7 @@
 const ENOUGH = 8;
 const FRESH_MS = 10_000;
 
+/** Expects nothing (null) before eight places became free within ten seconds. */
 export function createLinePace(): LinePace {
   let seats: number[] = [];
 
--- a/src/state/members.ts
+++ b/src/state/members.ts
@@ -1,16 +1,25 @@
+/**
+ * The membership table and its merging, as in SWIM: news of a higher incarnation wins, within
+ * one the graver status does, and a node refutes news of its own death by a new incarnation.
+ */
+
 import type { NodeInfo, NodeNews } from './node-info.js';
 
+/** What is known of each node, by name. */
 export type Members = Map<string, NodeInfo>;
 
 const RANK = { alive: 0, suspect: 1, dead: 2, left: 3 } as const;
 
+/** Whether news replaces what is held. */
 export function overrides(news: NodeInfo, held: NodeInfo): boolean {
   if (news.incarnation !== held.incarnation) return news.incarnation > held.incarnation;
   return RANK[news.status] > RANK[held.status];
 }
 
+/** What news did to the table; `refuted` means that the own incarnation was raised. */
 export type MemberStep = { readonly changed: boolean; readonly refuted: boolean };
 
+/** Takes one piece of news into the table. */
 export function mergeNode(members: Members, self: string, news: NodeInfo): MemberStep {
   const held = members.get(news.name);
   if (news.name === self) {
@@ -26,16 +35,19 @@
   return { changed: true, refuted: false };
 }
 
+/** News completed by what is held, or null if it names an unknown node briefly. */
 export function wholeNews(members: Members, self: string, news: NodeInfo | NodeNews): NodeInfo | null {
   if ('address' in news) return news;
   const held = members.get(news.name);
   return held && (held.run === news.run || news.name === self) ? { ...held, ...news } : null;
 }
 
+/** News without what seldom changes. */
 export function briefNews(node: NodeInfo): NodeNews {
   return { name: node.name, run: node.run, incarnation: node.incarnation, status: node.status };
 }
 
+/** A sum over the live nodes, by which two tables are compared. */
 export function sumOf(members: Members): number {
   let sum = 0;
   for (const n of members.values()) if (isUp(n)) sum = (sum + mark(`${n.name} ${n.run} ${n.incarnation}`)) >>> 0;
@@ -47,6 +59,7 @@
   return h >>> 0;
 }
 
+/** Whether a node is taken to be there. */
 export function isUp(node: NodeInfo): boolean {
   return node.status === 'alive' || node.status === 'suspect';
 }
--- a/src/state/prefix-cache.ts
+++ b/src/state/prefix-cache.ts
@@ -1,11 +1,16 @@
+/** What a worker is thought to hold of prompts, by size, the least lately used going first. */
+
+/** A part of a prompt and its length in tokens. */
 export type Part = { readonly id: string; readonly tokens: number };
 
+/** Tells how many leading tokens are known, and notes what was run. */
 export type PrefixCache = {
   readonly known: (parts: readonly Part[]) => number;
   readonly note: (parts: readonly Part[]) => void;
   readonly clear: () => void;
 };
 
+/** An empty cache that holds at most `most` tokens. */
 export function createPrefixCache(most: number): PrefixCache {
   const kept = new Map<string, number>();
   let sum = 0;
--- a/src/state/prefix-table.ts
+++ b/src/state/prefix-table.ts
@@ -1,5 +1,11 @@
+/**
+ * Which workers lately ran which beginnings of prompts, for all models of a proxy. Bounded: the
+ * least lately learned beginnings are forgotten, and each names at most four workers.
+ */
+
 import { LRUMap } from 'mnemonist';
 
+/** Learns from runs; tells a worker's known parts and who holds the longest beginning; forgets a worker that lost its memory. */
 export type PrefixTable = {
   readonly learn: (model: number, parts: readonly string[], worker: number) => void;
   readonly knownParts: (model: number, parts: readonly string[], worker: number) => number;
@@ -10,6 +16,7 @@
 const CHAINS = 65_536;
 const HOLDERS = 4;
 
+/** An empty table. */
 export function createPrefixTable(): PrefixTable {
   const holders = new LRUMap<string, readonly number[]>(CHAINS);
   const life = new Map<number, number>();
--- a/src/state/rate-guard.ts
+++ b/src/state/rate-guard.ts
@@ -1,5 +1,12 @@
+/**
+ * Bounds how many starts a sliding window of time may hold. Used where a cold worker takes only
+ * so many requests a second.
+ */
+
+/** `room` asks whether one more fits, `take` counts it. */
 export type RateGuard = { readonly room: (now: number, most: number) => boolean; readonly take: (now: number) => void };
 
+/** A window of `windowMs` without starts. */
 export function createRateGuard(windowMs: number): RateGuard {
   let at: number[] = [];
   function room(now: number, most: number): boolean {
--- a/src/state/rates.ts
+++ b/src/state/rates.ts
@@ -1,9 +1,15 @@
+/**
+ * Request rates of each model over windows of time, from the running totals that proxies
+ * report. A proxy that restarts counts from zero again and is not counted twice.
+ */
+
 import type { Report } from './report.js';
 import type { Rate } from './target.js';
 
 type Sample = { readonly at: number; readonly totals: Readonly<Record<string, number>>; readonly whole: boolean };
 type Seen = { readonly incarnation: number; readonly last: Readonly<Record<string, number>> };
 
+/** Takes all reports at a moment, and tells rates per second; null before a whole window was seen. */
 export type RateWindow = {
   readonly observe: (at: number, reports: Iterable<Report>, whole: boolean) => void;
   readonly rate: (model: string, windowMs: number) => Rate | null;
@@ -12,6 +18,7 @@
 
 const KEPT_MS = 3_660_000;
 
+/** No samples yet; an hour of them is kept. */
 export function createRateWindow(): RateWindow {
   let samples: Sample[] = [];
   let seen = new Map<string, Seen>();
--- a/src/state/report.ts
+++ b/src/state/report.ts
@@ -1,9 +1,15 @@
+/**
+ * The shape of reports: what a proxy tells the controllers of itself and of the workers it
+ * probes. Sent whole or as the difference to the last one taken; see `reports.ts`.
+ */
+
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 
 const Str = Type.String({ minLength: 1, maxLength: 256 });
 const Slot = Type.Integer({ minimum: -1 });
 
+/** A report; with `since` it is the difference to the report of that count. */
 export const ReportShape = Type.Object({
   reporter: Str,
   run: Str,
@@ -25,4 +31,5 @@
   region: Str,
 });
 
+/** A checked report. */
 export type Report = Static<typeof ReportShape>;
--- a/src/state/reports.ts
+++ b/src/state/reports.ts
@@ -1,14 +1,24 @@
+/**
+ * The newest report of each proxy, merged from whole ones and differences. A difference counts
+ * only on exactly the report that it was made from; anything else is a gap, and the whole
+ * report is asked for.
+ */
+
 import type { Report } from './report.js';
 
+/** The newest report by reporter. */
 export type Reports = Map<string, Report>;
 
+/** What became of a report. */
 export type ReportStep = 'merged' | 'old' | 'gap';
 
+/** Whether `a` is of a later life, or later in the same life. */
 export function newer(a: Report, b: Report): boolean {
   if (a.incarnation !== b.incarnation) return a.incarnation > b.incarnation;
   return a.count > b.count;
 }
 
+/** Takes a report into the table. */
 export function mergeReport(table: Reports, report: Report): ReportStep {
   const have = table.get(report.reporter);
   if (have && !newer(report, have)) return 'old';
@@ -32,6 +42,7 @@
   return out;
 }
 
+/** The report as the difference to one already told; the whole one where there is none to build on. */
 export function differenceTo(told: Report | undefined, now: Report): Report {
   if (!told || told.run !== now.run || told.incarnation !== now.incarnation || told.count >= now.count) return now;
   const health: Report['health'] = {};
--- a/src/state/retry-budget.ts
+++ b/src/state/retry-budget.ts
@@ -1,3 +1,9 @@
+/**
+ * A token bucket for retries: each first attempt earns a share of one, each retry spends a
+ * whole one, so that retries stay a fixed share of traffic however much fails.
+ */
+
+/** Earns, spends and tells the tokens. */
 export type RetryBudget = {
   readonly noteAttempt: (share: number) => void;
   readonly spend: () => boolean;
@@ -6,6 +12,7 @@
 
 const MOST_TOKENS = 10;
 
+/** An empty bucket that holds at most ten. */
 export function createRetryBudget(): RetryBudget {
   let tokens = 0;
   function noteAttempt(share: number): void {
--- a/src/state/route-table.ts
+++ b/src/state/route-table.ts
@@ -1,13 +1,21 @@
+/**
+ * Routes of opaque requests: the route of a host with the longest path prefix that fits. Built
+ * anew from each served configuration.
+ */
+
 import type { RouteMapping, ModelTraits, Serving } from './serving.js';
 
+/** A route by its name. */
 export type MatchedRoute = { readonly name: string; readonly mapping: RouteMapping };
 
+/** Finds routes, and the traits of models. */
 export type RouteTable = {
   readonly serving: Serving;
   readonly match: (host: string, path: string) => MatchedRoute | null;
   readonly traits: (model: string) => ModelTraits | null;
 };
 
+/** The table of one configuration. */
 export function createRouteTable(serving: Serving): RouteTable {
   const hosts = new Map<string, Map<string, MatchedRoute>>();
   for (const [name, mapping] of Object.entries(serving.mappings)) {
--- a/src/state/run-counts.ts
+++ b/src/state/run-counts.ts
@@ -1,3 +1,9 @@
+/**
+ * Counts of runs and of bad ones over about the last `spanMs`, in two half-spans. Used to
+ * judge workers that answer but spoil what they answer.
+ */
+
+/** Notes runs and tells recent counts. */
 export type RunCounts = {
   readonly note: (now: number, bad: boolean) => void;
   readonly bad: (now: number) => number;
@@ -6,6 +12,7 @@
 
 type Bucket = { at: number; bad: number; ran: number };
 
+/** No runs yet. */
 export function createRunCounts(spanMs: number): RunCounts {
   const half = spanMs / 2;
   let now0: Bucket = { at: 0, bad: 0, ran: 0 };
--- a/src/state/seal.ts
+++ b/src/state/seal.ts
@@ -1,3 +1,9 @@
+/**
+ * Seals over answers: a running digest of the pieces, closed with the ids of request and
+ * attempt. Workers make them; proxies and clients check them, so that an answer that is cut,
+ * reordered or another request's is never taken for whole.
+ */
+
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 import { createHash } from 'node:crypto';
@@ -5,19 +11,25 @@
 
 const Id = Type.String({ minLength: 1, maxLength: 256 });
 
+/** A seal as workers send it. */
 export const SealShape = Type.Object({
   requestId: Id,
   attemptId: Id,
   pieces: Type.Integer({ minimum: 0 }),
   digest: Type.String(),
 });
+/** A checked seal. */
 export type Seal = Static<typeof SealShape>;
 
+/** A numbered piece of an answer. */
 export const PieceShape = Type.Object({ n: Type.Integer({ minimum: 0 }), text: Type.String() });
+/** A checked piece. */
 export type Piece = Static<typeof PieceShape>;
 
+/** What a check found wrong. */
 export type SealFault = 'foreign' | 'pieceOutOfTurn' | 'pieceCount' | 'digest';
 
+/** A digest under way. `attemptId` is null where the checker does not know the attempt. */
 export type SealCheck = {
   readonly requestId: string;
   readonly attemptId: string | null;
@@ -25,10 +37,12 @@
   readonly hash: Hash;
 };
 
+/** Begins the digest of one answer. */
 export function startSeal(requestId: string, attemptId: string | null): SealCheck {
   return { requestId, attemptId, pieces: 0, hash: createHash('sha256') };
 }
 
+/** Takes the next piece; a fault if it is out of turn. */
 export function addPiece(check: SealCheck, piece: Piece): SealFault | null {
   if (piece.n !== check.pieces) return 'pieceOutOfTurn';
   check.pieces += 1;
@@ -40,10 +54,12 @@
   return check.hash.copy().update(`|${check.requestId}|${attemptId}|${check.pieces}`).digest('hex');
 }
 
+/** The seal over the pieces taken so far. */
 export function closeSeal(check: SealCheck, attemptId: string): Seal {
   return { requestId: check.requestId, attemptId, pieces: check.pieces, digest: ending(check, attemptId) };
 }
 
+/** Null if the seal fits the pieces taken so far, else what does not. */
 export function checkSeal(check: SealCheck, seal: Seal): SealFault | null {
   if (seal.requestId !== check.requestId) return 'foreign';
   if (check.attemptId !== null && seal.attemptId !== check.attemptId) return 'foreign';
--- a/src/state/serving-order.ts
+++ b/src/state/serving-order.ts
@@ -1,3 +1,9 @@
+/**
+ * Keeps the order in which an operator listed routes and models through the agreed state,
+ * whose tables have none: each item bears a number. Numbers are given with gaps, so that an
+ * insertion changes few of them.
+ */
+
 import type { Serving } from './serving.js';
 
 type Placed = { readonly at: number };
@@ -25,6 +31,7 @@
   return out;
 }
 
+/** The new configuration with the numbers of the old one wherever their order still holds. */
 export function withKeptOrder(before: Serving, after: Serving): Serving {
   return { ...after, mappings: placed(before.mappings, after.mappings), models: placed(before.models, after.models) };
 }
--- a/src/state/serving.ts
+++ b/src/state/serving.ts
@@ -1,7 +1,16 @@
+/**
+ * Types of the served configuration: routes, models and limits of opaque requests. Checked by
+ * `protocol/serving.ts`; the adapter of a platform translates its documents to these. `extra`
+ * keeps fields that the platform may add, to be told back.
+ */
+
+/** Whether requests of a route may be repeated, run once, or stream. */
 export type RouteKind = 'repeatable' | 'once' | 'stream';
 
+/** The share of a route's requests that a model takes; shares need not add up to 1. */
 export type Share = { readonly model: string; readonly share: number };
 
+/** A route: what it fits, what it allows, and where it leads. `attempts` counts the first one; `homes` are the regions its requests stay in, all if empty. */
 export type RouteMapping = {
   readonly at: number;
   readonly host: string;
@@ -20,12 +29,14 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
+/** The engine of a model: requests in one batch, tokens of KV cache. */
 export type EngineTraits = {
   readonly batch: number;
   readonly kvTokens: number;
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
+/** A model: how its workers are probed, their connections at most, and how they warm up. */
 export type ModelTraits = {
   readonly at: number;
   readonly probePath: string;
@@ -36,6 +47,7 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
+/** Bounds on what callers may send. */
 export type CallerLimits = {
   readonly headerBytes: number;
   readonly bodyBytes: number;
@@ -44,6 +56,7 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
+/** All that is served, by the operator's own number. */
 export type Serving = {
   readonly number: number;
   readonly mappings: Readonly<Record<string, RouteMapping>>;
@@ -52,6 +65,7 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 };
 
+/** Limits before any configuration was submitted. */
 export const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384,
   bodyBytes: 4_194_304,
@@ -59,4 +73,5 @@
   idleMs: 15_000,
 };
 
+/** Before any configuration was submitted: nothing is served. */
 export const EMPTY_SERVING: Serving = { number: 0, mappings: {}, models: {}, limits: DEFAULT_LIMITS };
--- a/src/state/shared-time.ts
+++ b/src/state/shared-time.ts
@@ -1,9 +1,16 @@
+/**
+ * Wall time that nodes agree on well enough to compare: the lower median of what the others
+ * tell, carried on by the own monotonic clock, so that one wrong wall clock moves nobody.
+ */
+
+/** Hears others' wall clocks and tells the shared time, in Unix milliseconds. */
 export type SharedTime = {
   readonly hear: (from: string, wall: number, mono: number) => void;
   readonly keepOnly: (names: ReadonlySet<string>) => void;
   readonly now: (mono: number, ownWall: number) => number;
 };
 
+/** Knows nobody yet; until then the own wall clock is told. */
 export function createSharedTime(): SharedTime {
   const offsets = new Map<string, number>();
 
--- a/src/state/ticket.ts
+++ b/src/state/ticket.ts
@@ -1,12 +1,19 @@
+/**
+ * Tickets: a proxy's signed promise of a place, taken once and only by the process that it
+ * names. Signed with the key of the ledger, so any proxy can tell a forged one.
+ */
+
 import { hmac, sameText } from '../base/digest.js';
 import { parsedJson } from '../base/parsed-json.js';
 
+/** What the place was asked for; the homes are weighed by it anew when the request comes. */
 export type Bound = {
   readonly mapping: string | null;
   readonly kind: string | null;
   readonly asked: readonly string[] | null;
 };
 
+/** The contents of a ticket; `expiresAt` is in shared time, Unix milliseconds. */
 export type Ticket = {
   readonly id: string;
   readonly requestId: string;
@@ -18,13 +25,16 @@
   readonly expiresAt: number;
 };
 
+/** Why a ticket is not taken. */
 export type TicketFault = 'ticketForeign' | 'ticketUsed' | 'ticketExpired';
 
+/** The text of a ticket, signed. */
 export function signTicket(ticket: Ticket, key: string): string {
   const body = Buffer.from(JSON.stringify(ticket)).toString('base64url');
   return `${body}.${hmac(key, body)}`;
 }
 
+/** The ticket in a text, or why it is not taken here and now. */
 export function readTicket(text: string, key: string, proxy: string, now: number): Ticket | TicketFault {
   const dot = text.indexOf('.');
   if (key === '' || dot <= 0 || !sameText(text.slice(dot + 1), hmac(key, text.slice(0, dot)))) return 'ticketForeign';
@@ -33,10 +43,12 @@
   return now > ticket.expiresAt ? 'ticketExpired' : ticket;
 }
 
+/** Tickets that were used; `burn` is false for one used before. */
 export type BurntTickets = { readonly burn: (ticket: Ticket, mono: number) => boolean; readonly size: () => number };
 
 const BURNT_KEPT_MS = 600_000;
 
+/** An empty record; it forgets a ticket after ten minutes, long past its life. */
 export function createBurntTickets(): BurntTickets {
   const burnt = new Map<string, number>();
   function burn(ticket: Ticket, mono: number): boolean {
--- a/src/state/zone-sets.ts
+++ b/src/state/zone-sets.ts
@@ -1,9 +1,18 @@
+/**
+ * Zones that spot machines are ordered in, parted as in SkyServe (docs/skyserve.md): active
+ * ones, and those where machines were lately taken back. Pure steps; the sets are folded from
+ * the ledger.
+ */
+
+/** The two sets; together they are all zones. */
 export type ZoneSets = { readonly active: readonly string[]; readonly preemptive: readonly string[] };
 
+/** All zones active. */
 export function initialZones(zones: readonly string[]): ZoneSets {
   return { active: [...zones], preemptive: [] };
 }
 
+/** The sets after the zones of the configuration changed. */
 export function alignZones(sets: ZoneSets, zones: readonly string[]): ZoneSets {
   const preemptive = zones.filter(inPreemptive);
   function inPreemptive(z: string): boolean {
@@ -27,6 +36,7 @@
   return xs.filter(differs);
 }
 
+/** After a machine was taken back in a zone. With fewer than two active zones all become active again. */
 export function handlePreemption(sets: ZoneSets, zone: string): ZoneSets {
   const moved = sets.active.includes(zone)
     ? { active: without(sets.active, zone), preemptive: [...sets.preemptive, zone] }
@@ -34,13 +44,16 @@
   return refilled(moved);
 }
 
+/** After a machine became ready in a zone. */
 export function handleLaunch(sets: ZoneSets, zone: string): ZoneSets {
   if (!sets.preemptive.includes(zone)) return sets;
   return { active: [...sets.active, zone], preemptive: without(sets.preemptive, zone) };
 }
 
+/** The price of a spot machine in a zone. */
 export type PriceOf = (zone: string) => number;
 
+/** The cheapest of the zones; the first in `order` among equals. */
 export function cheapest(zones: readonly string[], order: readonly string[], priceOf: PriceOf): string | null {
   let best: string | null = null;
   for (const z of order) {
@@ -50,6 +63,7 @@
   return best;
 }
 
+/** Where to order next: the cheapest active zone without a machine, else the cheapest active one. */
 export function selectNextZone(
   sets: ZoneSets,
   order: readonly string[],
@@ -62,6 +76,7 @@
   return cheapest(sets.active.filter(isFree), order, priceOf) ?? cheapest(sets.active, order, priceOf);
 }
 
+/** Whether two pairs of sets are equal. */
 export function sameZones(a: ZoneSets, b: ZoneSets): boolean {
   return a.active.join() === b.active.join() && a.preemptive.join() === b.preemptive.join();
 }
--- a/tools/lint/documented.mjs
+++ b/tools/lint/documented.mjs
@@ -6,4 +6,7 @@
   'src/base/**/*.ts',
   'src/protocol/{aims,caller-wire,cloud-wire,codecs,configuration,open-words,platform-wire,read-shape,serving,worker-wire}.ts',
   'src/transport/{clock,close-server,disk,http-client,http-server,http,journal,line-log,log,meters,rng,switch-file,wire}.ts',
+  'src/state/{acceptor,attempt-budget,ballot,claim,health,hour-ranges,indices,lease-book,line-pace,listed,members,mixture}.ts',
+  'src/state/{order,prefix-cache,prefix-table,rate-guard,rates,report,reports,retry-budget,route-table,run-counts}.ts',
+  'src/state/{run-key,seal,serving,serving-order,shared-time,target,ticket,worker-entry,zone-sets}.ts',
 ];
