A joiner that ends while its joining is agreed keeps its identity

Cause: a controller that knew a ledger at its start and did not find itself among the members took a new identity. One that had only caught up, and whose own joining was being agreed when it ended, threw away the identity that the group then counted: four members of which one never votes, and the next loss stopped the group for good.

Ruled out: joining again under the old identity whenever it is not a member; one that was a member and was left out must not return under it, since others may hold what they know of it.

Change: the disk holds whether the identity was a member (identity.json, by a module of its own); only one that was takes a new one. A file of an older version does not tell, and is read as before.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,18 +1,17 @@
-import { isTable } from '../base/is-table.js';
-import { parsedJson } from '../base/parsed-json.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type { NodeInfo } from '../state/node-info.js';
 import { memberId, SCALER_DUTY } from '../state/control-state.js';
-import type { Disk, DiskFault } from '../transport/disk.js';
+import type { Disk } from '../transport/disk.js';
 import type { RingFault, RingShape } from '../transport/ring.js';
 import { newId } from '../transport/rng.js';
-import type { Rng } from '../transport/rng.js';
 import type { Route } from '../transport/http.js';
 import type { Address, Listener, WireFault } from '../transport/wire.js';
 import { createAimKeeper } from './ledger/aim-keeper.js';
 import { createClaims, noClaims } from './ledger/claims.js';
 import { createCloudClient, createPlatformClient } from './scaling/cloud-client.js';
+import { openIdentity, saveIdentity } from './ledger/identity.js';
+import type { Identity, IdentityFault } from './ledger/identity.js';
 import { createLease } from './ledger/lease.js';
 import type { Lease } from './ledger/lease.js';
 import { nextLife } from './ledger/life.js';
@@ -48,43 +47,7 @@
   readonly stop: () => Promise<void>;
 };
 
-export type ControllerFault =
-  WireFault | RingFault | { readonly tag: 'noDisk' } | { readonly tag: 'identityUnreadable' };
-
-const IDENTITY_FILE = 'identity.json';
-
-type Identity = { readonly incarnation: string; readonly bootstrapMembers: readonly Address[] | null };
-
-async function identityOf(
-  id: NodeIdentity,
-  disk: Disk,
-  rng: Rng,
-): Promise<Result<Identity, DiskFault | { readonly tag: 'identityUnreadable' }>> {
-  const kept = await disk.load(IDENTITY_FILE);
-  if (!kept.ok) return kept;
-  if (kept.value) {
-    const read = parsedIdentity(kept.value.toString());
-    return read === null ? err({ tag: 'identityUnreadable' }) : ok(read);
-  }
-  const bootstraps = id.bootstrap === true && id.seeds.includes(id.advertised);
-  const made: Identity = { incarnation: newId(rng, 'i'), bootstrapMembers: bootstraps ? id.seeds : null };
-  const saved = await saveIdentity(disk, made);
-  return saved.ok ? ok(made) : saved;
-}
-
-function saveIdentity(disk: Disk, identity: Identity): Promise<Result<null, DiskFault>> {
-  return disk.replace(IDENTITY_FILE, Buffer.from(JSON.stringify(identity)));
-}
-
-function parsedIdentity(text: string): Identity | null {
-  const v = parsedJson(text);
-  if (!isTable(v) || typeof v['incarnation'] !== 'string' || v['incarnation'] === '') return null;
-  const bootstrapMembers = v['bootstrapMembers'];
-  return {
-    incarnation: v['incarnation'],
-    bootstrapMembers: Array.isArray(bootstrapMembers) ? bootstrapMembers.map(String) : null,
-  };
-}
+export type ControllerFault = WireFault | RingFault | { readonly tag: 'noDisk' } | IdentityFault;
 
 export type ControllerShapes = { readonly ledger: RingShape; readonly claims: RingShape };
 
@@ -112,9 +75,10 @@
   const log = logs.part('controller');
   if (!disk) return err({ tag: 'noDisk' });
   const shapes = given ?? (id.diskBytes === undefined ? CONTROLLER_SHAPES : shapesFor(id.diskBytes));
-  const identity = await identityOf(id, disk, rng);
+  const bootstraps = id.bootstrap === true && id.seeds.includes(id.advertised);
+  const identity = await openIdentity(disk, rng, bootstraps ? id.seeds : null);
   if (!identity.ok) return identity;
-  const { incarnation, bootstrapMembers } = identity.value;
+  const { incarnation, bootstrapMembers, wasMember } = identity.value;
   const self: { name: string; incarnation: string; address: Address } = {
     name: id.name,
     incarnation,
@@ -133,12 +97,20 @@
     status: 'alive',
   };
 
-  async function renew(): Promise<boolean> {
-    const next = newId(rng, 'i');
-    const saved = await saveIdentity(disk as Disk, { incarnation: next, bootstrapMembers: null });
-    if (saved.ok) self.incarnation = next;
+  let kept = identity.value;
+  async function keep(next: Identity): Promise<boolean> {
+    const saved = await saveIdentity(disk as Disk, next);
+    if (saved.ok) kept = next;
     return saved.ok;
   }
+  async function renew(): Promise<boolean> {
+    const renewed = await keep({ incarnation: newId(rng, 'i'), bootstrapMembers: null, wasMember: false });
+    self.incarnation = kept.incarnation;
+    return renewed;
+  }
+  function noteMember(): Promise<boolean> {
+    return keep({ ...kept, wasMember: true });
+  }
   let nodes: Membership | null = null;
   function knownControllers(): Set<Address> {
     const out = new Set<Address>(id.seeds);
@@ -156,6 +128,8 @@
     contacts: knownControllers,
     bootstrapMembers,
     renew,
+    wasMember,
+    noteMember,
     keepsClaims: id.claims !== false,
   });
   if (!made.ok) return made;
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -77,6 +77,8 @@
   readonly bootstrapMembers: readonly Address[] | null;
   readonly renew: () => Promise<boolean>;
   readonly keepsClaims: boolean;
+  readonly wasMember: boolean | null;
+  readonly noteMember: () => Promise<boolean>;
 };
 
 const VOTE_WAIT_MS = 1_000;
@@ -451,6 +453,8 @@
     settle,
     catchUp,
     renew: deps.renew,
+    wasMember: deps.wasMember,
+    noteMember: deps.noteMember,
     mayShrinkOdd: !deps.keepsClaims,
   });
   function ledgerName(): string {
--- a/src/coordination/ledger/membership-changes.test.ts
+++ b/src/coordination/ledger/membership-changes.test.ts
@@ -115,6 +115,30 @@
     },
   );
 
+  test.each(SEEDS)(
+    'one that ends after it caught up, while its joining is agreed, keeps its identity (seed %i)',
+    async (seed) => {
+      const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
+      await ordered(core, 'h1', 'a');
+      core.add('h4');
+      core.start('h4');
+      expect(await core.until(4_000, () => core.members('h4').length === 3)).toBe(true);
+      await core.world.advance(60);
+      expect(core.members('h1')).toEqual(['h1', 'h2', 'h3']);
+      const before = identity(core, 'h4');
+      if (seed % 2 === 0) core.kill('h4');
+      else core.powerLoss('h4');
+      core.start('h4');
+      expect(await core.until(5_000, () => core.whole(['h1', 'h2', 'h3', 'h4']))).toBe(true);
+      expect(identity(core, 'h4')).toBe(before);
+      core.powerLoss('h2');
+      await core.world.advance(100);
+      await ordered(core, 'h1', 'b');
+      expect(await core.evacuatedAt('h4')).toEqual(['a', 'b']);
+      expect(core.broken).toEqual([]);
+    },
+  );
+
   test.each(SEEDS)('a joiner has no vote before it has learned that it is a member (seed %i)', async (seed) => {
     const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
     await ordered(core, 'h1', 'a');
--- a/src/coordination/ledger/membership-changes.ts
+++ b/src/coordination/ledger/membership-changes.ts
@@ -27,8 +27,13 @@
   readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
   readonly settle: (waitMs: number) => Promise<boolean>;
   readonly catchUp: (from: Address) => Promise<void>;
+  /** Takes a new identity, and keeps it on the disk. */
   readonly renew: () => Promise<boolean>;
   readonly mayShrinkOdd: boolean;
+  /** Whether the disk tells that this identity was a member before; null if it does not tell. */
+  readonly wasMember: boolean | null;
+  /** Keeps on the disk that this identity is a member. */
+  readonly noteMember: () => Promise<boolean>;
 };
 
 const ASK_MS = 600;
@@ -42,7 +47,9 @@
 
 export function createMembershipChanges(deps: MembershipChangesDeps): MembershipChanges {
   const { clock, rng, peers, log, self, controlState, memberStatuses, propose } = deps;
-  let former = controlState().ledger !== '';
+  // To know a ledger is not to have been a member of it: one that ended while its joining was agreed must keep its identity.
+  let former = deps.wasMember ?? controlState().ledger !== '';
+  let isNoted = deps.wasMember === true;
 
   function held(): Member | null {
     for (const m of controlState().members) if (memberId(m) === memberId(self)) return m;
@@ -134,6 +141,7 @@
     if (former && !held()) {
       if (!(await deps.renew())) return;
       former = false;
+      isNoted = false;
       log.info(`No longer a member; joins anew as ${memberId(self)}.`);
     }
     const addresses: Address[] = [];
@@ -194,6 +202,7 @@
   async function turn(): Promise<void> {
     const mine = held();
     if (mine) former = true;
+    if (mine && !isNoted) isNoted = await deps.noteMember();
     if (mine && mine.address !== self.address && (await deps.settle(AGREE_MS)) && held()) await tellOwnAddress();
     if (held()?.address === self.address && inTouch()) await shedDead();
     else await seek();
