--- a/src/sim/racing-day.test.ts
+++ b/src/sim/racing-day.test.ts
@@ -13,6 +13,7 @@
     expect(end.violation).toBeNull();
     expect(end.broken).toEqual([]);
     expect(end.confirmed).toBeGreaterThan(100);
+    expect(end.zoneOrders).toBeGreaterThan(10);
   },
 );
 
--- a/src/sim/racing-day.ts
+++ b/src/sim/racing-day.ts
@@ -17,6 +17,7 @@
 import type { CallHistory } from './call-history.js';
 import type { ChangeAnswer, LinearizabilityViolation } from './linearizability.js';
 import { strikeCore } from './racing-troubles.js';
+import { operateZone } from './racing-zones.js';
 import { sabotageLedger } from './sabotage.js';
 import type { LedgerSabotage } from './sabotage.js';
 import { createSimCore } from './sim-core.js';
@@ -33,6 +34,7 @@
   readonly troubles: readonly string[];
   readonly calls: number;
   readonly confirmed: number;
+  readonly zoneOrders: number;
   readonly violation: LinearizabilityViolation | null;
   readonly broken: readonly string[];
 };
@@ -43,6 +45,7 @@
 /** Share of sendings that are given up much sooner: their answer is lost. */
 const LOST_SHARE = 0.15;
 const MAX_SENDINGS = 6;
+const ZONES = ['zone-a', 'zone-b'];
 const ENTRIES_OF_A_BURST = 1_100;
 const REGION_MS = 20;
 
@@ -57,8 +60,10 @@
   readonly confirmed: Change[];
   readonly sabotaged: WeakSet<object>;
   readonly clock: ReturnType<SimCore['lab']>['clock'];
+  readonly broken: string[];
   isOver: boolean;
   serial: number;
+  zoneOrders: number;
 };
 
 function servingOf(change: Change): Serving {
@@ -71,7 +76,7 @@
 }
 
 /** The operators' interface of a controller, or null while it doesn't run. */
-function httpServerOf(day: Day, name: string): ConfigurationService | null {
+function serviceOf(day: Day, name: string): ConfigurationService | null {
   const controller = day.core.node(name).controller;
   if (!controller) return null;
   if (!day.sabotaged.has(controller)) sabotageLedger(controller.ledger, day.sabotage);
@@ -85,10 +90,10 @@
 
 async function readNewest(day: Day): Promise<number | null> {
   const name = anyNode(day);
-  const httpServer = httpServerOf(day, name);
-  if (!httpServer) return null;
+  const service = serviceOf(day, name);
+  if (!service) return null;
   const noteRead = day.history.readSent(name);
-  const read = await within(day.clock, PATIENCE_MS, httpServer.read());
+  const read = await within(day.clock, PATIENCE_MS, service.read());
   if (!read?.ok) return null;
   noteRead(read.value.number, contentOf(read.value));
   return read.value.number;
@@ -98,12 +103,12 @@
   const name = anyNode(day);
   const { request, base, number, content } = change;
   const noteAnswer = day.history.changeSent({ node: name, request, base, number, content });
-  const httpServer = httpServerOf(day, name);
-  if (!httpServer) return 'unclear';
+  const service = serviceOf(day, name);
+  if (!service) return 'unclear';
   const answer = await within(
     day.clock,
     patienceMs(day.rng),
-    day.rng.next() < 0.5 ? httpServer.replace(base, servingOf(change), request) : amended(httpServer, change),
+    day.rng.next() < 0.5 ? service.replace(base, servingOf(change), request) : amended(service, change),
   );
   if (!answer || (!answer.ok && (answer.fault.tag === 'noMajority' || answer.fault.tag === 'outcomeUnknown')))
     return 'unclear';
@@ -112,11 +117,11 @@
   return told;
 }
 
-function amended(httpServer: ConfigurationService, change: Change): ReturnType<ConfigurationService['amend']> {
+function amended(service: ConfigurationService, change: Change): ReturnType<ConfigurationService['amend']> {
   function edit(): ReturnType<typeof ok<unknown>> {
     return ok(servingOf(change));
   }
-  return httpServer.amend(change.base, edit, change.request);
+  return service.amend(change.base, edit, change.request);
 }
 
 function patienceMs(rng: Rng): number {
@@ -166,6 +171,37 @@
   }
 }
 
+function zoneOrders(day: Day, zone: string): Promise<void> {
+  const { core, clock, rng, running } = day;
+  function isOver(): boolean {
+    return day.isOver;
+  }
+  function service(name: string): ConfigurationService | null {
+    return serviceOf(day, name);
+  }
+  function patience(): number {
+    return patienceMs(rng);
+  }
+  function confirmed(): void {
+    day.zoneOrders += 1;
+  }
+  function broken(detail: string): void {
+    day.broken.push(detail);
+  }
+  return operateZone({
+    core,
+    clock,
+    rng,
+    running,
+    zone,
+    isOver,
+    serviceOf: service,
+    patienceMs: patience,
+    confirmed,
+    broken,
+  });
+}
+
 export async function runRacingDay(seed: number, options: RacingDayOptions): Promise<RacingDayEnd> {
   const core = createSimCore(seed, { controllers: options.controllers, seeds: 3, regionMs: REGION_MS });
   const { clock } = core.lab('operators');
@@ -180,14 +216,17 @@
     confirmed: [],
     sabotaged: new WeakSet(),
     clock,
+    broken: [],
     isOver: false,
     serial: 0,
+    zoneOrders: 0,
   };
-  const broken: string[] = [];
+  const { broken } = day;
   const troubles: string[] = [];
   core.startAll();
   if (!(await core.until(5_000, isWhole))) broken.push('the core did not come together');
   for (let n = 0; n < OPERATORS; n += 1) void operate(day);
+  for (const zone of ZONES) void zoneOrders(day, zone);
   void ordinaryEntries(day);
   const endAt = core.world.now() + options.seconds * 1_000;
   while (core.world.now() < endAt) {
@@ -203,6 +242,7 @@
     troubles,
     calls: history.size(),
     confirmed: history.confirmed(),
+    zoneOrders: day.zoneOrders,
     violation: history.check(),
     broken: [...broken, ...core.broken],
   };
@@ -214,7 +254,7 @@
 
 async function readAtEnd(day: Day, name: string, broken: string[]): Promise<void> {
   const noteRead = day.history.readSent(name);
-  const reading = httpServerOf(day, name)?.read();
+  const reading = serviceOf(day, name)?.read();
   const read = reading && (await day.core.finish(reading, 5_000));
   if (read?.ok) noteRead(read.value.number, contentOf(read.value));
   else broken.push(`${name} answers no read at the end`);
--- a/tools/racing.mjs
+++ b/tools/racing.mjs
@@ -39,7 +39,7 @@
 function tell(end) {
   const isHeld = end.violation === null && end.broken.length === 0;
   process.stdout.write(
-    `seed ${end.seed}, ${end.controllers} controllers, ${isHeld ? 'held' : 'BROKEN'}: ${end.confirmed} confirmed in ${end.calls} calls, ${end.troubles.length} troubles\n`,
+    `seed ${end.seed}, ${end.controllers} controllers, ${isHeld ? 'held' : 'BROKEN'}: ${end.confirmed} confirmed in ${end.calls} calls, ${end.zoneOrders} orders on zones, ${end.troubles.length} troubles\n`,
   );
   if (end.violation) process.stdout.write(`  ${end.violation.kind}: ${end.violation.detail}\n`);
   for (const line of end.broken) process.stdout.write(`  ${line}\n`);
@@ -48,12 +48,13 @@
 
 async function main() {
   const { from, to, seconds, threads } = options();
-  const total = { days: 0, broken: 0, calls: 0, confirmed: 0, troubles: 0 };
+  const total = { days: 0, broken: 0, calls: 0, confirmed: 0, zoneOrders: 0, troubles: 0 };
   function note(end) {
     tell(end);
     total.days += 1;
     total.calls += end.calls;
     total.confirmed += end.confirmed;
+    total.zoneOrders += end.zoneOrders;
     total.troubles += end.troubles.length;
     if (end.violation !== null || end.broken.length > 0) total.broken += 1;
   }
@@ -69,7 +70,7 @@
   }
   await Promise.all(Array.from({ length: threads }, (_, n) => thread(n)));
   process.stdout.write(
-    `${total.days} days, ${total.broken} broken, ${total.confirmed} changes confirmed in ${total.calls} calls, ${total.troubles} troubles\n`,
+    `${total.days} days, ${total.broken} broken, ${total.confirmed} changes confirmed in ${total.calls} calls, ${total.zoneOrders} orders on zones, ${total.troubles} troubles\n`,
   );
   process.exitCode = total.broken === 0 ? 0 : 1;
 }
