--- a/src/sim/racing-troubles.ts
+++ b/src/sim/racing-troubles.ts
@@ -6,6 +6,8 @@
 const LONGEST_MS = 7_000;
 /** A controller that is cut off for this long is what a day's worst cut looks like. */
 const LONG_CUT_MS = 20_000;
+const FLAPS = 6;
+const LONGEST_FLAP_MS = 2_500;
 
 type Struck = { readonly core: SimCore; readonly running: string[]; readonly rng: Rng; readonly name: string };
 type Trouble = (struck: Struck) => Promise<string>;
@@ -40,6 +42,16 @@
   s.core.world.healAll();
   return `${s.name} is cut off`;
 }
+/** A link that comes and goes: an order that was proposed before a cut is agreed or given up after it. */
+async function flap(s: Struck): Promise<string> {
+  for (let n = 0; n < FLAPS; n += 1) {
+    s.core.cutOff([s.name]);
+    await s.core.world.advance(100 + below(s.rng, LONGEST_FLAP_MS));
+    s.core.world.healAll();
+    await s.core.world.advance(below(s.rng, 500));
+  }
+  return `${s.name} comes and goes`;
+}
 async function cutOneWay(s: Struck): Promise<string> {
   const isOutward = s.rng.next() < 0.5;
   for (const other of s.running) {
@@ -96,6 +108,7 @@
   cutOff,
   cutOff,
   cutOneWay,
+  flap,
   loseDisk,
   losePowerEverywhere,
   restartWhileCutOff,
--- a/src/sim/racing-zones.ts
+++ b/src/sim/racing-zones.ts
@@ -26,7 +26,9 @@
 
 /** A caller waits this long for an answer, and so a sending is over well before its zone gets the next order. */
 const PATIENCE_MS = 1_000;
-const REST_MS = 6_000;
+const REST_MS = 3_000;
+/** Share of orders that go to two controllers at once. */
+const TWICE_SHARE = 0.4;
 
 function anyNode(operator: ZoneOperator): string {
   return operator.running[below(operator.rng, operator.running.length)] as string;
@@ -41,6 +43,7 @@
 
 async function orderUntilConfirmed(operator: ZoneOperator, begun: boolean): Promise<boolean> {
   while (!operator.isOver()) {
+    if (operator.rng.next() < TWICE_SHARE) void orderOnce(operator, begun);
     if (await orderOnce(operator, begun)) return true;
     await pause(operator.clock, 100 + below(operator.rng, 400));
   }
