--- /dev/null
+++ b/src/state/fold-members.ts
@@ -0,0 +1,75 @@
+/**
+ * The members of the core as the ledger has them, and the fold of the entries that change them. An entry names the member
+ * as it stands now, so one that comes late changes nothing.
+ */
+import { sha256 } from '../base/digest.js';
+import type { Act, Member } from './entry.js';
+import { APPLIED, unfit } from './outcome.js';
+import type { Outcome } from './outcome.js';
+
+export type MembersState = {
+  ledger: string;
+  ticketKey: string;
+  members: Member[];
+  claimants: string[];
+};
+
+export const MOST_MEMBERS = 9;
+const LEAST_ODD_SHRUNK = 5;
+
+export function memberId(member: { readonly name: string; readonly incarnation: string }): string {
+  return `${member.name}#${member.incarnation}`;
+}
+
+export function membersMark(members: readonly Member[]): string {
+  const ids: string[] = [];
+  for (const m of members) ids.push(memberId(m));
+  return sha256(ids.join());
+}
+
+export function majorityOf(members: readonly Member[]): number {
+  return Math.floor(members.length / 2) + 1;
+}
+
+export function foldBootstrapped(state: MembersState, act: Extract<Act, { tag: 'bootstrapped' }>): Outcome {
+  if (state.ledger !== '') return unfit('bootstrapped');
+  state.ledger = act.ledger;
+  state.ticketKey = act.ticketKey;
+  state.members = [...act.members];
+  state.claimants = act.members.map(memberId);
+  return APPLIED;
+}
+
+export function foldMemberReplaced(state: MembersState, act: Extract<Act, { tag: 'memberReplaced' }>): Outcome {
+  const at = indexOfMember(state, act.old);
+  if (at < 0 || isTaken(state, act.member, at)) return unfit('member');
+  state.members = [...state.members.slice(0, at), act.member, ...state.members.slice(at + 1)];
+  return APPLIED;
+}
+
+export function foldMemberAdded(state: MembersState, act: Extract<Act, { tag: 'memberAdded' }>): Outcome {
+  if (state.members.length >= MOST_MEMBERS || isTaken(state, act.member, -1)) return unfit('member');
+  state.members = [...state.members, act.member];
+  return APPLIED;
+}
+
+export function foldMemberRemoved(state: MembersState, act: Extract<Act, { tag: 'memberRemoved' }>): Outcome {
+  const at = indexOfMember(state, act.old);
+  const isOdd = state.members.length % 2 !== 0;
+  if (at < 0 || (isOdd && state.members.length < LEAST_ODD_SHRUNK)) return unfit('member');
+  state.members = [...state.members.slice(0, at), ...state.members.slice(at + 1)];
+  return APPLIED;
+}
+
+function indexOfMember(state: MembersState, id: string): number {
+  for (const [at, member] of state.members.entries()) if (memberId(member) === id) return at;
+  return -1;
+}
+
+/** Whether another member than the one at `besides` has this one's name or address. */
+function isTaken(state: MembersState, member: Member, besides: number): boolean {
+  for (const [at, other] of state.members.entries()) {
+    if (at !== besides && (other.name === member.name || other.address === member.address)) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/src/state/fold-operators.ts
@@ -0,0 +1,73 @@
+/**
+ * What operators change, and the fold of their entries: the configuration, which zones are evacuated, and the history by
+ * which a change that is sent again is known. A change names the version that it was made on and applies on that alone.
+ */
+import type { Act, Change } from './entry.js';
+import { recordChange, recordRepeated, recordZoneOrder, zoneVersion } from './operator-history.js';
+import type { OperatorHistory } from './operator-history.js';
+import { APPLIED, unfit } from './outcome.js';
+import type { Outcome } from './outcome.js';
+import { changesBack, withChanges } from './settings-tree.js';
+import type { Configuration } from './settings-tree.js';
+
+export type OperatorsState = {
+  /** The slot that changed the configuration last. */
+  version: number;
+  configuration: Configuration;
+  /** Zones under evacuation, each with the slot that began it. */
+  evacuated: Record<string, number>;
+  history: OperatorHistory;
+};
+
+/** `id` is the entry's, which names the request of a change that has no numbers of its own. */
+export function foldConfigured(
+  state: OperatorsState,
+  slot: number,
+  id: string,
+  act: Extract<Act, { tag: 'configured' }>,
+): Outcome {
+  if (act.base !== state.version) return { tag: 'staleVersion', winner: state.version };
+  const before = state.configuration;
+  state.configuration = withChanges(before, act.changes) as Configuration;
+  state.version = slot;
+  const { revision } = act;
+  if (revision) {
+    const { request, base, number } = revision;
+    const undo = changesBack(before, act.changes);
+    recordChange(state.history, { request, version: slot, revision: { base, number } }, undo);
+  } else {
+    const undo = act.changes.some(touchesServing) ? null : state.history.undo;
+    recordChange(state.history, { request: id, version: slot }, undo);
+  }
+  return APPLIED;
+}
+
+function touchesServing(change: Change): boolean {
+  return change.path.length === 0 || change.path[0] === 'serving';
+}
+
+export function foldChangeRepeated(state: OperatorsState, act: Extract<Act, { tag: 'changeRepeated' }>): Outcome {
+  const isRecorded = recordRepeated(state.history, act.request, act.number);
+  return isRecorded ? APPLIED : { tag: 'staleVersion', winner: state.version };
+}
+
+/**
+ * An order that names the zone's version is applied only on that version, and moves it also where the zone stays as it
+ * is: what was acknowledged fences off all orders that were sent before it.
+ */
+export function foldEvacuation(
+  state: OperatorsState,
+  slot: number,
+  id: string,
+  act: Extract<Act, { tag: 'evacuation' }>,
+): Outcome {
+  const { zone, begun, base } = act;
+  const version = zoneVersion(state.history, zone);
+  const isUnchanged = begun === (state.evacuated[zone] !== undefined);
+  if (base !== undefined && base !== version) return { tag: 'staleVersion', winner: version };
+  if (base === undefined && isUnchanged) return unfit('unchanged');
+  if (!isUnchanged && begun) state.evacuated[zone] = slot;
+  if (!isUnchanged && !begun) delete state.evacuated[zone];
+  recordZoneOrder(state.history, zone, { request: id, version: slot });
+  return APPLIED;
+}
