--- /dev/null
+++ b/src/coordination/ledger/replica.ts
@@ -0,0 +1,65 @@
+/**
+ * This controller's copy of the ledger: its store, its identity, and whether its disk takes writes. The parts of the
+ * ledger (voter, proposer, reader, membership changes) share one replica, which `ledger.ts` makes.
+ *
+ * Invariant: what `put` answers with anything but `cannotWrite` is on the disk.
+ */
+import { memberId } from '../../state/control-state.js';
+import type { ControlState } from '../../state/control-state.js';
+import type { Batch, Member } from '../../state/entry.js';
+import { pause } from '../../transport/clock.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { RingFault } from '../../transport/ring.js';
+import type { Store, StoreAnswer, StoreCommand } from './store.js';
+
+export type Replica = {
+  readonly store: Store;
+  readonly self: Member;
+  readonly controlState: () => ControlState;
+  /** The identity under which this controller votes now; it changes when the controller joins anew. */
+  readonly id: () => string;
+  readonly isMember: () => boolean;
+  readonly put: (command: StoreCommand) => Promise<StoreAnswer>;
+  /** Folds a chosen batch into its slot, if that is the next one. */
+  readonly learn: (slot: number, batch: Batch) => Promise<void>;
+  /** Resolves once `slot` is folded, or after `waitMs`. */
+  readonly slotDone: (slot: number, waitMs: number) => Promise<void>;
+  /** Why the last vote or fold could not be written; null once a vote was written again. */
+  readonly blockedBy: () => RingFault | null;
+};
+
+const SLOT_POLL_MS = 15;
+
+export function createReplica(store: Store, self: Member, clock: Clock, log: Log): Replica {
+  let blocked: RingFault | null = null;
+
+  function id(): string {
+    return memberId(self);
+  }
+  function isMember(): boolean {
+    for (const m of store.controlState().members) if (memberId(m) === id()) return true;
+    return false;
+  }
+
+  async function put(command: StoreCommand): Promise<StoreAnswer> {
+    const answer = await store.put(command);
+    if (answer.tag === 'cannotWrite') {
+      if (!blocked) log.error(`Cannot write the ring (${answer.fault.tag}); nothing is acknowledged until it can.`);
+      blocked = answer.fault;
+    } else if (command.tag === 'prepare' || command.tag === 'accept') blocked = null;
+    return answer;
+  }
+  async function learn(slot: number, batch: Batch): Promise<void> {
+    await put({ tag: 'chosen', slot, batch });
+  }
+  async function slotDone(slot: number, waitMs: number): Promise<void> {
+    const until = clock.mono() + waitMs;
+    while (store.controlState().slot < slot && clock.mono() < until)
+      await pause(clock, Math.min(SLOT_POLL_MS, until - clock.mono()));
+  }
+  function blockedBy(): RingFault | null {
+    return blocked;
+  }
+  return { store, self, controlState: store.controlState, id, isMember, put, learn, slotDone, blockedBy };
+}
--- /dev/null
+++ b/src/coordination/ledger/settled-read.ts
@@ -0,0 +1,87 @@
+/**
+ * Brings this controller to a state that is no older than anything confirmed before the call, which is what a reading (and
+ * the check of an order's base) needs. `ledger.ts` makes one; any controller that knows the ledger may read.
+ *
+ * Why it holds (docs/consistency.md, section 1): slot s+1 is accepted by a majority of the members after s. A reading ends
+ * at slot s when a majority of these members, asked after it began, knew of nothing above s; had s+1 been chosen before,
+ * one of them would have accepted it, synced, and told s+1 at least.
+ */
+import type { Message } from '../../protocol/messages.js';
+import { majorityOf, membersMark } from '../../state/control-state.js';
+import type { Member } from '../../state/entry.js';
+import { pause } from '../../transport/clock.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Address } from '../../transport/wire.js';
+import { poll } from './poll.js';
+import type { AskMember, Votes } from './poll.js';
+import type { Proposer } from './proposer.js';
+import type { Replica } from './replica.js';
+
+export type SettledReadDeps = {
+  readonly clock: Clock;
+  readonly replica: Replica;
+  readonly proposer: Proposer;
+  readonly askerUntil: (until: number) => AskMember;
+  readonly catchUp: (from: Address) => Promise<void>;
+};
+
+/** Newest slot that was accepted, and newest that was learned, by anyone of a majority. */
+type Newest = { readonly top: number; readonly learned: number };
+
+const ASK_AGAIN_MS = 50;
+/** How long a slot that another has learned is waited for, and one that may be a proposal under way, before this one ballots. */
+const LEARNED_WAIT_MS = 400;
+const UNDER_WAY_WAIT_MS = 150;
+
+/** Makes the reading: true once the state is settled, false after `waitMs`. */
+export function createSettledRead(deps: SettledReadDeps): (waitMs: number) => Promise<boolean> {
+  const { clock, replica, proposer, askerUntil, catchUp } = deps;
+  const { controlState } = replica;
+
+  /** The members must be the same at the end: a majority of former ones may hold a removed one and others that lag. */
+  async function settle(waitMs: number): Promise<boolean> {
+    const until = clock.mono() + waitMs;
+    while (controlState().ledger !== '' && clock.mono() < until) {
+      const asked = membersMark(controlState().members);
+      const newest = await newestOfMajority(until);
+      if (!newest) await pause(clock, Math.min(ASK_AGAIN_MS, until - clock.mono()));
+      else if ((await reach(newest, until)) && membersMark(controlState().members) === asked) return true;
+    }
+    return false;
+  }
+
+  async function newestOfMajority(until: number): Promise<Newest | null> {
+    const { members, ledger } = controlState();
+    const quorumSize = majorityOf(members);
+    const askUntil = askerUntil(until);
+    async function ask(member: Member): Promise<Message | null> {
+      const reply = await askUntil(member, { kind: 'memberStatusAsk' });
+      return reply?.kind === 'memberStatus' && reply.ledger === ledger ? reply : null;
+    }
+    function isEnough(votes: Votes, open: number): boolean {
+      return votes.size >= quorumSize || votes.size + open < quorumSize;
+    }
+    const votes = await poll(members, ask, isEnough);
+    if (votes.size < quorumSize) return null;
+    let top = -1;
+    let learned = -1;
+    for (const vote of votes.values()) {
+      if (vote.kind !== 'memberStatus') continue;
+      top = Math.max(top, vote.top);
+      learned = Math.max(learned, vote.learned);
+      if (vote.learned > controlState().slot) void catchUp(vote.address);
+    }
+    return { top, learned };
+  }
+
+  async function reach(newest: Newest, until: number): Promise<boolean> {
+    function atTop(): boolean {
+      return controlState().slot >= newest.top;
+    }
+    const waitMs = newest.learned >= newest.top ? LEARNED_WAIT_MS : UNDER_WAY_WAIT_MS;
+    await replica.slotDone(newest.top, Math.min(waitMs, until - clock.mono()));
+    if (!atTop()) await proposer.finish(until, atTop);
+    return atTop();
+  }
+  return settle;
+}
