What was known without a majority does not count as known by all

Cause: a controller that was cut off judged the members by the newest slot that it knew 2.6 s ago. When it heard the others again, and had not caught up yet, that was its own old slot: so all held everything, and one further loss was borne, though it lacked the change itself.

Change: what was known is dropped while no majority is in touch, as it is after a standstill; then the newest slot that anyone told counts.

--- a/src/coordination/ledger/core-health-watch.ts
+++ b/src/coordination/ledger/core-health-watch.ts
@@ -6,7 +6,7 @@
  * than `IN_TOUCH_MS`: a controller that is cut off from the majority tells that it knows nothing.
  */
 import type { Message, MessageOf } from '../../protocol/messages.js';
-import { memberId } from '../../state/control-state.js';
+import { majorityOf, memberId } from '../../state/control-state.js';
 import { coreHealth } from '../../state/core-health.js';
 import type { CoreHealth, MemberView } from '../../state/core-health.js';
 import type { Member } from '../../state/entry.js';
@@ -47,7 +47,7 @@
 const IN_TOUCH_MS = 1_600;
 /** A member holds everything if it has all that was known this long ago: the oldest answer that counts, and a second to learn. */
 const SETTLED_MS = 2_600;
-/** After a longer standstill what was known before it is dropped. */
+/** After a longer standstill, as without a majority in touch, what was known before is dropped. */
 const STOOD_STILL_MS = 1_500;
 const ASK_MS = 1_000;
 
@@ -151,9 +151,18 @@
     for (const id of heard.keys()) if (!ids.has(id)) heard.delete(id);
     for (const id of claimsWhole.keys()) if (!ids.has(id)) claimsWhole.delete(id);
   }
+  function hearsMajority(): boolean {
+    const { members } = ledger.controlState();
+    let inTouch = 0;
+    for (const member of members) {
+      const id = memberId(member);
+      if (id === me() || isRecent(heard.get(id)?.askedAt)) inTouch += 1;
+    }
+    return inTouch >= majorityOf(members);
+  }
   function noteKnownSlot(): void {
     const now = clock.mono();
-    if (stoodStill()) known = [];
+    if (stoodStill() || !hearsMajority()) known = [];
     lastTurn = now;
     known.push({ at: now, slot: newestKnown() });
     while (known.length > 1 && now - (known[1] as KnownSlot).at >= SETTLED_MS) known.shift();
