A controller that comes back blank takes the order that it gets at its start

Cause: one with a lost disk knows no ledger until it has asked the others, half a second after its start; an order or a reading that came before was refused at once, with all others up.

Change: proposing and reading wait for the ledger to be known, for their own time at most. Before a bootstrap an order is refused after its time instead of at once.

With it: of four members each pair lost at once, one after the other was left out, one after the other was told to end, and with a replacement; times until the dead are left out.

--- a/src/coordination/ledger/proposer.ts
+++ b/src/coordination/ledger/proposer.ts
@@ -134,8 +134,9 @@
   }
   const line = createLine(work);
 
-  function propose(draft: Draft, waitMs: number): Promise<Result<Agreed, ProposeFault>> {
-    if (controlState().ledger === '') return Promise.resolve(err({ tag: 'notBootstrapped' }));
+  async function propose(draft: Draft, waitMs: number): Promise<Result<Agreed, ProposeFault>> {
+    const until = clock.mono() + waitMs;
+    if (!(await replica.knowsLedger(waitMs))) return err({ tag: 'notBootstrapped' });
     const entry: Entry = {
       id: draft.id ?? newId(rng, 'op'),
       author: self.name,
@@ -145,8 +146,8 @@
       ...(draft.fence === undefined ? {} : { fence: draft.fence }),
     };
     const bytes = Buffer.byteLength(JSON.stringify(entry));
-    if (bytes > mostBytes) return Promise.resolve(err({ tag: 'cannotWrite', fault: { tag: 'recordTooLarge', bytes } }));
-    return agreedWithin(entry, bytes, clock.mono() + waitMs);
+    if (bytes > mostBytes) return err({ tag: 'cannotWrite', fault: { tag: 'recordTooLarge', bytes } });
+    return agreedWithin(entry, bytes, until);
   }
   async function agreedWithin(entry: Entry, bytes: number, until: number): Promise<Result<Agreed, ProposeFault>> {
     for (;;) {
--- a/src/coordination/ledger/replica.ts
+++ b/src/coordination/ledger/replica.ts
@@ -25,11 +25,13 @@
   readonly learn: (slot: number, batch: Batch) => Promise<void>;
   /** Resolves once `slot` is folded, or after `waitMs`. */
   readonly slotDone: (slot: number, waitMs: number) => Promise<void>;
+  /** Resolves true once the ledger is known: a blank controller learns it from the others in its first second. */
+  readonly knowsLedger: (waitMs: number) => Promise<boolean>;
   /** Why the last vote or fold could not be written; null once a vote was written again. */
   readonly blockedBy: () => RingFault | null;
 };
 
-const SLOT_POLL_MS = 15;
+const POLL_MS = 15;
 
 export function createReplica(store: Store, self: Member, clock: Clock, log: Log): Replica {
   let blocked: RingFault | null = null;
@@ -53,13 +55,25 @@
   async function learn(slot: number, batch: Batch): Promise<void> {
     await put({ tag: 'chosen', slot, batch });
   }
-  async function slotDone(slot: number, waitMs: number): Promise<void> {
+  async function when(test: () => boolean, waitMs: number): Promise<boolean> {
     const until = clock.mono() + waitMs;
-    while (store.controlState().slot < slot && clock.mono() < until)
-      await pause(clock, Math.min(SLOT_POLL_MS, until - clock.mono()));
+    while (!test() && clock.mono() < until) await pause(clock, Math.min(POLL_MS, until - clock.mono()));
+    return test();
+  }
+  async function slotDone(slot: number, waitMs: number): Promise<void> {
+    function isDone(): boolean {
+      return store.controlState().slot >= slot;
+    }
+    await when(isDone, waitMs);
+  }
+  function knowsLedger(waitMs: number): Promise<boolean> {
+    function isKnown(): boolean {
+      return store.controlState().ledger !== '';
+    }
+    return when(isKnown, waitMs);
   }
   function blockedBy(): RingFault | null {
     return blocked;
   }
-  return { store, self, controlState: store.controlState, id, isMember, put, learn, slotDone, blockedBy };
+  return { store, self, controlState: store.controlState, id, isMember, put, learn, slotDone, knowsLedger, blockedBy };
 }
--- a/src/coordination/ledger/second-loss.test.ts
+++ b/src/coordination/ledger/second-loss.test.ts
@@ -95,3 +95,103 @@
     },
   );
 });
+
+/** From the loss of one of four, or of two of five, until the rest have left it out; three then bear the next loss. */
+const LEFT_OUT_MS = 4_500;
+const BOTH_LEFT_OUT_MS = 6_500;
+
+describe('four members between two replacements', () => {
+  const PAIRS = ['h1', 'h2', 'h3', 'h4'].flatMap((a) =>
+    ['h1', 'h2', 'h3', 'h4'].filter((b) => b !== a).map((b) => [a, b] as const),
+  );
+
+  async function four(seed: number): Promise<SimCore> {
+    const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
+    core.add('h4');
+    core.start('h4');
+    expect(await core.until(6_000, () => core.whole(['h1', 'h2', 'h3', 'h4']))).toBe(true);
+    await core.world.advance(2_000);
+    return core;
+  }
+  function rest(a: string, b: string): [string, string] {
+    return ['h1', 'h2', 'h3', 'h4'].filter((name) => name !== a && name !== b) as [string, string];
+  }
+
+  test.each(PAIRS)('%s and %s lost at once stop it until either is back', async (a, b) => {
+    const core = await four(60 + PAIRS.findIndex(([x, y]) => x === a && y === b));
+    const [left, other] = rest(a, b);
+    await confirmed(core, left, 'a');
+    core.powerLoss(a);
+    core.powerLoss(b);
+    expect((await core.order(left, 'b', 3_000)).result?.ok).toBe(false);
+    await core.world.advance(10_000);
+    expect(core.members(left)).toHaveLength(4);
+    core.start(b);
+    await core.until(1_000, () => core.node(b).controller !== null);
+    await confirmed(core, other, 'c');
+    expect(await core.until(8_000, () => core.whole([left, other, b]))).toBe(true);
+    expect(await core.evacuatedAt(b)).toEqual(expect.arrayContaining(['a', 'c']));
+    expect(core.broken).toEqual([]);
+  });
+
+  test.each(PAIRS)('%s lost, and %s some seconds later: borne', async (a, b) => {
+    const core = await four(80 + PAIRS.findIndex(([x, y]) => x === a && y === b));
+    const [left, other] = rest(a, b);
+    core.powerLoss(a);
+    expect(await core.until(LEFT_OUT_MS, () => core.whole([left, other, b]))).toBe(true);
+    core.powerLoss(b);
+    await confirmed(core, left, 'b');
+    expect(await core.evacuatedAt(other)).toEqual(['b']);
+    expect(core.broken).toEqual([]);
+  });
+
+  test.each(PAIRS)('%s told to end, and %s lost right after: borne', async (a, b) => {
+    const core = await four(100 + PAIRS.findIndex(([x, y]) => x === a && y === b));
+    const [left, other] = rest(a, b);
+    await confirmed(core, a, 'a');
+    await core.end(a);
+    core.powerLoss(b);
+    await confirmed(core, left, 'b');
+    expect(await core.evacuatedAt(other)).toEqual(['a', 'b']);
+    expect(core.broken).toEqual([]);
+  });
+
+  test.each(PAIRS)('%s replaced by a joiner while %s is lost too: stopped until either is back', async (a, b) => {
+    const core = await bootstrapped(120 + PAIRS.findIndex(([x, y]) => x === a && y === b), ['h1', 'h2', 'h3']);
+    const lost = [a, b].filter((name) => name !== 'h4');
+    for (const name of lost) core.powerLoss(name);
+    core.add('h4');
+    core.start('h4');
+    await core.world.advance(8_000);
+    const joined = core.node('h4').controller?.ledger.isMember();
+    expect(joined).toBe(lost.length === 1);
+    const [first] = lost as [string];
+    core.start(first);
+    await core.until(1_000, () => core.node(first).controller !== null);
+    await confirmed(core, first, 'c');
+    expect(core.broken).toEqual([]);
+  });
+});
+
+test.each(SEEDS)('two of five are left out within 6.5 s of their loss (seed %i)', async (seed) => {
+  const core = await bootstrapped(140 + seed, ['h1', 'h2', 'h3', 'h4', 'h5']);
+  await core.world.advance(2_000);
+  core.powerLoss('h2');
+  core.powerLoss('h5');
+  expect(await core.until(BOTH_LEFT_OUT_MS, () => core.whole(['h1', 'h3', 'h4']))).toBe(true);
+});
+
+test.each(SEEDS)(
+  'a controller that comes back blank confirms the order that it gets at its start (seed %i)',
+  async (seed) => {
+    const core = await bootstrapped(160 + seed, ['h1', 'h2', 'h3']);
+    await confirmed(core, 'h1', 'a');
+    core.powerLoss('h2');
+    core.wipe('h2');
+    await core.world.advance(1_000);
+    core.start('h2');
+    expect(await core.until(1_000, () => core.node('h2').controller !== null)).toBe(true);
+    await confirmed(core, 'h2', 'b');
+    expect(await core.evacuatedAt('h2')).toEqual(['a', 'b']);
+  },
+);
--- a/src/coordination/ledger/settled-read.ts
+++ b/src/coordination/ledger/settled-read.ts
@@ -41,7 +41,8 @@
   /** The members must be the same at the end: a majority of former ones may hold a removed one and others that lag. */
   async function settle(waitMs: number): Promise<boolean> {
     const until = clock.mono() + waitMs;
-    while (controlState().ledger !== '' && clock.mono() < until) {
+    if (!(await replica.knowsLedger(waitMs))) return false;
+    while (clock.mono() < until) {
       const asked = membersMark(controlState().members);
       const newest = await newestOfMajority(until);
       if (!newest) await pause(clock, Math.min(ASK_AGAIN_MS, until - clock.mono()));
