--- a/src/coordination/controller-status.ts
+++ b/src/coordination/controller-status.ts
@@ -1,5 +1,5 @@
 /**
- * What a controller tells operators of itself and of the deployment: the body of `GET /v1/status` and the inspects
+ * What a controller tells operators of itself and of the deployment: the body of `GET /v1/status` and the gauges
  * of `GET /metrics`. Both are told from this controller's own knowledge, at once and without asking anyone; while
  * it hears no majority, `quorate` is false and the figures of the core are unknown.
  */
@@ -28,7 +28,7 @@
 export type ControllerStatus = {
   /** The body of the status answer. */
   readonly body: () => unknown;
-  /** Sets the inspects to what they are now. */
+  /** Sets the gauges to what they are now. */
   readonly meter: (meters: Meters) => void;
 };
 
@@ -136,7 +136,7 @@
   return rows;
 }
 
-/** All inspects have a label, so that one without a known value is missing from the answer instead of being 0. */
+/** All gauges have a label, so that one without a known value is missing from the answer instead of being 0. */
 function meterCore(meters: Meters, group: string, health: CoreHealth): void {
   const labels = { group };
   meters.set(
--- a/src/coordination/ledger/core-health-watch.test.ts
+++ b/src/coordination/ledger/core-health-watch.test.ts
@@ -359,7 +359,7 @@
     ]);
   });
 
-  async function inspects(s: Stage, name: string): Promise<Record<string, string>> {
+  async function gauges(s: Stage, name: string): Promise<Record<string, string>> {
     const text = String((await get(s, name, '/metrics')).body);
     const out: Record<string, string> = {};
     for (const line of text.split('\n')) {
@@ -368,17 +368,17 @@
     }
     return out;
   }
-  test('the inspects tell the same; what is not known is missing, not 0, also when read again', async () => {
+  test('the gauges tell the same; what is not known is missing, not 0, also when read again', async () => {
     const s = await bootstrapped(7, THREE);
     const well = { known: '1', members: '3', quorum_size: '2', in_touch: '3', holding_all: '3', spare_losses: '1' };
-    expect(await inspects(s, 'h1')).toEqual(well);
+    expect(await gauges(s, 'h1')).toEqual(well);
     s.core.cutOff(['h1']);
     await s.core.world.advance(JUDGED_MS);
     for (let n = 0; n < 2; n += 1)
-      expect(await inspects(s, 'h1')).toEqual({ known: '0', members: '3', quorum_size: '2', in_touch: '1' });
+      expect(await gauges(s, 'h1')).toEqual({ known: '0', members: '3', quorum_size: '2', in_touch: '1' });
     s.core.world.healAll();
     await s.core.world.advance(6_000);
-    expect(await inspects(s, 'h1')).toEqual(well);
+    expect(await gauges(s, 'h1')).toEqual(well);
   });
 });
 
