Two comments do without words of the users' platform

platform/words.test.ts was red on a comment of the ring and on one of the cloud's wire: these words stand in no source outside platform and its stand-in.

--- a/src/protocol/cloud-wire.ts
+++ b/src/protocol/cloud-wire.ts
@@ -1,6 +1,6 @@
 /**
  * The HTTP interface to the cloud that rents machines: orders, machines, prices. Used by the
- * scaler's client and by the stand-in of the cloud. An order's key makes it idempotent: the
+ * scaler's client and by the stand-in of the cloud. The key of an order names it: the
  * same key never rents a second machine.
  */
 
--- a/src/transport/ring.ts
+++ b/src/transport/ring.ts
@@ -25,7 +25,7 @@
  *
  * - Records and snapshots share one sequence of numbers without gaps. A snapshot takes a number of its
  *   own, so records written after it can't follow on records before it if the snapshot is unreadable.
- * - Each time a file is begun it gets the next generation. A snapshot covers all generations up to its
+ * - Each time a file is begun it gets the next file number (`gen`). A snapshot covers all of them up to its
  *   own; a file is begun again only once a synced snapshot covers what it holds.
  * - While a snapshot is written the other area holds the last one, and all files since are untouched: one
  *   that is torn costs nothing.
