The worker registry in five modules of one job; cost, owners, home and row of their own

Behaviour as it was: the same terms are summed, in another order.

381 tests of state, edge and the adapter pass unchanged.

--- /dev/null
+++ b/src/state/home-worker.ts
@@ -0,0 +1,55 @@
+/**
+ * The worker that should keep a shared beginning of prompts, by rendezvous hashing: every proxy
+ * names the same one without asking, and few beginnings move when workers come or go.
+ */
+
+import { hash32 } from '../base/digest.js';
+import type { EdgeTuning } from './edge-tuning.js';
+import type { Part } from './prefix-cache.js';
+import type { BookRow } from './registry-row.js';
+
+/**
+ * The worker for a prompt's shared parts (all but its last) among those open to it, or null
+ * where nothing is shared. Prompts with the same first part stay within a small group.
+ */
+export function homeAmong(open: readonly BookRow[], parts: readonly Part[], tuning: EdgeTuning): BookRow | null {
+  const shared = parts.length - 1;
+  if (shared < 1) return null;
+  const first = parts[0] as Part;
+  if (shared === 1) return highest(open, first.id);
+  const few = Math.max(tuning.spreadLeast, Math.ceil(open.length * tuning.spreadShare));
+  const group = open.length <= few ? open : ranked(open, first.id).slice(0, few);
+  return highest(group, (parts[shared - 1] as Part).id);
+}
+
+/** Tokens of a prompt's shared parts. */
+export function sharedTokens(parts: readonly Part[]): number {
+  let n = 0;
+  for (let i = 0; i < parts.length - 1; i += 1) n += (parts[i] as Part).tokens;
+  return n;
+}
+
+type Ranked = { readonly hash: number; readonly row: BookRow };
+
+function byHash(a: Ranked, b: Ranked): number {
+  return b.hash - a.hash;
+}
+function ranked(rows: readonly BookRow[], key: string): BookRow[] {
+  const all: Ranked[] = [];
+  for (const row of rows) all.push({ hash: hash32(`${key}|${row.entry.id}`), row });
+  return all.sort(byHash).map(rowOf);
+}
+function rowOf(r: Ranked): BookRow {
+  return r.row;
+}
+function highest(rows: readonly BookRow[], key: string): BookRow | null {
+  let top: BookRow | null = null;
+  let high = -1;
+  for (const row of rows) {
+    const h = hash32(`${key}|${row.entry.id}`);
+    if (h <= high) continue;
+    high = h;
+    top = row;
+  }
+  return top;
+}
--- /dev/null
+++ b/src/state/registry-row.ts
@@ -0,0 +1,104 @@
+/**
+ * What a proxy holds of one worker in its registry: what the list told, what runs there through
+ * this proxy and through the others, and what its answers made of it. Owned and changed by
+ * `worker-registry.ts` alone; times are the proxy's monotonic clock, in milliseconds.
+ */
+
+import type { EdgeTuning } from './edge-tuning.js';
+import type { UsageRows } from './fleet-load.js';
+import { createPrefixCache } from './prefix-cache.js';
+import type { PrefixCache } from './prefix-cache.js';
+import { createRateGuard } from './rate-guard.js';
+import type { RateGuard } from './rate-guard.js';
+import { createRunCounts } from './run-counts.js';
+import type { RunCounts } from './run-counts.js';
+import type { WorkerEntry } from './worker-entry.js';
+
+/** A proxy that shares the workers, as the ledger knows it. */
+export type Sharer = { readonly region: string };
+
+/** One worker. `unproven` means that it fell silent and has not been reached since. */
+export type BookRow = {
+  entry: WorkerEntry;
+  present: boolean;
+  leaving: boolean;
+  leaveBy: number | null;
+  coldUntil: number;
+  cold: RateGuard;
+  running: number;
+  unread: number;
+  kv: number;
+  others: Usage;
+  told: Usage;
+  fails: number;
+  badUntil: number;
+  unproven: boolean;
+  silentSince: number;
+  doubtUntil: number;
+  fullUntil: number;
+  kept: PrefixCache;
+  runs: RunCounts;
+  owners: {
+    readonly of: Readonly<Record<string, Sharer>>;
+    readonly most: number;
+    readonly names: readonly string[];
+  } | null;
+};
+
+/** What is on a worker: requests, tokens not yet read, tokens of KV cache, and recent runs, of which bad ones. */
+export type Usage = {
+  readonly running: number;
+  readonly unread: number;
+  readonly kv: number;
+  readonly bad: number;
+  readonly ran: number;
+};
+/** Nothing. */
+export const NO_USAGE: Usage = { running: 0, unread: 0, kv: 0, bad: 0, ran: 0 };
+
+/** Window in which the starts of a cold worker are counted: a little over the second that its rate is for. */
+const COLD_WINDOW_MS = 1_150;
+
+/** The row of a worker that was just listed. */
+export function freshRow(entry: WorkerEntry, tuning: EdgeTuning): BookRow {
+  return {
+    entry,
+    present: true,
+    leaving: entry.leaving,
+    leaveBy: null,
+    coldUntil: 0,
+    cold: createRateGuard(COLD_WINDOW_MS),
+    running: 0,
+    unread: 0,
+    kv: 0,
+    others: NO_USAGE,
+    told: NO_USAGE,
+    fails: 0,
+    badUntil: 0,
+    unproven: false,
+    silentSince: 0,
+    doubtUntil: 0,
+    fullUntil: 0,
+    kept: createPrefixCache(tuning.knownTokens),
+    runs: createRunCounts(tuning.runsMs),
+    owners: null,
+  };
+}
+
+/** The share of recent runs that were bad, on all proxies; 0 while they are too few to judge. */
+export function spoilShare(row: BookRow, now: number, least: number): number {
+  const bad = row.runs.bad(now) + row.others.bad;
+  const ran = row.runs.ran(now) + row.others.ran;
+  return bad < least ? 0 : bad / Math.max(1, ran);
+}
+
+/** What the other proxies have on a worker: the sum of all less what this one told. */
+export function beyond(sum: UsageRows[string], told: Usage): Usage {
+  return {
+    running: Math.max(0, sum[0] - told.running),
+    unread: Math.max(0, sum[1] - told.unread),
+    kv: Math.max(0, sum[2] - told.kv),
+    bad: Math.max(0, sum[3] - told.bad),
+    ran: Math.max(0, sum[4] - told.ran),
+  };
+}
--- /dev/null
+++ b/src/state/worker-owners.ts
@@ -0,0 +1,50 @@
+/**
+ * How the proxies share what a worker bears of them together: its cold starts and probes while
+ * it is silent. Where a share for each would be too small, only the owners have one: the
+ * proxies nearest to the worker, then by rendezvous hashing, the same ones on every proxy.
+ */
+
+import { hash32 } from '../base/digest.js';
+import type { BookRow, Sharer } from './registry-row.js';
+
+/** Knows the proxies that share, and names the owners of a worker. */
+export type WorkerOwners = {
+  /** How many proxies share, this one included; at least 1. */
+  readonly sharing: () => number;
+  readonly sharers: (known: Readonly<Record<string, Sharer>>) => void;
+  /** Names of at most `most` owners of a worker. */
+  readonly ownersOf: (row: BookRow, most: number) => readonly string[];
+};
+
+/** Shares with nobody until told. */
+export function createWorkerOwners(): WorkerOwners {
+  let proxies: Readonly<Record<string, Sharer>> = {};
+  let count = 1;
+
+  function sharing(): number {
+    return count;
+  }
+  function sharers(known: Readonly<Record<string, Sharer>>): void {
+    proxies = { ...known };
+    count = Math.max(1, Object.keys(known).length);
+  }
+  function ownersOf(row: BookRow, most: number): readonly string[] {
+    if (row.owners && row.owners.of === proxies && row.owners.most === most) return row.owners.names;
+    const ranks: { readonly name: string; readonly near: boolean; readonly hash: number }[] = [];
+    for (const [name, s] of Object.entries(proxies))
+      ranks.push({ name, near: s.region === row.entry.region, hash: hash32(`${row.entry.id}|${name}`) });
+    ranks.sort(nearFirst);
+    const names: string[] = [];
+    for (const r of ranks.slice(0, most)) names.push(r.name);
+    row.owners = { of: proxies, most, names };
+    return names;
+  }
+  return { sharing, sharers, ownersOf };
+}
+
+function nearFirst(
+  a: { readonly near: boolean; readonly hash: number },
+  b: { readonly near: boolean; readonly hash: number },
+): number {
+  return Number(b.near) - Number(a.near) || b.hash - a.hash;
+}
--- a/tools/lint/documented.mjs
+++ b/tools/lint/documented.mjs
@@ -9,4 +9,5 @@
   'src/state/{acceptor,attempt-budget,ballot,claim,health,hour-ranges,indices,lease-book,line-pace,listed,members,mixture}.ts',
   'src/state/{order,prefix-cache,prefix-table,rate-guard,rates,report,reports,retry-budget,route-table,run-counts}.ts',
   'src/state/{run-key,seal,serving,serving-order,shared-time,target,ticket,worker-entry,zone-sets}.ts',
+  'src/state/{home-worker,placement-cost,registry-row,worker-owners,worker-registry}.ts',
 ];
