--- a/standin-platform/caller.test.ts
+++ b/standin-platform/caller.test.ts
@@ -11,8 +11,9 @@
 import type { Caller, CallerSpec, Wish } from './caller.js';
 import { createRecords, onlyOf } from './records.js';
 import type { Kind, Records } from './records.js';
-import { createStandinWorker, ENGINE_DEFAULTS, WORKER_DEFAULTS } from './worker.js';
-import type { StandinWorker, WorkerSpec } from './worker.js';
+import { createStandinWorker } from './worker.js';
+import { ENGINE_DEFAULTS, WORKER_DEFAULTS } from './worker-spec.js';
+import type { StandinWorker, WorkerSpec } from './worker-spec.js';
 
 const clock = createClock();
 const HOST = 'ficu95.example';
--- a/standin-platform/caller.ts
+++ b/standin-platform/caller.ts
@@ -8,7 +8,7 @@
 import type { Answer, Connection } from './client.js';
 import { createEventReader } from './events.js';
 import type { Ended, EventSeen, Kind, Records } from './records.js';
-import { sha } from './worker.js';
+import { sha } from './incoming.js';
 
 export type Wish = {
   readonly host: string;
--- a/standin-platform/list.test.ts
+++ b/standin-platform/list.test.ts
@@ -5,7 +5,7 @@
 import type { ListSpec, StandinList } from './list.js';
 import { createRecords } from './records.js';
 import type { Records } from './records.js';
-import type { Seen } from './worker.js';
+import type { Seen } from './worker-spec.js';
 
 const clock = createClock();
 let records: Records;
--- a/standin-platform/list.ts
+++ b/standin-platform/list.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../src/transport/clock.js';
 import { CALL, LISTED, QUERY, USAGE } from '../platform/words.js';
 import type { Records } from './records.js';
-import type { Seen } from './worker.js';
+import type { Seen } from './worker-spec.js';
 
 export type ListSpec = {
   readonly ip: string;
--- a/standin-platform/shape.ts
+++ b/standin-platform/shape.ts
@@ -2,8 +2,8 @@
 import type { Mapping, Model } from './document.js';
 import type { Wish } from './caller.js';
 import { WISH_DEFAULTS } from './caller.js';
-import type { EngineSpec } from './worker.js';
-import { ENGINE_DEFAULTS } from './worker.js';
+import type { EngineSpec } from './worker-spec.js';
+import { ENGINE_DEFAULTS } from './worker-spec.js';
 
 export type WorkerGroup = {
   readonly model: string;
--- a/standin-platform/site.ts
+++ b/standin-platform/site.ts
@@ -23,8 +23,9 @@
 import type { Rec, Records } from './records.js';
 import { documentOf, HOST } from './shape.js';
 import type { Shape } from './shape.js';
-import { createStandinWorker, WORKER_DEFAULTS } from './worker.js';
-import type { StandinWorker } from './worker.js';
+import { createStandinWorker } from './worker.js';
+import { WORKER_DEFAULTS } from './worker-spec.js';
+import type { StandinWorker } from './worker-spec.js';
 
 const PORT = {
   list: 8169,
--- a/standin-platform/worker.test.ts
+++ b/standin-platform/worker.test.ts
@@ -5,8 +5,9 @@
 import type { Answer, Connection } from './client.js';
 import { createRecords, onlyOf } from './records.js';
 import type { Records } from './records.js';
-import { createStandinWorker, ENGINE_DEFAULTS, WORKER_DEFAULTS } from './worker.js';
-import type { StandinWorker, WorkerSpec } from './worker.js';
+import { createStandinWorker } from './worker.js';
+import { ENGINE_DEFAULTS, WORKER_DEFAULTS } from './worker-spec.js';
+import type { StandinWorker, WorkerSpec } from './worker-spec.js';
 
 const clock = createClock();
 const ID = '9c41d07be2a35f68';
--- a/standin-platform/worker.ts
+++ b/standin-platform/worker.ts
@@ -1,93 +1,21 @@
+/**
+ * A worker of the users' platform as a stand-in: one HTTP server that lives, queues, batches,
+ * streams, warms up, drains and dies as the pages tell, with faults by switch. Each step is
+ * noted in the journal, by which `check.ts` judges the callers.
+ */
+
 import { createHash } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { pause } from '../src/transport/clock.js';
-import type { Clock } from '../src/transport/clock.js';
 import { below } from '../src/transport/rng.js';
-import type { Rng } from '../src/transport/rng.js';
 import { CALL, HEADER, USAGE } from '../platform/words.js';
 import { eventText } from './events.js';
-import type { EventSeen, Finished, Records } from './records.js';
-
-export type EngineSpec = {
-  readonly tokensPerMs: number;
-  readonly stepMs: number;
-  readonly tokensPerEvent: number;
-  readonly kvTokens: number;
-  readonly weights: number;
-};
-
-export type WorkerSpec = {
-  readonly ip: string;
-  readonly port: number;
-  readonly model: string;
-  readonly zone: string;
-  readonly region: string;
-  readonly capacity: number;
-  readonly queue: number;
-  readonly maxConns: number;
-  readonly idleMs: number;
-  readonly healthPath: string;
-  readonly workMs: number;
-  readonly bytes: number;
-  readonly coldRateS: number;
-  readonly closeEvery: number;
-  readonly engine: EngineSpec | null;
-};
-
-export const WORKER_DEFAULTS = {
-  capacity: 8,
-  queue: 16,
-  maxConns: 96,
-  idleMs: 15_000,
-  healthPath: '/health',
-  workMs: 20,
-  bytes: 800,
-  coldRateS: 0,
-  closeEvery: 60,
-  engine: null,
-} as const;
-
-export const ENGINE_DEFAULTS = {
-  tokensPerMs: 42,
-  stepMs: 5.5,
-  tokensPerEvent: 5,
-  kvTokens: 226_940,
-  weights: 1,
-} as const;
-
-export type FaultMode = 'breakOff' | 'behind' | 'surplus' | 'garbage' | 'lostAnswer' | 'fail' | 'refuse';
-export type Fault = { readonly mode: FaultMode; readonly share: number };
-
-export type Seen = {
-  readonly id: string;
-  readonly address: string;
-  readonly model: string;
-  readonly zone: string;
-  readonly capacity: number;
-  readonly phase: 'serving' | 'draining' | 'gone';
-  readonly coldLeftMs: number;
-  readonly remainingMs: number | null;
-  readonly weights: number | null;
-};
-
-export type StandinWorker = {
-  readonly start: (over?: { readonly model?: string; readonly coldMs?: number }) => Promise<void>;
-  readonly seen: () => Seen;
-  readonly drain: (remainingMs: number | null) => void;
-  readonly crash: () => Promise<void>;
-  readonly end: () => Promise<void>;
-  readonly dark: (on: boolean) => void;
-  readonly goCold: (ms: number) => void;
-  readonly fault: (f: Fault | null) => void;
-  readonly lie: (on: boolean) => void;
-  readonly loadWeights: (version: number) => void;
-  readonly resetIdle: () => void;
-  readonly running: () => number;
-};
-
-export type WorkerDeps = { readonly clock: Clock; readonly rng: Rng; readonly records: Records };
+import { digestOf, header, sha, tokensOf } from './incoming.js';
+import { createPrefixMemory } from './prefix-memory.js';
+import type { EventSeen, Finished } from './records.js';
+import type { EngineSpec, Fault, FaultMode, Seen, StandinWorker, WorkerDeps, WorkerSpec } from './worker-spec.js';
 
 type Visit = {
   readonly id: string;
@@ -115,6 +43,7 @@
   'connection',
 ];
 
+/** A worker that has not started yet. */
 export function createStandinWorker(spec: WorkerSpec, deps: WorkerDeps): StandinWorker {
   const { clock, rng, records } = deps;
   let id = '';
@@ -139,7 +68,7 @@
   const atWork = new Map<Socket, number>();
   const surplus = new Map<Socket, string>();
   const queue: Visit[] = [];
-  const kept = new Map<string, number>();
+  const memory = createPrefixMemory(spec.engine?.kvTokens ?? 0);
 
   function note(
     event: 'started' | 'draining' | 'ended' | 'crashed' | 'dark' | 'lit' | 'cold' | 'fellOver',
@@ -169,7 +98,7 @@
     lying = false;
     fault = null;
     recent = [];
-    kept.clear();
+    memory.clear();
     coldUntil = clock.mono() + (over.coldMs ?? 0);
     const mine = createServer(
       { keepAliveTimeout: spec.idleMs, maxHeaderSize: 65_536, requestTimeout: 0, headersTimeout: 0 },
@@ -306,8 +235,8 @@
 
   function tooLarge(req: IncomingMessage): boolean {
     if (!spec.engine) return false;
-    const [prompt = 0, out = 0] = (header(req, HEADER.tokens) ?? '0,0').split(',').map(Number);
-    return prompt + out > spec.engine.kvTokens;
+    const { prompt, answer } = tokensOf(req);
+    return prompt + answer > spec.engine.kvTokens;
   }
 
   function refuse(visitId: string, res: ServerResponse, status: number): void {
@@ -456,10 +385,10 @@
   }
 
   async function generate(job: Omit<Visit, 'go'>, engine: EngineSpec): Promise<void> {
-    const [, most = 0] = (header(job.req, HEADER.tokens) ?? '0,0').split(',').map(Number);
-    const total = Math.max(1, Math.ceil(most / engine.tokensPerEvent));
+    const { prompt, answer } = tokensOf(job.req);
+    const total = Math.max(1, Math.ceil(answer / engine.tokensPerEvent));
     const slow = coldLeft() > 0 ? 2 : 1;
-    await pause(clock, (toRead(job.req) / engine.tokensPerMs) * slow);
+    await pause(clock, (memory.read(prompt, header(job.req, HEADER.prefix) ?? '') / engine.tokensPerMs) * slow);
     await lit();
     if (dropped(job)) return;
     if (clock.mono() >= job.deadlineAt) return refuse(job.id, job.res, 503);
@@ -493,34 +422,7 @@
     if (behind) socket?.write(plainAnswer(job.attempt, seal, Buffer.from('behind')));
   }
 
-  function toRead(req: IncomingMessage): number {
-    const [prompt = 0] = (header(req, HEADER.tokens) ?? '0,0').split(',').map(Number);
-    let chain = '';
-    let warm = true;
-    let hits = 0;
-    for (const part of (header(req, HEADER.prefix) ?? '').split(',')) {
-      const [hash = '', tokens = '0'] = part.split(':');
-      if (hash === '') continue;
-      chain += `>${hash}`;
-      const was = kept.get(chain);
-      kept.delete(chain);
-      kept.set(chain, Number(tokens));
-      if (warm && was !== undefined) hits += was;
-      else warm = false;
-    }
-    let sum = 0;
-    for (const tokens of kept.values()) sum += tokens;
-    for (const [oldest, tokens] of kept) {
-      if (sum <= (spec.engine?.kvTokens ?? 0)) break;
-      kept.delete(oldest);
-      sum -= tokens;
-    }
-    return Math.max(0, prompt - hits);
-  }
-
   function report(res: ServerResponse): void {
-    let inUse = 0;
-    for (const tokens of kept.values()) inUse += tokens;
     const body = JSON.stringify({
       [USAGE.stage]: 'colocated',
       [USAGE.models]: [{ [USAGE.name]: 'm', [USAGE.weights]: weights, adapters: [] }],
@@ -528,7 +430,7 @@
       [USAGE.orders]: 0,
       [USAGE.queued]: queue.length,
       [USAGE.active]: running,
-      [USAGE.kvInUse]: Math.min(inUse, spec.engine?.kvTokens ?? 0),
+      [USAGE.kvInUse]: Math.min(memory.inUse(), spec.engine?.kvTokens ?? 0),
       [USAGE.kvTotal]: spec.engine?.kvTokens ?? 0,
       [USAGE.sessions]: 0,
     });
@@ -625,33 +527,3 @@
 }
 
 function ignore(): void {}
-
-function header(req: IncomingMessage, name: string): string | null {
-  const value = req.headers[name];
-  return typeof value === 'string' ? value : null;
-}
-
-export function sha(bytes: Buffer | string): string {
-  return createHash('sha256').update(bytes).digest('hex');
-}
-
-function digestOf(req: IncomingMessage): Promise<string | null> {
-  function read(resolve: (digest: string | null) => void): void {
-    const hash = createHash('sha256');
-    let whole = false;
-    function data(bytes: Buffer): void {
-      hash.update(bytes);
-    }
-    function end(): void {
-      whole = true;
-      resolve(hash.digest('hex'));
-    }
-    function close(): void {
-      if (!whole) resolve(null);
-    }
-    req.on('data', data);
-    req.on('end', end);
-    req.on('close', close);
-  }
-  return new Promise<string | null>(read);
-}
--- a/tools/lint/documented.mjs
+++ b/tools/lint/documented.mjs
@@ -10,4 +10,5 @@
   'src/state/{order,prefix-cache,prefix-table,rate-guard,rates,report,reports,retry-budget,route-table,run-counts}.ts',
   'src/state/{run-key,seal,serving,serving-order,shared-time,target,ticket,worker-entry,zone-sets}.ts',
   'src/state/{home-worker,placement-cost,registry-row,worker-owners,worker-registry}.ts',
+  'standin-platform/{incoming,prefix-memory,worker-spec,worker}.ts',
 ];
