A standstill of half a second is noticed before anything is sent

Test first: one that stands still for 700 ms ("Expected length: 0"). Change: the bound is 500 ms, twice the time between two looks.

--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -613,18 +613,20 @@
 });
 
 test('a request that arrived while its proxy was frozen, with its caller gone since, is not sent', async () => {
-  const r = await rig({ kind: 'once' }, [entry('w')]);
-  await r.world.advance(300);
-  r.freeze();
-  await r.world.advance(2_000);
-  let leave = (): void => undefined;
-  r.arrives(() => {
-    leave = r.ask().leave;
-  });
-  r.arrives(() => leave());
-  await r.thaw();
-  await r.world.advance(500);
-  expect(r.sent).toHaveLength(0);
+  for (const frozenMs of [700, 2_000]) {
+    const r = await rig({ kind: 'once' }, [entry('w')]);
+    await r.world.advance(300);
+    r.freeze();
+    await r.world.advance(frozenMs);
+    let leave = (): void => undefined;
+    r.arrives(() => {
+      leave = r.ask().leave;
+    });
+    r.arrives(() => leave());
+    await r.thaw();
+    await r.world.advance(500);
+    expect(r.sent).toHaveLength(0);
+  }
 });
 
 test('the deadline that a worker is handed is what is left when the request is written', async () => {
--- a/src/state/standstill.ts
+++ b/src/state/standstill.ts
@@ -4,12 +4,15 @@
  * order, so whoever is about to send something first waits until that has been read.
  */
 export type Standstill = {
-  /** To be called at least each `gapMs / 4`, and before a send: the moment to wait for, or null. */
+  /** To be called at least each 250 ms, and before a send: the moment to wait for, or null. */
   readonly observe: (now: number) => number | null;
 };
 
-/** No turn of the event loop for so long is a standstill; the proxy looks at itself each 250 ms. */
-const GAP_MS = 1_000;
+/**
+ * No turn of the event loop for so long is a standstill. A caller that left half a second ago must not be
+ * served any more, so no longer one may go unnoticed; the proxy looks at itself each 250 ms.
+ */
+const GAP_MS = 500;
 /** By then what waited at the sockets has been read: one turn reads them all, an ended connection takes two more. */
 const SETTLE_MS = 40;
 
