--- /dev/null
+++ b/src/sim/edge-day.ts
@@ -0,0 +1,246 @@
+/**
+ * A day of one proxy's opaque server: callers of all kinds, workers in all kinds of trouble, and a proxy
+ * that is frozen now and then. By seed, without sockets; judged from what callers and workers noted.
+ */
+import { OPEN_WORDS } from '../protocol/open-words.js';
+import { createAttemptBudget } from '../state/attempt-budget.js';
+import { EDGE_TUNING } from '../state/edge-tuning.js';
+import { createRouteTable } from '../state/route-table.js';
+import type { RouteTable } from '../state/route-table.js';
+import { DEFAULT_LIMITS } from '../state/serving.js';
+import type { RouteMapping } from '../state/serving.js';
+import { createWorkerRegistry } from '../state/worker-registry.js';
+import type { WorkerEntry } from '../state/worker-entry.js';
+import { every, turnOver } from '../transport/clock.js';
+import { createQuietLog } from '../transport/log.js';
+import type { ConnectionPool, OpenRequest } from '../transport/open-http.js';
+import { createRng } from '../transport/rng.js';
+import type { Relay, RelayDeps } from '../coordination/edge/relay.js';
+import { bodyOf, checkEdgeJournal } from './edge-journal.js';
+import type { Asked, AskedKind, BrokenRule, EdgeJournal } from './edge-journal.js';
+import { createEdgeWorkers } from './edge-workers.js';
+import type { EdgeSabotage } from './edge-workers.js';
+import { createWorld } from './world.js';
+import type { Host } from './world.js';
+
+export type EdgeDayOptions = {
+  /** The relay under trial; a test may hand in one that was broken on purpose. */
+  readonly createRelay: (deps: RelayDeps) => Relay;
+  readonly requests?: number;
+  readonly trouble?: number;
+  readonly sabotage?: EdgeSabotage;
+  /** Whether the proxy may be frozen on the way. */
+  readonly freezes?: boolean;
+};
+
+export type EdgeDayEnd = {
+  readonly broken: readonly BrokenRule[];
+  readonly journal: EdgeJournal;
+  /** Requests that the relay still holds after all should be over. */
+  readonly open: number;
+  /** Places at workers that are still held. */
+  readonly held: number;
+};
+
+const KINDS: readonly AskedKind[] = ['once', 'repeatable', 'stream', 'resumable'];
+const DEADLINE_MS = 3_000;
+const ASK_WITHIN_MS = 4_000;
+const BOUNDS = { ratio: 0.5, slack: 12, windowMs: 60_000 };
+const SETTLE_MS = 9_000;
+
+function routeOf(kind: AskedKind, attempts: number): RouteMapping {
+  return {
+    at: 0,
+    host: 'a.example',
+    prefix: `/${kind}/${attempts}/`,
+    kind: kind === 'resumable' ? 'stream' : kind,
+    resumable: kind === 'resumable',
+    pinned: false,
+    rank: KINDS.indexOf(kind),
+    deadlineMs: DEADLINE_MS,
+    aimMs: 2_000,
+    pauseMs: null,
+    attempts,
+    shares: [{ model: 'm', share: 1 }],
+    split: false,
+    homes: [],
+  };
+}
+
+function workerEntry(n: number): WorkerEntry {
+  return {
+    id: `w${n}`,
+    model: 'm',
+    address: `10.0.0.${n}:80`,
+    zone: `z${n % 2}`,
+    region: 'r',
+    release: '',
+    places: 4,
+    leaving: false,
+    remainingMs: null,
+    coldMs: 0,
+  };
+}
+
+/** Plays one day and judges it. */
+export async function runEdgeDay(seed: number, options: EdgeDayOptions): Promise<EdgeDayEnd> {
+  const world = createWorld(seed);
+  const rng = createRng(seed ^ 0x5eed);
+  const proc = world.begin(world.host('edge', 'z1'));
+  const clock = world.clockOf(proc);
+  const journal: EdgeJournal = { asked: [], arrivals: [] };
+  const connectionPool: ConnectionPool = createEdgeWorkers({
+    world,
+    proc,
+    words: OPEN_WORDS,
+    rng,
+    journal,
+    sabotage: options.sabotage ?? 'none',
+    trouble: options.trouble ?? 0.5,
+  });
+  const mappings: Record<string, RouteMapping> = {};
+  for (const kind of KINDS) for (const attempts of [1, 2, 3]) mappings[`${kind}${attempts}`] = routeOf(kind, attempts);
+  const models = { m: { at: 0, probePath: '/h', maxConns: 100, coldS: 0, coldRateS: 0, engine: null } };
+  const table = createRouteTable({ number: 1, mappings, models, limits: DEFAULT_LIMITS });
+  const book = createWorkerRegistry({ name: 'edge', zone: 'z1', region: 'r', held: connectionPool.idle }, EDGE_TUNING);
+  book.takeList([1, 2, 3, 4].map(workerEntry), 0);
+  const relay = options.createRelay({
+    words: OPEN_WORDS,
+    tuning: EDGE_TUNING,
+    book,
+    budget: createAttemptBudget(BOUNDS),
+    connectionPool,
+    clock,
+    rng,
+    log: createQuietLog().part('edge'),
+    table: theTable,
+    closing: never,
+    lastEndAt: nothing,
+  });
+  every(clock, 250, relay.turn);
+  function theTable(): RouteTable {
+    return table;
+  }
+
+  for (let i = 0; i < (options.requests ?? 12); i += 1) world.at(rng.next() * ASK_WITHIN_MS, ask);
+  const freezes = rng.next() < 0.4 && options.freezes !== false;
+  const freezeAt = rng.next() * ASK_WITHIN_MS;
+  if (freezes) world.at(freezeAt, freeze);
+
+  function freeze(): void {
+    world.freeze(proc.host);
+  }
+  function ask(): void {
+    const asked = newAsked(journal.asked.length, rng.next);
+    journal.asked.push(asked);
+    const caller = createCaller(asked);
+    if (rng.next() < 0.2) world.at(rng.next() * 1_500, leave);
+    function arrives(): void {
+      asked.readAt = world.now();
+      relay.handle(caller.incoming);
+    }
+    function leave(): void {
+      if (asked.end !== 'none') return;
+      asked.leftAt = world.now();
+      world.run(proc, caller.left);
+    }
+    world.run(proc, arrives);
+  }
+
+  if (freezes) {
+    await world.advance(freezeAt + 200 + rng.next() * 4_000);
+    await thaw(proc.host);
+  }
+  await world.advance(ASK_WITHIN_MS + SETTLE_MS);
+  let held = 0;
+  for (const row of book.rows()) held += row.running;
+  return { broken: checkEdgeJournal(journal, BOUNDS), journal, open: relay.tally().open, held };
+}
+
+function never(): boolean {
+  return false;
+}
+function nothing(): null {
+  return null;
+}
+
+/** Runs what came while a host was frozen one by one, each with its microtasks, as an event loop does. */
+async function thaw(host: Host): Promise<void> {
+  host.frozen = false;
+  for (const fn of host.parked.splice(0)) {
+    fn();
+    await turnOver();
+  }
+}
+
+function newAsked(n: number, next: () => number): Asked {
+  const kind = KINDS[Math.floor(next() * KINDS.length)] as AskedKind;
+  return {
+    id: `q${n}`,
+    kind,
+    readAt: 0,
+    deadlineMs: Math.round(600 + next() * 2_400),
+    attempts: 1 + Math.floor(next() * 3),
+    events: 1 + Math.floor(next() * 6),
+    leftAt: null,
+    status: 0,
+    seal: null,
+    body: '',
+    end: 'none',
+  };
+}
+
+type Caller = { readonly incoming: OpenRequest; readonly left: () => void };
+
+/** A caller's connection: what the proxy writes into it becomes the caller's part of the journal. */
+function createCaller(asked: Asked): Caller {
+  const watchers: (() => void)[] = [];
+  const headers: Record<string, string> = {
+    host: 'a.example',
+    [OPEN_WORDS.attemptId]: asked.id,
+    [OPEN_WORDS.deadline]: String(asked.deadlineMs),
+    'content-length': String(bodyOf(asked.id).length),
+  };
+  let gone = false;
+
+  function get(name: string): string | null {
+    return headers[name] ?? null;
+  }
+  function body(): ReturnType<OpenRequest['body']> {
+    return Promise.resolve({ ok: true, value: Buffer.from(bodyOf(asked.id)) });
+  }
+  function isGone(): boolean {
+    return gone;
+  }
+  function onGone(fn: () => void): void {
+    watchers.push(fn);
+  }
+  function head(status: number, raw: readonly string[]): void {
+    if (gone || asked.status !== 0) return;
+    asked.status = status;
+    const at = raw.indexOf(OPEN_WORDS.seal);
+    asked.seal = at < 0 ? null : (raw[at + 1] ?? null);
+  }
+  function write(data: Buffer): void {
+    if (!gone && asked.end === 'none') asked.body += data.toString();
+  }
+  function end(): void {
+    if (!gone && asked.end === 'none') asked.end = 'whole';
+  }
+  function cut(): void {
+    if (!gone && asked.end === 'none') asked.end = 'cut';
+  }
+  function left(): void {
+    gone = true;
+    for (const fn of watchers) fn();
+  }
+  const incoming: OpenRequest = {
+    method: 'POST',
+    target: `/${asked.kind}/${asked.attempts}/x`,
+    headers: Object.entries(headers).flat(),
+    get,
+    body,
+    answerer: { head, write, end, cut, gone: isGone, onGone },
+  };
+  return { incoming, left };
+}
--- /dev/null
+++ b/src/sim/edge-workers.ts
@@ -0,0 +1,353 @@
+/**
+ * Stand-in workers of a simulated edge, and the connections to them: a twin of the connection pool whose
+ * workers misbehave as they are told by chance. Each notes what came to it and what it ran.
+ */
+import type { OpenWords } from '../protocol/open-words.js';
+import type { ConnectionPool, SendEvents, SendFault, Sending, Sent } from '../transport/open-http.js';
+import type { Rng } from '../transport/rng.js';
+import { eventText } from './edge-journal.js';
+import type { Arrival, Asked, EdgeJournal } from './edge-journal.js';
+import type { Proc, World } from './world.js';
+
+/** Deliberate breaks of the connections, by which the checker is seen to work. */
+export type EdgeSabotage = 'none' | 'resetToldAsNotConnected' | 'idsIgnored' | 'cutToldAsEnd';
+
+export type EdgeWorkersOptions = {
+  readonly world: World;
+  readonly proc: Proc;
+  readonly words: OpenWords;
+  readonly rng: Rng;
+  readonly journal: EdgeJournal;
+  readonly sabotage: EdgeSabotage;
+  /** Share of attempts that don't end as they should. */
+  readonly trouble: number;
+};
+
+type Head = { readonly status: number; readonly headers: Readonly<Record<string, string>> };
+
+/** One connection to a worker; `surplus` is an answer of an earlier request that lies unread in it. */
+type Connection = { readonly fresh: boolean; surplus: Head | null };
+
+/** What one request meets at a worker. */
+type Visit = {
+  readonly arrival: Arrival;
+  readonly asked: Asked;
+  readonly connection: Connection;
+  readonly address: string;
+  readonly events: SendEvents;
+  readonly from: number;
+  at: number;
+  left: boolean;
+};
+
+const BEHAVIOURS = [
+  'refuses',
+  'refusesWithoutId',
+  'wrongWorker',
+  'foreignRefusal',
+  'foreignAnswer',
+  'resetBeforeRun',
+  'resetAfterRun',
+  'garbage',
+  'fails',
+  'fails503',
+  'cut',
+  'encoded',
+  'withoutSeal',
+  'silent',
+  'silentMidway',
+  'repeatsEvent',
+  'midEvent',
+  'earlyAnswer',
+] as const;
+type Behaviour = (typeof BEHAVIOURS)[number] | 'serves';
+
+const CONNECT_MS = 4;
+const WAY_MS = 3;
+const WORK_MS = 60;
+const PAUSE_MS = 15;
+const REVIVES_AFTER_MS = 2_500;
+const REACHED_SHARE = 0.4;
+
+export function createEdgeWorkers(options: EdgeWorkersOptions): ConnectionPool {
+  const { world, proc, words, rng, journal } = options;
+  const idle = new Map<string, Connection[]>();
+  const dark = new Set<string>();
+  let seals = 0;
+
+  function chance(share: number): boolean {
+    return rng.next() < share;
+  }
+  function soon(ms: number): number {
+    return ms * (0.5 + rng.next());
+  }
+  function toProxy(ms: number, fn: () => void): void {
+    function deliver(): void {
+      world.run(proc, fn);
+    }
+    world.at(ms, deliver);
+  }
+  function fault(events: SendEvents, tag: SendFault['tag']): void {
+    events.failed({ tag: options.sabotage === 'resetToldAsNotConnected' && tag === 'reset' ? 'notConnected' : tag });
+  }
+
+  function send(what: Sending, events: SendEvents): Sent {
+    const sending = { over: false, visit: null as Visit | null };
+    const reused = chance(0.7) ? idle.get(what.address)?.pop() : undefined;
+    if (reused) write(reused);
+    else toProxy(soon(CONNECT_MS), dialled);
+
+    function dialled(): void {
+      if (sending.over) return;
+      if (chance(options.trouble * 0.1) || dark.has(what.address)) {
+        fault(events, 'notConnected');
+        return;
+      }
+      events.connected?.(CONNECT_MS);
+      write({ fresh: true, surplus: null });
+    }
+    function write(connection: Connection): void {
+      if (chance(options.trouble * 0.05)) {
+        fault(events, 'resetUnwritten');
+        return;
+      }
+      const headers = what.headers();
+      if (headers === null) {
+        rest(what.address, connection);
+        events.failed({ tag: 'withheld' });
+        return;
+      }
+      const partly = chance(options.trouble * 0.05);
+      function arrive(): void {
+        if (!partly || chance(0.5))
+          sending.visit = visit(what, headers ?? [], connection, events, sending.over, partly);
+      }
+      world.at(soon(WAY_MS), arrive);
+      function reset(): void {
+        if (!sending.over) fault(events, 'resetPartlyWritten');
+      }
+      if (partly) toProxy(soon(PAUSE_MS), reset);
+    }
+    function cut(): void {
+      sending.over = true;
+      if (sending.visit) sending.visit.left = true;
+    }
+    return { cut };
+  }
+
+  function visit(
+    what: Sending,
+    headers: readonly string[],
+    connection: Connection,
+    events: SendEvents,
+    left: boolean,
+    partly: boolean,
+  ): Visit | null {
+    const given = new Map<string, string>();
+    for (let i = 0; i + 1 < headers.length; i += 2) given.set(headers[i] as string, headers[i + 1] as string);
+    const id = given.get(words.attemptId) ?? '';
+    const handedMs = Number(given.get(words.deadline));
+    const arrival: Arrival = {
+      id,
+      worker: what.address,
+      at: world.now(),
+      handedMs,
+      body: what.body?.toString() ?? '',
+      seal: null,
+      status: 0,
+      whole: '',
+    };
+    journal.arrivals.push(arrival);
+    function isIt(one: Asked): boolean {
+      return one.id === id;
+    }
+    const asked = journal.asked.find(isIt);
+    if (!asked || left) return null;
+    const from = Number(given.get(words.lastEvent) ?? 0);
+    const made: Visit = { arrival, asked, connection, address: what.address, events, from, at: 0, left: false };
+    if (partly) begin(made);
+    else
+      behave(
+        made,
+        chance(options.trouble) ? (BEHAVIOURS[Math.floor(rng.next() * BEHAVIOURS.length)] as Behaviour) : 'serves',
+      );
+    return made;
+  }
+
+  function begin(v: Visit): string {
+    v.arrival.seal = `seal-${(seals += 1)}`;
+    v.arrival.status = 200;
+    v.arrival.whole = `${v.arrival.seal} answers ${v.arrival.id}`;
+    return v.arrival.seal;
+  }
+
+  /** Bytes of one visit come in order. A worker that was left speaks on now and then, as its bytes were under way. */
+  function say(v: Visit, ms: number, fn: () => void): void {
+    v.at = Math.max(v.at, world.now()) + soon(ms);
+    toProxy(v.at - world.now(), fn);
+  }
+  function head(v: Visit, status: number, headers: Readonly<Record<string, string>>): void {
+    function tell(): void {
+      function get(name: string): string | null {
+        if (options.sabotage === 'idsIgnored' && name === words.attemptId) return v.arrival.id;
+        return headers[name] ?? null;
+      }
+      v.events.head(status, Object.entries(headers).flat(), get);
+    }
+    say(v, WORK_MS, tell);
+  }
+  function data(v: Visit, text: string): void {
+    function tell(): void {
+      v.events.data(Buffer.from(text));
+    }
+    say(v, PAUSE_MS, tell);
+  }
+  function fail(v: Visit, tag: 'reset' | 'garbled'): void {
+    function tell(): void {
+      if (v.left) return;
+      if (options.sabotage === 'cutToldAsEnd') v.events.end();
+      else fault(v.events, tag);
+    }
+    say(v, PAUSE_MS, tell);
+  }
+  function end(v: Visit): void {
+    function tell(): void {
+      if (v.left) return;
+      v.events.end();
+      const surplus = chance(options.trouble * 0.3) ? surplusOf(v) : null;
+      rest(v.address, { fresh: false, surplus });
+    }
+    say(v, PAUSE_MS, tell);
+  }
+  function rest(address: string, connection: Connection): void {
+    idle.set(address, [...(idle.get(address) ?? []), { fresh: false, surplus: connection.surplus }]);
+  }
+  /** A second answer to the request before, as it may lie unread when the connection is taken again. */
+  function surplusOf(v: Visit): Head {
+    const mine = { [words.attemptId]: v.arrival.id };
+    if (chance(0.5)) return { status: 200, headers: { ...mine, [words.seal]: v.arrival.seal ?? 'none' } };
+    return {
+      status: chance(0.5) ? 421 : 503,
+      headers: chance(0.3) ? { [words.notRun]: '1' } : { ...mine, [words.notRun]: '1' },
+    };
+  }
+
+  function behave(v: Visit, behaviour: Behaviour): void {
+    const mine = { [words.attemptId]: v.arrival.id };
+    const refusal = { ...mine, [words.notRun]: '1' };
+    if (v.connection.surplus) {
+      begin(v);
+      head(v, v.connection.surplus.status, v.connection.surplus.headers);
+      data(v, 'the rest of another answer');
+      end(v);
+      return;
+    }
+    switch (behaviour) {
+      case 'refuses':
+        head(v, chance(0.5) ? 503 : 429, refusal);
+        return end(v);
+      case 'refusesWithoutId':
+        head(v, 503, { [words.notRun]: '1' });
+        return end(v);
+      case 'wrongWorker':
+        head(v, 421, mine);
+        return end(v);
+      case 'resetBeforeRun':
+        return fail(v, 'reset');
+      case 'foreignRefusal':
+        begin(v);
+        head(v, chance(0.5) ? 421 : 503, { ...refusal, [words.attemptId]: 'another' });
+        return end(v);
+      case 'foreignAnswer':
+        begin(v);
+        head(v, 200, { [words.attemptId]: 'another', [words.seal]: 'seal-of-another' });
+        data(v, 'an answer for another');
+        return end(v);
+      default:
+        runAs(v, behaviour, { ...mine, [words.seal]: begin(v) });
+    }
+  }
+
+  function runAs(v: Visit, behaviour: Behaviour, sealed: Readonly<Record<string, string>>): void {
+    const mine = { [words.attemptId]: v.arrival.id };
+    switch (behaviour) {
+      case 'resetAfterRun':
+        return fail(v, 'reset');
+      case 'garbage':
+        return fail(v, 'garbled');
+      case 'silent':
+        return goDark(v);
+      case 'encoded':
+        head(v, 200, { ...sealed, 'content-encoding': 'gzip' });
+        return end(v);
+      case 'withoutSeal':
+        head(v, 200, mine);
+        return end(v);
+      case 'fails':
+      case 'fails503':
+        v.arrival.status = behaviour === 'fails' ? 500 : 503;
+        head(v, v.arrival.status, sealed);
+        data(v, 'failed');
+        return end(v);
+      default:
+        if (v.asked.kind === 'stream' || v.asked.kind === 'resumable') stream(v, behaviour, sealed);
+        else answer(v, behaviour, sealed);
+    }
+  }
+
+  function answer(v: Visit, behaviour: Behaviour, sealed: Readonly<Record<string, string>>): void {
+    const { whole } = v.arrival;
+    head(v, 200, sealed);
+    data(v, whole.slice(0, 9));
+    if (behaviour === 'cut' || behaviour === 'midEvent') return fail(v, 'reset');
+    if (behaviour === 'silentMidway') return goDark(v);
+    data(v, whole.slice(9));
+    end(v);
+  }
+
+  function stream(v: Visit, behaviour: Behaviour, sealed: Readonly<Record<string, string>>): void {
+    const breakAt = v.from + 1 + Math.floor(rng.next() * Math.max(1, v.asked.events - v.from));
+    head(v, 200, sealed);
+    for (let n = v.from + 1; n <= v.asked.events; n += 1) {
+      const text = eventText(v.arrival.id, n);
+      const middle = Math.floor(rng.next() * text.length);
+      data(v, text.slice(0, middle));
+      if (n === breakAt && behaviour === 'midEvent') return fail(v, 'reset');
+      data(v, text.slice(middle));
+      if (n !== breakAt) continue;
+      if (behaviour === 'cut') return fail(v, 'reset');
+      if (behaviour === 'repeatsEvent') data(v, text);
+      if (behaviour === 'silentMidway') {
+        goDark(v);
+        v.at = world.now() + REVIVES_AFTER_MS;
+      }
+    }
+    end(v);
+  }
+
+  /** The worker can't be reached for a while; its answer comes when it can. */
+  function goDark(v: Visit): void {
+    dark.add(v.address);
+    function light(): void {
+      dark.delete(v.address);
+    }
+    world.at(soon(REVIVES_AFTER_MS), light);
+    if (v.asked.kind === 'once' || v.asked.kind === 'repeatable') return;
+    v.at = world.now() + REVIVES_AFTER_MS;
+  }
+
+  function check(address: string, waitMs: number, done: (reached: boolean) => void): void {
+    function told(): void {
+      done(!dark.has(address) || chance(REACHED_SHARE * 0.2));
+    }
+    toProxy(dark.has(address) ? waitMs : soon(CONNECT_MS), told);
+  }
+  function idleAt(address: string): number {
+    return idle.get(address)?.length ?? 0;
+  }
+  function none(): number {
+    return 0;
+  }
+  function nothing(): void {}
+  return { send, check, open: none, idle: idleAt, forget: nothing, made: none, stop: nothing };
+}
