A second attempt at the same worker goes on a new connection

Of two attempts of one request at one worker the second could take the connection of the first, with a surplus answer to the first still unread in it. That bears the request's own id: its refusal was taken for the second attempt's, which ran (503, or sent again), or its body was passed on with another run's seal.

Ruled out: telling the two by the id, since a caller's try has one id whatever worker it is sent to, and nothing else comes back.

Change: the request knows the workers to which it was written, and asks the pool for a connection that has carried nothing before.

Tests at the relay and at the pool; without the mark the first fails.

--- a/src/coordination/edge/attempt.ts
+++ b/src/coordination/edge/attempt.ts
@@ -103,6 +103,7 @@
         return null;
       written = true;
       request.attempts += 1;
+      request.writtenTo.add(row.entry.id);
       request.reserved = false;
       return requestHeaders(words, request, row.entry.id, request.deadlineAt - now);
     }
@@ -138,6 +139,7 @@
       target: incoming.target,
       headers,
       body: request.body.length > 0 || hasBody(incoming) ? request.body : null,
+      newConnection: request.writtenTo.has(row.entry.id),
       connectMs: Math.min(leftMs, registry.connectMs(row)),
     };
     const events: SendEvents = { connected, head, data, end, failed };
--- a/src/coordination/edge/relay.test.ts
+++ b/src/coordination/edge/relay.test.ts
@@ -676,3 +676,15 @@
     expect(answer.headers).toEqual(expect.arrayContaining(['Retry-After', 'Connection', 'close']));
   }
 });
+
+test('a second attempt at the same worker goes on a new connection, where no answer to the first can be due', async () => {
+  const r = await rig({ kind: 'once', attempts: 3 }, [entry('w')]);
+  r.ask();
+  await r.world.advance(1);
+  refusedFor(r.sent[0]!, 503, 'q1');
+  await r.world.advance(400);
+  expect(r.sent.map((s) => [s.what.address, s.what.newConnection])).toEqual([
+    ['10.0.0.1:1', false],
+    ['10.0.0.1:1', true],
+  ]);
+});
--- a/src/coordination/edge/relayed-request.ts
+++ b/src/coordination/edge/relayed-request.ts
@@ -27,6 +27,8 @@
   readonly outTokens: number;
   /** Workers that were tried and are passed over while there are others. */
   readonly avoid: Set<string>;
+  /** Workers to which it was written; a surplus answer of theirs may bear its id. */
+  readonly writtenTo: Set<string>;
   /** Attempts whose request was written. */
   attempts: number;
   /** One further attempt has been taken from the budget and not been written yet. */
@@ -72,6 +74,7 @@
     tokens,
     outTokens,
     avoid: new Set(),
+    writtenTo: new Set(),
     attempts: 0,
     reserved: false,
     mayHaveRun: false,
--- a/src/sim/edge-workers.ts
+++ b/src/sim/edge-workers.ts
@@ -93,7 +93,7 @@
 
   function send(what: Sending, events: SendEvents): Sent {
     const sending = { over: false, visit: null as Visit | null };
-    const reused = chance(0.7) ? idle.get(what.address)?.pop() : undefined;
+    const reused = !what.newConnection && chance(0.7) ? idle.get(what.address)?.pop() : undefined;
     if (reused) write(reused);
     else toProxy(soon(CONNECT_MS), dialled);
 
--- a/src/transport/connection-pool.test.ts
+++ b/src/transport/connection-pool.test.ts
@@ -36,7 +36,7 @@
 }
 
 type Got = { status: number; body: string; fault: SendFault | null };
-function ask(o: ConnectionPool, address: string, body: string | null = 'x'): Promise<Got> {
+function ask(o: ConnectionPool, address: string, body: string | null = 'x', newConnection = false): Promise<Got> {
   return new Promise((done) => {
     const got: Got = { status: 0, body: '', fault: null };
     o.send(
@@ -46,6 +46,7 @@
         target: '/p?q=1',
         headers: () => ['Host', 'h', 'X-One', '1'],
         body: body === null ? null : Buffer.from(body),
+        newConnection,
         connectMs: 500,
       },
       {
@@ -300,7 +301,15 @@
   const o = connectionPool();
   const fault = await new Promise((done) =>
     o.send(
-      { address: at, method: 'POST', target: '/held', headers: () => null, body: Buffer.from('x'), connectMs: 500 },
+      {
+        address: at,
+        method: 'POST',
+        target: '/held',
+        headers: () => null,
+        body: Buffer.from('x'),
+        newConnection: false,
+        connectMs: 500,
+      },
       { head: () => undefined, data: () => undefined, end: () => done(null), failed: done },
     ),
   );
@@ -335,3 +344,12 @@
   }
   expect(ends).toEqual(['end', 'ECONNRESET']);
 });
+
+test('a request that must not meet an earlier one gets a new connection', async () => {
+  const at = await raw((sock) => sock.write(OK));
+  const o = connectionPool();
+  await ask(o, at);
+  expect(o.idle(at)).toBe(1);
+  expect(await ask(o, at, 'x', true)).toEqual({ status: 200, body: 'hi', fault: null });
+  expect(o.made()).toBe(2);
+});
--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -117,7 +117,7 @@
   function send(what: Sending, events: SendEvents): Sent {
     const at = placeOf(what.address);
     let over = false;
-    const idle = taken(at);
+    const idle = what.newConnection ? null : taken(at);
     const restedMs = idle ? clock.mono() - idle.from : 0;
     const reused = idle !== null;
     let sock: Socket | null = idle?.sock ?? null;
--- a/src/transport/open-http.ts
+++ b/src/transport/open-http.ts
@@ -59,6 +59,8 @@
   /** Asked at the moment of writing, when the connection is up; null withholds the request. */
   readonly headers: () => RawHeaders | null;
   readonly body: Buffer | null;
+  /** Not to be sent on a connection that has carried a request before. */
+  readonly newConnection: boolean;
   readonly connectMs: number;
 };
 
