An attempt that was given up ends its connection: test

At the real pool: after a silence, a deadline or a caller that left, the connection is ended, so a late answer reaches nobody and the next request is served by another connection.

--- a/src/transport/connection-pool.test.ts
+++ b/src/transport/connection-pool.test.ts
@@ -353,3 +353,35 @@
   expect(await ask(o, at, 'x', true)).toEqual({ status: 200, body: 'hi', fault: null });
   expect(o.made()).toBe(2);
 });
+
+test('an attempt that was given up takes its connection along: what its worker says late reaches nobody', async () => {
+  const socks: Socket[] = [];
+  const at = await raw((sock) => {
+    socks.push(sock);
+    if (socks.length > 1) sock.write(OK);
+  });
+  const o = connectionPool();
+  const heard: string[] = [];
+  const sent = o.send(
+    {
+      address: at,
+      method: 'POST',
+      target: '/first',
+      headers: () => ['Host', 'h'],
+      body: null,
+      newConnection: false,
+      connectMs: 500,
+    },
+    {
+      head: () => heard.push('head'),
+      data: () => heard.push('data'),
+      end: () => heard.push('end'),
+      failed: () => heard.push('failed'),
+    },
+  );
+  while (socks.length === 0) await new Promise((r) => setImmediate(r));
+  sent.cut();
+  socks[0]!.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate');
+  expect(await ask(o, at)).toEqual({ status: 200, body: 'hi', fault: null });
+  expect([o.made(), heard]).toEqual([2, []]);
+});
