--- a/src/coordination/edge/relay.ts
+++ b/src/coordination/edge/relay.ts
@@ -6,7 +6,7 @@
 import type { OpenWords } from '../../protocol/open-words.js';
 import type { AttemptBudget } from '../../state/attempt-budget.js';
 import { decide, mayHaveRun } from '../../state/attempt-outcome.js';
-import type { AttemptOutcome, Decision, RequestSituation } from '../../state/attempt-outcome.js';
+import type { RequestSituation } from '../../state/attempt-outcome.js';
 import type { EdgeTuning } from '../../state/edge-tuning.js';
 import type { MatchedRoute, RouteTable } from '../../state/route-table.js';
 import { createStandstill } from '../../state/standstill.js';
@@ -19,6 +19,7 @@
 import { createAttempt } from './attempt.js';
 import type { AttemptEnd } from './attempt.js';
 import { createCallerAnswers } from './caller-answers.js';
+import { createLastAnswers } from './last-answers.js';
 import { createRelayedRequest, expectedEnd } from './relayed-request.js';
 import type { RelayedRequest } from './relayed-request.js';
 import { createSilenceWatch } from './silence-watch.js';
@@ -63,12 +64,6 @@
 /** A proxy that has just started looks this often whether it knows its routes by now. */
 const OPENING_LOOK_MS = 20;
 
-/** A caller that is sent on to another proxy needn't wait. */
-const ELSEWHERE_S = 0.05;
-
-/** Shares of `tuning.backMs` after which a refused caller is asked to come back. */
-const BACK_SHARE = { notReady: 0.5, refused: 0.75, full: 1 } as const;
-
 export function createRelay(deps: RelayDeps): Relay {
   const { words, tuning, book, budget, connectionPool, clock, rng, log } = deps;
   const counts: RelayTally = {
@@ -83,6 +78,7 @@
   };
   const standstill = createStandstill();
   const answers = createCallerAnswers(words, deps.closing);
+  const last = createLastAnswers({ answers, tuning, rng, onRefused, onCut });
   const queue = createWorkerQueue({ registry: book, tuning, clock, standstill, askOf });
   const watch = createSilenceWatch({
     book,
@@ -105,6 +101,13 @@
     onEnd: queue.wake,
   });
 
+  function onRefused(): void {
+    counts.shed += 1;
+  }
+  function onCut(): void {
+    counts.cut += 1;
+  }
+
   function handle(incoming: OpenRequest): void {
     void serve(incoming);
   }
@@ -113,7 +116,7 @@
     const cameAt = clock.mono();
     const table = deps.table() ?? (await whenOpen(incoming));
     if (!table) {
-      refuse(incoming, 'notReady', backIn(BACK_SHARE.notReady));
+      last.notReady(incoming);
       return;
     }
     const route = table.match(incoming.get('host') ?? '', incoming.target.split('?', 1)[0] ?? '/');
@@ -138,7 +141,7 @@
       const request = createRelayedRequest(words, rng, incoming, route, id, body, cameAt);
       const lastEndAt = deps.lastEndAt();
       if (lastEndAt !== null && expectedEnd(request, clock.mono()) > lastEndAt) {
-        refuse(incoming, 'leaving', ELSEWHERE_S);
+        last.leaving(incoming);
         return;
       }
       counts.requests[request.model] = (counts.requests[request.model] ?? 0) + 1;
@@ -189,13 +192,13 @@
         return;
       }
       if (!held) {
-        refuseUnplaced(request);
+        last.unplaced(request, queue.noneInReach(request), request.deadlineAt - clock.mono());
         return;
       }
       const end = await send(request, held);
       const decision = decide(end.outcome, situationOf(request));
       if (decision.tag !== 'repeat') {
-        finish(request, end, decision);
+        last.decided(request, end, decision);
         return;
       }
       if (end.outcome.tag !== 'withheld') request.avoid.add(held.row.entry.id);
@@ -241,57 +244,6 @@
     request.reserved = false;
   }
 
-  function finish(request: RelayedRequest, end: AttemptEnd, decision: Decision): void {
-    switch (decision.tag) {
-      case 'done':
-      case 'repeat':
-        return;
-      case 'passOn':
-        if (end.answer) answers.passOn(request, end.answer);
-        else request.incoming.answerer.end();
-        return;
-      case 'refuse':
-        refuse(
-          request.incoming,
-          refusalTag(end.outcome),
-          Math.max(decision.retryAfterS ?? 0, backIn(BACK_SHARE.refused)),
-        );
-        return;
-      case 'fail':
-        answers.refuse(request.incoming, decision.status, decision.status === 504 ? 'late' : 'unknown', null);
-        return;
-      case 'cut':
-        cut(request);
-        return;
-      case 'wait':
-        fail(request);
-    }
-  }
-
-  function refuseUnplaced(request: RelayedRequest): void {
-    const leftMs = request.deadlineAt - clock.mono();
-    if (request.answerBegun || request.mayHaveRun) fail(request);
-    else if (queue.noneInReach(request))
-      refuse(request.incoming, 'noneInReach', Math.max(backIn(BACK_SHARE.full), (tuning.awayShare * leftMs) / 1_000));
-    else refuse(request.incoming, 'full', backIn(BACK_SHARE.full));
-  }
-
-  function refuse(incoming: OpenRequest, tag: string, retryAfterS: number): void {
-    counts.shed += 1;
-    answers.refuse(incoming, 503, tag, retryAfterS);
-  }
-  function fail(request: RelayedRequest): void {
-    if (request.answerBegun) cut(request);
-    else answers.refuse(request.incoming, 502, 'unknown', null);
-  }
-  function cut(request: RelayedRequest): void {
-    counts.cut += 1;
-    request.incoming.answerer.cut();
-  }
-  function backIn(share: number): number {
-    return (tuning.backMs * share * (0.75 + 0.5 * rng.next())) / 1_000;
-  }
-
   /** Waits, after a standstill, until what callers and workers did meanwhile has been read. */
   async function settled(): Promise<void> {
     for (let until = standstill.observe(clock.mono()); until !== null; until = standstill.observe(clock.mono())) {
@@ -307,15 +259,3 @@
   }
   return { handle, wake: queue.wake, turn, tally };
 }
-
-function refusalTag(outcome: AttemptOutcome): string {
-  switch (outcome.tag) {
-    case 'wrongWorker':
-    case 'notExecuted':
-      return 'workerFull';
-    case 'withheld':
-      return 'unsent';
-    default:
-      return 'unreachable';
-  }
-}
