A damaged ring no longer ends the process: the controller rejoins blank, under a new incarnation

Cause: a record that failed its checksum with younger ones behind it made the controller refuse to start until somebody cleared its data folder; whoever did so without a new identity would have had a member that forgot its promises.

Ruled out: reading what is left (promises behind the damage are unknown); clearing first (with the power lost right after it the former incarnation would vote from a blank ring).

Change: the new incarnation is written first, then the ring is cleared, then it is opened again, for the ledger's ring and for that of run-once claims (damaged-ring.ts); one log line says so.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -9,6 +9,8 @@
 import type { Address, Listener, WireFault } from '../transport/wire.js';
 import { createAimKeeper } from './ledger/aim-keeper.js';
 import { createClaims, noClaims } from './ledger/claims.js';
+import type { Claims } from './ledger/claims.js';
+import { openRenewed } from './ledger/damaged-ring.js';
 import { createCloudClient, createPlatformClient } from './scaling/cloud-client.js';
 import { openIdentity, saveIdentity } from './ledger/identity.js';
 import type { Identity, IdentityFault } from './ledger/identity.js';
@@ -78,7 +80,7 @@
   const bootstraps = id.bootstrap === true && id.seeds.includes(id.advertised);
   const identity = await openIdentity(disk, rng, bootstraps ? id.seeds : null);
   if (!identity.ok) return identity;
-  const { incarnation, bootstrapMembers, wasMember } = identity.value;
+  const { incarnation } = identity.value;
   const self: { name: string; incarnation: string; address: Address } = {
     name: id.name,
     incarnation,
@@ -117,27 +119,38 @@
     for (const n of nodes?.all() ?? []) if (n.role === 'controller' && isUp(n)) out.add(n.address);
     return out;
   }
-  const made = await createLedger({
-    clock,
-    rng,
-    peers,
-    disk,
-    log: logs.part('ledger'),
-    shape: shapes.ledger,
-    self,
-    contacts: knownControllers,
-    bootstrapMembers,
-    renew,
-    wasMember,
-    noteMember,
-    keepsClaims: id.claims !== false,
-  });
+  function ownId(): string {
+    return memberId(self);
+  }
+  const ownDisk = disk;
+  function openLedger(): Promise<Result<Ledger, RingFault>> {
+    return createLedger({
+      clock,
+      rng,
+      peers,
+      disk: ownDisk,
+      log: logs.part('ledger'),
+      shape: shapes.ledger,
+      self,
+      seeds: id.seeds,
+      contacts: knownControllers,
+      bootstrapMembers: kept.bootstrapMembers,
+      renew,
+      wasMember: kept.wasMember,
+      noteMember,
+      keepsClaims: id.claims !== false,
+    });
+  }
+  const made = await openRenewed(openLedger, { disk, shape: shapes.ledger, log, renew, self: ownId });
   if (!made.ok) return made;
   const ledger = made.value;
+  function openClaims(): Promise<Result<Claims, RingFault>> {
+    return createClaims(ledger, peers, ownDisk, shapes.claims, clock, logs.part('claims'));
+  }
   const claims =
     id.claims === false
       ? ok(noClaims())
-      : await createClaims(ledger, peers, disk, shapes.claims, clock, logs.part('claims'));
+      : await openRenewed(openClaims, { disk, shape: shapes.claims, log, renew, self: ownId });
   if (!claims.ok) {
     ledger.stop();
     return claims;
--- /dev/null
+++ b/src/coordination/ledger/damaged-ring.test.ts
@@ -0,0 +1,148 @@
+import { describe, expect, test } from '@jest/globals';
+import { createSimCore } from '../../sim/sim-core.js';
+import type { CoreShape, SimCore } from '../../sim/sim-core.js';
+import { createPlatter, losePowerWith, simDisk, stoppingDisk } from '../../sim/sim-disk.js';
+import type { Platter } from '../../sim/sim-disk.js';
+import { createWorld } from '../../sim/world.js';
+import type { LogRoot } from '../../transport/log.js';
+import { createQuietLog } from '../../transport/log.js';
+import { openRing } from '../../transport/ring.js';
+import { openRenewed } from './damaged-ring.js';
+
+const THREE = ['h1', 'h2', 'h3'];
+const SEEDS = [1, 2, 3, 4, 5, 6];
+const SHAPE: CoreShape = { controllers: 3, seeds: 3, regionMs: 35 };
+
+function recorded(): { readonly logs: LogRoot; readonly lines: string[] } {
+  const lines: string[] = [];
+  const note = (text: string) => void lines.push(text);
+  return { logs: { part: () => ({ info: note, warn: note, error: note }) }, lines };
+}
+
+async function bootstrapped(seed: number, shape: CoreShape, logs: LogRoot): Promise<SimCore> {
+  const core = createSimCore(seed, shape, logs);
+  core.startAll();
+  expect(await core.until(4_000, () => core.whole(THREE))).toBe(true);
+  return core;
+}
+function incarnation(core: SimCore, name: string): string {
+  return core.node(name).controller?.ledger.self.incarnation ?? '';
+}
+
+/** Damages the oldest record of a ring, with younger ones behind it. */
+function damage(platter: Platter, file: string): void {
+  const held = platter.files.get(file);
+  for (const copy of held ? [held.current, held.synced] : []) copy.writeUInt8(copy.readUInt8(60) ^ 0xff, 60);
+}
+
+describe('a damaged ring', () => {
+  test.each(SEEDS)('the controller rejoins blank under a new incarnation, and says so once (seed %i)', async (seed) => {
+    const { logs, lines } = recorded();
+    const core = await bootstrapped(seed, SHAPE, logs);
+    for (const zone of ['a', 'b', 'c']) expect((await core.order('h1', zone)).result?.ok).toBe(true);
+    await core.world.advance(1_000);
+    const before = incarnation(core, 'h2');
+    core.powerLoss('h2');
+    damage(core.node('h2').platter, 'ledger-0');
+    core.start('h2');
+    expect(await core.until(6_000, () => core.whole(THREE) && incarnation(core, 'h2') !== before)).toBe(true);
+    expect(lines.filter((line) => line.includes('is damaged')).length).toBe(1);
+    expect(lines.find((line) => line.includes('is damaged'))).toContain(`h2#${incarnation(core, 'h2')}`);
+    core.kill('h1');
+    expect((await core.order('h2', 'd', 4_000)).result?.ok).toBe(true);
+    expect(await core.evacuatedAt('h3')).toEqual(['a', 'b', 'c', 'd']);
+    core.powerLoss('h2');
+    core.start('h2');
+    expect(await core.until(4_000, () => core.node('h2').controller?.ledger.isMember() === true)).toBe(true);
+    expect(core.broken).toEqual([]);
+  });
+
+  test('of run-once claims: no claim is answered from a blank table under the old incarnation', async () => {
+    const { logs, lines } = recorded();
+    const core = await bootstrapped(7, { ...SHAPE, claims: true }, logs);
+    expect(
+      await core.until(10_000, () => THREE.every((name) => core.node(name).controller?.claimsReady() === true)),
+    ).toBe(true);
+    const before = incarnation(core, 'h2');
+    core.powerLoss('h2');
+    const claims = core.node('h2').platter.files.get('claims-0')?.current as Buffer;
+    const records = core.node('h2').platter.files.get('ledger-0')?.current as Buffer;
+    records.copy(claims, 0, 0, 4_000);
+    damage(core.node('h2').platter, 'claims-0');
+    core.start('h2');
+    await core.until(10_000, () => core.node('h2').controller !== null);
+    expect(incarnation(core, 'h2')).not.toBe(before);
+    expect(lines.filter((line) => line.includes('claims-0 is damaged')).length).toBe(1);
+    expect(core.node('h2').controller?.claimsReady()).toBe(false);
+    expect(
+      await core.until(20_000, () => core.whole(THREE) && core.node('h2').controller?.claimsReady() === true),
+    ).toBe(true);
+    expect(core.broken).toEqual([]);
+  });
+
+  test('power lost at any write of it: a ring that is no longer damaged always has a new incarnation', async () => {
+    const shape = { name: 'r', files: 3, fileBytes: 500, snapshotBytes: 800 };
+    const world = createWorld(1);
+    async function within<T>(work: Promise<T>): Promise<T | null> {
+      let value: { readonly v: T } | null = null;
+      void work.then((v) => (value = { v }));
+      await world.until(2_000, () => value !== null);
+      return (value as { readonly v: T } | null)?.v ?? null;
+    }
+    function freshDisk(platter: Platter) {
+      return simDisk(platter, world.begin(world.host('h', 'z')), world);
+    }
+    async function damaged(): Promise<Platter> {
+      const platter = createPlatter();
+      const opened = await within(openRing(freshDisk(platter), shape));
+      for (let n = 0; n < 30 && opened?.ok; n += 1)
+        await within(opened.value.ring.append([Buffer.from(`record ${n}`)]));
+      await within(freshDisk(platter).replace('identity', Buffer.from('old')));
+      damage(platter, 'r-0');
+      return platter;
+    }
+    async function life(platter: Platter, operations: number) {
+      const { disk, used } = stoppingDisk(freshDisk(platter), operations);
+      const log = createQuietLog().part('x');
+      const renew = async () => (await disk.replace('identity', Buffer.from('new'))).ok;
+      const ended = await within(
+        openRenewed(() => openRing(disk, shape), { disk, shape, log, renew, self: () => 'h' }),
+      );
+      return { ended, used: used() };
+    }
+    const { ended, used } = await life(await damaged(), Infinity);
+    expect(ended).toMatchObject({ ok: true, value: { snapshot: null, records: [] } });
+    for (let stop = 0; stop < used; stop += 1) {
+      for (const kept of [0, 1]) {
+        const platter = await damaged();
+        await life(platter, stop);
+        losePowerWith(platter, (bytes) => kept * bytes);
+        const identity = platter.files.get('identity')?.current.toString();
+        const bare = await within(openRing(freshDisk(platter), shape));
+        if (bare?.ok) expect([stop, identity]).toEqual([stop, 'new']);
+        const again = await life(platter, Infinity);
+        expect([stop, again.ended?.ok]).toEqual([stop, true]);
+        expect(platter.files.get('identity')?.current.toString()).toBe('new');
+      }
+    }
+  });
+});
+
+describe('a blank controller whose seeds are all gone', () => {
+  test.each(SEEDS)('joins by itself once a member that knows its address contacts it (seed %i)', async (seed) => {
+    const { logs, lines } = recorded();
+    const core = await bootstrapped(seed, SHAPE, logs);
+    expect((await core.order('h1', 'a')).result?.ok).toBe(true);
+    const before = incarnation(core, 'h3');
+    core.powerLoss('h3');
+    core.wipe('h3');
+    for (const gone of ['g1', 'g2']) core.add(gone);
+    core.seeds(['g1', 'g2']);
+    core.start('h3');
+    expect(await core.until(12_000, () => core.whole(THREE))).toBe(true);
+    expect(incarnation(core, 'h3')).not.toBe(before);
+    expect(await core.evacuatedAt('h3')).toEqual(['a']);
+    expect(lines.filter((line) => line.includes('No seed answers')).length).toBe(1);
+    expect(core.broken).toEqual([]);
+  });
+});
--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -79,6 +79,7 @@
   readonly self: Member;
   /** Addresses of controllers that are known otherwise than by the ledger: the seeds, and those heard of by membership. */
   readonly contacts: () => Iterable<Address>;
+  readonly seeds: readonly Address[];
   readonly bootstrapMembers: readonly Address[] | null;
   readonly renew: () => Promise<boolean>;
   readonly keepsClaims: boolean;
@@ -193,6 +194,7 @@
     log,
     self,
     contacts: deps.contacts,
+    seeds: deps.seeds,
     controlState,
     memberStatuses,
     propose,
--- a/src/coordination/ledger/membership-changes.ts
+++ b/src/coordination/ledger/membership-changes.ts
@@ -22,6 +22,7 @@
   readonly log: Log;
   readonly self: Member;
   readonly contacts: () => Iterable<Address>;
+  readonly seeds: readonly Address[];
   readonly controlState: () => ControlState;
   readonly memberStatuses: MemberStatuses;
   readonly propose: (draft: Draft, waitMs: number) => Promise<Result<Agreed, ProposeFault>>;
@@ -136,6 +137,8 @@
     const heard = await memberStatusesOf(targets);
     const best = heard[0];
     if (!best) return;
+    if (controlState().ledger === '' && !heard.some(isSeed))
+      log.warn(`No seed answers; found the core at ${best.address}, known from nodes that contacted this one.`);
     if (best.learned > controlState().slot) await deps.catchUp(best.address);
     if (held()?.address === self.address) return;
     if (former && !held()) {
@@ -160,6 +163,10 @@
     }
   }
 
+  function isSeed(status: MessageOf<'memberStatus'>): boolean {
+    return deps.seeds.includes(status.address);
+  }
+
   function turnOf(): number {
     let n = 0;
     for (const m of controlState().members) {
--- a/src/transport/ring.ts
+++ b/src/transport/ring.ts
@@ -154,6 +154,34 @@
   return ok(-1);
 }
 
+const CLEARED_AT_ONCE = 1_048_576;
+
+async function clearFile(disk: Disk, name: string, bytes: number): Promise<Result<null, DiskFault>> {
+  const opened = await disk.preallocated(name, bytes);
+  if (!opened.ok) return opened;
+  for (let at = 0; at < bytes; at += CLEARED_AT_ONCE) {
+    const wrote = await opened.value.write(at, Buffer.alloc(Math.min(CLEARED_AT_ONCE, bytes - at)));
+    if (!wrote.ok) return wrote;
+  }
+  return opened.value.sync();
+}
+
+/**
+ * Empties a ring that is not open, so that the next opening finds it blank. Whoever calls it gives up all that the ring
+ * has answered for. The files before the snapshots: what is left of a ring cleared in part is damaged or a former state.
+ */
+export async function clearRing(disk: Disk, shape: RingShape): Promise<Result<null, DiskFault>> {
+  for (let i = 0; i < shape.files; i += 1) {
+    const cleared = await clearFile(disk, `${shape.name}-${i}`, shape.fileBytes);
+    if (!cleared.ok) return cleared;
+  }
+  for (let i = 0; i < 2; i += 1) {
+    const cleared = await clearFile(disk, `${shape.name}-snapshot-${i}`, shape.snapshotBytes);
+    if (!cleared.ok) return cleared;
+  }
+  return ok(null);
+}
+
 export async function openRing(disk: Disk, shape: RingShape): Promise<Result<Opened, RingFault>> {
   const files: DiskFile[] = [];
   const areas: DiskFile[] = [];
