--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -37,6 +37,19 @@
   | { readonly tag: 'outOfOrder' }
   | { readonly tag: 'cannotWrite'; readonly fault: RingFault };
 
+/**
+ * What one controller holds on its disk: its votes (the acceptor), the control state that it has folded, the newest slots
+ * as batches, and the closed orders. Commands are taken one after another; those that wait together share writes
+ * and a sync. What holds at any moment:
+ *
+ * - Nothing is answered before it is synced: a vote, a folded slot, an adopted state. After a write that failed every
+ *   answer is `cannotWrite`, until the disk is opened again.
+ * - Slots are folded in order, each once, or skipped by adopting a state that has folded them; never back.
+ * - Votes are kept for each slot above the folded one, also when a state is adopted: what was accepted there may be
+ *   chosen. Below it every ballot is answered with `alreadyChosen`.
+ * - The snapshot on the disk is the state, the closed orders and these votes, as of one moment. Records written after it
+ *   say the same again or more, so replaying one that the snapshot covers changes nothing.
+ */
 export type Store = {
   readonly put: (command: StoreCommand) => Promise<StoreAnswer>;
   readonly controlState: () => ControlState;
@@ -51,6 +64,7 @@
   readonly writable: () => boolean;
 };
 
+/** One record of the ring. */
 type Saved =
   | { readonly t: 'slot'; readonly slot: number; readonly state: SlotState }
   | { readonly t: 'chosen'; readonly slot: number; readonly batch: Batch };
@@ -68,6 +82,7 @@
   return Buffer.from(JSON.stringify(value));
 }
 
+/** Reads what the disk holds; `onFold` and `onAdopt` are told of each step that follows, before it is answered. */
 export async function openStore(
   disk: Disk,
   shape: RingShape,
