--- a/src/coordination/scaling/observer.test.ts
+++ b/src/coordination/scaling/observer.test.ts
@@ -2,7 +2,7 @@
 import { err, ok } from '../../base/result.js';
 import { ledgerAsk, ordersAsk } from '../../operator/asks.js';
 import { createCore } from '../../operator/core.js';
-import { ledgerText, ordersText } from '../../programs/inspect.js';
+import { ledgerText, ordersText } from '../../programs/inspect-text.js';
 import { createSimCore } from '../../sim/sim-core.js';
 import type { SimCore } from '../../sim/sim-core.js';
 import type { ControlState } from '../../state/control-state.js';
