--- a/src/coordination/ledger/configuration-service.ts
+++ b/src/coordination/ledger/configuration-service.ts
@@ -1,3 +1,8 @@
+/**
+ * The operators' calls by numbers of their own: put a configuration on the newest number, change it, read it, evacuate a
+ * zone. Each call first learns all that a majority has accepted. What a change is known by, and why it is neither lost
+ * nor applied twice when it is sent again, stands in docs/consistency.md, section 2.
+ */
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import { faultAt } from '../../protocol/codecs.js';
@@ -22,6 +27,7 @@
 import type { Ledger } from './ledger.js';
 import type { Draft } from './proposal.js';
 
+/** Why an operator's call was not confirmed. Only `stale` and `invalid` say that it was not and will not be applied. */
 export type NumberedFault =
   | { readonly tag: 'stale'; readonly number: number }
   | { readonly tag: 'invalid'; readonly faults: readonly ConfigFault[] }
@@ -30,8 +36,10 @@
   | { readonly tag: 'outcomeUnknown' };
 
 export type Taken = { readonly tag: 'taken'; readonly number: number };
+/** What a change makes of the configuration that it builds on. */
 export type Edit = (serving: Serving) => Result<unknown, readonly ConfigFault[]>;
 
+/** `digest` is the identity of the request: the same digest is the same change, whenever and wherever it is sent. */
 export type ConfigurationService = {
   readonly replace: (base: number, draft: unknown, digest: string) => Promise<Result<Taken, NumberedFault>>;
   readonly amend: (base: number, edit: Edit, digest: string) => Promise<Result<Taken, NumberedFault>>;
@@ -46,7 +54,9 @@
   readonly agreeMs?: number;
 };
 
+/** Longest look at a majority, under the second of silence after which callers turn to another node. */
 const SETTLE_MS = 900;
+/** Longest wait for an entry to be agreed. */
 const AGREE_MS = 3_000;
 
 const NO_MAJORITY: NumberedFault = { tag: 'noMajority' };
--- a/src/coordination/ledger/operator-http-server.ts
+++ b/src/coordination/ledger/operator-http-server.ts
@@ -1,3 +1,7 @@
+/**
+ * The operators' HTTP interface of a controller: configuration, zones, proxies, claims, bootstrap, and the readings of the
+ * status. A change with an operation id is applied once, however often it is sent; one without is judged by its base alone.
+ */
 import { Type } from '@sinclair/typebox';
 import { readConfiguration } from '../../protocol/configuration.js';
 import { readerOf } from '../../protocol/read-shape.js';
