--- a/src/sim/call-history.ts
+++ b/src/sim/call-history.ts
@@ -3,7 +3,8 @@
  * in here looks into a node. The simulated operators write it, `linearizability.ts` judges it.
  */
 import { checkLinearizable } from './linearizability.js';
-import type { ChangeAnswer, InitialConfiguration, LinearizabilityViolation, OperatorCall } from './linearizability.js';
+import type { LinearizabilityViolation } from './linearizability.js';
+import type { ChangeAnswer, InitialConfiguration, OperatorCall } from './operator-calls.js';
 
 /** A change of the configuration as its operator means it; `number` is null where the core gives it. */
 export type SentChange = {
--- a/src/sim/chaos-operators.ts
+++ b/src/sim/chaos-operators.ts
@@ -9,7 +9,7 @@
 import type { Rng } from '../transport/rng.js';
 import { createCallHistory } from './call-history.js';
 import type { CallHistory } from './call-history.js';
-import type { ChangeAnswer } from './linearizability.js';
+import type { ChangeAnswer } from './operator-calls.js';
 import type { SimFleet } from './sim-fleet.js';
 import type { Watchers } from './watchers.js';
 
--- a/src/sim/linearizability.test.ts
+++ b/src/sim/linearizability.test.ts
@@ -2,7 +2,8 @@
 import { below, createRng } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import { checkLinearizable } from './linearizability.js';
-import type { ChangeAnswer, ChangeCall, OperatorCall, ReadCall, ViolationKind } from './linearizability.js';
+import type { ViolationKind } from './linearizability.js';
+import type { ChangeAnswer, ChangeCall, OperatorCall, ReadCall } from './operator-calls.js';
 
 const INITIAL = { number: 0, content: 'c0' };
 
--- a/src/sim/linearizability.ts
+++ b/src/sim/linearizability.ts
@@ -9,28 +9,8 @@
  * keeps all registers that are still possible. A call that leaves the register as it is takes its moment as soon as its
  * answer fits, which loses no solution; only changes that apply make the search branch.
  */
-
-/** What a caller was told about a change; `unclear` is a failure, a silence, or the word that it isn't known. */
-export type ChangeAnswer = 'confirmed' | 'stale' | 'invalid' | 'unclear';
-
-type Times = { readonly start: number; readonly end: number; readonly node: string };
-
-export type ChangeCall = Times & {
-  readonly kind: 'change';
-  /** Calls with the same request are sendings of one change. */
-  readonly request: string;
-  readonly base: number;
-  /** The number that it brings; null while no answer has told it. */
-  readonly number: number | null;
-  readonly content: string;
-  readonly answer: ChangeAnswer;
-};
-
-export type ReadCall = Times & { readonly kind: 'read'; readonly number: number; readonly content: string };
-
-export type OperatorCall = ChangeCall | ReadCall;
-
-export type InitialConfiguration = { readonly number: number; readonly content: string };
+import { textOf } from './operator-calls.js';
+import type { ChangeCall, InitialConfiguration, OperatorCall } from './operator-calls.js';
 
 /** `unexplained` stands for all that has no plainer name. */
 export type ViolationKind =
@@ -322,9 +302,3 @@
   }
   return newest;
 }
-
-function textOf(call: OperatorCall): string {
-  const when = `at ${call.node} from ${call.start.toFixed(0)} to ${call.end.toFixed(0)}`;
-  if (call.kind === 'read') return `${call.number} (${call.content}) was read ${when}`;
-  return `change ${call.request} (${call.content}) from ${call.base} to ${call.number ?? '?'} was answered ${call.answer} ${when}`;
-}
