What the scaler sees and remembers in modules of their own, commented

scaler-decide.ts held the types of a look, the memory of failed launches and the decisions. Imports in the tests follow; nothing else changed in them.

--- a/src/coordination/scaling/cloud-client.ts
+++ b/src/coordination/scaling/cloud-client.ts
@@ -11,7 +11,7 @@
 import type { CloudOrder, Machine } from '../../protocol/cloud-wire.js';
 import { readWorkerList, WORKERS_PATH } from '../../protocol/platform-wire.js';
 import type { Listed } from '../../state/listed.js';
-import type { Price } from '../../state/scaler-decide.js';
+import type { Price } from '../../state/scaler-sight.js';
 import type { HttpClient } from '../../transport/http.js';
 import type { Address } from '../../transport/wire.js';
 
--- a/src/sim/replay.ts
+++ b/src/sim/replay.ts
@@ -1,7 +1,9 @@
 import { emptyControlState, foldBatch } from '../state/control-state.js';
 import type { Act, Kind } from '../state/entry.js';
-import { decideModel, noteLaunchFailed, ordersOf } from '../state/scaler-decide.js';
-import type { ScalerMemory, SeenMachine } from '../state/scaler-decide.js';
+import { decideModel, ordersOf } from '../state/scaler-decide.js';
+import { noteLaunchFailed } from '../state/scaler-memory.js';
+import type { ScalerMemory } from '../state/scaler-memory.js';
+import type { SeenMachine } from '../state/scaler-sight.js';
 import { resolveModel } from '../state/settings-tree.js';
 import type { Configuration } from '../state/settings-tree.js';
 import { createRng } from '../transport/rng.js';
--- a/src/state/scaler-decide.test.ts
+++ b/src/state/scaler-decide.test.ts
@@ -2,8 +2,11 @@
 import { emptyControlState, foldBatch } from './control-state.js';
 import type { ControlState } from './control-state.js';
 import type { Act } from './entry.js';
-import { decideModel, noteLaunchFailed, ordersOf } from './scaler-decide.js';
-import type { Decision, ScalerMemory, SeenMachine, Sight } from './scaler-decide.js';
+import { decideModel, ordersOf } from './scaler-decide.js';
+import type { Decision } from './scaler-decide.js';
+import { noteLaunchFailed } from './scaler-memory.js';
+import type { ScalerMemory } from './scaler-memory.js';
+import type { SeenMachine, Sight } from './scaler-sight.js';
 import { resolveModel } from './settings-tree.js';
 import type { Configuration } from './settings-tree.js';
 
--- a/src/state/scaler-decide.ts
+++ b/src/state/scaler-decide.ts
@@ -1,3 +1,9 @@
+/**
+ * The scaler's decisions for one model: its target, lost orders, and machines to order or give
+ * back, after SkyServe (docs/skyserve.md). Pure: `scaler.ts` agrees each decision under its fence
+ * before anything outside is called.
+ */
+
 import type { ControlState } from './control-state.js';
 import type { Act, Kind } from './entry.js';
 import { decideMixture } from './mixture.js';
@@ -5,7 +11,9 @@
 import type { Order } from './order.js';
 import type { ResolvedModel } from './settings-tree.js';
 import { stepTarget } from './target.js';
-import type { Hold, Rate } from './target.js';
+import { memoryOf, noteLaunchFailed, noteLaunchWorked } from './scaler-memory.js';
+import type { ScalerMemory } from './scaler-memory.js';
+import type { SeenMachine, SeenWorker, Sight } from './scaler-sight.js';
 import {
   alignZones,
   cheapest,
@@ -17,67 +25,11 @@
 } from './zone-sets.js';
 import type { ZoneSets } from './zone-sets.js';
 
-export type SeenWorker = {
-  readonly id: string;
-  readonly machine: string;
-  readonly state: 'loading' | 'ready' | 'draining';
-};
-
-export type SeenMachine = {
-  readonly id: string;
-  readonly key: string;
-  readonly zone: string;
-  readonly state: 'starting' | 'running' | 'reclaiming' | 'gone';
-};
-
-export type Price = { readonly spot: number; readonly onDemand: number };
-
-export type Sight = {
-  readonly now: number;
-  readonly workers: readonly SeenWorker[] | null;
-  readonly machines: readonly SeenMachine[] | null;
-  readonly prices: Readonly<Record<string, Price>>;
-  readonly rates: Readonly<Record<string, Rate | null>>;
-  readonly deadMachines: ReadonlySet<string>;
-  readonly failedIn: readonly string[];
-  readonly asOf: number;
-  readonly seenBefore: ReadonlySet<string>;
-};
-
-export type ModelMemory = {
-  hold: Hold | null;
-  readonly rest: Map<string, Rest>;
-  readonly placedSince: Map<string, number>;
-};
-export type Rest = { readonly until: number; readonly ms: number };
-export type ScalerMemory = Map<string, ModelMemory>;
-
+/** An entry to be agreed, with its cause for the history. */
 export type Decision = { readonly act: Act; readonly cause: string };
 
 const LIST_LAG_MS = 30_000;
-const REST_FIRST_MS = 2_000;
-const REST_MOST_MS = 60_000;
-
-export function memoryOf(memory: ScalerMemory, model: string): ModelMemory {
-  const have = memory.get(model);
-  if (have) return have;
-  const made: ModelMemory = { hold: null, rest: new Map(), placedSince: new Map() };
-  memory.set(model, made);
-  return made;
-}
-
-export function noteLaunchFailed(memory: ScalerMemory, model: string, kind: Kind, zone: string, now: number): void {
-  const { rest } = memoryOf(memory, model);
-  const key = `${kind} ${zone}`;
-  const before = rest.get(key);
-  const ms = before ? Math.min(REST_MOST_MS, before.ms * 2) : REST_FIRST_MS;
-  rest.set(key, { until: now + ms, ms });
-}
-
-export function noteLaunchWorked(memory: ScalerMemory, model: string, kind: Kind, zone: string): void {
-  memoryOf(memory, model).rest.delete(`${kind} ${zone}`);
-}
-
+/** All orders of a model, open or ended. */
 export function ordersOf(controlState: ControlState, model: string): Order[] {
   const out: Order[] = [];
   for (const order of Object.values(controlState.orders)) if (order.model === model) out.push(order);
@@ -92,6 +44,7 @@
   return 0;
 }
 
+/** What to change for a model now; zone sets first, if they changed. */
 export function decideModel(
   rm: ResolvedModel,
   controlState: ControlState,
@@ -327,6 +280,7 @@
   }
 }
 
+/** The zones that exist and are not evacuated. */
 export function openZones(zones: readonly string[], controlState: ControlState): string[] {
   const out: string[] = [];
   for (const z of zones)
--- /dev/null
+++ b/src/state/scaler-memory.ts
@@ -0,0 +1,44 @@
+/**
+ * What the holder of the scaler's duty remembers between turns. Not agreed and lost with the holder:
+ * a new one waits anew, which delays orders but never doubles them.
+ */
+
+import type { Kind } from './entry.js';
+import type { Hold } from './target.js';
+
+/** For one model: the change of its target under way, zones at rest, and since when each order has its machine. */
+export type ModelMemory = {
+  hold: Hold | null;
+  readonly rest: Map<string, Rest>;
+  readonly placedSince: Map<string, number>;
+};
+/** Until when a zone rests after a failed launch, and for how long it was sent to rest. */
+export type Rest = { readonly until: number; readonly ms: number };
+/** The memory of each model, by name. */
+export type ScalerMemory = Map<string, ModelMemory>;
+
+const REST_FIRST_MS = 2_000;
+const REST_MOST_MS = 60_000;
+
+/** The memory of a model; an empty one at first. */
+export function memoryOf(memory: ScalerMemory, model: string): ModelMemory {
+  const have = memory.get(model);
+  if (have) return have;
+  const made: ModelMemory = { hold: null, rest: new Map(), placedSince: new Map() };
+  memory.set(model, made);
+  return made;
+}
+
+/** Lets a zone rest for this kind of machine, each time twice as long, up to a minute. */
+export function noteLaunchFailed(memory: ScalerMemory, model: string, kind: Kind, zone: string, now: number): void {
+  const { rest } = memoryOf(memory, model);
+  const key = `${kind} ${zone}`;
+  const before = rest.get(key);
+  const ms = before ? Math.min(REST_MOST_MS, before.ms * 2) : REST_FIRST_MS;
+  rest.set(key, { until: now + ms, ms });
+}
+
+/** Ends the rest of a zone. */
+export function noteLaunchWorked(memory: ScalerMemory, model: string, kind: Kind, zone: string): void {
+  memoryOf(memory, model).rest.delete(`${kind} ${zone}`);
+}
--- a/tools/lint/documented.mjs
+++ b/tools/lint/documented.mjs
@@ -11,4 +11,5 @@
   'src/state/{run-key,seal,serving,serving-order,shared-time,target,ticket,worker-entry,zone-sets}.ts',
   'src/state/{home-worker,placement-cost,registry-row,worker-owners,worker-registry}.ts',
   'standin-platform/{incoming,prefix-memory,worker-spec,worker}.ts',
+  'src/state/{scaler-decide,scaler-memory,scaler-sight}.ts',
 ];
