--- a/src/coordination/ledger/claims.ts
+++ b/src/coordination/ledger/claims.ts
@@ -1,3 +1,8 @@
+/**
+ * The voter's side of run-once claims: write-once keys, each granted by a majority of the members and synced to a ring of
+ * its own. A member that is new grants nothing until it has read the claims of so many others that any majority before it
+ * is met (docs/design/claims.md; docs/consistency.md, section 3).
+ */
 import { createLine } from '../../base/line.js';
 import { parsedJson } from '../../base/parsed-json.js';
 import { isTable } from '../../base/is-table.js';
--- a/src/coordination/ledger/lease.ts
+++ b/src/coordination/ledger/lease.ts
@@ -1,3 +1,7 @@
+/**
+ * A lease on a duty: a majority of the members grants it for one term, and taking it is an entry whose slot is the fence.
+ * The holder counts from before it asked and stops a margin early, so two never hold it at once (monotonic clocks only).
+ */
 import { majorityOf, memberId, membersMark } from '../../state/control-state.js';
 import { askGrant, createLeaseBook, dropGrant } from '../../state/lease-book.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
--- a/src/coordination/ledger/member-statuses.ts
+++ b/src/coordination/ledger/member-statuses.ts
@@ -1,3 +1,7 @@
+/**
+ * How far each member stands and whom it does not hear: asks all members each half second, and answers for this one. What
+ * is told may be ahead of what is on the disk, never behind what this controller accepted.
+ */
 import type { MessageOf } from '../../protocol/messages.js';
 import { majorityOf, memberId } from '../../state/control-state.js';
 import type { ControlState } from '../../state/control-state.js';
--- a/src/coordination/ledger/membership-changes.ts
+++ b/src/coordination/ledger/membership-changes.ts
@@ -1,3 +1,10 @@
+/**
+ * Who belongs to the core: admits joiners, leaves dead members out, and hands over before this controller ends. `ledger.ts`
+ * makes one and calls `turn` each half second.
+ *
+ * Invariants (docs/consistency.md, section 3): each change is one entry, agreed by a majority of the members before it; no
+ * member is taken out of an odd group unless two are dead; a leaving one ends after a majority has learned what it knows.
+ */
 import type { Result } from '../../base/result.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import { majorityOf, memberId, MOST_MEMBERS } from '../../state/control-state.js';
--- a/src/coordination/ledger/poll.ts
+++ b/src/coordination/ledger/poll.ts
@@ -1,3 +1,4 @@
+/** Asks all members at once and resolves as soon as the answers are enough; nobody waits for the rest. */
 import type { Message } from '../../protocol/messages.js';
 import { memberId } from '../../state/control-state.js';
 import type { Member } from '../../state/entry.js';
--- a/src/coordination/ledger/proposal.ts
+++ b/src/coordination/ledger/proposal.ts
@@ -1,3 +1,4 @@
+/** What is asked of the ledger, and how it ends. */
 import type { Outcome } from '../../state/control-state.js';
 import type { Act } from '../../state/entry.js';
 import type { RingFault } from '../../transport/ring.js';
--- a/src/coordination/ledger/round.ts
+++ b/src/coordination/ledger/round.ts
@@ -1,3 +1,7 @@
+/**
+ * One ballot for one slot, as in single-decree Paxos: collects promises, takes over the batch accepted under the highest
+ * ballot, if any, and has it accepted. Pure but for `ask`; `proposer.ts` and `self-bootstrap.ts` run it.
+ */
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import { compareBallots } from '../../state/ballot.js';
 import type { Ballot } from '../../state/ballot.js';
--- a/src/coordination/ledger/self-bootstrap.ts
+++ b/src/coordination/ledger/self-bootstrap.ts
@@ -1,3 +1,7 @@
+/**
+ * The first start of the first controllers: those whose disks hold the seeds of that start agree slot zero by a ballot
+ * among them. A disk that was not there from the start has no vote, so nobody bootstraps beside an old ledger.
+ */
 import { sha256 } from '../../base/digest.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import { memberId } from '../../state/control-state.js';
--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -1,3 +1,7 @@
+/**
+ * Which nodes are there: probes one node in turn, directly and through helpers, suspects and forgets, and passes news on
+ * with probes (after SWIM, Das, Gupta and Motivala, 2002). All nodes run one; it decides nothing about the ledger.
+ */
 import { createEvents } from '../../base/events.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { NodeInfo, NodeNews } from '../../state/node-info.js';
--- a/src/coordination/members/peers.ts
+++ b/src/coordination/members/peers.ts
@@ -1,3 +1,7 @@
+/**
+ * Messages between nodes: calls with an answer, messages without one, and held connections. One connection for each
+ * address, dialled when needed; one that owes an answer for too long is dialled anew.
+ */
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import { readFrame } from '../../protocol/messages.js';
