--- a/src/sim/model/model-group.ts
+++ b/src/sim/model/model-group.ts
@@ -57,6 +57,8 @@
   readonly retire: (node: ModelNode) => void;
   /** Whether the members keep a majority of whole disks without this one. */
   readonly bearsLossOf: (node: ModelNode) => boolean;
+  /** Notes who is out of touch; see tolerance.ts. */
+  readonly look: () => void;
 };
 
 const SEEDS = 3;
@@ -237,6 +239,7 @@
     loseDisk: loseDiskOf,
     retire,
     bearsLossOf,
+    look: tolerance.look,
   };
   return group;
 }
--- a/src/sim/model/run-history.ts
+++ b/src/sim/model/run-history.ts
@@ -91,7 +91,9 @@
   for (const { command, waitMs } of history.steps) {
     if (facts.broken.length > 0) break;
     applyCommand(group, calls, command);
+    group.look();
     await world.advance(waitMs);
+    group.look();
   }
   if (facts.broken.length === 0) await recover(group);
   facts.answers.judge();
