A member whose disk took no writes for a while votes again once it does

Cause: after one write or sync that failed the ring took nothing more until its process was started anew. Ruled out: the joiner (it had no majority that could admit it); the odd group that shrinks (three never do); retrying the failed write (after a failed sync it is unknown what the files hold). The store writes one when the ring is broken, and each turn of the ledger tries so. Conclusion: a passing trouble of a disk is a passing loss.

--- a/src/coordination/ledger/ledger.ts
+++ b/src/coordination/ledger/ledger.ts
@@ -152,6 +152,7 @@
   }
   let openSince: number | null = null;
   async function watch(): Promise<void> {
+    await replica.mend();
     await membershipChanges.turn();
     const now = clock.mono();
     if (!isMember() || isSettled()) openSince = null;
--- a/src/coordination/ledger/replica.ts
+++ b/src/coordination/ledger/replica.ts
@@ -27,7 +27,9 @@
   readonly slotDone: (slot: number, waitMs: number) => Promise<void>;
   /** Resolves true once the ledger is known: a blank controller learns it from the others in its first second. */
   readonly knowsLedger: (waitMs: number) => Promise<boolean>;
-  /** Why the last vote or fold could not be written; null once a vote was written again. */
+  /** After a failed write: tries to write the whole state anew, so that this member votes again once its disk takes it. */
+  readonly mend: () => Promise<void>;
+  /** Why the last vote or fold could not be written; null once something was written again. */
   readonly blockedBy: () => RingFault | null;
 };
 
@@ -49,9 +51,15 @@
     if (answer.tag === 'cannotWrite') {
       if (!blocked) log.error(`Cannot write the ring (${answer.fault.tag}); nothing is acknowledged until it can.`);
       blocked = answer.fault;
-    } else if (command.tag === 'prepare' || command.tag === 'accept') blocked = null;
+    } else if (blocked && store.writable()) {
+      log.info('The ring can be written again.');
+      blocked = null;
+    }
     return answer;
   }
+  async function mend(): Promise<void> {
+    if (!store.writable()) await put({ tag: 'rewrite' });
+  }
   async function learn(slot: number, batch: Batch): Promise<void> {
     await put({ tag: 'chosen', slot, batch });
   }
@@ -75,5 +83,17 @@
   function blockedBy(): RingFault | null {
     return blocked;
   }
-  return { store, self, controlState: store.controlState, id, isMember, put, learn, slotDone, knowsLedger, blockedBy };
+  return {
+    store,
+    self,
+    controlState: store.controlState,
+    id,
+    isMember,
+    put,
+    mend,
+    learn,
+    slotDone,
+    knowsLedger,
+    blockedBy,
+  };
 }
--- a/src/coordination/ledger/second-loss.test.ts
+++ b/src/coordination/ledger/second-loss.test.ts
@@ -39,6 +39,31 @@
     },
   );
 
+  test.each(SEEDS)(
+    'a member whose disk took no writes for a while votes again after it: the next loss is borne (seed %i)',
+    async (seed) => {
+      const core = await bootstrapped(seed, ['h1', 'h2', 'h3']);
+      const { platter } = core.node('h2');
+      platter.failing = true;
+      await confirmed(core, 'h1', 'a');
+      await confirmed(core, 'h3', 'b');
+      await core.world.advance(3_000);
+      platter.failing = false;
+      await core.world.advance(1_000);
+      core.powerLoss('h3');
+      await confirmed(core, ['h1', 'h2'][seed % 2] as string, 'c');
+      core.powerLoss('h1');
+      core.powerLoss('h2');
+      await core.world.advance(500);
+      core.start('h1');
+      core.start('h2');
+      await core.world.advance(1_000);
+      await confirmed(core, 'h2', 'd');
+      for (const name of ['h1', 'h2']) expect(await core.evacuatedAt(name)).toEqual(['a', 'b', 'c', 'd']);
+      expect(core.broken).toEqual([]);
+    },
+  );
+
   test.each(SEEDS)(
     'of five, two are gone for good at once: a third loss some seconds later is borne (seed %i)',
     async (seed) => {
--- a/src/coordination/ledger/store.ts
+++ b/src/coordination/ledger/store.ts
@@ -29,7 +29,9 @@
   | { readonly tag: 'accept'; readonly slot: number; readonly ballot: Ballot; readonly batch: Batch }
   | { readonly tag: 'chosen'; readonly slot: number; readonly batch: Batch }
   | { readonly tag: 'adopt'; readonly controlState: ControlState }
-  | { readonly tag: 'fillClosed'; readonly orders: readonly string[]; readonly whole: boolean };
+  | { readonly tag: 'fillClosed'; readonly orders: readonly string[]; readonly whole: boolean }
+  /** Writes the whole state anew, after which a ring that was broken takes records again. */
+  | { readonly tag: 'rewrite' };
 
 export type StoreAnswer =
   | { readonly tag: 'vote'; readonly vote: Vote }
@@ -155,6 +157,8 @@
         closed.fill(command.orders, command.whole);
         return { tag: 'folded', outcomes: [] };
       }
+      case 'rewrite':
+        return { tag: 'folded', outcomes: [] };
     }
   }
 
@@ -173,14 +177,15 @@
     }
     for (const command of commands) {
       answers.push(decide(command, write));
-      if (command.tag === 'adopt' || command.tag === 'fillClosed') whole = true;
+      if (command.tag === 'adopt' || command.tag === 'fillClosed' || command.tag === 'rewrite') whole = true;
     }
     let written: Result<null, RingFault> = ok(null);
     if (whole) written = await compacted();
     else if (writes.length > 0) {
       if (ring.crowded()) written = await compacted();
       if (written.ok) written = await ring.append(writes);
-      if (!written.ok && written.fault.tag === 'ringFull') written = await compacted();
+      if (!written.ok && (written.fault.tag === 'ringFull' || written.fault.tag === 'ringBroken'))
+        written = await compacted();
     }
     canWrite = written.ok;
     if (written.ok) return answers;
--- a/src/transport/ring.test.ts
+++ b/src/transport/ring.test.ts
@@ -155,4 +155,28 @@
     const after = await within(world, o.ring.append([Buffer.alloc(10)]));
     expect(after.ok ? '' : after.fault.tag).toBe('ringBroken');
   });
+
+  test.each(['append', 'compact'] as const)(
+    'a snapshot that succeeds opens a ring again that a failed %s had closed',
+    async (failed) => {
+      for (let seed = 0; seed < 20; seed += 1) {
+        const world = createWorld(seed);
+        const platter = createPlatter();
+        const o = await opened(world, platter);
+        expect((await within(world, o.ring.append([Buffer.from('before')]))).ok).toBe(true);
+        platter.failing = true;
+        for (let n = 0; n <= seed % 3; n += 1) {
+          const work = failed === 'append' ? o.ring.append([Buffer.from('lost')]) : o.ring.compact(Buffer.from('lost'));
+          expect((await within(world, work)).ok).toBe(false);
+        }
+        platter.failing = false;
+        expect((await within(world, o.ring.compact(Buffer.from('whole')))).ok).toBe(true);
+        for (const after of ['one', 'two'])
+          expect((await within(world, o.ring.append([Buffer.from(after)]))).ok).toBe(true);
+        losePower(platter, world);
+        const again = await opened(world, platter);
+        expect([again.snapshot?.toString(), ...again.records.map(String)]).toEqual(['whole', 'one', 'two']);
+      }
+    },
+  );
 });
--- a/src/transport/ring.ts
+++ b/src/transport/ring.ts
@@ -30,8 +30,8 @@
  * - While a snapshot is written the other area holds the last one, and all files since are untouched: one
  *   that is torn costs nothing.
  * - Only the newest batch can be torn. It is cut on opening; a gap anywhere else is damage (`ringDamaged`).
- * - After a write or a sync that failed it is unknown what the disk holds, so nothing more is taken until
- *   the ring is opened again.
+ * - After a write or a sync that failed it is unknown what the files hold, so no record is taken until a whole
+ *   snapshot was written and synced, which covers them, or the ring is opened again.
  */
 export type Ring = {
   readonly append: (records: readonly Buffer[]) => Promise<Result<null, RingFault>>;
@@ -287,18 +287,20 @@
     return ok(null);
   }
 
+  // A snapshot that failed may stand on the disk all the same, so its number is never used again. One that succeeds
+  // covers whatever earlier failures left in the files: the ring takes records again after it.
   async function compact(snapshot: Buffer): Promise<Result<null, RingFault>> {
-    if (broken) return err({ tag: 'ringBroken' });
     if (HEAD + snapshot.length > shape.snapshotBytes) return err({ tag: 'recordTooLarge', bytes: snapshot.length });
     const to = 1 - area;
     const file = areas[to] as DiskFile;
-    const wrote = await file.write(0, packed(gen, seq + 1, 0, snapshot));
+    seq += 1;
+    const wrote = await file.write(0, packed(gen, seq, 0, snapshot));
     const synced = wrote.ok ? await file.sync() : wrote;
     if (!synced.ok) {
       broken = true;
       return synced;
     }
-    seq += 1;
+    broken = false;
     area = to;
     oldest = gen + 1;
     at = shape.fileBytes;
