--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -130,9 +130,9 @@
   function placementRequest(request: ClientRequest, without: readonly string[]): PlacementRequest {
     let inputTokens = 0;
     const parts: string[] = [];
-    for (const p of request.parts) {
-      inputTokens += p.tokens;
-      parts.push(p.hash);
+    for (const part of request.parts) {
+      inputTokens += part.tokens;
+      parts.push(part.hash);
     }
     return {
       ...(request.model === undefined ? {} : { model: request.model }),
--- a/src/coordination/configuration/configuration-service.ts
+++ b/src/coordination/configuration/configuration-service.ts
@@ -71,7 +71,7 @@
   const before = state.configuration.serving;
   if (!before) return [{ path: ['serving'], value: next }];
   const out: Change[] = [];
-  for (const c of differences(before, next)) out.push({ ...c, path: ['serving', ...c.path] });
+  for (const change of differences(before, next)) out.push({ ...change, path: ['serving', ...change.path] });
   return out;
 }
 
--- a/src/coordination/discovery/pushed-list-feed.ts
+++ b/src/coordination/discovery/pushed-list-feed.ts
@@ -154,7 +154,7 @@
   }
 
   private nearest(controllers: readonly Address[], answered: readonly Address[]): Address | null {
-    for (const h of controllers) if (answered.includes(h)) return h;
+    for (const controller of controllers) if (answered.includes(controller)) return controller;
     return this.source;
   }
 
--- a/src/coordination/distribution/quorum-attestation.ts
+++ b/src/coordination/distribution/quorum-attestation.ts
@@ -90,10 +90,10 @@
     if (!this.ledger.isMember() || !this.ledger.writable()) return null;
     const known: Answer[] = [];
     for (const member of state.members) {
-      const t = this.isOwn(memberId(member))
+      const answer = this.isOwn(memberId(member))
         ? { requestedAt: this.clock.mono(), top: this.ledger.top() }
         : this.answers.get(memberId(member));
-      if (t && t.top <= state.slot) known.push(t);
+      if (answer && answer.top <= state.slot) known.push(answer);
     }
     const quorumSize = majorityOf(state.members);
     if (known.length < quorumSize) return null;
--- a/src/coordination/membership/failure-detector.ts
+++ b/src/coordination/membership/failure-detector.ts
@@ -80,12 +80,12 @@
 
   private applyUpdates(updates: readonly (NodeInfo | NodeUpdate)[], all = false): void {
     for (const update of updates) {
-      const n = fullUpdate(this.members, this.self.name, update);
-      if (!n || (!isUp(n) && !this.members.has(n.name) && !(all && n.status === 'dead'))) continue;
-      const step = mergeNode(this.members, this.self.name, n);
-      if (step.refuted) this.log.warn('refuting own failure', { status: n.status });
+      const node = fullUpdate(this.members, this.self.name, update);
+      if (!node || (!isUp(node) && !this.members.has(node.name) && !(all && node.status === 'dead'))) continue;
+      const step = mergeNode(this.members, this.self.name, node);
+      if (step.refuted) this.log.warn('refuting own failure', { status: node.status });
       if (!step.changed) continue;
-      this.onStatusChanged(this.members.get(n.name) as NodeInfo, !all);
+      this.onStatusChanged(this.members.get(node.name) as NodeInfo, !all);
     }
   }
 
@@ -141,8 +141,8 @@
       ...(stranger ? { stranger } : {}),
       news: out,
     };
-    function introduces(n: NodeInfo | NodeUpdate): boolean {
-      return n.name === message.from.name && 'address' in n;
+    function introduces(introduced: NodeInfo | NodeUpdate): boolean {
+      return introduced.name === message.from.name && 'address' in introduced;
     }
   }
 
@@ -246,9 +246,9 @@
       const node = this.members.get(name);
       if (node && isOf(node)) return node;
     }
-    const up: string[] = [];
-    for (const node of this.members.values()) if (isOf(node)) up.push(node.name);
-    this.rounds[which] = shuffled(this.rng, up);
+    const names: string[] = [];
+    for (const node of this.members.values()) if (isOf(node)) names.push(node.name);
+    this.rounds[which] = shuffled(this.rng, names);
     const name = this.rounds[which].pop();
     return name === undefined ? null : (this.members.get(name) ?? null);
   }
--- a/src/coordination/membership/membership-changes.ts
+++ b/src/coordination/membership/membership-changes.ts
@@ -173,7 +173,7 @@
     }
     const addresses: Address[] = [];
     for (const member of this.deps.controlState().members)
-      for (const h of heard) if (h.address === member.address) addresses.push(member.address);
+      for (const contact of heard) if (contact.address === member.address) addresses.push(member.address);
     for (const to of shuffled(this.deps.rng, addresses).slice(0, 2)) {
       const answer = await this.deps.peers.call(
         to,
--- a/src/coordination/scaling/cloud-client.ts
+++ b/src/coordination/scaling/cloud-client.ts
@@ -96,7 +96,7 @@
     const read = readPrices(response.value.body);
     if (!read.ok) return err({ tag: 'cloudNonsense', detail: read.error.detail });
     const out: Record<string, Price> = {};
-    for (const p of read.value.prices) out[p.zone] = { spot: p.spot, onDemand: p.onDemand };
+    for (const price of read.value.prices) out[price.zone] = { spot: price.spot, onDemand: price.onDemand };
     return ok(out);
   }
 }
--- a/src/coordination/scaling/scaler.ts
+++ b/src/coordination/scaling/scaler.ts
@@ -294,7 +294,7 @@
       if (!resolved.values.scaled) continue;
       const rate: Rate | null = this.rates.rate(resolved.model, resolved.values.windowS * 1_000);
       const failedIn: string[] = [];
-      for (const f of failures) if (f.model === resolved.model) failedIn.push(f.zone);
+      for (const failure of failures) if (failure.model === resolved.model) failedIn.push(failure.zone);
       const observation: ScalerObservation = {
         now: this.deps.clock.mono(),
         workers,
--- a/src/operator/latency-targets.ts
+++ b/src/operator/latency-targets.ts
@@ -25,9 +25,9 @@
     const counts = { [CHANGES_SUBJECT]: noCounts() };
     const unknown = [...unresponsive];
     for (const minuteAnswer of all) {
-      const m = minuteAnswer.minutes.find(isIt);
-      if (!m) unknown.push(minuteAnswer.by);
-      else if (m.counts[CHANGES_SUBJECT]) addCounts(counts, CHANGES_SUBJECT, m.counts[CHANGES_SUBJECT]);
+      const found = minuteAnswer.minutes.find(isIt);
+      if (!found) unknown.push(minuteAnswer.by);
+      else if (found.counts[CHANGES_SUBJECT]) addCounts(counts, CHANGES_SUBJECT, found.counts[CHANGES_SUBJECT]);
     }
     out.push({ minute, counts, unknown });
     function isIt(row: Minute): boolean {
--- a/src/transport/disk.ts
+++ b/src/transport/disk.ts
@@ -58,11 +58,11 @@
   }
 
   list(): Promise<Result<string[], DiskError>> {
-    const go = async (): Promise<string[]> => {
+    const readFolder = async (): Promise<string[]> => {
       await mkdir(this.folder, { recursive: true });
       return (await readdir(this.folder)).sort();
     };
-    return guarded(this.folder, go);
+    return guarded(this.folder, readFolder);
   }
 
   private fileOf(name: string, handle: FileHandle, size: number): DiskFile {
@@ -101,7 +101,7 @@
   }
 
   preallocated(name: string, size: number): Promise<Result<DiskFile, DiskError>> {
-    const go = async (): Promise<DiskFile> => {
+    const openFile = async (): Promise<DiskFile> => {
       await mkdir(this.folder, { recursive: true });
       const path = join(this.folder, name);
       const handle = await open(path, 'a').then(reopened);
@@ -120,11 +120,11 @@
       await this.syncFolder();
       return this.fileOf(name, handle, size);
     };
-    return guarded(name, go);
+    return guarded(name, openFile);
   }
 
   replace(name: string, data: Buffer): Promise<Result<null, DiskError>> {
-    const go = async (): Promise<null> => {
+    const writeFile = async (): Promise<null> => {
       await mkdir(this.folder, { recursive: true });
       const tmp = join(this.folder, `${name}.new`);
       const handle = await open(tmp, 'w');
@@ -138,11 +138,11 @@
       await this.syncFolder();
       return null;
     };
-    return guarded(name, go);
+    return guarded(name, writeFile);
   }
 
   load(name: string): Promise<Result<Buffer | null, DiskError>> {
-    const go = async (): Promise<Buffer | null> => {
+    const readWhole = async (): Promise<Buffer | null> => {
       try {
         return await readFile(join(this.folder, name));
       } catch (error) {
@@ -150,7 +150,7 @@
         return Promise.reject(error instanceof Error ? error : new Error(String(error)));
       }
     };
-    return guarded(name, go);
+    return guarded(name, readWhole);
   }
 }
 
