--- a/src/coordination/distribution/fleet-load-relay.ts
+++ b/src/coordination/distribution/fleet-load-relay.ts
@@ -1,6 +1,8 @@
 /** Sums the loads that proxies report on workers, so that each proxy knows what the others run there. */
 import type { MessageOf } from '../../protocol/messages.js';
 import { createFleetLoad, sumOf } from '../../state/distribution/fleet-load.js';
+import type { LoadRows, ReportedLoad } from '../../state/distribution/fleet-load.js';
+import { createLoadChanges } from '../../state/distribution/load-changes.js';
 import { every } from '../../transport/clock.js';
 import type { Clock, Timer } from '../../transport/clock.js';
 import { newId } from '../../transport/rng.js';
@@ -14,19 +16,21 @@
   stop(): void;
 }
 
-const RELAY_MS = 300;
+const RELAY_MS = 100;
 const STALE_MS = 2_500;
-const PROXIES_A_STEP = 12;
+/** Other controllers are told the whole table so often, and only what changed in between. */
+const WHOLE_MS = 1_000;
 
 class GossipingLoadRelay implements FleetLoadRelay {
   private readonly own = createFleetLoad(STALE_MS);
   private readonly others = createFleetLoad(STALE_MS);
   private readonly senders = new Map<string, Peer>();
   private readonly run: string;
+  private readonly ownChanges = createLoadChanges();
+  private readonly sumChanges = createLoadChanges();
+  private readonly informed = new Set<Peer>();
   private count = 0;
-  private lastOwn = '';
-  private lastSums = '';
-  private turnCount = 0;
+  private wholeAt = -Infinity;
   private readonly relaying: Timer;
 
   constructor(
@@ -62,24 +66,38 @@
   }
 
   private relay(): void {
-    this.turnCount += 1;
-    const slower = 1 + Math.floor(this.senders.size / PROXIES_A_STEP);
-    if (this.turnCount % slower !== 0) return;
     const now = this.clock.mono();
     const mine = this.own.sums(now);
-    const text = JSON.stringify(mine);
-    if (text !== this.lastOwn) {
-      this.lastOwn = text;
-      this.count += 1;
-      const report = { name: this.ledger.self.name, run: this.run, count: this.count, rows: mine };
-      for (const member of otherMembers(this.ledger.controlState().members, this.ledger.self))
-        void this.peers.send(member.address, { kind: 'usages', told: report });
+    this.tellControllers(mine, now);
+    this.tellProxies(sumOf(mine, this.others.sums(now)), now);
+  }
+
+  private tellControllers(mine: LoadRows, now: number): void {
+    const changed = this.ownChanges.next(mine, now);
+    const whole = now - this.wholeAt >= WHOLE_MS;
+    if (!whole && !changed) return;
+    if (whole) this.wholeAt = now;
+    this.count += 1;
+    const told: ReportedLoad = {
+      name: this.ledger.self.name,
+      run: this.run,
+      count: this.count,
+      ...(whole || !changed ? { rows: this.ownChanges.told() } : { rows: changed, partial: true }),
+    };
+    for (const member of otherMembers(this.ledger.controlState().members, this.ledger.self))
+      void this.peers.send(member.address, { kind: 'usages', told });
+  }
+
+  private tellProxies(sums: LoadRows, now: number): void {
+    const changed = this.sumChanges.next(sums, now);
+    const proxies = new Set(this.senders.values());
+    for (const peer of this.informed) if (!proxies.has(peer)) this.informed.delete(peer);
+    for (const peer of proxies) {
+      if (!this.informed.has(peer)) {
+        this.informed.add(peer);
+        peer.send({ kind: 'fleetLoad', rows: this.sumChanges.told() });
+      } else if (changed) peer.send({ kind: 'fleetLoad', rows: changed, partial: true });
     }
-    const rows = sumOf(mine, this.others.sums(now));
-    const sumsText = JSON.stringify(rows);
-    if (sumsText === this.lastSums) return;
-    this.lastSums = sumsText;
-    for (const peer of this.senders.values()) peer.send({ kind: 'fleetLoad', rows });
   }
 
   stop(): void {
--- a/src/coordination/proxy/opaque-proxy.ts
+++ b/src/coordination/proxy/opaque-proxy.ts
@@ -2,6 +2,8 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import type { MessageOf } from '../../protocol/messages.js';
+import type { LoadRows } from '../../state/distribution/fleet-load.js';
+import { withChanges } from '../../state/distribution/load-changes.js';
 import type { Report } from '../../state/distribution/report.js';
 import type { HeaderNames } from '../../protocol/header-names.js';
 import { createAttemptBudget } from '../../state/forwarding/attempt-budget.js';
@@ -55,7 +57,7 @@
 };
 
 const REPORT_MS = 500;
-const USAGE_MS = 300;
+const USAGE_MS = 100;
 const LOOK_MS = 250;
 const LOOK_OPENING_MS = 20;
 const USAGE_KEPT_MS = 800;
@@ -213,8 +215,10 @@
     follower.sendToController({ kind: 'usage', told: { name: id.name, run: id.run, count: loadsSent, rows } });
   }
   const telling = every(clock, USAGE_MS, sendLoad);
+  let fleetLoad: LoadRows = {};
   function onFleetLoad(message: MessageOf<'fleetLoad'>): null {
-    registry.applyFleetLoad(message.rows, clock.mono());
+    fleetLoad = message.partial ? withChanges(fleetLoad, message.rows) : message.rows;
+    registry.applyFleetLoad(fleetLoad, clock.mono());
     relay.wake();
     return null;
   }
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -180,7 +180,7 @@
   }),
   Type.Object({ kind: Type.Literal('usage'), told: ReportedLoadShape }),
   Type.Object({ kind: Type.Literal('usages'), told: ReportedLoadShape }),
-  Type.Object({ kind: Type.Literal('fleetLoad'), rows: LoadRowsShape }),
+  Type.Object({ kind: Type.Literal('fleetLoad'), rows: LoadRowsShape, partial: Type.Optional(Type.Boolean()) }),
   Type.Object({ kind: Type.Literal('listAsk') }),
   Type.Object({
     kind: Type.Literal('listTold'),
--- a/src/state/distribution/fleet-load.ts
+++ b/src/state/distribution/fleet-load.ts
@@ -1,6 +1,7 @@
 /** Loads on workers, summed over proxies. */
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { withChanges } from './load-changes.js';
 
 /** By worker: requests, tokens not yet read, tokens of KV cache, bad runs, runs. */
 export const LoadRowsShape = Type.Record(
@@ -10,12 +11,13 @@
 /** Checked rows. */
 export type LoadRows = Static<typeof LoadRowsShape>;
 
-/** The loads that one node reports; `run` and `count` order its reports. */
+/** The loads that one node reports; `run` and `count` order its reports. A partial report has only the rows that changed since the one before. */
 export const ReportedLoadShape = Type.Object({
   name: Type.String(),
   run: Type.String(),
   count: Type.Integer(),
   rows: LoadRowsShape,
+  partial: Type.Optional(Type.Boolean()),
 });
 /** A checked report. */
 export type ReportedLoad = Static<typeof ReportedLoadShape>;
@@ -35,8 +37,15 @@
 
   record(report: ReportedLoad, now: number): boolean {
     const have = this.reports.get(report.name);
-    if (have && have.report.run === report.run && have.report.count >= report.count) return false;
-    this.reports.set(report.name, { report, at: now });
+    const sameRun = have !== undefined && have.report.run === report.run;
+    if (sameRun && have.report.count >= report.count) return false;
+    if (!report.partial) {
+      this.reports.set(report.name, { report, at: now });
+      return true;
+    }
+    if (!sameRun || have.report.count + 1 !== report.count) return false;
+    const rows = withChanges(have.report.rows, report.rows);
+    this.reports.set(report.name, { report: { ...report, rows }, at: now });
     return true;
   }
 
