--- /dev/null
+++ b/src/sim/engine/engine-day.ts
@@ -0,0 +1,383 @@
+/**
+ * A day of a deployment in the engine model: callers ask, proxies place each request with their own
+ * registry and tell each other their loads over controllers, workers read and answer. By seed, without
+ * sockets or processes. `omniscient` places with the true state of every worker at the moment of choice:
+ * what no proxy can know, and so the bound that a policy is measured against.
+ */
+
+import { Heap } from 'mnemonist';
+import { createFleetLoad, sumOf } from '../../state/distribution/fleet-load.js';
+import type { FleetLoad, LoadRows } from '../../state/distribution/fleet-load.js';
+import { createLoadChanges, withChanges } from '../../state/distribution/load-changes.js';
+import type { LoadChanges } from '../../state/distribution/load-changes.js';
+import type { PrefixBlock } from '../../state/discovery/prefix-cache.js';
+import { createWorkerRegistry } from '../../state/discovery/worker-registry.js';
+import type { Reservation, SelectionRequest, WorkerRegistry } from '../../state/discovery/worker-registry.js';
+import type { ModelTraits } from '../../state/configuration/serving.js';
+import type { EdgeTuning } from '../../state/forwarding/edge-tuning.js';
+import { createRng } from '../../transport/rng.js';
+import type { Rng } from '../../transport/rng.js';
+import type { DeployedProxy, DeployedWorker, Deployment, RequestKind } from './deployment.js';
+import { createEngineTally } from './engine-tally.js';
+import type { EngineTally, EngineDayResult } from './engine-tally.js';
+import { createEngineWorker } from './engine-worker.js';
+import type { EngineEvent, EngineWorker } from './engine-worker.js';
+
+/** How requests are placed: by the registries of the proxies, or with the true state of all workers. */
+export type PlacementMode = 'registry' | 'omniscient';
+
+/** Options of a day. */
+export type EngineDayOptions = {
+  readonly seed: number;
+  readonly tuning: EdgeTuning;
+  readonly mode?: PlacementMode;
+  /** Milliseconds between reports of a proxy, and between messages of a controller. */
+  readonly loadMs?: number;
+  readonly relayMs?: number;
+};
+
+const MODEL = 'm';
+/** As the proxies report and the controllers relay. */
+const LOAD_MS = 100;
+const RELAY_MS = 100;
+const STALE_MS = 2_500;
+const CLIENT_MS = 1;
+const RETRY_LOOK_MS = 25;
+const QUEUE_AIM_FRACTION = 0.22;
+const CALLER_BACK_MS = 1_000;
+const SECOND_MS = 1_000;
+/** Omniscient placement weighs a token that is read again like so many milliseconds of wait. */
+const OMNISCIENT_REREAD_MS = 0.03;
+
+type Timed = { readonly at: number; readonly order: number; readonly run: () => void };
+
+type ProxyState = {
+  readonly deployed: DeployedProxy;
+  readonly registry: WorkerRegistry;
+  readonly controller: number;
+  fleetLoad: LoadRows;
+};
+type WorkerState = { readonly deployed: DeployedWorker; readonly engine: EngineWorker; stepping: boolean };
+type ControllerState = {
+  readonly own: FleetLoad;
+  readonly others: FleetLoad;
+  readonly ownChanges: LoadChanges;
+  readonly sumChanges: LoadChanges;
+};
+
+/** A request of the day, from its arrival on. */
+export type DayRequest = {
+  readonly id: number;
+  readonly kind: RequestKind;
+  readonly proxy: ProxyState;
+  readonly cameAt: number;
+  readonly parts: readonly PrefixBlock[];
+  readonly promptTokens: number;
+  readonly outTokens: number;
+  worker: WorkerState | null;
+  reservation: Reservation | null;
+  lastEventAt: number;
+  longestPauseMs: number;
+  firstAt: number | null;
+  returned: boolean;
+};
+
+function drawnSize(rng: Rng, size: { mean: number; spread: number; most: number }): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - rng.next())) * Math.cos(2 * Math.PI * rng.next());
+  const value = size.mean * Math.exp(size.spread * normal - size.spread ** 2 / 2);
+  return Math.max(1, Math.round(Math.min(size.most, value)));
+}
+
+class EngineDay {
+  private readonly events = new Heap<Timed>((left, right) => left.at - right.at || left.order - right.order);
+  private readonly rng: Rng;
+  private readonly workers = new Map<string, WorkerState>();
+  private readonly proxies: ProxyState[] = [];
+  private readonly controllers: ControllerState[] = [];
+  private readonly requests = new Map<number, DayRequest>();
+  private readonly levels = new Map<RequestKind, PrefixBlock[][]>();
+  private readonly tally: EngineTally;
+  private readonly traits: ModelTraits;
+  private readonly loadMs: number;
+  private readonly relayMs: number;
+  private now = 0;
+  private order = 0;
+  private lastId = 0;
+
+  constructor(
+    private readonly deployment: Deployment,
+    private readonly options: EngineDayOptions,
+  ) {
+    this.rng = createRng(options.seed);
+    this.loadMs = options.loadMs ?? LOAD_MS;
+    this.relayMs = options.relayMs ?? RELAY_MS;
+    this.tally = createEngineTally(deployment);
+    const [first] = deployment.workers;
+    const { batch, kvTokens } = (first as DeployedWorker).figures;
+    this.traits = {
+      at: 0,
+      probePath: '/h',
+      maxConns: 100_000,
+      coldS: 0,
+      coldRateS: 0,
+      engine: { batch, kvTokens },
+    };
+    for (const deployed of deployment.workers)
+      this.workers.set(deployed.id, { deployed, engine: createEngineWorker(deployed.figures), stepping: false });
+    for (let i = 0; i < deployment.controllers; i += 1)
+      this.controllers.push({
+        own: createFleetLoad(STALE_MS),
+        others: createFleetLoad(STALE_MS),
+        ownChanges: createLoadChanges(),
+        sumChanges: createLoadChanges(),
+      });
+    deployment.proxies.forEach((deployed, index) => this.proxies.push(this.openProxy(deployed, index)));
+  }
+
+  private openProxy(deployed: DeployedProxy, index: number): ProxyState {
+    const registry = createWorkerRegistry({ ...deployed, openConnections: () => 1 }, this.options.tuning);
+    registry.applyList(this.deployment.workers.map(listed), 0);
+    const sharing: Record<string, { region: string }> = {};
+    for (const { name, region } of this.deployment.proxies) sharing[name] = { region };
+    registry.setSharingProxies(sharing);
+    return { deployed, registry, controller: index % this.deployment.controllers, fleetLoad: {} };
+  }
+
+  private after(ms: number, run: () => void): void {
+    this.order += 1;
+    this.events.push({ at: this.now + ms, order: this.order, run });
+  }
+
+  private delayMs(proxy: ProxyState, worker: WorkerState): number {
+    const { zone, region } = worker.deployed;
+    if (region !== proxy.deployed.region) return this.deployment.crossRegionMs;
+    return zone === proxy.deployed.zone ? this.deployment.inZoneMs : this.deployment.crossZoneMs;
+  }
+
+  play(): EngineDayResult {
+    for (const kind of this.deployment.kinds) this.startArrivals(kind);
+    this.proxies.forEach((proxy, index) => this.startReports(proxy, index));
+    this.controllers.forEach((controller, index) => this.startRelay(controller, index));
+    for (let next = this.events.pop(); next; next = this.events.pop()) {
+      this.now = next.at;
+      next.run();
+    }
+    for (const request of this.requests.values()) this.tally.unserved(request);
+    for (const { engine } of this.workers.values()) this.tally.worker(engine.counts);
+    return this.tally.result();
+  }
+
+  private isOver(): boolean {
+    return this.now >= this.deployment.lengthMs;
+  }
+
+  private startArrivals(kind: RequestKind): void {
+    const levels: PrefixBlock[][] = [];
+    kind.shared.forEach((level, depth) => {
+      const blocks: PrefixBlock[] = [];
+      for (let i = 0; i < level.count; i += 1)
+        blocks.push({
+          id: `${kind.name}-${depth}-${i}`,
+          tokens: drawnSize(this.rng, { mean: level.meanTokens, spread: 0.5, most: level.meanTokens * 3 }),
+        });
+      levels.push(blocks);
+    });
+    this.levels.set(kind, levels);
+    const next = (): void => {
+      if (this.isOver()) return;
+      this.arrive(kind);
+      this.after((-Math.log(1 - this.rng.next()) * SECOND_MS) / kind.perS, next);
+    };
+    this.after((-Math.log(1 - this.rng.next()) * SECOND_MS) / kind.perS, next);
+  }
+
+  private partsOf(kind: RequestKind, id: number): PrefixBlock[] {
+    const levels = this.levels.get(kind) ?? [];
+    const last = levels[levels.length - 1] ?? [];
+    const thing = Math.floor(this.rng.next() ** 1.3 * last.length);
+    const parts: PrefixBlock[] = [];
+    for (const blocks of levels) parts.push(blocks[thing % blocks.length] as PrefixBlock);
+    parts.push({ id: `own-${id}`, tokens: drawnSize(this.rng, kind.ownTokens) });
+    return parts;
+  }
+
+  private arrive(kind: RequestKind): void {
+    this.lastId += 1;
+    const parts = this.partsOf(kind, this.lastId);
+    let promptTokens = 0;
+    for (const part of parts) promptTokens += part.tokens;
+    const request: DayRequest = {
+      id: this.lastId,
+      kind,
+      proxy: this.proxies[Math.floor(this.rng.next() * this.proxies.length)] as ProxyState,
+      cameAt: this.now,
+      parts,
+      promptTokens,
+      outTokens: drawnSize(this.rng, kind.outTokens),
+      worker: null,
+      reservation: null,
+      lastEventAt: 0,
+      longestPauseMs: 0,
+      firstAt: null,
+      returned: false,
+    };
+    this.requests.set(request.id, request);
+    this.tally.asked(request);
+    this.after(CLIENT_MS, () => this.place(request, this.now + kind.aimMs * QUEUE_AIM_FRACTION));
+  }
+
+  private selectionOf(request: DayRequest): SelectionRequest {
+    return {
+      model: MODEL,
+      traits: this.traits,
+      parts: request.parts,
+      tokens: request.promptTokens,
+      outTokens: request.kind.outTokens.most,
+      bytes: request.promptTokens,
+      homes: request.kind.homes,
+      pinned: true,
+      avoid: new Set(),
+      now: this.now,
+    };
+  }
+
+  private place(request: DayRequest, until: number): void {
+    const worker = this.options.mode === 'omniscient' ? this.placeOmniscient(request) : this.placeByRegistry(request);
+    if (worker) {
+      request.worker = worker;
+      this.after(this.delayMs(request.proxy, worker), () => this.arriveAt(worker, request));
+    } else if (this.now < until) this.after(RETRY_LOOK_MS, () => this.place(request, until));
+    else if (!request.returned) {
+      request.returned = true;
+      this.after(CALLER_BACK_MS, () => this.place(request, this.now + request.kind.aimMs * QUEUE_AIM_FRACTION));
+    }
+  }
+
+  private placeByRegistry(request: DayRequest): WorkerState | null {
+    const { registry } = request.proxy;
+    const selection = this.selectionOf(request);
+    const found = registry.selectWorker(selection);
+    if (found.tag !== 'row') return null;
+    request.reservation = registry.reserve(found.row, selection);
+    return this.workers.get(found.row.entry.id) ?? null;
+  }
+
+  private placeOmniscient(request: DayRequest): WorkerState | null {
+    let best: WorkerState | null = null;
+    let least = Infinity;
+    const sharedTokens = request.promptTokens - (request.parts[request.parts.length - 1] as PrefixBlock).tokens;
+    for (const worker of this.workers.values()) {
+      const { deployed, engine } = worker;
+      if (request.kind.homes.length > 0 && !request.kind.homes.includes(deployed.region)) continue;
+      if (engine.running() >= deployed.figures.batch) continue;
+      const kept = Math.min(engine.keptTokens(request.parts), sharedTokens);
+      const toRead = request.promptTokens - kept + engine.unreadTokens();
+      const ms =
+        (toRead / deployed.figures.tokensPerMs + deployed.figures.stepMs) * deployed.figures.slowness +
+        2 * this.delayMs(request.proxy, worker) +
+        (sharedTokens - kept) * OMNISCIENT_REREAD_MS;
+      if (ms >= least) continue;
+      least = ms;
+      best = worker;
+    }
+    return best;
+  }
+
+  private arriveAt(worker: WorkerState, request: DayRequest): void {
+    worker.engine.add({
+      id: request.id,
+      parts: request.parts,
+      promptTokens: request.promptTokens,
+      outTokens: request.outTokens,
+      urgency: request.kind.rank,
+    });
+    if (!worker.stepping) this.step(worker);
+  }
+
+  private step(worker: WorkerState): void {
+    const played = worker.engine.advance(this.now);
+    worker.stepping = played !== null;
+    if (!played) return;
+    this.after(played.until - this.now, () => {
+      for (const event of played.events) this.onEvent(worker, event);
+      this.step(worker);
+    });
+  }
+
+  private onEvent(worker: WorkerState, event: EngineEvent): void {
+    const request = this.requests.get(event.id);
+    if (!request) return;
+    if (event.tag === 'begun') this.tally.read(request, event.keptTokens);
+    else this.after(this.delayMs(request.proxy, worker), () => this.onAnswer(request, event));
+  }
+
+  private onAnswer(request: DayRequest, event: EngineEvent): void {
+    if (request.firstAt === null) request.firstAt = this.now;
+    else request.longestPauseMs = Math.max(request.longestPauseMs, this.now - request.lastEventAt);
+    request.lastEventAt = this.now;
+    request.reservation?.read();
+    if (event.tag !== 'end') return;
+    request.reservation?.end();
+    this.requests.delete(request.id);
+    this.tally.served(request);
+  }
+
+  private startReports(proxy: ProxyState, index: number): void {
+    let count = 0;
+    const report = (): void => {
+      count += 1;
+      const told = { name: proxy.deployed.name, run: 'run', count, rows: proxy.registry.load(this.now) };
+      const controller = this.controllers[proxy.controller] as ControllerState;
+      this.after(this.deployment.crossZoneMs, () => controller.own.record(told, this.now));
+      if (!this.isOver()) this.after(this.loadMs, report);
+    };
+    this.after((this.loadMs * index) / this.proxies.length, report);
+  }
+
+  private startRelay(controller: ControllerState, index: number): void {
+    let count = 0;
+    const relay = (): void => {
+      count += 1;
+      const mine = controller.own.sums(this.now);
+      const changed = controller.ownChanges.next(mine, this.now);
+      const told = { name: `c${index}`, run: 'run', count, rows: changed ? controller.ownChanges.told() : {} };
+      if (changed)
+        for (const other of this.controllers)
+          if (other !== controller)
+            this.after(this.deployment.crossRegionMs, () => other.others.record(told, this.now));
+      const sums = controller.sumChanges.next(sumOf(mine, controller.others.sums(this.now)), this.now);
+      if (sums) this.push(index, sums);
+      if (!this.isOver()) this.after(this.relayMs, relay);
+    };
+    this.after((this.relayMs * index) / this.controllers.length, relay);
+  }
+
+  private push(controller: number, changed: LoadRows): void {
+    for (const proxy of this.proxies)
+      if (proxy.controller === controller)
+        this.after(this.deployment.crossZoneMs, () => {
+          proxy.fleetLoad = withChanges(proxy.fleetLoad, changed);
+          proxy.registry.applyFleetLoad(proxy.fleetLoad, this.now);
+        });
+  }
+}
+
+/** Plays one day of a deployment. The same deployment and options always give the same result. */
+export function playEngineDay(deployment: Deployment, options: EngineDayOptions): EngineDayResult {
+  return new EngineDay(deployment, options).play();
+}
+
+function listed(worker: DeployedWorker) {
+  return {
+    id: worker.id,
+    model: MODEL,
+    address: worker.id,
+    zone: worker.zone,
+    region: worker.region,
+    release: '',
+    places: worker.figures.batch,
+    leaving: false,
+    remainingMs: null,
+    coldMs: 0,
+  };
+}
--- /dev/null
+++ b/src/sim/engine/engine-tally.ts
@@ -0,0 +1,210 @@
+/** What a day in the engine model was worth: by kind of request, its largest prompts, zone and window. */
+
+import type { Deployment } from './deployment.js';
+import type { DayRequest } from './engine-day.js';
+import type { EngineCounts } from './engine-worker.js';
+
+/** The result of a day. Worth is a share of what all requests would earn in time. */
+export type EngineDayResult = {
+  readonly asked: number;
+  readonly inAim: number;
+  readonly late: number;
+  readonly unserved: number;
+  /** Of those late, the ones whose first event was in time and a pause too long. */
+  readonly paused: number;
+  /** Mean worth, the worst kind or size class, the worst zone and the worst windows, and the price of reading again. */
+  readonly mean: number;
+  readonly worstClass: number;
+  readonly worstZone: number;
+  readonly worstWindows: number;
+  readonly rereadPrice: number;
+  readonly worth: number;
+  readonly readTokens: number;
+  readonly rereadTokens: number;
+  readonly putBack: number;
+  /** Milliseconds to the first event of the first kind: median, 90th and 99th of a hundred. */
+  readonly firstMs: { readonly p50: number; readonly p90: number; readonly p99: number };
+};
+
+/** Collects a day. */
+export interface EngineTally {
+  asked(request: DayRequest): void;
+  read(request: DayRequest, keptTokens: number): void;
+  served(request: DayRequest): void;
+  unserved(request: DayRequest): void;
+  worker(counts: EngineCounts): void;
+  result(): EngineDayResult;
+}
+
+type Outcome = {
+  readonly kind: string;
+  readonly zone: string;
+  readonly window: number;
+  readonly size: number;
+  readonly base: number;
+  readonly lateFraction: number;
+  readonly inAim: boolean;
+  readonly paused: boolean;
+  readonly served: boolean;
+  readonly firstMs: number;
+};
+
+const WINDOW_MS = 2_000;
+const WORST_WINDOWS = 2;
+const OUT_TOKEN_WEIGHT = 10;
+const MOST_SIZE_WEIGHT = 4;
+const WEIGHTS = { mean: 0.4, class: 0.3, zone: 0.2, window: 0.1 };
+const LARGEST_FRACTION = 0.1;
+const LARGE_FRACTION = 0.3;
+
+class CollectedTally implements EngineTally {
+  private readonly outcomes: Outcome[] = [];
+  private readonly seen = new Set<string>();
+  private rereadTokens = 0;
+  private readTokens = 0;
+  private putBack = 0;
+  private askedCount = 0;
+
+  constructor(private readonly deployment: Deployment) {}
+
+  asked(): void {
+    this.askedCount += 1;
+  }
+
+  read(request: DayRequest, keptTokens: number): void {
+    let at = 0;
+    for (const part of request.parts.slice(0, -1)) {
+      const had = this.seen.has(part.id);
+      this.seen.add(part.id);
+      if (had && at >= keptTokens) this.rereadTokens += part.tokens;
+      at += part.tokens;
+    }
+  }
+
+  served(request: DayRequest): void {
+    const firstMs = (request.firstAt ?? Infinity) - request.cameAt;
+    const inAim = firstMs <= request.kind.aimMs && request.longestPauseMs <= request.kind.pauseMs;
+    this.note(request, firstMs, inAim, true);
+  }
+
+  unserved(request: DayRequest): void {
+    this.note(request, Infinity, false, false);
+  }
+
+  private note(request: DayRequest, firstMs: number, inAim: boolean, served: boolean): void {
+    const { kind } = request;
+    this.outcomes.push({
+      kind: kind.name,
+      zone: request.proxy.deployed.zone,
+      window: Math.floor(request.cameAt / WINDOW_MS),
+      size: request.promptTokens + OUT_TOKEN_WEIGHT * request.outTokens,
+      base: kind.worth,
+      lateFraction: kind.lateWorth / kind.worth,
+      inAim,
+      paused: served && !inAim && firstMs <= kind.aimMs,
+      served,
+      firstMs,
+    });
+  }
+
+  worker(counts: EngineCounts): void {
+    this.readTokens += counts.read;
+    this.putBack += counts.putBack;
+  }
+
+  result(): EngineDayResult {
+    const means = meanSizes(this.outcomes);
+    const all = worthOf(this.outcomes, means);
+    const first = this.deployment.kinds[0]?.name;
+    const firsts = this.outcomes.filter((outcome) => outcome.kind === first && outcome.served).map(firstMsOf);
+    firsts.sort((left, right) => left - right);
+    const windows = [...groupsBy(this.outcomes, (outcome) => String(outcome.window)).values()]
+      .map((group) => worthOf(group, means).fraction)
+      .sort((left, right) => left - right);
+    const worst = windows.slice(0, WORST_WINDOWS);
+    const worstWindows = worst.reduce(sum, 0) / Math.max(1, worst.length);
+    const worstClass = Math.min(...classesOf(this.outcomes).map((group) => worthOf(group, means).fraction));
+    const zones = [...groupsBy(this.outcomes, (outcome) => outcome.zone).values()];
+    const worstZone = Math.min(...zones.map((group) => worthOf(group, means).fraction));
+    const rereadPrice = ((this.rereadTokens / 1_000) * this.deployment.rereadPrice) / Math.max(1, all.owed);
+    return {
+      asked: this.askedCount,
+      inAim: this.outcomes.filter((outcome) => outcome.inAim).length,
+      late: this.outcomes.filter((outcome) => outcome.served && !outcome.inAim).length,
+      unserved: this.outcomes.filter((outcome) => !outcome.served).length,
+      paused: this.outcomes.filter((outcome) => outcome.paused).length,
+      mean: all.fraction,
+      worstClass,
+      worstZone,
+      worstWindows,
+      rereadPrice,
+      worth:
+        WEIGHTS.mean * all.fraction +
+        WEIGHTS.class * worstClass +
+        WEIGHTS.zone * worstZone +
+        WEIGHTS.window * worstWindows -
+        rereadPrice,
+      readTokens: this.readTokens,
+      rereadTokens: this.rereadTokens,
+      putBack: this.putBack,
+      firstMs: { p50: quantile(firsts, 0.5), p90: quantile(firsts, 0.9), p99: quantile(firsts, 0.99) },
+    };
+  }
+}
+
+/** A tally of nothing yet. */
+export function createEngineTally(deployment: Deployment): EngineTally {
+  return new CollectedTally(deployment);
+}
+
+function sum(left: number, right: number): number {
+  return left + right;
+}
+function firstMsOf(outcome: Outcome): number {
+  return outcome.firstMs;
+}
+function quantile(sorted: readonly number[], fraction: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? NaN;
+}
+
+function meanSizes(outcomes: readonly Outcome[]): Map<string, number> {
+  const means = new Map<string, number>();
+  for (const [kind, group] of groupsBy(outcomes, (outcome) => outcome.kind))
+    means.set(kind, group.reduce((total, outcome) => total + outcome.size, 0) / group.length);
+  return means;
+}
+
+function worthOf(outcomes: readonly Outcome[], means: Map<string, number>): { owed: number; fraction: number } {
+  let owed = 0;
+  let earned = 0;
+  for (const outcome of outcomes) {
+    const relative = outcome.size / (means.get(outcome.kind) ?? outcome.size);
+    const worth = outcome.base * Math.min(MOST_SIZE_WEIGHT, 0.3 + 0.7 * relative);
+    owed += worth;
+    if (outcome.served) earned += outcome.inAim ? worth : worth * outcome.lateFraction;
+  }
+  return { owed, fraction: owed === 0 ? 1 : earned / owed };
+}
+
+function groupsBy(outcomes: readonly Outcome[], keyOf: (outcome: Outcome) => string): Map<string, Outcome[]> {
+  const groups = new Map<string, Outcome[]>();
+  for (const outcome of outcomes) {
+    const key = keyOf(outcome);
+    const group = groups.get(key);
+    if (group) group.push(outcome);
+    else groups.set(key, [outcome]);
+  }
+  return groups;
+}
+
+/** Each kind of request, its largest tenth, and the fifth below that. */
+function classesOf(outcomes: readonly Outcome[]): Outcome[][] {
+  const classes: Outcome[][] = [];
+  for (const group of groupsBy(outcomes, (outcome) => outcome.kind).values()) {
+    const bySize = [...group].sort((left, right) => right.size - left.size);
+    const largest = Math.ceil(bySize.length * LARGEST_FRACTION);
+    const large = Math.ceil(bySize.length * LARGE_FRACTION);
+    classes.push(group, bySize.slice(0, largest), bySize.slice(largest, large));
+  }
+  return classes.filter((group) => group.length > 0);
+}
