tools/experiment.mjs plays paired trials by a plan, on the engine model or the users' bench

Cause: pairs were played by scratch scripts, each by hand, and lost their figures. Statistics by simple-statistics. Tests: 2, a plan played, interrupted and gone on with; a plan with eight faults.

--- /dev/null
+++ b/tools/experiment.test.mjs
@@ -0,0 +1,91 @@
+import { afterAll, expect, test } from '@jest/globals';
+import { execFileSync, spawnSync } from 'node:child_process';
+import { existsSync, mkdtempSync, readFileSync, readdirSync, rmSync, unlinkSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+const ROOT = join(import.meta.dirname, '..');
+const folder = mkdtempSync(join(tmpdir(), 'millfield-experiment-'));
+afterAll(() => rmSync(folder, { recursive: true, force: true }));
+if (!existsSync(join(ROOT, 'dist/sim/engine/engine-day.js')))
+  execFileSync(process.execPath, ['node_modules/typescript/bin/tsc', '-p', 'tsconfig.build.json'], { cwd: ROOT });
+
+const PLAN = `
+name = "small"
+backend = "engine"
+[[variant]]
+name = "now"
+[[variant]]
+name = "no-affinity"
+[variant.tuning]
+sharedMs = 0
+[[site]]
+name = "drawn"
+seeds = [3, 14]
+`;
+
+function played(text, ...more) {
+  const path = join(folder, 'plan.toml');
+  writeFileSync(path, text);
+  return spawnSync(process.execPath, ['tools/experiment.mjs', path, '--out', join(folder, 'out'), ...more], {
+    cwd: ROOT,
+    encoding: 'utf8',
+  });
+}
+
+test('pairs are played, compared, and not played again after an interruption', () => {
+  const first = played(PLAN);
+  expect(first.status).toBe(0);
+  expect(first.stdout).toMatch(/\| no-affinity \| 2 \| worth \| [+-]0\.\d{4} \| 0\.\d{4} \|/);
+  const out = join(folder, 'out');
+  expect(readdirSync(out).sort()).toEqual([
+    'no-affinity_drawn_drawn_14.json',
+    'no-affinity_drawn_drawn_3.json',
+    'now_drawn_drawn_14.json',
+    'now_drawn_drawn_3.json',
+    'small.md',
+    'small.svg',
+  ]);
+  expect(readFileSync(join(out, 'small.svg'), 'utf8')).toMatch(/^<svg/);
+  const kept = join(out, 'now_drawn_drawn_3.json');
+  const result = JSON.parse(readFileSync(kept, 'utf8'));
+  writeFileSync(kept, JSON.stringify({ ...result, figures: { ...result.figures, worth: 0.123 } }));
+  unlinkSync(join(out, 'now_drawn_drawn_14.json'));
+  const again = played(PLAN);
+  expect(again.status).toBe(0);
+  expect(JSON.parse(readFileSync(kept, 'utf8')).figures.worth).toBe(0.123);
+  expect(again.stderr.trim().split('\n')).toEqual(['4 of 4: now_drawn_drawn_14']);
+});
+
+test('a plan with faults is refused with all of them, each with its place, and nothing is played', () => {
+  const bad = played(`
+name = "two words"
+jobs = 40
+colour = "red"
+[[variant]]
+name = "a"
+[variant.tuning]
+sharedMs = "much"
+speed = 3
+[[site]]
+name = "s"
+seeds = [0]
+`);
+  expect(bad.status).toBe(65);
+  expect(bad.stderr.trim().split('\n').sort()).toEqual(
+    [
+      'name: expected a name of letters, digits and hyphens',
+      'backend: expected one of engine, bench, it is missing',
+      'jobs: expected a whole number from 1 to 5',
+      'variant: at least two are compared, the first one with each of the others',
+      'variant 1: tuning.sharedMs: expected a number',
+      'variant 1: tuning.speed: the tuning record has no such field',
+      'site 1: seeds: expected a list of whole numbers above 0',
+      'colour: unknown field',
+    ].sort(),
+  );
+  expect(played('name = ').stderr).toMatch(/^not TOML: /);
+  expect(played(PLAN.replace('"engine"', '"bench"').replace('seeds', 'path = "x.toml"\nseeds')).stderr).toBe(
+    'backend: the bench needs --bench PROGRAM\n',
+  );
+});
--- /dev/null
+++ b/tools/experiment/results.mjs
@@ -0,0 +1,107 @@
+import { mean, sampleStandardDeviation } from 'simple-statistics';
+import { parse, View } from 'vega';
+import { compile } from 'vega-lite';
+
+/** The figures of one run of the engine model. */
+export function figuresOfEngine(result) {
+  return {
+    worth: result.worth,
+    late: result.late / result.asked,
+    unserved: result.unserved / result.asked,
+    class: result.worstClass,
+    zone: result.worstZone,
+    windows: result.worstWindows,
+    'price: shared parts read again': result.rereadPrice,
+  };
+}
+
+/** The figures of one report of the bench. */
+export function figuresOfBench(report) {
+  const { n, late, refused, failed } = report.all;
+  const figures = { worth: report.G, late: late / n, refused: refused / n, failed: failed / n };
+  for (const [name, , value] of report.parts) figures[name.replace(/^worst /, '')] = value;
+  for (const [name, , price] of report.prices) if (price > 0) figures[`price: ${name}`] = price;
+  figures['rules broken'] = Object.keys(report.breaks).length;
+  figures.faults = report.fault ? 1 : 0;
+  return figures;
+}
+
+/** Differences of each variant to the first one, over runs of the same site, day and seed. */
+export function pairedDifferences(plan, results) {
+  const [first, ...others] = plan.variants;
+  return others.map((variant) => {
+    const pairs = [];
+    for (const [key, run] of results) {
+      if (run.variant !== variant.name) continue;
+      const base = results.get([first.name, run.site, run.day, run.seed].join('_'));
+      if (base) pairs.push({ key, base: base.figures, figures: run.figures });
+    }
+    return { variant: variant.name, pairs: pairs.length, figures: differencesOf(pairs) };
+  });
+}
+
+function differencesOf(pairs) {
+  const names = new Set(pairs.flatMap(({ base, figures }) => [...Object.keys(base), ...Object.keys(figures)]));
+  const out = {};
+  for (const name of names) {
+    const differences = pairs.map(({ base, figures }) => (figures[name] ?? 0) - (base[name] ?? 0));
+    out[name] = {
+      mean: mean(differences),
+      standardError:
+        differences.length < 2 ? null : sampleStandardDeviation(differences) / Math.sqrt(differences.length),
+      least: Math.min(...differences),
+    };
+  }
+  return out;
+}
+
+/** The comparison as a table in Markdown: worth first, then how the loss is split. */
+export function tableOf(plan, differences) {
+  const lines = [
+    `Differences to \`${plan.variants[0].name}\`: mean, standard error, least.`,
+    '',
+    '| variant | pairs | figure | mean | standard error | least |',
+    '| --- | --- | --- | --- | --- | --- |',
+  ];
+  for (const { variant, pairs, figures } of differences)
+    for (const [name, { mean: middle, standardError, least }] of Object.entries(figures))
+      if (name === 'worth' || Math.abs(middle) >= 0.0005)
+        lines.push(
+          `| ${variant} | ${pairs} | ${name} | ${signed(middle)} | ${standardError === null ? '' : standardError.toFixed(4)} | ${signed(least)} |`,
+        );
+  return `${lines.join('\n')}\n`;
+}
+
+/** Worth of every run, by variant, as an SVG. */
+export async function plotOf(plan, results) {
+  const values = [...results.values()].map(({ variant, site, day, figures }) => ({
+    variant,
+    place: `${site} ${day}`,
+    worth: figures.worth,
+  }));
+  const spec = {
+    title: plan.name,
+    width: 420,
+    height: 40 * plan.variants.length,
+    data: { values },
+    layer: [
+      {
+        mark: { type: 'point', opacity: 0.7 },
+        encoding: { color: { field: 'place', type: 'nominal', title: 'site and day' } },
+      },
+      {
+        mark: { type: 'tick', color: 'black', thickness: 2 },
+        encoding: { x: { aggregate: 'mean', field: 'worth', type: 'quantitative' } },
+      },
+    ],
+    encoding: {
+      x: { field: 'worth', type: 'quantitative', scale: { zero: false }, title: 'worth, mean as a tick' },
+      y: { field: 'variant', type: 'nominal', sort: plan.variants.map(({ name }) => name), title: null },
+    },
+  };
+  return new View(parse(compile(spec).spec), { renderer: 'none' }).toSVG();
+}
+
+function signed(value) {
+  return `${value < 0 ? '' : '+'}${value.toFixed(4)}`;
+}
