A test that each part of a route gets its share of the requests

Cause: the users' rules now bound a part's share in calm times; no test held it. Change: two tests of the draw of a model. Seen to fail with a draw that always takes the first part.

--- /dev/null
+++ b/src/coordination/forwarding/relayed-request.test.ts
@@ -0,0 +1,47 @@
+import { expect, test } from '@jest/globals';
+import { OPEN_WORDS } from '../../protocol/header-names.js';
+import type { MatchedRoute } from '../../state/configuration/route-table.js';
+import type { Share } from '../../state/configuration/serving.js';
+import type { OpaqueRequest } from '../../transport/opaque-http.js';
+import { createRng } from '../../transport/rng.js';
+import { createRelayedRequest } from './relayed-request.js';
+
+const ASKED = 4_000;
+
+function counts(shares: readonly Share[]): Map<string, number> {
+  const rng = createRng(25);
+  const incoming = { get: () => null } as unknown as OpaqueRequest;
+  const route = {
+    name: 'r',
+    settings: { kind: 'stream', resumable: false, deadlineMs: 5_000, shares },
+  } as unknown as MatchedRoute;
+  const out = new Map<string, number>();
+  for (let i = 0; i < ASKED; i += 1) {
+    const { model } = createRelayedRequest(OPEN_WORDS, rng, incoming, route, `id-${i}`, Buffer.alloc(0), 0);
+    out.set(model, (out.get(model) ?? 0) + 1);
+  }
+  return out;
+}
+
+test('each part of a route gets its share of the requests, also where shares do not add up to 1', () => {
+  const found = counts([
+    { model: 'a', share: 90 },
+    { model: 'b', share: 10 },
+    { model: 'c', share: 50 },
+  ]);
+  for (const [model, share] of [
+    ['a', 90 / 150],
+    ['b', 10 / 150],
+    ['c', 50 / 150],
+  ] as const)
+    expect(Math.abs((found.get(model) ?? 0) / ASKED - share)).toBeLessThan(0.03);
+});
+
+test('a part without any share gets nothing', () => {
+  expect([
+    ...counts([
+      { model: 'a', share: 0 },
+      { model: 'b', share: 1 },
+    ]).keys(),
+  ]).toEqual(['b']);
+});
