--- a/src/state/discovery/worker-registry.ts
+++ b/src/state/discovery/worker-registry.ts
@@ -17,7 +17,7 @@
 import { createWorkerOwners } from './worker-owners.js';
 
 export type { SelectingProxy, SelectionRequest } from '../forwarding/placement-cost.js';
-export type { RegistryRow, SharingProxy, WorkerLoad } from './registry-row.js';
+export type { RegistryRow, SharingProxy } from './registry-row.js';
 
 /** The choice: a worker and its cost, `busy` if one may have room later, `none` if the model has no usable worker. */
 export type Selection =
--- a/tools/tests.mjs
+++ b/tools/tests.mjs
@@ -42,6 +42,8 @@
 if ((await step('Format', 'node_modules/prettier/bin/prettier.cjs', '--check', '.', '--log-level', 'warn')) !== 0)
   await leave(1);
 if ((await step('Lint', 'node_modules/eslint/bin/eslint.js', '.')) !== 0) await leave(1);
+if ((await step('Unused files, exports and packages', 'node_modules/knip/bin/knip.js', '--no-config-hints')) !== 0)
+  await leave(1);
 const chosen = process.argv.slice(2);
 const runs = chosen.length > 0 ? [await jest('Tests', 'chosen', ...chosen)] : await allTests();
 const report = joined(runs.map((run) => run.report));
