--- a/tools/capacity/figures.mjs
+++ b/tools/capacity/figures.mjs
@@ -28,7 +28,6 @@
   scaler: ['POST:/v1/machines', 'GET:/v1/machines', 'GET:/v1/prices'],
 };
 const DUTY_OF = new Map(Object.entries(DUTIES).flatMap(([duty, kinds]) => kinds.map((k) => [k, duty])));
-const DISTANCES = ['inZone', 'betweenZones', 'betweenRegions'];
 
 export function dutyOf(kind) {
   return DUTY_OF.get(kind) ?? (kind.startsWith('list') ? 'list' : kind.includes('/v1/') ? 'scaler' : 'other');
