A controller without loads tells the others nothing

Change: an empty table is not told. Tests of the relay: an idle controller says nothing (seen to fail before), a load is with everyone within 100 ms, who comes later gets all.

--- a/src/coordination/distribution/fleet-load-relay.ts
+++ b/src/coordination/distribution/fleet-load-relay.ts
@@ -74,7 +74,8 @@
 
   private tellControllers(mine: LoadRows, now: number): void {
     const changed = this.ownChanges.next(mine, now);
-    const whole = now - this.wholeAt >= WHOLE_MS;
+    const isIdle = Object.keys(this.ownChanges.told()).length === 0;
+    const whole = !isIdle && now - this.wholeAt >= WHOLE_MS;
     if (!whole && !changed) return;
     if (whole) this.wholeAt = now;
     this.count += 1;
