Rows of loads in a module of their own; candidates of an experiment

Change: load-rows.ts has the shape of a row and tables told anew; the tally names what it needs of a request; what is compared in an experiment is a candidate, in plans too.

--- a/src/coordination/distribution/fleet-load-relay.test.ts
+++ b/src/coordination/distribution/fleet-load-relay.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from '@jest/globals';
 import type { Message, MessageKind } from '../../protocol/messages.js';
-import type { LoadRows } from '../../state/distribution/fleet-load.js';
+import type { LoadRows } from '../../state/distribution/load-rows.js';
 import { createWorld } from '../../sim/world.js';
 import { createRng } from '../../transport/rng.js';
 import type { Ledger } from '../consensus/ledger.js';
@@ -38,7 +38,7 @@
     function report(rows: LoadRows): void {
       count += 1;
       const message = { kind: 'usage', told: { name, run: 'r', count, rows } } as Message;
-      void handlers.get('usage')?.(message as never, peer);
+      void handlers.get('usage')?.(message, peer);
     }
     return { peer, report };
   }
--- a/src/coordination/distribution/fleet-load-relay.ts
+++ b/src/coordination/distribution/fleet-load-relay.ts
@@ -1,7 +1,8 @@
 /** Sums the loads that proxies report on workers, so that each proxy knows what the others run there. */
 import type { MessageOf } from '../../protocol/messages.js';
 import { createFleetLoad, sumOf } from '../../state/distribution/fleet-load.js';
-import type { LoadRows, ReportedLoad } from '../../state/distribution/fleet-load.js';
+import type { ReportedLoad } from '../../state/distribution/fleet-load.js';
+import type { LoadRows } from '../../state/distribution/load-rows.js';
 import { createLoadChanges } from '../../state/distribution/load-changes.js';
 import { every } from '../../transport/clock.js';
 import type { Clock, Timer } from '../../transport/clock.js';
--- a/src/coordination/proxy/opaque-proxy.ts
+++ b/src/coordination/proxy/opaque-proxy.ts
@@ -2,8 +2,8 @@
 import { err, ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import type { MessageOf } from '../../protocol/messages.js';
-import type { LoadRows } from '../../state/distribution/fleet-load.js';
-import { withChanges } from '../../state/distribution/load-changes.js';
+import type { LoadRows } from '../../state/distribution/load-rows.js';
+import { withChanges } from '../../state/distribution/load-rows.js';
 import type { Report } from '../../state/distribution/report.js';
 import type { HeaderNames } from '../../protocol/header-names.js';
 import { createAttemptBudget } from '../../state/forwarding/attempt-budget.js';
--- a/src/sim/engine/engine-day.ts
+++ b/src/sim/engine/engine-day.ts
@@ -7,8 +7,10 @@
 
 import { Heap } from 'mnemonist';
 import { createFleetLoad, sumOf } from '../../state/distribution/fleet-load.js';
-import type { FleetLoad, LoadRows } from '../../state/distribution/fleet-load.js';
-import { createLoadChanges, withChanges } from '../../state/distribution/load-changes.js';
+import type { FleetLoad } from '../../state/distribution/fleet-load.js';
+import type { LoadRows } from '../../state/distribution/load-rows.js';
+import { createLoadChanges } from '../../state/distribution/load-changes.js';
+import { withChanges } from '../../state/distribution/load-rows.js';
 import type { LoadChanges } from '../../state/distribution/load-changes.js';
 import type { PrefixBlock } from '../../state/discovery/prefix-cache.js';
 import { createWorkerRegistry } from '../../state/discovery/worker-registry.js';
@@ -19,7 +21,7 @@
 import type { Rng } from '../../transport/rng.js';
 import type { DeployedProxy, DeployedWorker, Deployment, RequestKind } from './deployment.js';
 import { createEngineTally } from './engine-tally.js';
-import type { EngineTally, EngineDayResult } from './engine-tally.js';
+import type { EngineTally, EngineDayResult, TalliedRequest } from './engine-tally.js';
 import { createEngineWorker } from './engine-worker.js';
 import type { EngineEvent, EngineWorker } from './engine-worker.js';
 
@@ -66,14 +68,9 @@
 };
 
 /** A request of the day, from its arrival on. */
-export type DayRequest = {
+type DayRequest = TalliedRequest & {
   readonly id: number;
-  readonly kind: RequestKind;
   readonly proxy: ProxyState;
-  readonly cameAt: number;
-  readonly parts: readonly PrefixBlock[];
-  readonly promptTokens: number;
-  readonly outTokens: number;
   worker: WorkerState | null;
   reservation: Reservation | null;
   lastEventAt: number;
--- a/src/sim/engine/engine-tally.ts
+++ b/src/sim/engine/engine-tally.ts
@@ -1,7 +1,7 @@
 /** What a day in the engine model was worth: by kind of request, its largest prompts, zone and window. */
 
-import type { Deployment } from './deployment.js';
-import type { DayRequest } from './engine-day.js';
+import type { PrefixBlock } from '../../state/discovery/prefix-cache.js';
+import type { DeployedProxy, Deployment, RequestKind } from './deployment.js';
 import type { EngineCounts } from './engine-worker.js';
 
 /** The result of a day. Worth is a share of what all requests would earn in time. */
@@ -26,12 +26,24 @@
   readonly firstMs: { readonly p50: number; readonly p90: number; readonly p99: number };
 };
 
+/** What the tally needs of a request. Times are milliseconds of the day; `firstAt` is null before the first event. */
+export type TalliedRequest = {
+  readonly kind: RequestKind;
+  readonly proxy: { readonly deployed: DeployedProxy };
+  readonly cameAt: number;
+  readonly parts: readonly PrefixBlock[];
+  readonly promptTokens: number;
+  readonly outTokens: number;
+  readonly firstAt: number | null;
+  readonly longestPauseMs: number;
+};
+
 /** Collects a day. */
 export interface EngineTally {
-  asked(request: DayRequest): void;
-  read(request: DayRequest, keptTokens: number): void;
-  served(request: DayRequest): void;
-  unserved(request: DayRequest): void;
+  asked(request: TalliedRequest): void;
+  read(request: TalliedRequest, keptTokens: number): void;
+  served(request: TalliedRequest): void;
+  unserved(request: TalliedRequest): void;
   worker(counts: EngineCounts): void;
   result(): EngineDayResult;
 }
@@ -71,7 +83,7 @@
     this.askedCount += 1;
   }
 
-  read(request: DayRequest, keptTokens: number): void {
+  read(request: TalliedRequest, keptTokens: number): void {
     let at = 0;
     for (const part of request.parts.slice(0, -1)) {
       const had = this.seen.has(part.id);
@@ -81,17 +93,17 @@
     }
   }
 
-  served(request: DayRequest): void {
+  served(request: TalliedRequest): void {
     const firstMs = (request.firstAt ?? Infinity) - request.cameAt;
     const inAim = firstMs <= request.kind.aimMs && request.longestPauseMs <= request.kind.pauseMs;
     this.note(request, firstMs, inAim, true);
   }
 
-  unserved(request: DayRequest): void {
+  unserved(request: TalliedRequest): void {
     this.note(request, Infinity, false, false);
   }
 
-  private note(request: DayRequest, firstMs: number, inAim: boolean, served: boolean): void {
+  private note(request: TalliedRequest, firstMs: number, inAim: boolean, served: boolean): void {
     const { kind } = request;
     this.outcomes.push({
       kind: kind.name,
--- a/src/state/discovery/registry-row.ts
+++ b/src/state/discovery/registry-row.ts
@@ -5,7 +5,7 @@
  */
 
 import type { EdgeTuning } from '../forwarding/edge-tuning.js';
-import type { LoadRows } from '../distribution/fleet-load.js';
+import type { LoadRows } from '../distribution/load-rows.js';
 import { createPrefixCache } from './prefix-cache.js';
 import type { PrefixCache } from './prefix-cache.js';
 import { createRateGuard } from '../forwarding/rate-guard.js';
--- a/src/state/discovery/worker-registry.ts
+++ b/src/state/discovery/worker-registry.ts
@@ -6,7 +6,7 @@
  */
 
 import type { EdgeTuning } from '../forwarding/edge-tuning.js';
-import type { LoadRows } from '../distribution/fleet-load.js';
+import type { LoadRows } from '../distribution/load-rows.js';
 import { homeAmong } from './home-worker.js';
 import { createPlacementCost } from '../forwarding/placement-cost.js';
 import type { SelectingProxy, SelectionRequest, PlacementCost } from '../forwarding/placement-cost.js';
--- a/src/state/distribution/fleet-load.ts
+++ b/src/state/distribution/fleet-load.ts
@@ -1,15 +1,8 @@
 /** Loads on workers, summed over proxies. */
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
-import { withChanges } from './load-changes.js';
-
-/** By worker: requests, tokens not yet read, tokens of KV cache, bad runs, runs. */
-export const LoadRowsShape = Type.Record(
-  Type.String(),
-  Type.Tuple([Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer(), Type.Integer()]),
-);
-/** Checked rows. */
-export type LoadRows = Static<typeof LoadRowsShape>;
+import { LoadRowsShape, withChanges } from './load-rows.js';
+import type { LoadRow, LoadRows } from './load-rows.js';
 
 /** The loads that one node reports; `run` and `count` order its reports. A partial report has only the rows that changed since the one before. */
 export const ReportedLoadShape = Type.Object({
@@ -67,9 +60,6 @@
   return new ReportedFleetLoad(staleMs);
 }
 
-/** The load on one worker. */
-export type LoadRow = LoadRows[string];
-
 function addTo(out: LoadRows, id: string, row: LoadRow): void {
   const had = out[id];
   out[id] = had ? [had[0] + row[0], had[1] + row[1], had[2] + row[2], had[3] + row[3], had[4] + row[4]] : [...row];
--- a/src/state/distribution/load-changes.test.ts
+++ b/src/state/distribution/load-changes.test.ts
@@ -1,8 +1,9 @@
 import { expect, test } from '@jest/globals';
 import fc from 'fast-check';
 import { createFleetLoad } from './fleet-load.js';
-import type { LoadRows } from './fleet-load.js';
-import { createLoadChanges, withChanges } from './load-changes.js';
+import type { LoadRows } from './load-rows.js';
+import { createLoadChanges } from './load-changes.js';
+import { withChanges } from './load-rows.js';
 
 test('what matters to a choice is told at the next turn, a small difference half a second later', () => {
   const changes = createLoadChanges();
--- a/src/state/distribution/load-changes.ts
+++ b/src/state/distribution/load-changes.ts
@@ -5,7 +5,8 @@
  * message follows the bytes of the last one, so that a receiver gets no more than a fixed rate however
  * many workers there are.
  */
-import type { LoadRow, LoadRows } from './fleet-load.js';
+import { isNothing, isSameRow, NOTHING } from './load-rows.js';
+import type { LoadRow, LoadRows } from './load-rows.js';
 
 /** Rows that differ; those with nothing on them any more are told as zeros. */
 export interface LoadChanges {
@@ -21,7 +22,6 @@
 const SMALL_AFTER_MS = 500;
 /** Bytes for each millisecond that a receiver is told at most: 5 KB a second. */
 const BYTES_PER_MS = 5;
-const NOTHING: LoadRow = [0, 0, 0, 0, 0];
 
 type ToldRow = { readonly row: LoadRow; readonly at: number };
 
@@ -61,7 +61,7 @@
   private isDue(id: string, row: LoadRow, now: number): boolean {
     const told = this.rows.get(id);
     const before = told?.row ?? NOTHING;
-    if (isSame(before, row)) return false;
+    if (isSameRow(before, row)) return false;
     return isSignificant(before, row) || now - (told?.at ?? -Infinity) >= SMALL_AFTER_MS;
   }
 }
@@ -71,22 +71,6 @@
   return new PacedLoadChanges();
 }
 
-/** The table with some of its rows told anew; rows of zeros leave it. */
-export function withChanges(rows: LoadRows, changed: LoadRows): LoadRows {
-  const out: LoadRows = { ...rows };
-  for (const [id, row] of Object.entries(changed)) {
-    if (isNothing(row)) delete out[id];
-    else out[id] = row;
-  }
-  return out;
-}
-
-function isNothing(row: LoadRow): boolean {
-  return isSame(row, NOTHING);
-}
-function isSame(left: LoadRow, right: LoadRow): boolean {
-  return left.every((figure, index) => figure === right[index]);
-}
 function isSignificant(before: LoadRow, now: LoadRow): boolean {
   return (
     Math.abs(before[0] - now[0]) >= SIGNIFICANT.running ||
--- a/tools/experiment.mjs
+++ b/tools/experiment.mjs
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-// Plays a plan of paired trials and compares its variants; docs/experiments.md.
+// Plays a plan of paired trials and compares its candidates; docs/experiments.md.
 import { mkdirSync, existsSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
@@ -54,8 +54,8 @@
       try {
         const figures = await play(run);
         const result = {
-          variant: run.variant.name,
-          tuning: run.variant.tuning,
+          candidate: run.candidate.name,
+          tuning: run.candidate.tuning,
           site: run.site.name,
           day: run.day,
           seed: run.seed,
--- a/tools/experiment.test.mjs
+++ b/tools/experiment.test.mjs
@@ -13,11 +13,11 @@
 const PLAN = `
 name = "small"
 backend = "engine"
-[[variant]]
+[[candidate]]
 name = "now"
-[[variant]]
+[[candidate]]
 name = "no-affinity"
-[variant.tuning]
+[candidate.tuning]
 sharedMs = 0
 [[site]]
 name = "drawn"
@@ -62,9 +62,9 @@
 name = "two words"
 jobs = 40
 colour = "red"
-[[variant]]
+[[candidate]]
 name = "a"
-[variant.tuning]
+[candidate.tuning]
 sharedMs = "much"
 speed = 3
 [[site]]
@@ -77,9 +77,9 @@
       'name: expected a name of letters, digits and hyphens',
       'backend: expected one of engine, bench, it is missing',
       'jobs: expected a whole number from 1 to 5',
-      'variant: at least two are compared, the first one with each of the others',
-      'variant 1: tuning.sharedMs: expected a number',
-      'variant 1: tuning.speed: the tuning record has no such field',
+      'candidate: at least two are compared, the first one with each of the others',
+      'candidate 1: tuning.sharedMs: expected a number',
+      'candidate 1: tuning.speed: the tuning record has no such field',
       'site 1: seeds: expected a list of whole numbers above 0',
       'colour: unknown field',
     ].sort(),
--- a/tools/experiment/plan.mjs
+++ b/tools/experiment/plan.mjs
@@ -35,32 +35,32 @@
     jobs: optional(document, 'jobs', isJobs, `a whole number from 1 to ${MOST_JOBS}`, DEFAULT_JOBS, problems),
     flags: optional(document, 'flags', isTexts, 'a list of flags of the bench', [], problems),
     why: optional(document, 'why', isText, 'a line for the journal', '', problems),
-    variants: variantsIn(document, problems),
+    candidates: candidatesIn(document, problems),
     sites: sitesIn(document, problems),
   };
   for (const key of Object.keys(document))
-    if (!['name', 'backend', 'jobs', 'flags', 'why', 'variant', 'site'].includes(key))
+    if (!['name', 'backend', 'jobs', 'flags', 'why', 'candidate', 'site'].includes(key))
       problems.push(`${key}: unknown field`);
   if (problems.length > 0) throw new PlanError(problems);
   return plan;
 }
 
-/** Every run of a plan: the variants of one site, day and seed follow each other, so that pairs meet the same load. */
+/** Every run of a plan: the candidates of one site, day and seed follow each other, so that pairs meet the same load. */
 export function runsOf(plan) {
   const runs = [];
   for (const site of plan.sites)
     for (const day of site.days)
       for (const seed of site.seeds)
-        for (const variant of plan.variants)
-          runs.push({ key: [variant.name, site.name, day, seed].join('_'), variant, site, day, seed });
+        for (const candidate of plan.candidates)
+          runs.push({ key: [candidate.name, site.name, day, seed].join('_'), candidate, site, day, seed });
   return runs;
 }
 
-function variantsIn(document, problems) {
-  const list = Array.isArray(document.variant) ? document.variant : [];
-  if (list.length < 2) problems.push('variant: at least two are compared, the first one with each of the others');
-  const variants = list.map((item, index) => {
-    const at = `variant ${index + 1}`;
+function candidatesIn(document, problems) {
+  const list = Array.isArray(document.candidate) ? document.candidate : [];
+  if (list.length < 2) problems.push('candidate: at least two are compared, the first one with each of the others');
+  const candidates = list.map((item, index) => {
+    const at = `candidate ${index + 1}`;
     const tuning = item.tuning ?? {};
     for (const [field, value] of Object.entries(tuning)) {
       if (!(field in EDGE_TUNING)) problems.push(`${at}: tuning.${field}: the tuning record has no such field`);
@@ -73,8 +73,8 @@
       tuning,
     };
   });
-  repeated(variants, 'variant', problems);
-  return variants;
+  repeated(candidates, 'candidate', problems);
+  return candidates;
 }
 
 function sitesIn(document, problems) {
--- a/tools/experiment/play.mjs
+++ b/tools/experiment/play.mjs
@@ -10,19 +10,19 @@
 const TUNING_FILE = 'src/state/forwarding/edge-tuning.ts';
 const RUN_LIMIT_S = 900;
 
-/** Plays on the engine model, in this process; the variants' commits are not looked at. */
-export function playOnEngine({ variant, seed }) {
-  const tuning = { ...EDGE_TUNING, ...variant.tuning };
+/** Plays on the engine model, in this process; the candidates' commits are not looked at. */
+export function playOnEngine({ candidate, seed }) {
+  const tuning = { ...EDGE_TUNING, ...candidate.tuning };
   return Promise.resolve(figuresOfEngine(playEngineDay(drawDeployment(seed), { seed, tuning })));
 }
 
-/** Makes a player on the bench at `bench`: each variant gets a clone of its own below `folder`. */
+/** Makes a player on the bench at `bench`: each candidate gets a clone of its own below `folder`. */
 export function benchPlayer(bench, folder, plan) {
-  const trees = new Map(plan.variants.map((variant) => [variant.name, cloneOf(variant, folder)]));
-  return async function play({ key, variant, site, day, seed }) {
-    const tree = trees.get(variant.name);
+  const trees = new Map(plan.candidates.map((candidate) => [candidate.name, cloneOf(candidate, folder)]));
+  return async function play({ key, candidate, site, day, seed }) {
+    const tree = trees.get(candidate.name);
     const report = join(folder, `${key}.report.json`);
-    const why = `${plan.why || plan.name}: trial, variant ${variant.name}`;
+    const why = `${plan.why || plan.name}: trial, candidate ${candidate.name}`;
     const args = [
       'run',
       resolve(site.path),
@@ -42,15 +42,15 @@
   };
 }
 
-function cloneOf(variant, folder) {
-  const tree = join(folder, 'trees', variant.name);
+function cloneOf(candidate, folder) {
+  const tree = join(folder, 'trees', candidate.name);
   if (existsSync(tree)) return tree;
   mkdirSync(join(folder, 'trees'), { recursive: true });
   execFileSync('git', ['clone', '--quiet', ROOT, tree]);
-  execFileSync('git', ['checkout', '--quiet', '--detach', revisionOf(variant)], { cwd: tree });
+  execFileSync('git', ['checkout', '--quiet', '--detach', revisionOf(candidate)], { cwd: tree });
   cpSync(join(ROOT, 'node_modules'), join(tree, 'node_modules'), { recursive: true });
   const path = join(tree, TUNING_FILE);
-  writeFileSync(path, withTuning(readFileSync(path, 'utf8'), variant.tuning));
+  writeFileSync(path, withTuning(readFileSync(path, 'utf8'), candidate.tuning));
   return tree;
 }
 
--- a/tools/experiment/results.mjs
+++ b/tools/experiment/results.mjs
@@ -26,17 +26,17 @@
   return figures;
 }
 
-/** Differences of each variant to the first one, over runs of the same site, day and seed. */
+/** Differences of each candidate to the first one, over runs of the same site, day and seed. */
 export function pairedDifferences(plan, results) {
-  const [first, ...others] = plan.variants;
-  return others.map((variant) => {
+  const [first, ...others] = plan.candidates;
+  return others.map((candidate) => {
     const pairs = [];
     for (const [key, run] of results) {
-      if (run.variant !== variant.name) continue;
+      if (run.candidate !== candidate.name) continue;
       const base = results.get([first.name, run.site, run.day, run.seed].join('_'));
       if (base) pairs.push({ key, base: base.figures, figures: run.figures });
     }
-    return { variant: variant.name, pairs: pairs.length, figures: differencesOf(pairs) };
+    return { candidate: candidate.name, pairs: pairs.length, figures: differencesOf(pairs) };
   });
 }
 
@@ -58,31 +58,31 @@
 /** The comparison as a table in Markdown: worth first, then how the loss is split. */
 export function tableOf(plan, differences) {
   const lines = [
-    `Differences to \`${plan.variants[0].name}\`: mean, standard error, least.`,
+    `Differences to \`${plan.candidates[0].name}\`: mean, standard error, least.`,
     '',
-    '| variant | pairs | figure | mean | standard error | least |',
+    '| candidate | pairs | figure | mean | standard error | least |',
     '| --- | --- | --- | --- | --- | --- |',
   ];
-  for (const { variant, pairs, figures } of differences)
+  for (const { candidate, pairs, figures } of differences)
     for (const [name, { mean: middle, standardError, least }] of Object.entries(figures))
       if (name === 'worth' || Math.abs(middle) >= 0.0005)
         lines.push(
-          `| ${variant} | ${pairs} | ${name} | ${signed(middle)} | ${standardError === null ? '' : standardError.toFixed(4)} | ${signed(least)} |`,
+          `| ${candidate} | ${pairs} | ${name} | ${signed(middle)} | ${standardError === null ? '' : standardError.toFixed(4)} | ${signed(least)} |`,
         );
   return `${lines.join('\n')}\n`;
 }
 
-/** Worth of every run, by variant, as an SVG. */
+/** Worth of every run, by candidate, as an SVG. */
 export async function plotOf(plan, results) {
-  const values = [...results.values()].map(({ variant, site, day, figures }) => ({
-    variant,
+  const values = [...results.values()].map(({ candidate, site, day, figures }) => ({
+    candidate,
     place: `${site} ${day}`,
     worth: figures.worth,
   }));
   const spec = {
     title: plan.name,
     width: 420,
-    height: 40 * plan.variants.length,
+    height: 40 * plan.candidates.length,
     data: { values },
     layer: [
       {
@@ -96,7 +96,7 @@
     ],
     encoding: {
       x: { field: 'worth', type: 'quantitative', scale: { zero: false }, title: 'worth, mean as a tick' },
-      y: { field: 'variant', type: 'nominal', sort: plan.variants.map(({ name }) => name), title: null },
+      y: { field: 'candidate', type: 'nominal', sort: plan.candidates.map(({ name }) => name), title: null },
     },
   };
   return new View(parse(compile(spec).spec), { renderer: 'none' }).toSVG();
