A controller without loads looks each 300 ms; its first word is told even if empty

Change: 300 ms without loads, woken by the first one; the first table of a run is told, so that others drop what the run before told. The relay's test says so now: once, then nothing.

--- a/src/coordination/distribution/fleet-load-relay.ts
+++ b/src/coordination/distribution/fleet-load-relay.ts
@@ -4,7 +4,6 @@
 import type { ReportedLoad } from '../../state/distribution/fleet-load.js';
 import type { LoadRows } from '../../state/distribution/load-rows.js';
 import { createLoadChanges } from '../../state/distribution/load-changes.js';
-import { every } from '../../transport/clock.js';
 import type { Clock, Timer } from '../../transport/clock.js';
 import { newId } from '../../transport/rng.js';
 import type { Rng } from '../../transport/rng.js';
@@ -18,6 +17,8 @@
 }
 
 const RELAY_MS = 100;
+/** A controller without any loads looks so often. */
+const IDLE_MS = 300;
 const STALE_MS = 2_500;
 /** Other controllers are told the whole table so often, and only what changed in between. */
 const WHOLE_MS = 1_000;
@@ -32,7 +33,9 @@
   private readonly informed = new Set<Peer>();
   private count = 0;
   private wholeAt = -Infinity;
-  private readonly relaying: Timer;
+  private relaying: Timer;
+  private isIdle = true;
+  private stopped = false;
 
   constructor(
     private readonly ledger: Ledger,
@@ -45,12 +48,13 @@
     this.peers.on('usage', (message, peer) => this.onLoad(message, peer));
 
     this.peers.on('usages', (message) => this.onLoads(message));
-    this.relaying = every(this.clock, RELAY_MS, () => this.relay());
+    this.relaying = this.clock.timer(IDLE_MS, () => this.tick());
   }
 
   private onLoad(message: MessageOf<'usage'>, peer: Peer): null {
     if (!this.own.record(message.told, this.clock.mono())) return null;
-    const { name } = message.told;
+    const { name, rows } = message.told;
+    if (Object.keys(rows).length > 0) this.wake();
     const before = this.senders.get(name);
     this.senders.set(name, peer);
 
@@ -62,21 +66,38 @@
   }
 
   private onLoads(message: MessageOf<'usages'>): null {
-    this.others.record(message.told, this.clock.mono());
+    if (this.others.record(message.told, this.clock.mono()) && Object.keys(message.told.rows).length > 0) this.wake();
     return null;
   }
 
+  private tick(): void {
+    if (this.stopped) return;
+    this.relaying = this.clock.timer(this.isIdle ? IDLE_MS : RELAY_MS, () => this.tick());
+    this.relay();
+  }
+
+  /** The first load after a rest does not wait for the next look. */
+  private wake(): void {
+    if (!this.isIdle || this.stopped) return;
+    this.isIdle = false;
+    this.relaying.cancel();
+    this.relaying = this.clock.timer(RELAY_MS, () => this.tick());
+  }
+
   private relay(): void {
     const now = this.clock.mono();
     const mine = this.own.sums(now);
     this.tellControllers(mine, now);
-    this.tellProxies(sumOf(mine, this.others.sums(now)), now);
+    const sums = sumOf(mine, this.others.sums(now));
+    this.tellProxies(sums, now);
+    this.isIdle = Object.keys(sums).length === 0 && Object.keys(this.sumChanges.told()).length === 0;
   }
 
   private tellControllers(mine: LoadRows, now: number): void {
     const changed = this.ownChanges.next(mine, now);
     const isIdle = Object.keys(this.ownChanges.told()).length === 0;
-    const whole = !isIdle && now - this.wholeAt >= WHOLE_MS;
+    // The first word of a run is told even if it is empty: others drop what the run before told.
+    const whole = this.count === 0 || (!isIdle && now - this.wholeAt >= WHOLE_MS);
     if (!whole && !changed) return;
     if (whole) this.wholeAt = now;
     this.count += 1;
@@ -103,6 +124,7 @@
   }
 
   stop(): void {
+    this.stopped = true;
     this.relaying.cancel();
   }
 }
