The relay of loads asks whether a table is empty instead of copying it, ten times a second

Cause: found at the second reading: each look copied the told rows twice only to count them, and made a set of the connections to clean another one that a WeakSet keeps clean by itself; the report to the controllers chose its rows by a condition that could be derived from the one before. Change: isEmpty() of LoadChanges; a WeakSet; whole tables and changes are sent by one method. What is sent, and when, is the same.

--- a/src/coordination/distribution/fleet-load-relay.ts
+++ b/src/coordination/distribution/fleet-load-relay.ts
@@ -30,7 +30,8 @@
   private readonly run: string;
   private readonly ownChanges = createLoadChanges();
   private readonly sumChanges = createLoadChanges();
-  private readonly informed = new Set<Peer>();
+  /** Proxies that have been told the whole table on their connection. */
+  private readonly informed = new WeakSet<Peer>();
   private count = 0;
   private wholeAt = -Infinity;
   private relaying: Timer;
@@ -90,32 +91,29 @@
     this.tellControllers(mine, now);
     const sums = sumOf(mine, this.others.sums(now));
     this.tellProxies(sums, now);
-    this.isIdle = Object.keys(sums).length === 0 && Object.keys(this.sumChanges.told()).length === 0;
+    this.isIdle = Object.keys(sums).length === 0 && this.sumChanges.isEmpty();
   }
 
   private tellControllers(mine: LoadRows, now: number): void {
     const changed = this.ownChanges.next(mine, now);
-    const isIdle = Object.keys(this.ownChanges.told()).length === 0;
     // The first word of a run is told even if it is empty: others drop what the run before told.
-    const whole = this.count === 0 || (!isIdle && now - this.wholeAt >= WHOLE_MS);
-    if (!whole && !changed) return;
-    if (whole) this.wholeAt = now;
+    const whole = this.count === 0 || (!this.ownChanges.isEmpty() && now - this.wholeAt >= WHOLE_MS);
+    if (whole) {
+      this.wholeAt = now;
+      this.sendToControllers({ rows: this.ownChanges.told() });
+    } else if (changed) this.sendToControllers({ rows: changed, partial: true });
+  }
+
+  private sendToControllers(report: Pick<ReportedLoad, 'rows' | 'partial'>): void {
     this.count += 1;
-    const told: ReportedLoad = {
-      name: this.ledger.self.name,
-      run: this.run,
-      count: this.count,
-      ...(whole || !changed ? { rows: this.ownChanges.told() } : { rows: changed, partial: true }),
-    };
+    const told: ReportedLoad = { name: this.ledger.self.name, run: this.run, count: this.count, ...report };
     for (const member of otherMembers(this.ledger.controlState().members, this.ledger.self))
       void this.peers.send(member.address, { kind: 'usages', told });
   }
 
   private tellProxies(sums: LoadRows, now: number): void {
     const changed = this.sumChanges.next(sums, now);
-    const proxies = new Set(this.senders.values());
-    for (const peer of this.informed) if (!proxies.has(peer)) this.informed.delete(peer);
-    for (const peer of proxies) {
+    for (const peer of this.senders.values()) {
       if (!this.informed.has(peer)) {
         this.informed.add(peer);
         peer.send({ kind: 'fleetLoad', rows: this.sumChanges.told() });
--- a/src/state/distribution/load-changes.ts
+++ b/src/state/distribution/load-changes.ts
@@ -14,6 +14,8 @@
   next(sums: LoadRows, now: number): LoadRows | null;
   /** All that has been told so far, for whoever is told for the first time. */
   told(): LoadRows;
+  /** Whether no load stands as told. */
+  isEmpty(): boolean;
 }
 
 /** From here a difference is told with the next message: requests, tokens to be read, tokens of KV cache. */
@@ -52,6 +54,10 @@
     return out;
   }
 
+  isEmpty(): boolean {
+    return this.rows.size === 0;
+  }
+
   private idsOf(sums: LoadRows): Set<string> {
     const ids = new Set(Object.keys(sums));
     for (const id of this.rows.keys()) ids.add(id);
