Both proxies take the common part of their report from the node they have in common

Cause: eleven fields stood in proxy.ts and in opaque-proxy.ts, there under the name of something else. Change: commonReport() beside openProxyNode().

--- a/src/coordination/proxy/opaque-proxy.ts
+++ b/src/coordination/proxy/opaque-proxy.ts
@@ -19,7 +19,7 @@
 import type { Address, Wire, WireError } from '../../transport/wire.js';
 import type { Peers } from '../messaging/peers.js';
 import type { WorkerListFeed } from '../discovery/worker-list-feed.js';
-import { openProxyNode } from './proxy-node.js';
+import { commonReport, openProxyNode } from './proxy-node.js';
 import { createRelay } from '../forwarding/relay.js';
 import type { RelayTally } from '../forwarding/relay.js';
 
@@ -82,7 +82,8 @@
     { wire: deps.wire, clock, rng, logs, disk: null },
   );
   if (!opened.ok) return opened;
-  const { peers, follower, membership, incarnation } = opened.value;
+  const node = opened.value;
+  const { peers, follower, membership } = node;
   const registry = createWorkerRegistry(
     {
       name: id.name,
@@ -178,24 +179,14 @@
     const now = clock.mono();
     for (const row of registry.rows())
       if (row.present && row.fails >= 3 && row.badUntil > now) health[row.entry.id] = 'unfit';
-    const sentLoads: Report = {
-      reporter: id.name,
-      run: id.run,
-      incarnation: incarnation(),
-      count,
-      requests: tally.requests,
-      shed: tally.shed,
-      attempted: tally.attempted,
-      retried: tally.retried,
-      slot: follower.controlState().slot,
+    const told: Report = {
+      ...commonReport(id, node, tally, count),
       health,
       http: id.front,
       ready: ready(),
-      zone: id.zone,
-      region: id.region,
       ...(closing && mayBeNamed ? { draining: true } : {}),
     };
-    follower.sendToController({ kind: 'reports', reports: [sentLoads] });
+    follower.sendToController({ kind: 'reports', reports: [told] });
   }
   const reporting = every(clock, REPORT_MS, report);
   let loadsSent = 0;
@@ -241,7 +232,7 @@
   function stopReadinessChecks(): void {
     readinessTimer.cancel();
   }
-  log.info('proxy started', { http: id.front, peers: opened.value.address });
+  log.info('proxy started', { http: id.front, peers: node.address });
 
   async function drain(longestMs: number): Promise<void> {
     const from = clock.mono();
--- a/src/coordination/proxy/proxy-node.ts
+++ b/src/coordination/proxy/proxy-node.ts
@@ -5,6 +5,7 @@
 import { ok } from '../../base/result.js';
 import type { Result } from '../../base/result.js';
 import type { MessageOf } from '../../protocol/messages.js';
+import type { Report } from '../../state/distribution/report.js';
 import type { NodeInfo } from '../../state/membership/node-info.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Disk } from '../../transport/disk.js';
@@ -73,6 +74,31 @@
   return ok({ address: opened.value.address, peers, follower, membership, incarnation });
 }
 
+/** What a proxy's requests have come to since it began. */
+export type ReportedTally = Pick<Report, 'requests' | 'shed' | 'attempted' | 'retried'>;
+
+/** What every proxy reports of itself, whatever requests it serves. */
+export function commonReport(
+  identity: Pick<NodeInfo, 'name' | 'run' | 'zone' | 'region'>,
+  node: Pick<ProxyNode, 'incarnation' | 'follower'>,
+  { requests, shed, attempted, retried }: ReportedTally,
+  count: number,
+): Omit<Report, 'health' | 'http' | 'ready'> {
+  return {
+    reporter: identity.name,
+    run: identity.run,
+    incarnation: node.incarnation(),
+    count,
+    requests,
+    shed,
+    attempted,
+    retried,
+    slot: node.follower.controlState().slot,
+    zone: identity.zone,
+    region: identity.region,
+  };
+}
+
 /** The incarnation to report under: above any that a controller remembers of a former run. */
 function reportIncarnation(name: string, first: number, peers: Peers): () => number {
   let incarnation = first;
--- a/src/coordination/proxy/proxy.ts
+++ b/src/coordination/proxy/proxy.ts
@@ -21,7 +21,7 @@
 import { locationsOf } from '../membership/relocated-controllers.js';
 import { createPlacementService } from '../forwarding/placement-service.js';
 import type { PlacementService, ProxySelf } from '../forwarding/placement-service.js';
-import { openProxyNode } from './proxy-node.js';
+import { commonReport, openProxyNode } from './proxy-node.js';
 import { proxyRoutes } from './proxy-http-server.js';
 import { createWorkerWatch } from '../discovery/worker-watch.js';
 
@@ -54,7 +54,8 @@
   const log = logs.component('proxy');
   const opened = await openProxyNode(id, deps);
   if (!opened.ok) return opened;
-  const { peers, follower, membership, incarnation } = opened.value;
+  const node = opened.value;
+  const { peers, follower, membership } = node;
   const table = createWorkerTable();
   const self: ProxySelf = { name: id.name, run: id.run, zone: id.zone, region: id.region, http: id.http };
   follower.setTopology(locationsOf(membership));
@@ -117,24 +118,14 @@
     const tally = dispatcher.tally();
     count += 1;
     const told: Report = {
-      reporter: id.name,
-      run: id.run,
-      incarnation: incarnation(),
-      count,
-      requests: tally.requests,
-      shed: tally.shed,
-      attempted: tally.attempted,
-      retried: tally.retried,
-      slot: follower.controlState().slot,
+      ...commonReport(id, node, tally, count),
       health: watch.verdicts(),
       http: id.http,
       ready: taking && ready(),
-      zone: id.zone,
-      region: id.region,
     };
     follower.sendToController({ kind: 'reports', reports: [told] });
     if (count % COUNTS_EVERY === 0)
-      follower.sendToController({ kind: 'counts', reporter: id.name, incarnation: incarnation(), totals: counts });
+      follower.sendToController({ kind: 'counts', reporter: id.name, incarnation: node.incarnation(), totals: counts });
   }
   const reporting = every(clock, REPORT_MS, report);
 
@@ -201,7 +192,7 @@
     await peers.close();
     return err(httpServer.error);
   }
-  log.info('proxy started', { zone: id.zone, http: httpServer.value.address, peers: opened.value.address });
+  log.info('proxy started', { zone: id.zone, http: httpServer.value.address, peers: node.address });
   const served = httpServer.value;
 
   function view(): ProxyView {
@@ -235,7 +226,7 @@
     log.info('proxy stopped');
   }
   return ok({
-    wire: opened.value.address,
+    wire: node.address,
     http: served.address,
     tally: () => dispatcher.tally(),
     view,
