The engine model uses the prefix cache, the draws and the builder that were there

Change: shrinkTo() of the prefix cache; pick() and exponential() in rng.ts for all who draw; load exchange in a module of its own, drawing of kinds in a function of its own.

--- a/src/sim/chaos.ts
+++ b/src/sim/chaos.ts
@@ -1,9 +1,9 @@
 import type { Broken } from '../standin/check.js';
 import { tagOf } from '../standin/caller.js';
 import { createClientOver } from '../client/client.js';
-import { below, createRng } from '../transport/rng.js';
+import { below, createRng, pick } from '../transport/rng.js';
 import type { LogRoot } from '../transport/log.js';
-import { FAULTS, inZone, names, nodeNames, pick } from './faults.js';
+import { FAULTS, inZone, names, nodeNames } from './faults.js';
 import type { FaultAct, FaultName } from './faults.js';
 import { configurationOf, contentOf, createOperators, versionOf } from './chaos-operators.js';
 import type { Operators } from './chaos-operators.js';
--- a/src/sim/engine/deployment.ts
+++ b/src/sim/engine/deployment.ts
@@ -3,7 +3,7 @@
  * draws one at random, so that a policy of placement is judged on deployments that nobody chose.
  */
 
-import { createRng } from '../../transport/rng.js';
+import { createRng, pick } from '../../transport/rng.js';
 import type { Rng } from '../../transport/rng.js';
 import type { EngineFigures } from './engine-worker.js';
 
@@ -69,7 +69,7 @@
   return out;
 }
 
-function zoneOf(region: string, index: number): string {
+function zpick(region: string, index: number): string {
   return `${region}-z${index % ZONES_A_REGION}`;
 }
 
@@ -91,11 +91,11 @@
   const workers = spreadOver(figures.workers, figures.regionWeights, (index, at): DeployedWorker => {
     const region = REGIONS[at] as string;
     const slowness = figures.slowness[index % figures.slowness.length] as number;
-    return { id: `w${index}`, zone: zoneOf(region, index), region, figures: { ...figures.engine, slowness } };
+    return { id: `w${index}`, zone: zpick(region, index), region, figures: { ...figures.engine, slowness } };
   });
   const proxies = spreadOver(figures.proxies, [1, 1, 1], (index, at): DeployedProxy => {
     const region = REGIONS[at] as string;
-    return { name: `p${index}`, zone: zoneOf(region, index), region };
+    return { name: `p${index}`, zone: zpick(region, index), region };
   });
   return {
     workers,
@@ -117,26 +117,24 @@
 function scaled(rng: Rng, least: number, most: number): number {
   return least * (most / least) ** rng.next();
 }
-function oneOf<T>(rng: Rng, items: readonly T[]): T {
-  return items[Math.floor(rng.next() * items.length)] as T;
-}
 
-/** A deployment drawn by seed: 6 to 90 workers at 5 to 45% of their reading speed, and two kinds of request. */
-export function drawDeployment(seed: number, lengthMs = DRAWN_LENGTH_MS): Deployment {
-  const rng = createRng(seed ^ 0x0d15ea5e);
-  const workers = Math.round(scaled(rng, 6, 90));
-  const tokensPerMs = scaled(rng, 15, 90);
-  const busy = between(rng, 0.05, 0.45);
-  const sharedTokens = scaled(rng, 500, 12_000);
-  const ownTokens = scaled(rng, 400, 5_000);
-  const shortTokens = scaled(rng, 200, 1_500);
-  const longFraction = between(rng, 0.15, 0.7);
-  const readPerRequest = longFraction * (sharedTokens * 0.5 + ownTokens) + (1 - longFraction) * shortTokens;
-  const perS = (busy * workers * tokensPerMs * 1_000) / readPerRequest;
-  const batch = oneOf(rng, [16, 32, 64]);
-  const things = Math.max(20, Math.round(((perS * lengthMs) / 1_000) * longFraction * between(rng, 0.1, 0.4)));
+/** What the kinds of a drawn deployment follow from. */
+type DrawnLoad = {
+  readonly perS: number;
+  readonly requests: number;
+  readonly longFraction: number;
+  readonly sharedTokens: number;
+  readonly ownTokens: number;
+  readonly shortTokens: number;
+  readonly tokensPerMs: number;
+};
+
+/** Long prompts with short answers that share most of what they ask, and short ones with long answers. */
+function drawKinds(rng: Rng, load: DrawnLoad): RequestKind[] {
+  const { perS, requests, longFraction, sharedTokens, ownTokens, shortTokens, tokensPerMs } = load;
+  const things = Math.max(20, Math.round(requests * longFraction * between(rng, 0.1, 0.4)));
   const longAimMs = Math.max(400, (3.5 * (sharedTokens + ownTokens)) / tokensPerMs);
-  const kinds: RequestKind[] = [
+  return [
     {
       name: 'long',
       rank: 0,
@@ -167,6 +165,23 @@
       homes: rng.next() < 0.5 ? [] : ['r0', 'r1'],
     },
   ];
+}
+
+/** A deployment drawn by seed: 6 to 90 workers at 5 to 45% of their reading speed, and two kinds of request. */
+export function drawDeployment(seed: number, lengthMs = DRAWN_LENGTH_MS): Deployment {
+  const rng = createRng(seed ^ 0x0d15ea5e);
+  const workers = Math.round(scaled(rng, 6, 90));
+  const tokensPerMs = scaled(rng, 15, 90);
+  const busy = between(rng, 0.05, 0.45);
+  const sharedTokens = scaled(rng, 500, 12_000);
+  const ownTokens = scaled(rng, 400, 5_000);
+  const shortTokens = scaled(rng, 200, 1_500);
+  const longFraction = between(rng, 0.15, 0.7);
+  const readPerRequest = longFraction * (sharedTokens * 0.5 + ownTokens) + (1 - longFraction) * shortTokens;
+  const perS = (busy * workers * tokensPerMs * 1_000) / readPerRequest;
+  const batch = pick(rng, [16, 32, 64]);
+  const requests = (perS * lengthMs) / 1_000;
+  const kinds = drawKinds(rng, { perS, requests, longFraction, sharedTokens, ownTokens, shortTokens, tokensPerMs });
   return buildDeployment({
     workers,
     proxies: Math.round(scaled(rng, 3, 70)),
@@ -180,9 +195,9 @@
       tokensPerMs,
       pairsMsPerMillion: scaled(rng, 0.1, 1),
       chunkTokens: 2_048,
-      stride: oneOf(rng, [1, 5, 7]),
+      stride: pick(rng, [1, 5, 7]),
     },
-    slowness: oneOf(rng, [[1], [1, 1, 1.3], [1, 1.2, 1.6, 1]]),
+    slowness: pick(rng, [[1], [1, 1, 1.3], [1, 1.2, 1.6, 1]]),
     kinds,
     crossRegionMs: scaled(rng, 8, 90),
     rereadPrice: between(rng, 0, 0.2),
--- a/src/sim/engine/engine-day.ts
+++ b/src/sim/engine/engine-day.ts
@@ -6,43 +6,37 @@
  */
 
 import { Heap } from 'mnemonist';
-import { createFleetLoad, sumOf } from '../../state/distribution/fleet-load.js';
-import type { FleetLoad } from '../../state/distribution/fleet-load.js';
-import type { LoadRows } from '../../state/distribution/load-rows.js';
-import { createLoadChanges } from '../../state/distribution/load-changes.js';
-import { withChanges } from '../../state/distribution/load-rows.js';
-import type { LoadChanges } from '../../state/distribution/load-changes.js';
 import type { PrefixBlock } from '../../state/discovery/prefix-cache.js';
 import { createWorkerRegistry } from '../../state/discovery/worker-registry.js';
 import type { Reservation, SelectionRequest, WorkerRegistry } from '../../state/discovery/worker-registry.js';
+import type { WorkerEntry } from '../../state/discovery/worker-entry.js';
 import type { ModelTraits } from '../../state/configuration/serving.js';
 import type { EdgeTuning } from '../../state/forwarding/edge-tuning.js';
-import { createRng } from '../../transport/rng.js';
+import { createRng, exponential, pick } from '../../transport/rng.js';
 import type { Rng } from '../../transport/rng.js';
+import { workerEntry } from '../builders.js';
 import type { DeployedProxy, DeployedWorker, Deployment, RequestKind } from './deployment.js';
 import { createEngineTally } from './engine-tally.js';
 import type { EngineTally, EngineDayResult, TalliedRequest } from './engine-tally.js';
 import { createEngineWorker } from './engine-worker.js';
 import type { EngineEvent, EngineWorker } from './engine-worker.js';
+import { startLoadExchange } from './load-exchange.js';
+import type { LoadIntervals } from './load-exchange.js';
 
 /** How requests are placed: by the registries of the proxies, or with the true state of all workers. */
 export type PlacementMode = 'registry' | 'omniscient';
 
 /** Options of a day. */
-export type EngineDayOptions = {
+export type EngineDayOptions = Partial<LoadIntervals> & {
   readonly seed: number;
   readonly tuning: EdgeTuning;
   readonly mode?: PlacementMode;
-  /** Milliseconds between reports of a proxy, and between messages of a controller. */
-  readonly loadMs?: number;
-  readonly relayMs?: number;
 };
 
 const MODEL = 'm';
 /** As the proxies report and the controllers relay. */
 const LOAD_MS = 100;
 const RELAY_MS = 100;
-const STALE_MS = 2_500;
 const CLIENT_MS = 1;
 const RETRY_LOOK_MS = 25;
 const QUEUE_AIM_FRACTION = 0.22;
@@ -56,17 +50,8 @@
 type ProxyState = {
   readonly deployed: DeployedProxy;
   readonly registry: WorkerRegistry;
-  readonly controller: number;
-  fleetLoad: LoadRows;
 };
 type WorkerState = { readonly deployed: DeployedWorker; readonly engine: EngineWorker; stepping: boolean };
-type ControllerState = {
-  readonly own: FleetLoad;
-  readonly others: FleetLoad;
-  readonly ownChanges: LoadChanges;
-  readonly sumChanges: LoadChanges;
-};
-
 /** A request of the day, from its arrival on. */
 type DayRequest = TalliedRequest & {
   readonly id: number;
@@ -90,13 +75,10 @@
   private readonly rng: Rng;
   private readonly workers = new Map<string, WorkerState>();
   private readonly proxies: ProxyState[] = [];
-  private readonly controllers: ControllerState[] = [];
   private readonly requests = new Map<number, DayRequest>();
   private readonly levels = new Map<RequestKind, PrefixBlock[][]>();
   private readonly tally: EngineTally;
   private readonly traits: ModelTraits;
-  private readonly loadMs: number;
-  private readonly relayMs: number;
   private now = 0;
   private order = 0;
   private lastId = 0;
@@ -106,8 +88,6 @@
     private readonly options: EngineDayOptions,
   ) {
     this.rng = createRng(options.seed);
-    this.loadMs = options.loadMs ?? LOAD_MS;
-    this.relayMs = options.relayMs ?? RELAY_MS;
     this.tally = createEngineTally(deployment);
     const [first] = deployment.workers;
     const { batch, kvTokens } = (first as DeployedWorker).figures;
@@ -121,23 +101,16 @@
     };
     for (const deployed of deployment.workers)
       this.workers.set(deployed.id, { deployed, engine: createEngineWorker(deployed.figures), stepping: false });
-    for (let i = 0; i < deployment.controllers; i += 1)
-      this.controllers.push({
-        own: createFleetLoad(STALE_MS),
-        others: createFleetLoad(STALE_MS),
-        ownChanges: createLoadChanges(),
-        sumChanges: createLoadChanges(),
-      });
-    deployment.proxies.forEach((deployed, index) => this.proxies.push(this.openProxy(deployed, index)));
+    for (const deployed of deployment.proxies) this.proxies.push(this.openProxy(deployed));
   }
 
-  private openProxy(deployed: DeployedProxy, index: number): ProxyState {
+  private openProxy(deployed: DeployedProxy): ProxyState {
     const registry = createWorkerRegistry({ ...deployed, openConnections: () => 1 }, this.options.tuning);
     registry.applyList(this.deployment.workers.map(listed), 0);
     const sharing: Record<string, { region: string }> = {};
     for (const { name, region } of this.deployment.proxies) sharing[name] = { region };
     registry.setSharingProxies(sharing);
-    return { deployed, registry, controller: index % this.deployment.controllers, fleetLoad: {} };
+    return { deployed, registry };
   }
 
   private after(ms: number, run: () => void): void {
@@ -153,8 +126,7 @@
 
   play(): EngineDayResult {
     for (const kind of this.deployment.kinds) this.startArrivals(kind);
-    this.proxies.forEach((proxy, index) => this.startReports(proxy, index));
-    this.controllers.forEach((controller, index) => this.startRelay(controller, index));
+    this.startLoadExchange();
     for (let next = this.events.pop(); next; next = this.events.pop()) {
       this.now = next.at;
       next.run();
@@ -164,6 +136,17 @@
     return this.tally.result();
   }
 
+  private startLoadExchange(): void {
+    const { loadMs = LOAD_MS, relayMs = RELAY_MS } = this.options;
+    const sharers = this.proxies.map(({ deployed, registry }) => ({ name: deployed.name, registry }));
+    const clock = {
+      now: () => this.now,
+      after: (ms: number, run: () => void) => this.after(ms, run),
+      isOver: () => this.isOver(),
+    };
+    startLoadExchange(this.deployment, clock, { loadMs, relayMs }, sharers);
+  }
+
   private isOver(): boolean {
     return this.now >= this.deployment.lengthMs;
   }
@@ -180,12 +163,15 @@
       levels.push(blocks);
     });
     this.levels.set(kind, levels);
-    const next = (): void => {
+    this.awaitArrival(kind);
+  }
+
+  private awaitArrival(kind: RequestKind): void {
+    this.after((exponential(this.rng) * SECOND_MS) / kind.perS, () => {
       if (this.isOver()) return;
       this.arrive(kind);
-      this.after((-Math.log(1 - this.rng.next()) * SECOND_MS) / kind.perS, next);
-    };
-    this.after((-Math.log(1 - this.rng.next()) * SECOND_MS) / kind.perS, next);
+      this.awaitArrival(kind);
+    });
   }
 
   private partsOf(kind: RequestKind, id: number): PrefixBlock[] {
@@ -206,7 +192,7 @@
     const request: DayRequest = {
       id: this.lastId,
       kind,
-      proxy: this.proxies[Math.floor(this.rng.next() * this.proxies.length)] as ProxyState,
+      proxy: pick(this.rng, this.proxies),
       cameAt: this.now,
       parts,
       promptTokens,
@@ -318,45 +304,6 @@
     this.requests.delete(request.id);
     this.tally.served(request);
   }
-
-  private startReports(proxy: ProxyState, index: number): void {
-    let count = 0;
-    const report = (): void => {
-      count += 1;
-      const told = { name: proxy.deployed.name, run: 'run', count, rows: proxy.registry.load(this.now) };
-      const controller = this.controllers[proxy.controller] as ControllerState;
-      this.after(this.deployment.crossZoneMs, () => controller.own.record(told, this.now));
-      if (!this.isOver()) this.after(this.loadMs, report);
-    };
-    this.after((this.loadMs * index) / this.proxies.length, report);
-  }
-
-  private startRelay(controller: ControllerState, index: number): void {
-    let count = 0;
-    const relay = (): void => {
-      count += 1;
-      const mine = controller.own.sums(this.now);
-      const changed = controller.ownChanges.next(mine, this.now);
-      const told = { name: `c${index}`, run: 'run', count, rows: changed ? controller.ownChanges.told() : {} };
-      if (changed)
-        for (const other of this.controllers)
-          if (other !== controller)
-            this.after(this.deployment.crossRegionMs, () => other.others.record(told, this.now));
-      const sums = controller.sumChanges.next(sumOf(mine, controller.others.sums(this.now)), this.now);
-      if (sums) this.push(index, sums);
-      if (!this.isOver()) this.after(this.relayMs, relay);
-    };
-    this.after((this.relayMs * index) / this.controllers.length, relay);
-  }
-
-  private push(controller: number, changed: LoadRows): void {
-    for (const proxy of this.proxies)
-      if (proxy.controller === controller)
-        this.after(this.deployment.crossZoneMs, () => {
-          proxy.fleetLoad = withChanges(proxy.fleetLoad, changed);
-          proxy.registry.applyFleetLoad(proxy.fleetLoad, this.now);
-        });
-  }
 }
 
 /** Plays one day of a deployment. The same deployment and options always give the same result. */
@@ -364,17 +311,6 @@
   return new EngineDay(deployment, options).play();
 }
 
-function listed(worker: DeployedWorker) {
-  return {
-    id: worker.id,
-    model: MODEL,
-    address: worker.id,
-    zone: worker.zone,
-    region: worker.region,
-    release: '',
-    places: worker.figures.batch,
-    leaving: false,
-    remainingMs: null,
-    coldMs: 0,
-  };
+function listed({ id, zone, region, figures }: DeployedWorker): WorkerEntry {
+  return workerEntry(id, zone, { model: MODEL, region, places: figures.batch });
 }
--- a/src/sim/engine/engine-worker.ts
+++ b/src/sim/engine/engine-worker.ts
@@ -5,7 +5,8 @@
  * runs out. One call of `advance` plays one step. Pure: time is given in and told back.
  */
 
-import type { PrefixBlock } from '../../state/discovery/prefix-cache.js';
+import { createPrefixCache } from '../../state/discovery/prefix-cache.js';
+import type { PrefixBlock, PrefixCache } from '../../state/discovery/prefix-cache.js';
 
 /** Figures of a worker's engine. `slowness` multiplies the length of every step. */
 export type EngineFigures = {
@@ -66,11 +67,12 @@
   readonly counts: EngineCounts = { read: 0, kept: 0, putBack: 0 };
   private waiting: RunningRequest[] = [];
   private active: RunningRequest[] = [];
-  private readonly kept = new Map<string, number>();
-  private keptSum = 0;
+  private readonly kept: PrefixCache;
   private orders = 0;
 
-  constructor(private readonly figures: EngineFigures) {}
+  constructor(private readonly figures: EngineFigures) {
+    this.kept = createPrefixCache(figures.kvTokens);
+  }
 
   add(request: EngineRequest): void {
     this.orders += 1;
@@ -92,12 +94,7 @@
   }
 
   keptTokens(parts: readonly PrefixBlock[]): number {
-    let tokens = 0;
-    for (const part of parts) {
-      if (!this.kept.has(part.id)) break;
-      tokens += part.tokens;
-    }
-    return tokens;
+    return this.kept.known(parts);
   }
 
   unreadTokens(): number {
@@ -139,20 +136,7 @@
       this.counts.putBack += 1;
       this.enqueue(victim);
     }
-    const room = Math.max(0, this.figures.kvTokens - this.usedTokens());
-    for (const [id, tokens] of this.kept) {
-      if (this.keptSum <= room) break;
-      this.kept.delete(id);
-      this.keptSum -= tokens;
-    }
-  }
-
-  private keep(parts: readonly PrefixBlock[]): void {
-    for (const { id, tokens } of parts) {
-      if (this.kept.delete(id)) this.keptSum -= tokens;
-      this.kept.set(id, tokens);
-      this.keptSum += tokens;
-    }
+    this.kept.shrinkTo(Math.max(0, this.figures.kvTokens - this.usedTokens()));
   }
 
   /** Reads a chunk of prompts, oldest first; returns the milliseconds that this takes. */
@@ -195,7 +179,7 @@
   private begin(entry: RunningRequest, at: number, events: EngineEvent[]): void {
     entry.begun = true;
     entry.made = Math.max(1, entry.made);
-    this.keep(entry.request.parts);
+    this.kept.record(entry.request.parts);
     const { id, outTokens } = entry.request;
     events.push({ tag: 'begun', id, at, keptTokens: entry.kept });
     if (entry.made >= outTokens) events.push({ tag: 'end', id, at });
--- a/src/sim/faults.ts
+++ b/src/sim/faults.ts
@@ -1,4 +1,4 @@
-import { below } from '../transport/rng.js';
+import { below, pick } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import type { SimFleet } from './sim-fleet.js';
 import { CALM } from './sim-wire.js';
@@ -11,10 +11,6 @@
   readonly crowdOfOperators: () => void;
 };
 
-export function pick<T>(rng: Rng, xs: readonly T[]): T {
-  return xs[below(rng, xs.length)] as T;
-}
-
 function after(faultAct: FaultAct, ms: number, callback: () => void): void {
   faultAct.fleet.world.at(ms, callback);
 }
--- a/src/sim/replay.ts
+++ b/src/sim/replay.ts
@@ -6,7 +6,7 @@
 import type { ObservedMachine } from '../state/scaling/scaler-observation.js';
 import { resolveModel } from '../state/configuration/settings-tree.js';
 import type { Configuration } from '../state/configuration/settings-tree.js';
-import { createRng } from '../transport/rng.js';
+import { createRng, exponential } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 
 export const TRACES = ['calm', 'volatile', 'correlated', 'reported'] as const;
@@ -81,7 +81,7 @@
   const upS = (downS * upShare) / (1 - upShare);
   let up = rng.next() < upShare;
   for (let time = 0; time < steps;) {
-    const lasts = Math.max(1, Math.round((-Math.log(1 - rng.next()) * (up ? upS : downS)) / STEP_S));
+    const lasts = Math.max(1, Math.round((exponential(rng) * (up ? upS : downS)) / STEP_S));
     if (up) out.fill(1, time, Math.min(steps, time + lasts));
     time += lasts;
     up = !up;
--- a/src/standin/caller.ts
+++ b/src/standin/caller.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../transport/clock.js';
 import type { HttpClient } from '../transport/http.js';
 import type { Journal } from '../transport/journal.js';
-import { below, newId } from '../transport/rng.js';
+import { below, newId, exponential } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import type { Address } from '../transport/wire.js';
 
@@ -194,7 +194,7 @@
     function done(): void {
       open.delete(work);
     }
-    await delay(clock, (-Math.log(1 - rng.next()) * 1_000) / callerSettings.perSecond);
+    await delay(clock, (exponential(rng) * 1_000) / callerSettings.perSecond);
   }
   await Promise.all([...open]);
   return tally;
--- a/src/state/discovery/prefix-cache.ts
+++ b/src/state/discovery/prefix-cache.ts
@@ -7,6 +7,8 @@
 export interface PrefixCache {
   known(blocks: readonly PrefixBlock[]): number;
   record(blocks: readonly PrefixBlock[]): void;
+  /** Forgets the least lately used parts until at most so many tokens are left. */
+  shrinkTo(tokens: number): void;
   clear(): void;
 }
 
@@ -35,8 +37,12 @@
       this.tokensById.set(prefixBlock.id, prefixBlock.tokens);
       this.sum += prefixBlock.tokens;
     }
+    this.shrinkTo(this.most);
+  }
+
+  shrinkTo(most: number): void {
     for (const [id, tokens] of this.tokensById) {
-      if (this.sum <= this.most) break;
+      if (this.sum <= most) break;
       this.tokensById.delete(id);
       this.sum -= tokens;
     }
--- a/src/transport/rng.ts
+++ b/src/transport/rng.ts
@@ -41,6 +41,16 @@
   return Math.floor(rng.next() * count);
 }
 
+/** One of the items, each as likely. */
+export function pick<T>(rng: Rng, items: readonly T[]): T {
+  return items[below(rng, items.length)] as T;
+}
+
+/** A wait to the next of events that come independently of each other, in units of their mean distance. */
+export function exponential(rng: Rng): number {
+  return -Math.log(1 - rng.next());
+}
+
 const HEX = '0123456789abcdef';
 
 /** An id of 80 random bits behind a prefix. */
