--- a/src/sim/engine/deployment.ts
+++ b/src/sim/engine/deployment.ts
@@ -18,7 +18,10 @@
 /** One level of shared prompt parts: how many there are, and their mean length in tokens. */
 export type SharedLevel = { readonly count: number; readonly meanTokens: number };
 
-/** A kind of request. Sizes are log-normal with the given mean, spread (sigma) and largest value. */
+/** A log-normal size: its mean, its spread (sigma) and its largest value. */
+export type DrawnSize = { readonly mean: number; readonly spread: number; readonly most: number };
+
+/** A kind of request. */
 export type RequestKind = {
   readonly name: string;
   readonly rank: number;
@@ -28,8 +31,8 @@
   readonly aimMs: number;
   readonly pauseMs: number;
   readonly shared: readonly SharedLevel[];
-  readonly ownTokens: { readonly mean: number; readonly spread: number; readonly most: number };
-  readonly outTokens: { readonly mean: number; readonly spread: number; readonly most: number };
+  readonly ownTokens: DrawnSize;
+  readonly outTokens: DrawnSize;
   readonly homes: readonly string[];
 };
 
--- a/src/sim/engine/engine-day.ts
+++ b/src/sim/engine/engine-day.ts
@@ -22,6 +22,8 @@
 import type { EngineEvent, EngineWorker } from './engine-worker.js';
 import { startLoadExchange } from './load-exchange.js';
 import type { LoadIntervals } from './load-exchange.js';
+import { createPromptSource, drawnSize } from './prompt-source.js';
+import type { PromptSource } from './prompt-source.js';
 
 /** How requests are placed: by the registries of the proxies, or with the true state of all workers. */
 export type PlacementMode = 'registry' | 'omniscient';
@@ -64,19 +66,12 @@
   returned: boolean;
 };
 
-function drawnSize(rng: Rng, size: { mean: number; spread: number; most: number }): number {
-  const normal = Math.sqrt(-2 * Math.log(1 - rng.next())) * Math.cos(2 * Math.PI * rng.next());
-  const value = size.mean * Math.exp(size.spread * normal - size.spread ** 2 / 2);
-  return Math.max(1, Math.round(Math.min(size.most, value)));
-}
-
 class EngineDay {
   private readonly events = new Heap<Timed>((left, right) => left.at - right.at || left.order - right.order);
   private readonly rng: Rng;
   private readonly workers = new Map<string, WorkerState>();
   private readonly proxies: ProxyState[] = [];
   private readonly requests = new Map<number, DayRequest>();
-  private readonly levels = new Map<RequestKind, PrefixBlock[][]>();
   private readonly tally: EngineTally;
   private readonly traits: ModelTraits;
   private now = 0;
@@ -125,7 +120,7 @@
   }
 
   play(): EngineDayResult {
-    for (const kind of this.deployment.kinds) this.startArrivals(kind);
+    for (const kind of this.deployment.kinds) this.awaitArrival(kind, createPromptSource(kind, this.rng));
     this.startLoadExchange();
     for (let next = this.events.pop(); next; next = this.events.pop()) {
       this.now = next.at;
@@ -151,42 +146,17 @@
     return this.now >= this.deployment.lengthMs;
   }
 
-  private startArrivals(kind: RequestKind): void {
-    const levels: PrefixBlock[][] = [];
-    kind.shared.forEach((level, depth) => {
-      const blocks: PrefixBlock[] = [];
-      for (let i = 0; i < level.count; i += 1)
-        blocks.push({
-          id: `${kind.name}-${depth}-${i}`,
-          tokens: drawnSize(this.rng, { mean: level.meanTokens, spread: 0.5, most: level.meanTokens * 3 }),
-        });
-      levels.push(blocks);
-    });
-    this.levels.set(kind, levels);
-    this.awaitArrival(kind);
-  }
-
-  private awaitArrival(kind: RequestKind): void {
+  private awaitArrival(kind: RequestKind, prompts: PromptSource): void {
     this.after((exponential(this.rng) * SECOND_MS) / kind.perS, () => {
       if (this.isOver()) return;
-      this.arrive(kind);
-      this.awaitArrival(kind);
+      this.arrive(kind, prompts);
+      this.awaitArrival(kind, prompts);
     });
   }
 
-  private partsOf(kind: RequestKind, id: number): PrefixBlock[] {
-    const levels = this.levels.get(kind) ?? [];
-    const last = levels[levels.length - 1] ?? [];
-    const thing = Math.floor(this.rng.next() ** 1.3 * last.length);
-    const parts: PrefixBlock[] = [];
-    for (const blocks of levels) parts.push(blocks[thing % blocks.length] as PrefixBlock);
-    parts.push({ id: `own-${id}`, tokens: drawnSize(this.rng, kind.ownTokens) });
-    return parts;
-  }
-
-  private arrive(kind: RequestKind): void {
+  private arrive(kind: RequestKind, prompts: PromptSource): void {
     this.lastId += 1;
-    const parts = this.partsOf(kind, this.lastId);
+    const parts = prompts.next(this.lastId);
     let promptTokens = 0;
     for (const part of parts) promptTokens += part.tokens;
     const request: DayRequest = {
