--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -100,6 +100,7 @@
   const nodes = [];
   const workers = [];
   const deploy = roles();
+  const zoneNames = Object.keys(ZONES);
   let initial = true;
   const site = { nodes, workers, folder, ownEnds: [], block };
 
@@ -121,9 +122,10 @@
     nodes.push(node);
     return node;
   }
+  /** Another machine of the core in a zone, at a new address; it starts empty once `start` is called. */
+  site.addCore = (zone, count) => addNode('controller', zone, zoneNames.indexOf(zone), count);
   site.cores = () => nodes.filter((n) => n.core);
   site.proxies = () => nodes.filter((n) => !n.core);
-  const zoneNames = Object.keys(ZONES);
   zoneNames.forEach((zone, i) => {
     addNode('controller', zone, i, 1);
     for (let c = 1; c <= proxiesPerZone; c += 1) addNode('proxy', zone, i, c);
@@ -270,7 +272,7 @@
       const node = order[turn % order.length];
       turn += 1;
       const reply = await call(node.control, method, path, { headers, body, waitMs });
-      note(`operator: ${what} at ${node.name}: ${reply === null ? 'no answer within 1 s' : reply.status}`);
+      note(`operator: ${what} at ${node.name}: ${reply === null ? `no answer within ${waitMs} ms` : reply.status}`);
       if (reply && ([400, 409, 412, 413, 422].includes(reply.status) || (reply.status >= 200 && reply.status < 300))) return { ...reply, at: now(), node };
       await sleep(pause);
       pause *= 2;
