Review: a core machine replaced by plan ends without leaving; one lost disk stops the core for good

CONFIG (read back at the end) is broken in a run on real processes: the machine's process waits for an order that is still being sent and ends 0.8 s after the SIGTERM without leaving the group of four. One disk lost right after the next acknowledgement leaves two of four: no reading, no order, no restarted proxy is served again. With the order sent a second later all holds.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
