An answer whose head can't be written to the caller is garbled, not the proxy's end

Cause: the runtime's HTTP parser takes more than its writer gives out. The proxy judged whose answer it was, but not whether its head could be written again, so `writeHead` threw in a promise that nobody handled. A probe of all bytes in status line, names and values found three kinds: a status below 100, an empty header name, a header name with a space.

Change: the send checks the head where it is read and ends as `garbled`, which the table of outcomes already decides: 502 for a request that may run once, another worker for the others. Two fault modes of the stand-in worker send such heads.

Before: the three new rows of connection-pool.test.ts fail (status 0 and 200 are passed on), and the scenario spoiled-answers ends all three proxies (ERR_INVALID_HTTP_TOKEN). Conclusion: what can't be passed on is judged before anything is decided by it.

--- a/src/transport/connection-pool.test.ts
+++ b/src/transport/connection-pool.test.ts
@@ -115,6 +115,18 @@
   expect((await ask(connectionPool(), at)).error).toEqual({ tag: 'garbled' });
 });
 
+// An answer's head that can't be written to the caller ended the proxy's process.
+test.each([
+  ['a status below 100', 'HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nhi'],
+  ['an empty header name', 'HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 2\r\n\r\nhi'],
+  ['a header name with a space', 'HTTP/1.1 200 OK\r\nX One: x\r\nContent-Length: 2\r\n\r\nhi'],
+])('an answer with %s is a broken one, and its connection serves no other request', async (_what, answer) => {
+  const at = await raw((sock) => sock.write(answer));
+  const pool = connectionPool();
+  expect(await ask(pool, at)).toEqual({ status: 0, body: '', error: { tag: 'garbled' } });
+  expect(pool.idle(at)).toBe(0);
+});
+
 test('an address without listener was never sent to', async () => {
   const at = await raw(() => undefined);
   open.splice(0).forEach((o) => o.close());
--- a/src/transport/pooled-send.ts
+++ b/src/transport/pooled-send.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from './clock.js';
+import { hasTokenNames, isFinalStatus } from './http-syntax.js';
 import type { SendEvents, SendError, Sending, Sent } from './opaque-http.js';
 import type { Address } from './wire.js';
 
@@ -78,6 +79,10 @@
       return;
     }
     this.res = response;
+    if (!isFinalStatus(response.statusCode) || !hasTokenNames(response.rawHeaders)) {
+      this.fail({ tag: 'garbled' });
+      return;
+    }
     const keepAliveHeader = response.headers['keep-alive'];
     const timeout = typeof keepAliveHeader === 'string' ? /timeout=(\d+)/.exec(keepAliveHeader) : null;
     if (timeout) this.at.keepAliveMs = Number(timeout[1]) * 1_000;
--- a/standin-platform/scenarios.ts
+++ b/standin-platform/scenarios.ts
@@ -75,7 +75,18 @@
   for (const placedWorker of silent) placedWorker.worker.dark(false);
 }
 async function spoiledAnswers(site: Site): Promise<void> {
-  for (const mode of ['breakOff', 'behind', 'surplus', 'garbage', 'lostAnswer', 'fail', 'refuse'] as const) {
+  const modes = [
+    'breakOff',
+    'behind',
+    'surplus',
+    'garbage',
+    'badStatus',
+    'badName',
+    'lostAnswer',
+    'fail',
+    'refuse',
+  ] as const;
+  for (const mode of modes) {
     for (const placedWorker of site.workers) placedWorker.worker.fault({ mode, share: 0.15 });
     await site.asked(60);
   }
@@ -249,7 +260,7 @@
     name: 'spoiled-answers',
     fault: 'workers break off, spoil, repeat, lose and refuse answers',
     never: "another's answer, or a broken one told as whole",
-    forMs: 9_000,
+    forMs: 11_000,
     leastServed: 0.8,
     play: spoiledAnswers,
   },
--- a/standin-platform/worker-spec.ts
+++ b/standin-platform/worker-spec.ts
@@ -56,7 +56,8 @@
 } as const;
 
 /** Ways in which a worker may misbehave. */
-export type FaultMode = 'breakOff' | 'behind' | 'surplus' | 'garbage' | 'lostAnswer' | 'fail' | 'refuse';
+export type FaultMode =
+  'breakOff' | 'behind' | 'surplus' | 'garbage' | 'badStatus' | 'badName' | 'lostAnswer' | 'fail' | 'refuse';
 /** A fault and the share of requests that it strikes. */
 export type Fault = { readonly mode: FaultMode; readonly share: number };
 
--- a/standin-platform/worker.ts
+++ b/standin-platform/worker.ts
@@ -346,11 +346,10 @@
     if (clock.mono() >= job.deadlineAt) return failed(job, seal, 504);
     if (hit('fail')) return failed(job, seal, 500);
     if (hit('lostAnswer')) return broken(job, seal, digest);
-    if (hit('garbage')) {
-      finish(job, seal, 200, digest, 'spoiled');
-      job.res.socket?.end('\u0001\u0002 no answer at all\r\n\r\n');
-      return;
-    }
+    if (hit('garbage')) return spoiled(job, seal, digest, '\u0001\u0002 no answer at all\r\n\r\n');
+    const plain = plainAnswer(job.attempt, seal, body);
+    if (hit('badStatus')) return spoiled(job, seal, digest, plain.replace(' 200 ', ' 000 '));
+    if (hit('badName')) return spoiled(job, seal, digest, plain.replace('\r\n', '\r\nno name: x\r\n'));
     job.res.setHeader(HEADER.seal, seal);
     finishing(job.res);
     if (hit('breakOff')) {
@@ -360,12 +359,12 @@
     }
     finish(job, seal, 200, digest, 'whole');
     const socket = job.res.socket;
-    if (hit('surplus') && socket) surplus.set(socket, plainAnswer(job.attempt, seal, body));
+    if (hit('surplus') && socket) surplus.set(socket, plain);
     const behind = hit('behind');
     if (visits % 2 === 0) job.res.writeHead(200, { 'content-length': String(body.length) });
     else job.res.writeHead(200);
     job.res.end(body);
-    if (behind) socket?.write(plainAnswer(job.attempt, seal, body));
+    if (behind) socket?.write(plain);
   }
 
   function plainAnswer(attempt: string, digest: string, body: Buffer): string {
@@ -384,6 +383,12 @@
     job.res.socket?.destroySoon();
   }
 
+  /** Bytes that are no answer in the protocol. */
+  function spoiled(job: Omit<Visit, 'go'>, seal: string, digest: string, text: string): void {
+    finish(job, seal, 200, digest, 'spoiled');
+    job.res.socket?.end(text);
+  }
+
   async function generate(job: Omit<Visit, 'go'>, engine: EngineSpec): Promise<void> {
     const { prompt, answer } = tokensOf(job.req);
     const total = Math.max(1, Math.ceil(answer / engine.tokensPerEvent));
