A request that can't be written to a worker is refused, not the proxy's end

Seen: one request with a tab or a form feed in its target, or with a space in a header name, ended the proxy that took it, with all requests that it held (two requests, two ends, on real processes).

Cause: the same as with answers, the other way: the runtime's parser takes such a head, and its writer throws when the request is made for the worker, in the callback of a connection, where nobody catches it.

Change: the server checks target and names by the same rules and answers 400 `malformed` without handing the request on; the connection ends with that answer.

Before: the three new rows of opaque-http-server.test.ts fail (the request is handed on), and both requests to a proxy on real processes end it. After: 4 of 4 pass, 400 twice and no end.

--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'node:http';
+import { createConnection } from 'node:net';
 import { expect, test } from '@jest/globals';
 import { createOpaqueHttpServer } from './opaque-http-server.js';
 import type { OpaqueRequest } from './opaque-http.js';
@@ -50,3 +51,34 @@
   idle.destroy();
   busy.destroy();
 });
+
+/** What a server says to these bytes until it ends the connection. */
+function answerTo(address: string, bytes: string): Promise<string> {
+  return new Promise((resolve) => {
+    const [host, port] = address.split(':');
+    let text = '';
+    const socket = createConnection({ host, port: Number(port) }, () => socket.write(bytes, 'latin1'));
+    socket.on('data', (part) => {
+      text += part.toString('latin1');
+    });
+    socket.on('close', () => resolve(text));
+  });
+}
+
+// Sending such a request on threw in the connection's callback and ended the proxy's process.
+test.each([
+  ['a tab in its target', 'POST /a\tb HTTP/1.1\r\nHost: h\r\n'],
+  ['a form feed in its target', 'POST /a\fb HTTP/1.1\r\nHost: h\r\n'],
+  ['a space in a header name', 'POST /ab HTTP/1.1\r\nHost: h\r\nX One: 1\r\n'],
+])('a request with %s is refused with 400 and not handed on', async (_what, head) => {
+  const handed: string[] = [];
+  const opened = await createOpaqueHttpServer().open('127.0.0.1:0', (taken) => {
+    handed.push(taken.target);
+    answerWith(taken, 'taken');
+  });
+  if (!opened.ok) throw new Error(opened.error.tag);
+  const answer = await answerTo(opened.value.address, `${head}Connection: close\r\nContent-Length: 0\r\n\r\n`);
+  await opened.value.close();
+  expect(answer).toMatch(/^HTTP\/1\.1 400 .*malformed/s);
+  expect(handed).toEqual([]);
+});
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -5,6 +5,7 @@
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import { closeServer, portOf } from './close-server.js';
+import { hasTokenNames, isRequestTarget } from './http-syntax.js';
 import type {
   Answerer,
   BodyError,
@@ -19,6 +20,8 @@
 
 const MOST_HEADER = 65_536;
 const CHECK_MS = 1_000;
+const BAD_REQUEST = 400;
+const MALFORMED = JSON.stringify({ error: { tag: 'malformed' } });
 
 function answererOf(res: ServerResponse): Answerer {
   const watchers: (() => void)[] = [];
@@ -100,6 +103,19 @@
   };
 }
 
+function isForwardable(req: IncomingMessage): boolean {
+  return isRequestTarget(req.url ?? '') && hasTokenNames(req.rawHeaders);
+}
+
+function refuseMalformed(res: ServerResponse): void {
+  res.writeHead(BAD_REQUEST, {
+    'Content-Type': 'application/json',
+    'Content-Length': MALFORMED.length,
+    Connection: 'close',
+  });
+  res.end(MALFORMED);
+}
+
 /** A server; it listens once `open` is called. */
 export function createOpaqueHttpServer(): OpaqueHttpServer {
   function open(address: Address, handle: (req: OpaqueRequest) => void): Promise<Result<OpaqueListener, WireError>> {
@@ -116,7 +132,8 @@
     }
     function onRequest(req: IncomingMessage, res: ServerResponse): void {
       res.on('finish', closeSoonIfStopped);
-      handle(requestOf(req, res));
+      if (isForwardable(req)) handle(requestOf(req, res));
+      else refuseMalformed(res);
     }
     const server: Server = createServer(
       { maxHeaderSize: MOST_HEADER, connectionsCheckingInterval: CHECK_MS, noDelay: true, requestTimeout: 0 },
