A fault in one request ends that request, not the process that holds it

Cause: the relay left the promise of each request to nobody, so that any error in one ended the proxy with all others; the controller of the platform had a handler for uncaught errors, the proxies and the other daemons had none.

Change: the relay logs the fault, answers 500 `internal` (or breaks off what was begun) and counts the request as done. Once they serve, all daemons log what nobody caught and go on; a readiness address that is in use still ends the proxy, with its exit code and a log line.

Before: the new test of relay.test.ts fails (no answer, one request open for good, an unhandled rejection).

--- a/src/coordination/forwarding/final-responses.ts
+++ b/src/coordination/forwarding/final-responses.ts
@@ -17,6 +17,8 @@
   notReady(incoming: OpaqueRequest): void;
   /** This process ends before the request would. */
   leaving(incoming: OpaqueRequest): void;
+  /** A fault of this process; what was begun of an answer is broken off. */
+  failed(incoming: OpaqueRequest): void;
 }
 
 /** `onRefused` and `onTruncated` count refusals and answers that broke off. */
@@ -57,12 +59,12 @@
         return;
       case 'cut':
       case 'wait':
-        this.failed(request);
+        this.broken(request);
     }
   }
 
   unplaced(request: RelayedRequest, noneInReach: boolean, leftMs: number): void {
-    if (request.answerBegun || request.mayHaveRun) this.failed(request);
+    if (request.answerBegun || request.mayHaveRun) this.broken(request);
     else if (noneInReach)
       this.refuse(
         request.incoming,
@@ -80,12 +82,17 @@
     this.refuse(incoming, 'leaving', ELSEWHERE_S);
   }
 
+  failed(incoming: OpaqueRequest): void {
+    if (incoming.answerer.begun()) incoming.answerer.abort();
+    else this.deps.answers.refuse(incoming, 500, 'internal', null);
+  }
+
   private refuse(incoming: OpaqueRequest, tag: string, retryAfterS: number): void {
     this.deps.onRefused();
     this.deps.answers.refuse(incoming, 503, tag, retryAfterS);
   }
 
-  private failed(request: RelayedRequest): void {
+  private broken(request: RelayedRequest): void {
     if (request.answerBegun) {
       this.deps.onTruncated();
       request.incoming.answerer.abort();
--- a/src/coordination/forwarding/relay.test.ts
+++ b/src/coordination/forwarding/relay.test.ts
@@ -33,7 +33,7 @@
 };
 
 type Sending2 = { readonly what: Sending; readonly events: SendEvents; cut: boolean; headers: RawHeaders | null };
-type Answer = { status: number; headers: RawHeaders; body: string; ended: boolean; cut: boolean };
+type Answer = { status: number; headers: RawHeaders; body: string; ended: boolean; cut: boolean; fault?: Error };
 
 function entry(id: string, zone = 'z1', region = 'r1', over: Partial<WorkerEntry> = {}): WorkerEntry {
   return {
@@ -124,6 +124,9 @@
       body: () => Promise.resolve({ ok: true, value: Buffer.from('hi') }),
       answerer: {
         head: (s, h) => {
+          const { fault } = answer;
+          delete answer.fault;
+          if (fault) throw fault;
           answer.status = s;
           answer.headers = h;
         },
@@ -137,6 +140,7 @@
           answer.cut = true;
         },
         gone: () => gone,
+        begun: () => answer.status !== 0,
         onGone: (fn) => {
           watchers.push(fn);
         },
@@ -688,3 +692,22 @@
     ['10.0.0.1:1', true],
   ]);
 });
+
+// An error in one request was left to nobody and ended the process.
+test('a fault in the handling of one request ends that request alone, and is not counted as open', async () => {
+  const r = await rig({}, [entry('w')]);
+  const faulty = r.ask().answer;
+  faulty.fault = new Error('no such status');
+  await r.world.advance(1);
+  sealed(r.sent[0]!, 'out');
+  r.sent[0]!.events.end();
+  await r.world.advance(1);
+  expect(faulty).toMatchObject({ status: 500, ended: true });
+  expect(r.relay.tally().open).toBe(0);
+  const { answer } = r.ask();
+  await r.world.advance(1);
+  sealed(r.sent[1]!, 'out');
+  r.sent[1]!.events.end();
+  await r.world.advance(1);
+  expect(answer).toMatchObject({ status: 200, body: 'out', ended: true });
+});
--- a/src/coordination/forwarding/relay.ts
+++ b/src/coordination/forwarding/relay.ts
@@ -3,6 +3,7 @@
  * answer on, and go on elsewhere where `decide` allows it. A request that may run once is sent again only
  * if nothing was written or its worker said under its id that it did not run it (docs/repeats.md).
  */
+import { describeError } from '../../base/describe-error.js';
 import type { HeaderNames } from '../../protocol/header-names.js';
 import type { AttemptBudget } from '../../state/forwarding/attempt-budget.js';
 import { decide, mayHaveRun } from '../../state/forwarding/attempt-outcome.js';
@@ -135,7 +136,13 @@
   }
 
   handle(incoming: OpaqueRequest): void {
-    void this.serve(incoming);
+    this.serve(incoming).catch((error: unknown) => this.failed(incoming, error));
+  }
+
+  /** A fault in the handling of one request ends that request alone; nothing is known of whether it ran. */
+  private failed(incoming: OpaqueRequest, error: unknown): void {
+    this.deps.log.error('request failed', { error: describeError(error) });
+    this.last.failed(incoming);
   }
 
   private async serve(incoming: OpaqueRequest): Promise<void> {
@@ -173,9 +180,12 @@
       this.counts.requests[request.model] = (this.counts.requests[request.model] ?? 0) + 1;
       this.counts.open += 1;
       this.deps.budget.arrived(request.model, this.deps.clock.mono());
-      await this.run(request);
-      this.release(request);
-      this.counts.open -= 1;
+      try {
+        await this.run(request);
+      } finally {
+        this.release(request);
+        this.counts.open -= 1;
+      }
     }
   }
 
--- a/src/coordination/proxy/opaque-proxy.test.ts
+++ b/src/coordination/proxy/opaque-proxy.test.ts
@@ -129,6 +129,7 @@
         },
         abort: () => undefined,
         gone: () => false,
+        begun: () => answer.status !== 0,
         onGone: () => undefined,
       },
     });
--- a/src/programs/daemons.ts
+++ b/src/programs/daemons.ts
@@ -5,6 +5,7 @@
 import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
 import { startProxy } from '../coordination/proxy/proxy.js';
 import type { Result } from '../base/result.js';
+import { surviveUncaughtErrors } from '../transport/uncaught-errors.js';
 import { compose, T } from './composition.js';
 import { EXIT } from './exit-codes.js';
 import type { ExitCode } from './exit-codes.js';
@@ -56,11 +57,13 @@
   }
   const settings: NodeSettings = read.value;
   const box = compose(settings);
-  const started = await start(box.get<NodeIdentity>(T.identity), box.get<NodeDeps>(T.deps));
+  const deps = box.get<NodeDeps>(T.deps);
+  const started = await start(box.get<NodeIdentity>(T.identity), deps);
   if (!started.ok) {
     complain(`millfield could not start: ${JSON.stringify(started.error)}`);
     process.exit(codeOf(started.error.tag));
   }
+  surviveUncaughtErrors(deps.logs.component('start'));
   onStop(started.value.stop);
 }
 
--- a/src/sim/edge-day.ts
+++ b/src/sim/edge-day.ts
@@ -233,6 +233,9 @@
   function cut(): void {
     if (!gone && asked.end === 'none') asked.end = 'cut';
   }
+  function begun(): boolean {
+    return asked.status !== 0;
+  }
   function left(): void {
     gone = true;
     for (const callback of watchers) callback();
@@ -243,7 +246,7 @@
     headers: Object.entries(headers).flat(),
     get,
     body,
-    answerer: { head, write, end, abort: cut, gone: isGone, onGone },
+    answerer: { head, write, end, abort: cut, gone: isGone, begun, onGone },
   };
   return { incoming, left };
 }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -9,6 +9,7 @@
 import { createServer } from 'node:http';
 import { once } from 'node:events';
 import { deeperThan } from '../base/depth.js';
+import { describeError } from '../base/describe-error.js';
 import { closeServer, portOf } from './close-server.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
@@ -122,9 +123,7 @@
       res.status(400).json({ error: { tag: 'malformed', detail: 'body is not JSON' } });
       return;
     }
-    this.log.error('request failed', {
-      error: error instanceof Error ? (error.stack ?? error.message) : String(error),
-    });
+    this.log.error('request failed', { error: describeError(error) });
     res.status(500).json({ error: { tag: 'internal' } });
   }
 
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -57,7 +57,10 @@
   function onGone(callback: () => void): void {
     watchers.push(callback);
   }
-  return { head, write, end, abort, gone, onGone };
+  function begun(): boolean {
+    return res.headersSent;
+  }
+  return { head, write, end, abort, gone, begun, onGone };
 }
 
 function requestOf(req: IncomingMessage, res: ServerResponse): OpaqueRequest {
--- a/src/transport/opaque-http.ts
+++ b/src/transport/opaque-http.ts
@@ -15,6 +15,8 @@
   readonly end: () => void;
   readonly abort: () => void;
   readonly gone: () => boolean;
+  /** Whether the head has gone out. */
+  readonly begun: () => boolean;
   readonly onGone: (callback: () => void) => void;
 };
 
