An order on a zone that may have lain unread is not taken

Seen: an operator's hand-back of a zone went to a frozen controller, then to another one, which acknowledged it, and then a newer evacuation too.

Cause: an order on a zone carries no identity and no base. The controller takes the zone's version when it has read the order, which guards against what is agreed after that, but not against what was agreed while the bytes lay unread.

Change: after it has asked a majority, the controller takes no order if it stood still for over half a second within the last second, the time after which callers turn elsewhere, or if the caller's connection has been closed, which is read a turn after the call. It answers 503 `mayBeAbandoned`; whoever still waits sends it again. The same holds for the operators' HTTP interface of the other deployments.

Before: both new tests of configuration-service.test.ts fail, as orders are taken.

--- a/src/coordination/configuration/configuration-service.test.ts
+++ b/src/coordination/configuration/configuration-service.test.ts
@@ -8,8 +8,10 @@
 import { routeSettings } from '../../sim/builders.js';
 import type { SimLedger } from '../../sim/sim-ledger.js';
 import { delay } from '../../transport/clock.js';
-import { createConfigurationService } from './configuration-service.js';
-import type { ConfigurationService } from './configuration-service.js';
+import { CALLER_PATIENCE_MS, createConfigurationService } from './configuration-service.js';
+import { watchStandstills } from './recent-standstill.js';
+import type { Caller, ConfigurationService } from './configuration-service.js';
+import { createQuietLog } from '../../transport/log.js';
 
 function serving(number: number, mappings = 1): Serving {
   const out: Record<string, RouteSettings> = {};
@@ -22,10 +24,13 @@
   };
 }
 
+const CALM = { log: createQuietLog().component('operator'), standstill: { isRecent: () => false } };
+const WAITS: Caller = { gone: () => false };
+
 function sharedLedger() {
   const sim = createSimLedger(5);
   const serviceAfter = (ms: number): ConfigurationService =>
-    createConfigurationService({ ledger: sim.ledgerAfter(ms), clock: sim.clock });
+    createConfigurationService({ ledger: sim.ledgerAfter(ms), clock: sim.clock, ...CALM });
   const now = (): Serving => sim.controlState.configuration.serving as Serving;
   return { ...sim, serviceAfter, now };
 }
@@ -224,7 +229,7 @@
     for (const other of [false, true]) {
       const s = sharedLedger();
       await s.run(s.serviceAfter(5).replace(0, serving(7), 'a'));
-      const late = createConfigurationService({ ledger: s.ledgerAfter(700), clock: s.clock, agreeMs: 300 });
+      const late = createConfigurationService({ ledger: s.ledgerAfter(700), clock: s.clock, ...CALM, agreeMs: 300 });
       const givenUp = late.replace(7, serving(8, 2), 'late');
       await s.world.advance(400);
       if (other) expect(await s.run(s.serviceAfter(5).replace(7, serving(9, 3), 'other'))).toEqual(TAKEN(9));
@@ -279,7 +284,7 @@
     s.cut(true);
     expect(await s.run(service.replace(0, serving(7), 'a'), 1_000)).toEqual(err({ tag: 'noMajority' }));
     expect(await s.run(service.read(), 1_000)).toEqual(err({ tag: 'noMajority' }));
-    expect(await s.run(service.evacuate('z', true), 1_000)).toEqual(err({ tag: 'noMajority' }));
+    expect(await s.run(service.evacuate('z', true, WAITS), 1_000)).toEqual(err({ tag: 'noMajority' }));
     s.cut(false);
     s.deaf(true);
     expect(await s.run(service.replace(0, serving(7), 'a'))).toEqual(err({ tag: 'noMajority' }));
@@ -309,16 +314,16 @@
     const s = sharedLedger();
     const service = s.serviceAfter(5);
     for (const begun of [false, true, true, false, false, true]) {
-      expect(await s.run(service.evacuate('z', begun))).toEqual(ok({ tag: 'taken' }));
+      expect(await s.run(service.evacuate('z', begun, WAITS))).toEqual(ok({ tag: 'taken' }));
       expect(s.controlState.evacuated['z'] !== undefined).toBe(begun);
     }
   });
 
   test('an order that is agreed late, after the one that takes it back, does nothing', async () => {
     const s = sharedLedger();
-    const slow = s.serviceAfter(400).evacuate('z', true);
-    expect(await s.run(s.serviceAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
-    expect(await s.run(s.serviceAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
+    const slow = s.serviceAfter(400).evacuate('z', true, WAITS);
+    expect(await s.run(s.serviceAfter(5).evacuate('z', true, WAITS))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.serviceAfter(5).evacuate('z', false, WAITS))).toEqual(ok({ tag: 'taken' }));
     await s.world.advance(4_000);
     expect(s.controlState.evacuated).toEqual({});
     void slow;
@@ -329,21 +334,48 @@
     const frozen = s.world.host('frozen', 'a');
     const clock = s.world.clockOf(s.world.begin(frozen));
     const asked = { ...s.ledgerAfter(5), linearizableRead: () => delay(clock, 10).then(() => true) };
-    const late = createConfigurationService({ ledger: asked, clock }).evacuate('z', true);
+    const late = createConfigurationService({ ledger: asked, clock, ...CALM }).evacuate('z', true, WAITS);
     s.world.freeze(frozen);
-    expect(await s.run(s.serviceAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
-    expect(await s.run(s.serviceAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.serviceAfter(5).evacuate('z', true, WAITS))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.serviceAfter(5).evacuate('z', false, WAITS))).toEqual(ok({ tag: 'taken' }));
     await s.world.advance(5_000);
     s.world.thaw(frozen);
     expect(await s.run(late)).toEqual(err({ tag: 'noMajority' }));
     expect(s.controlState.evacuated).toEqual({});
   });
 
+  // A hand-back that lay unread in a frozen controller undid an evacuation that another one had acknowledged meanwhile.
+  test('an order that may have lain unread in a process that stood still is not taken, one a second later is', async () => {
+    const s = sharedLedger();
+    const frozen = s.world.host('frozen', 'a');
+    const clock = s.world.clockOf(s.world.begin(frozen));
+    const standstill = watchStandstills(clock, CALLER_PATIENCE_MS);
+    const woken = createConfigurationService({ ledger: s.ledgerAfter(5), clock, ...CALM, standstill });
+    expect(await s.run(woken.evacuate('z', true, WAITS))).toEqual(ok({ tag: 'taken' }));
+    s.world.freeze(frozen);
+    await s.world.advance(4_000);
+    s.world.thaw(frozen);
+    expect(await s.run(woken.evacuate('z', false, WAITS))).toEqual(err({ tag: 'mayBeAbandoned' }));
+    expect(Object.keys(s.controlState.evacuated)).toEqual(['z']);
+    await s.world.advance(CALLER_PATIENCE_MS);
+    expect(await s.run(woken.evacuate('z', false, WAITS))).toEqual(ok({ tag: 'taken' }));
+    standstill.stop();
+  });
+
+  test('an order whose caller has closed its connection by the time a majority was asked is not taken', async () => {
+    const s = sharedLedger();
+    let gone = false;
+    const left = s.serviceAfter(50).evacuate('z', true, { gone: () => gone });
+    gone = true;
+    expect(await s.run(left)).toEqual(err({ tag: 'mayBeAbandoned' }));
+    expect(s.controlState.evacuated).toEqual({});
+  });
+
   test('an order that is agreed late does nothing, however many ordinary entries came between', async () => {
     const s = sharedLedger();
-    const slow = s.serviceAfter(400).evacuate('z', true);
-    expect(await s.run(s.serviceAfter(5).evacuate('z', true))).toEqual(ok({ tag: 'taken' }));
-    expect(await s.run(s.serviceAfter(5).evacuate('z', false))).toEqual(ok({ tag: 'taken' }));
+    const slow = s.serviceAfter(400).evacuate('z', true, WAITS);
+    expect(await s.run(s.serviceAfter(5).evacuate('z', true, WAITS))).toEqual(ok({ tag: 'taken' }));
+    expect(await s.run(s.serviceAfter(5).evacuate('z', false, WAITS))).toEqual(ok({ tag: 'taken' }));
     ordinaryEntries(s, 1_100);
     await s.world.advance(4_000);
     expect(s.controlState.evacuated).toEqual({});
--- a/src/coordination/configuration/configuration-service.ts
+++ b/src/coordination/configuration/configuration-service.ts
@@ -24,14 +24,18 @@
 import type { Configuration } from '../../state/configuration/settings-tree.js';
 import { delay } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
 import type { Ledger } from '../consensus/ledger.js';
 import type { Draft } from '../consensus/proposal.js';
+import type { RecentStandstill } from './recent-standstill.js';
 
 /** Why an operator's call was not confirmed. Only `stale` and `invalid` say that it was not and will not be applied. */
 export type NumberedError =
   | { readonly tag: 'stale'; readonly number: number }
   | { readonly tag: 'invalid'; readonly faults: readonly ConfigError[] }
   | { readonly tag: 'noMajority' }
+  /** Its caller may have given up before it was read; a caller who still waits sends it again. */
+  | { readonly tag: 'mayBeAbandoned' }
   /** It builds on a number so old that a change which was applied then may be forgotten: neither yes nor no is certain. */
   | { readonly tag: 'outcomeUnknown' };
 
@@ -40,24 +44,31 @@
 /** What a change makes of the configuration that it builds on. */
 export type Edit = (serving: Serving) => Result<unknown, readonly ConfigError[]>;
 
+/** Whoever waits for the answer to a call; `gone` once the connection was closed. */
+export type Caller = { readonly gone: () => boolean };
+
 /** `digest` is the identity of the request: the same digest is the same change, whenever and wherever it is sent. */
 export interface ConfigurationService {
   replace(base: number, draft: unknown, digest: string): Promise<Result<Accepted, NumberedError>>;
   amend(base: number, edit: Edit, digest: string): Promise<Result<Accepted, NumberedError>>;
   read(): Promise<Result<Serving, NumberedError>>;
-  evacuate(zone: string, begun: boolean): Promise<Result<{ readonly tag: 'taken' }, NumberedError>>;
+  evacuate(zone: string, begun: boolean, caller: Caller): Promise<Result<{ readonly tag: 'taken' }, NumberedError>>;
 }
 
 /** The ledger to read and propose on; waits are in milliseconds. */
 export type ConfigurationServiceDeps = {
   readonly ledger: Pick<Ledger, 'controlState' | 'linearizableRead' | 'propose'>;
   readonly clock: Clock;
+  readonly log: Log;
+  readonly standstill: Pick<RecentStandstill, 'isRecent'>;
   readonly readTimeoutMs?: number;
   readonly agreeMs?: number;
 };
 
 /** Longest look at a majority, under the second of silence after which callers turn to another node. */
 const READ_TIMEOUT_MS = 900;
+/** A caller who heard nothing for this long has turned to another controller. */
+export const CALLER_PATIENCE_MS = 1_000;
 /** Longest wait for an entry to be agreed. */
 const AGREE_MS = 3_000;
 
@@ -153,6 +164,11 @@
     this.agreeMs = this.deps.agreeMs ?? AGREE_MS;
   }
 
+  /** To be asked after a round trip: the end of a connection is read a turn later than the call that it carried. */
+  private mayBeAbandoned(caller: Caller): boolean {
+    return this.deps.standstill.isRecent() || caller.gone();
+  }
+
   private async tooLate(): Promise<boolean> {
     await delay(this.deps.clock, this.readTimeoutMs);
     return false;
@@ -194,11 +210,20 @@
   /**
    * One proposal, on the zone's version as it was when the order came. It isn't made anew where another order was agreed
    * first: that one may be the later order, and the caller of this one may be long gone. Whoever still wants it sends it
-   * again. For the same reason a process that stood still while it asked a majority doesn't go on.
+   * again. For the same reason a process that stood still while it asked a majority doesn't go on, nor does one that
+   * stood still shortly before: the order may have lain unread since, with newer ones acknowledged elsewhere.
    */
-  async evacuate(zone: string, begun: boolean): Promise<Result<{ readonly tag: 'taken' }, NumberedError>> {
+  async evacuate(
+    zone: string,
+    begun: boolean,
+    caller: Caller,
+  ): Promise<Result<{ readonly tag: 'taken' }, NumberedError>> {
     const cameAt = this.deps.clock.mono();
     if (!(await this.readCurrent()) || this.deps.clock.mono() - cameAt > this.readTimeoutMs) return err(NO_MAJORITY);
+    if (this.mayBeAbandoned(caller)) {
+      this.deps.log.warn('order on a zone not taken, its caller may be gone', { zone, begun, gone: caller.gone() });
+      return err({ tag: 'mayBeAbandoned' });
+    }
     const base = zoneVersion(this.deps.ledger.controlState().history, zone);
     const id = `evacuation:${zone}@${base}:${begun ? 'begin' : 'finish'}`;
     const cause = begun ? `The operator evacuates ${zone}.` : `The operator hands ${zone} back.`;
@@ -207,6 +232,7 @@
       this.agreeMs,
     );
     if (!agreed.ok) return err(NO_MAJORITY);
+    this.deps.log.info('order on a zone agreed', { zone, begun, base, outcome: agreed.value.outcome.tag });
     const isSo = (this.deps.ledger.controlState().evacuated[zone] !== undefined) === begun;
     return agreed.value.outcome.tag === 'applied' || isSo ? ok({ tag: 'taken' }) : err({ tag: 'outcomeUnknown' });
   }
--- a/src/coordination/configuration/operator-http-server.ts
+++ b/src/coordination/configuration/operator-http-server.ts
@@ -14,6 +14,7 @@
 import type { HttpReply, HttpRequest, Route } from '../../transport/http.js';
 import type { Clock } from '../../transport/clock.js';
 import type { LatencyTargetTracker } from './latency-target-tracker.js';
+import type { RecentStandstill } from './recent-standstill.js';
 import type { Ledger } from '../consensus/ledger.js';
 import type { ChangeDistribution } from '../distribution/change-distribution.js';
 
@@ -48,6 +49,7 @@
   readonly distribution: ChangeDistribution;
   readonly latencyTargets: LatencyTargetTracker;
   readonly clock: Clock;
+  readonly standstill: Pick<RecentStandstill, 'isRecent'>;
   readonly status: () => unknown;
 };
 
@@ -139,6 +141,7 @@
     if (!(await this.deps.ledger.linearizableRead(AGREE_MS))) return fail(503, { tag: 'noMajority' });
     if (!Object.hasOwn(this.deps.ledger.controlState().configuration.zones, name))
       return fail(404, { tag: 'unknownZone', zone: name });
+    if (this.deps.standstill.isRecent() || req.gone()) return fail(503, { tag: 'mayBeAbandoned' });
     return this.agree(
       { tag: 'evacuation', zone: name, begun },
       begun ? `The operator evacuates ${name}.` : `The operator hands ${name} back.`,
--- a/src/coordination/configuration/operator-identity.test.ts
+++ b/src/coordination/configuration/operator-identity.test.ts
@@ -6,6 +6,7 @@
 import type { Serving } from '../../state/configuration/serving.js';
 import { createConfigurationService } from '../configuration/configuration-service.js';
 import type { ConfigurationService } from '../configuration/configuration-service.js';
+import { createQuietLog } from '../../transport/log.js';
 
 const THREE = ['h1', 'h2', 'h3'];
 const ENTRIES_BETWEEN = 1_100;
@@ -34,7 +35,7 @@
   function httpServerOf(node: string): ConfigurationService {
     const controller = core.node(node).controller;
     if (!controller) throw new Error(`${node} does not run`);
-    return createConfigurationService({ ledger: controller.ledger, clock });
+    return createConfigurationService({ ...controller, clock, log: createQuietLog().component('operator') });
   }
   function replace(node: string, base: number, number: number, digest = `${base}-${number}`): Promise<unknown> {
     return core.finish(httpServerOf(node).replace(base, serving(number), digest), 10_000);
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -11,6 +11,7 @@
 import { newId } from '../transport/rng.js';
 import type { Route } from '../transport/http.js';
 import type { Address, Listener, WireError } from '../transport/wire.js';
+import { CALLER_PATIENCE_MS } from './configuration/configuration-service.js';
 import { createLatencyTargetTracker } from './configuration/latency-target-tracker.js';
 import { createClaims, noClaims } from './idempotency/claims.js';
 import type { Claims } from './idempotency/claims.js';
@@ -30,6 +31,8 @@
 import type { NodeDeps, NodeIdentity } from './node.js';
 import { followRelocatedControllers } from './membership/relocated-controllers.js';
 import { operatorRoutes } from './configuration/operator-http-server.js';
+import { watchStandstills } from './configuration/recent-standstill.js';
+import type { RecentStandstill } from './configuration/recent-standstill.js';
 import { createPeers } from './messaging/peers.js';
 import { createFleetLoadRelay } from './distribution/fleet-load-relay.js';
 import { createQuorumAttestation } from './distribution/quorum-attestation.js';
@@ -51,6 +54,8 @@
   readonly claimsReady: () => boolean;
   readonly holdsScaler: () => boolean;
   readonly reads: readonly Route[];
+  /** For orders that are taken beside the controller's own HTTP interface. */
+  readonly standstill: Pick<RecentStandstill, 'isRecent'>;
   readonly stop: () => Promise<void>;
 };
 
@@ -176,6 +181,7 @@
   const distribution = createChangeDistribution(ledger, quorumAttestation, peers, clock, logs.component('push'));
   const fleetLoad = createFleetLoadRelay(ledger, peers, clock, rng);
   const latencyTargets = createLatencyTargetTracker(ledger, peers, clock);
+  const standstill = watchStandstills(clock, CALLER_PATIENCE_MS);
   const lease =
     id.cloud === null && !deps.listReader
       ? null
@@ -248,7 +254,14 @@
     clock,
     holdsScaler,
   });
-  const routes = operatorRoutes({ ledger, distribution, latencyTargets, clock, status: () => status.body() });
+  const routes = operatorRoutes({
+    ledger,
+    distribution,
+    latencyTargets,
+    clock,
+    standstill,
+    status: () => status.body(),
+  });
   function openHttpServer(): Promise<Result<Listener, WireError>> {
     return deps.httpServer.open(id.httpListen, [
       ...routes,
@@ -279,6 +292,7 @@
     quorumAttestation.stop();
     coreHealth.stop();
     latencyTargets.stop();
+    standstill.stop();
     if (claims.ok) claims.value.stop();
     ledger.stop();
     await peers.close();
@@ -297,6 +311,7 @@
     claimsReady: () => claims.value.ready(),
     holdsScaler,
     reads: routes.filter(isRead),
+    standstill,
     stop,
   });
 }
--- a/src/coordination/cut-off-controller.test.ts
+++ b/src/coordination/cut-off-controller.test.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../transport/clock.js';
 import type { CoreHealth } from '../state/membership/core-health.js';
 import { createConfigurationService } from './configuration/configuration-service.js';
+import { createQuietLog } from '../transport/log.js';
 
 /** Until then a controller may still hold itself to be in touch: the age of an answer that counts, and a turn. */
 const KNOWS_MS = 2_200;
@@ -226,13 +227,17 @@
     const d = await desk(520);
     trouble.begin(d.fleet);
     await d.fleet.run(2_000);
-    const ledger = d.fleet.controllers[0]?.controller?.ledger;
-    if (!ledger) throw new Error('not up');
-    const service = createConfigurationService({ ledger, clock: d.clock });
+    const controller = d.fleet.controllers[0]?.controller;
+    if (!controller) throw new Error('not up');
+    const service = createConfigurationService({
+      ...controller,
+      clock: d.clock,
+      log: createQuietLog().component('operator'),
+    });
     const from = d.fleet.world.now();
     const read = await d.fleet.finish(service.read(), 10_000);
     expect(d.fleet.world.now() - from).toBeLessThanOrEqual(1_000);
-    const begun = await d.fleet.finish(service.evacuate('at-1', true), 10_000);
+    const begun = await d.fleet.finish(service.evacuate('at-1', true, { gone: () => false }), 10_000);
     expect([read, begun]).toEqual([
       { ok: false, error: { tag: 'noMajority' } },
       { ok: false, error: { tag: 'noMajority' } },
--- a/src/sim/model/model-group.ts
+++ b/src/sim/model/model-group.ts
@@ -177,7 +177,11 @@
       return;
     }
     node.controller = started.value;
-    node.operator = createConfigurationService({ ledger: started.value.ledger, clock: deps.clock });
+    node.operator = createConfigurationService({
+      ...started.value,
+      clock: deps.clock,
+      log: createQuietLog().component('operator'),
+    });
     observe(node, started.value);
   }
   function observe(node: ModelNode, controller: Controller): void {
--- a/src/sim/racing-day.ts
+++ b/src/sim/racing-day.ts
@@ -23,6 +23,7 @@
 import type { LedgerSabotage } from './sabotage.js';
 import { createSimCore } from './sim-core.js';
 import type { SimCore } from './sim-core.js';
+import { createQuietLog } from '../transport/log.js';
 
 export type RacingDayOptions = {
   readonly controllers: 3 | 5;
@@ -82,7 +83,7 @@
   if (!controller) return null;
   if (!day.sabotaged.has(controller)) sabotageLedger(controller.ledger, day.sabotage);
   day.sabotaged.add(controller);
-  return createConfigurationService({ ledger: controller.ledger, clock: day.clock });
+  return createConfigurationService({ ...controller, clock: day.clock, log: createQuietLog().component('operator') });
 }
 
 function anyNode(day: Day): string {
--- a/src/sim/racing-zones.ts
+++ b/src/sim/racing-zones.ts
@@ -3,7 +3,7 @@
  * it is confirmed, and reads at any controller that the zone is as the last confirmed order says, until it sends the
  * next one. An order that was given up and acts late shows as a zone that reads otherwise.
  */
-import type { ConfigurationService } from '../coordination/configuration/configuration-service.js';
+import type { Caller, ConfigurationService } from '../coordination/configuration/configuration-service.js';
 import { delay, within } from '../transport/clock.js';
 import type { Clock } from '../transport/clock.js';
 import { below } from '../transport/rng.js';
@@ -27,6 +27,7 @@
 /** A caller waits this long for an answer, and so a sending is over well before its zone gets the next order. */
 const PATIENCE_MS = 1_000;
 const REST_MS = 3_000;
+const WAITS: Caller = { gone: () => false };
 /** Share of orders that go to two controllers at once. */
 const TWICE_SHARE = 0.4;
 
@@ -37,7 +38,7 @@
 async function orderOnce(operator: ZoneOperator, begun: boolean): Promise<boolean> {
   const service = operator.serviceOf(anyNode(operator));
   if (!service) return false;
-  const answer = await within(operator.clock, operator.patienceMs(), service.evacuate(operator.zone, begun));
+  const answer = await within(operator.clock, operator.patienceMs(), service.evacuate(operator.zone, begun, WAITS));
   return answer?.ok === true;
 }
 
--- a/src/state/forwarding/standstill.ts
+++ b/src/state/forwarding/standstill.ts
@@ -22,14 +22,16 @@
   private last: number | null = null;
   private holdUntil = 0;
 
+  constructor(private readonly holdMs: number) {}
+
   observe(now: number): number | null {
-    if (this.last !== null && now - this.last > GAP_MS) this.holdUntil = now + READ_TIMEOUT_MS;
+    if (this.last !== null && now - this.last > GAP_MS) this.holdUntil = now + this.holdMs;
     this.last = now;
     return now < this.holdUntil ? this.holdUntil : null;
   }
 }
 
-/** A detector that has not been called yet. */
-export function createStandstill(): Standstill {
-  return new GapStandstill();
+/** A detector that has not been called yet; the moment that it tells is `holdMs` after the end of a standstill. */
+export function createStandstill(holdMs = READ_TIMEOUT_MS): Standstill {
+  return new GapStandstill(holdMs);
 }
