--- a/standin-platform/check-workers.ts
+++ b/standin-platform/check-workers.ts
@@ -41,14 +41,11 @@
   for (const emptying of facts.emptyings) {
     for (const visit of facts.visits) {
       const at = visit.arrived.at;
-      if (
-        visit.arrived.zone !== emptying.zone ||
-        !counts(visit) ||
-        at <= emptying.from + facts.bounds.evacuateWithinMs ||
-        at >= emptying.until
-      )
-        continue;
-      if (facts.inTouch(edgeOf(facts, visit), at))
+      const due = emptying.from + facts.bounds.evacuateWithinMs;
+      if (visit.arrived.zone !== emptying.zone || !counts(visit) || at <= due || at >= emptying.until) continue;
+      const edge = edgeOf(facts, visit);
+      const isPastStretch = at > due + facts.bounds.stretchMaxMs && facts.inOuterTouch(edge, emptying.from, at);
+      if (isPastStretch || facts.inTouch(edge, at))
         note(
           'EVAC',
           `${visit.arrived.worker} in ${emptying.zone} got ${visit.arrived.attempt} ${Math.round(at - emptying.from)} ms after the evacuation`,
--- a/standin-platform/facts.ts
+++ b/standin-platform/facts.ts
@@ -1,5 +1,6 @@
 import { mappingFor } from './document.js';
 import type { ModelRoute } from './document.js';
+import { contactOf } from './contact.js';
 import { onlyOf } from './records.js';
 import type {
   Answered,
@@ -28,6 +29,7 @@
   readonly coldExcess: number;
   readonly coldMargin: number;
   readonly evacuateWithinMs: number;
+  readonly stretchMaxMs: number;
   readonly recoveryS: number;
 };
 
@@ -45,6 +47,7 @@
   coldExcess: 1.5,
   coldMargin: 5,
   evacuateWithinMs: 5_000,
+  stretchMaxMs: 6_000,
   recoveryS: 12,
 };
 
@@ -85,6 +88,7 @@
   readonly closingAt: number | null;
   readonly backAt: number | null;
   readonly inTouch: (edge: string, at: number) => boolean;
+  readonly inOuterTouch: (edge: string, from: number, at: number) => boolean;
   readonly mappings: (asked: Asked) => readonly ModelRoute[];
   readonly repeatable: (asked: Asked) => boolean;
 };
@@ -93,23 +97,16 @@
 
 export type Note = (rule: string, text: string) => void;
 
-type Span = { readonly edge: string | null; readonly from: number; readonly until: number };
-
 export function gather(records: readonly Rec[], bounds: Bounds): Facts {
   const visits = visitsOf(records);
   const requests = requestsOf(records, visits);
   const orders = ordersOf(records);
   const versions = versionsOf(orders);
-  const spans = spansOf(records, bounds);
+  const contact = contactOf(records, bounds);
   const bySeal = new Map<string, Visit>();
   for (const visit of visits) if (visit.ran) bySeal.set(visit.ran.seal, visit);
   const kinds = new Map<string, readonly ModelRoute[]>();
 
-  function inTouch(edge: string, at: number): boolean {
-    for (const span of spans)
-      if ((span.edge === null || span.edge === edge) && at >= span.from && at <= span.until) return false;
-    return true;
-  }
   function mappings(asked: Asked): readonly ModelRoute[] {
     const key = `${asked.host} ${asked.path}`;
     const known = kinds.get(key);
@@ -142,7 +139,8 @@
     emptyings: emptyingsOf(records),
     closingAt: timeOf('closing'),
     backAt: timeOf('back'),
-    inTouch,
+    inTouch: contact.inTouch,
+    inOuterTouch: contact.inOuterTouch,
     mappings,
     repeatable,
   };
@@ -235,10 +233,3 @@
     if (!evacuated.begin && evacuated.zone === began.zone && evacuated.at > began.at) return evacuated.at;
   return Infinity;
 }
-
-function spansOf(records: readonly Rec[], bounds: Bounds): readonly Span[] {
-  const out: Span[] = [];
-  for (const planned of onlyOf(records, 'planned'))
-    out.push({ edge: planned.core ? null : planned.edge, from: planned.at, until: planned.at + bounds.contactMs });
-  return out;
-}
--- a/standin-platform/operator.ts
+++ b/standin-platform/operator.ts
@@ -14,10 +14,13 @@
   readonly replace: (document: unknown, base: number, valid?: boolean) => Promise<Outcome>;
   readonly amend: (before: unknown, amendment: unknown, base: number, valid?: boolean) => Promise<Outcome>;
   readonly spoiled: (text: string, base: number) => Promise<Outcome>;
-  readonly evacuate: (zone: string, begin: boolean) => Promise<Outcome>;
+  readonly evacuate: (zone: string, begin: boolean, sending?: Sending) => Promise<Outcome>;
   readonly read: (forMs: number) => Promise<unknown>;
 };
 
+/** How one order is sent: to which node first, and how long it is sent again, if not as long as all orders. */
+export type Sending = { readonly first?: string | undefined; readonly withinMs?: number };
+
 export type OperatorDeps = {
   readonly clock: Clock;
   readonly rng: Rng;
@@ -63,11 +66,12 @@
     headers: Readonly<Record<string, string>>,
     body: string,
     withinMs: number,
+    first?: string,
   ): Promise<{ readonly outcome: Outcome; readonly reply: Reply | null }> {
     const until = clock.mono() + withinMs;
     let wait = FIRST_PAUSE_MS;
     let others = 0;
-    let line: string[] = [];
+    let line: string[] = first === undefined ? [] : [first];
     let status = 0;
     while (clock.mono() < until) {
       if (line.length === 0) line = shuffled(rng, deps.nodes());
@@ -99,7 +103,7 @@
   function spoiled(text: string, base: number): Promise<Outcome> {
     return submit(CALL.replace, text, base, { [DOCUMENT.number]: -1 }, false);
   }
-  async function evacuate(zone: string, begin: boolean): Promise<Outcome> {
+  async function evacuate(zone: string, begin: boolean, sending: Sending = {}): Promise<Outcome> {
     const name = `o-${(orders += 1)}`;
     records.note({ what: 'evacuated', order: name, zone, begin });
     const { outcome } = await order(
@@ -107,7 +111,8 @@
       `${CALL.evacuation}${zone}${begin ? CALL.begin : CALL.finish}`,
       {},
       '',
-      deps.withinMs,
+      sending.withinMs ?? deps.withinMs,
+      sending.first,
     );
     records.note({ what: 'settled', order: name, outcome: outcome.outcome, status: outcome.status });
     return outcome;
--- a/standin-platform/run.ts
+++ b/standin-platform/run.ts
@@ -5,6 +5,9 @@
 import { SCENARIOS } from './scenarios.js';
 import type { Site } from './site.js';
 
+export { SERIES } from './soak/plan.js';
+export { playSoak } from './soak/play.js';
+
 export type RunOptions = {
   readonly root: string;
   readonly deployFile: string;
--- a/standin-platform/site.ts
+++ b/standin-platform/site.ts
@@ -48,6 +48,8 @@
   readonly zone: string;
   readonly region: string;
   readonly ip: string;
+  /** Where operators call it; of use for controllers only. */
+  readonly control: string;
   readonly serves: readonly string[];
   readonly process: NodeProcess;
   readonly restart: (wipe?: boolean) => Promise<void>;
@@ -132,6 +134,7 @@
       zone,
       region: shape.zones[zone] ?? '',
       ip,
+      control: `${ip}:${PORT.control}`,
       serves: role.serves,
       process: own,
       restart,
@@ -159,7 +162,7 @@
   function controls(): readonly string[] {
     return serving('control_plane').map(at);
     function at(siteNode: SiteNode): string {
-      return `${siteNode.ip}:${PORT.control}`;
+      return siteNode.control;
     }
   }
 
@@ -174,7 +177,7 @@
     const addresses: Record<string, string> = {};
     if (node.serves.includes('edge'))
       Object.assign(addresses, { front: `${node.ip}:${PORT.front}`, readiness: `${node.ip}:${PORT.readiness}` });
-    if (node.serves.includes('control_plane')) addresses['control'] = `${node.ip}:${PORT.control}`;
+    if (node.serves.includes('control_plane')) addresses['control'] = node.control;
     if (node.serves.includes('registry')) addresses['directory'] = `${node.ip}:${PORT.directory}`;
     const limits = node.core
       ? { cpuShare: 0.81, cores: 2, memoryMb: 346, maxFds: 4_096, linkMbps: 1_000.5, diskMb: 128 }
@@ -206,7 +209,6 @@
           seedStalenessS: 3,
           reuseDelayS: 2,
           syncS: 4,
-          stretchMaxMs: 6_000,
           passWindowMs: 400,
           ttl_max_s: 5,
           ...BOUNDS,
--- a/tools/lint/documented.mjs
+++ b/tools/lint/documented.mjs
@@ -5,5 +5,6 @@
 export const DOCUMENTED = [
   'src/{base,protocol,state,coordination,transport,client,operator,programs,runbook}/**/*.ts',
   'platform/**/*.ts',
-  'standin-platform/{incoming,prefix-memory,worker-spec,worker}.ts',
+  'standin-platform/{contact,incoming,prefix-memory,worker-spec,worker}.ts',
+  'standin-platform/soak/*.ts',
 ];
--- a/tools/site.mjs
+++ b/tools/site.mjs
@@ -5,10 +5,13 @@
 import { join, resolve } from 'node:path';
 import { pathToFileURL } from 'node:url';
 import { leave, leaveWhenCut, onLeave, ROOT, run } from './children.mjs';
+import { soak } from './site-soak.mjs';
 
 leaveWhenCut();
 
 const args = process.argv.slice(2);
+const isSoak = args[0] === 'soak';
+const soakArgs = isSoak ? args.splice(0).slice(1) : [];
 function option(name, otherwise) {
   const at = args.indexOf(`--${name}`);
   return at < 0 ? otherwise : Number(args.splice(at, 2)[1]);
@@ -37,12 +40,14 @@
   target: 'node20',
   logLevel: 'warning',
 });
-const { deployBuild, runScenarios, scenarioNames } = await import(pathToFileURL(outfile).href);
+const program = await import(pathToFileURL(outfile).href);
+if (isSoak) await soak(soakArgs, program);
+const { deployBuild, runScenarios, scenarioNames } = program;
 const names = scenarioNames();
 const unknown = args.filter((a) => !names.includes(a));
 if (list || unknown.length > 0) {
   process.stdout.write(
-    `use: node tools/site.mjs [--rate N] [--seed N] [--built | --clean] [--deploy FILE] [scenario...]\nscenarios: ${names.join(', ')}\n`,
+    `use: node tools/site.mjs [--rate N] [--seed N] [--built | --clean] [--deploy FILE] [scenario...]\n     node tools/site.mjs soak --help\nscenarios: ${names.join(', ')}\n`,
   );
   await leave(list ? 0 : 2);
 }
