Soak: callers use connections until they end; LOST for streams taken late

A caller of a soak run goes on using a kept connection whatever the directory says, as long as the proxy's process keeps it.

--- a/standin-platform/caller.ts
+++ b/standin-platform/caller.ts
@@ -43,6 +43,8 @@
   readonly region: string;
   readonly directories: readonly string[];
   readonly keepConnections: boolean;
+  /** Goes on using a kept connection until its other side ends it, whatever the directory says. */
+  readonly ignoresRemoval?: boolean;
   readonly ttlFactor: number;
   readonly ttlMaxS: number;
 };
@@ -111,10 +113,13 @@
   }
   function leaveOthers(): void {
     for (const connection of idle.splice(0)) {
-      if (addresses.includes(connection.address) && connection.usable()) idle.push(connection);
+      if (mayKeep(connection)) idle.push(connection);
       else connection.close();
     }
   }
+  function mayKeep(connection: Connection): boolean {
+    return connection.usable() && (spec.ignoresRemoval === true || addresses.includes(connection.address));
+  }
   async function resolved(): Promise<readonly string[]> {
     if (clock.mono() < freshUntil && addresses.length > 0) return addresses;
     asking ??= refresh();
@@ -241,8 +246,7 @@
       onSent,
     );
     note(attempt, answer, events.seen());
-    if (spec.keepConnections && !isDirect && connection.usable() && addresses.includes(connection.address))
-      idle.push(connection);
+    if (spec.keepConnections && !isDirect && mayKeep(connection)) idle.push(connection);
     else connection.close();
     if (answer.end !== 'whole') failed.set(connection.address, clock.mono() + FAILED_MS);
     const seen = events.seen();
--- a/standin-platform/check-requests.ts
+++ b/standin-platform/check-requests.ts
@@ -4,6 +4,8 @@
 
 const PROMISES: readonly number[] = [408, 421, 429, 503];
 const BREAKS: readonly string[] = ['brokenOff', 'spoiled', 'crashed'];
+/** What a proxy takes later than this after it was told to stop has to end, however long its worker is at work. */
+const LATE_AFTER_STOP_MS = 3_000;
 const NOT_DENIED: readonly number[] = [408, 421, 429];
 
 export function checkMixed(facts: Facts, note: Note): void {
@@ -137,7 +139,8 @@
         continue;
       if (planned.some(isUnplanned) || facts.visits.some(brokeOff)) continue;
       const passedOn = request.visits.length > 0;
-      const stillAtWork = passedOn && first.at > plan.at + gracePeriodS * 500;
+      const stillAtWork =
+        passedOn && first.at > plan.at + gracePeriodS * 500 && request.asked.at <= plan.at + LATE_AFTER_STOP_MS;
       if (!stillAtWork && (passedOn || (request.sentAt !== null && first.at > request.sentAt + lossSlackMs)))
         note('LOST', `${id} was cut by ${plan.edge} while that one was being stopped`);
       function isUnplanned(other: (typeof planned)[number]): boolean {
--- a/standin-platform/check.test.ts
+++ b/standin-platform/check.test.ts
@@ -461,6 +461,19 @@
         answered({ end: 'cut' }),
       ],
     ],
+    [
+      'LOST',
+      'a run cut at the end of an edge that took it late',
+      [
+        ...START,
+        { what: 'planned', at: 5_005, edge: 'e1', core: false, fault: 'term' },
+        asked({ at: 8_006 }),
+        arrived({ at: 8_010 }),
+        ran({ at: 8_011 }),
+        finished({ at: 12_500, end: 'dropped' }),
+        answered({ at: 12_500, end: 'cut' }),
+      ],
+    ],
     [
       'ACKS',
       'a proper order left without a clear answer',
--- a/standin-platform/site.ts
+++ b/standin-platform/site.ts
@@ -87,6 +87,8 @@
   readonly root: string;
   readonly deployFile: string;
   readonly shape: Shape;
+  /** Callers who keep connections use them until they are ended, instead of leaving proxies that are not named any more. */
+  readonly ignoreRemovals?: boolean;
 };
 
 export async function startSite(deps: SiteDeps): Promise<Site | null> {
@@ -259,6 +261,7 @@
               region: shape.zones[zone] ?? '',
               directories,
               keepConnections,
+              ignoresRemoval: deps.ignoreRemovals === true,
               ttlFactor: keepConnections ? 1 : 3,
               ttlMaxS: 5,
             },
--- a/standin-platform/soak/play.ts
+++ b/standin-platform/soak/play.ts
@@ -47,7 +47,7 @@
   const clock = createClock();
   const shape = { ...SMALL, edgesPerZone: options.edgesPerZone };
   const { root, deployFile } = options;
-  const site = await startSite({ clock, rng: createRng(options.seed), root, deployFile, shape });
+  const site = await startSite({ clock, rng: createRng(options.seed), root, deployFile, shape, ignoreRemovals: true });
   if (!site) return failedBefore('No loopback net is free.');
   options.onSite(site);
   if (!(await site.up())) {
