Test of the judge: faults last until they have struck, not until requests were asked

Seen: "the judge names a false promise and a foreign model" failed once of 4 on arm64, with CONFIG and ROUTE and no REFUSED.

Cause: the test lets workers lose answers until 40 requests were asked, then break them off until 20 more were. Edges that are starved pass these on only after the faults are over, so no promise is ever false. Brought about by standing the edges still for those 60 requests: 3 of 3 failed just so. Neither a stall of the test's own process (6 of 6 held) nor 30 busy processes (4 of 4 held) did it. CONFIG belongs there: a foreign model is also one that the newer version does not allow.

The checks stay.

--- a/standin-platform/site.test.ts
+++ b/standin-platform/site.test.ts
@@ -43,6 +43,17 @@
   return site;
 }
 
+/** Once workers have broken off so many answers to run-once requests: those asked may still wait at a starved edge. */
+function brokenOff(s: Site, count: number): Promise<unknown> {
+  const visits = new Set<string>();
+  let left = count;
+  return s.records.until((rec) => {
+    if (rec.what === 'arrived' && rec.path === '/book/2f') visits.add(rec.visit);
+    if (rec.what === 'finished' && rec.end === 'brokenOff' && visits.has(rec.visit)) left -= 1;
+    return left <= 0;
+  });
+}
+
 async function troubled(s: Site): Promise<ReturnType<typeof reportOf>> {
   const loading = s.load({ perS: 60, forMs: 2_500 });
   const [llm, , web] = s.workers;
@@ -50,8 +61,10 @@
   await s.records.until((r) => r.what === 'ran');
   for (const w of s.workers) w.worker.fault({ mode: 'lostAnswer', share: 0.6 });
   await s.asked(40);
+  await Promise.race([brokenOff(s, 3), loading]);
   for (const w of s.workers) w.worker.fault({ mode: 'breakOff', share: 0.5 });
   await s.asked(20);
+  await Promise.race([brokenOff(s, 5), loading]);
   for (const w of s.workers) w.worker.fault(null);
   s.drainWorker(llm, null);
   const moved = {
