A stopping proxy judges late streams by the pace of those that ended just now

Cause: whether a stream ends in time was guessed by a fixed 600 ms and 10 ms a token, while busy workers took 13 ms.

Change: the relay keeps for each model how much slower than the guess streams ended in the last 10 s, waiting included, and expects the next at the slowest of them and a quarter more, never faster than the guess. What would end late gets 503.

Before: the new test of relay.test.ts fails (the stream is taken).

--- a/src/coordination/forwarding/relay.test.ts
+++ b/src/coordination/forwarding/relay.test.ts
@@ -681,6 +681,22 @@
   }
 });
 
+// It guessed by a fixed pace, and broke off at its end what busy workers had not finished.
+test('a proxy that ends soon takes a stream only if it will be over before at the pace of late streams', async () => {
+  const r = await rig({ kind: 'stream', deadlineMs: 15_000, aimMs: 800 }, [entry('w')]);
+  const headers = { [W.tokens]: '600,100' };
+  r.ask(headers);
+  await r.world.advance(3_000);
+  sealed(r.sent[0]!, 'id: 1\ndata: x\n\n');
+  r.sent[0]!.events.end();
+  await r.world.advance(1);
+  r.endWithin(3_500);
+  const { answer } = r.ask(headers);
+  await r.world.advance(1);
+  expect(answer.status).toBe(503);
+  expect(r.sent).toHaveLength(1);
+});
+
 test('a second attempt at the same worker goes on a new connection, where no answer to the first can be due', async () => {
   const r = await rig({ kind: 'once', attempts: 3 }, [entry('w')]);
   r.ask();
--- a/src/coordination/forwarding/relay.ts
+++ b/src/coordination/forwarding/relay.ts
@@ -11,6 +11,7 @@
 import type { EdgeTuning } from '../../state/forwarding/edge-tuning.js';
 import type { MatchedRoute, RouteTable } from '../../state/configuration/route-table.js';
 import { createStandstill } from '../../state/forwarding/standstill.js';
+import { createStreamPace } from '../../state/forwarding/stream-pace.js';
 import type { SelectionRequest, WorkerRegistry } from '../../state/discovery/worker-registry.js';
 import { delay } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
@@ -23,7 +24,7 @@
 import type { CallerResponses } from './caller-responses.js';
 import { createFinalResponses } from './final-responses.js';
 import type { FinalResponses } from './final-responses.js';
-import { createRelayedRequest, expectedEnd } from './relayed-request.js';
+import { createRelayedRequest, expectedEnd, usualStreamMs } from './relayed-request.js';
 import type { RelayedRequest } from './relayed-request.js';
 import { createUnresponsiveWorkerWatch } from '../discovery/unresponsive-worker-watch.js';
 import { createWorkerQueue } from './worker-queue.js';
@@ -83,6 +84,7 @@
   };
 
   private readonly standstill = createStandstill();
+  private readonly pace = createStreamPace();
   private readonly answers: CallerResponses;
   private readonly last: FinalResponses;
   private readonly queue: WorkerQueue;
@@ -173,7 +175,7 @@
     else {
       const request = createRelayedRequest(this.deps.headerNames, this.deps.rng, incoming, route, id, body, cameAt);
       const lastEndAt = this.deps.lastEndAt();
-      if (lastEndAt !== null && expectedEnd(request, this.deps.clock.mono()) > lastEndAt) {
+      if (lastEndAt !== null && expectedEnd(request, this.deps.clock.mono(), this.pace) > lastEndAt) {
         this.last.leaving(incoming);
         return;
       }
@@ -232,6 +234,7 @@
         return;
       }
       const end = await this.send(request, reserved);
+      if (end.outcome.tag === 'answered') this.recordPace(request);
       const decision = decide(end.outcome, this.situationOf(request));
       if (decision.tag !== 'repeat') {
         this.last.decided(request, end, decision);
@@ -250,6 +253,13 @@
     return end;
   }
 
+  /** Waiting for a worker counts: the next stream waits as well. */
+  private recordPace(request: RelayedRequest): void {
+    if (!request.stream) return;
+    const now = this.deps.clock.mono();
+    this.pace.record(request.model, usualStreamMs(request), now - request.cameAt, now);
+  }
+
   private situationOf(request: RelayedRequest): RequestSituation {
     const acquireAttempt = (): boolean => {
       return request.attempts < request.route.settings.attempts && this.reserve(request);
--- a/src/coordination/forwarding/relayed-request.ts
+++ b/src/coordination/forwarding/relayed-request.ts
@@ -9,6 +9,7 @@
 import type { RouteSettings } from '../../state/configuration/serving.js';
 import type { OpaqueRequest } from '../../transport/opaque-http.js';
 import type { Rng } from '../../transport/rng.js';
+import type { StreamPace } from '../../state/forwarding/stream-pace.js';
 
 /** A request under way. Times are milliseconds of the process's monotonic clock. */
 export type RelayedRequest = {
@@ -89,10 +90,17 @@
   return request.route.settings.rank ?? DEFAULT_RANK;
 }
 
-/** When a request that begins now is over at the latest, as far as can be told beforehand. */
-export function expectedEnd(request: RelayedRequest, now: number): number {
+/** How long a stream of this size takes while workers are not busy, in milliseconds. */
+export function usualStreamMs(request: RelayedRequest): number {
+  return STREAM_START_MS + STREAM_TOKEN_MS * request.outTokens;
+}
+
+/** When a request that begins now is over at the latest, as far as can be told by what streams take just now. */
+export function expectedEnd(request: RelayedRequest, now: number, pace: StreamPace): number {
   const { aimMs } = request.route.settings;
-  const takes = request.stream ? STREAM_START_MS + STREAM_TOKEN_MS * request.outTokens : 2 * (aimMs ?? STREAM_START_MS);
+  const takes = request.stream
+    ? pace.expect(request.model, usualStreamMs(request), now)
+    : 2 * (aimMs ?? STREAM_START_MS);
   return Math.min(request.deadlineAt, now + takes);
 }
 
