The changes back of a configuration copy each table once, not once for each change

Cause: `changesBack` applied each change by itself, and each application copied the whole table of routes.

Change: both it and `withChanges` work on one tree that copies a table once.

--- a/src/state/configuration/settings-tree.test.ts
+++ b/src/state/configuration/settings-tree.test.ts
@@ -61,6 +61,19 @@
     }
   });
 
+  // Each change copied the whole table, so that a change of all routes stopped every process for seconds at once.
+  test('the changes back of a large table cost about as much as the changes themselves', () => {
+    const entries = Object.fromEntries(Array.from({ length: 3_000 }, (_, i) => [`r-${i}`, { at: i }]));
+    const changes = Object.keys(entries).map((name) => ({ path: ['routes', name], value: { at: -1 } }));
+    function timeOf(make: typeof withChanges | typeof changesBack): number {
+      const from = performance.now();
+      make({ routes: entries }, changes);
+      return performance.now() - from;
+    }
+    const forwardMs = Math.max(10, timeOf(withChanges));
+    expect(timeOf(changesBack)).toBeLessThan(50 * forwardMs);
+  });
+
   test('neither the tree nor the changes are touched, and what did not change is the same branch', () => {
     const base = { a: { x: 1, y: { z: 2 } }, b: { x: 1 } };
     const changes = [{ path: ['a', 'y'], value: { z: 3 } }, { path: ['a', 'y', 'w'], value: 4 }, { path: ['a', 'x'] }];
--- a/src/state/configuration/settings-tree.ts
+++ b/src/state/configuration/settings-tree.ts
@@ -158,43 +158,65 @@
   return Object.hasOwn(tree, key) ? tree[key] : undefined;
 }
 
-/** The tree after these changes; `base` is left as it is. */
-export function withChanges(base: unknown, changes: readonly Change[]): unknown {
-  const copies = new Set<unknown>();
-  function copied(at: unknown): Record<string, unknown> {
-    if (copies.has(at)) return at as Record<string, unknown>;
-    const made: Record<string, unknown> = isTable(at) ? { ...at } : {};
-    copies.add(made);
-    return made;
+/** A tree that takes changes one after the other; the one it began with is left as it is, each table copied once. */
+class ChangedTree {
+  private readonly copies = new Set<unknown>();
+
+  constructor(private root: unknown) {}
+
+  tree(): unknown {
+    return this.root;
   }
-  let root = base;
-  for (const change of changes) {
-    if (change.path.length === 0) {
-      root = change.value;
-      continue;
+
+  apply({ path, value }: Change): void {
+    const leaf = path.at(-1);
+    if (leaf === undefined) {
+      this.root = value;
+      return;
     }
-    let at = copied(root);
-    root = at;
-    for (const step of change.path.slice(0, -1)) {
+    const at = this.copiedTo(path.slice(0, -1));
+    if (value === undefined) delete at[leaf];
+    else define(at, leaf, value);
+  }
+
+  /** The table at the end of a path, which may be changed. */
+  private copiedTo(path: readonly string[]): Record<string, unknown> {
+    let at = this.copied(this.root);
+    this.root = at;
+    for (const step of path) {
       const down = own(at, step);
-      const made = copied(down);
+      const made = this.copied(down);
       if (made !== down) define(at, step, made);
       at = made;
     }
-    const leaf = change.path[change.path.length - 1] as string;
-    if (change.value === undefined) delete at[leaf];
-    else define(at, leaf, change.value);
+    return at;
+  }
+
+  private copied(at: unknown): Record<string, unknown> {
+    if (this.copies.has(at)) return at as Record<string, unknown>;
+    const made: Record<string, unknown> = isTable(at) ? { ...at } : {};
+    this.copies.add(made);
+    return made;
   }
-  return root;
 }
 
-/** The changes that lead from `withChanges(base, changes)` back to `base`. */
+/** The tree after these changes; `base` is left as it is. */
+export function withChanges(base: unknown, changes: readonly Change[]): unknown {
+  const changed = new ChangedTree(base);
+  for (const change of changes) changed.apply(change);
+  return changed.tree();
+}
+
+/**
+ * The changes that lead from `withChanges(base, changes)` back to `base`. A table that a change takes out of the tree is
+ * not changed any more, so it may stand in the result as it is.
+ */
 export function changesBack(base: unknown, changes: readonly Change[]): Change[] {
   const back: Change[] = [];
-  let tree = base;
+  const changed = new ChangedTree(base);
   for (const change of changes) {
-    back.push(changeBack(tree, change.path));
-    tree = withChanges(tree, [change]);
+    back.push(changeBack(changed.tree(), change.path));
+    changed.apply(change);
   }
   return back.reverse();
 }
