--- a/tools/real-time-tests.mjs
+++ b/tools/real-time-tests.mjs
@@ -10,7 +10,7 @@
 const TEST_FILE = /\.test\.(ts|mjs)$/;
 const REAL_TIME_IMPORTS = /from 'node:(child_process|http|net)'/;
 const REAL_TIME_FACTORIES =
-  /\bcreate(Clock|TcpWire|GotHttpClient|ExpressHttpServer|OpaqueHttpServer|ConnectionPool|ListReader)\(/;
+  /\b(create(Clock|TcpWire|GotHttpClient|ExpressHttpServer|OpaqueHttpServer|ConnectionPool|ListReader)|new RoleProcesses)\(/;
 
 /** Returns whether the source of a test uses processes, sockets or the system clock directly. */
 export function usesRealTime(text) {
