A process serves on when its log can not be written

Callers saw a process that took a whole core, answered nobody and ignored SIGTERM once the reader of its log was gone, or the disk of its log full. Cause: a failed write to standard error is an error event; without a listener it becomes an uncaught exception, whose handler logs it, which fails again.

The log now goes through a sink that listens for errors, drops what can't be written, keeps at most about a megabyte for a slow reader, and tells the count of dropped lines once it writes again. Both log implementations use it, so the daemons of the command line are mended too.

--- a/src/transport/line-log.ts
+++ b/src/transport/line-log.ts
@@ -3,16 +3,17 @@
  * they start from a snapshot of the process and have to stay small.
  */
 
-import { formatTextLine } from './log-line.js';
+import { droppedLine, formatTextLine } from './log-line.js';
 import type { LogFields } from './log-line.js';
+import { createStderrSink } from './log-sink.js';
 import type { Log, LogRoot } from './log.js';
 
-function write(level: string, component: string, event: string, fields: LogFields = {}): void {
-  process.stderr.write(formatTextLine({ time: new Date(), level, component, event, fields }));
-}
-
 /** Creates a log that writes each line immediately. */
 export function createLineLog(): LogRoot {
+  const sink = createStderrSink((count) => formatTextLine(droppedLine(count)));
+  function write(level: string, component: string, event: string, fields: LogFields = {}): void {
+    sink.write(formatTextLine({ time: new Date(), level, component, event, fields }));
+  }
   function component(name: string): Log {
     return {
       info: (event, fields) => write('info', name, event, fields),
--- a/src/transport/log-line.ts
+++ b/src/transport/log-line.ts
@@ -41,3 +41,8 @@
 export function formatJsonLine({ time, level, component, event, fields }: LogLine): string {
   return `${JSON.stringify({ time: time.toISOString(), level, component, event, ...fields })}\n`;
 }
+
+/** Returns the line that stands for `count` lines that the log dropped because it could not write them. */
+export function droppedLine(count: number): LogLine {
+  return { time: new Date(), level: 'warn', component: 'log', event: 'log lines dropped', fields: { count } };
+}
--- a/src/transport/log.ts
+++ b/src/transport/log.ts
@@ -5,8 +5,9 @@
 
 import { createConsola } from 'consola';
 import type { LogObject } from 'consola';
-import { formatJsonLine, formatTextLine } from './log-line.js';
+import { droppedLine, formatJsonLine, formatTextLine } from './log-line.js';
 import type { LogFields, LogFormat, LogLine } from './log-line.js';
+import { createStderrSink } from './log-sink.js';
 
 export type { LogFields } from './log-line.js';
 
@@ -32,12 +33,13 @@
 /** Creates a log that writes to standard error. */
 export function createLogRoot(level: LogLevel, format: LogFormat = 'text'): LogRoot {
   const formatLine = format === 'json' ? formatJsonLine : formatTextLine;
+  const sink = createStderrSink((count) => formatLine(droppedLine(count)));
   function write(entry: LogObject): void {
-    process.stderr.write(formatLine(lineOf(entry)));
+    sink.write(formatLine(lineOf(entry)));
   }
-  const sink = createConsola({ level: LEVELS[level], reporters: [{ log: write }] });
+  const root = createConsola({ level: LEVELS[level], reporters: [{ log: write }] });
   function component(name: string): Log {
-    const tagged = sink.withTag(name);
+    const tagged = root.withTag(name);
     return {
       info: (event, fields = {}) => tagged.info(event, fields),
       warn: (event, fields = {}) => tagged.warn(event, fields),
--- a/standin-platform/role-process.ts
+++ b/standin-platform/role-process.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { readDeployFile } from './deploy-file.js';
+import type { Role } from './deploy-file.js';
 
 /** The roles of the deploy file. */
 export const ROLE_NAMES = ['controller', 'proxy'] as const;
@@ -71,8 +72,7 @@
 
   /** Starts a process; its log is kept unless `stdio` sends it elsewhere. */
   start(name: RoleName, settingsFile: string, stdio: StdioOptions = 'pipe'): RoleProcess {
-    const role = this.roles.find((each) => each.name === name);
-    if (!role) throw new Error('no such role');
+    const role = this.roles.find((each) => each.name === name) as Role;
     const args = role.args.map((arg) => arg.replace(/^target\//, `${this.folder}/`));
     const env = { PATH: process.env['PATH'], MILLFIELD_CONFIG: settingsFile };
     const child = spawn(role.command, args, { env, stdio });
