A process waits for its ports when it starts, instead of ending at once

Callers saw a role that ended within 0.06 to 0.23 s with code 69 (3 on the command line) while one of its ports was still taken, so three ends in a second under a supervisor that restarts it. The port may be held by the process before, which has its grace period to stop, or by an outgoing connection of another process that uses it as its local port.

Cause: each of five servers tried once, and took every error of listen for 'address in use'. They now share transport/listen.ts: while an address is not available it tries again each 50 ms for up to 30 s, logs once that it does and with which code, and gives up early when the process is told to stop. Other errors keep their code (cannotListen).

--- a/src/programs/composition.ts
+++ b/src/programs/composition.ts
@@ -12,8 +12,10 @@
 import type { Clock } from '../transport/clock.js';
 import { createFolderDisk } from '../transport/disk.js';
 import type { Disk } from '../transport/disk.js';
-import { createExpressHttpServer } from '../transport/http-server.js';
+import { createExpressHttpServer, REQUEST_TIMEOUT_MS } from '../transport/http-server.js';
 import type { HttpClient, HttpServer } from '../transport/http.js';
+import { MAX_LISTEN_WAIT_MS } from '../transport/listen.js';
+import type { ListenRetry } from '../transport/listen.js';
 import { createLogRoot } from '../transport/log.js';
 import type { LogRoot } from '../transport/log.js';
 import { createMeters } from '../transport/meters.js';
@@ -53,8 +55,11 @@
   return lab !== null && (lab.switches !== undefined || Object.keys(lab.delayMs).length > 0);
 }
 
-/** Returns a container for these settings. Services are created on first use, so nothing is opened yet. */
-export function createContainer(settings: NodeSettings): Container {
+/**
+ * Returns a container for these settings. Services are created on first use, so nothing is opened yet. Listeners wait
+ * for their address unless `isStopping`.
+ */
+export function createContainer(settings: NodeSettings, isStopping: () => boolean): Container {
   const container = new Container({ defaultScope: 'Singleton' });
   const { lab } = settings;
   const tally = lab?.tally ? createFileTally(lab.tally, noExtra) : null;
@@ -64,6 +69,14 @@
       : { role: 'unknown', zone: settings.zone, region: settings.region };
   }
 
+  function listenRetry(): ListenRetry {
+    return {
+      clock: container.get<Clock>(SERVICE_IDS.clock),
+      log: container.get<LogRoot>(SERVICE_IDS.logs).component('listen'),
+      maxWaitMs: MAX_LISTEN_WAIT_MS,
+      isStopping,
+    };
+  }
   function makeLogs(): LogRoot {
     return createLogRoot(settings.logLevel, settings.logFormat);
   }
@@ -72,6 +85,7 @@
       container.get<LogRoot>(SERVICE_IDS.logs).component('wire'),
       WIRE_CONNECT_TIMEOUT_MS,
       tally && tally.meterOf(ownLocation()),
+      listenRetry(),
     );
     return hasNetworkFaults(lab)
       ? createSlowWire(wire, container.get<Clock>(SERVICE_IDS.clock), networkPaths(lab))
@@ -90,7 +104,8 @@
     return policies;
   }
   function makeHttpServer(): HttpServer {
-    return createExpressHttpServer(container.get<LogRoot>(SERVICE_IDS.logs).component('httpServer'));
+    const log = container.get<LogRoot>(SERVICE_IDS.logs).component('httpServer');
+    return createExpressHttpServer(log, REQUEST_TIMEOUT_MS, listenRetry());
   }
   function makeDisk(): Disk | null {
     if (settings.dataFolder === null) return null;
--- a/src/programs/daemons.ts
+++ b/src/programs/daemons.ts
@@ -5,7 +5,7 @@
 import type { NodeDeps, NodeIdentity } from '../coordination/node.js';
 import { startProxy } from '../coordination/proxy/proxy.js';
 import type { Result } from '../base/result.js';
-import { awaitStopSignal, stopAndExit, exitIfStartHangs } from '../transport/stop-signal.js';
+import { awaitStopSignal, stopAndExit, exitIfStartHangs, isStopRequested } from '../transport/stop-signal.js';
 import { surviveUncaughtErrors } from '../transport/uncaught-errors.js';
 import { createContainer, SERVICE_IDS } from './composition.js';
 import { EXIT } from './exit-codes.js';
@@ -38,9 +38,10 @@
 const STOP_TIMEOUT_MS = 10_000;
 const EXIT_SLACK_MS = 500;
 
+const LISTEN_ERRORS: ReadonlySet<string> = new Set(['addressInUse', 'cannotListen', 'badAddress', 'unreachable']);
+
 function startErrorExitCode(tag: string): ExitCode {
-  if (tag === 'addressInUse' || tag === 'badAddress' || tag === 'unreachable') return EXIT.cannotListen;
-  return EXIT.disk;
+  return LISTEN_ERRORS.has(tag) ? EXIT.cannotListen : EXIT.disk;
 }
 
 async function runDaemon(
@@ -63,11 +64,16 @@
   }
   const stopSignal = awaitStopSignal();
   const settings: NodeSettings = parsed.value;
-  const container = createContainer(settings);
+  const isStopping = isStopRequested(stopSignal);
+  const container = createContainer(settings, isStopping);
   const deps = container.get<NodeDeps>(SERVICE_IDS.deps);
   const log = deps.logs.component('start');
   const onStarted = exitIfStartHangs(log, deps.clock, stopSignal, STOP_TIMEOUT_MS);
   const started = await start(container.get<NodeIdentity>(SERVICE_IDS.identity), deps);
+  if (!started.ok && isStopping()) {
+    log.warn('exiting before the start was over', { error: JSON.stringify(started.error) });
+    process.exit(EXIT.ok);
+  }
   if (!started.ok) {
     printError(`millfield could not start: ${JSON.stringify(started.error)}`);
     process.exit(startErrorExitCode(started.error.tag));
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -10,18 +10,19 @@
 import { once } from 'node:events';
 import { isDeeperThan } from '../base/depth.js';
 import { describeError } from '../base/describe-error.js';
-import { portOf } from './close-server.js';
 import { STOP_IMMEDIATELY, HttpConnections } from './http-connections.js';
-import { err, ok } from '../base/result.js';
+import { ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type { HttpListener, HttpServer, HttpReply, HttpRequest, Route } from './http.js';
+import { listen } from './listen.js';
+import type { ListenRetry } from './listen.js';
 import type { Log } from './log.js';
-import { splitAddress } from './wire.js';
 import type { Address, WireError } from './wire.js';
 
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
 /** Time within which a request must have arrived completely. */
-const REQUEST_TIMEOUT_MS = 30_000;
+export const REQUEST_TIMEOUT_MS = 30_000;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const MAX_BODY_DEPTH = 64;
 
 function firstValues(from: Record<string, unknown>): Record<string, string> {
@@ -72,7 +73,8 @@
 class ExpressHttpServer implements HttpServer {
   constructor(
     private readonly log: Log,
-    private readonly requestTimeoutMs = REQUEST_TIMEOUT_MS,
+    private readonly requestTimeoutMs: number,
+    private readonly retry: ListenRetry | null,
   ) {}
 
   private mount(app: Express, route: Route): void {
@@ -130,45 +132,41 @@
     res.status(500).json({ error: { tag: 'internal' } });
   }
 
-  open(address: Address, routes: readonly Route[]): Promise<Result<HttpListener, WireError>> {
-    const hostPort = splitAddress(address);
-    if (!hostPort) return Promise.resolve(err({ tag: 'badAddress', address }));
-    const target = hostPort;
+  async open(address: Address, routes: readonly Route[]): Promise<Result<HttpListener, WireError>> {
+    const server = createServer(
+      {
+        requestTimeout: this.requestTimeoutMs,
+        headersTimeout: this.requestTimeoutMs,
+        connectionsCheckingInterval: Math.min(1_000, this.requestTimeoutMs / 4),
+      },
+      this.appFor(routes),
+    );
+    server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    const connections = new HttpConnections(server);
+    function close(limits = STOP_IMMEDIATELY): Promise<void> {
+      return connections.stop(limits);
+    }
+    const listening = await listen(server, address, this.retry);
+    if (!listening.ok) return listening;
+    return ok({ address: listening.value, close });
+  }
+
+  private appFor(routes: readonly Route[]): Express {
     const app = express();
     app.disable('x-powered-by');
     app.disable('etag');
     for (const route of routes) this.mount(app, route);
     app.use((_req, res) => this.unknownPath(_req, res));
     app.use((error: unknown, req: Request, res: Response, next: NextFunction) => this.failed(error, req, res, next));
-
-    const start = (resolve: (result: Result<HttpListener, WireError>) => void): void => {
-      const server = createServer(
-        {
-          requestTimeout: this.requestTimeoutMs,
-          headersTimeout: this.requestTimeoutMs,
-          connectionsCheckingInterval: Math.min(1_000, this.requestTimeoutMs / 4),
-        },
-        app,
-      );
-      server.keepAliveTimeout = 65_000;
-      function onListenError(): void {
-        resolve(err({ tag: 'addressInUse', address }));
-      }
-      const connections = new HttpConnections(server);
-      function close(limits = STOP_IMMEDIATELY): Promise<void> {
-        return connections.stop(limits);
-      }
-      function onListening(): void {
-        resolve(ok({ address: `${target.host}:${portOf(server, target.port)}`, close }));
-      }
-      server.once('error', onListenError);
-      server.listen(target.port, target.host, onListening);
-    };
-    return new Promise(start);
+    return app;
   }
 }
 
 /** Creates a server that logs to `log` and waits at most `requestTimeoutMs` for a complete request. */
-export function createExpressHttpServer(log: Log, requestTimeoutMs = REQUEST_TIMEOUT_MS): HttpServer {
-  return new ExpressHttpServer(log, requestTimeoutMs);
+export function createExpressHttpServer(
+  log: Log,
+  requestTimeoutMs = REQUEST_TIMEOUT_MS,
+  retry: ListenRetry | null = null,
+): HttpServer {
+  return new ExpressHttpServer(log, requestTimeoutMs, retry);
 }
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -4,9 +4,10 @@
 import type { Socket } from 'node:net';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import { portOf } from './close-server.js';
 import { STOP_IMMEDIATELY, HttpConnections } from './http-connections.js';
 import { hasTokenNames, isRequestTarget } from './http-syntax.js';
+import { listen } from './listen.js';
+import type { ListenRetry } from './listen.js';
 import type {
   ResponseWriter,
   BodyError,
@@ -16,11 +17,11 @@
   OpaqueRequest,
   RawHeaders,
 } from './opaque-http.js';
-import { splitAddress } from './wire.js';
 import type { Address, WireError } from './wire.js';
 
 const MAX_HEADER_BYTES = 65_536;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+const KEEP_ALIVE_TIMEOUT_MS = 15_000;
 const BAD_REQUEST = 400;
 const MALFORMED_BODY = JSON.stringify({ error: { tag: 'malformed' } });
 
@@ -132,63 +133,59 @@
   res.end(MALFORMED_BODY);
 }
 
+function limitedServer(onRequest: (req: IncomingMessage, res: ServerResponse) => void): Server {
+  const server = createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      noDelay: true,
+      requestTimeout: 0,
+    },
+    onRequest,
+  );
+  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+  return server;
+}
+
+function ignoreErrorsOf(socket: Socket): void {
+  function ignoreError(): void {}
+  socket.on('error', ignoreError);
+}
+
+function listenerOf(server: Server, connections: HttpConnections, address: Address): OpaqueListener {
+  function stopListening(): void {
+    if (server.listening) connections.stopListening();
+    connections.closeIdle();
+  }
+  function setLimits(limits: OpaqueLimits): void {
+    server.headersTimeout = limits.headerMs;
+    server.keepAliveTimeout = limits.idleMs;
+  }
+  return {
+    address,
+    close: () => connections.stop(STOP_IMMEDIATELY),
+    stopListening,
+    setLimits,
+    inFlight: () => connections.inFlight(),
+    rejectIncomplete: (afterMs) => connections.rejectIncomplete(afterMs),
+  };
+}
+
 /** Creates a server, which listens once `open` is called. */
-export function createOpaqueHttpServer(): OpaqueHttpServer {
-  function open(address: Address, handle: (req: OpaqueRequest) => void): Promise<Result<OpaqueListener, WireError>> {
-    const hostPort = splitAddress(address);
-    if (!hostPort) return Promise.resolve(err({ tag: 'badAddress', address }));
-    const target = hostPort;
+export function createOpaqueHttpServer(retry: ListenRetry | null = null): OpaqueHttpServer {
+  async function open(
+    address: Address,
+    handle: (req: OpaqueRequest) => void,
+  ): Promise<Result<OpaqueListener, WireError>> {
     function onRequest(req: IncomingMessage, res: ServerResponse): void {
       if (isForwardable(req)) handle(createRequest(req, res));
       else rejectMalformed(res);
     }
-    const server: Server = createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-        noDelay: true,
-        requestTimeout: 0,
-      },
-      onRequest,
-    );
+    const server = limitedServer(onRequest);
     const connections = new HttpConnections(server);
-    server.keepAliveTimeout = 15_000;
-    function onConnection(socket: Socket): void {
-      function ignoreError(): void {}
-      socket.on('error', ignoreError);
-    }
-    server.on('connection', onConnection);
-    function start(resolve: (result: Result<OpaqueListener, WireError>) => void): void {
-      function onListenError(): void {
-        resolve(err({ tag: 'addressInUse', address }));
-      }
-      function close(): Promise<void> {
-        return connections.stop(STOP_IMMEDIATELY);
-      }
-      function stopListening(): void {
-        if (server.listening) connections.stopListening();
-        connections.closeIdle();
-      }
-      function limit(limits: OpaqueLimits): void {
-        server.headersTimeout = limits.headerMs;
-        server.keepAliveTimeout = limits.idleMs;
-      }
-      function onListening(): void {
-        resolve(
-          ok({
-            address: `${target.host}:${portOf(server, target.port)}`,
-            close,
-            stopListening,
-            setLimits: limit,
-            inFlight: () => connections.inFlight(),
-            rejectIncomplete: (afterMs) => connections.rejectIncomplete(afterMs),
-          }),
-        );
-      }
-      server.once('error', onListenError);
-      server.listen({ port: target.port, host: target.host, backlog: 511 }, onListening);
-    }
-    return new Promise(start);
+    server.on('connection', ignoreErrorsOf);
+    const listening = await listen(server, address, retry);
+    return listening.ok ? ok(listenerOf(server, connections, listening.value)) : listening;
   }
   return { open };
 }
--- a/src/transport/stop-signal.ts
+++ b/src/transport/stop-signal.ts
@@ -20,6 +20,13 @@
   });
 }
 
+/** Returns a function that tells whether the signal has been received. */
+export function isStopRequested(signal: Promise<StopSignal>): () => boolean {
+  let isRequested = false;
+  void signal.then(() => (isRequested = true));
+  return () => isRequested;
+}
+
 /**
  * Ends the process `withinMs` after the signal if it is still starting then; nothing else would end it. The caller
  * calls the returned function once the process has started.
--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -7,19 +7,19 @@
 
 import { createConnection, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { closeServer, portOf } from './close-server.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
+import { splitAddress } from './address.js';
+import type { Address } from './address.js';
+import { listen } from './listen.js';
+import type { ListenError, ListenRetry } from './listen.js';
 import type { Log } from './log.js';
 
-/** A host and a port in the form "host:port". */
-export type Address = string;
+export type { Address, HostPort } from './address.js';
+export { splitAddress } from './address.js';
 
 /** Why a connection or listener could not be opened. */
-export type WireError =
-  | { readonly tag: 'unreachable'; readonly address: Address }
-  | { readonly tag: 'addressInUse'; readonly address: Address }
-  | { readonly tag: 'badAddress'; readonly address: Address };
+export type WireError = ListenError | { readonly tag: 'unreachable'; readonly address: Address };
 
 /** Events of a connection. `bytesReceived` is called for any bytes received, also those of an incomplete frame. */
 export type ConnectionEvents = {
@@ -51,18 +51,6 @@
   readonly connections: (peer: Address, dialled: boolean, step: 1 | -1) => void;
 };
 
-/** The host and the port of an address. */
-export type HostPort = { readonly host: string; readonly port: number };
-
-/** Splits an address into host and port; returns null if it is not a valid address. */
-export function splitAddress(address: Address): HostPort | null {
-  const at = address.lastIndexOf(':');
-  if (at <= 0) return null;
-  const port = Number(address.slice(at + 1));
-  if (!Number.isInteger(port) || port < 0 || port > 65535) return null;
-  return { host: address.slice(0, at), port };
-}
-
 /** In UTF-16 code units. */
 const MAX_FRAME_LENGTH = 64 * 1024 * 1024;
 /** A peer with more unread data than this is disconnected. */
@@ -162,45 +150,21 @@
   constructor(
     private readonly log: Log,
     private readonly dialTimeoutMs: number,
-    private readonly meter: WireMeter | null = null,
+    private readonly meter: WireMeter | null,
+    private readonly retry: ListenRetry | null,
   ) {}
 
-  listen(address: Address, onConnection: (connection: Connection) => void): Promise<Result<Listener, WireError>> {
-    const hostPort = splitAddress(address);
-    if (!hostPort) return Promise.resolve(err({ tag: 'badAddress', address }));
-    const target = hostPort;
-
-    const start = (resolve: (result: Result<Listener, WireError>) => void): void => {
-      const openSockets = new Set<Socket>();
-
-      const onSocket = (sock: Socket): void => {
-        openSockets.add(sock);
-        function onClose(): void {
-          openSockets.delete(sock);
-        }
-        sock.on('close', onClose);
-        onConnection(
-          new TcpConnection(sock, `${sock.remoteAddress ?? '?'}:${sock.remotePort ?? 0}`, false, this.log, this.meter),
-        );
-      };
-      const server: Server = createServer(onSocket);
-      function onListenError(): void {
-        resolve(err({ tag: 'addressInUse', address }));
-      }
-      function destroyAll(): void {
-        for (const sock of openSockets) sock.destroy();
-      }
-      function close(): Promise<void> {
-        return closeServer(server, destroyAll);
-      }
-      function onListening(): void {
-        server.off('error', onListenError);
-        resolve(ok({ address: `${target.host}:${portOf(server, target.port)}`, close }));
-      }
-      server.once('error', onListenError);
-      server.listen(target.port, target.host, onListening);
+  async listen(address: Address, onConnection: (connection: Connection) => void): Promise<Result<Listener, WireError>> {
+    const openSockets = new Set<Socket>();
+    const onSocket = (socket: Socket): void => {
+      openSockets.add(socket);
+      socket.on('close', () => openSockets.delete(socket));
+      const peer = `${socket.remoteAddress ?? '?'}:${socket.remotePort ?? 0}`;
+      onConnection(new TcpConnection(socket, peer, false, this.log, this.meter));
     };
-    return new Promise(start);
+    const server = createServer(onSocket);
+    const listening = await listen(server, address, this.retry);
+    return listening.ok ? ok({ address: listening.value, close: () => closeServer(server, openSockets) }) : listening;
   }
 
   dial(address: Address): Promise<Result<Connection, WireError>> {
@@ -230,7 +194,20 @@
   }
 }
 
-/** Creates connections over TCP. Connecting takes at most `dialTimeoutMs`. */
-export function createTcpWire(log: Log, dialTimeoutMs: number, meter: WireMeter | null = null): Wire {
-  return new TcpWire(log, dialTimeoutMs, meter);
+/** Stops listening and closes the connections; resolves when all are closed. */
+function closeServer(server: Server, connections: Iterable<Socket>): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    for (const socket of connections) socket.destroy();
+  });
+}
+
+/** Creates connections over TCP. Connecting takes at most `dialTimeoutMs`; `retry` says how to wait for an address. */
+export function createTcpWire(
+  log: Log,
+  dialTimeoutMs: number,
+  meter: WireMeter | null = null,
+  retry: ListenRetry | null = null,
+): Wire {
+  return new TcpWire(log, dialTimeoutMs, meter, retry);
 }
