--- a/src/programs/daemons.ts
+++ b/src/programs/daemons.ts
@@ -6,7 +6,7 @@
 import { startProxy } from '../coordination/proxy/proxy.js';
 import type { Result } from '../base/result.js';
 import { awaitStopSignal, stopAndExit, exitIfStartHangs, isStopRequested } from '../transport/stop-signal.js';
-import { surviveUncaughtErrors } from '../transport/uncaught-errors.js';
+import { handleUncaughtErrors } from '../transport/uncaught-errors.js';
 import { createContainer, SERVICE_IDS } from './composition.js';
 import { EXIT } from './exit-codes.js';
 import type { ExitCode } from './exit-codes.js';
@@ -68,6 +68,7 @@
   const container = createContainer(settings, isStopping);
   const deps = container.get<NodeDeps>(SERVICE_IDS.deps);
   const log = deps.logs.component('start');
+  const onServing = handleUncaughtErrors(log, EXIT.internal);
   const onStarted = exitIfStartHangs(log, deps.clock, stopSignal, STOP_TIMEOUT_MS);
   const started = await start(container.get<NodeIdentity>(SERVICE_IDS.identity), deps);
   if (!started.ok && isStopping()) {
@@ -79,7 +80,7 @@
     process.exit(startErrorExitCode(started.error.tag));
   }
   onStarted();
-  surviveUncaughtErrors(log);
+  onServing();
   const signal = await stopSignal;
   log.info('stopping', { signal, withinMs: STOP_TIMEOUT_MS });
   await stopAndExit(log, deps.clock, STOP_TIMEOUT_MS + EXIT_SLACK_MS, () => started.value.stop(STOP_TIMEOUT_MS));
--- a/src/transport/uncaught-errors.ts
+++ b/src/transport/uncaught-errors.ts
@@ -1,15 +1,25 @@
-/** Prevents an error in one callback from ending a process that serves many requests. */
+/** Handles errors that no caller catches: they end a process that is still starting, but not one that serves. */
 import { describeError } from '../base/describe-error.js';
 import type { Log } from './log.js';
 
 /**
- * Logs uncaught errors from now on and lets the process continue: the request or task that failed ends by its own
- * deadline. Call it once the process serves, because an earlier error should end the process.
+ * Handles uncaught errors from now on. An error before the returned function is called ends the process with
+ * `startErrorExitCode`, because a process that is half started would neither serve nor be restarted. Later errors are
+ * logged only: the request or task that failed ends by its own deadline.
  */
-export function surviveUncaughtErrors(log: Log): void {
+export function handleUncaughtErrors(log: Log, startErrorExitCode: number): () => void {
+  let hasStarted = false;
   function onUncaught(error: unknown): void {
-    log.error('uncaught exception', { error: describeError(error) });
+    if (hasStarted) {
+      log.error('uncaught exception', { error: describeError(error) });
+      return;
+    }
+    log.error('uncaught exception during the start', { error: describeError(error) });
+    process.exit(startErrorExitCode);
   }
   process.on('uncaughtException', onUncaught);
   process.on('unhandledRejection', onUncaught);
+  return () => {
+    hasStarted = true;
+  };
 }
