A proxy that waits for its address takes its routes, and is not ready before it listens

Routes that arrive from a controller set the limits of the listener, which is not there before its address is. Before the wait for addresses nothing arrived in between, as listening took no turn of the event loop; so this is a fault that the wait uncovered, and not known to be older.

The limits are set once the listener is there. The proxy with admission tokens reported itself ready from its first report on, also before it listened; it does now once it listens.

--- a/src/coordination/proxy/opaque-proxy.test.ts
+++ b/src/coordination/proxy/opaque-proxy.test.ts
@@ -7,7 +7,7 @@
 import type { Report } from '../../state/distribution/report.js';
 import type { Serving } from '../../state/configuration/serving.js';
 import { createQuietLog } from '../../transport/log.js';
-import type { OpaqueRequest, ConnectionPool, SendEvents } from '../../transport/opaque-http.js';
+import type { ConnectionPool, OpaqueLimits, OpaqueRequest, SendEvents } from '../../transport/opaque-http.js';
 import { createRng } from '../../transport/rng.js';
 import { startOpaqueProxy } from './opaque-proxy.js';
 
@@ -20,7 +20,8 @@
   models: { m: { at: 0, probePath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
 };
 
-async function createHarness(seed: number) {
+/** `isConfiguredBeforeListening`: the first configuration arrives while the proxy still waits for its front address. */
+async function createHarness(seed: number, isConfiguredBeforeListening = false) {
   const core = createSimCore(seed, { controllers: 3, seeds: 3, regionMs: 20 });
   core.startAll();
   const names = core.nodes.map((n) => n.name);
@@ -43,6 +44,9 @@
   const httpServers: ((req: OpaqueRequest) => void)[] = [];
   const stoppedListening: number[] = [];
   const refusals: { at: number; afterMs: number }[] = [];
+  const limits: OpaqueLimits[] = [];
+  let onConfigured = (): void => undefined;
+  const configured = new Promise<void>((resolve) => (onConfigured = resolve));
   let unsentCount = 0;
   let hasList = true;
   let notifyListChanged = (): void => undefined;
@@ -65,9 +69,10 @@
       tuning: EDGE_TUNING,
       connectionPool,
       httpServer: {
-        open: (address, handle) => {
+        open: async (address, handle) => {
           httpServers.push(handle);
-          return Promise.resolve({
+          if (isConfiguredBeforeListening) await configured;
+          return {
             ok: true,
             value: {
               address,
@@ -77,9 +82,9 @@
               stopListening: () => {
                 stoppedListening.push(clock.mono());
               },
-              setLimits: () => undefined,
+              setLimits: (set) => void limits.push(set),
             },
-          });
+          };
         },
       },
       createFeed: () => ({
@@ -107,6 +112,12 @@
       }),
     },
   );
+  if (isConfiguredBeforeListening) {
+    await core.world.advance(1_000);
+    await configure();
+    await core.world.advance(1_000);
+    onConfigured();
+  }
   const result = await core.runUntilSettled(started, 5_000);
   if (!result?.ok) throw new Error('the proxy did not start');
   const proxy = result.value;
@@ -168,6 +179,7 @@
     clock,
     proxy,
     sent,
+    limits,
     responses,
     sendRequest,
     respond,
@@ -286,3 +298,11 @@
   expect(endedAt).toBeGreaterThan(0);
   expect(harness.stoppedListening).toEqual([endedAt]);
 });
+
+// Guards against a proxy that ends at its start because its routes arrive before its front address is available.
+test('routes that arrive while the proxy waits for its address are in force once it listens', async () => {
+  const { limits, proxy, core } = await createHarness(8, true);
+  const { headerMs, idleMs } = DEFAULT_LIMITS;
+  expect(limits.at(-1)).toEqual({ headerMs, idleMs });
+  expect(await core.until(5_000, () => proxy.ready())).toBe(true);
+});
--- a/src/coordination/proxy/opaque-proxy.ts
+++ b/src/coordination/proxy/opaque-proxy.ts
@@ -14,7 +14,7 @@
 import { every, delay } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { LogRoot } from '../../transport/log.js';
-import type { OpaqueHttpServer, ConnectionPool } from '../../transport/opaque-http.js';
+import type { ConnectionPool, OpaqueHttpServer, OpaqueListener } from '../../transport/opaque-http.js';
 import type { Rng } from '../../transport/rng.js';
 import type { Address, Wire, WireError } from '../../transport/wire.js';
 import type { Peers } from '../messaging/peers.js';
@@ -116,6 +116,8 @@
   let draining = false;
   let mayBeAdvertised = true;
   let stopTimes: DrainDeadlines | null = null;
+  /** Routes may arrive before the listener is open. */
+  let startedListener: OpaqueListener | null = null;
 
   function currentRouteTable(): RouteTable | null {
     return follower.fresh() && feed.asOf() !== null ? routeTable : null;
@@ -173,9 +175,10 @@
     return err(httpServer.error);
   }
   const listener = httpServer.value;
+  startedListener = listener;
   function applyLimits(): void {
     const limits = routeTable?.serving.limits;
-    if (limits) listener.setLimits({ headerMs: limits.headerMs, idleMs: limits.idleMs });
+    if (limits) startedListener?.setLimits({ headerMs: limits.headerMs, idleMs: limits.idleMs });
   }
   applyLimits();
 
--- a/src/coordination/proxy/proxy.ts
+++ b/src/coordination/proxy/proxy.ts
@@ -113,7 +113,7 @@
   follower.events.on('moved', onControlStateChanged);
   onControlStateChanged();
 
-  let isAccepting = true;
+  let isAccepting = false;
   let reportCount = 0;
   const counts: CountTable = {};
   function report(): void {
@@ -196,6 +196,7 @@
   }
   log.info('proxy started', { zone: id.zone, http: httpServer.value.address, peers: node.address });
   const listener = httpServer.value;
+  isAccepting = true;
 
   function view(): ProxyView {
     const state = follower.controlState();
