--- a/standin-platform/node-process.ts
+++ b/standin-platform/node-process.ts
@@ -1,6 +1,6 @@
 /** Starts, signals and watches the operating system process of one node. */
 import { spawn } from 'node:child_process';
-import type { ChildProcess } from 'node:child_process';
+import type { ChildProcess, StdioOptions } from 'node:child_process';
 import { closeSync, openSync } from 'node:fs';
 import type { Records } from './records.js';
 import type { Role } from './deploy-file.js';
@@ -19,10 +19,13 @@
 /** An exit that was not requested by SIGTERM or SIGKILL. */
 export type ProcessExit = { readonly name: string; readonly code: number | null; readonly signal: string | null };
 
+/** Who reads the log of a process: a file, or nobody, as the other end of its pipe is closed. */
+export type LogReader = 'file' | 'gone';
+
 /** A node process that can be started again after each exit; `ended` resolves once the last one has exited. */
 export type NodeProcess = {
   readonly name: string;
-  readonly start: () => void;
+  readonly start: (logReader?: LogReader) => void;
   readonly signal: (sig: 'SIGTERM' | 'SIGKILL' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT') => void;
   readonly isRunning: () => boolean;
   readonly ended: () => Promise<void>;
@@ -36,13 +39,20 @@
   let isStopRequested = false;
   const exits: ProcessExit[] = [];
 
-  function start(): void {
-    if (child) return;
-    const log = openSync(spec.logFile, 'a');
+  /** Starts the process with standard output and error that go to its log file, or to a pipe without a reader. */
+  function spawnProcess(logReader: LogReader): ChildProcess {
     const env: NodeJS.ProcessEnv = { MILLFIELD_CONFIG: spec.settingsFile };
     for (const name of ['PATH', 'HOME', 'LANG']) if (process.env[name] !== undefined) env[name] = process.env[name];
-    const spawned = spawn(spec.role.command, [...spec.role.args], { cwd: spec.root, env, stdio: ['ignore', log, log] });
-    closeSync(log);
+    const log = logReader === 'file' ? openSync(spec.logFile, 'a') : null;
+    const stdio: StdioOptions = ['ignore', log ?? 'pipe', log ?? 'pipe'];
+    const spawned = spawn(spec.role.command, [...spec.role.args], { cwd: spec.root, env, stdio });
+    if (log !== null) closeSync(log);
+    for (const stream of [spawned.stdout, spawned.stderr]) stream?.destroy();
+    return spawned;
+  }
+  function start(logReader: LogReader = 'file'): void {
+    if (child) return;
+    const spawned = spawnProcess(logReader);
     child = spawned;
     isStopRequested = false;
     records.add({ what: 'planned', edge: spec.edge, core: spec.core, fault: 'start' });
--- a/standin-platform/site.ts
+++ b/standin-platform/site.ts
@@ -52,12 +52,15 @@
   readonly zone: string;
   readonly region: string;
   readonly ip: string;
+  /** The address by which records name the node. */
+  readonly edge: string;
   /** The address for operators; only controllers listen there. */
   readonly control: string;
   readonly serves: readonly string[];
   readonly process: NodeProcess;
   readonly restart: (wipe?: boolean) => Promise<void>;
-  readonly rewriteSettings: () => void;
+  /** Writes the settings file, or only its first half. */
+  readonly rewriteSettings: (extent?: 'whole' | 'partial') => void;
 };
 
 /** A stand-in worker and where it runs. */
@@ -136,13 +139,14 @@
     const core = role.on === 'core';
     const ip = `127.${net}.${zoneIndex + 1}.${core ? 200 + count : count}`;
     const name = `${role.on}-${zone}-${count}-${role.name}`;
+    const edge = `${ip}:${PORT.front}`;
     const settingsFile = join(folder, 'settings', `${name}.toml`);
     const nodeProcess = createNodeProcess(
       {
         name,
         role,
         core,
-        edge: `${ip}:${PORT.front}`,
+        edge,
         root,
         settingsFile,
         logFile: join(folder, 'logs', `${name}.log`),
@@ -155,6 +159,7 @@
       zone,
       region: shape.zones[zone] ?? '',
       ip,
+      edge,
       control: `${ip}:${PORT.control}`,
       serves: role.serves,
       process: nodeProcess,
@@ -163,8 +168,9 @@
     };
     nodes.push(node);
     return node;
-    function rewriteSettings(): void {
-      writeSettings(node, role.name, settingsFile);
+    function rewriteSettings(extent: 'whole' | 'partial' = 'whole'): void {
+      const text = settingsOf(node, role.name);
+      writeFileSync(settingsFile, extent === 'whole' ? text : text.slice(0, text.length / 2));
     }
     async function restart(wipe = false): Promise<void> {
       await nodeProcess.ended();
@@ -193,7 +199,7 @@
     return isBootstrap ? addresses : [...addresses].reverse();
   }
 
-  function writeSettings(node: SiteNode, role: string, file: string): void {
+  function settingsOf(node: SiteNode, role: string): string {
     const dataFolder = join(folder, 'data', node.name);
     if (node.core) mkdirSync(dataFolder, { recursive: true });
     const addresses: Record<string, string> = {};
@@ -204,45 +210,42 @@
     const limits = node.core
       ? { cpuShare: 0.81, cores: 2, memoryMb: 346, maxFds: 4_096, linkMbps: 1_000.5, diskMb: 128 }
       : { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4_100, linkMbps: 1_000.5, diskMb: 0 };
-    writeFileSync(
-      file,
-      stringify({
-        [SETTING.name]: node.name,
-        [SETTING.role]: role,
-        [SETTING.machines]: node.core ? 'core' : 'edge',
-        [SETTING.serves]: [...node.serves],
-        [SETTING.ip]: node.ip,
-        [SETTING.zone]: node.zone,
-        [SETTING.region]: node.region,
-        [SETTING.ports]: [PORT.first, PORT.last],
-        [SETTING.seeds]: seedAddresses(),
-        [SETTING.bootstrap]: isBootstrap,
-        [SETTING.counted]: node.core,
-        ...(node.core ? { [SETTING.dataFolder]: dataFolder } : {}),
-        discovery: 'platform',
-        entrypoint: 'registry',
-        beatIntervalMs: 1_200,
-        contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'engine', 'stream', 'places'],
-        [SETTING.zones]: { ...shape.zones },
-        [SETTING.addresses]: addresses,
-        [SETTING.limits]: limits,
-        [SETTING.tolerance]: { machines: 1, zones: 1, regions: 1 },
-        [SETTING.bounds]: {
-          seedStalenessS: 3,
-          reuseDelayS: 2,
-          syncS: 4,
-          passWindowMs: 400,
-          ttl_max_s: 5,
-          ...BOUNDS,
-        },
-        [SETTING.platform]: {
-          address: list.address(),
-          ratePerS: LIST_DEFAULTS.ratePerS,
-          duties: [],
-          maxLagMs: shape.listLagMs,
-        },
-      }),
-    );
+    return stringify({
+      [SETTING.name]: node.name,
+      [SETTING.role]: role,
+      [SETTING.machines]: node.core ? 'core' : 'edge',
+      [SETTING.serves]: [...node.serves],
+      [SETTING.ip]: node.ip,
+      [SETTING.zone]: node.zone,
+      [SETTING.region]: node.region,
+      [SETTING.ports]: [PORT.first, PORT.last],
+      [SETTING.seeds]: seedAddresses(),
+      [SETTING.bootstrap]: isBootstrap,
+      [SETTING.counted]: node.core,
+      ...(node.core ? { [SETTING.dataFolder]: dataFolder } : {}),
+      discovery: 'platform',
+      entrypoint: 'registry',
+      beatIntervalMs: 1_200,
+      contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'engine', 'stream', 'places'],
+      [SETTING.zones]: { ...shape.zones },
+      [SETTING.addresses]: addresses,
+      [SETTING.limits]: limits,
+      [SETTING.tolerance]: { machines: 1, zones: 1, regions: 1 },
+      [SETTING.bounds]: {
+        seedStalenessS: 3,
+        reuseDelayS: 2,
+        syncS: 4,
+        passWindowMs: 400,
+        ttl_max_s: 5,
+        ...BOUNDS,
+      },
+      [SETTING.platform]: {
+        address: list.address(),
+        ratePerS: LIST_DEFAULTS.ratePerS,
+        duties: [],
+        maxLagMs: shape.listLagMs,
+      },
+    });
   }
 
   async function startWorkers(): Promise<void> {
--- a/standin-platform/soak/plan.ts
+++ b/standin-platform/soak/plan.ts
@@ -1,6 +1,8 @@
 /** Draws the plan of a soak run from its seed: several series of faults and operator commands that overlap. */
 import { randomInt, createRng, pick } from '../../src/transport/rng.js';
 import type { Rng } from '../../src/transport/rng.js';
+import { START_HAZARDS } from './start-hazards.js';
+import type { StartHazard } from './start-hazards.js';
 
 /** Faults of a node. */
 export type NodeFault =
@@ -29,10 +31,18 @@
   | { readonly tag: 'held'; readonly core: boolean; readonly signals: number; readonly stopAgainAfterMs: number | null }
   /** Replaces a controller; `wipe` deletes the disk of another one after the next acknowledged configuration. */
   | { readonly tag: 'replace'; readonly wipe: boolean }
+  /** Restarts a node while something that its start needs is missing for `forMs`. */
+  | {
+      readonly tag: 'restart';
+      readonly core: boolean;
+      readonly isKilled: boolean;
+      readonly hazard: StartHazard;
+      readonly forMs: number;
+    }
 );
 
 /** All series; a run may play some of them only. */
-export const SERIES = ['core', 'zone', 'configure', 'edge', 'worker', 'list', 'held', 'replace'] as const;
+export const SERIES = ['core', 'zone', 'configure', 'edge', 'worker', 'list', 'held', 'replace', 'restart'] as const;
 /** The name of a series. */
 export type Series = (typeof SERIES)[number];
 
@@ -55,6 +65,7 @@
   end: 6,
   held: 7,
   replace: 1_000_000,
+  restart: 2_000_000,
 };
 const STREAMS_PER_SEED = 8;
 const STEP_MEAN_MS = 3_000;
@@ -66,6 +77,8 @@
 /** Maximum delays before a zone is evacuated, and before it is restored. */
 const MAX_DELAY_BEFORE_EVACUATION_MS = 3_000;
 const MAX_EVACUATION_MS = 20_000;
+/** Less than the time for which a process waits for its settings. */
+const MAX_HAZARD_MS = 1_500;
 
 function randomBetween(rng: Rng, min: number, max: number): number {
   return min + randomInt(rng, max - min + 1);
@@ -136,6 +149,15 @@
       };
     case 'replace':
       return { ...common, tag: series, wipe: rng.next() < 0.7 };
+    case 'restart':
+      return {
+        ...common,
+        tag: series,
+        core: rng.next() < 0.5,
+        isKilled: rng.next() < 0.5,
+        hazard: pick(rng, START_HAZARDS),
+        forMs: randomBetween(rng, 50, MAX_HAZARD_MS),
+      };
     case 'configure':
       return { ...common, tag: series };
   }
--- a/standin-platform/soak/run.ts
+++ b/standin-platform/soak/run.ts
@@ -6,6 +6,7 @@
 import { configurationOf, SMALL_SITE } from '../shape.js';
 import type { SiteWorker, Site, SiteNode } from '../site.js';
 import { holdConnections } from './held-connections.js';
+import { restartWithHazard } from './start-hazards.js';
 import type { NodeFault, Plan, Step, WorkerFault } from './plan.js';
 
 /** A machine counts as lost for this long after its restart; no other may be lost around a replacement. */
@@ -85,6 +86,11 @@
       }
       case 'replace':
         return this.replaceController(step);
+      case 'restart': {
+        if (step.core && this.isReplacing) return;
+        const nodes = this.site.nodes.filter((node) => node.core === step.core);
+        return this.runExclusively(nodes[step.at % nodes.length], (node) => this.restartWithHazard(node, step));
+      }
     }
   }
 
@@ -104,6 +110,11 @@
     return node.restart();
   }
 
+  private async restartWithHazard(node: SiteNode, step: Extract<Step, { tag: 'restart' }>): Promise<void> {
+    node.process.signal(step.isKilled ? 'SIGKILL' : 'SIGTERM');
+    await restartWithHazard(this.site, node, this.clock, step.hazard, step.forMs);
+  }
+
   /** Starts the new controller, stops the old one, and wipes a third one after an acknowledged configuration. */
   private async replaceController(step: Extract<Step, { tag: 'replace' }>): Promise<void> {
     this.isReplacing = true;
