A process waits for its ports for 90 s: longer than the local port of a closed connection

An outgoing connection that has one of the ports as its local port, as may be where ports lie in the range that the system gives out, holds it for 61 s after its end (measured twice on Linux 6.18, also for a port that the system chose): listening fails with EADDRINUSE until then. The wait was 30 s, so a role ended twice before it could serve. Trial: a proxy whose front port was the local port of an outgoing connection waits (before the wait: code 69 at once).

--- a/src/transport/listen.ts
+++ b/src/transport/listen.ts
@@ -23,10 +23,10 @@
 };
 
 /**
- * The wait of a role. A previous process that is still stopping holds its ports for its grace period, and an outgoing
- * connection of another process may use one as its local port for as long as it is kept idle.
+ * The wait of a role. A previous process that is still stopping holds its ports for its grace period. An outgoing
+ * connection that uses one as its local port holds it while it is open, and for another 60 s in the state TIME_WAIT.
  */
-export const MAX_LISTEN_WAIT_MS = 30_000;
+export const MAX_LISTEN_WAIT_MS = 90_000;
 const RETRY_INTERVAL_MS = 50;
 /** Length of the queue of connections that are not accepted yet. */
 const BACKLOG = 511;
