--- /dev/null
+++ b/src/base/json-tokens.test.ts
@@ -0,0 +1,22 @@
+import { describe, expect, test } from '@jest/globals';
+import { hasMoreTokensThan } from './json-tokens.js';
+
+function tokensOf(text: string): number {
+  let count = 0;
+  while (hasMoreTokensThan(Buffer.from(text), count)) count += 1;
+  return count;
+}
+
+describe('the tokens of a JSON text', () => {
+  test.each([
+    ['[1,2,3]', 3],
+    ['{"a":{"b":[]}}', 5],
+    ['[[[[', 4],
+    ['["a,b:[{",1]', 2],
+    ['["\\",[",1]', 2],
+    ['["\\\\",1]', 2],
+    ['"[,,,,"', 0],
+  ])('are commas, colons and opening brackets outside of strings: %s', (text, count) => {
+    expect(tokensOf(text)).toBe(count);
+  });
+});
