--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -15,7 +15,7 @@
 import type { ListenError, ListenRetry } from './listen.js';
 import type { Log } from './log.js';
 
-export type { Address, HostPort } from './address.js';
+export type { Address } from './address.js';
 export { splitAddress } from './address.js';
 
 /** Why a connection or listener could not be opened. */
