Cases of overload on real processes: answers and worker lists without end

Checked: the process lives, memory with bytes that arrived unread, descriptors, one ordinary request. Crowd and bounds are fixed here, before any change of the product.

--- a/standin-platform/document.ts
+++ b/standin-platform/document.ts
@@ -36,11 +36,20 @@
   readonly engine: Engine | null;
 };
 
+/** What a caller may send, in bytes, and how long it may take or stay idle, in milliseconds. */
+export type CallerLimits = {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerMs: number;
+  readonly idleMs: number;
+};
+
 /** A configuration before it is put into wire form. */
 export type Document = {
   readonly number: number;
   readonly mappings: readonly ModelRoute[];
   readonly models: readonly Model[];
+  readonly limits?: CallerLimits;
 };
 
 export const MAPPING_DEFAULTS = {
@@ -56,13 +65,22 @@
 export const MODEL_DEFAULTS = { probePath: '/health', maxConns: 96, coldS: 0, coldRateS: 0, engine: null } as const;
 
 /** The bounds that the platform sets on callers. */
-const LIMIT_VALUES = {
-  [REQUEST_LIMITS.headerBytes]: 16_384,
-  [REQUEST_LIMITS.bodyBytes]: 4_194_304,
-  [REQUEST_LIMITS.headerMs]: 3_000,
-  [REQUEST_LIMITS.idleMs]: 15_000,
+export const CALLER_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerMs: 3_000,
+  idleMs: 15_000,
 };
 
+function limitsToWire(limits: CallerLimits): Record<string, unknown> {
+  return {
+    [REQUEST_LIMITS.headerBytes]: limits.headerBytes,
+    [REQUEST_LIMITS.bodyBytes]: limits.bodyBytes,
+    [REQUEST_LIMITS.headerMs]: limits.headerMs,
+    [REQUEST_LIMITS.idleMs]: limits.idleMs,
+  };
+}
+
 /** Converts a route to its wire form; a route with one share names its model directly. */
 export function mappingToWire(modelRoute: ModelRoute): Record<string, unknown> {
   const onlyShare = modelRoute.shares.length === 1 ? modelRoute.shares[0] : undefined;
@@ -113,7 +131,7 @@
     [DOCUMENT.number]: document.number,
     [DOCUMENT.mappings]: document.mappings.map(mappingToWire),
     [DOCUMENT.models]: document.models.map(modelToWire),
-    [DOCUMENT.limits]: LIMIT_VALUES,
+    [DOCUMENT.limits]: limitsToWire(document.limits ?? CALLER_LIMITS),
   };
 }
 
--- a/standin-platform/list.ts
+++ b/standin-platform/list.ts
@@ -17,11 +17,16 @@
   readonly maxLagMs: number;
 };
 
+/** What an `endless` answer repeats, and where it ends if nobody closes it. */
+const ENDLESS_PART = Buffer.alloc(65_536, ' ');
+const MAX_ENDLESS_BYTES = 1_073_741_824;
+
 export const LIST_DEFAULTS = { pageSize: 50, ratePerS: 40, maxLagMs: 800 } as const;
 
-/** A fault of the list; `nonsense` answers 200 with an invalid body. */
+/** A fault of the list; `nonsense` answers 200 with an invalid body, `endless` with one that does not end. */
 export type ListFault =
-  { readonly mode: 'none' | 'down' | 'error' | 'nonsense' } | { readonly mode: 'slow'; readonly ms: number };
+  | { readonly mode: 'none' | 'down' | 'error' | 'nonsense' | 'endless' }
+  | { readonly mode: 'slow'; readonly ms: number };
 
 /** A running list and its controls. */
 export type StandinList = {
@@ -86,6 +91,7 @@
     const url = new URL(req.url ?? '/', 'http://list');
     if (req.method !== 'GET' || url.pathname !== API_PATH.workers) return send(res, 404, {});
     if (fault.mode === 'error') return send(res, 500, {});
+    if (fault.mode === 'endless') return sendEndless(res);
     if (fault.mode === 'nonsense') return send(res, 200, { [WORKER_LIST.members]: 'many' });
     const zone = url.searchParams.get(QUERY_PARAMETER.zone);
     const offset = Number((url.searchParams.get(QUERY_PARAMETER.pageToken) ?? 'p-0').slice(2));
@@ -103,6 +109,17 @@
     res.writeHead(status, { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(text)) });
     res.end(text);
   }
+  function sendEndless(res: ServerResponse): void {
+    let sent = 0;
+    function sendMore(): void {
+      while (!res.destroyed && sent < MAX_ENDLESS_BYTES) {
+        sent += ENDLESS_PART.length;
+        if (!res.write(ENDLESS_PART)) return;
+      }
+    }
+    res.on('drain', sendMore);
+    sendMore();
+  }
   function toWire(entry: PublishedWorker): Record<string, unknown> {
     const worker = entry.worker;
     const elapsedMs = clock.mono() - entry.at;
--- a/standin-platform/node-process.ts
+++ b/standin-platform/node-process.ts
@@ -28,6 +28,8 @@
   readonly start: (logReader?: LogReader) => void;
   readonly signal: (sig: 'SIGTERM' | 'SIGKILL' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT') => void;
   readonly isRunning: () => boolean;
+  /** The id of the process, or null while none runs. */
+  readonly pid: () => number | null;
   readonly ended: () => Promise<void>;
   readonly unexpectedExits: () => readonly ProcessExit[];
 };
@@ -83,11 +85,14 @@
   function isRunning(): boolean {
     return child !== null;
   }
+  function pid(): number | null {
+    return child?.pid ?? null;
+  }
   function ended(): Promise<void> {
     return exited;
   }
   function unexpectedExits(): readonly ProcessExit[] {
     return exits;
   }
-  return { name: spec.name, start, signal, isRunning, ended, unexpectedExits };
+  return { name: spec.name, start, signal, isRunning, pid, ended, unexpectedExits };
 }
--- /dev/null
+++ b/standin-platform/overload/overload-case.ts
@@ -0,0 +1,44 @@
+/** A case of overload, and how its clients' bytes are made. */
+import { HEADER } from '../../platform/words.js';
+import type { ClientScript } from './crowd.js';
+import type { EndlessResponse } from './endless-worker.js';
+import { ROUTE_HOST } from './overload-site.js';
+
+/** Which process is observed, and at which of its addresses the crowd calls it. */
+export type CrowdTarget = 'proxy' | 'control' | 'directory' | 'readiness';
+
+/** One case. A crowd of `count` clients follows `script`; a worker, or the list, answers without end. */
+export type OverloadCase = {
+  readonly name: string;
+  readonly target: CrowdTarget;
+  readonly count: number;
+  readonly script: ClientScript | null;
+  readonly response: EndlessResponse | null;
+  readonly isListEndless: boolean;
+};
+
+/** The size of the parts in which bytes are sent. */
+export const PART_BYTES = 65_536;
+const TINY_CHUNK = '1\r\nx\r\n';
+/** Chunks of one byte in one part. */
+export const TINY_CHUNKS_PER_PART = 8_192;
+/** Many chunks of one byte, with their framing. */
+export const TINY_CHUNK_PART = Buffer.from(TINY_CHUNK.repeat(TINY_CHUNKS_PER_PART));
+
+/** Returns the head of a request with the fields that calls need. */
+export function requestHead(method: string, path: string, headers: readonly string[]): string {
+  const common = [`${HEADER.attemptId}: a1`, `${HEADER.base}: 0`, 'Content-Type: application/json'];
+  return [`${method} ${path} HTTP/1.1`, `Host: ${ROUTE_HOST}`, ...common, ...headers, '', ''].join('\r\n');
+}
+/** Returns the head of a request that announces the length of its body. */
+export function headWithLength(path: string, bytes: number): string {
+  return requestHead('POST', path, [`Content-Length: ${bytes}`]);
+}
+/** Yields the same part again and again. */
+export function* repeated(part: Buffer, count: number): Generator<Buffer> {
+  for (let sent = 0; sent < count; sent += 1) yield part;
+}
+/** Yields nothing. */
+export function noParts(): Iterator<Buffer> {
+  return repeated(Buffer.alloc(0), 0);
+}
--- a/standin-platform/run.ts
+++ b/standin-platform/run.ts
@@ -8,6 +8,7 @@
 import type { Site } from './site.js';
 
 export { SCENARIO_CHECKS } from './scenarios.js';
+export { overloadCaseNames, runOverloadCases } from './overload/run.js';
 export { SERIES } from './soak/plan.js';
 export { playSoak } from './soak/play.js';
 
--- a/standin-platform/shape.ts
+++ b/standin-platform/shape.ts
@@ -1,6 +1,6 @@
 /** Describes the site that scenarios and soak runs play on. */
-import { MAPPING_DEFAULTS, MODEL_DEFAULTS, documentToWire } from './document.js';
-import type { ModelRoute, Model } from './document.js';
+import { CALLER_LIMITS, MAPPING_DEFAULTS, MODEL_DEFAULTS, documentToWire } from './document.js';
+import type { CallerLimits, ModelRoute, Model } from './document.js';
 import type { RequestSpec } from './caller.js';
 import { REQUEST_DEFAULTS } from './caller.js';
 import type { EngineSpec } from './worker-spec.js';
@@ -18,6 +18,9 @@
   readonly engine: EngineSpec | null;
 };
 
+/** Memory and descriptors of a machine. */
+export type MachineLimits = { readonly memoryMb: number; readonly maxFds: number };
+
 /** The zones, nodes, workers, configuration and request types of a test site. */
 export type Shape = {
   readonly zones: Readonly<Record<string, string>>;
@@ -27,6 +30,9 @@
   readonly mappings: readonly ModelRoute[];
   readonly models: readonly Model[];
   readonly requestTypes: readonly RequestSpec[];
+  /** Limits of each machine and of callers, where they differ from the usual ones. */
+  readonly machineLimits?: MachineLimits;
+  readonly callerLimits?: Partial<CallerLimits>;
 };
 
 /** The host name of all requests. */
@@ -111,5 +117,6 @@
 
 /** The configuration document of a site, as version `number`. */
 export function configurationOf(shape: Shape, number: number): Record<string, unknown> {
-  return documentToWire({ number, mappings: shape.mappings, models: shape.models });
+  const { mappings, models, callerLimits } = shape;
+  return documentToWire({ number, mappings, models, limits: { ...CALLER_LIMITS, ...callerLimits } });
 }
--- a/standin-platform/site.ts
+++ b/standin-platform/site.ts
@@ -229,7 +229,7 @@
       contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'engine', 'stream', 'places'],
       [SETTING.zones]: { ...shape.zones },
       [SETTING.addresses]: addresses,
-      [SETTING.limits]: limits,
+      [SETTING.limits]: { ...limits, ...shape.machineLimits },
       [SETTING.tolerance]: { machines: 1, zones: 1, regions: 1 },
       [SETTING.bounds]: {
         seedStalenessS: 3,
--- a/tools/known-red.mjs
+++ b/tools/known-red.mjs
@@ -4,11 +4,13 @@
 
 export const HEADER = 'test, cause, issue';
 const SCENARIOS_FILE = 'standin-platform/scenarios.ts';
+const OVERLOAD_FILE = 'standin-platform/overload/cases.ts';
 
 /**
  * Parses KNOWN-RED.txt: a header line, then one entry a line with a test, its cause and its issue, separated by tabs. A
- * test is written as `path: full name`, a check of a scenario as `standin-platform/scenarios.ts: scenario: check`. Returns
- * the entries by test, and a message for each malformed line.
+ * test is written as `path: full name`, a check of a scenario as `standin-platform/scenarios.ts: scenario: check`, a case
+ * of overload as `standin-platform/overload/cases.ts: name`. Returns the entries by test, and a message for each malformed
+ * line.
  */
 export function parseKnownRed(text) {
   const [header, ...lines] = text.split('\n').filter((l) => l.trim() !== '');
@@ -34,6 +36,12 @@
 function isScenarioEntry(test) {
   return test.startsWith(`${SCENARIOS_FILE}: `);
 }
+function testOfCase(name) {
+  return `${OVERLOAD_FILE}: ${name}`;
+}
+function isOverloadEntry(test) {
+  return test.startsWith(testOfCase(''));
+}
 
 /** Returns a message for each entry of a scenario that names no check of a scenario that exists. */
 export function findUnknownChecks(known, scenarios, checks) {
@@ -42,6 +50,13 @@
   return unknown.map((test) => `expected a scenario and one of its checks (${checks.join(', ')}): ${test}`);
 }
 
+/** Returns a message for each entry of a case of overload that does not exist. */
+export function findUnknownCases(known, names) {
+  const tests = names.map(testOfCase);
+  const unknown = [...known.keys()].filter((test) => isOverloadEntry(test) && !tests.includes(test));
+  return unknown.map((test) => `expected a case of overload: ${test}`);
+}
+
 /** Merges the reports of several jest runs into one. */
 export function mergeReports(reports) {
   function sum(key) {
@@ -63,12 +78,12 @@
 
 /**
  * Sorts the results of a report that jest wrote with `--json`: known tests that failed, passed or did not run, other
- * tests that failed, and suites that failed without a failed test, which could not run. Entries of scenarios are left out:
- * jest does not run them.
+ * tests that failed, and suites that failed without a failed test, which could not run. Entries of scenarios and of overload
+ * are left out: jest does not run them.
  */
 export function classifyResults(report, known, root = ROOT) {
   const results = emptyResults();
-  const listed = new Set([...known.keys()].filter((test) => !isScenarioEntry(test)));
+  const listed = new Set([...known.keys()].filter((test) => !isScenarioEntry(test) && !isOverloadEntry(test)));
   const seen = new Set();
   for (const suite of report.testResults) {
     const path = relative(root, suite.name);
@@ -128,3 +143,17 @@
   const { knownFailures, newFailures } = results;
   return { knownFailures, newFailures, lines: describeResults(results, known) };
 }
+
+/**
+ * Tells whether a failure of a case of overload is known red, and the lines to print about it. A site that did not start is
+ * never known red: what is listed was not played.
+ */
+export function classifyCase(name, failedChecks, known) {
+  const results = emptyResults();
+  const test = testOfCase(name);
+  const isListed = known.has(test) && !failedChecks.includes('started');
+  if (failedChecks.length > 0) (isListed ? results.knownFailures : results.newFailures).push(test);
+  else if (known.has(test)) results.knownPasses.push(test);
+  const { knownFailures, newFailures } = results;
+  return { knownFailures, newFailures, lines: describeResults(results, known) };
+}
--- a/tools/known-red.test.mjs
+++ b/tools/known-red.test.mjs
@@ -1,14 +1,17 @@
 import { describe, expect, test } from '@jest/globals';
 import {
+  classifyCase,
   classifyChecks,
   classifyResults,
   describeResults,
   exitCodeOf,
+  findUnknownCases,
   findUnknownChecks,
   loadKnownRed,
   mergeReports,
   parseKnownRed,
 } from './known-red.mjs';
+import { OVERLOAD_CASES } from '../standin-platform/overload/cases.js';
 import { SCENARIO_CHECKS, SCENARIOS } from '../standin-platform/scenarios.js';
 
 const HEADER = 'test, cause, issue\n';
@@ -191,3 +194,56 @@
     expect(findUnknownChecks(loadKnownRed().known, names, SCENARIO_CHECKS)).toEqual([]);
   });
 });
+
+describe('known red cases of overload', () => {
+  const CASE = 'standin-platform/overload/cases.ts: bodies without end';
+  const CASE_ENTRY = `${CASE}\tno bound\t45\n`;
+  function classifyOverload(text, name, failedChecks) {
+    const { known, errors } = parseKnownRed(text);
+    expect(errors).toEqual([]);
+    return classifyCase(name, failedChecks, known);
+  }
+
+  test('a listed case that fails is reported with its cause', () => {
+    expect(classifyOverload(HEADER + CASE_ENTRY, 'bodies without end', ['memory'])).toEqual({
+      knownFailures: [CASE],
+      newFailures: [],
+      lines: [`Known red, passed over: ${CASE}: no bound (45)`],
+    });
+  });
+
+  test('a listed case that passes is reported', () => {
+    expect(classifyOverload(HEADER + CASE_ENTRY, 'bodies without end', []).lines).toEqual([
+      `Listed in KNOWN-RED.txt, yet it passes; take its line out: ${CASE}`,
+    ]);
+  });
+
+  test.each([
+    ['another case', 'bodies', ['memory']],
+    ['a listed case whose site did not start', 'bodies without end', ['started']],
+  ])('%s makes CI fail', (_what, name, failedChecks) => {
+    const test = `standin-platform/overload/cases.ts: ${name}`;
+    expect(classifyOverload(HEADER + CASE_ENTRY, name, failedChecks)).toEqual({
+      knownFailures: [],
+      newFailures: [test],
+      lines: [`Failed: ${test}`],
+    });
+  });
+
+  test('jest neither runs a listed case nor excuses a failure with it', () => {
+    expect(evaluate(HEADER + CASE_ENTRY, { 'src/a.test.ts': { x: 'passed' } })).toEqual({ exitCode: 0, lines: [] });
+    const sameName = { 'standin-platform/overload/cases.ts': { 'bodies without end': 'failed' } };
+    expect(evaluate(HEADER + CASE_ENTRY, sameName).exitCode).toBe(1);
+  });
+
+  test('an entry for a case that does not exist is an error in the list', () => {
+    const { known } = parseKnownRed(HEADER + CASE_ENTRY);
+    expect(findUnknownCases(known, ['other'])).toHaveLength(1);
+    expect(findUnknownCases(known, ['bodies without end'])).toEqual([]);
+  });
+
+  test('each listed case of this repository exists', () => {
+    const names = OVERLOAD_CASES.map((each) => each.name);
+    expect(findUnknownCases(loadKnownRed().known, names)).toEqual([]);
+  });
+});
--- a/tools/site.mjs
+++ b/tools/site.mjs
@@ -10,13 +10,14 @@
 import { pathToFileURL } from 'node:url';
 import { installShutdownHandlers, onShutdown, ROOT, run, shutdown } from './children.mjs';
 import { classifyChecks, findUnknownChecks, loadKnownRed } from './known-red.mjs';
+import { overload } from './site-overload.mjs';
 import { soak } from './site-soak.mjs';
 
 installShutdownHandlers();
 
 const args = process.argv.slice(2);
-const isSoak = args[0] === 'soak';
-const soakArgs = isSoak ? args.splice(0).slice(1) : [];
+const command = ['soak', 'overload'].find((name) => name === args[0]);
+const commandArgs = command === undefined ? [] : args.splice(0).slice(1);
 function takeOption(name, defaultValue) {
   const index = args.indexOf(`--${name}`);
   return index < 0 ? defaultValue : Number(args.splice(index, 2)[1]);
@@ -46,13 +47,14 @@
   logLevel: 'warning',
 });
 const program = await import(pathToFileURL(outfile).href);
-if (isSoak) await soak(soakArgs, program);
+if (command === 'soak') await soak(commandArgs, program);
+if (command === 'overload') await overload(commandArgs, program);
 const { deployBuild, runScenarios, SCENARIO_CHECKS, scenarioNames } = program;
 const names = scenarioNames();
 const unknown = args.filter((a) => !names.includes(a));
 if (isList || unknown.length > 0) {
   process.stdout.write(
-    `usage: node tools/site.mjs [--rate N] [--seed N] [--built | --clean] [--deploy FILE] [scenario...]\n       node tools/site.mjs soak --help\nscenarios: ${names.join(', ')}\n`,
+    `usage: node tools/site.mjs [--rate N] [--seed N] [--built | --clean] [--deploy FILE] [scenario...]\n       node tools/site.mjs soak --help\n       node tools/site.mjs overload --help\nscenarios: ${names.join(', ')}\n`,
   );
   await shutdown(isList ? 0 : 2);
 }
@@ -60,10 +62,10 @@
 errors.push(...findUnknownChecks(known, names, SCENARIO_CHECKS));
 for (const error of errors) process.stderr.write(`KNOWN-RED.txt: ${error}\n`);
 if (errors.length > 0) await shutdown(1);
-const [command, ...commandArgs] = isCleanBuild
+const [buildCommand, ...buildArgs] = isCleanBuild
   ? ['sh', '-c', deployBuild(deployFile)]
   : [process.execPath, 'platform/build.mjs'];
-if (!skipsBuild && (await run(command, commandArgs, { cwd: ROOT, stdio: 'inherit' })) !== 0) await shutdown(1);
+if (!skipsBuild && (await run(buildCommand, buildArgs, { cwd: ROOT, stdio: 'inherit' })) !== 0) await shutdown(1);
 
 let site = null;
 onShutdown(() => site?.stop());
