--- a/src/coordination/forwarding/attempt.ts
+++ b/src/coordination/forwarding/attempt.ts
@@ -89,6 +89,7 @@
     this.deps.watch.end(this.reserved.row, this.watchedAttempt);
     this.reserved.reservation.end();
     this.recordOutcome(this.reserved.row, outcome, this.reader.status());
+    if (outcome.tag === 'garbled') this.deps.log.warn('unusable response', this.responseFields());
     const response = isBuffered(this.request, outcome) ? this.reader.takeBuffered() : null;
     this.resolve({ outcome, response });
     this.deps.onSlotReleased();
@@ -106,6 +107,11 @@
     this.abandon(this.isWritten ? { tag: 'deadline' } : { tag: 'withheld' });
   }
 
+  private responseFields(): LogFields {
+    const { id } = this.reserved.row.entry;
+    return { workerId: id, route: this.request.route.name, requestId: this.request.id, ...this.reader.received() };
+  }
+
   private deadlineFields(): LogFields {
     const lastByteAt = Math.max(this.watchedAttempt.lastEventAt, this.watchedAttempt.sentAt);
     return {
@@ -113,7 +119,7 @@
       route: this.request.route.name,
       requestId: this.request.id,
       waitedMs: Math.round(this.remainingMs),
-      status: this.reader.status(),
+      ...this.reader.received(),
       lastEvent: this.request.lastEvent,
       quietMs: Math.round(this.deps.clock.mono() - lastByteAt),
     };
--- a/src/coordination/forwarding/response-reader.ts
+++ b/src/coordination/forwarding/response-reader.ts
@@ -12,6 +12,9 @@
 import { parseNumber } from './relayed-request.js';
 import type { RelayedRequest } from './relayed-request.js';
 
+/** What has arrived of a response: its status, 0 before its head, and the bytes and pieces of its body. */
+export type ReceivedResponse = { readonly status: number; readonly bytes: number; readonly pieces: number };
+
 /** Consumes a worker's response as it arrives. */
 export interface ResponseReader {
   /** Called with the head of the response. `onHead` and `onData` return the outcome once it is known, else null. */
@@ -29,6 +32,7 @@
   /** Returns the buffered response and empties the buffer. May be called once the outcome says that there is one. */
   takeBuffered(): BufferedResponse;
   status(): number;
+  received(): ReceivedResponse;
 }
 
 const WRONG_WORKER = 421;
@@ -41,6 +45,8 @@
   private headers: RawHeaders = [];
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
+  private receivedBytes = 0;
+  private receivedPieces = 0;
   private splitter: EventSplitter | null = null;
   private rejection: AttemptOutcome | null = null;
 
@@ -85,6 +91,8 @@
   }
 
   onData(chunk: Buffer): AttemptOutcome | null {
+    this.receivedBytes += chunk.length;
+    this.receivedPieces += 1;
     if (this.splitter) return this.forwardEvents(this.splitter, chunk);
     this.bufferedBytes += chunk.length;
     this.chunks.push(chunk);
@@ -128,6 +136,10 @@
   status(): number {
     return this.currentStatus;
   }
+
+  received(): ReceivedResponse {
+    return { status: this.currentStatus, bytes: this.receivedBytes, pieces: this.receivedPieces };
+  }
 }
 
 /** Creates a reader for the response to one attempt of a request. */
