A response in tiny pieces is held compactly, and no longer exhausts a proxy's heap

Seen by callers: a proxy ended (SIGABRT, heap limit) and all its requests with it, while one faulty worker answered in chunks of one byte without end. Cause: a buffered response was bounded in bytes (1 MB) and not in pieces, and each piece was kept as an object of some 200 bytes of heap. Pieces are now copied together, so that what is held depends on the bytes alone, and a response of over 65,536 pieces is given up. A refusal stays a refusal, with its promise, if its body is too large.

--- a/src/coordination/forwarding/response-reader.ts
+++ b/src/coordination/forwarding/response-reader.ts
@@ -3,6 +3,7 @@
  * stream are forwarded as they arrive, each once and in order. Any other response is buffered until its end, so that a
  * failed request can still be retried at another worker.
  */
+import { ByteAccumulator } from '../../base/byte-accumulator.js';
 import type { HeaderNames } from '../../protocol/header-names.js';
 import type { AttemptOutcome } from '../../state/forwarding/attempt-outcome.js';
 import { createEventSplitter, isCommentOnly } from '../../state/forwarding/event-splitter.js';
@@ -39,12 +40,13 @@
 const DEFAULT_RETRY_AFTER_S = 0.2;
 /** Maximum size of a response that is buffered in memory. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** Maximum number of pieces in which it may arrive: each costs processor time, however short it is. */
+const MAX_BUFFERED_PIECES = 65_536;
 
 class CheckedResponseReader implements ResponseReader {
   private currentStatus = 0;
   private headers: RawHeaders = [];
-  private chunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  private readonly buffered = new ByteAccumulator();
   private receivedBytes = 0;
   private receivedPieces = 0;
   private splitter: EventSplitter | null = null;
@@ -94,9 +96,10 @@
     this.receivedBytes += chunk.length;
     this.receivedPieces += 1;
     if (this.splitter) return this.forwardEvents(this.splitter, chunk);
-    this.bufferedBytes += chunk.length;
-    this.chunks.push(chunk);
-    return this.bufferedBytes > MAX_BUFFERED_BYTES ? { tag: 'garbled' } : null;
+    const isTooLarge = this.buffered.length + chunk.length > MAX_BUFFERED_BYTES;
+    if (isTooLarge || this.receivedPieces > MAX_BUFFERED_PIECES) return this.rejection ?? { tag: 'garbled' };
+    this.buffered.append(chunk);
+    return null;
   }
 
   private forwardEvents(splitter: EventSplitter, chunk: Buffer): AttemptOutcome | null {
@@ -128,9 +131,7 @@
   }
 
   takeBuffered(): BufferedResponse {
-    const body = Buffer.concat(this.chunks);
-    this.chunks = [];
-    return { status: this.currentStatus, headers: this.headers, body };
+    return { status: this.currentStatus, headers: this.headers, body: this.buffered.take() };
   }
 
   status(): number {
