--- a/src/coordination/forwarding/response-reader.test.ts
+++ b/src/coordination/forwarding/response-reader.test.ts
@@ -53,3 +53,14 @@
   const { outcome } = readPieces(false, NOT_RUN, 'x'.repeat(MB / 64), 100);
   expect(outcome).toMatchObject({ tag: 'notExecuted' });
 });
+
+// Guards against a worker that exhausts a proxy's memory with one event.
+test('an event without end is given up once it is over a megabyte', () => {
+  expect(readPieces(true, ANSWER, 'x'.repeat(MB / 64), 100)).toMatchObject({ outcome: { tag: 'garbled' }, pieces: 65 });
+});
+
+test('a stream of events has no limit, and each is passed on as it comes', () => {
+  const { outcome, written } = readPieces(true, ANSWER, `:${'x'.repeat(MB / 64)}\n\n`, 200);
+  expect(outcome).toBeNull();
+  expect(written).toHaveLength(200);
+});
--- a/src/coordination/forwarding/response-reader.ts
+++ b/src/coordination/forwarding/response-reader.ts
@@ -42,6 +42,8 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Maximum number of pieces in which it may arrive: each costs processor time, however short it is. */
 const MAX_BUFFERED_PIECES = 65_536;
+/** An event is passed on once it is complete, so it is buffered like a response. */
+const EVENT_LIMITS = { maxBytes: MAX_BUFFERED_BYTES, maxPieces: MAX_BUFFERED_PIECES };
 
 class CheckedResponseReader implements ResponseReader {
   private currentStatus = 0;
@@ -88,7 +90,7 @@
       return null;
     }
     if (this.isSuccess() && get(this.headerNames.seal) === null) return { tag: 'garbled' };
-    if (this.isSuccess() && this.request.stream) this.splitter = createEventSplitter();
+    if (this.isSuccess() && this.request.stream) this.splitter = createEventSplitter(EVENT_LIMITS);
     return null;
   }
 
@@ -112,14 +114,14 @@
       else this.request.lastEvent = event.id;
       this.request.incoming.responseWriter.write(event.bytes);
     }
-    return null;
+    return splitter.isOverLimit() ? { tag: 'garbled' } : null;
   }
 
   onEnd(): AttemptOutcome {
     if (this.rejection) return this.rejection;
     if (!this.isSuccess()) return { tag: 'workerFailed' };
     if (!this.splitter) return { tag: 'answered' };
-    if (this.splitter.remainder().length > 0) return { tag: 'garbled' };
+    if (this.splitter.remainingBytes() > 0) return { tag: 'garbled' };
     this.callerResponses.startStream(this.request, this.currentStatus, this.headers);
     return { tag: 'answered' };
   }
