Outgoing calls give up a response, or a line of a stream, that has no end

A response may now have 32 MB, a line 1 MB, and all that one client receives at a time 64 MB; more is the error `tooLarge`, which counts for a worker as bytes that are no answer. A stream is read no faster than its lines are taken.

--- a/src/coordination/forwarding/worker-call.ts
+++ b/src/coordination/forwarding/worker-call.ts
@@ -167,6 +167,7 @@
     case 'timedOut':
       return { tag: 'deadline' };
     case 'notJson':
+    case 'tooLarge':
       return { tag: 'garbled' };
   }
 }
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,17 +1,32 @@
 /**
  * Outgoing HTTP calls, implemented with `got`. Errors say whether a request may have reached the server:
- * only `neverSent` guarantees that it has not. Nothing is retried here.
+ * only `neverSent` guarantees that it has not. Nothing is retried here. What a server answers is bounded: one response, one
+ * line of a stream, and all responses that are being received at a time.
  */
 
 import got from 'got';
+import type { Request } from 'got';
 import { Agent } from 'node:http';
-import { createInterface } from 'node:readline';
 import type { IncomingMessage } from 'node:http';
+import { ByteAccumulator } from '../base/byte-accumulator.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type { HttpClient, HttpAnswer, HttpCall, HttpError } from './http.js';
+import { splitLines } from './response-lines.js';
+import type { LineLimits } from './response-lines.js';
 
+/** Limits of what servers answer, in bytes. */
+export type ResponseLimits = {
+  readonly maxResponseBytes: number;
+  readonly maxLineBytes: number;
+  /** All responses and lines that are being received at a time. */
+  readonly maxHeldBytes: number;
+};
+
+const MB = 1_048_576;
+const DEFAULT_LIMITS: ResponseLimits = { maxResponseBytes: 32 * MB, maxLineBytes: MB, maxHeldBytes: 64 * MB };
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL']);
+const TOO_LARGE: HttpError = { tag: 'tooLarge' };
 
 function errorOf(error: unknown): HttpError {
   const code = typeof error === 'object' && error !== null && 'code' in error ? String(error.code) : '';
@@ -29,118 +44,154 @@
 
 async function* noLines(): AsyncGenerator<Result<unknown, HttpError>> {}
 
-/** Creates a client with keep-alive connections. Connecting takes at most `connectTimeoutMs`. */
-export function createGotHttpClient(connectTimeoutMs: number): HttpClient {
-  const agent = { http: new Agent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 64 }) };
+/** Parses a body. An error response may have any body unless its stream was asked for, or it claims to be JSON. */
+function parseBody(text: string, res: IncomingMessage, isStrict: boolean): Result<unknown, HttpError> {
+  if (text === '') return ok(null);
+  try {
+    return ok(JSON.parse(text));
+  } catch {
+    const isOtherType = !(res.headers['content-type'] ?? '').includes('json');
+    return isStrict || !isOtherType || res.statusCode === 200 ? err({ tag: 'notJson' }) : ok(null);
+  }
+}
+
+/** One call. Its promise resolves with the response, or with the head of a streamed one. */
+class GotCall {
+  private readonly stream: Request;
+  private streamError: HttpError | null = null;
+  private isSettled = false;
 
-  async function requestBuffered(call: HttpCall): Promise<Result<HttpAnswer, HttpError>> {
+  constructor(
+    private readonly client: GotHttpClient,
+    private readonly call: HttpCall,
+    private readonly resolve: (result: Result<HttpAnswer, HttpError>) => void,
+  ) {
+    this.stream = got.stream(`http://${call.address}${call.path}`, {
+      method: call.method,
+      agent: client.agent,
+      ...(call.headers ? { headers: { ...call.headers } } : {}),
+      ...this.bodyOptions(),
+      throwHttpErrors: false,
+      followRedirect: false,
+      retry: { limit: 0 },
+      timeout: { request: call.timeoutMs, connect: client.connectTimeoutMs },
+      ...(call.signal ? { signal: call.signal } : {}),
+    });
+    this.stream.on('error', (error) => this.onError(error));
+    this.stream.once('response', (res: IncomingMessage) => this.onResponse(res));
+  }
+
+  /** Without a body, a call that may have one needs an empty one to be sent. */
+  private bodyOptions(): { json?: unknown; body?: string } {
+    if (this.call.body !== undefined) return { json: this.call.body };
+    return this.call.method === 'GET' ? {} : { body: '' };
+  }
+
+  private settle(result: Result<HttpAnswer, HttpError>): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    this.resolve(result);
+  }
+
+  private onError(error: unknown): void {
+    this.streamError = errorOf(error);
+    this.settle(err(this.streamError));
+  }
+
+  private onResponse(res: IncomingMessage): void {
+    const isLines = this.call.stream === true && (res.headers['content-type'] ?? '').includes('ndjson');
+    if (isLines) this.settle(ok(this.answerOf(res, null, this.readLines(res))));
+    else void this.readBody(res);
+  }
+
+  private answerOf(res: IncomingMessage, body: unknown, lines = noLines()): HttpAnswer {
+    const abandon = (): void => {
+      this.stream.destroy();
+    };
+    return { status: res.statusCode ?? 0, headers: headersOf(res), body, lines, abandon };
+  }
+
+  private async readBody(res: IncomingMessage): Promise<void> {
+    const received = new ByteAccumulator();
+    let held = 0;
     try {
-      const res = await got(`http://${call.address}${call.path}`, {
-        method: call.method,
-        agent,
-        ...(call.headers ? { headers: { ...call.headers } } : {}),
-        ...(call.body === undefined ? {} : { json: call.body }),
-        responseType: 'text',
-        throwHttpErrors: false,
-        followRedirect: false,
-        retry: { limit: 0 },
-        timeout: { request: call.timeoutMs, connect: connectTimeoutMs },
-        ...(call.signal ? { signal: call.signal } : {}),
-      });
-      let body: unknown = null;
-      if (res.body !== '') {
-        try {
-          body = JSON.parse(res.body);
-        } catch {
-          const isOtherType = !String(res.headers['content-type'] ?? '').includes('json');
-          if (!isOtherType || res.statusCode === 200) return err({ tag: 'notJson' });
+      for await (const chunk of this.stream as AsyncIterable<Buffer>) {
+        const isTooLarge = received.length + chunk.length > this.client.limits.maxResponseBytes;
+        if (isTooLarge || !this.client.tryHold(chunk.length)) {
+          this.settle(err(TOO_LARGE));
+          return;
         }
+        held += chunk.length;
+        received.append(chunk);
       }
-      return ok({ status: res.statusCode, headers: headersOf(res), body, lines: noLines(), abandon: noop });
+      const body = parseBody(received.take().toString(), res, this.call.stream === true);
+      this.settle(body.ok ? ok(this.answerOf(res, body.value)) : body);
     } catch (error) {
-      return err(errorOf(error));
+      this.settle(err(errorOf(error)));
+    } finally {
+      this.client.release(held);
+      this.stream.destroy();
     }
   }
 
-  function noop(): void {}
-
-  function requestStreamed(call: HttpCall): Promise<Result<HttpAnswer, HttpError>> {
-    function start(resolve: (result: Result<HttpAnswer, HttpError>) => void): void {
-      const stream = got.stream(`http://${call.address}${call.path}`, {
-        method: call.method,
-        agent,
-        ...(call.headers ? { headers: { ...call.headers } } : {}),
-        ...(call.body === undefined ? {} : { json: call.body }),
-        throwHttpErrors: false,
-        followRedirect: false,
-        retry: { limit: 0 },
-        timeout: { request: call.timeoutMs, connect: connectTimeoutMs },
-        ...(call.signal ? { signal: call.signal } : {}),
-      });
-      let streamError: HttpError | null = null;
-      let isSettled = false;
-      function abandon(): void {
-        stream.destroy();
-      }
-      function onError(error: unknown): void {
-        streamError = errorOf(error);
-        if (!isSettled) resolve(err(streamError));
-        isSettled = true;
-      }
-      async function* readLines(res: IncomingMessage): AsyncGenerator<Result<unknown, HttpError>> {
-        const reader = createInterface({ input: stream, crlfDelay: Infinity });
-        try {
-          for await (const text of reader) {
-            if (text === '') continue;
-            let line: unknown;
-            try {
-              line = JSON.parse(text);
-            } catch {
-              yield err({ tag: 'notJson' });
-              return;
-            }
-            yield ok(line);
-          }
-        } catch (error) {
-          streamError = errorOf(error);
-        } finally {
-          reader.close();
-          stream.destroy();
-        }
-        if (streamError) yield err(streamError);
-        else if (!res.complete) yield err({ tag: 'broken' });
-      }
-      async function readCompleteResponse(res: IncomingMessage): Promise<void> {
-        const chunks: string[] = [];
-        try {
-          for await (const chunk of stream) chunks.push(String(chunk));
-          const text = chunks.join('');
-          const body: unknown = text === '' ? null : JSON.parse(text);
-          resolve(ok({ status: res.statusCode ?? 0, headers: headersOf(res), body, lines: noLines(), abandon }));
-        } catch (error) {
-          resolve(err(error instanceof SyntaxError ? { tag: 'notJson' } : errorOf(error)));
-        }
-      }
-      function onResponse(res: IncomingMessage): void {
-        if (isSettled) return;
-        isSettled = true;
-        const contentType = res.headers['content-type'] ?? '';
-        if (!contentType.includes('ndjson')) {
-          void readCompleteResponse(res);
+  private async *readLines(res: IncomingMessage): AsyncGenerator<Result<unknown, HttpError>> {
+    const chunks = this.stream as AsyncIterable<Buffer>;
+    try {
+      for await (const line of splitLines(chunks, this.client.lineLimits)) {
+        if (line.tag === 'tooLong') {
+          yield err(TOO_LARGE);
           return;
         }
-        resolve(
-          ok({ status: res.statusCode ?? 0, headers: headersOf(res), body: null, lines: readLines(res), abandon }),
-        );
+        if (line.text === '') continue;
+        const value = parseBody(line.text, res, true);
+        yield value;
+        if (!value.ok) return;
       }
-      stream.on('error', onError);
-      stream.once('response', onResponse);
+    } catch (error) {
+      this.streamError = errorOf(error);
+    } finally {
+      this.stream.destroy();
     }
-    return new Promise(start);
+    if (this.streamError) yield err(this.streamError);
+    else if (!res.complete) yield err({ tag: 'broken' });
+  }
+}
+
+class GotHttpClient implements HttpClient {
+  readonly agent = { http: new Agent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 64 }) };
+  readonly lineLimits: LineLimits;
+  private heldBytes = 0;
+
+  constructor(
+    readonly connectTimeoutMs: number,
+    readonly limits: ResponseLimits,
+  ) {
+    this.lineLimits = {
+      maxBytes: limits.maxLineBytes,
+      tryHold: (bytes) => this.tryHold(bytes),
+      release: (bytes) => this.release(bytes),
+    };
   }
 
-  function call(httpCall: HttpCall): Promise<Result<HttpAnswer, HttpError>> {
-    return httpCall.stream ? requestStreamed(httpCall) : requestBuffered(httpCall);
+  tryHold(bytes: number): boolean {
+    if (this.heldBytes + bytes > this.limits.maxHeldBytes) return false;
+    this.heldBytes += bytes;
+    return true;
   }
-  return { call };
+
+  release(bytes: number): void {
+    this.heldBytes -= bytes;
+  }
+
+  call(httpCall: HttpCall): Promise<Result<HttpAnswer, HttpError>> {
+    return new Promise((resolve) => {
+      new GotCall(this, httpCall, resolve);
+    });
+  }
+}
+
+/** Creates a client with keep-alive connections. Connecting takes at most `connectTimeoutMs`. */
+export function createGotHttpClient(connectTimeoutMs: number, limits = DEFAULT_LIMITS): HttpClient {
+  const client = new GotHttpClient(connectTimeoutMs, limits);
+  return { call: (httpCall) => client.call(httpCall) };
 }
--- a/src/transport/http.ts
+++ b/src/transport/http.ts
@@ -65,6 +65,8 @@
   | { readonly tag: 'neverSent' }
   | { readonly tag: 'broken' }
   | { readonly tag: 'timedOut' }
+  /** The response, or a line of it, exceeds what the client keeps. */
+  | { readonly tag: 'tooLarge' }
   | { readonly tag: 'notJson' };
 
 /** A response. `lines` are those of a streamed response, and `abandon` ends the stream early. */
