A request that the runtime's parser rejects gets the same error body as one that we reject

On Node.js 20.20 (llhttp 9.3) the parser itself rejects a tab or a form feed in a target and a space in a header name, so three tests of opaque-http-server.test.ts failed on on this machine (400 without a body; the requests were not passed on). The server now answers parse errors with the documented body; statuses are those of the runtime (400, 408, 413, 431).

--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -107,3 +107,13 @@
   expect(response).toMatch(/^HTTP\/1\.1 400 .*malformed/s);
   expect(forwardedTargets).toEqual([]);
 });
+
+test('a head over the limit is answered 431, and one that takes too long 408', async () => {
+  const opened = await createOpaqueHttpServer().open('127.0.0.1:0', () => undefined);
+  if (!opened.ok) throw new Error(opened.error.tag);
+  opened.value.setLimits({ headerMs: 50, idleMs: 1_000 });
+  const { address } = opened.value;
+  expect(await responseTo(address, `GET / HTTP/1.1\r\nX-A: ${'x'.repeat(70_000)}`)).toMatch(/^HTTP\/1\.1 431 /);
+  expect(await responseTo(address, 'GET / HTTP/1.1\r\nX-A: x')).toMatch(/^HTTP\/1\.1 408 /);
+  await opened.value.close();
+});
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -133,6 +133,32 @@
   res.end(MALFORMED_BODY);
 }
 
+/** Statuses of requests that the runtime gives up, by its error code; all others are malformed. */
+const REJECTION_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** Answers a request that the runtime's parser rejects, unless its response has begun, and closes the connection. */
+function rejectUnparsable(error: NodeJS.ErrnoException, socket: Socket): void {
+  const current = (socket as Socket & { _httpMessage?: ServerResponse })._httpMessage;
+  if (!socket.writable || current?.headersSent === true) {
+    socket.destroy(error);
+    return;
+  }
+  const status = REJECTION_STATUSES[error.code ?? ''];
+  const body = status === undefined ? MALFORMED_BODY : '';
+  const head = [
+    `HTTP/1.1 ${status ?? '400 Bad Request'}`,
+    ...(body === '' ? [] : ['Content-Type: application/json']),
+    `Content-Length: ${body.length}`,
+    'Connection: close',
+  ];
+  socket.write(`${head.join('\r\n')}\r\n\r\n${body}`, 'latin1');
+  socket.destroy(error);
+}
+
 function limitedServer(onRequest: (req: IncomingMessage, res: ServerResponse) => void): Server {
   const server = createServer(
     {
@@ -144,6 +170,7 @@
     onRequest,
   );
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+  server.on('clientError', rejectUnparsable);
   return server;
 }
 
