--- a/standin-platform/overload/play.ts
+++ b/standin-platform/overload/play.ts
@@ -86,7 +86,7 @@
     await crowd.join({ ip: node.ip, port: TARGET_PORT[overloadCase.target] }, overloadCase.count, overloadCase.script);
   if (worker || overloadCase.isListEndless) await waitForAnswers(crowd, overloadCase, deps.clock);
   await waitUntilRead(sampler, deps.clock);
-  const isAnswered = await isOrdinaryRequestAnswered(site, deps.clock);
+  const isAnswered = await isOrdinaryRequestAnswered(site, deps.clock, isAtController);
   const stillOpen = crowd.openConnections();
   crowd.leave();
   const peak = sampler.stop();
@@ -113,8 +113,9 @@
   while (clock.mono() < until && !sampler.hasReadAll());
 }
 
-/** Calls the proxy as an ordinary caller does, while the crowd still holds its connections. */
-async function isOrdinaryRequestAnswered(site: Site, clock: Clock): Promise<boolean> {
+/** Calls as an ordinary caller and, at a controller, as an operator, while the crowd still holds its connections. */
+async function isOrdinaryRequestAnswered(site: Site, clock: Clock, isAtController: boolean): Promise<boolean> {
+  if (isAtController && (await site.operator.read(ORDINARY_CALL_TIMEOUT_MS)) === null) return false;
   const until = clock.mono() + ORDINARY_CALL_TIMEOUT_MS;
   while (clock.mono() < until) {
     if ((await site.direct(nodeOf(site, 'proxy'), ordinaryRequest())).succeeded) return true;
