Bodies of callers in tiny chunks are held compactly, and no longer exhaust the heap

Seen: 16 callers with 128 KB each in chunks of one byte end a proxy or a controller (SIGABRT, heap limit). Cause: each chunk was kept as an object of the heap of its own; the limit of a body counts bytes only. The bodies of both roles are now read by one module, which copies the pieces together.

--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -8,6 +8,7 @@
 import { hasTokenNames, isRequestTarget } from './http-syntax.js';
 import { listen } from './listen.js';
 import type { ListenRetry } from './listen.js';
+import { readMessageBody } from './message-body.js';
 import type {
   ResponseWriter,
   BodyError,
@@ -81,34 +82,11 @@
     const value = req.headers[name];
     return typeof value === 'string' ? value : null;
   }
-  function body(maxBytes: number): Promise<Result<Buffer, BodyError>> {
-    function start(resolve: (result: Result<Buffer, BodyError>) => void): void {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      let isSettled = false;
-      function settle(result: Result<Buffer, BodyError>): void {
-        if (isSettled) return;
-        isSettled = true;
-        resolve(result);
-      }
-      function onData(chunk: Buffer): void {
-        size += chunk.length;
-        if (size > maxBytes) settle(err({ tag: 'bodyTooLarge' }));
-        else chunks.push(chunk);
-      }
-      function onEnd(): void {
-        if (res.headersSent) settle(err({ tag: 'callerGone' }));
-        else settle(ok(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks)));
-      }
-      function onClosed(): void {
-        settle(err({ tag: 'callerGone' }));
-      }
-      req.on('data', onData);
-      req.on('end', onEnd);
-      req.on('close', onClosed);
-      req.on('error', onClosed);
-    }
-    return new Promise(start);
+  async function body(maxBytes: number): Promise<Result<Buffer, BodyError>> {
+    const read = await readMessageBody(req, maxBytes);
+    if (read.tag === 'tooLarge') return err({ tag: 'bodyTooLarge' });
+    if (read.tag === 'aborted' || res.headersSent) return err({ tag: 'callerGone' });
+    return ok(read.body);
   }
   return {
     method: req.method ?? 'GET',
