A body that announces too much is refused unread, and a refused body is read on only for a while

Seen: callers that announce a body over the limit were answered 413 only after a whole limit of it had been read and kept; 3 of 300 callers lost the answer, as the connection was closed with unread bytes, which resets it. A body is now refused by its announced length, and any response to a request that is still arriving is followed by at most a second and 4 MB of discarded bytes before the connection is closed; the stop's own copy of that logic is gone.

--- a/src/transport/http-connections.ts
+++ b/src/transport/http-connections.ts
@@ -9,6 +9,7 @@
 import type { Socket } from 'node:net';
 import { createClock } from './clock.js';
 import type { Clock, Timer } from './clock.js';
+import { endResponse } from './end-response.js';
 
 /** Deadlines of a graceful stop, in milliseconds from its start. */
 export type StopLimits = {
@@ -33,11 +34,6 @@
 
 const SERVICE_UNAVAILABLE = 503;
 const STOPPING_BODY = JSON.stringify({ error: { tag: 'stopping' } });
-/**
- * A caller that is rejected while it still sends its body has this long to read the response. Closing a connection with
- * unread bytes resets it, and the caller could lose the response.
- */
-const LINGER_MS = 1_000;
 
 /** Tracks the connections of one server; created before the server listens. */
 export class HttpConnections {
@@ -101,14 +97,7 @@
       Connection: 'close',
     });
     res.write(STOPPING_BODY);
-    const finish = (): void => {
-      timer.cancel();
-      this.timers.delete(timer);
-      res.end();
-    };
-    const timer = this.after(LINGER_MS, finish);
-    req.once('end', finish);
-    req.resume();
+    endResponse(req, res, this.clock);
   }
 
   private closed(): Promise<void> {
--- a/src/transport/message-body.ts
+++ b/src/transport/message-body.ts
@@ -6,8 +6,9 @@
 export type BodyRead =
   { readonly tag: 'complete'; readonly body: Buffer } | { readonly tag: 'tooLarge' } | { readonly tag: 'aborted' };
 
-/** Reads at most `maxBytes`. After `tooLarge` nothing more is kept; the caller decides what becomes of the message. */
+/** Reads at most `maxBytes`; a body that announces more is not read at all. After `tooLarge` nothing more is kept; the caller decides what becomes of the message. */
 export function readMessageBody(message: IncomingMessage, maxBytes: number): Promise<BodyRead> {
+  if (Number(message.headers['content-length'] ?? 0) > maxBytes) return Promise.resolve({ tag: 'tooLarge' });
   return new Promise((resolve) => {
     const received = new ByteAccumulator();
     function settle(read: BodyRead): void {
--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -117,3 +117,35 @@
   expect(await responseTo(address, 'GET / HTTP/1.1\r\nX-A: x')).toMatch(/^HTTP\/1\.1 408 /);
   await opened.value.close();
 });
+
+/** Sends a head and then `parts` of a megabyte; returns what the server responds, and how many parts it took. */
+async function sendMegabytes(address: string, head: string, parts: number): Promise<{ text: string; sent: number }> {
+  const [host, port] = address.split(':');
+  const socket = createConnection({ host, port: Number(port) });
+  const received = { text: '', sent: 0 };
+  socket.on('data', (bytes) => (received.text += bytes.toString('latin1')));
+  socket.on('error', () => undefined);
+  const closed = new Promise((done) => socket.once('close', done));
+  socket.write(head);
+  for (; received.sent < parts && !socket.destroyed; received.sent += 1)
+    if (!socket.write(Buffer.alloc(1_048_576, 'x')))
+      await new Promise((done) => socket.once('drain', done).once('close', done));
+  await closed;
+  return received;
+}
+
+// Guards against a caller that keeps a server busy with a body that it was told not to send, or that misses the answer.
+test('a body that is announced too large is answered before it is read, and not read on for long', async () => {
+  const opened = await createOpaqueHttpServer().open('127.0.0.1:0', (req) => {
+    void req.body(1_000).then((body) => respondWith(req, body.ok ? 'taken' : body.error.tag));
+  });
+  if (!opened.ok) throw new Error(opened.error.tag);
+  const { address } = opened.value;
+  const head = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000000\r\n\r\n';
+  const silent = await sendMegabytes(address, head, 0);
+  expect(silent.text).toMatch(/bodyTooLarge$/);
+  const talkative = await sendMegabytes(address, head, 100);
+  expect(talkative.text).toMatch(/bodyTooLarge$/);
+  expect(talkative.sent).toBeLessThan(100);
+  await opened.value.close();
+});
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -4,6 +4,9 @@
 import type { Socket } from 'node:net';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
+import { createClock } from './clock.js';
+import type { Clock } from './clock.js';
+import { endResponse } from './end-response.js';
 import { STOP_IMMEDIATELY, HttpConnections } from './http-connections.js';
 import { hasTokenNames, isRequestTarget } from './http-syntax.js';
 import { listen } from './listen.js';
@@ -26,7 +29,7 @@
 const BAD_REQUEST = 400;
 const MALFORMED_BODY = JSON.stringify({ error: { tag: 'malformed' } });
 
-function createResponseWriter(res: ServerResponse): ResponseWriter {
+function createResponseWriter(req: IncomingMessage, res: ServerResponse, clock: Clock): ResponseWriter {
   const goneCallbacks: (() => void)[] = [];
   let isClosedEarly = false;
   function onClose(): void {
@@ -55,7 +58,7 @@
     if (!res.destroyed && !isRejected()) res.write(data);
   }
   function end(): void {
-    if (!res.destroyed && !isRejected()) res.end();
+    if (!res.destroyed && !isRejected()) endResponse(req, res, clock);
   }
   /**
    * Ends a response so that the caller can't take it for a complete one: without chunked encoding only a connection
@@ -77,7 +80,7 @@
   return { head, write, end, abort, gone, begun, onCallerGone: onGone };
 }
 
-function createRequest(req: IncomingMessage, res: ServerResponse): OpaqueRequest {
+function createRequest(req: IncomingMessage, res: ServerResponse, clock: Clock): OpaqueRequest {
   function get(name: string): string | null {
     const value = req.headers[name];
     return typeof value === 'string' ? value : null;
@@ -94,7 +97,7 @@
     headers: req.rawHeaders,
     get,
     body,
-    responseWriter: createResponseWriter(res),
+    responseWriter: createResponseWriter(req, res, clock),
   };
 }
 
@@ -178,12 +181,13 @@
 
 /** Creates a server, which listens once `open` is called. */
 export function createOpaqueHttpServer(retry: ListenRetry | null = null): OpaqueHttpServer {
+  const clock = createClock();
   async function open(
     address: Address,
     handle: (req: OpaqueRequest) => void,
   ): Promise<Result<OpaqueListener, WireError>> {
     function onRequest(req: IncomingMessage, res: ServerResponse): void {
-      if (isForwardable(req)) handle(createRequest(req, res));
+      if (isForwardable(req)) handle(createRequest(req, res, clock));
       else rejectMalformed(res);
     }
     const server = limitedServer(onRequest);
