What a process holds for all its callers is bounded; incomplete bodies give way first

Seen: memory is the number of callers times what each may send (300 bodies of 1 MB at a proxy, 24 of 16 MB at a controller), whether or not a body ever ends. Cause: each body is bounded, their sum is not. Each process now has a budget for bodies and buffered responses, 15 % of its machine's memory. When it is full, incomplete bodies give way, those first that stall or hold most, with 503 (not run); a quarter of it is for requests of up to 64 KB. A body of which nothing comes for the idle timeout is answered 408 (not run). A response for which there is no room is 502, or cut, and its worker not blamed.

--- a/src/base/json-tokens.test.ts
+++ b/src/base/json-tokens.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { hasMoreTokensThan } from './json-tokens.js';
+import { hasMoreTokensThan, JsonTokenCounter } from './json-tokens.js';
 
 function tokensOf(text: string): number {
   let count = 0;
@@ -20,3 +20,13 @@
     expect(tokensOf(text)).toBe(count);
   });
 });
+
+test('a text that arrives in parts has the same tokens, wherever it is cut', () => {
+  const text = Buffer.from('{"a\\"":["b,\\\\",{"c":1}],"d":"[{"}');
+  const whole = new JsonTokenCounter().add(text);
+  for (let cut = 0; cut <= text.length; cut += 1) {
+    const counter = new JsonTokenCounter();
+    counter.add(text.subarray(0, cut));
+    expect(counter.add(text.subarray(cut))).toBe(whole);
+  }
+});
--- a/src/base/json-tokens.ts
+++ b/src/base/json-tokens.ts
@@ -13,19 +13,25 @@
 const COMMA = 0x2c;
 const COLON = 0x3a;
 
-/** Returns whether the text has more than `maxTokens` commas, colons and opening brackets outside of strings. */
-export function hasMoreTokensThan(text: Uint8Array, maxTokens: number): boolean {
-  if (text.length <= maxTokens) return false;
-  let tokens = 0;
-  let isInString = false;
-  for (let at = 0; at < text.length; at += 1) {
-    const byte = text[at];
-    if (byte === QUOTE) isInString = !isInString;
-    else if (isInString) at += byte === BACKSLASH ? 1 : 0;
-    else if (byte === COMMA || byte === COLON || byte === OPEN_ARRAY || byte === OPEN_OBJECT) {
-      tokens += 1;
-      if (tokens > maxTokens) return true;
+/** Counts the commas, colons and opening brackets outside of strings of a text that arrives in parts. */
+export class JsonTokenCounter {
+  private tokens = 0;
+  private isInString = false;
+  private isEscaped = false;
+
+  /** Returns how many there are so far, this part included. */
+  add(part: Uint8Array): number {
+    for (const byte of part) {
+      if (this.isEscaped) this.isEscaped = false;
+      else if (byte === QUOTE) this.isInString = !this.isInString;
+      else if (this.isInString) this.isEscaped = byte === BACKSLASH;
+      else if (byte === COMMA || byte === COLON || byte === OPEN_ARRAY || byte === OPEN_OBJECT) this.tokens += 1;
     }
+    return this.tokens;
   }
-  return false;
+}
+
+/** Returns whether the text has more than `maxTokens` commas, colons and opening brackets outside of strings. */
+export function hasMoreTokensThan(text: Uint8Array, maxTokens: number): boolean {
+  return text.length > maxTokens && new JsonTokenCounter().add(text) > maxTokens;
 }
--- a/src/coordination/forwarding/attempt.ts
+++ b/src/coordination/forwarding/attempt.ts
@@ -214,6 +214,7 @@
       case 'resetUnwritten':
       case 'resetPartlyWritten':
       case 'silent':
+      case 'overloaded':
       case 'deadline':
       case 'callerGone':
     }
--- a/src/coordination/forwarding/caller-responses.ts
+++ b/src/coordination/forwarding/caller-responses.ts
@@ -19,7 +19,8 @@
 
 /** Statuses with which a proxy promises that a request has not run and never will. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([503, 429, 408, 421]);
-const CONTENT_TOO_LARGE = 413;
+/** Errors of requests whose body was not read to its end, so that nothing more can follow it on its connection. */
+const INCOMPLETE_TAGS: ReadonlySet<string> = new Set(['bodyTooLarge', 'stalled', 'overloaded']);
 const BAD_GATEWAY = 502;
 
 class HttpCallerResponses implements CallerResponses {
@@ -32,7 +33,7 @@
     const body = Buffer.from(JSON.stringify({ error: { tag } }));
     const head = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
     if (retryAfterS !== null) head.push('Retry-After', retryAfterS.toFixed(2));
-    if (this.isClosing() || status === CONTENT_TOO_LARGE) head.push('Connection', 'close');
+    if (this.isClosing() || INCOMPLETE_TAGS.has(tag)) head.push('Connection', 'close');
     incoming.responseWriter.head(status, head);
     incoming.responseWriter.write(body);
     incoming.responseWriter.end();
@@ -48,6 +49,7 @@
    */
   forward(request: RelayedRequest, response: BufferedResponse): void {
     const { responseWriter } = request.incoming;
+    responseWriter.tryHold(0);
     const promisesNotExecuted = NOT_EXECUTED_STATUSES.has(response.status);
     const headers = responseHeaders(response.headers);
     responseWriter.head(promisesNotExecuted ? BAD_GATEWAY : response.status, [
--- a/src/coordination/forwarding/final-responses.ts
+++ b/src/coordination/forwarding/final-responses.ts
@@ -15,6 +15,8 @@
   rejectWithoutWorker(request: RelayedRequest, noneInReach: boolean, remainingMs: number): void;
   /** Rejects a request because the routes aren't known yet. */
   rejectNotReady(incoming: OpaqueRequest): void;
+  /** Rejects a request whose body can't be held, as all callers together hold too much. */
+  rejectOverloaded(incoming: OpaqueRequest): void;
   /** Rejects a request that would not end before this process does. */
   rejectStopping(incoming: OpaqueRequest): void;
   /** Ends an open request because this process ends. */
@@ -88,6 +90,10 @@
     this.reject(incoming, 'notReady', this.randomRetryAfterS(RETRY_AFTER_FRACTION.notReady));
   }
 
+  rejectOverloaded(incoming: OpaqueRequest): void {
+    this.reject(incoming, 'overloaded', this.randomRetryAfterS(RETRY_AFTER_FRACTION.full));
+  }
+
   rejectStopping(incoming: OpaqueRequest): void {
     this.reject(incoming, 'leaving', OTHER_PROXY_RETRY_AFTER_S);
   }
--- a/src/coordination/forwarding/relay.test.ts
+++ b/src/coordination/forwarding/relay.test.ts
@@ -163,6 +163,7 @@
         },
         gone: () => isGone,
         begun: () => response.status !== 0,
+        tryHold: () => true,
         onCallerGone: (fn) => {
           goneCallbacks.push(fn);
         },
--- a/src/coordination/forwarding/relay.ts
+++ b/src/coordination/forwarding/relay.ts
@@ -16,7 +16,7 @@
 import { delay } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
-import type { ConnectionPool, OpaqueRequest } from '../../transport/opaque-http.js';
+import type { BodyError, ConnectionPool, OpaqueRequest } from '../../transport/opaque-http.js';
 import type { Rng } from '../../transport/rng.js';
 import { createAttempt } from './attempt.js';
 import type { AttemptEnd, Attempt } from './attempt.js';
@@ -161,12 +161,28 @@
     const route = table.match(incoming.get('host') ?? '', incoming.target.split('?', 1)[0] ?? '/');
     const body = await incoming.body(table.serving.limits.bodyBytes);
     if (!body.ok) {
-      if (body.error.tag === 'bodyTooLarge') this.callerResponses.sendError(incoming, 413, 'bodyTooLarge', null);
+      this.rejectIncomplete(incoming, body.error);
       return;
     }
     await this.serveBody(incoming, route, body.value, arrivedAt);
   }
 
+  /** A request that has not arrived whole has not run, and never will. */
+  private rejectIncomplete(incoming: OpaqueRequest, error: BodyError): void {
+    switch (error.tag) {
+      case 'bodyTooLarge':
+        this.callerResponses.sendError(incoming, 413, 'bodyTooLarge', null);
+        return;
+      case 'stalled':
+        this.callerResponses.sendError(incoming, 408, 'stalled', null);
+        return;
+      case 'overloaded':
+        this.finalResponses.rejectOverloaded(incoming);
+        return;
+      case 'callerGone':
+    }
+  }
+
   private async serveBody(
     incoming: OpaqueRequest,
     route: MatchedRoute | null,
--- a/src/coordination/forwarding/response-reader.test.ts
+++ b/src/coordination/forwarding/response-reader.test.ts
@@ -11,13 +11,24 @@
 const CALLER_RESPONSES = { startStream: () => undefined } as unknown as CallerResponses;
 
 /** Reads a response of `count` equal pieces; returns the outcome and after how many pieces it was known. */
-function readPieces(stream: boolean, headers: Record<string, string>, piece: string, count: number) {
+function readPieces(
+  stream: boolean,
+  headers: Record<string, string>,
+  piece: string,
+  count: number,
+  maxHeldBytes = Infinity,
+) {
   const written: string[] = [];
   const request = {
     id: 'q1',
     stream,
     lastEvent: null,
-    incoming: { responseWriter: { write: (bytes: Buffer) => written.push(bytes.toString()) } },
+    incoming: {
+      responseWriter: {
+        write: (bytes: Buffer) => written.push(bytes.toString()),
+        tryHold: (bytes: number) => bytes <= maxHeldBytes,
+      },
+    },
   } as unknown as RelayedRequest;
   const reader = createResponseReader(HEADERS, request, CALLER_RESPONSES);
   const status = HEADERS.notRun in headers ? 503 : 200;
@@ -64,3 +75,12 @@
   expect(outcome).toBeNull();
   expect(written).toHaveLength(200);
 });
+
+test.each([false, true])(
+  'a response for which there is no room is given up, and its worker not blamed (%s)',
+  (stream) => {
+    const { outcome, pieces } = readPieces(stream, ANSWER, 'x'.repeat(MB / 64), 64, MB / 2);
+    expect(outcome).toEqual({ tag: 'overloaded' });
+    expect(pieces).toBe(33);
+  },
+);
--- a/src/coordination/forwarding/response-reader.ts
+++ b/src/coordination/forwarding/response-reader.ts
@@ -101,7 +101,7 @@
     const isTooLarge = this.buffered.length + chunk.length > MAX_BUFFERED_BYTES;
     if (isTooLarge || this.receivedPieces > MAX_BUFFERED_PIECES) return this.rejection ?? { tag: 'garbled' };
     this.buffered.append(chunk);
-    return null;
+    return this.hold(this.buffered.heldBytes);
   }
 
   private forwardEvents(splitter: EventSplitter, chunk: Buffer): AttemptOutcome | null {
@@ -114,7 +114,12 @@
       else this.request.lastEvent = event.id;
       this.request.incoming.responseWriter.write(event.bytes);
     }
-    return splitter.isOverLimit() ? { tag: 'garbled' } : null;
+    return splitter.isOverLimit() ? { tag: 'garbled' } : this.hold(splitter.heldBytes());
+  }
+
+  /** Accounts for what is buffered. Returns the outcome if there is no room for it. */
+  private hold(bytes: number): AttemptOutcome | null {
+    return this.request.incoming.responseWriter.tryHold(bytes) ? null : (this.rejection ?? { tag: 'overloaded' });
   }
 
   onEnd(): AttemptOutcome {
--- a/src/coordination/proxy/opaque-proxy.test.ts
+++ b/src/coordination/proxy/opaque-proxy.test.ts
@@ -144,6 +144,7 @@
         },
         abort: () => undefined,
         gone: () => false,
+        tryHold: () => true,
         begun: () => response.status !== 0,
         onCallerGone: () => undefined,
       },
@@ -302,7 +303,6 @@
 // Guards against a proxy that ends at its start because its routes arrive before its front address is available.
 test('routes that arrive while the proxy waits for its address are in force once it listens', async () => {
   const { limits, proxy, core } = await createHarness(8, true);
-  const { headerMs, idleMs } = DEFAULT_LIMITS;
-  expect(limits.at(-1)).toEqual({ headerMs, idleMs });
+  expect(limits.at(-1)).toEqual(DEFAULT_LIMITS);
   expect(await core.until(5_000, () => proxy.ready())).toBe(true);
 });
--- a/src/coordination/proxy/opaque-proxy.ts
+++ b/src/coordination/proxy/opaque-proxy.ts
@@ -178,7 +178,7 @@
   startedListener = listener;
   function applyLimits(): void {
     const limits = routeTable?.serving.limits;
-    if (limits) startedListener?.setLimits({ headerMs: limits.headerMs, idleMs: limits.idleMs });
+    if (limits) startedListener?.setLimits(limits);
   }
   applyLimits();
 
--- a/src/sim/edge-day.ts
+++ b/src/sim/edge-day.ts
@@ -253,7 +253,7 @@
     headers: Object.entries(headers).flat(),
     get,
     body,
-    responseWriter: { head, write, end, abort, gone: isGone, begun, onCallerGone: onGone },
+    responseWriter: { head, write, end, abort, gone: isGone, begun, onCallerGone: onGone, tryHold: () => true },
   };
   return { request: opaqueRequest, disconnect };
 }
--- a/src/state/forwarding/attempt-outcome.test.ts
+++ b/src/state/forwarding/attempt-outcome.test.ts
@@ -38,6 +38,7 @@
   [{ tag: 'notExecuted', retryAfterS: 0.2 }, ['repeat', 'repeat', 'repeat', 'resume'], 'refuse'],
   [{ tag: 'workerFailed' }, ['passOn', 'repeat', 'repeat', 'resume'], 'passOn'],
   [{ tag: 'garbled' }, ['fail 502', 'repeat', 'repeat', 'resume'], 'fail 502'],
+  [{ tag: 'overloaded' }, ['fail 502', 'fail 502', 'fail 502', 'cut'], 'fail 502'],
   [{ tag: 'deadline' }, ['fail 504', 'fail 504', 'fail 504', 'cut'], 'fail 504'],
   [{ tag: 'callerGone' }, ['done', 'done', 'done', 'done'], 'done'],
   [{ tag: 'answered' }, ['passOn', 'passOn', 'passOn', 'passOn'], 'passOn'],
--- a/src/state/forwarding/attempt-outcome.ts
+++ b/src/state/forwarding/attempt-outcome.ts
@@ -31,6 +31,8 @@
   | { readonly tag: 'workerFailed' }
   /** The bytes received are not a response, belong to another request, or fail their checks. */
   | { readonly tag: 'garbled' }
+  /** The response is given up as all callers together hold too much; that is no fault of the worker. */
+  | { readonly tag: 'overloaded' }
   /** The deadline passed after the request was written. */
   | { readonly tag: 'deadline' }
   /** The caller closed its connection. */
@@ -109,6 +111,8 @@
       return { tag: 'passOn' };
     case 'deadline':
       return context.isResponseStarted ? { tag: 'cut' } : { tag: 'fail', status: 504 };
+    case 'overloaded':
+      return finalDecision(outcome, context);
     case 'silent':
       return mayRetry(outcome, context) ? { tag: 'repeat', resume: context.isResponseStarted } : { tag: 'wait' };
     default:
--- /dev/null
+++ b/src/transport/caller-intake.ts
@@ -0,0 +1,47 @@
+/** What a process takes in from all its callers together: a small part of its machine, which ordinary callers never fill. */
+import type { Clock } from './clock.js';
+import { createClock } from './clock.js';
+import type { Log } from './log.js';
+import { createMemoryBudget } from './memory-budget.js';
+import type { MemoryBudget } from './memory-budget.js';
+import { createQuietLog } from './quiet-log.js';
+
+/** Memory that a process may use. */
+export type MachineShare = { readonly memoryMegabytes: number };
+
+/** What the servers of a process share. */
+export type CallerIntake = { readonly budget: MemoryBudget };
+
+/** What a process may use if its settings do not say. */
+export const DEFAULT_MACHINE: MachineShare = { memoryMegabytes: 350 };
+
+const BYTES_PER_MB = 1_048_576;
+/** The rest is for the program, its heap, and buffers that are free but not collected yet. */
+const HELD_SHARE = 0.15;
+/** Large requests may use three quarters of the budget, and one of them has to fit. */
+const MIN_BODIES_HELD = 2;
+/** Returns the bytes that a process holds at most for callers whose bodies have up to `largestBodyBytes`. */
+export function maxHeldBytes({ memoryMegabytes }: MachineShare, largestBodyBytes: number): number {
+  return Math.max(memoryMegabytes * BYTES_PER_MB * HELD_SHARE, minHeldBytes(largestBodyBytes));
+}
+
+/** Returns the least budget in which a body of `largestBodyBytes` is taken. */
+export function minHeldBytes(largestBodyBytes: number): number {
+  return MIN_BODIES_HELD * largestBodyBytes;
+}
+
+/** Creates the intake of a process that takes bodies of up to `largestBodyBytes`. */
+export function createCallerIntake(
+  machine: MachineShare,
+  largestBodyBytes: number,
+  clock: Clock,
+  log: Log,
+): CallerIntake {
+  const budget = createMemoryBudget(maxHeldBytes(machine, largestBodyBytes), clock, log);
+  return { budget };
+}
+
+/** Creates the intake of a process on a machine of the default size, without a log. */
+export function createDefaultIntake(): CallerIntake {
+  return createCallerIntake(DEFAULT_MACHINE, 0, createClock(), createQuietLog().component('intake'));
+}
--- a/src/transport/log.ts
+++ b/src/transport/log.ts
@@ -7,19 +7,12 @@
 import type { LogObject } from 'consola';
 import { droppedLine, formatJsonLine, formatTextLine } from './log-line.js';
 import type { LogFields, LogFormat, LogLine } from './log-line.js';
+import type { Log, LogRoot } from './log-interface.js';
 import { createStderrSink } from './log-sink.js';
 
 export type { LogFields } from './log-line.js';
-
-/** Logs events at a level. The event text is constant; values belong in the fields. */
-export type Log = {
-  readonly info: (event: string, fields?: LogFields) => void;
-  readonly warn: (event: string, fields?: LogFields) => void;
-  readonly error: (event: string, fields?: LogFields) => void;
-};
-
-/** Creates a separate log for each component of a node. */
-export type LogRoot = { readonly component: (name: string) => Log };
+export type { Log, LogRoot } from './log-interface.js';
+export { createQuietLog } from './quiet-log.js';
 
 const LEVELS = { silent: -999, error: 0, warn: 1, info: 3 } as const;
 /** The least severe level that is written. */
@@ -48,12 +41,3 @@
   }
   return { component };
 }
-
-/** Creates a log that discards all lines. */
-export function createQuietLog(): LogRoot {
-  function drop(): void {}
-  function component(): Log {
-    return { info: drop, warn: drop, error: drop };
-  }
-  return { component };
-}
--- a/src/transport/message-body.ts
+++ b/src/transport/message-body.ts
@@ -1,35 +1,102 @@
 /** Reads the body of an HTTP message into memory, up to a limit. */
 import type { IncomingMessage } from 'node:http';
 import { ByteAccumulator } from '../base/byte-accumulator.js';
+import { JsonTokenCounter } from '../base/json-tokens.js';
+import type { MemoryBudget, MemoryHold } from './memory-budget.js';
 
-/** How reading a body ended: with all of it, at the limit, or with the connection. */
+/**
+ * How reading a body ended: with all of it, at one of its limits, because all callers together hold too much, because nothing of it
+ * came for too long, or with the connection.
+ */
 export type BodyRead =
-  { readonly tag: 'complete'; readonly body: Buffer } | { readonly tag: 'tooLarge' } | { readonly tag: 'aborted' };
+  | { readonly tag: 'complete'; readonly body: Buffer }
+  | { readonly tag: 'tooLarge' }
+  | { readonly tag: 'tooManyTokens' }
+  | { readonly tag: 'overloaded' }
+  | { readonly tag: 'stalled' }
+  | { readonly tag: 'aborted' };
 
-/** Reads at most `maxBytes`; a body that announces more is not read at all. After `tooLarge` nothing more is kept; the caller decides what becomes of the message. */
+/** Reads at most `maxBytes`; a body that announces more is not read at all. Nothing is kept unless it is complete. */
 export function readMessageBody(message: IncomingMessage, maxBytes: number): Promise<BodyRead> {
-  if (Number(message.headers['content-length'] ?? 0) > maxBytes) return Promise.resolve({ tag: 'tooLarge' });
-  return new Promise((resolve) => {
-    const received = new ByteAccumulator();
-    function settle(read: BodyRead): void {
-      message.off('data', onData);
-      received.clear();
-      resolve(read);
-    }
-    function onData(chunk: Buffer): void {
-      if (received.length + chunk.length > maxBytes) settle({ tag: 'tooLarge' });
-      else received.append(chunk);
-    }
-    function onEnd(): void {
-      settle(message.complete ? { tag: 'complete', body: received.take() } : { tag: 'aborted' });
+  return new BodyReader(message, maxBytes).read();
+}
+
+/** Limits of the body of a caller's request. */
+export type RequestBodyLimits = {
+  readonly maxBytes: number;
+  /** For a body that is to be parsed as JSON: its largest number of tokens. */
+  readonly maxTokens?: number;
+  /** Time without any byte after which the body is given up, in milliseconds. */
+  readonly stallMs: number;
+  readonly budget: MemoryBudget;
+};
+
+/** The outcome of reading a request's body, and what it holds of the budget until it is released. */
+export type RequestBodyRead = { readonly read: BodyRead; readonly hold: MemoryHold };
+
+/** Reads the body of a request within the budget of all callers. The hold is to be released with the request. */
+export async function readRequestBody(request: IncomingMessage, limits: RequestBodyLimits): Promise<RequestBodyRead> {
+  const reader = new BodyReader(request, limits.maxBytes, limits.maxTokens);
+  const hold = limits.budget.open(() => reader.giveUp('overloaded'));
+  request.setTimeout(limits.stallMs, () => reader.giveUp('stalled'));
+  const read = await reader.read(hold);
+  request.setTimeout(0);
+  if (read.tag === 'complete') hold.keep();
+  return { read, hold };
+}
+
+class BodyReader {
+  private readonly received = new ByteAccumulator();
+  private readonly tokens = new JsonTokenCounter();
+  private resolve: (read: BodyRead) => void = () => undefined;
+  private hold: MemoryHold | null = null;
+
+  constructor(
+    private readonly message: IncomingMessage,
+    private readonly maxBytes: number,
+    private readonly maxTokens = Infinity,
+  ) {}
+
+  read(hold: MemoryHold | null = null): Promise<BodyRead> {
+    this.hold = hold;
+    if (Number(this.message.headers['content-length'] ?? 0) > this.maxBytes)
+      return Promise.resolve({ tag: 'tooLarge' });
+    return new Promise((resolve) => {
+      this.resolve = resolve;
+      this.message.on('data', this.onData);
+      this.message.on('end', () => this.onEnd());
+      for (const event of ['error', 'aborted', 'close']) this.message.on(event, () => this.giveUp('aborted'));
+    });
+  }
+
+  giveUp(tag: 'tooLarge' | 'tooManyTokens' | 'overloaded' | 'stalled' | 'aborted'): void {
+    this.settle({ tag });
+  }
+
+  private readonly onData = (chunk: Buffer): void => {
+    if (this.received.length + chunk.length > this.maxBytes) {
+      this.giveUp('tooLarge');
+      return;
     }
-    function onAborted(): void {
-      settle({ tag: 'aborted' });
+    if (this.maxTokens !== Infinity && this.tokens.add(chunk) > this.maxTokens) {
+      this.giveUp('tooManyTokens');
+      return;
     }
-    message.on('data', onData);
-    message.on('end', onEnd);
-    message.on('error', onAborted);
-    message.on('aborted', onAborted);
-    message.on('close', onAborted);
-  });
+    const heldBefore = this.received.heldBytes;
+    this.received.append(chunk);
+    this.hold?.touch();
+    const { heldBytes } = this.received;
+    if (heldBytes !== heldBefore && this.hold?.tryResize(heldBytes) === false) this.giveUp('overloaded');
+  };
+
+  private onEnd(): void {
+    this.settle(this.message.complete ? { tag: 'complete', body: this.received.take() } : { tag: 'aborted' });
+  }
+
+  private settle(read: BodyRead): void {
+    this.message.off('data', this.onData);
+    this.received.clear();
+    if (read.tag !== 'complete') this.hold?.tryResize(0);
+    this.resolve(read);
+  }
 }
--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -2,6 +2,9 @@
 import type { IncomingMessage } from 'node:http';
 import { createConnection } from 'node:net';
 import { expect, test } from '@jest/globals';
+import { createClock } from './clock.js';
+import { createQuietLog } from './log.js';
+import { createMemoryBudget } from './memory-budget.js';
 import { createOpaqueHttpServer } from './opaque-http-server.js';
 import type { OpaqueRequest } from './opaque-http.js';
 
@@ -111,7 +114,7 @@
 test('a head over the limit is answered 431, and one that takes too long 408', async () => {
   const opened = await createOpaqueHttpServer().open('127.0.0.1:0', () => undefined);
   if (!opened.ok) throw new Error(opened.error.tag);
-  opened.value.setLimits({ headerMs: 50, idleMs: 1_000 });
+  opened.value.setLimits({ headerBytes: 16_384, bodyBytes: 1_024, headerMs: 50, idleMs: 1_000 });
   const { address } = opened.value;
   expect(await responseTo(address, `GET / HTTP/1.1\r\nX-A: ${'x'.repeat(70_000)}`)).toMatch(/^HTTP\/1\.1 431 /);
   expect(await responseTo(address, 'GET / HTTP/1.1\r\nX-A: x')).toMatch(/^HTTP\/1\.1 408 /);
@@ -149,3 +152,20 @@
   expect(talkative.sent).toBeLessThan(100);
   await opened.value.close();
 });
+
+// Guards against callers who fill a process with bodies that never end.
+test('bodies that stop short of their end give way to others, with the promise that they have not run', async () => {
+  const intake = { budget: createMemoryBudget(1_048_576, createClock(), createQuietLog().component('t')) };
+  const opened = await createOpaqueHttpServer(null, intake).open('127.0.0.1:0', (req) => {
+    void req.body(1_000_000).then((body) => respondWith(req, body.ok ? 'taken' : body.error.tag));
+  });
+  if (!opened.ok) throw new Error(opened.error.tag);
+  const { address } = opened.value;
+  const head = (bytes: number): string =>
+    `POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: ${bytes}\r\n\r\n`;
+  const stalled = [1, 2, 3].map(() => responseTo(address, `${head(500_000)}${'x'.repeat(400_000)}`));
+  expect(await Promise.race(stalled)).toMatch(/overloaded$/);
+  const ordinary = Array.from({ length: 10 }, () => responseTo(address, `${head(60_000)}${'x'.repeat(60_000)}`));
+  for (const response of await Promise.all(ordinary)) expect(response).toMatch(/taken$/);
+  await opened.value.close();
+});
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -2,25 +2,18 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { err, ok } from '../base/result.js';
+import { ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
+import { createDefaultIntake, minHeldBytes } from './caller-intake.js';
+import type { CallerIntake } from './caller-intake.js';
 import { createClock } from './clock.js';
-import type { Clock } from './clock.js';
-import { endResponse } from './end-response.js';
 import { STOP_IMMEDIATELY, HttpConnections } from './http-connections.js';
 import { hasTokenNames, isRequestTarget } from './http-syntax.js';
 import { listen } from './listen.js';
 import type { ListenRetry } from './listen.js';
-import { readMessageBody } from './message-body.js';
-import type {
-  ResponseWriter,
-  BodyError,
-  OpaqueHttpServer,
-  OpaqueLimits,
-  OpaqueListener,
-  OpaqueRequest,
-  RawHeaders,
-} from './opaque-http.js';
+import { createOpaqueRequest } from './opaque-exchange.js';
+import type { ExchangeDeps } from './opaque-exchange.js';
+import type { OpaqueHttpServer, OpaqueLimits, OpaqueListener, OpaqueRequest } from './opaque-http.js';
 import type { Address, WireError } from './wire.js';
 
 const MAX_HEADER_BYTES = 65_536;
@@ -29,78 +22,6 @@
 const BAD_REQUEST = 400;
 const MALFORMED_BODY = JSON.stringify({ error: { tag: 'malformed' } });
 
-function createResponseWriter(req: IncomingMessage, res: ServerResponse, clock: Clock): ResponseWriter {
-  const goneCallbacks: (() => void)[] = [];
-  let isClosedEarly = false;
-  function onClose(): void {
-    if (isClosedEarly || res.writableFinished) return;
-    isClosedEarly = true;
-    for (const callback of goneCallbacks) callback();
-  }
-  res.on('close', onClose);
-  function ignoreError(): void {}
-  res.on('error', ignoreError);
-
-  let hasSentHead = false;
-  /**
-   * Whether the server rejected this request because it was incomplete when the server stopped (`rejectIncomplete`).
-   */
-  function isRejected(): boolean {
-    return res.headersSent && !hasSentHead;
-  }
-  function head(status: number, headers: RawHeaders): void {
-    if (res.headersSent || res.destroyed) return;
-    hasSentHead = true;
-    res.sendDate = false;
-    res.writeHead(status, headers as unknown as string[]);
-  }
-  function write(data: Buffer): void {
-    if (!res.destroyed && !isRejected()) res.write(data);
-  }
-  function end(): void {
-    if (!res.destroyed && !isRejected()) endResponse(req, res, clock);
-  }
-  /**
-   * Ends a response so that the caller can't take it for a complete one: without chunked encoding only a connection
-   * reset shows that it was truncated.
-   */
-  function abort(): void {
-    if (res.headersSent && !res.chunkedEncoding) res.socket?.resetAndDestroy();
-    res.destroy();
-  }
-  function gone(): boolean {
-    return isClosedEarly || res.destroyed || isRejected();
-  }
-  function onGone(callback: () => void): void {
-    goneCallbacks.push(callback);
-  }
-  function begun(): boolean {
-    return res.headersSent;
-  }
-  return { head, write, end, abort, gone, begun, onCallerGone: onGone };
-}
-
-function createRequest(req: IncomingMessage, res: ServerResponse, clock: Clock): OpaqueRequest {
-  function get(name: string): string | null {
-    const value = req.headers[name];
-    return typeof value === 'string' ? value : null;
-  }
-  async function body(maxBytes: number): Promise<Result<Buffer, BodyError>> {
-    const read = await readMessageBody(req, maxBytes);
-    if (read.tag === 'tooLarge') return err({ tag: 'bodyTooLarge' });
-    if (read.tag === 'aborted' || res.headersSent) return err({ tag: 'callerGone' });
-    return ok(read.body);
-  }
-  return {
-    method: req.method ?? 'GET',
-    target: req.url ?? '/',
-    headers: req.rawHeaders,
-    get,
-    body,
-    responseWriter: createResponseWriter(req, res, clock),
-  };
-}
-
 function isForwardable(req: IncomingMessage): boolean {
   return isRequestTarget(req.url ?? '') && hasTokenNames(req.rawHeaders);
 }
@@ -160,12 +81,18 @@
   socket.on('error', ignoreError);
 }
 
-function listenerOf(server: Server, connections: HttpConnections, address: Address): OpaqueListener {
+function listenerOf(
+  server: Server,
+  connections: HttpConnections,
+  intake: CallerIntake,
+  address: Address,
+): OpaqueListener {
   function stopListening(): void {
     if (server.listening) connections.stopListening();
     connections.closeIdle();
   }
   function setLimits(limits: OpaqueLimits): void {
+    intake.budget.ensure(minHeldBytes(limits.bodyBytes));
     server.headersTimeout = limits.headerMs;
     server.keepAliveTimeout = limits.idleMs;
   }
@@ -179,22 +106,26 @@
   };
 }
 
-/** Creates a server, which listens once `open` is called. */
-export function createOpaqueHttpServer(retry: ListenRetry | null = null): OpaqueHttpServer {
+/** Creates a server, which listens once `open` is called; its callers share `intake`. */
+export function createOpaqueHttpServer(
+  retry: ListenRetry | null = null,
+  intake: CallerIntake = createDefaultIntake(),
+): OpaqueHttpServer {
   const clock = createClock();
   async function open(
     address: Address,
     handle: (req: OpaqueRequest) => void,
   ): Promise<Result<OpaqueListener, WireError>> {
     function onRequest(req: IncomingMessage, res: ServerResponse): void {
-      if (isForwardable(req)) handle(createRequest(req, res, clock));
+      if (isForwardable(req)) handle(createOpaqueRequest(req, res, deps));
       else rejectMalformed(res);
     }
     const server = limitedServer(onRequest);
+    const deps: ExchangeDeps = { clock, budget: intake.budget, idleMs: () => server.keepAliveTimeout };
     const connections = new HttpConnections(server);
     server.on('connection', ignoreErrorsOf);
     const listening = await listen(server, address, retry);
-    return listening.ok ? ok(listenerOf(server, connections, listening.value)) : listening;
+    return listening.ok ? ok(listenerOf(server, connections, intake, listening.value)) : listening;
   }
   return { open };
 }
--- a/src/transport/opaque-http.ts
+++ b/src/transport/opaque-http.ts
@@ -9,7 +9,13 @@
 export type RawHeaders = readonly string[];
 
 /** Why a body was not read. */
-export type BodyError = { readonly tag: 'bodyTooLarge' } | { readonly tag: 'callerGone' };
+export type BodyError =
+  | { readonly tag: 'bodyTooLarge' }
+  /** All callers together hold as much as the process may. */
+  | { readonly tag: 'overloaded' }
+  /** Nothing of the body came for the idle timeout. */
+  | { readonly tag: 'stalled' }
+  | { readonly tag: 'callerGone' };
 
 /** Writes one response. After `abort` the caller can tell that the response is truncated. */
 export type ResponseWriter = {
@@ -21,6 +27,11 @@
   /** Whether the head has been sent. */
   readonly begun: () => boolean;
   readonly onCallerGone: (callback: () => void) => void;
+  /**
+   * Accounts for `bytes` of a response that is buffered before it is written, instead of those before. Returns false if
+   * all callers together hold too much for them.
+   */
+  readonly tryHold: (bytes: number) => boolean;
 };
 
 /** A request whose body has not been read yet; `body` reads at most `maxBytes` bytes. */
@@ -33,8 +44,13 @@
   readonly responseWriter: ResponseWriter;
 };
 
-/** Timeouts of headers and of idle connections, in milliseconds. */
-export type OpaqueLimits = { readonly headerMs: number; readonly idleMs: number };
+/** Sizes of a head and of a body in bytes, and timeouts of heads and of idle connections in milliseconds. */
+export type OpaqueLimits = {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerMs: number;
+  readonly idleMs: number;
+};
 
 /** A listener whose limits can be changed while it serves. */
 export type OpaqueListener = Listener & {
