A caller that does not read its response is cut off instead of filling the process

Seen: eight callers that read nothing of a stream that a worker sends without end took a proxy to 645 MB and its heap limit (SIGABRT). Cause: writes to a caller wait for nothing. What a caller has not read counts toward the budget of all callers; one with more than 1 MB of it is cut off at the next write, and so is one that reads nothing of a finished response for the idle timeout. A worker is not paused instead: what arrives unread counts as memory of the machine too.

--- a/src/transport/opaque-exchange.ts
+++ b/src/transport/opaque-exchange.ts
@@ -12,10 +12,13 @@
 export type ExchangeDeps = {
   readonly clock: Clock;
   readonly budget: MemoryBudget;
-  /** How long a caller may send nothing of its body, in milliseconds. */
+  /** How long a caller may neither send nor read anything while it is waited for, in milliseconds. */
   readonly idleMs: () => number;
 };
 
+/** A caller with more unread bytes than this is cut off. One event, or one response, is always taken. */
+const MAX_UNREAD_BYTES = 1_048_576;
+
 /** Bodies are passed on unread, so their tokens are not counted. */
 const BODY_ERRORS = {
   tooLarge: { tag: 'bodyTooLarge' },
@@ -45,6 +48,7 @@
     this.target = req.url ?? '/';
     this.headers = req.rawHeaders;
     res.on('close', () => this.onClose());
+    res.on('drain', () => this.resizeMemory());
     res.on('error', () => undefined);
   }
 
@@ -81,12 +85,15 @@
 
   readonly write = (data: Buffer): void => {
     if (this.res.destroyed || this.isRejected()) return;
-    this.res.write(data);
+    const isCutOff = this.res.writableLength > MAX_UNREAD_BYTES;
+    if (!isCutOff) this.res.write(data);
+    if (isCutOff || !this.resizeMemory()) this.abort();
   };
 
   readonly end = (): void => {
     if (this.res.destroyed || this.isRejected()) return;
     endResponse(this.req, this.res, this.deps.clock);
+    if (!this.res.writableFinished) this.res.socket?.setTimeout(this.deps.idleMs());
   };
 
   /**
@@ -107,7 +114,7 @@
   };
 
   private resizeMemory(): boolean {
-    return this.memory?.tryResize(this.bodyBytes + this.bufferedBytes) ?? true;
+    return this.memory?.tryResize(this.bodyBytes + this.bufferedBytes + this.res.writableLength) ?? true;
   }
 
   /**
--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -169,3 +169,63 @@
   for (const response of await Promise.all(ordinary)) expect(response).toMatch(/taken$/);
   await opened.value.close();
 });
+
+/** Opens a server that writes a part of 64 KB at each turn of the event loop until its caller is gone. */
+async function serveWithoutEnd(maxParts: number) {
+  const progress = { parts: 0, isGone: false };
+  const opened = await createOpaqueHttpServer().open('127.0.0.1:0', (req) => {
+    const { responseWriter } = req;
+    void req.body(1_000).then(() => {
+      responseWriter.onCallerGone(() => (progress.isGone = true));
+      responseWriter.head(200, []);
+      function writeMore(): void {
+        if (responseWriter.gone()) return;
+        if (progress.parts === maxParts) return responseWriter.end();
+        progress.parts += 1;
+        responseWriter.write(Buffer.alloc(65_536, 'x'));
+        setImmediate(writeMore);
+      }
+      writeMore();
+    });
+  });
+  if (!opened.ok) throw new Error(opened.error.tag);
+  return { listener: opened.value, progress };
+}
+/** Sends a request and reads nothing. */
+function silentReader(address: string): ReturnType<typeof createConnection> {
+  const [host, port] = address.split(':');
+  const socket = createConnection({ host, port: Number(port) }, () =>
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n'),
+  );
+  socket.on('error', () => undefined);
+  return socket.pause();
+}
+
+// Guards against callers that do not read: what a worker sends them piled up until the process ended.
+test('a caller that does not read a long response is cut off', async () => {
+  const { listener, progress } = await serveWithoutEnd(10_000);
+  const socket = silentReader(listener.address);
+  while (!progress.isGone) await new Promise((done) => setImmediate(done));
+  expect(progress.parts).toBeLessThan(10_000);
+  socket.destroy();
+  await listener.close();
+});
+
+test('a caller that does not read the end of a response is cut off after the idle timeout', async () => {
+  let isAnswered = false;
+  const opened = await createOpaqueHttpServer().open('127.0.0.1:0', (req) => {
+    void req.body(1_000).then(() => {
+      respondWith(req, 'x'.repeat(16 * 1_048_576));
+      isAnswered = true;
+    });
+  });
+  if (!opened.ok) throw new Error(opened.error.tag);
+  const listener = opened.value;
+  listener.setLimits({ headerBytes: 16_384, bodyBytes: 1_024, headerMs: 1_000, idleMs: 50 });
+  const socket = silentReader(listener.address);
+  while (!isAnswered) await new Promise((done) => setImmediate(done));
+  expect(listener.inFlight()).toBe(1);
+  while (listener.inFlight() > 0) await new Promise((done) => setImmediate(done));
+  socket.destroy();
+  await listener.close();
+});
