Callers' connections are bounded; those that are least missed are closed to make room

Seen: 700 connections with half a head are all kept, 725 and 730 descriptors where 512 are allowed; a process without descriptors can't dial workers either. Cause: connections were not counted. A head may have as many bytes as the configuration says, not 64 KB.

--- a/src/transport/caller-intake.ts
+++ b/src/transport/caller-intake.ts
@@ -6,20 +6,26 @@
 import type { MemoryBudget } from './memory-budget.js';
 import { createQuietLog } from './quiet-log.js';
 
-/** Memory that a process may use. */
-export type MachineShare = { readonly memoryMegabytes: number };
+/** Memory in MB and file descriptors that a process may use. */
+export type MachineShare = { readonly memoryMegabytes: number; readonly maxDescriptors: number };
 
-/** What the servers of a process share. */
-export type CallerIntake = { readonly budget: MemoryBudget };
+/** What the servers of a process share. `maxConnections` holds for each address. */
+export type CallerIntake = { readonly budget: MemoryBudget; readonly maxConnections: number; readonly log: Log };
 
 /** What a process may use if its settings do not say. */
-export const DEFAULT_MACHINE: MachineShare = { memoryMegabytes: 350 };
+export const DEFAULT_MACHINE: MachineShare = { memoryMegabytes: 350, maxDescriptors: 4_096 };
 
 const BYTES_PER_MB = 1_048_576;
 /** The rest is for the program, its heap, and buffers that are free but not collected yet. */
 const HELD_SHARE = 0.15;
 /** Large requests may use three quarters of the budget, and one of them has to fit. */
 const MIN_BODIES_HELD = 2;
+/** Descriptors that are no connections. */
+const RESERVED_FDS = 200;
+/** The rest is for connections to workers and other nodes. */
+const CONNECTION_SHARE = 0.4;
+const MIN_CONNECTIONS = 16;
+
 /** Returns the bytes that a process holds at most for callers whose bodies have up to `largestBodyBytes`. */
 export function maxHeldBytes({ memoryMegabytes }: MachineShare, largestBodyBytes: number): number {
   return Math.max(memoryMegabytes * BYTES_PER_MB * HELD_SHARE, minHeldBytes(largestBodyBytes));
@@ -30,6 +36,11 @@
   return MIN_BODIES_HELD * largestBodyBytes;
 }
 
+/** Returns the most connections of callers at one address. */
+export function maxCallerConnections({ maxDescriptors }: MachineShare): number {
+  return Math.max(Math.floor((maxDescriptors - RESERVED_FDS) * CONNECTION_SHARE), MIN_CONNECTIONS);
+}
+
 /** Creates the intake of a process that takes bodies of up to `largestBodyBytes`. */
 export function createCallerIntake(
   machine: MachineShare,
@@ -38,7 +49,7 @@
   log: Log,
 ): CallerIntake {
   const budget = createMemoryBudget(maxHeldBytes(machine, largestBodyBytes), clock, log);
-  return { budget };
+  return { budget, maxConnections: maxCallerConnections(machine), log };
 }
 
 /** Creates the intake of a process on a machine of the default size, without a log. */
--- a/src/transport/http-connections.test.ts
+++ b/src/transport/http-connections.test.ts
@@ -6,6 +6,7 @@
 import { createWorld } from '../sim/world.js';
 import type { World } from '../sim/world.js';
 import { HttpConnections } from './http-connections.js';
+import { createQuietLog } from './log.js';
 
 const LIMITS = { receiveTimeoutMs: 2_000, stopTimeoutMs: 7_000 };
 
@@ -24,10 +25,14 @@
   for (const caller of callers.splice(0)) caller.socket.destroy();
 });
 
-async function startServer(): Promise<TestServer> {
+async function startServer(maxConnections = 1_000): Promise<TestServer> {
   const world = createWorld(1);
   const server = createServer();
-  const connections = new HttpConnections(server, world.clockOf(world.startProcess(world.host('server', 'zone'))));
+  const connections = new HttpConnections(
+    server,
+    { maxConnections, log: createQuietLog().component('t') },
+    world.clockOf(world.startProcess(world.host('server', 'zone'))),
+  );
   const requests: { req: IncomingMessage; res: ServerResponse }[] = [];
   server.on('request', (req: IncomingMessage, res: ServerResponse) => requests.push({ req, res }));
   await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
@@ -39,8 +44,8 @@
   while (!condition()) await new Promise((done) => setImmediate(done));
 }
 
-async function connectCaller(fixture: TestServer, bytes: string): Promise<Caller> {
-  const before = await connectionCount(fixture);
+/** Opens a connection, whether or not the server accepts it. */
+async function openCaller(fixture: TestServer, bytes: string): Promise<Caller> {
   const socket = createConnection(fixture.port, '127.0.0.1');
   const caller: Caller = { socket, text: '', ended: false };
   callers.push(caller);
@@ -48,6 +53,12 @@
   socket.on('error', () => undefined);
   socket.on('close', () => (caller.ended = true));
   if (bytes !== '') socket.write(bytes);
+  await new Promise((done) => socket.once('connect', done));
+  return caller;
+}
+async function connectCaller(fixture: TestServer, bytes: string): Promise<Caller> {
+  const before = await connectionCount(fixture);
+  const caller = await openCaller(fixture, bytes);
   while ((await connectionCount(fixture)) === before) await new Promise((done) => setImmediate(done));
   return caller;
 }
@@ -172,3 +183,25 @@
   await until(() => receivedBytes === size);
   expect(fixture.connections.inFlight()).toBe(0);
 });
+
+// Guards against callers who open connections until the process has no descriptor left.
+test('at the limit the connection that is least likely to be missed is closed, and none whose request has been read', async () => {
+  const fixture = await startServer(4);
+  const read = await connectCaller(fixture, 'GET /read HTTP/1.1\r\nHost: a\r\n\r\n');
+  const resting = await connectCaller(fixture, 'GET /rests HTTP/1.1\r\nHost: a\r\n\r\n');
+  await until(() => fixture.requests.length === 2);
+  fixture.requests.find(({ req }) => req.url === '/rests')?.res.end('done');
+  await until(() => resting.text.endsWith('done'));
+  const halfHead = await connectCaller(fixture, 'GET / HTTP/1.1\r\nHo');
+  const halfBody = await connectCaller(fixture, 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1234');
+  await until(() => fixture.requests.length === 3);
+  for (const [index, closed] of [halfHead, resting, halfBody].entries()) {
+    const newcomer = await openCaller(fixture, `GET /new-${index} HTTP/1.1\r\nHost: a\r\n\r\n`);
+    await until(() => closed.ended && fixture.requests.length === 4 + index);
+    expect(newcomer.ended).toBe(false);
+  }
+  await openCaller(fixture, 'GET /last HTTP/1.1\r\nHost: a\r\n\r\n');
+  await until(() => fixture.requests.length === 7);
+  expect(read.ended).toBe(false);
+  await fixture.connections.stop({ receiveTimeoutMs: 0, stopTimeoutMs: 0 });
+});
--- a/src/transport/http-connections.ts
+++ b/src/transport/http-connections.ts
@@ -10,6 +10,8 @@
 import { createClock } from './clock.js';
 import type { Clock, Timer } from './clock.js';
 import { endResponse } from './end-response.js';
+import type { Log } from './log.js';
+import { OverloadLog } from './overload-log.js';
 
 /** Deadlines of a graceful stop, in milliseconds from its start. */
 export type StopLimits = {
@@ -30,21 +32,32 @@
   return { receiveTimeoutMs: Math.min(RECEIVE_TIMEOUT_MS, longestMs), stopTimeoutMs: longestMs };
 }
 
+/** The most connections of a server. What is closed to make room for others is logged. */
+export type ConnectionLimit = { readonly maxConnections: number; readonly log: Log };
+
+type Connection = { readonly exchanges: Set<Exchange>; hasBeenUsed: boolean; lastActiveAt: number };
 type Exchange = { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number };
 
+/** Offsets that are larger than any time since the start of a process, in milliseconds. */
+const RESTING_RANK = 1e13;
+const INCOMPLETE_RANK = 2e13;
+
 const SERVICE_UNAVAILABLE = 503;
 const STOPPING_BODY = JSON.stringify({ error: { tag: 'stopping' } });
 
 /** Tracks the connections of one server; created before the server listens. */
 export class HttpConnections {
-  private readonly connections = new Map<Socket, Set<Exchange>>();
+  private readonly connections = new Map<Socket, Connection>();
+  private readonly closedForOthers: OverloadLog;
   private readonly timers = new Set<Timer>();
   private isStopping = false;
 
   constructor(
     private readonly server: Server,
+    private readonly limit: ConnectionLimit,
     private readonly clock: Clock = createClock(),
   ) {
+    this.closedForOthers = new OverloadLog('connection closed to make room', clock, limit.log);
     server.on('connection', (socket: Socket) => this.onConnection(socket));
     server.on('request', (req: IncomingMessage, res: ServerResponse) => this.onRequest(req, res));
   }
@@ -52,7 +65,7 @@
   /** Returns the number of requests whose response has not been handed to the operating system completely. */
   inFlight(): number {
     let count = 0;
-    for (const exchanges of this.connections.values()) count += exchanges.size;
+    for (const { exchanges } of this.connections.values()) count += exchanges.size;
     return count;
   }
 
@@ -64,7 +77,7 @@
   /** Closes connections without a request, now and whenever another one becomes idle. */
   closeIdle(): void {
     this.isStopping = true;
-    for (const [socket, exchanges] of this.connections) if (exchanges.size === 0) socket.destroy();
+    for (const [socket, { exchanges }] of this.connections) if (exchanges.size === 0) socket.destroy();
   }
 
   /** Stops accepting connections, closes all within `limits`, and resolves when none is left. */
@@ -85,7 +98,7 @@
    */
   rejectIncomplete(afterMs = 0): void {
     const latest = this.clock.mono() - afterMs;
-    for (const exchanges of this.connections.values())
+    for (const { exchanges } of this.connections.values())
       for (const exchange of exchanges)
         if (exchange.arrivedAt <= latest && isIncomplete(exchange)) this.refuse(exchange);
   }
@@ -122,25 +135,59 @@
   }
 
   private onConnection(socket: Socket): void {
-    this.connections.set(socket, new Set());
+    if (this.connections.size >= this.limit.maxConnections) this.makeRoom();
+    this.connections.set(socket, { exchanges: new Set(), hasBeenUsed: false, lastActiveAt: this.clock.mono() });
     socket.on('close', () => this.connections.delete(socket));
   }
 
+  /**
+   * Closes the connection that is least likely to be missed: one on which no request has arrived whole. If there is none,
+   * the number of connections is above its limit until one ends: what is read is answered.
+   */
+  private makeRoom(): void {
+    let chosen: Socket | null = null;
+    let lowestRank = Infinity;
+    for (const [socket, connection] of this.connections) {
+      const rank = evictionRank(connection);
+      if (rank >= lowestRank) continue;
+      chosen = socket;
+      lowestRank = rank;
+    }
+    if (!chosen) return;
+    this.closedForOthers.record(() => ({ connections: this.connections.size }));
+    this.connections.delete(chosen);
+    chosen.destroy();
+  }
+
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     const exchange: Exchange = { req, res, arrivedAt: this.clock.mono() };
-    this.connections.get(socket)?.add(exchange);
+    const connection = this.connections.get(socket);
+    connection?.exchanges.add(exchange);
+    if (connection) connection.hasBeenUsed = true;
     res.on('close', () => this.onResponseClosed(socket, exchange));
   }
 
   /** During a stop, closes the connection: a head that was sent before did not announce `Connection: close`. */
   private onResponseClosed(socket: Socket, exchange: Exchange): void {
-    const exchanges = this.connections.get(socket);
-    exchanges?.delete(exchange);
-    if (this.isStopping && exchanges?.size === 0) socket.destroySoon();
+    const connection = this.connections.get(socket);
+    if (!connection) return;
+    connection.exchanges.delete(exchange);
+    connection.lastActiveAt = this.clock.mono();
+    if (this.isStopping && connection.exchanges.size === 0) socket.destroySoon();
   }
 }
 
+/**
+ * Ranks connections by how soon they are closed to make room: first the oldest without any request so far, which is silent
+ * or has sent a part of a head; then the oldest that rests; then the oldest with an incomplete request. Infinity: never.
+ */
+function evictionRank({ exchanges, hasBeenUsed, lastActiveAt }: Connection): number {
+  if (exchanges.size === 0) return hasBeenUsed ? lastActiveAt + RESTING_RANK : lastActiveAt;
+  for (const exchange of exchanges) if (!isIncomplete(exchange)) return Infinity;
+  return lastActiveAt + INCOMPLETE_RANK;
+}
+
 function isIncomplete({ req, res }: Exchange): boolean {
   return !req.complete && !res.headersSent;
 }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -10,6 +10,9 @@
 import { once } from 'node:events';
 import { isDeeperThan } from '../base/depth.js';
 import { describeError } from '../base/describe-error.js';
+import { createDefaultIntake } from './caller-intake.js';
+import type { CallerIntake } from './caller-intake.js';
+import { createClock } from './clock.js';
 import { STOP_IMMEDIATELY, HttpConnections } from './http-connections.js';
 import { ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
@@ -75,8 +78,11 @@
     private readonly log: Log,
     private readonly requestTimeoutMs: number,
     private readonly retry: ListenRetry | null,
+    private readonly intake: CallerIntake,
   ) {}
 
+  private readonly clock = createClock();
+
   private mount(app: Express, route: Route): void {
     function replyEarly(req: Request, res: Response, next: NextFunction): void {
       const earlyReply = route.earlyReply?.(toHttpRequest(req, res));
@@ -142,7 +148,7 @@
       this.appFor(routes),
     );
     server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-    const connections = new HttpConnections(server);
+    const connections = new HttpConnections(server, this.intake, this.clock);
     function close(limits = STOP_IMMEDIATELY): Promise<void> {
       return connections.stop(limits);
     }
@@ -167,6 +173,7 @@
   log: Log,
   requestTimeoutMs = REQUEST_TIMEOUT_MS,
   retry: ListenRetry | null = null,
+  intake: CallerIntake = createDefaultIntake(),
 ): HttpServer {
-  return new ExpressHttpServer(log, requestTimeoutMs, retry);
+  return new ExpressHttpServer(log, requestTimeoutMs, retry, intake);
 }
--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -155,7 +155,8 @@
 
 // Guards against callers who fill a process with bodies that never end.
 test('bodies that stop short of their end give way to others, with the promise that they have not run', async () => {
-  const intake = { budget: createMemoryBudget(1_048_576, createClock(), createQuietLog().component('t')) };
+  const log = createQuietLog().component('t');
+  const intake = { budget: createMemoryBudget(1_048_576, createClock(), log), maxConnections: 100, log };
   const opened = await createOpaqueHttpServer(null, intake).open('127.0.0.1:0', (req) => {
     void req.body(1_000_000).then((body) => respondWith(req, body.ok ? 'taken' : body.error.tag));
   });
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -92,6 +92,8 @@
     connections.closeIdle();
   }
   function setLimits(limits: OpaqueLimits): void {
+    // The runtime reads this property for each new connection.
+    Object.assign(server, { maxHeaderSize: limits.headerBytes });
     intake.budget.ensure(minHeldBytes(limits.bodyBytes));
     server.headersTimeout = limits.headerMs;
     server.keepAliveTimeout = limits.idleMs;
@@ -122,7 +124,7 @@
     }
     const server = limitedServer(onRequest);
     const deps: ExchangeDeps = { clock, budget: intake.budget, idleMs: () => server.keepAliveTimeout };
-    const connections = new HttpConnections(server);
+    const connections = new HttpConnections(server, intake, clock);
     server.on('connection', ignoreErrorsOf);
     const listening = await listen(server, address, retry);
     return listening.ok ? ok(listenerOf(server, connections, intake, listening.value)) : listening;
