The operators' interface and admission tokens: bodies are bounded in pieces, values and sum

It now reads bodies by the same module as the other servers: copied together, within the budget of all callers, counted in values before they are parsed (413 tooManyTokens), 503 and 408 where they give way or stall, and encoded bodies by what they decode to. Tests: three in http-server.test.ts; they set limits that are new, so they were not run on the code before.

--- a/src/transport/http-server.test.ts
+++ b/src/transport/http-server.test.ts
@@ -1,10 +1,13 @@
 import { afterAll, beforeAll, describe, expect, test } from '@jest/globals';
 import { createConnection } from 'node:net';
+import { gzipSync } from 'node:zlib';
+import { createClock } from './clock.js';
 import { createGotHttpClient } from './http-client.js';
 import { splitAddress } from './wire.js';
 import { createExpressHttpServer } from './http-server.js';
 import type { HttpAnswer, HttpError, HttpReply, HttpRequest, Route } from './http.js';
 import { createQuietLog } from './log.js';
+import { createMemoryBudget } from './memory-budget.js';
 import type { Listener } from './wire.js';
 import type { Result } from '../base/result.js';
 
@@ -201,3 +204,70 @@
     expect(twice).toEqual({ ok: false, error: { tag: 'addressInUse', address: httpServer.address } });
   });
 });
+
+describe('the bodies of all callers together', () => {
+  async function openSmallServer(): Promise<Listener> {
+    const log = createQuietLog().component('t');
+    const intake = { budget: createMemoryBudget(100_000, createClock(), log), maxConnections: 100, log };
+    const opened = await createExpressHttpServer(log, 5_000, null, intake).open('127.0.0.1:0', [
+      { method: 'POST', path: '/echo/:id', maxBytes: 80_000, handle: echo },
+    ]);
+    if (!opened.ok) throw new Error(opened.error.tag);
+    return opened.value;
+  }
+  function send(address: string, body: Uint8Array | string, headers: Record<string, string> = {}): Promise<Response> {
+    return fetch(`http://${address}/echo/7`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json', ...headers },
+      body,
+    });
+  }
+
+  // Guards against callers of the operators' interface who fill a process with bodies that never end.
+  test('are bounded: those that stop short of their end give way with 503, and others are answered', async () => {
+    const server = await openSmallServer();
+    const at = splitAddress(server.address);
+    const texts: string[] = [];
+    const sockets = Array.from({ length: 4 }, (_, index) => {
+      const socket = createConnection({ host: at?.host ?? '', port: at?.port ?? 0 });
+      texts.push('');
+      socket.on('data', (part) => (texts[index] += String(part)));
+      socket.on('error', () => undefined);
+      const head =
+        'POST /echo/7 HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 70000\r\n\r\n';
+      socket.write(`${head}"${'x'.repeat(60_000)}`);
+      return socket;
+    });
+    while (texts.filter((text) => /^HTTP\/1.1 503 .*overloaded/s.test(text)).length < 3)
+      await new Promise((done) => setImmediate(done));
+    expect((await send(server.address, '{"a":1}')).status).toBe(200);
+    for (const socket of sockets) socket.destroy();
+    await server.close();
+  });
+
+  test('count as what they decode to, which may not exceed the limit either', async () => {
+    const server = await openSmallServer();
+    const encoded = { 'content-encoding': 'gzip' };
+    const small = await send(server.address, gzipSync('{"a":1}'), encoded);
+    expect(await small.json()).toMatchObject({ got: { a: 1 } });
+    expect((await send(server.address, gzipSync(`"${'x'.repeat(90_000)}"`), encoded)).status).toBe(413);
+    expect((await send(server.address, 'no gzip', encoded)).status).toBe(400);
+    expect((await send(server.address, '{}', { 'content-encoding': 'unknown' })).status).toBe(400);
+    await server.close();
+  });
+});
+
+// Guards against a document of the operators' interface that exhausts the heap when it is parsed.
+test('a body of too many values is answered 413, not parsed', async () => {
+  const opened = await createExpressHttpServer(createQuietLog().component('t')).open('127.0.0.1:0', [
+    { method: 'POST', path: '/echo/:id', maxBytes: 8_000_000, handle: echo },
+  ]);
+  if (!opened.ok) throw new Error(opened.error.tag);
+  const res = await fetch(`http://${opened.value.address}/echo/7`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: `[${'{},'.repeat(600_000)}{}]`,
+  });
+  expect([res.status, await res.json()]).toEqual([413, { error: { tag: 'tooManyTokens', most: 1_000_000 } }]);
+  await opened.value.close();
+});
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -8,18 +8,23 @@
 import type { Express, NextFunction, Request, Response } from 'express';
 import { createServer } from 'node:http';
 import { once } from 'node:events';
+import { MAX_JSON_TOKENS } from '../base/json-tokens.js';
 import { isDeeperThan } from '../base/depth.js';
 import { describeError } from '../base/describe-error.js';
 import { createDefaultIntake } from './caller-intake.js';
 import type { CallerIntake } from './caller-intake.js';
 import { createClock } from './clock.js';
+import { endResponse } from './end-response.js';
 import { STOP_IMMEDIATELY, HttpConnections } from './http-connections.js';
 import { ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import type { HttpListener, HttpServer, HttpReply, HttpRequest, Route } from './http.js';
+import { hasRequestBody, readJsonBody } from './json-body.js';
+import type { JsonBodyError } from './json-body.js';
 import { listen } from './listen.js';
 import type { ListenRetry } from './listen.js';
 import type { Log } from './log.js';
+import type { RequestBodyLimits } from './message-body.js';
 import type { Address, WireError } from './wire.js';
 
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
@@ -28,6 +33,16 @@
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const MAX_BODY_DEPTH = 64;
 
+/** The responses to requests whose body was not parsed. A request that is answered 408 or 503 has not run. */
+const BODY_REJECTIONS: Readonly<Record<JsonBodyError['tag'], { readonly status: number; readonly body: unknown }>> = {
+  malformed: { status: 400, body: { tag: 'malformed', detail: 'body is not JSON' } },
+  tooLarge: { status: 413, body: { tag: 'bodyTooLarge' } },
+  tooManyTokens: { status: 413, body: { tag: 'tooManyTokens', most: MAX_JSON_TOKENS } },
+  overloaded: { status: 503, body: { tag: 'overloaded' } },
+  stalled: { status: 408, body: { tag: 'stalled' } },
+  aborted: { status: 400, body: { tag: 'malformed', detail: 'body is not JSON' } },
+};
+
 function firstValues(from: Record<string, unknown>): Record<string, string> {
   const out: Record<string, string> = {};
   for (const [key, value] of Object.entries(from)) {
@@ -105,9 +120,39 @@
       const reply = await route.handle(toHttpRequest(req, res));
       await sendReply(res, reply);
     }
-    const parse = express.json({ limit: route.maxBytes ?? DEFAULT_MAX_BODY_BYTES, strict: false });
+    const limits: RequestBodyLimits = {
+      maxBytes: route.maxBytes ?? DEFAULT_MAX_BODY_BYTES,
+      stallMs: this.requestTimeoutMs,
+      budget: this.intake.budget,
+    };
+    const readBody = (req: Request, res: Response, next: NextFunction): Promise<void> =>
+      this.readBody(limits, req, res, next);
     const verb = route.method === 'GET' ? 'get' : route.method === 'POST' ? 'post' : 'delete';
-    app[verb](route.path, replyEarly, parse, handle);
+    app[verb](route.path, replyEarly, readBody, handle);
+  }
+
+  /** Parses a JSON body; a body of another type is left to the handler's own checks. */
+  private async readBody(limits: RequestBodyLimits, req: Request, res: Response, next: NextFunction): Promise<void> {
+    if (!hasRequestBody(req) || req.is('application/json') === false) {
+      next();
+      return;
+    }
+    const { result, hold } = await readJsonBody(req, limits);
+    res.once('close', () => hold.release());
+    if (res.destroyed) hold.release();
+    if (result.tag === 'aborted' || res.headersSent) return;
+    if (result.tag === 'json') {
+      req.body = result.value;
+      next();
+    } else this.rejectBody(result, res);
+  }
+
+  private rejectBody(error: JsonBodyError, res: Response): void {
+    const { status, body } = BODY_REJECTIONS[error.tag];
+    if (!res.req.complete) res.setHeader('connection', 'close');
+    res.status(status).type('json');
+    res.write(JSON.stringify({ error: body }));
+    endResponse(res.req, res, this.clock);
   }
 
   private unknownPath(_req: Request, res: Response): void {
@@ -115,25 +160,10 @@
   }
 
   private failed(error: unknown, _req: Request, res: Response, _next: NextFunction): void {
-    const type = typeof error === 'object' && error !== null && 'type' in error ? String(error.type) : '';
     if (res.headersSent) {
       res.destroy();
       return;
     }
-    if (type === 'entity.too.large') {
-      res.setHeader('connection', 'close');
-      res.status(413).json({ error: { tag: 'bodyTooLarge' } });
-      return;
-    }
-    if (
-      type === 'entity.parse.failed' ||
-      type === 'request.aborted' ||
-      type.startsWith('charset') ||
-      type.startsWith('encoding')
-    ) {
-      res.status(400).json({ error: { tag: 'malformed', detail: 'body is not JSON' } });
-      return;
-    }
     this.log.error('request failed', { error: describeError(error) });
     res.status(500).json({ error: { tag: 'internal' } });
   }
