Incomplete frames of other nodes are held compactly, and bounded over all connections

Pieces are copied together; all connections of a process hold at most 96 MB of incomplete frames, and the one that would exceed it is closed.

--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -7,6 +7,7 @@
 
 import { createConnection, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { ByteAccumulator } from '../base/byte-accumulator.js';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
 import { splitAddress } from './address.js';
@@ -51,15 +52,31 @@
   readonly connections: (peer: Address, dialled: boolean, step: 1 | -1) => void;
 };
 
-/** In UTF-16 code units. */
-const MAX_FRAME_LENGTH = 64 * 1024 * 1024;
+const LINE_FEED = 10;
+const MAX_FRAME_BYTES = 64 * 1024 * 1024;
+/** Incomplete frames of all peers together; a connection on which more would be held is closed. */
+const MAX_INCOMPLETE_BYTES = 96 * 1024 * 1024;
 /** A peer with more unread data than this is disconnected. */
 const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
 
+/** The bytes of incomplete frames that all connections of a process hold. */
+class IncompleteFrames {
+  private bytes = 0;
+
+  tryAdd(bytes: number): boolean {
+    if (this.bytes + bytes > MAX_INCOMPLETE_BYTES) return false;
+    this.bytes += bytes;
+    return true;
+  }
+
+  remove(bytes: number): void {
+    this.bytes -= bytes;
+  }
+}
+
 class TcpConnection implements Connection {
   private events: ConnectionEvents | null = null;
-  private chunks: string[] = [];
-  private frameLength = 0;
+  private readonly incomplete = new ByteAccumulator();
   private isClosed = false;
 
   constructor(
@@ -68,16 +85,15 @@
     private readonly dialled: boolean,
     private readonly log: Log,
     private readonly meter: WireMeter | null,
+    private readonly allIncomplete: IncompleteFrames,
   ) {
     this.meter?.connections(this.peer, this.dialled, 1);
 
-    this.sock.setEncoding('utf8');
-
     this.sock.setNoDelay(true);
 
     this.sock.pause();
 
-    this.sock.on('data', (chunk) => this.onData(chunk));
+    this.sock.on('data', (chunk: Buffer) => this.onData(chunk));
 
     this.sock.on('error', () => this.close());
 
@@ -88,6 +104,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.sock.destroy();
+    this.takeIncomplete();
     this.meter?.connections(this.peer, this.dialled, -1);
     this.events?.closed();
   }
@@ -97,38 +114,53 @@
     this.close();
   }
 
-  private onLine(text: string): void {
-    if (this.isClosed) return;
+  private takeIncomplete(): Buffer {
+    this.allIncomplete.remove(this.incomplete.length);
+    return this.incomplete.take();
+  }
+
+  private onLine(line: Buffer): void {
     let body: unknown;
     try {
-      body = JSON.parse(text);
+      body = JSON.parse(line.toString());
     } catch {
       this.closeWithWarning('a frame was not JSON');
       return;
     }
-    this.meter?.frame('in', this.peer, this.dialled, text.length + 1, body);
+    this.meter?.frame('in', this.peer, this.dialled, line.length + 1, body);
     this.events?.frame(body);
   }
 
-  private onData(chunk: string | Buffer): void {
+  private onData(chunk: Buffer): void {
     this.events?.bytesReceived?.();
-    const lines = chunk.toString().split('\n');
-    for (let i = 0; i < lines.length; i += 1) {
-      const line = lines[i] as string;
-      this.chunks.push(line);
-      this.frameLength += line.length;
-      if (this.frameLength > MAX_FRAME_LENGTH) {
-        this.closeWithWarning('a frame was over the size limit');
-        return;
-      }
-      if (i < lines.length - 1) {
-        const frame = this.chunks.join('');
-        this.chunks = [];
-        this.frameLength = 0;
-        this.onLine(frame);
-        if (this.isClosed) return;
-      }
+    let start = 0;
+    for (let end = chunk.indexOf(LINE_FEED); end >= 0; end = chunk.indexOf(LINE_FEED, start)) {
+      const line = this.completeLine(chunk.subarray(start, end));
+      if (line === null) return;
+      this.onLine(line);
+      if (this.isClosed) return;
+      start = end + 1;
     }
+    this.tryKeep(chunk.subarray(start));
+  }
+
+  /** Returns the line that ends with `rest`, or null if it is too large and the connection was closed. */
+  private completeLine(rest: Buffer): Buffer | null {
+    if (this.incomplete.length === 0) return rest;
+    return this.tryKeep(rest) ? this.takeIncomplete() : null;
+  }
+
+  private tryKeep(bytes: Buffer): boolean {
+    if (this.incomplete.length + bytes.length > MAX_FRAME_BYTES) {
+      this.closeWithWarning('a frame was over the size limit');
+      return false;
+    }
+    if (!this.allIncomplete.tryAdd(bytes.length)) {
+      this.closeWithWarning('the frames of all peers were over the size limit');
+      return false;
+    }
+    this.incomplete.append(bytes);
+    return true;
   }
 
   send(body: unknown): void {
@@ -147,6 +179,8 @@
 }
 
 class TcpWire implements Wire {
+  private readonly allIncomplete = new IncompleteFrames();
+
   constructor(
     private readonly log: Log,
     private readonly dialTimeoutMs: number,
@@ -160,7 +194,7 @@
       openSockets.add(socket);
       socket.on('close', () => openSockets.delete(socket));
       const peer = `${socket.remoteAddress ?? '?'}:${socket.remotePort ?? 0}`;
-      onConnection(new TcpConnection(socket, peer, false, this.log, this.meter));
+      onConnection(new TcpConnection(socket, peer, false, this.log, this.meter, this.allIncomplete));
     };
     const server = createServer(onSocket);
     const listening = await listen(server, address, this.retry);
@@ -186,7 +220,7 @@
         sock.setTimeout(0);
         sock.off('error', onFailed);
         sock.off('timeout', onFailed);
-        resolve(ok(new TcpConnection(sock, address, true, this.log, this.meter)));
+        resolve(ok(new TcpConnection(sock, address, true, this.log, this.meter, this.allIncomplete)));
       };
       sock.once('connect', onConnected);
     };
