--- a/src/transport/end-response.ts
+++ b/src/transport/end-response.ts
@@ -1,6 +1,7 @@
 /** Ends responses to requests that have not arrived whole. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from './clock.js';
+import type { MemoryBudget } from './memory-budget.js';
 
 /**
  * A caller that is answered while it still sends its body has this long, and this many bytes, to end. Closing a connection
@@ -35,3 +36,26 @@
   req.once('close', () => timer.cancel());
   req.resume();
 }
+
+/**
+ * Writes and ends a whole response within what all callers may hold: without room for it the connection is closed, and so
+ * it is if its caller reads nothing for `idleMs`. The head must have been set.
+ */
+export function sendWithinBudget(
+  res: ServerResponse,
+  text: string,
+  budget: MemoryBudget,
+  clock: Clock,
+  idleMs: number,
+): void {
+  const hold = budget.open(() => undefined);
+  hold.keep();
+  res.once('close', () => hold.release());
+  if (!hold.tryResize(Buffer.byteLength(text))) {
+    res.destroy();
+    return;
+  }
+  res.write(text);
+  endResponse(res.req, res, clock);
+  if (!res.writableFinished) res.socket?.setTimeout(idleMs);
+}
