The soak plays peers that send without end, beside all other series

New series `endless`: workers that answer without end, in large or tiny chunks, and crowds whose bodies stop short of their end at a proxy or a controller, while other series stop, kill and freeze the same nodes. Plans of the other series are as before. The stand-ins' code for sending without end stands in one place.

--- a/standin-platform/overload/answer-cases.ts
+++ b/standin-platform/overload/answer-cases.ts
@@ -1,7 +1,8 @@
 /** Cases in which a worker, or the worker list, answers a process with bytes without end. */
 import { HEADER } from '../../platform/words.js';
 import { ATTEMPT_ID } from './endless-worker.js';
-import { headWithLength, noParts, PART_BYTES, TINY_CHUNK_PART } from './overload-case.js';
+import { TINY_CHUNK_PART } from '../endless.js';
+import { headWithLength, noParts, PART_BYTES } from './overload-case.js';
 import type { CrowdTarget, OverloadCase } from './overload-case.js';
 import { FAULTY_PATH } from './overload-site.js';
 
--- a/standin-platform/overload/crowd-cases.ts
+++ b/standin-platform/overload/crowd-cases.ts
@@ -1,15 +1,8 @@
 /** Cases in which a crowd of clients sends a process more than it may hold. */
+import { chunkOf, TINY_CHUNK_PART, TINY_CHUNKS } from '../endless.js';
 import { answerCase, UNDELIMITED_ANSWER } from './answer-cases.js';
 import type { ClientScript } from './crowd.js';
-import {
-  headWithLength,
-  noParts,
-  PART_BYTES,
-  repeated,
-  requestHead,
-  TINY_CHUNK_PART,
-  TINY_CHUNKS_PER_PART,
-} from './overload-case.js';
+import { headWithLength, noParts, PART_BYTES, repeated, requestHead } from './overload-case.js';
 import type { CrowdTarget, OverloadCase } from './overload-case.js';
 import { FAULTY_PATH, ORDINARY_PATH, OVERLOAD_LIMITS } from './overload-site.js';
 
@@ -27,9 +20,6 @@
 function chunkedHead(path: string): string {
   return requestHead('POST', path, ['Transfer-Encoding: chunked']);
 }
-function chunkOf(bytes: number): Buffer {
-  return Buffer.concat([Buffer.from(`${bytes.toString(16)}\r\n`), Buffer.alloc(bytes, 'x'), Buffer.from('\r\n')]);
-}
 /** Yields the bytes of a body, which stops one byte before its end if `isComplete` is false. */
 function* bodyParts(bytes: number, isComplete: boolean): Generator<Buffer> {
   const part = Buffer.alloc(PART_BYTES, 'x');
@@ -72,7 +62,7 @@
       `${target}: chunked bodies in chunks of one byte, which stop short of their end`,
       target,
       TINY_CROWD,
-      client(chunkedHead(path), () => repeated(TINY_CHUNK_PART, TINY_BODY_CHUNKS / TINY_CHUNKS_PER_PART)),
+      client(chunkedHead(path), () => repeated(TINY_CHUNK_PART, TINY_BODY_CHUNKS / TINY_CHUNKS)),
     ),
     crowdCase(
       `${target}: bodies far over the limit, announced`,
--- a/standin-platform/overload/endless-worker.ts
+++ b/standin-platform/overload/endless-worker.ts
@@ -2,13 +2,12 @@
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 import { HEADER } from '../../platform/words.js';
+import { sendWithoutEnd } from '../endless.js';
 import type { ListedWorker } from '../worker-spec.js';
 
 /** What a response consists of: bytes that are sent once, then bytes that are repeated without end. */
 export type EndlessResponse = { readonly head: string; readonly repeated: Buffer };
 
-/** No connection is sent more than this, so that a caller that never closes is bounded too. */
-const MAX_BYTES_PER_CONNECTION = 512 * 1_048_576;
 const CAPACITY = 64;
 const HEAD_END = '\r\n\r\n';
 /** In a head, stands for the id of the attempt that the response belongs to. */
@@ -74,17 +73,9 @@
   }
 
   private respond(socket: Socket, attemptId: string): void {
-    let sent = 0;
     const { head, repeated } = this.response;
-    const sendMore = (): void => {
-      while (!socket.destroyed && sent < MAX_BYTES_PER_CONNECTION) {
-        sent += repeated.length;
-        if (!socket.write(repeated)) return;
-      }
-    };
-    socket.on('drain', sendMore);
     socket.write(head.replaceAll(ATTEMPT_ID, attemptId), 'latin1');
-    sendMore();
+    sendWithoutEnd(socket, repeated);
   }
 }
 
--- a/standin-platform/overload/overload-case.ts
+++ b/standin-platform/overload/overload-case.ts
@@ -19,11 +19,6 @@
 
 /** The size of the parts in which bytes are sent. */
 export const PART_BYTES = 65_536;
-const TINY_CHUNK = '1\r\nx\r\n';
-/** Chunks of one byte in one part. */
-export const TINY_CHUNKS_PER_PART = 8_192;
-/** Many chunks of one byte, with their framing. */
-export const TINY_CHUNK_PART = Buffer.from(TINY_CHUNK.repeat(TINY_CHUNKS_PER_PART));
 
 /** Returns the head of a request with the fields that calls need. */
 export function requestHead(method: string, path: string, headers: readonly string[]): string {
--- a/standin-platform/soak/plan.ts
+++ b/standin-platform/soak/plan.ts
@@ -1,6 +1,7 @@
 /** Draws the plan of a soak run from its seed: several series of faults and operator commands that overlap. */
 import { randomInt, createRng, pick } from '../../src/transport/rng.js';
 import type { Rng } from '../../src/transport/rng.js';
+import type { EndlessMode } from '../worker-spec.js';
 import { START_HAZARDS } from './start-hazards.js';
 import type { StartHazard } from './start-hazards.js';
 
@@ -15,7 +16,7 @@
 export type WorkerFault =
   | { readonly tag: 'crash'; readonly forMs: number; readonly coldMs: number }
   | { readonly tag: 'dark'; readonly forMs: number }
-  | { readonly tag: 'spoil'; readonly mode: CorruptionMode; readonly forMs: number };
+  | { readonly tag: 'spoil'; readonly mode: CorruptionMode | EndlessMode; readonly forMs: number };
 /** How a faulty worker corrupts its responses. */
 export type CorruptionMode = 'breakOff' | 'surplus' | 'garbage' | 'badStatus' | 'badName' | 'fail';
 
@@ -31,6 +32,13 @@
   | { readonly tag: 'held'; readonly core: boolean; readonly signals: number; readonly stopAgainAfterMs: number | null }
   /** Replaces a controller; `wipe` deletes the disk of another one after the next acknowledged configuration. */
   | { readonly tag: 'replace'; readonly wipe: boolean }
+  /** A worker that answers without end, or a crowd that sends a node more bodies without end than it holds. */
+  | {
+      readonly tag: 'endless';
+      readonly from: 'worker' | 'proxyCrowd' | 'controllerCrowd';
+      readonly mode: EndlessMode;
+      readonly forMs: number;
+    }
   /** Restarts a node while something that its start needs is missing for `forMs`. */
   | {
       readonly tag: 'restart';
@@ -42,7 +50,18 @@
 );
 
 /** All series; a run may play some of them only. */
-export const SERIES = ['core', 'zone', 'configure', 'edge', 'worker', 'list', 'held', 'replace', 'restart'] as const;
+export const SERIES = [
+  'core',
+  'zone',
+  'configure',
+  'edge',
+  'worker',
+  'list',
+  'held',
+  'replace',
+  'restart',
+  'endless',
+] as const;
 /** The name of a series. */
 export type Series = (typeof SERIES)[number];
 
@@ -66,6 +85,7 @@
   held: 7,
   replace: 1_000_000,
   restart: 2_000_000,
+  endless: 3_000_000,
 };
 const STREAMS_PER_SEED = 8;
 const STEP_MEAN_MS = 3_000;
@@ -158,6 +178,14 @@
         hazard: pick(rng, START_HAZARDS),
         forMs: randomBetween(rng, 50, MAX_HAZARD_MS),
       };
+    case 'endless':
+      return {
+        ...common,
+        tag: series,
+        from: pick(rng, ['worker', 'worker', 'proxyCrowd', 'controllerCrowd'] as const),
+        mode: pick(rng, ['endless', 'endlessTiny'] as const),
+        forMs: randomBetween(rng, 500, 5_000),
+      };
     case 'configure':
       return { ...common, tag: series };
   }
--- a/standin-platform/soak/run.ts
+++ b/standin-platform/soak/run.ts
@@ -6,6 +6,7 @@
 import { configurationOf, SMALL_SITE } from '../shape.js';
 import type { SiteWorker, Site, SiteNode } from '../site.js';
 import { holdConnections } from './held-connections.js';
+import { openStalledBodies } from './stalled-crowd.js';
 import { restartWithHazard } from './start-hazards.js';
 import type { NodeFault, Plan, Step, WorkerFault } from './plan.js';
 
@@ -84,6 +85,8 @@
         const nodes = this.site.nodes.filter((node) => node.core === step.core);
         return this.runExclusively(nodes[step.at % nodes.length], (node) => this.stopWithOpenConnections(node, step));
       }
+      case 'endless':
+        return this.playEndless(step);
       case 'replace':
         return this.replaceController(step);
       case 'restart': {
@@ -110,6 +113,19 @@
     return node.restart();
   }
 
+  /** Other series may stop or kill the node meanwhile. */
+  private async playEndless(step: Extract<Step, { tag: 'endless' }>): Promise<void> {
+    const { workers } = this.site;
+    if (step.from === 'worker')
+      return this.runExclusively(workers[step.at % workers.length], (worker) =>
+        this.injectWorkerFault(worker, { tag: 'spoil', mode: step.mode, forMs: step.forMs }),
+      );
+    const nodes = this.site.nodes.filter((node) => node.core === (step.from === 'controllerCrowd'));
+    const release = openStalledBodies(nodes[step.at % nodes.length] as SiteNode);
+    await delay(this.clock, step.forMs);
+    release();
+  }
+
   private async restartWithHazard(node: SiteNode, step: Extract<Step, { tag: 'restart' }>): Promise<void> {
     node.process.signal(step.isKilled ? 'SIGKILL' : 'SIGTERM');
     await restartWithHazard(this.site, node, this.clock, step.hazard, step.forMs);
--- a/standin-platform/worker-spec.ts
+++ b/standin-platform/worker-spec.ts
@@ -55,9 +55,20 @@
   weights: 1,
 } as const;
 
-/** Faults that a worker can show. */
+/** Faults in which a response has no end. */
+export type EndlessMode = 'endless' | 'endlessTiny';
+/** Faults that a worker can show; `endless` and `endlessTiny` send large and tiny pieces until the caller closes. */
 export type FaultMode =
-  'breakOff' | 'behind' | 'surplus' | 'garbage' | 'badStatus' | 'badName' | 'lostAnswer' | 'fail' | 'refuse';
+  | EndlessMode
+  | 'breakOff'
+  | 'behind'
+  | 'surplus'
+  | 'garbage'
+  | 'badStatus'
+  | 'badName'
+  | 'lostAnswer'
+  | 'fail'
+  | 'refuse';
 /** A fault and the share of requests that it affects. */
 export type Fault = { readonly mode: FaultMode; readonly share: number };
 
--- a/standin-platform/worker.ts
+++ b/standin-platform/worker.ts
@@ -6,6 +6,7 @@
 
 import { createHash } from 'node:crypto';
 import { createServer } from 'node:http';
+import { ENDLESS_PARTS, sendWithoutEnd } from './endless.js';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { delay } from '../src/transport/clock.js';
@@ -363,6 +364,7 @@
     if (shouldInject('fail')) return sendError(job, seal, 500);
     if (shouldInject('lostAnswer')) return truncateResponse(job, seal, digest);
     if (shouldInject('garbage')) return sendInvalidResponse(job, seal, digest, '\u0001\u0002 no answer at all\r\n\r\n');
+    if (injectEndless(job, seal, digest)) return;
     const rawResponse = rawResponseText(job.attempt, seal, body);
     if (shouldInject('badStatus')) return sendInvalidResponse(job, seal, digest, rawResponse.replace(' 200 ', ' 000 '));
     if (shouldInject('badName'))
@@ -408,6 +410,19 @@
     job.res.socket?.end(text);
   }
 
+  /** Answers with a response that does not end, if such a fault is set and drawn. */
+  function injectEndless(job: Omit<QueuedRequest, 'admit'>, seal: string, digest: string): boolean {
+    const mode = (['endless', 'endlessTiny'] as const).find(shouldInject);
+    const { socket } = job.res;
+    if (mode === undefined || !socket) return false;
+    recordFinished(job, seal, 200, digest, 'spoiled');
+    socket.write(
+      `HTTP/1.1 200 OK\r\n${HEADER.attemptId}: ${job.attempt}\r\n${HEADER.seal}: ${seal}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+    );
+    sendWithoutEnd(socket, ENDLESS_PARTS[mode]);
+    return true;
+  }
+
   async function streamEvents(job: Omit<QueuedRequest, 'admit'>, engine: EngineSpec): Promise<void> {
     const { prompt, answer } = tokenCounts(job.req);
     const eventCount = Math.max(1, Math.ceil(answer / engine.tokensPerEvent));
@@ -420,6 +435,7 @@
     if (isDropped(job)) return;
     if (clock.mono() >= job.deadlineAt) return reject(job.id, job.res, 503);
     const seal = recordRan(job);
+    if (injectEndless(job, seal, '')) return;
     const hash = createHash('sha256');
     if (shouldInject('fail')) return sendError(job, seal, 500);
     job.res.setHeader(HEADER.seal, seal);
