--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -104,7 +104,8 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.sock.destroy();
-    this.takeIncomplete();
+    this.allIncomplete.remove(this.incomplete.length);
+    this.incomplete.clear();
     this.meter?.connections(this.peer, this.dialled, -1);
     this.events?.closed();
   }
