--- a/standin-platform/overload/play.ts
+++ b/standin-platform/overload/play.ts
@@ -55,6 +55,8 @@
     return await playOnSite(overloadCase, deps, site, worker);
   } finally {
     await worker?.close();
+    // How they stop is not part of the case, and a graceful stop takes seconds.
+    for (const node of site.nodes) node.process.signal('SIGKILL');
     await site.stop();
   }
 }
