Cases of overload wait for one ordinary request before they begin; one case is listed as red

"a worker list without end, read by a controller" failed once in five runs: the ordinary request was not answered in 20 s, with the process alive and 96 MB of 256. Suspected, not shown: the list turned endless before the proxy had read the worker. Each case now needs an ordinary answer first, which is stricter; the entry stays until the cause is shown.

--- a/standin-platform/overload/play.ts
+++ b/standin-platform/overload/play.ts
@@ -81,6 +81,8 @@
   const node = nodeOf(site, isAtController ? 'controller' : 'proxy');
   const pid = node.process.pid();
   if (pid === null) return { failedChecks: ['started'], text: 'The process has exited.' };
+  if (!(await isOrdinaryRequestAnswered(site, deps.clock, isAtController)))
+    return { failedChecks: ['started'], text: 'An ordinary request was not answered before the case.' };
   const sampler = new UsageSampler(pid, node.ip);
   const crowd = new Crowd();
   if (overloadCase.isListEndless) site.list.setFault({ mode: 'endless' });
