A head that stalls or is malformed behind a request that was read is not answered in its place

Found by reading the change: a second head on the same connection that stalled was answered 408, which its caller takes for the answer to the first request, as a promise that it has not run while it may be running; so did the runtime's own default before. The connection is now closed without an answer, which promises nothing.

--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -230,3 +230,17 @@
   socket.destroy();
   await listener.close();
 });
+
+// Guards against a second execution: 408 says that a request has not run, but the first one here may be running.
+test('a head that stalls behind a request that was read is not answered in its place', async () => {
+  let taken = 0;
+  const opened = await createOpaqueHttpServer().open('127.0.0.1:0', (req) => {
+    void req.body(1_000).then(() => (taken += 1));
+  });
+  if (!opened.ok) throw new Error(opened.error.tag);
+  opened.value.setLimits({ headerBytes: 16_384, bodyBytes: 1_024, headerMs: 50, idleMs: 1_000 });
+  const first = 'GET /first HTTP/1.1\r\nHost: h\r\n\r\n';
+  expect(await responseTo(opened.value.address, `${first}GET /second HTTP/1.1\r\nX-A: x`)).toBe('');
+  expect(taken).toBe(1);
+  await opened.value.close();
+});
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -45,7 +45,8 @@
 /** Answers a request that the runtime's parser rejects, unless its response has begun, and closes the connection. */
 function rejectUnparsable(error: NodeJS.ErrnoException, socket: Socket): void {
   const current = (socket as Socket & { _httpMessage?: ServerResponse })._httpMessage;
-  if (!socket.writable || current?.headersSent === true) {
+  // A request that was read may be running: an answer here would be taken for its own.
+  if (!socket.writable || current?.headersSent === true || current?.req.complete === true) {
     socket.destroy(error);
     return;
   }
