Cases of overload: many connections, mixed shapes, callers that come back

Cause: the crowds had 300 callers of one shape at most, each went away once refused, and with 512 descriptors a process has 124 connections of callers, so that bytes that arrive unread never mattered.

Change: a case has groups of clients with scripts of their own, which connect first and then send at once; a script may send piece by piece and come back when it is closed. The output tells how much of the memory was unread.

--- a/standin-platform/overload/answer-cases.ts
+++ b/standin-platform/overload/answer-cases.ts
@@ -2,7 +2,8 @@
 import { HEADER } from '../../platform/words.js';
 import { ATTEMPT_ID } from './endless-worker.js';
 import { TINY_CHUNK_PART } from '../endless.js';
-import { headWithLength, noParts, PART_BYTES } from './overload-case.js';
+import { SCRIPT_DEFAULTS } from './crowd.js';
+import { CASE_DEFAULTS, headWithLength, noParts, PART_BYTES } from './overload-case.js';
 import type { CrowdTarget, OverloadCase } from './overload-case.js';
 import { FAULTY_PATH } from './overload-site.js';
 
@@ -30,19 +31,19 @@
   count = REQUEST_COUNT,
   reads = true,
 ): OverloadCase {
+  const script = { ...SCRIPT_DEFAULTS, head: headWithLength(`${path}2f`, 0), parts: noParts, reads };
   return {
+    ...CASE_DEFAULTS,
     name,
     target: 'proxy',
-    count,
-    script: { head: headWithLength(`${path}2f`, 0), parts: noParts, reads },
+    groups: [{ count, script }],
     response: { head, repeated: repeatedBytes },
-    isListEndless: false,
   };
 }
 
 function listCase(target: CrowdTarget, process: string): OverloadCase {
   const name = `answers: a worker list without end, read by a ${process}`;
-  return { name, target, count: 0, script: null, response: null, isListEndless: true };
+  return { ...CASE_DEFAULTS, name, target, isListEndless: true };
 }
 
 const { once, stream } = FAULTY_PATH;
--- a/standin-platform/overload/overload-case.ts
+++ b/standin-platform/overload/overload-case.ts
@@ -1,22 +1,34 @@
 /** A case of overload, and how its clients' bytes are made. */
 import { HEADER } from '../../platform/words.js';
-import type { ClientScript } from './crowd.js';
+import type { CrowdGroup } from './crowd.js';
 import type { EndlessResponse } from './endless-worker.js';
-import { ROUTE_HOST } from './overload-site.js';
+import { OVERLOAD_LIMITS, ROUTE_HOST } from './overload-site.js';
+import type { OverloadLimits } from './overload-site.js';
 
 /** Which process is observed, and at which of its addresses the crowd calls it. */
 export type CrowdTarget = 'proxy' | 'control' | 'directory' | 'readiness';
 
-/** One case. A crowd of `count` clients follows `script`; a worker, or the list, answers without end. */
+/** One case. Groups of clients follow their scripts at once; a worker, or the list, answers without end. */
 export type OverloadCase = {
   readonly name: string;
   readonly target: CrowdTarget;
-  readonly count: number;
-  readonly script: ClientScript | null;
+  readonly limits: OverloadLimits;
+  readonly groups: readonly CrowdGroup[];
+  /** The status that all clients get, if it matters. */
+  readonly expectedStatus: number | null;
   readonly response: EndlessResponse | null;
   readonly isListEndless: boolean;
 };
 
+/** What most cases have in common. */
+export const CASE_DEFAULTS = {
+  limits: OVERLOAD_LIMITS,
+  groups: [],
+  expectedStatus: null,
+  response: null,
+  isListEndless: false,
+} as const;
+
 /** The size of the parts in which bytes are sent. */
 export const PART_BYTES = 65_536;
 
--- a/standin-platform/overload/overload-site.ts
+++ b/standin-platform/overload/overload-site.ts
@@ -7,7 +7,12 @@
 import type { Site, SiteNode } from '../site.js';
 
 /** What each process of the site may use at the most, and the largest body of a caller. */
-export const OVERLOAD_LIMITS = { memoryMb: 256, maxFds: 512, bodyBytes: 1_048_576 } as const;
+export type OverloadLimits = { readonly memoryMb: number; readonly maxFds: number; readonly bodyBytes: number };
+
+/** So few descriptors that connections are what a crowd runs out of first. */
+export const OVERLOAD_LIMITS: OverloadLimits = { memoryMb: 256, maxFds: 512, bodyBytes: 1_048_576 };
+/** As many descriptors as a machine of the users has, so that a crowd may hold many connections. */
+export const MANY_CONNECTIONS_LIMITS: OverloadLimits = { ...OVERLOAD_LIMITS, maxFds: 4_100, bodyBytes: 4 * 1_048_576 };
 
 /** The model that the faulty worker serves. */
 export const FAULTY_MODEL = 'faulty';
@@ -34,8 +39,7 @@
   };
 }
 
-/** The shape of the site, with the limits lowered, so that a small crowd exceeds them. */
-export const OVERLOAD_SHAPE: Shape = {
+const OVERLOAD_SHAPE: Shape = {
   ...SMALL_SITE,
   zones: { [ZONE]: 'hu-south' },
   groups: SMALL_SITE.groups.filter((group) => group.model === ORDINARY_MODEL),
@@ -49,10 +53,13 @@
     { ...MODEL_DEFAULTS, name: FAULTY_MODEL },
   ],
   requestTypes: SMALL_SITE.requestTypes.filter((request) => request.path === ORDINARY_PATH),
-  machineLimits: { memoryMb: OVERLOAD_LIMITS.memoryMb, maxFds: OVERLOAD_LIMITS.maxFds },
-  callerLimits: { bodyBytes: OVERLOAD_LIMITS.bodyBytes },
 };
 
+/** The shape of the site, with the limits lowered, so that a small crowd exceeds them. */
+export function overloadShape({ memoryMb, maxFds, bodyBytes }: OverloadLimits): Shape {
+  return { ...OVERLOAD_SHAPE, machineLimits: { memoryMb, maxFds }, callerLimits: { bodyBytes } };
+}
+
 /** An ordinary request of an ordinary caller. */
 export function ordinaryRequest(): RequestSpec {
   return OVERLOAD_SHAPE.requestTypes[0] as RequestSpec;
--- a/standin-platform/overload/play.ts
+++ b/standin-platform/overload/play.ts
@@ -3,16 +3,16 @@
 import type { Clock } from '../../src/transport/clock.js';
 import type { Rng } from '../../src/transport/rng.js';
 import { startSite } from '../site.js';
-import type { Site, SiteNode } from '../site.js';
+import type { Site } from '../site.js';
 import { Crowd } from './crowd.js';
 import { EndlessWorker } from './endless-worker.js';
 import type { CrowdTarget, OverloadCase } from './overload-case.js';
-import { FAULTY_MODEL, nodeOf, ordinaryRequest, OVERLOAD_LIMITS, OVERLOAD_SHAPE, zoneName } from './overload-site.js';
+import { FAULTY_MODEL, nodeOf, ordinaryRequest, overloadShape, zoneName } from './overload-site.js';
 import { UsageSampler } from './process-usage.js';
 import type { PeakUsage } from './process-usage.js';
 
 /** What is checked of a case. */
-export const OVERLOAD_CHECKS = ['started', 'alive', 'memory', 'descriptors', 'ordinaryRequest'] as const;
+export const OVERLOAD_CHECKS = ['started', 'alive', 'memory', 'descriptors', 'answers', 'ordinaryRequest'] as const;
 /** One of the checks. */
 export type OverloadCheck = (typeof OVERLOAD_CHECKS)[number];
 
@@ -46,7 +46,7 @@
 
 /** Plays a case. */
 export async function playOverloadCase(overloadCase: OverloadCase, deps: OverloadDeps): Promise<OverloadResult> {
-  const site = await startSite({ ...deps, shape: OVERLOAD_SHAPE });
+  const site = await startSite({ ...deps, shape: overloadShape(overloadCase.limits) });
   if (!site) return { failedChecks: ['started'], text: 'No loopback network is free.' };
   deps.onSite(site);
   const worker = await addFaultyWorker(site, overloadCase);
@@ -86,9 +86,10 @@
   const sampler = new UsageSampler(pid, node.ip);
   const crowd = new Crowd();
   if (overloadCase.isListEndless) site.list.setFault({ mode: 'endless' });
-  if (overloadCase.script)
-    await crowd.join({ ip: node.ip, port: TARGET_PORT[overloadCase.target] }, overloadCase.count, overloadCase.script);
-  if (worker || overloadCase.isListEndless) await waitForAnswers(crowd, overloadCase, deps.clock);
+  const address = { ip: node.ip, port: TARGET_PORT[overloadCase.target] };
+  await crowd.join(address, overloadCase.groups);
+  if (worker || overloadCase.isListEndless || overloadCase.expectedStatus !== null)
+    await waitForAnswers(crowd, overloadCase, deps.clock);
   await waitUntilRead(sampler, deps.clock);
   const isAnswered = await isOrdinaryRequestAnswered(site, deps.clock, isAtController);
   const stillOpen = crowd.openConnections();
@@ -97,19 +98,35 @@
   const failedChecks = failedChecksOf({
     started: true,
     alive: site.unexpectedExits().length === 0 && node.process.pid() === pid,
-    memory: peak.memoryMb <= OVERLOAD_LIMITS.memoryMb,
-    descriptors: peak.descriptors <= OVERLOAD_LIMITS.maxFds,
+    memory: peak.memoryMb <= overloadCase.limits.memoryMb,
+    descriptors: peak.descriptors <= overloadCase.limits.maxFds,
+    answers: hasExpectedAnswers(crowd, overloadCase),
     ordinaryRequest: isAnswered,
   });
-  return { failedChecks, text: describe(site, node, peak, crowd, stillOpen, worker) };
+  return { failedChecks, text: describe(site, overloadCase, peak, crowd, stillOpen, worker) };
 }
 
 /** Waits until the whole crowd is answered, or for the time in which a peer without end is heard. */
-async function waitForAnswers(crowd: Crowd, { count }: OverloadCase, clock: Clock): Promise<void> {
+async function waitForAnswers(crowd: Crowd, overloadCase: OverloadCase, clock: Clock): Promise<void> {
   const until = clock.mono() + PEER_TIME_MS;
+  const count = clientCount(overloadCase);
   while (clock.mono() < until && (count === 0 || crowd.answerCount() < count)) await delay(clock, ANSWER_CHECK_MS);
 }
 
+function clientCount({ groups }: OverloadCase): number {
+  return groups.reduce((sum, group) => sum + group.count, 0);
+}
+
+function hasExpectedAnswers(crowd: Crowd, overloadCase: OverloadCase): boolean {
+  const { expectedStatus } = overloadCase;
+  if (expectedStatus === null) return true;
+  const statuses = [...crowd.answers().keys()];
+  return (
+    crowd.answerCount() === clientCount(overloadCase) &&
+    statuses.every((status) => status.startsWith(`HTTP/1.1 ${expectedStatus} `))
+  );
+}
+
 /** Waits until the process has read what the crowd has sent, so that its memory is measured with all of it. */
 async function waitUntilRead(sampler: UsageSampler, clock: Clock): Promise<void> {
   const until = clock.mono() + READ_TIMEOUT_MS;
@@ -134,7 +151,7 @@
 
 function describe(
   site: Site,
-  node: SiteNode,
+  { limits }: OverloadCase,
   peak: PeakUsage,
   crowd: Crowd,
   stillOpen: number,
@@ -143,8 +160,8 @@
   const answers = [...crowd.answers()].map(([status, count]) => `${count} x ${status}`).join(', ') || 'no answers';
   const exits = site.unexpectedExits().map((exit) => `${exit.name} ended: ${exit.code ?? exit.signal}`);
   return [
-    `${node.name}: ${peak.memoryMb.toFixed(0)} of ${OVERLOAD_LIMITS.memoryMb} MB, ${peak.descriptors} of ${OVERLOAD_LIMITS.maxFds} descriptors`,
-    `crowd: ${answers}; ${stillOpen} connections open at the end${worker ? `; ${worker.answered()} requests reached the faulty worker` : ''}`,
+    `at most ${peak.memoryMb.toFixed(0)} of ${limits.memoryMb} MB, of which ${peak.unreadMb.toFixed(0)} unread at that moment (${peak.mostUnreadMb.toFixed(0)} at most), ${peak.descriptors} of ${limits.maxFds} descriptors`,
+    `crowd: ${answers}; ${crowd.opened()} connections opened, ${stillOpen} open at the end${worker ? `; ${worker.answered()} requests reached the faulty worker` : ''}`,
     ...exits,
   ].join('\n');
 }
--- a/standin-platform/overload/process-usage.ts
+++ b/standin-platform/overload/process-usage.ts
@@ -2,7 +2,13 @@
 import { readdirSync, readFileSync } from 'node:fs';
 
 /** The most that was seen of a process; memory counts the bytes that its sockets have received and it has not read. */
-export type PeakUsage = { readonly memoryMb: number; readonly descriptors: number };
+export type PeakUsage = {
+  readonly memoryMb: number;
+  /** The unread part of `memoryMb`. */
+  readonly unreadMb: number;
+  readonly mostUnreadMb: number;
+  readonly descriptors: number;
+};
 
 const SAMPLE_INTERVAL_MS = 50;
 const KB_PER_MB = 1_024;
@@ -13,7 +19,7 @@
 
 /** Watches one process, whose sockets have the address `ip`, until it is stopped. */
 export class UsageSampler {
-  private peak: PeakUsage = { memoryMb: 0, descriptors: 0 };
+  private peak: PeakUsage = { memoryMb: 0, unreadMb: 0, mostUnreadMb: 0, descriptors: 0 };
   private unread = 0;
   private readonly timer: NodeJS.Timeout;
 
@@ -39,10 +45,13 @@
   private sample(): void {
     try {
       this.unread = unreadBytes(this.ip);
-      const memoryMb = residentMb(this.pid) + this.unread / BYTES_PER_MB;
+      const unreadMb = this.unread / BYTES_PER_MB;
+      const memoryMb = residentMb(this.pid) + unreadMb;
       const descriptors = readdirSync(`/proc/${this.pid}/fd`).length;
       this.peak = {
         memoryMb: Math.max(this.peak.memoryMb, memoryMb),
+        unreadMb: memoryMb > this.peak.memoryMb ? unreadMb : this.peak.unreadMb,
+        mostUnreadMb: Math.max(this.peak.mostUnreadMb, unreadMb),
         descriptors: Math.max(this.peak.descriptors, descriptors),
       };
     } catch {
--- a/standin-platform/soak/stalled-crowd.ts
+++ b/standin-platform/soak/stalled-crowd.ts
@@ -1,6 +1,6 @@
 /** A crowd of clients whose bodies stop short of their end, at one node while everything else goes on. */
 import { API_PATH } from '../../platform/words.js';
-import { Crowd } from '../overload/crowd.js';
+import { Crowd, SCRIPT_DEFAULTS } from '../overload/crowd.js';
 import { headWithLength, PART_BYTES, repeated } from '../overload/overload-case.js';
 import type { SiteNode } from '../site.js';
 
@@ -14,10 +14,11 @@
   const crowd = new Crowd();
   const [ip, port] = (node.core ? node.control : node.edge).split(':') as [string, string];
   const path = node.core ? API_PATH.replace : '/book/2f';
-  void crowd.join({ ip, port: Number(port) }, CROWD_SIZE, {
+  const script = {
+    ...SCRIPT_DEFAULTS,
     head: headWithLength(path, BODY_BYTES),
     parts: () => repeated(Buffer.alloc(PART_BYTES, 'x'), PARTS_SENT),
-    reads: true,
-  });
+  };
+  void crowd.join({ ip, port: Number(port) }, [{ count: CROWD_SIZE, script }]);
   return () => crowd.leave();
 }
