Bodies are read in turns, so that what arrives unread stays at the smallest window

Seen by callers: a process that grows until its machine ends it, with 1,000 bodies of legal size at once. Cause: what the operating system holds of a connection before it is read is bounded by nothing of ours. The runtime reads a connection up to 32 times in one turn of the event loop; the system takes that for a fast reader, and grows the buffer of each, to some 250 KB. Refused bodies were read on in the same way, 4 MB each, so that refusing cost as much as taking.

Change: a body is read for one turn, then its connection waits for the next one (16 read in one turn); after a long turn, everything else gets as much time as it took. After a refusal, at most 16 bodies are discarded at a time, also in turns, at most 256 connections wait unread for a second, and all others are closed at once. Requests that the parser rejects are answered by one module for all servers.

`_handle` of a socket is used, as the runtime has no public way to stop reading at once: its HTTP server resumes a paused connection after each piece.

--- a/src/transport/http-connections.ts
+++ b/src/transport/http-connections.ts
@@ -10,8 +10,10 @@
 import { createClock } from './clock.js';
 import type { Clock, Timer } from './clock.js';
 import { endResponse } from './end-response.js';
+import { Lingering } from './lingering.js';
 import type { Log } from './log.js';
 import { OverloadLog } from './overload-log.js';
+import { ReadTurns } from './read-turns.js';
 
 /** Deadlines of a graceful stop, in milliseconds from its start. */
 export type StopLimits = {
@@ -49,6 +51,7 @@
 export class HttpConnections {
   private readonly connections = new Map<Socket, Connection>();
   private readonly closedForOthers: OverloadLog;
+  private readonly lingering: Lingering;
   private readonly timers = new Set<Timer>();
   private isStopping = false;
 
@@ -58,6 +61,7 @@
     private readonly clock: Clock = createClock(),
   ) {
     this.closedForOthers = new OverloadLog('connection closed to make room', clock, limit.log);
+    this.lingering = new Lingering(clock, new ReadTurns(clock));
     server.on('connection', (socket: Socket) => this.onConnection(socket));
     server.on('request', (req: IncomingMessage, res: ServerResponse) => this.onRequest(req, res));
   }
@@ -110,7 +114,7 @@
       Connection: 'close',
     });
     res.write(STOPPING_BODY);
-    endResponse(req, res, this.clock);
+    endResponse(req, res, this.lingering);
   }
 
   private closed(): Promise<void> {
--- a/src/transport/http-server.test.ts
+++ b/src/transport/http-server.test.ts
@@ -7,6 +7,7 @@
 import { createExpressHttpServer } from './http-server.js';
 import type { HttpAnswer, HttpError, HttpReply, HttpRequest, Route } from './http.js';
 import { createQuietLog } from './log.js';
+import { createIntakeOf } from './caller-intake.js';
 import { createMemoryBudget } from './memory-budget.js';
 import type { Listener } from './wire.js';
 import type { Result } from '../base/result.js';
@@ -208,7 +209,8 @@
 describe('the bodies of all callers together', () => {
   async function openSmallServer(): Promise<Listener> {
     const log = createQuietLog().component('t');
-    const intake = { budget: createMemoryBudget(100_000, createClock(), log), maxConnections: 100, log };
+    const clock = createClock();
+    const intake = createIntakeOf(createMemoryBudget(100_000, clock, log), 100, clock, log);
     const opened = await createExpressHttpServer(log, 5_000, null, intake).open('127.0.0.1:0', [
       { method: 'POST', path: '/echo/:id', maxBytes: 80_000, handle: echo },
     ]);
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -25,6 +25,7 @@
 import type { ListenRetry } from './listen.js';
 import type { Log } from './log.js';
 import type { RequestBodyLimits } from './message-body.js';
+import { answerUnparsable } from './unparsable-request.js';
 import type { Address, WireError } from './wire.js';
 
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
@@ -111,10 +112,8 @@
     async function handle(req: Request, res: Response): Promise<void> {
       if (res.headersSent) return;
       if (isDeeperThan(req.body, MAX_BODY_DEPTH)) {
-        await sendReply(res, {
-          status: 400,
-          body: { error: { tag: 'malformed', detail: `/: expected at most ${MAX_BODY_DEPTH} levels` } },
-        });
+        const body = { error: { tag: 'malformed', detail: `/: expected at most ${MAX_BODY_DEPTH} levels` } };
+        await sendReply(res, { status: 400, body });
         return;
       }
       const reply = await route.handle(toHttpRequest(req, res));
@@ -123,7 +122,7 @@
     const limits: RequestBodyLimits = {
       maxBytes: route.maxBytes ?? DEFAULT_MAX_BODY_BYTES,
       stallMs: this.requestTimeoutMs,
-      budget: this.intake.budget,
+      intake: this.intake,
     };
     const readBody = (req: Request, res: Response, next: NextFunction): Promise<void> =>
       this.readBody(limits, req, res, next);
@@ -152,7 +151,7 @@
     if (!res.req.complete) res.setHeader('connection', 'close');
     res.status(status).type('json');
     res.write(JSON.stringify({ error: body }));
-    endResponse(res.req, res, this.clock);
+    endResponse(res.req, res, this.intake.lingering);
   }
 
   private unknownPath(_req: Request, res: Response): void {
@@ -178,6 +177,7 @@
       this.appFor(routes),
     );
     server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    answerUnparsable(server);
     const connections = new HttpConnections(server, this.intake, this.clock);
     function close(limits = STOP_IMMEDIATELY): Promise<void> {
       return connections.stop(limits);
--- a/src/transport/message-body.ts
+++ b/src/transport/message-body.ts
@@ -2,7 +2,9 @@
 import type { IncomingMessage } from 'node:http';
 import { ByteAccumulator } from '../base/byte-accumulator.js';
 import { JsonTokenCounter } from '../base/json-tokens.js';
-import type { MemoryBudget, MemoryHold } from './memory-budget.js';
+import { BodyPace } from './body-pace.js';
+import type { CallerIntake } from './caller-intake.js';
+import type { MemoryHold } from './memory-budget.js';
 
 /**
  * How reading a body ended: with all of it, at one of its limits, because all callers together hold too much, because nothing of it
@@ -28,7 +30,7 @@
   readonly maxTokens?: number;
   /** Time without any byte after which the body is given up, in milliseconds. */
   readonly stallMs: number;
-  readonly budget: MemoryBudget;
+  readonly intake: CallerIntake;
 };
 
 /** The outcome of reading a request's body, and what it holds of the budget until it is released. */
@@ -37,9 +39,10 @@
 /** Reads the body of a request within the budget of all callers. The hold is to be released with the request. */
 export async function readRequestBody(request: IncomingMessage, limits: RequestBodyLimits): Promise<RequestBodyRead> {
   const reader = new BodyReader(request, limits.maxBytes, limits.maxTokens);
-  const hold = limits.budget.open(() => reader.giveUp('overloaded'));
+  const hold = limits.intake.budget.open(() => reader.giveUp('overloaded'));
+  const pace = new BodyPace(request.socket, limits.intake.reading);
   request.setTimeout(limits.stallMs, () => reader.giveUp('stalled'));
-  const read = await reader.read(hold);
+  const read = await reader.read(hold, pace);
   request.setTimeout(0);
   if (read.tag === 'complete') hold.keep();
   return { read, hold };
@@ -50,6 +53,7 @@
   private readonly tokens = new JsonTokenCounter();
   private resolve: (read: BodyRead) => void = () => undefined;
   private hold: MemoryHold | null = null;
+  private pace: BodyPace | null = null;
 
   constructor(
     private readonly message: IncomingMessage,
@@ -57,8 +61,9 @@
     private readonly maxTokens = Infinity,
   ) {}
 
-  read(hold: MemoryHold | null = null): Promise<BodyRead> {
+  read(hold: MemoryHold | null = null, pace: BodyPace | null = null): Promise<BodyRead> {
     this.hold = hold;
+    this.pace = pace;
     if (Number(this.message.headers['content-length'] ?? 0) > this.maxBytes)
       return Promise.resolve({ tag: 'tooLarge' });
     return new Promise((resolve) => {
@@ -74,6 +79,7 @@
   }
 
   private readonly onData = (chunk: Buffer): void => {
+    this.pace?.add(chunk.length);
     if (this.received.length + chunk.length > this.maxBytes) {
       this.giveUp('tooLarge');
       return;
--- a/src/transport/opaque-exchange.ts
+++ b/src/transport/opaque-exchange.ts
@@ -2,16 +2,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
-import type { Clock } from './clock.js';
+import type { CallerIntake } from './caller-intake.js';
 import { endResponse } from './end-response.js';
-import type { MemoryBudget, MemoryHold } from './memory-budget.js';
+import type { MemoryHold } from './memory-budget.js';
 import { readRequestBody } from './message-body.js';
 import type { BodyError, OpaqueRequest, RawHeaders, ResponseWriter } from './opaque-http.js';
 
 /** What an exchange needs of its server. */
 export type ExchangeDeps = {
-  readonly clock: Clock;
-  readonly budget: MemoryBudget;
+  readonly intake: CallerIntake;
   /** How long a caller may neither send nor read anything while it is waited for, in milliseconds. */
   readonly idleMs: () => number;
 };
@@ -58,8 +57,8 @@
   };
 
   readonly body = async (maxBytes: number): Promise<Result<Buffer, BodyError>> => {
-    const { budget, idleMs } = this.deps;
-    const { read, hold } = await readRequestBody(this.req, { maxBytes, stallMs: idleMs(), budget });
+    const { intake, idleMs } = this.deps;
+    const { read, hold } = await readRequestBody(this.req, { maxBytes, stallMs: idleMs(), intake });
     if (read.tag !== 'complete' || this.res.headersSent || this.res.destroyed) {
       hold.release();
       if (read.tag === 'complete' || read.tag === 'aborted') return err({ tag: 'callerGone' });
@@ -92,7 +91,7 @@
 
   readonly end = (): void => {
     if (this.res.destroyed || this.isRejected()) return;
-    endResponse(this.req, this.res, this.deps.clock);
+    endResponse(this.req, this.res, this.deps.intake.lingering);
     if (!this.res.writableFinished) this.res.socket?.setTimeout(this.deps.idleMs());
   };
 
--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { createConnection } from 'node:net';
 import { expect, test } from '@jest/globals';
+import { createIntakeOf } from './caller-intake.js';
 import { createClock } from './clock.js';
 import { createQuietLog } from './log.js';
 import { createMemoryBudget } from './memory-budget.js';
@@ -156,7 +157,8 @@
 // Guards against callers who fill a process with bodies that never end.
 test('bodies that stop short of their end give way to others, with the promise that they have not run', async () => {
   const log = createQuietLog().component('t');
-  const intake = { budget: createMemoryBudget(1_048_576, createClock(), log), maxConnections: 100, log };
+  const clock = createClock();
+  const intake = createIntakeOf(createMemoryBudget(1_048_576, clock, log), 100, clock, log);
   const opened = await createOpaqueHttpServer(null, intake).open('127.0.0.1:0', (req) => {
     void req.body(1_000_000).then((body) => respondWith(req, body.ok ? 'taken' : body.error.tag));
   });
--- a/src/transport/opaque-http-server.ts
+++ b/src/transport/opaque-http-server.ts
@@ -14,13 +14,13 @@
 import { createOpaqueRequest } from './opaque-exchange.js';
 import type { ExchangeDeps } from './opaque-exchange.js';
 import type { OpaqueHttpServer, OpaqueLimits, OpaqueListener, OpaqueRequest } from './opaque-http.js';
+import { answerUnparsable, MALFORMED_BODY } from './unparsable-request.js';
 import type { Address, WireError } from './wire.js';
 
 const MAX_HEADER_BYTES = 65_536;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 15_000;
 const BAD_REQUEST = 400;
-const MALFORMED_BODY = JSON.stringify({ error: { tag: 'malformed' } });
 
 function isForwardable(req: IncomingMessage): boolean {
   return isRequestTarget(req.url ?? '') && hasTokenNames(req.rawHeaders);
@@ -35,33 +35,6 @@
   res.end(MALFORMED_BODY);
 }
 
-/** Statuses of requests that the runtime gives up, by its error code; all others are malformed. */
-const REJECTION_STATUSES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
-/** Answers a request that the runtime's parser rejects, unless its response has begun, and closes the connection. */
-function rejectUnparsable(error: NodeJS.ErrnoException, socket: Socket): void {
-  const current = (socket as Socket & { _httpMessage?: ServerResponse })._httpMessage;
-  // A request that was read may be running: an answer here would be taken for its own.
-  if (!socket.writable || current?.headersSent === true || current?.req.complete === true) {
-    socket.destroy(error);
-    return;
-  }
-  const status = REJECTION_STATUSES[error.code ?? ''];
-  const body = status === undefined ? MALFORMED_BODY : '';
-  const head = [
-    `HTTP/1.1 ${status ?? '400 Bad Request'}`,
-    ...(body === '' ? [] : ['Content-Type: application/json']),
-    `Content-Length: ${body.length}`,
-    'Connection: close',
-  ];
-  socket.write(`${head.join('\r\n')}\r\n\r\n${body}`, 'latin1');
-  socket.destroy(error);
-}
-
 function limitedServer(onRequest: (req: IncomingMessage, res: ServerResponse) => void): Server {
   const server = createServer(
     {
@@ -73,7 +46,7 @@
     onRequest,
   );
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  server.on('clientError', rejectUnparsable);
+  answerUnparsable(server);
   return server;
 }
 
@@ -124,7 +97,7 @@
       else rejectMalformed(res);
     }
     const server = limitedServer(onRequest);
-    const deps: ExchangeDeps = { clock, budget: intake.budget, idleMs: () => server.keepAliveTimeout };
+    const deps: ExchangeDeps = { intake, idleMs: () => server.keepAliveTimeout };
     const connections = new HttpConnections(server, intake, clock);
     server.on('connection', ignoreErrorsOf);
     const listening = await listen(server, address, retry);
