Bodies in tiny pieces: few are taken at once, and the rest of a refused one is not parsed

Seen by callers: no ordinary answer in 20 s beside 300 callers, nor in 5 s beside 30, whose bodies come in chunks of one byte, at either role. Cause: one read of 64 KB has 11,000 such chunks, each a call of the parser into the program: 18 to 33 ms a read here, even if nobody listens to them any more. A crowd took the whole processor, refused or not.

The rest of a refused body that was read already is skipped by the parser (1 ms a read), by taking its callbacks away until the end of the turn; the runtime has no public way to stop it. A read of such a body has a turn of its own. Tokens of JSON are counted with a table of the bytes that matter.

The new test of the server failed before.

--- a/src/base/json-tokens.ts
+++ b/src/base/json-tokens.ts
@@ -12,6 +12,9 @@
 const OPEN_OBJECT = 0x7b;
 const COMMA = 0x2c;
 const COLON = 0x3a;
+/** 1 for each byte that means the same inside and outside of strings. */
+const IS_PLAIN = new Uint8Array(256).fill(1);
+for (const byte of [QUOTE, BACKSLASH, OPEN_ARRAY, OPEN_OBJECT, COMMA, COLON]) IS_PLAIN[byte] = 0;
 
 /** Counts the commas, colons and opening brackets outside of strings of a text that arrives in parts. */
 export class JsonTokenCounter {
@@ -21,7 +24,10 @@
 
   /** Returns how many there are so far, this part included. */
   add(part: Uint8Array): number {
-    for (const byte of part) {
+    for (let index = 0; index < part.length; index += 1) {
+      const byte = part[index] as number;
+      // Most bytes are none of those below.
+      if (IS_PLAIN[byte] === 1 && !this.isEscaped) continue;
       if (this.isEscaped) this.isEscaped = false;
       else if (byte === QUOTE) this.isInString = !this.isInString;
       else if (this.isInString) this.isEscaped = byte === BACKSLASH;
--- a/src/transport/caller-intake.ts
+++ b/src/transport/caller-intake.ts
@@ -8,6 +8,7 @@
 import type { MemoryBudget } from './memory-budget.js';
 import { createQuietLog } from './quiet-log.js';
 import { ReadTurns } from './read-turns.js';
+import { TinyPieceSlots } from './tiny-piece-slots.js';
 
 /** Memory in MB and file descriptors that a process may use. */
 export type MachineShare = { readonly memoryMegabytes: number; readonly maxDescriptors: number };
@@ -58,7 +59,7 @@
 /** Creates what the servers of a process share. */
 export function createIntakeOf(budget: MemoryBudget, maxConnections: number, clock: Clock, log: Log): CallerIntake {
   const turns = new ReadTurns(clock);
-  const reading = { turns };
+  const reading = { turns, tinyPieces: new TinyPieceSlots(clock) };
   return { budget, maxConnections, reading, lingering: new Lingering(clock, turns), log };
 }
 
--- a/src/transport/message-body.ts
+++ b/src/transport/message-body.ts
@@ -5,6 +5,7 @@
 import { BodyPace } from './body-pace.js';
 import type { CallerIntake } from './caller-intake.js';
 import type { MemoryHold } from './memory-budget.js';
+import { stopParsing } from './socket-reading.js';
 
 /**
  * How reading a body ended: with all of it, at one of its limits, because all callers together hold too much, because nothing of it
@@ -40,9 +41,10 @@
 export async function readRequestBody(request: IncomingMessage, limits: RequestBodyLimits): Promise<RequestBodyRead> {
   const reader = new BodyReader(request, limits.maxBytes, limits.maxTokens);
   const hold = limits.intake.budget.open(() => reader.giveUp('overloaded'));
-  const pace = new BodyPace(request.socket, limits.intake.reading);
+  const pace = new BodyPace(request.socket, limits.intake.reading, () => reader.refuseTinyPieces());
   request.setTimeout(limits.stallMs, () => reader.giveUp('stalled'));
   const read = await reader.read(hold, pace);
+  pace.end();
   request.setTimeout(0);
   if (read.tag === 'complete') hold.keep();
   return { read, hold };
@@ -78,8 +80,17 @@
     this.settle({ tag });
   }
 
+  /** Gives the body up, and spends no more time on the pieces of it that have been read already. */
+  refuseTinyPieces(): void {
+    this.giveUp('overloaded');
+    stopParsing(this.message.socket);
+  }
+
   private readonly onData = (chunk: Buffer): void => {
-    this.pace?.add(chunk.length);
+    if (this.pace?.tryAdd(chunk.length) === false) {
+      this.refuseTinyPieces();
+      return;
+    }
     if (this.received.length + chunk.length > this.maxBytes) {
       this.giveUp('tooLarge');
       return;
--- a/src/transport/opaque-http-server.test.ts
+++ b/src/transport/opaque-http-server.test.ts
@@ -246,3 +246,27 @@
   expect(taken).toBe(1);
   await opened.value.close();
 });
+
+const TINY_CHUNKS = 2_000;
+/** A body in chunks of one byte. */
+function tinyChunks(isComplete: boolean): string {
+  const head = 'POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n';
+  return `${head}${'1\r\nx\r\n'.repeat(TINY_CHUNKS)}${isComplete ? '0\r\n\r\n' : ''}`;
+}
+
+// Guards against a crowd of callers in tiny chunks: parsing them took all of the processor from other callers.
+test('a body in tiny chunks is taken, but not while others come in tiny chunks, and other bodies are', async () => {
+  const opened = await createOpaqueHttpServer().open('127.0.0.1:0', (req) => {
+    void req.body(100_000).then((body) => respondWith(req, body.ok ? `taken ${body.value.length}` : body.error.tag));
+  });
+  if (!opened.ok) throw new Error(opened.error.tag);
+  const { address } = opened.value;
+  expect(await responseTo(address, tinyChunks(true))).toMatch(/taken 2000$/);
+  const crowd = Array.from({ length: 12 }, () => responseTo(address, tinyChunks(false)));
+  expect(await Promise.race(crowd)).toMatch(/^HTTP\/1\.1 200 [^]*overloaded$/);
+  const ordinary = `POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 50000\r\n\r\n`;
+  expect(await responseTo(address, ordinary + 'x'.repeat(50_000))).toMatch(/taken 50000$/);
+  await opened.value.close();
+  const texts = await Promise.all(crowd);
+  expect(texts.filter((text) => text.endsWith('overloaded'))).toHaveLength(10);
+});
