Making room looks at one connection and at a few sizes, not at all holders

Cause: at a limit, each newcomer scanned all connections and each large body all holders of memory, so that refusing cost more the larger the crowd was.

Change: connections stand in three sets in the order in which they would be closed: unused, resting, with an incomplete request. Holders of memory stand in classes of about the same size, four an octave, each ordered by progress; the one that gives way is one of the largest, no longer always the very largest. Progress is recorded every 50 ms at the most. The tests of what gives way first are as they were, and pass.

--- a/src/transport/http-connections.ts
+++ b/src/transport/http-connections.ts
@@ -37,19 +37,21 @@
 /** The most connections of a server. What is closed to make room for others is logged. */
 export type ConnectionLimit = { readonly maxConnections: number; readonly log: Log };
 
-type Connection = { readonly exchanges: Set<Exchange>; hasBeenUsed: boolean; lastActiveAt: number };
+type Connection = { readonly exchanges: Set<Exchange> };
 type Exchange = { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number };
 
-/** Offsets that are larger than any time since the start of a process, in milliseconds. */
-const RESTING_RANK = 1e13;
-const INCOMPLETE_RANK = 2e13;
-
 const SERVICE_UNAVAILABLE = 503;
 const STOPPING_BODY = JSON.stringify({ error: { tag: 'stopping' } });
 
 /** Tracks the connections of one server; created before the server listens. */
 export class HttpConnections {
   private readonly connections = new Map<Socket, Connection>();
+  /** Connections without any request so far, the oldest first. */
+  private readonly unused = new Set<Socket>();
+  /** Connections that rest after a response, the one that rests longest first. */
+  private readonly resting = new Set<Socket>();
+  /** Connections with a request that may be incomplete, the one that began it first. */
+  private readonly receiving = new Set<Socket>();
   private readonly closedForOthers: OverloadLog;
   private readonly lingering: Lingering;
   private readonly timers = new Set<Timer>();
@@ -140,8 +142,16 @@
 
   private onConnection(socket: Socket): void {
     if (this.connections.size >= this.limit.maxConnections) this.makeRoom();
-    this.connections.set(socket, { exchanges: new Set(), hasBeenUsed: false, lastActiveAt: this.clock.mono() });
-    socket.on('close', () => this.connections.delete(socket));
+    this.connections.set(socket, { exchanges: new Set() });
+    this.unused.add(socket);
+    socket.on('close', () => this.forget(socket));
+  }
+
+  private forget(socket: Socket): void {
+    this.connections.delete(socket);
+    this.unused.delete(socket);
+    this.resting.delete(socket);
+    this.receiving.delete(socket);
   }
 
   /**
@@ -149,27 +159,33 @@
    * the number of connections is above its limit until one ends: what is read is answered.
    */
   private makeRoom(): void {
-    let chosen: Socket | null = null;
-    let lowestRank = Infinity;
-    for (const [socket, connection] of this.connections) {
-      const rank = evictionRank(connection);
-      if (rank >= lowestRank) continue;
-      chosen = socket;
-      lowestRank = rank;
-    }
+    const chosen = firstOf(this.unused) ?? firstOf(this.resting) ?? this.firstIncomplete();
     if (!chosen) return;
     this.closedForOthers.record(() => ({ connections: this.connections.size }));
-    this.connections.delete(chosen);
+    this.forget(chosen);
     chosen.destroy();
   }
 
+  /** Connections that it passes over are not looked at again until they have another request. */
+  private firstIncomplete(): Socket | null {
+    for (const socket of this.receiving) {
+      const exchanges = [...(this.connections.get(socket)?.exchanges ?? [])];
+      if (exchanges.length > 0 && exchanges.every(isIncomplete)) return socket;
+      this.receiving.delete(socket);
+    }
+    return null;
+  }
+
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     const exchange: Exchange = { req, res, arrivedAt: this.clock.mono() };
     const connection = this.connections.get(socket);
-    connection?.exchanges.add(exchange);
-    if (connection) connection.hasBeenUsed = true;
     res.on('close', () => this.onResponseClosed(socket, exchange));
+    if (!connection) return;
+    connection.exchanges.add(exchange);
+    this.unused.delete(socket);
+    this.resting.delete(socket);
+    this.receiving.add(socket);
   }
 
   /** During a stop, closes the connection: a head that was sent before did not announce `Connection: close`. */
@@ -177,19 +193,17 @@
     const connection = this.connections.get(socket);
     if (!connection) return;
     connection.exchanges.delete(exchange);
-    connection.lastActiveAt = this.clock.mono();
+    if (connection.exchanges.size === 0) {
+      this.receiving.delete(socket);
+      this.resting.add(socket);
+    }
     if (this.isStopping && connection.exchanges.size === 0) socket.destroySoon();
   }
 }
 
-/**
- * Ranks connections by how soon they are closed to make room: first the oldest without any request so far, which is silent
- * or has sent a part of a head; then the oldest that rests; then the oldest with an incomplete request. Infinity: never.
- */
-function evictionRank({ exchanges, hasBeenUsed, lastActiveAt }: Connection): number {
-  if (exchanges.size === 0) return hasBeenUsed ? lastActiveAt + RESTING_RANK : lastActiveAt;
-  for (const exchange of exchanges) if (!isIncomplete(exchange)) return Infinity;
-  return lastActiveAt + INCOMPLETE_RANK;
+function firstOf(sockets: Iterable<Socket>): Socket | null {
+  for (const socket of sockets) return socket;
+  return null;
 }
 
 function isIncomplete({ req, res }: Exchange): boolean {
--- a/src/transport/memory-budget.ts
+++ b/src/transport/memory-budget.ts
@@ -4,6 +4,7 @@
  * arrived whole give way, those first that stall or hold most, and the last part is for small requests only.
  */
 import type { Clock } from './clock.js';
+import { HoldsBySize } from './holds-by-size.js';
 import type { Log } from './log.js';
 import { OverloadLog } from './overload-log.js';
 
@@ -33,6 +34,8 @@
 const MAX_SMALL_BYTES = 65_536;
 /** A request without progress for this long gives way first, in milliseconds. */
 const STALL_MS = 1_000;
+/** Progress is recorded no more often than this, in milliseconds. */
+const PROGRESS_RESOLUTION_MS = 50;
 
 class Hold implements MemoryHold {
   bytes = 0;
@@ -52,11 +55,15 @@
   }
 
   touch(): void {
-    this.lastProgressAt = this.budget.now();
+    const now = this.budget.now();
+    if (now - this.lastProgressAt < PROGRESS_RESOLUTION_MS) return;
+    this.lastProgressAt = now;
+    this.budget.reorder(this);
   }
 
   keep(): void {
     this.mayGiveWay = false;
+    this.budget.reorder(this);
   }
 
   release(): void {
@@ -66,6 +73,7 @@
 
 class SharedBudget implements MemoryBudget {
   private readonly holds = new Set<Hold>();
+  private readonly evictable = new HoldsBySize<Hold>();
   private held = 0;
   private maxBytes: number;
   private readonly evictions: OverloadLog;
@@ -107,20 +115,27 @@
     }
     hold.bytes = bytes;
     this.held += added;
+    this.reorder(hold);
     return true;
   }
 
+  reorder(hold: Hold): void {
+    if (hold.mayGiveWay && this.holds.has(hold)) this.evictable.put(hold);
+    else this.evictable.delete(hold);
+  }
+
   release(hold: Hold): void {
     if (!this.holds.delete(hold)) return;
     this.held -= hold.bytes;
     hold.bytes = 0;
+    this.evictable.delete(hold);
   }
 
   private makeRoom(hold: Hold, bytes: number, added: number): boolean {
     if (!this.holds.has(hold)) return false;
     const limit = bytes <= MAX_SMALL_BYTES ? this.maxBytes : this.maxBytes * LARGE_SHARE;
     while (this.held + added > limit) {
-      const evicted = this.findEvictable(hold, bytes);
+      const evicted = this.evictable.find(this.now() - STALL_MS, bytes, hold);
       if (!evicted) return false;
       this.evictions.record(() => ({ heldBytes: evicted.bytes, callers: this.holds.size }));
       this.release(evicted);
@@ -128,19 +143,6 @@
     }
     return true;
   }
-
-  /** The largest of those that stall; else the largest, if it holds more than `hold` is about to. */
-  private findEvictable(hold: Hold, bytes: number): Hold | null {
-    const stalledSince = this.now() - STALL_MS;
-    let largestStalled: Hold | null = null;
-    let largest: Hold | null = null;
-    for (const other of this.holds) {
-      if (other === hold || !other.mayGiveWay || other.bytes === 0) continue;
-      if (other.lastProgressAt <= stalledSince && other.bytes > (largestStalled?.bytes ?? 0)) largestStalled = other;
-      if (other.bytes > (largest?.bytes ?? bytes)) largest = other;
-    }
-    return largestStalled ?? largest;
-  }
 }
 
 /** Creates an empty budget of `maxBytes`. */
