A connection with over 64 requests that are not answered is closed, the rest is not parsed

Cause: requests that are sent without waiting for answers are all taken as fast as they are read; one read has some two thousand short ones, before anybody else has a turn.

Change: the 65th unanswered request closes the connection, and what was read behind it is not parsed. Clients of the pages wait for each answer. Log event `connection with too many requests closed`. The new test failed before: 1,000 of 1,000 requests were passed on.

--- a/src/transport/http-connections.test.ts
+++ b/src/transport/http-connections.test.ts
@@ -205,3 +205,15 @@
   expect(read.ended).toBe(false);
   await fixture.connections.stop({ receiveTimeoutMs: 0, stopTimeoutMs: 0 });
 });
+
+// Guards against a caller that takes the processor with thousands of requests that it sends at once.
+test('a connection with too many requests that are not answered is closed, and the others are not parsed', async () => {
+  const fixture = await startServer();
+  const caller = await openCaller(fixture, 'GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(1_000));
+  await until(() => caller.ended);
+  expect(fixture.requests.length).toBeLessThan(1_000);
+  const other = await connectCaller(fixture, 'GET /other HTTP/1.1\r\nHost: a\r\n\r\n');
+  await until(() => fixture.requests.some(({ req }) => req.url === '/other'));
+  expect(other.ended).toBe(false);
+  await fixture.connections.stop({ receiveTimeoutMs: 0, stopTimeoutMs: 0 });
+});
--- a/src/transport/http-connections.ts
+++ b/src/transport/http-connections.ts
@@ -14,6 +14,7 @@
 import type { Log } from './log.js';
 import { OverloadLog } from './overload-log.js';
 import { ReadTurns } from './read-turns.js';
+import { stopParsing } from './socket-reading.js';
 
 /** Deadlines of a graceful stop, in milliseconds from its start. */
 export type StopLimits = {
@@ -40,6 +41,9 @@
 type Connection = { readonly exchanges: Set<Exchange> };
 type Exchange = { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number };
 
+/** Requests of one connection that are not answered yet; a connection with more is closed. */
+const MAX_PIPELINED = 64;
+
 const SERVICE_UNAVAILABLE = 503;
 const STOPPING_BODY = JSON.stringify({ error: { tag: 'stopping' } });
 
@@ -53,6 +57,7 @@
   /** Connections with a request that may be incomplete, the one that began it first. */
   private readonly receiving = new Set<Socket>();
   private readonly closedForOthers: OverloadLog;
+  private readonly closedForPipelining: OverloadLog;
   private readonly lingering: Lingering;
   private readonly timers = new Set<Timer>();
   private isStopping = false;
@@ -63,6 +68,7 @@
     private readonly clock: Clock = createClock(),
   ) {
     this.closedForOthers = new OverloadLog('connection closed to make room', clock, limit.log);
+    this.closedForPipelining = new OverloadLog('connection with too many requests closed', clock, limit.log);
     this.lingering = new Lingering(clock, new ReadTurns(clock));
     server.on('connection', (socket: Socket) => this.onConnection(socket));
     server.on('request', (req: IncomingMessage, res: ServerResponse) => this.onRequest(req, res));
@@ -186,6 +192,13 @@
     this.unused.delete(socket);
     this.resting.delete(socket);
     this.receiving.add(socket);
+    if (connection.exchanges.size > MAX_PIPELINED) this.closePipelining(socket);
+  }
+
+  private closePipelining(socket: Socket): void {
+    this.closedForPipelining.record(() => ({ requests: MAX_PIPELINED }));
+    stopParsing(socket);
+    socket.destroy();
   }
 
   /** During a stop, closes the connection: a head that was sent before did not announce `Connection: close`. */
