--- a/src/base/json-tokens.ts
+++ b/src/base/json-tokens.ts
@@ -37,7 +37,12 @@
   }
 }
 
+/** Returns the number of commas, colons and opening brackets outside of strings. */
+export function countTokens(text: Uint8Array): number {
+  return new JsonTokenCounter().add(text);
+}
+
 /** Returns whether the text has more than `maxTokens` commas, colons and opening brackets outside of strings. */
 export function hasMoreTokensThan(text: Uint8Array, maxTokens: number): boolean {
-  return text.length > maxTokens && new JsonTokenCounter().add(text) > maxTokens;
+  return text.length > maxTokens && countTokens(text) > maxTokens;
 }
