Frames that peers do not read have a bound over all connections

Cause: each connection between nodes closes at 64 MB unread, their sum had no bound. Change: from 64 KB on, what a connection has not sent counts; over 96 MB in all, the connection that is furthest behind is closed, and its peer dials anew. The new test failed before: nobody was closed at 120 MB.

--- a/src/transport/wire.test.ts
+++ b/src/transport/wire.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, expect, test } from '@jest/globals';
 import { createQuietLog } from './log.js';
 import { createTcpWire } from './wire.js';
-import type { Listener } from './wire.js';
+import type { Connection, Listener } from './wire.js';
 
 const MB = 1_048_576;
 const listeners: Listener[] = [];
@@ -64,3 +64,32 @@
   await send(peers[2]!, 50);
   await until(() => closed() === 2);
 });
+
+// Guards against peers that fill the memory of a node by not reading what it sends them.
+test('of peers that together leave 96 MB unread, the one that is furthest behind is disconnected', async () => {
+  const wire = createTcpWire(createQuietLog().component('wire'), 1_000);
+  const connections: Connection[] = [];
+  const closed: number[] = [];
+  const listening = await wire.listen('127.0.0.1:0', (connection) => {
+    const index = connections.push(connection) - 1;
+    connection.attach({ frame: () => undefined, closed: () => closed.push(index) });
+  });
+  if (!listening.ok) throw new Error(listening.error.tag);
+  listeners.push(listening.value);
+  const port = Number(listening.value.address.split(':')[1]);
+  for (let peer = 0; peer < 3; peer += 1) {
+    const socket = createConnection(port, '127.0.0.1').pause();
+    socket.on('error', () => undefined);
+    sockets.push(socket);
+    await until(() => connections.length === peer + 1);
+  }
+  const frame = 'x'.repeat(2 * MB);
+  function send(index: number, frames: number): void {
+    for (let sent = 0; sent < frames; sent += 1) connections[index]!.send(frame);
+  }
+  send(0, 20);
+  send(1, 25);
+  expect(closed).toEqual([]);
+  send(2, 15);
+  expect(closed).toEqual([1]);
+});
--- a/src/transport/wire.ts
+++ b/src/transport/wire.ts
@@ -58,6 +58,10 @@
 const MAX_INCOMPLETE_BYTES = 96 * 1024 * 1024;
 /** A peer with more unread data than this is disconnected. */
 const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
+/** Data that peers together have not read; the one that is furthest behind is disconnected when there is more. */
+const MAX_UNSENT_BYTES_OF_ALL = 96 * 1024 * 1024;
+/** Less unread data is not counted. */
+const MIN_COUNTED_UNSENT_BYTES = 65_536;
 
 /** The bytes of incomplete frames that all connections of a process hold. */
 class IncompleteFrames {
@@ -74,6 +78,34 @@
   }
 }
 
+/** The connections of a process whose peers have not read what was sent, and how much. */
+class UnsentFrames {
+  private readonly bytesOf = new Map<TcpConnection, number>();
+  private bytes = 0;
+
+  set(connection: TcpConnection, bytes: number): void {
+    this.bytes += bytes - (this.bytesOf.get(connection) ?? 0);
+    if (bytes > 0) this.bytesOf.set(connection, bytes);
+    else this.bytesOf.delete(connection);
+  }
+
+  /** Returns the connection that is to be closed, if there is too much. */
+  furthestBehind(): TcpConnection | null {
+    if (this.bytes <= MAX_UNSENT_BYTES_OF_ALL) return null;
+    let furthest: TcpConnection | null = null;
+    let most = 0;
+    for (const [connection, bytes] of this.bytesOf) {
+      if (bytes <= most) continue;
+      furthest = connection;
+      most = bytes;
+    }
+    return furthest;
+  }
+}
+
+/** What the connections of a process hold together. */
+type HeldFrames = { readonly incomplete: IncompleteFrames; readonly unsent: UnsentFrames };
+
 class TcpConnection implements Connection {
   private events: ConnectionEvents | null = null;
   private readonly incomplete = new ByteAccumulator();
@@ -85,7 +117,7 @@
     private readonly dialled: boolean,
     private readonly log: Log,
     private readonly meter: WireMeter | null,
-    private readonly allIncomplete: IncompleteFrames,
+    private readonly held: HeldFrames,
   ) {
     this.meter?.connections(this.peer, this.dialled, 1);
 
@@ -95,6 +127,8 @@
 
     this.sock.on('data', (chunk: Buffer) => this.onData(chunk));
 
+    this.sock.on('drain', () => this.held.unsent.set(this, 0));
+
     this.sock.on('error', () => this.close());
 
     this.sock.on('close', () => this.close());
@@ -104,7 +138,8 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.sock.destroy();
-    this.allIncomplete.remove(this.incomplete.length);
+    this.held.incomplete.remove(this.incomplete.length);
+    this.held.unsent.set(this, 0);
     this.incomplete.clear();
     this.meter?.connections(this.peer, this.dialled, -1);
     this.events?.closed();
@@ -116,7 +151,7 @@
   }
 
   private takeIncomplete(): Buffer {
-    this.allIncomplete.remove(this.incomplete.length);
+    this.held.incomplete.remove(this.incomplete.length);
     return this.incomplete.take();
   }
 
@@ -156,7 +191,7 @@
       this.closeWithWarning('a frame was over the size limit');
       return false;
     }
-    if (!this.allIncomplete.tryAdd(bytes.length)) {
+    if (!this.held.incomplete.tryAdd(bytes.length)) {
       this.closeWithWarning('the frames of all peers were over the size limit');
       return false;
     }
@@ -169,7 +204,15 @@
     const text = `${JSON.stringify(body)}\n`;
     this.meter?.frame('out', this.peer, this.dialled, text.length, body);
     this.sock.write(text);
-    if (this.sock.writableLength > MAX_UNSENT_BYTES) this.closeWithWarning('the peer reads too slowly');
+    const unsent = this.sock.writableLength;
+    if (unsent > MAX_UNSENT_BYTES) this.closeWithWarning('the peer reads too slowly');
+    else if (unsent >= MIN_COUNTED_UNSENT_BYTES) this.countUnsent(unsent);
+  }
+
+  private countUnsent(bytes: number): void {
+    const { unsent } = this.held;
+    unsent.set(this, bytes);
+    unsent.furthestBehind()?.closeWithWarning('all peers together read too slowly, and this one most');
   }
 
   attach(events: ConnectionEvents): void {
@@ -180,7 +223,7 @@
 }
 
 class TcpWire implements Wire {
-  private readonly allIncomplete = new IncompleteFrames();
+  private readonly held: HeldFrames = { incomplete: new IncompleteFrames(), unsent: new UnsentFrames() };
 
   constructor(
     private readonly log: Log,
@@ -195,7 +238,7 @@
       openSockets.add(socket);
       socket.on('close', () => openSockets.delete(socket));
       const peer = `${socket.remoteAddress ?? '?'}:${socket.remotePort ?? 0}`;
-      onConnection(new TcpConnection(socket, peer, false, this.log, this.meter, this.allIncomplete));
+      onConnection(new TcpConnection(socket, peer, false, this.log, this.meter, this.held));
     };
     const server = createServer(onSocket);
     const listening = await listen(server, address, this.retry);
@@ -221,7 +264,7 @@
         sock.setTimeout(0);
         sock.off('error', onFailed);
         sock.off('timeout', onFailed);
-        resolve(ok(new TcpConnection(sock, address, true, this.log, this.meter, this.allIncomplete)));
+        resolve(ok(new TcpConnection(sock, address, true, this.log, this.meter, this.held)));
       };
       sock.once('connect', onConnected);
     };
