--- a/src/transport/caller-intake.ts
+++ b/src/transport/caller-intake.ts
@@ -56,6 +56,11 @@
   return Math.max(Math.floor(Math.min(byDescriptors, byMemory)), MIN_CONNECTIONS);
 }
 
+/** Returns the number of connections to workers above which idle ones are closed. */
+export function maxWorkerConnections({ maxDescriptors }: MachineShare): number {
+  return Math.max(Math.floor((maxDescriptors - RESERVED_FDS) * CONNECTION_SHARE), MIN_CONNECTIONS);
+}
+
 /** Creates what the servers of a process share. */
 export function createIntakeOf(budget: MemoryBudget, maxConnections: number, clock: Clock, log: Log): CallerIntake {
   const turns = new ReadTurns(clock);
--- a/src/transport/connection-pool.test.ts
+++ b/src/transport/connection-pool.test.ts
@@ -408,3 +408,16 @@
   expect(await sendRequest(pool, address)).toEqual({ status: 200, body: 'hi', error: null });
   expect([pool.totalDialled(), events]).toEqual([2, []]);
 });
+
+// Guards against connections to many workers that take all descriptors of a process.
+test('above its limit the pool closes the connection that is idle for the longest time, and none in use', async () => {
+  const pool = createConnectionPool(createClock(), 2);
+  openResources.push({ close: () => pool.stop() });
+  const answer = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+  const [first, second, third] = await Promise.all([1, 2, 3].map(() => rawWorker((sock) => void sock.write(answer))));
+  for (const address of [first!, second!, third!]) {
+    expect((await sendRequest(pool, address)).status).toBe(200);
+    while (pool.idle(address) === 0) await new Promise((done) => setImmediate(done));
+  }
+  expect([first!, second!, third!].map((address) => pool.idle(address))).toEqual([0, 1, 1]);
+});
--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -25,8 +25,14 @@
   private dialledCount = 0;
   private idleLimitMs = MAX_IDLE_MS;
   private sweepTimer: Timer;
-
-  constructor(private readonly clock: Clock) {
+  private openCount = 0;
+  /** All idle connections, the one that is idle for the longest time first. */
+  private readonly idleInOrder = new Set<IdleConnection>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly maxConnections: number,
+  ) {
     this.sweepTimer = this.clock.timer(SWEEP_INTERVAL_MS, () => this.sweep());
   }
 
@@ -39,14 +45,15 @@
   }
 
   keepIdle(endpoint: Endpoint, socket: Socket): void {
-    function drop(): void {
+    const drop = (): void => {
       socket.off('data', drop);
       socket.off('end', drop);
       socket.off('close', drop);
+      this.idleInOrder.delete(idle);
       const index = endpoint.idle.indexOf(idle);
       if (index >= 0) endpoint.idle.splice(index, 1);
       socket.destroy();
-    }
+    };
     const from = this.clock.mono();
     const idle: IdleConnection = {
       socket,
@@ -58,6 +65,7 @@
     socket.on('end', drop);
     socket.on('close', drop);
     endpoint.idle.push(idle);
+    this.idleInOrder.add(idle);
   }
 
   forgotten(idleMs: number): void {
@@ -71,6 +79,7 @@
     for (;;) {
       const idle = endpoint.idle.pop();
       if (!idle) return null;
+      this.idleInOrder.delete(idle);
       idle.socket.off('data', idle.drop);
       idle.socket.off('end', idle.drop);
       idle.socket.off('close', idle.drop);
@@ -91,7 +100,9 @@
       done(null);
       return null;
     }
+    this.makeRoom();
     this.dialledCount += 1;
+    this.openCount += 1;
     endpoint.open += 1;
     const socket = createConnection({ host: hostPort.host, port: hostPort.port, noDelay: true });
     let isSettled = false;
@@ -112,6 +123,7 @@
     socket.on('error', onFailed);
 
     const onClosed = (): void => {
+      this.openCount -= 1;
       endpoint.open -= 1;
       if (endpoint.open === 0 && endpoint.idle.length === 0) this.endpoints.delete(address);
       settle(null);
@@ -121,6 +133,15 @@
     return socket;
   }
 
+  /** Closes the connection that is idle for the longest time. Those in use are bounded by the slots of the workers. */
+  private makeRoom(): void {
+    if (this.openCount < this.maxConnections) return;
+    for (const idle of this.idleInOrder) {
+      idle.drop();
+      return;
+    }
+  }
+
   check(address: Address, timeoutMs: number, done: (reached: boolean) => void): void {
     const endpoint = this.endpointOf(address);
 
@@ -165,7 +186,7 @@
   }
 }
 
-/** Creates an empty pool. Its `stop` closes all idle connections. */
-export function createConnectionPool(clock: Clock): ConnectionPool {
-  return new KeepAliveConnectionPool(clock);
+/** Creates an empty pool, which keeps idle connections up to `maxConnections`. Its `stop` closes all of these. */
+export function createConnectionPool(clock: Clock, maxConnections = Infinity): ConnectionPool {
+  return new KeepAliveConnectionPool(clock, maxConnections);
 }
