Whole responses of the programs' interface are held within the budget of all callers

Cause: a response to a caller that does not read it was kept whole, for each of them, without a bound. The new test failed before: the response was sent.

--- a/src/transport/http-server.test.ts
+++ b/src/transport/http-server.test.ts
@@ -273,3 +273,21 @@
   expect([res.status, await res.json()]).toEqual([413, { error: { tag: 'tooManyTokens', most: 1_000_000 } }]);
   await opened.value.close();
 });
+
+// Guards against callers of the operators' interface who do not read what they asked for.
+test('a whole response that has no room in what all callers may hold is not sent, and others are', async () => {
+  const log = createQuietLog().component('t');
+  const clock = createClock();
+  const intake = createIntakeOf(createMemoryBudget(100_000, clock, log), 100, clock, log);
+  const opened = await createExpressHttpServer(log, 5_000, null, intake).open('127.0.0.1:0', [
+    { method: 'GET', path: '/large', handle: () => Promise.resolve({ status: 200, text: 'x'.repeat(200_000) }) },
+    { method: 'GET', path: '/small', handle: () => Promise.resolve({ status: 200, body: { small: true } }) },
+  ]);
+  if (!opened.ok) throw new Error(opened.error.tag);
+  const { address } = opened.value;
+  await expect(fetch(`http://${address}/large`).then((res) => res.text())).rejects.toThrow();
+  const small = await fetch(`http://${address}/small`);
+  expect([small.status, await small.json()]).toEqual([200, { small: true }]);
+  expect(intake.budget.heldBytes()).toBe(0);
+  await opened.value.close();
+});
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -14,7 +14,7 @@
 import { createDefaultIntake } from './caller-intake.js';
 import type { CallerIntake } from './caller-intake.js';
 import { createClock } from './clock.js';
-import { endResponse } from './end-response.js';
+import { endResponse, sendWithinBudget } from './end-response.js';
 import { STOP_IMMEDIATELY, HttpConnections } from './http-connections.js';
 import { ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
@@ -68,16 +68,13 @@
   };
 }
 
-async function sendReply(res: Response, reply: HttpReply): Promise<void> {
+/** Sends a reply within what all callers may hold. */
+async function sendReply(res: Response, reply: HttpReply, intake: CallerIntake): Promise<void> {
   for (const [key, value] of Object.entries(reply.headers ?? {})) res.setHeader(key, value);
   res.status(reply.status);
-  if (reply.text !== undefined) {
-    res.end(reply.text);
-    return;
-  }
   if (!reply.lines) {
-    if (reply.body === undefined) res.end();
-    else res.json(reply.body);
+    if (reply.text === undefined && reply.body !== undefined) res.type('json');
+    sendWhole(res, reply.text ?? (reply.body === undefined ? '' : JSON.stringify(reply.body)), intake);
     return;
   }
   res.setHeader('content-type', 'application/x-ndjson');
@@ -89,6 +86,15 @@
   res.end();
 }
 
+function sendWhole(res: Response, text: string, intake: CallerIntake): void {
+  if (text === '') {
+    res.end();
+    return;
+  }
+  res.setHeader('content-length', Buffer.byteLength(text));
+  sendWithinBudget(res, text, intake, KEEP_ALIVE_TIMEOUT_MS);
+}
+
 class ExpressHttpServer implements HttpServer {
   constructor(
     private readonly log: Log,
@@ -100,6 +106,7 @@
   private readonly clock = createClock();
 
   private mount(app: Express, route: Route): void {
+    const { intake } = this;
     function replyEarly(req: Request, res: Response, next: NextFunction): void {
       const earlyReply = route.earlyReply?.(toHttpRequest(req, res));
       if (!earlyReply) {
@@ -107,17 +114,17 @@
         return;
       }
       res.setHeader('connection', 'close');
-      void sendReply(res, earlyReply);
+      void sendReply(res, earlyReply, intake);
     }
     async function handle(req: Request, res: Response): Promise<void> {
       if (res.headersSent) return;
       if (isDeeperThan(req.body, MAX_BODY_DEPTH)) {
         const body = { error: { tag: 'malformed', detail: `/: expected at most ${MAX_BODY_DEPTH} levels` } };
-        await sendReply(res, { status: 400, body });
+        await sendReply(res, { status: 400, body }, intake);
         return;
       }
       const reply = await route.handle(toHttpRequest(req, res));
-      await sendReply(res, reply);
+      await sendReply(res, reply, intake);
     }
     const limits: RequestBodyLimits = {
       maxBytes: route.maxBytes ?? DEFAULT_MAX_BODY_BYTES,
