Connections of callers are counted with 128 KB each that may arrive unread, not 64 KB

Cause: callers that send in small pieces with pauses let the operating system grow the window of a connection although it is read in turns.

Change: the bound of connections counts the usual receive buffer of 128 KB: 840 at a proxy of 350 MB, 415 at each address of a controller.

--- a/src/transport/caller-intake.ts
+++ b/src/transport/caller-intake.ts
@@ -35,8 +35,8 @@
 /** The rest is for connections to workers and other nodes. */
 const CONNECTION_SHARE = 0.4;
 const MIN_CONNECTIONS = 16;
-/** What the operating system takes of a connection before any of it is read, by its usual settings. */
-const UNREAD_BYTES_PER_CONNECTION = 65_536;
+/** The usual receive buffer of a connection that is not read, or not faster than it is sent. */
+const UNREAD_BYTES_PER_CONNECTION = 131_072;
 const UNREAD_SHARE = 0.3;
 
 /** Returns the bytes that a process holds at most for callers whose bodies have up to `largestBodyBytes`. */
