--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -3,14 +3,16 @@
 import { TROUBLE, call, document, route, runCase, service, sleep } from '../lib-2/site.mjs';
 
 const ZONES = { 'szeged-a': 'hu-south', 'wien-2': 'at-east', 'timis-1': 'ro-west' };
-const ROUTES = 13_000;
-const ROUTES_PER_AMENDMENT = 3_000;
-/** Routes that each change renames: some 1.3 MB of body. */
-const RENAMED = 5_200;
+/** Routes with long paths, of 1.2 KB each. */
+const ROUTES = 3_000;
+const ROUTES_PER_AMENDMENT = 750;
+const LONG = 'x'.repeat(1_000);
+/** Routes that each change renames: some 1.4 MB of body. */
+const RENAMED = 1_080;
 const ROUNDS = 40;
 const PLAY_MS = 60_000;
 /** The controller that has the change is killed within 5 to 400 ms after it was sent, and starts again at once. */
-const MIN_KILL_MS = 200;
+const MIN_KILL_MS = 40;
 const MAX_KILL_MS = 400;
 const KILL_STEP_MS = 37;
 const DOWN_MS = 600;
@@ -21,7 +23,7 @@
 
 const SERVICES = [service('wuno96b')];
 const routeOf = (index, round) =>
-  route(`r-${String(index).padStart(6, '0')}-${round}`, 'wuno96b', { pathPrefix: `/p${index}/g${round}/` });
+  route(`r-${String(index).padStart(6, '0')}-${round}`, 'wuno96b', { pathPrefix: `/p${index}/${LONG}/g${round}/` });
 const range = (from, to, itemOf) => Array.from({ length: to - from }, (_, i) => itemOf(from + i));
 
 await runCase(dirname(fileURLToPath(import.meta.url)), { zones: ZONES, edges: 1 }, async (site, record, operator) => {
