--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A machine of the core that has a successor is switched off, then one disk is lost: the core never comes back.
+# A service with a name of Object.prototype: once the controllers have been killed, the registry knows no proxy.
 exec node "$(dirname "$0")/case.mjs"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A service with a name of Object.prototype: once the controllers have been killed, the registry knows no proxy.
+# A machine of the core that has a successor is switched off, then one disk is lost: the core never comes back.
 exec node "$(dirname "$0")/case.mjs"
