--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,7 @@
 import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
 import { DOCUMENTED } from './tools/lint/documented.mjs';
+import { keyedRecords } from './tools/lint/keyed-records.mjs';
 import { moduleComment } from './tools/lint/module-comment.mjs';
 
 const FUNCTION_STYLE = 'Declare a top-level function as function name() {}. Use arrow functions only as callbacks.';
@@ -72,6 +73,15 @@
   },
 };
 
+const ROLES = 'src/{base,protocol,state,coordination,transport,client,operator,programs,runbook,standin}/**/*.ts';
+
+const tablesOfNames = {
+  files: [ROLES, 'platform/**/*.ts'],
+  ignores: ['**/*.test.ts', 'src/base/own-value.ts'],
+  plugins: { names: { rules: { 'keyed-records': keyedRecords } } },
+  rules: { 'names/keyed-records': 'error' },
+};
+
 export default tseslint.config(
   { ignores: ['dist/', 'target/', 'node_modules/', '.fleet/'] },
   ...tseslint.configs.recommended,
@@ -112,4 +122,5 @@
     },
   },
   documentedFiles,
+  tablesOfNames,
 );
--- a/src/coordination/configuration/configuration-service.ts
+++ b/src/coordination/configuration/configuration-service.ts
@@ -29,6 +29,7 @@
 import type { Ledger } from '../consensus/ledger.js';
 import type { EntryDraft } from '../consensus/proposal.js';
 import type { RecentProcessPause } from './recent-process-pause.js';
+import { ownValue } from '../../base/own-value.js';
 
 /**
  * Why an operator's call was not confirmed. Only `stale`, `invalid` and `tooLarge` mean that it was not and will not be
@@ -287,7 +288,7 @@
     );
     if (!agreed.ok) return err(NO_MAJORITY);
     this.deps.log.info('order on a zone agreed', { zone, begun, base, outcome: agreed.value.outcome.tag });
-    const isInRequestedState = (this.deps.ledger.controlState().evacuated[zone] !== undefined) === begun;
+    const isInRequestedState = (ownValue(this.deps.ledger.controlState().evacuated, zone) !== undefined) === begun;
     return agreed.value.outcome.tag === 'applied' || isInRequestedState
       ? ok({ tag: 'taken' })
       : err({ tag: 'outcomeUnknown' });
--- a/src/coordination/controller-status.ts
+++ b/src/coordination/controller-status.ts
@@ -13,6 +13,7 @@
 import type { Ledger } from './consensus/ledger.js';
 import type { ChangeDistribution } from './distribution/change-distribution.js';
 import type { Membership } from './membership/failure-detector.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 /** The components that the status is read from. */
 export type ControllerStatusDeps = {
@@ -44,13 +45,13 @@
     for (const name of Object.keys(this.deps.ledger.controlState().proxies)) {
       const report = this.deps.distribution.reports().get(name);
       const lastContactAt = this.deps.distribution.lastContactAt(name);
-      rows[name] = {
+      setOwnValue(rows, name, {
         slot: this.deps.distribution.confirmedSlot(name),
         heardMs: lastContactAt === null ? null : Math.round(this.deps.clock.mono() - lastContactAt),
         shed: report?.shed ?? null,
         attempted: report?.attempted ?? null,
         retried: report?.retried ?? null,
-      };
+      });
     }
     return rows;
   }
@@ -59,9 +60,9 @@
     const rows: Record<string, WorkerVerdicts> = {};
     for (const report of this.deps.distribution.reports().values()) {
       for (const [worker, verdict] of Object.entries(report.health)) {
-        const counts = rows[worker] ?? { fit: 0, unfit: 0 };
+        const counts = ownValue(rows, worker) ?? { fit: 0, unfit: 0 };
         counts[verdict] += 1;
-        rows[worker] = counts;
+        setOwnValue(rows, worker, counts);
       }
     }
     return rows;
--- a/src/coordination/discovery/worker-watch.ts
+++ b/src/coordination/discovery/worker-watch.ts
@@ -8,6 +8,7 @@
 import type { HttpClient } from '../../transport/http.js';
 import type { Log } from '../../transport/log.js';
 import type { WorkerListSource } from './worker-list-source.js';
+import { setOwnValue } from '../../base/own-value.js';
 
 /**
  * Results of the health checks. Workers that are listed as ready but have not reported ready to this proxy can be
@@ -139,8 +140,8 @@
     const verdicts: Record<string, 'fit' | 'unfit'> = {};
     for (const row of this.deps.table.rows()) {
       if (!row.present || row.listed.state !== 'ready') continue;
-      if (row.missedProbes >= 2) verdicts[row.listed.id] = 'unfit';
-      else if (row.answeredAt !== null && row.ready) verdicts[row.listed.id] = 'fit';
+      if (row.missedProbes >= 2) setOwnValue(verdicts, row.listed.id, 'unfit');
+      else if (row.answeredAt !== null && row.ready) setOwnValue(verdicts, row.listed.id, 'fit');
     }
     return verdicts;
   }
--- a/src/coordination/distribution/acknowledgements.ts
+++ b/src/coordination/distribution/acknowledgements.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../../transport/clock.js';
 import type { Ledger } from '../consensus/ledger.js';
 import type { Peers } from '../messaging/peers.js';
+import { setOwnValue } from '../../base/own-value.js';
 
 /**
  * Batching delay: acknowledgements that arrive within this time are relayed to the other controllers in one message.
@@ -35,7 +36,7 @@
 
   private onAcknowledged(message: MessageOf<'followed'>): null {
     if (!this.record(message.name, message.slot)) return null;
-    this.pendingRelay[message.name] = message.slot;
+    setOwnValue(this.pendingRelay, message.name, message.slot);
     if (!this.relayScheduled) this.clock.timer(RELAY_DELAY_MS, () => this.relay());
     this.relayScheduled = true;
     return null;
--- a/src/coordination/distribution/change-publisher.ts
+++ b/src/coordination/distribution/change-publisher.ts
@@ -11,6 +11,7 @@
 import type { Ledger } from '../consensus/ledger.js';
 import type { Peer, Peers } from '../messaging/peers.js';
 import type { QuorumAttestation } from './quorum-attestation.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** A nonce sent by a proxy, and when it arrived. */
 type ReceivedNonce = { readonly nonce: number; readonly at: number };
@@ -197,7 +198,7 @@
    * is confirmed only once this proxy has applied it.
    */
   private async recordProxy({ name, zone, region }: ProxyLocation): Promise<void> {
-    const recorded = this.ledger.controlState().proxies[name];
+    const recorded = ownValue(this.ledger.controlState().proxies, name);
     const isUpToDate = recorded && recorded.zone === zone && recorded.region === region;
     if (isUpToDate || this.proxiesBeingRecorded.has(name) || !this.ledger.isMember()) return;
     this.proxiesBeingRecorded.add(name);
--- a/src/coordination/forwarding/dispatcher.ts
+++ b/src/coordination/forwarding/dispatcher.ts
@@ -106,7 +106,7 @@
   private readonly pending: PendingCalls;
   private readonly queue: WorkerSlotQueue;
   private readonly callWorker: (call: WorkerCall) => Promise<WorkerCallEnd>;
-  private readonly requestCounts: Record<string, number> = {};
+  private readonly requestCounts = new Map<string, number>();
   private rejectedCount = 0;
   private attemptCount = 0;
   private retryCount = 0;
@@ -299,7 +299,7 @@
   }
 
   countRequest(model: string): void {
-    this.requestCounts[model] = (this.requestCounts[model] ?? 0) + 1;
+    this.requestCounts.set(model, (this.requestCounts.get(model) ?? 0) + 1);
   }
 
   countRejected(): void {
@@ -308,7 +308,7 @@
 
   tally(): DispatcherTally {
     return {
-      requests: { ...this.requestCounts },
+      requests: Object.fromEntries(this.requestCounts),
       shed: this.rejectedCount,
       attempted: this.attemptCount,
       retried: this.retryCount,
--- a/src/coordination/forwarding/placement-service.ts
+++ b/src/coordination/forwarding/placement-service.ts
@@ -21,6 +21,7 @@
 import type { Rng } from '../../transport/rng.js';
 import type { Follower } from '../distribution/follower.js';
 import type { Membership } from '../membership/failure-detector.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** The properties of a request by which a worker is selected; `from` is the zone of the caller. */
 export type PlacementQuery = {
@@ -142,7 +143,9 @@
 
   private callerLocationOf(query: PlacementQuery): { readonly zone: string; readonly region: string } {
     const configured =
-      query.from === undefined ? undefined : this.deps.follower.controlState().configuration.zones[query.from];
+      query.from === undefined
+        ? undefined
+        : ownValue(this.deps.follower.controlState().configuration.zones, query.from);
     return configured && query.from !== undefined
       ? { zone: query.from, region: configured.region }
       : { zone: this.deps.self.zone, region: this.deps.self.region };
@@ -186,9 +189,9 @@
     const mappedKind =
       bound.mapping === null
         ? undefined
-        : this.deps.follower.controlState().configuration.mappings?.[bound.mapping]?.kind;
+        : ownValue(this.deps.follower.controlState().configuration.mappings, bound.mapping)?.kind;
     const kind = mappedKind ?? bound.kind;
-    const allowed = kind === null ? undefined : this.resolved(model)?.values.homes[kind];
+    const allowed = kind === null ? undefined : ownValue(this.resolved(model)?.values.homes, kind);
     if (!allowed) return bound.asked;
     if (!bound.asked) return allowed;
     const intersection: string[] = [];
@@ -233,7 +236,8 @@
   place(request: PlacementRequest): Result<Placement, Failure> {
     const state = this.deps.follower.controlState();
     if (!this.deps.ready()) return err(rejection('notReady'));
-    const mapping = request.mapping === undefined ? null : (state.configuration.mappings?.[request.mapping] ?? null);
+    const mapping =
+      request.mapping === undefined ? null : (ownValue(state.configuration.mappings, request.mapping) ?? null);
     if (request.mapping !== undefined && !mapping) return err({ tag: 'unknownModel' });
     const model = mapping?.model ?? request.model ?? '';
     const resolved = this.resolved(model);
--- a/src/coordination/forwarding/relay.test.ts
+++ b/src/coordination/forwarding/relay.test.ts
@@ -70,6 +70,8 @@
   };
 }
 
+const MODEL_TRAITS = { at: 0, probePath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null };
+
 async function createFixture(
   routeSettings: Partial<RouteSettings>,
   entries: readonly WorkerEntry[],
@@ -109,7 +111,7 @@
     number: 1,
     mappings: { r: { ...ROUTE_SETTINGS, ...routeSettings } },
     limits: DEFAULT_LIMITS,
-    models: { m: { at: 0, probePath: '/h', maxConns: 100, coldS: 3, coldRateS: 10, engine: null } },
+    models: Object.fromEntries(entries.map(({ model }) => [model, MODEL_TRAITS])),
   };
   const table = createRouteTable(serving);
   const workerRegistry = createWorkerRegistry(
@@ -814,3 +816,12 @@
   await fixture.world.advance(1);
   expect(response).toMatchObject({ status: 200, body: 'out', isEnded: true });
 });
+
+// Guards against counts in a plain object: for a service named as a property of Object.prototype the count was a text,
+// so that controllers refused each report of the proxy and knew no proxy once they had been restarted.
+test.each(['constructor', 'toString', 'valueOf'])('requests of a service named %s are counted', async (model) => {
+  const fixture = await createFixture({ shares: [{ model, share: 1 }] }, [entry('w', 'z1', 'r1', { model })]);
+  fixture.sendRequest();
+  await fixture.world.advance(10);
+  expect(fixture.relay.tally().requests).toEqual({ [model]: 1 });
+});
--- a/src/coordination/forwarding/relay.ts
+++ b/src/coordination/forwarding/relay.ts
@@ -50,14 +50,14 @@
 
 /** Counts since the process started, and the number of requests that are open and queued now. */
 export type RelayTally = {
-  requests: Record<string, number>;
-  shed: number;
-  attempted: number;
-  retried: number;
-  resumed: number;
-  cut: number;
-  open: number;
-  waiting: number;
+  readonly requests: Readonly<Record<string, number>>;
+  readonly shed: number;
+  readonly attempted: number;
+  readonly retried: number;
+  readonly resumed: number;
+  readonly cut: number;
+  readonly open: number;
+  readonly waiting: number;
 };
 
 /** Forwards opaque requests to workers. */
@@ -76,8 +76,8 @@
 const ROUTES_CHECK_INTERVAL_MS = 20;
 
 class OpaqueRelay implements Relay {
-  private readonly counts: RelayTally = {
-    requests: {},
+  private readonly requestsByModel = new Map<string, number>();
+  private readonly counts = {
     shed: 0,
     attempted: 0,
     retried: 0,
@@ -198,7 +198,7 @@
         this.finalResponses.rejectStopping(incoming);
         return;
       }
-      this.counts.requests[request.model] = (this.counts.requests[request.model] ?? 0) + 1;
+      this.requestsByModel.set(request.model, (this.requestsByModel.get(request.model) ?? 0) + 1);
       this.openRequests.add(request);
       this.deps.budget.recordFirstAttempt(request.model, this.deps.clock.mono());
       try {
@@ -326,7 +326,7 @@
   tally(): RelayTally {
     this.counts.open = this.openRequests.size;
     this.counts.waiting = this.queue.waiting();
-    return this.counts;
+    return { ...this.counts, requests: Object.fromEntries(this.requestsByModel) };
   }
 
   wake(): void {
--- a/src/coordination/leases/lease.ts
+++ b/src/coordination/leases/lease.ts
@@ -17,6 +17,7 @@
 import type { Peers } from '../messaging/peers.js';
 import { poll } from '../consensus/poll.js';
 import type { MemberResponses } from '../consensus/poll.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** A lease on a singleton role. */
 export interface Lease {
@@ -80,7 +81,7 @@
     const idsAfter = idsOf(current);
     let removed = 0;
     for (const id of idsBefore) if (!idsAfter.has(id)) removed += 1;
-    const isBootstrap = idsBefore.size === 0 && this.ledger.controlState().leases[this.role] === undefined;
+    const isBootstrap = idsBefore.size === 0 && ownValue(this.ledger.controlState().leases, this.role) === undefined;
     const isNewMember = !idsBefore.has(this.selfId()) && !isBootstrap;
     const mayMissOldMajority = idsAfter.size < idsBefore.size && (idsBefore.size % 2 !== 0 || removed > 1);
     if (isNewMember || mayMissOldMajority) this.newHoldersFrom = this.clock.mono() + LEASE_TERM_MS;
@@ -97,7 +98,7 @@
       return false;
     return (
       this.clock.mono() >= this.newHoldersFrom ||
-      this.ledger.controlState().leases[message.duty]?.holder === message.holder
+      ownValue(this.ledger.controlState().leases, message.duty)?.holder === message.holder
     );
   }
 
@@ -128,7 +129,7 @@
 
   fence(): number | null {
     if (this.stopped || this.ownFencingToken === null || this.remainingMs() <= 0) return null;
-    const record = this.ledger.controlState().leases[this.role];
+    const record = ownValue(this.ledger.controlState().leases, this.role);
     return record && record.fence === this.ownFencingToken ? this.ownFencingToken : null;
   }
 
@@ -204,7 +205,7 @@
       return;
     }
     this.grantedUntil = requestedAt + LEASE_TERM_MS;
-    const record = this.ledger.controlState().leases[this.role];
+    const record = ownValue(this.ledger.controlState().leases, this.role);
     if (!wasExpired && this.ownFencingToken !== null && record?.fence === this.ownFencingToken) return;
     this.ownFencingToken = null;
     const proposed = await this.ledger.propose(
--- a/src/coordination/proxy/opaque-proxy.ts
+++ b/src/coordination/proxy/opaque-proxy.ts
@@ -23,6 +23,7 @@
 import type { DrainDeadlines } from '../forwarding/drain-admission.js';
 import { createRelay } from '../forwarding/relay.js';
 import type { RelayTally } from '../forwarding/relay.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** Name, location and addresses of the proxy. */
 export type OpaqueProxyIdentity = {
@@ -151,7 +152,7 @@
       applyLimits();
     }
     function preemptiveZones(model: string): readonly string[] {
-      return state.zoneSets[model]?.preemptive ?? [];
+      return ownValue(state.zoneSets, model)?.preemptive ?? [];
     }
     function coldMs(model: string): number {
       return (routeTable?.traits(model)?.coldS ?? 0) * 1_000;
@@ -189,7 +190,8 @@
     const health: Report['health'] = {};
     const now = clock.mono();
     for (const row of registry.rows())
-      if (row.present && row.consecutiveFailures >= 3 && row.backoffUntil > now) health[row.entry.id] = 'unfit';
+      if (row.present && row.consecutiveFailures >= 3 && row.backoffUntil > now)
+        setOwnValue(health, row.entry.id, 'unfit');
     const ownReport: Report = {
       ...commonReport(id, node, tally, reportCount),
       health,
--- a/src/coordination/proxy/proxy-http-server.ts
+++ b/src/coordination/proxy/proxy-http-server.ts
@@ -20,6 +20,7 @@
 import type { Follower } from '../distribution/follower.js';
 import { rejection, proxyId, TOKEN_LIFETIME_MS } from '../forwarding/placement-service.js';
 import type { PlacementService, ProxySelf } from '../forwarding/placement-service.js';
+import { ownValue } from '../../base/own-value.js';
 
 const HTTP_STATUS: Readonly<Record<Failure['tag'], number>> = {
   shed: 503,
@@ -172,7 +173,7 @@
     const mapped =
       request.mapping === undefined
         ? undefined
-        : this.deps.follower.controlState().configuration.mappings?.[request.mapping]?.model;
+        : ownValue(this.deps.follower.controlState().configuration.mappings, request.mapping)?.model;
     return mapped ?? request.model ?? '';
   }
 
--- a/src/coordination/scaling/cloud-client.ts
+++ b/src/coordination/scaling/cloud-client.ts
@@ -15,6 +15,7 @@
 import type { Price } from '../../state/scaling/scaler-observation.js';
 import type { HttpClient } from '../../transport/http.js';
 import type { Address } from '../../transport/wire.js';
+import { setOwnValue } from '../../base/own-value.js';
 
 /** Why a call failed. After `cloudSilent` the outcome is unknown: the machine may have been ordered. */
 export type CloudError =
@@ -96,7 +97,7 @@
     const read = readPrices(response.value.body);
     if (!read.ok) return err({ tag: 'cloudNonsense', detail: read.error.detail });
     const out: Record<string, Price> = {};
-    for (const price of read.value.prices) out[price.zone] = { spot: price.spot, onDemand: price.onDemand };
+    for (const price of read.value.prices) setOwnValue(out, price.zone, { spot: price.spot, onDemand: price.onDemand });
     return ok(out);
   }
 }
--- a/src/coordination/scaling/scaler.ts
+++ b/src/coordination/scaling/scaler.ts
@@ -28,6 +28,7 @@
 import type { ChangeDistribution } from '../distribution/change-distribution.js';
 import { createRateWatch, REPORT_MAX_AGE_MS } from './rate-watch.js';
 import type { RateWatch } from './rate-watch.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** Makes decisions every second while this controller holds the lease. */
 export interface Scaler {
@@ -121,8 +122,8 @@
       for (const report of this.deps.distribution.reports().values()) {
         const at = this.deps.distribution.lastContactAt(report.reporter);
         if (at === null || now - at > REPORT_MAX_AGE_MS) continue;
-        if (report.health[worker.id] === 'fit') healthy += 1;
-        if (report.health[worker.id] === 'unfit') unhealthy += 1;
+        if (ownValue(report.health, worker.id) === 'fit') healthy += 1;
+        if (ownValue(report.health, worker.id) === 'unfit') unhealthy += 1;
       }
       if (healthy > 0 || unhealthy === 0) {
         this.unhealthySince.delete(worker.id);
@@ -156,7 +157,7 @@
         });
         return;
       }
-      if (this.deps.ledger.controlState().evacuated[order.zone] !== undefined) {
+      if (ownValue(this.deps.ledger.controlState().evacuated, order.zone) !== undefined) {
         if (machines)
           await this.proposeCommand(fence, `${order.zone} is being evacuated.`, {
             tag: 'orderFailed',
--- a/src/programs/admin.ts
+++ b/src/programs/admin.ts
@@ -18,11 +18,12 @@
 import { coreClientOf, CORE_ARGS, printResponse } from './request-core.js';
 import { printError, areFlagsValid, setUsageExitCode } from './flags.js';
 import { readDocument } from './read-document.js';
+import { ownValue } from '../base/own-value.js';
 
 type CommandContext = { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> };
 
 function stringArg(ctx: CommandContext, key: string): string | undefined {
-  const value = ctx.args[key];
+  const value = ownValue(ctx.args, key);
   return typeof value === 'string' ? value : undefined;
 }
 
@@ -168,7 +169,7 @@
     for (const row of response.resolved) {
       rows.push(`${row.region}/${row.model}`);
       for (const key of Object.keys(row.values))
-        rows.push(`  ${key} = ${JSON.stringify(row.values[key])} (${row.levels[key] ?? '?'})`);
+        rows.push(`  ${key} = ${JSON.stringify(ownValue(row.values, key))} (${ownValue(row.levels, key) ?? '?'})`);
     }
     return rows.join('\n');
   }
--- a/src/programs/daemons.ts
+++ b/src/programs/daemons.ts
@@ -13,6 +13,7 @@
 import { printError, areFlagsValid, setUsageExitCode } from './flags.js';
 import { readSettings } from './settings.js';
 import type { NodeSettings, RequiredSettings } from './settings.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 /** Flags of both commands; each overrides the settings file. */
 export const NODE_ARGS = {
@@ -89,8 +90,8 @@
 function nodeFlags(args: Readonly<Record<string, unknown>>): Record<string, string | undefined> {
   const flags: Record<string, string | undefined> = {};
   for (const key of Object.keys(NODE_ARGS)) {
-    const value = args[key];
-    flags[key] = typeof value === 'string' ? value : undefined;
+    const value = ownValue(args, key);
+    setOwnValue(flags, key, typeof value === 'string' ? value : undefined);
   }
   return flags;
 }
--- a/src/programs/flags.ts
+++ b/src/programs/flags.ts
@@ -2,6 +2,7 @@
 import type { ArgsDef } from 'citty';
 import { EXIT } from './exit-codes.js';
 import type { ExitCode } from './exit-codes.js';
+import { ownValue } from '../base/own-value.js';
 
 /** Writes a line to standard error. */
 export function printError(text: string): void {
@@ -41,7 +42,7 @@
       continue;
     }
     const name = arg.replace(/^--?/, '').split('=')[0] as string;
-    const def = defs[name] ?? defs[toCamelCase(name)];
+    const def = ownValue(defs, name) ?? ownValue(defs, toCamelCase(name));
     if (!names.has(name) || def?.type === 'positional') {
       printError(`flag --${name}: expected one of ${[...Object.keys(defs)].join(', ')}; found ${JSON.stringify(arg)}`);
       return false;
--- a/src/programs/inspect-text.ts
+++ b/src/programs/inspect-text.ts
@@ -3,6 +3,7 @@
 import type { CoreHealth } from '../state/membership/core-health.js';
 import type { Order } from '../state/scaling/order.js';
 import { ownStatusText } from './core-text.js';
+import { ownValue } from '../base/own-value.js';
 
 type NodeSummary = {
   readonly name: string;
@@ -78,7 +79,7 @@
 function modelRows(status: Status): string[] {
   const rows = [`evacuated: ${Object.keys(status.evacuated).join(', ') || 'none'}`];
   for (const [model, zones] of Object.entries(status.zoneSets)) {
-    const target = `model ${pad(model, 18)} target ${pad(status.targets[model], 4)}`;
+    const target = `model ${pad(model, 18)} target ${pad(ownValue(status.targets, model), 4)}`;
     rows.push(`${target} active ${zones.active.join(',') || '-'} preemptive ${zones.preemptive.join(',') || '-'}`);
   }
   return rows;
--- a/src/programs/inspect.ts
+++ b/src/programs/inspect.ts
@@ -13,11 +13,12 @@
 import { coreText } from './core-text.js';
 import { latencyTargetsText, ledgerText, ordersText, statusText } from './inspect-text.js';
 import { readDocument } from './read-document.js';
+import { ownValue } from '../base/own-value.js';
 
 type CommandContext = { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> };
 
 function stringArg(ctx: CommandContext, key: string): string | undefined {
-  const value = ctx.args[key];
+  const value = ownValue(ctx.args, key);
   return typeof value === 'string' ? value : undefined;
 }
 
--- a/src/programs/runbook.ts
+++ b/src/programs/runbook.ts
@@ -14,6 +14,7 @@
 import { coreClientOf, CORE_ARGS } from './request-core.js';
 import { EXIT } from './exit-codes.js';
 import { printError, areFlagsValid, setExitCode, setUsageExitCode, printLine } from './flags.js';
+import { setOwnValue } from '../base/own-value.js';
 
 type CommandContext = { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> };
 
@@ -41,7 +42,11 @@
   const text = ctx.args['input'];
   for (const item of (typeof text === 'string' ? text : '').split(',').filter(Boolean)) {
     const separator = item.indexOf('=');
-    inputs[separator < 0 ? item : item.slice(0, separator)] = separator < 0 ? '' : item.slice(separator + 1);
+    setOwnValue(
+      inputs,
+      separator < 0 ? item : item.slice(0, separator),
+      separator < 0 ? '' : item.slice(separator + 1),
+    );
   }
   return inputs;
 }
--- a/src/programs/settings.ts
+++ b/src/programs/settings.ts
@@ -8,6 +8,7 @@
 import { LOG_FORMATS } from '../transport/log-line.js';
 import type { LogFormat } from '../transport/log-line.js';
 import type { LogLevel } from '../transport/log.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 /** Validated settings, with defaults filled in. */
 export type NodeSettings = {
@@ -131,20 +132,21 @@
   }
   for (const [key, value] of Object.entries(flags)) {
     if (value === undefined) continue;
-    merged[key] = key === 'seeds' ? value.split(',') : value;
+    setOwnValue(merged, key, key === 'seeds' ? value.split(',') : value);
   }
   for (const key of Object.keys(merged)) {
-    const codec = Object.hasOwn(CODECS, key) ? CODECS[key] : undefined;
+    const codec = Object.hasOwn(CODECS, key) ? ownValue(CODECS, key) : undefined;
     if (!codec) errors.push({ key, expected: `one of ${Object.keys(CODECS).join(', ')}`, found: formatValue(key) });
-    else if (codec.decode(merged[key])._tag === 'Left')
-      errors.push({ key, expected: codec.name, found: formatValue(merged[key]) });
+    else if (codec.decode(ownValue(merged, key))._tag === 'Left')
+      errors.push({ key, expected: codec.name, found: formatValue(ownValue(merged, key)) });
   }
   for (const key of [
     ...REQUIRED,
     ...(required.dataFolder ? ['dataFolder'] : []),
     ...(required.cloud ? ['cloud'] : []),
   ]) {
-    if (merged[key] === undefined) errors.push({ key, expected: CODECS[key]?.name ?? 'a value', found: 'nothing' });
+    if (ownValue(merged, key) === undefined)
+      errors.push({ key, expected: ownValue(CODECS, key)?.name ?? 'a value', found: 'nothing' });
   }
   const seeds = merged['seeds'];
   if (Array.isArray(seeds) && (seeds.length < 1 || seeds.length > 9))
--- a/src/programs/standin.ts
+++ b/src/programs/standin.ts
@@ -23,11 +23,12 @@
 import { printError, areFlagsValid, setExitCode, setUsageExitCode, onStopSignal, printLine } from './flags.js';
 import { HOLLOW_ARGS, runHollow } from './hollow.js';
 import type { LabSettings } from './settings.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 type CommandContext = { readonly rawArgs: string[]; readonly args: Readonly<Record<string, unknown>> };
 
 function stringArg(ctx: CommandContext, key: string): string | undefined {
-  const value = ctx.args[key];
+  const value = ownValue(ctx.args, key);
   return typeof value === 'string' && value !== '' ? value : undefined;
 }
 function numberArg(ctx: CommandContext, key: string, fallback: number): number {
@@ -144,7 +145,7 @@
       printError(`flag --prices: expected zone=spot/onDemand; found ${JSON.stringify(item)}`);
       return setUsageExitCode();
     }
-    prices[match[1] as string] = { spot: Number(match[2]), onDemand: Number(match[3]) };
+    setOwnValue(prices, match[1] as string, { spot: Number(match[2]), onDemand: Number(match[3]) });
   }
   const started = await startStandinCloud(
     { address: stringArg(ctx, 'http') ?? '', platform: stringArg(ctx, 'platform') ?? '', prices },
@@ -228,7 +229,7 @@
   const regionsOfKind: Record<string, string[]> = {};
   for (const item of (stringArg(ctx, 'homes') ?? '').split(',').filter(Boolean)) {
     const [kind, regions] = item.split('=');
-    regionsOfKind[kind as string] = (regions ?? '').split('+');
+    setOwnValue(regionsOfKind, kind as string, (regions ?? '').split('+'));
   }
   const report = checkRecords(records, { regionsOfKind, drainNoticeGraceMs: 4_000 });
   printLine(JSON.stringify(report, null, 2));
--- a/src/programs/tally-file.ts
+++ b/src/programs/tally-file.ts
@@ -2,6 +2,7 @@
 import { readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { createTally } from '../standin/tally.js';
 import type { NodeLocation, NodeLocations, TrafficTally } from '../standin/tally.js';
+import { ownValue } from '../base/own-value.js';
 
 /** The file to write, and the file with the locations of the nodes. */
 export type TallySettings = { readonly file: string; readonly places: string };
@@ -40,5 +41,5 @@
 
 /** Returns the location of an address; role `unknown` if the file does not list it. */
 export function locationOf(tallySettings: TallySettings, address: string): NodeLocation {
-  return readLocations(tallySettings.places)[address] ?? { role: 'unknown', zone: '', region: '' };
+  return ownValue(readLocations(tallySettings.places), address) ?? { role: 'unknown', zone: '', region: '' };
 }
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -12,6 +12,7 @@
 import { errorAt, validationErrors, isName, Name, Names, numberBetween, integerBetween } from './codecs.js';
 import type { ConfigError } from './codecs.js';
 import { readServing } from './serving.js';
+import { ownValue } from '../base/own-value.js';
 
 const SETTING_CODECS = {
   zones: Names,
@@ -68,7 +69,7 @@
   function checkSettings(path: readonly string[], value: unknown): void {
     const values = readTable(path, value, SETTING_CODECS);
     for (const [key, codec] of Object.entries(SETTING_CODECS)) {
-      if (Object.hasOwn(values, key)) check([...path, key], codec, values[key]);
+      if (Object.hasOwn(values, key)) check([...path, key], codec, ownValue(values, key));
     }
     if (Array.isArray(values['zones']))
       for (const zone of values['zones'])
--- a/src/runbook/document.ts
+++ b/src/runbook/document.ts
@@ -3,6 +3,7 @@
 import type { Node, Pair } from 'yaml';
 import { err, ok } from '../base/result.js';
 import type { Result } from '../base/result.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 /** A condition on the deployment; `observe.ts` evaluates it. */
 export type Condition =
@@ -111,7 +112,7 @@
     if (!isMap(pair.value)) addError(lineOf(pair.key), 'inputs: expected a mapping of names to descriptions');
     else
       for (const item of pair.value.items)
-        declaredInputs[keyOf(item)] = isScalar(item.value) ? String(item.value.value) : '';
+        setOwnValue(declaredInputs, keyOf(item), isScalar(item.value) ? String(item.value.value) : '');
   }
   for (const name of Object.keys(inputs ?? {}))
     if (!Object.hasOwn(declaredInputs, name))
@@ -121,7 +122,7 @@
       );
   if (inputs)
     for (const name of Object.keys(declaredInputs))
-      if (!Object.hasOwn(inputs, name)) addError(1, `input ${name} is missing: ${declaredInputs[name]}`);
+      if (!Object.hasOwn(inputs, name)) addError(1, `input ${name} is missing: ${ownValue(declaredInputs, name)}`);
 
   function keyOf(pair: Pair): string {
     return isScalar(pair.key) ? String(pair.key.value) : '?';
@@ -137,9 +138,9 @@
     for (const match of value.matchAll(INPUT_PLACEHOLDER))
       if (!Object.hasOwn(declaredInputs, match[1] as string))
         addError(line, `input ${match[1]} is not declared under inputs`);
-    if (placeholderOnly && inputs) return inputs[placeholderOnly[1] as string] ?? value;
+    if (placeholderOnly && inputs) return ownValue(inputs, placeholderOnly[1] as string) ?? value;
     function inputValue(_placeholder: string, name: string): string {
-      return inputs?.[name] ?? `\${${name}}`;
+      return ownValue(inputs, name) ?? `\${${name}}`;
     }
     return value.replace(INPUT_PLACEHOLDER, inputValue);
   }
@@ -171,7 +172,7 @@
       const key = keyOf(pair);
       const keyLine = lineOf(pair.key);
       if (key === nestedKey) continue;
-      const type = spec.required[key] ?? spec.optional[key];
+      const type = ownValue(spec.required, key) ?? ownValue(spec.optional, key);
       if (!type) {
         addError(
           keyLine,
@@ -183,7 +184,7 @@
       const value = substituteInputs(raw, keyLine);
       if (!hasType(type, value))
         addError(keyLine, `${subject}: ${key} must be a ${type}; found ${JSON.stringify(value)}`);
-      fields[key] = value;
+      setOwnValue(fields, key, value);
     }
     for (const key of Object.keys(spec.required))
       if (!Object.hasOwn(fields, key)) addError(line, `${subject}: ${key} is missing`);
--- a/src/runbook/observe.ts
+++ b/src/runbook/observe.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../transport/clock.js';
 import type { Condition } from './document.js';
 import type { Observation } from './observation.js';
+import { ownValue } from '../base/own-value.js';
 
 type StatusReport = {
   readonly quorate: boolean;
@@ -100,7 +101,7 @@
       };
     }
     case 'evacuated': {
-      const isEvacuated = report.evacuated[condition.zone] !== undefined;
+      const isEvacuated = ownValue(report.evacuated, condition.zone) !== undefined;
       return { met: isEvacuated === condition.is, text: `${condition.zone} is ${isEvacuated ? '' : 'not '}evacuated` };
     }
   }
@@ -149,7 +150,7 @@
   for (const key of splitPath(path))
     value =
       typeof value === 'object' && value !== null && Object.hasOwn(value, key)
-        ? (value as Record<string, unknown>)[key]
+        ? ownValue(value as Record<string, unknown>, key)
         : undefined;
   return {
     met: JSON.stringify(value) === JSON.stringify(expected),
--- a/src/standin/caller.ts
+++ b/src/standin/caller.ts
@@ -11,6 +11,7 @@
 import { randomInt, newId, exponential } from '../transport/rng.js';
 import type { Rng } from '../transport/rng.js';
 import type { Address } from '../transport/wire.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 /** Traffic of a caller; `maxRetries` is how often it retries a run-once request that was not run. */
 export type CallerSettings = {
@@ -63,7 +64,7 @@
   const endAt = clock.mono() + settings.seconds * 1_000;
 
   function increment(key: string): void {
-    tally[key] = (tally[key] ?? 0) + 1;
+    setOwnValue(tally, key, (ownValue(tally, key) ?? 0) + 1);
   }
 
   function writeRecord(
--- a/src/standin/check.ts
+++ b/src/standin/check.ts
@@ -5,6 +5,7 @@
  */
 import { sha256 } from '../base/digest.js';
 import { readMark } from './mark.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 /** One record of a journal. */
 export type JournalRecord = Readonly<Record<string, unknown>>;
@@ -27,11 +28,11 @@
 type WorkerRun = { readonly worker: string; readonly region: string; readonly attemptId: string; readonly at: number };
 
 function textField(record: JournalRecord, key: string): string {
-  const value = record[key];
+  const value = ownValue(record, key);
   return typeof value === 'string' ? value : '';
 }
 function numberField(record: JournalRecord, key: string): number {
-  const value = record[key];
+  const value = ownValue(record, key);
   return typeof value === 'number' ? value : 0;
 }
 
@@ -47,7 +48,7 @@
   const callerRecords: JournalRecord[] = [];
 
   function addCount(key: string, amount = 1): void {
-    counts[key] = (counts[key] ?? 0) + amount;
+    setOwnValue(counts, key, (ownValue(counts, key) ?? 0) + amount);
   }
   function recordLeaving(record: JournalRecord): void {
     const machine = textField(record, 'machine');
@@ -136,7 +137,7 @@
 
   function checkHomes(record: JournalRecord, event: string): void {
     const mark = readMark(textField(record, 'mark'));
-    const homes = mark?.homes ?? rules.regionsOfKind[mark?.kind ?? ''] ?? null;
+    const homes = mark?.homes ?? ownValue(rules.regionsOfKind, mark?.kind ?? '') ?? null;
     if (homes && !homes.includes(textField(record, 'region')))
       addViolation(
         'homes',
--- a/src/standin/slow-net.ts
+++ b/src/standin/slow-net.ts
@@ -9,6 +9,7 @@
 import type { HttpClient, HttpAnswer, HttpCall, HttpError } from '../transport/http.js';
 import type { FaultSwitches } from '../transport/switch-file.js';
 import type { Address, Connection, ConnectionEvents, Wire, WireError } from '../transport/wire.js';
+import { ownValue } from '../base/own-value.js';
 
 /** Delay in each direction, and whether a direction is partitioned now. */
 export type NetworkPath = {
@@ -34,7 +35,7 @@
   switches: FaultSwitches,
 ): PathLookup {
   function pathTo(address: Address): NetworkPath {
-    const knownZone = zones[address];
+    const knownZone = ownValue(zones, address);
     if (knownZone === undefined) return { delayMs: 0, isOutPartitioned: never, isInPartitioned: never };
     const peerZone = knownZone;
     function isOutPartitioned(): boolean {
@@ -44,7 +45,7 @@
       return switches.isPartitioned(peerZone, zone);
     }
     return {
-      delayMs: delayMs[`${zone}|${peerZone}`] ?? delayMs[`${peerZone}|${zone}`] ?? 0,
+      delayMs: ownValue(delayMs, `${zone}|${peerZone}`) ?? ownValue(delayMs, `${peerZone}|${zone}`) ?? 0,
       isOutPartitioned,
       isInPartitioned,
     };
--- a/src/standin/tally.ts
+++ b/src/standin/tally.ts
@@ -3,6 +3,7 @@
 import type { HttpClient, HttpAnswer, HttpCall, HttpError } from '../transport/http.js';
 import type { Result } from '../base/result.js';
 import type { Address, WireMeter } from '../transport/wire.js';
+import { ownValue, setOwnValue } from '../base/own-value.js';
 
 /** Role and location of a node. */
 export type NodeLocation = { readonly role: string; readonly zone: string; readonly region: string };
@@ -42,15 +43,15 @@
   const bodySizes = new Map<string, { calls: number; bytes: number }>();
 
   function add(key: string, count: number, bytes: number): void {
-    const row = rows[key];
+    const row = ownValue(rows, key);
     if (row) {
       row.n += count;
       row.bytes += bytes;
-    } else rows[key] = { n: count, bytes };
+    } else setOwnValue(rows, key, { n: count, bytes });
   }
 
   function keyOf(own: NodeLocation, peer: Address, traffic: string): string {
-    const peerLocation = places[peer];
+    const peerLocation = ownValue(places, peer);
     return `${own.role} ${peerLocation?.role ?? 'unknown'} ${peerLocation ? distance(own, peerLocation) : 'betweenRegions'} ${traffic}`;
   }
 
--- a/src/state/configuration/latency-target-counts.ts
+++ b/src/state/configuration/latency-target-counts.ts
@@ -4,6 +4,7 @@
  */
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** Upper bounds of the histogram buckets, in milliseconds. One more bucket, without a bound, follows them. */
 export const BUCKET_BOUNDS_MS = [
@@ -42,9 +43,17 @@
   return new Array<number>(BUCKET_BOUNDS_MS.length + 1).fill(0);
 }
 
+function countsOf(table: CountTable, subject: string): Counts {
+  const known = ownValue(table, subject);
+  if (known) return known;
+  const added = emptyCounts();
+  setOwnValue(table, subject, added);
+  return added;
+}
+
 /** Counts one request for a subject. */
 export function countOutcome(table: CountTable, subject: string, ended: RequestOutcome): void {
-  const counts = (table[subject] ??= emptyCounts());
+  const counts = countsOf(table, subject);
   counts[ended.outcome] += 1;
   if (ended.firstMs !== null) incrementBucket(counts.first, ended.firstMs);
   if (ended.wholeMs !== null) incrementBucket(counts.whole, ended.wholeMs);
@@ -62,7 +71,7 @@
   counts: Counts,
   alreadyAdded: Counts = emptyCounts(),
 ): void {
-  const sum = (table[subject] ??= emptyCounts());
+  const sum = countsOf(table, subject);
   for (const key of ['good', 'shed', 'failed'] as const) sum[key] += Math.max(0, counts[key] - alreadyAdded[key]);
   for (const key of ['first', 'whole'] as const)
     for (let i = 0; i <= BUCKET_BOUNDS_MS.length; i += 1)
--- a/src/state/configuration/latency-target-report.ts
+++ b/src/state/configuration/latency-target-report.ts
@@ -2,6 +2,7 @@
 import { addCounts, CHANGES_SUBJECT, routeSubject, emptyCounts, countWithin } from './latency-target-counts.js';
 import type { Counts, CountTable } from './latency-target-counts.js';
 import type { Minute } from './latency-target-table.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** What a target measures. */
 export type Measure = 'success' | 'firstPiece' | 'whole' | 'changeInForce' | 'shed';
@@ -69,13 +70,13 @@
   let completeMinutes = 0;
   for (const minute of minutes) {
     if (minute.minute < firstMinute || minute.minute >= nowMinute) continue;
-    const counts = minute.counts[subject];
+    const counts = ownValue(minute.counts, subject);
     if (counts) addCounts(sums, subject, counts);
     if (minute.unknown.length === 0) completeMinutes += 1;
     for (const name of minute.unknown) unknownOf.add(name);
   }
   const unknownMinutes = target.windowMinutes - completeMinutes;
-  const { good, all } = goodAndTotal(target, sums[subject] as Counts);
+  const { good, all } = goodAndTotal(target, ownValue(sums, subject) as Counts);
   const bad = all - good;
   const attained = all === 0 ? null : good / all;
   const allowed = (1 - target.objective) * all;
--- a/src/state/configuration/latency-target-table.ts
+++ b/src/state/configuration/latency-target-table.ts
@@ -1,6 +1,7 @@
 /** Counts by minute, computed from the running totals that proxies report. */
 import { addCounts } from './latency-target-counts.js';
 import type { Counts, CountTable } from './latency-target-counts.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** One closed minute; `unknown` names the reporters whose counts are missing or incomplete in it. */
 export type Minute = { readonly minute: number; readonly counts: CountTable; readonly unknown: readonly string[] };
@@ -42,7 +43,7 @@
     if (previous) {
       const baseTotals = previous.incarnation === incarnation ? previous.totals : {};
       for (const [subject, counts] of Object.entries(totals))
-        addCounts(current.counts, subject, counts, baseTotals[subject]);
+        addCounts(current.counts, subject, counts, ownValue(baseTotals, subject));
     } else current.incomplete.add(reporter);
     this.lastTotals.set(reporter, { incarnation, totals });
   }
--- a/src/state/configuration/route-table.ts
+++ b/src/state/configuration/route-table.ts
@@ -4,6 +4,7 @@
  */
 
 import type { RouteSettings, ModelTraits, Serving } from './serving.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** A route and its name. */
 export type MatchedRoute = { readonly name: string; readonly settings: RouteSettings };
@@ -38,7 +39,7 @@
   }
 
   traits(model: string): ModelTraits | null {
-    return Object.hasOwn(this.serving.models, model) ? (this.serving.models[model] as ModelTraits) : null;
+    return Object.hasOwn(this.serving.models, model) ? (ownValue(this.serving.models, model) as ModelTraits) : null;
   }
 }
 
--- a/src/state/configuration/serving-order.ts
+++ b/src/state/configuration/serving-order.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Serving } from './serving.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 type Positioned = { readonly at: number };
 
@@ -23,10 +24,10 @@
   for (const item of Object.values(before)) highestPosition = Math.max(highestPosition, item.at);
   let lastPosition = 0;
   for (const [name, item] of Object.entries(after).sort(comparePositions)) {
-    const oldPosition = Object.hasOwn(before, name) ? (before[name] as T).at : 0;
+    const oldPosition = Object.hasOwn(before, name) ? (ownValue(before, name) as T).at : 0;
     if (oldPosition > lastPosition) lastPosition = oldPosition;
     else lastPosition += lastPosition >= highestPosition ? POSITION_GAP : 1;
-    renumbered[name] = { ...item, at: lastPosition };
+    setOwnValue(renumbered, name, { ...item, at: lastPosition });
   }
   return renumbered;
 }
--- a/src/state/configuration/settings-tree.ts
+++ b/src/state/configuration/settings-tree.ts
@@ -4,6 +4,7 @@
 import { isJsonObject } from '../../base/is-json-object.js';
 import type { ConfigurationChange } from '../consensus/entry.js';
 import type { Serving } from './serving.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** Settings as given by an operator; each may be omitted. */
 export type Settings = {
@@ -109,9 +110,9 @@
 
 /** Returns the effective settings of a model in a region. */
 export function resolveModel(cfg: Configuration, region: string, model: string): ResolvedModel {
-  const regionSettings = cfg.regions[region] ?? {};
+  const regionSettings: RegionSettings = ownValue(cfg.regions, region) ?? {};
   const settingsByLevel: readonly (readonly [SettingLevel, Settings])[] = [
-    ['model', regionSettings.models?.[model] ?? {}],
+    ['model', ownValue(regionSettings.models, model) ?? {}],
     ['region', regionSettings.settings ?? {}],
     ['deployment', cfg.deployment],
     ['default', { ...DEFAULT_SETTINGS, zones: Object.keys(cfg.zones).sort() }],
@@ -122,8 +123,8 @@
     for (const [level, settings] of settingsByLevel) {
       const value = settings[key as keyof Settings];
       if (value === undefined) continue;
-      values[key] = value;
-      levels[key] = level;
+      setOwnValue(values, key, value);
+      setOwnValue(levels, key, level);
       break;
     }
   }
@@ -134,7 +135,7 @@
 export function resolveAll(cfg: Configuration): ResolvedModel[] {
   const resolved: ResolvedModel[] = [];
   for (const region of Object.keys(cfg.regions).sort()) {
-    for (const model of Object.keys(cfg.regions[region]?.models ?? {}).sort())
+    for (const model of Object.keys(ownValue(cfg.regions, region)?.models ?? {}).sort())
       resolved.push(resolveModel(cfg, region, model));
   }
   return resolved;
@@ -156,10 +157,6 @@
   return changes;
 }
 
-function ownValue(tree: Record<string, unknown>, key: string): unknown {
-  return Object.hasOwn(tree, key) ? tree[key] : undefined;
-}
-
 /** A tree that applies changes in sequence. The initial tree is not modified; each object is copied at most once. */
 class CopyOnWriteTree {
   private readonly copies = new Set<unknown>();
@@ -178,7 +175,7 @@
     }
     const object = this.writableObjectAt(path.slice(0, -1));
     if (value === undefined) delete object[lastKey];
-    else defineOwnProperty(object, lastKey, value);
+    else setOwnValue(object, lastKey, value);
   }
 
   /** Returns the object at the end of a path, as a copy that may be modified. */
@@ -188,7 +185,7 @@
     for (const key of path) {
       const child = ownValue(object, key);
       const copy = this.writableCopy(child);
-      if (copy !== child) defineOwnProperty(object, key, copy);
+      if (copy !== child) setOwnValue(object, key, copy);
       object = copy;
     }
     return object;
@@ -230,11 +227,7 @@
     if (!isJsonObject(node)) return depth === 0 ? { path: [], value: node } : { path: prefix, value: node };
     const key = path[depth] as string;
     if (!Object.hasOwn(node, key)) return { path: path.slice(0, depth + 1) };
-    node = node[key];
+    node = ownValue(node, key);
   }
   return { path: [...path], value: node };
 }
-
-function defineOwnProperty(object: Record<string, unknown>, key: string, value: unknown): void {
-  Object.defineProperty(object, key, { value, writable: true, enumerable: true, configurable: true });
-}
--- a/src/state/consensus/control-state.test.ts
+++ b/src/state/consensus/control-state.test.ts
@@ -31,6 +31,17 @@
     expect(fold(state, entry(change(3)))).toEqual([{ tag: 'staleVersion', winner: 1 }]);
   });
 
+  // Guards against inherited properties taken for entries of a table: such a zone counted as evacuated from the start.
+  test.each(['constructor', 'toString'])('a zone, proxy or order named %s is unknown until it is recorded', (name) => {
+    const state = bootstrapped();
+    expect(fold(state, entry({ tag: 'evacuation', zone: name, begun: false }))).not.toEqual([applied]);
+    expect(fold(state, entry({ tag: 'evacuation', zone: name, begun: true }))).toEqual([applied]);
+    expect(fold(state, entry({ tag: 'proxyForgotten', name }))).toEqual([{ tag: 'unfit', why: 'unchanged' }]);
+    const order = { order: name, model: name, zone: name, kind: 'spot', accelerator: 'any' } as const;
+    expect(fold(state, entry({ tag: 'orderIntended', ...order }))).toEqual([applied]);
+    expect([Object.keys(state.evacuated), Object.keys(state.orders)]).toEqual([[name], [name]]);
+  });
+
   test('an entry applied twice has its first outcome', () => {
     const state = bootstrapped();
     const first = entry({ tag: 'evacuation', zone: 'z', begun: true });
--- a/src/state/consensus/control-state.ts
+++ b/src/state/consensus/control-state.ts
@@ -23,6 +23,7 @@
 import type { Outcome } from './outcome.js';
 import { EMPTY_CONFIGURATION } from '../configuration/settings-tree.js';
 import type { ZoneSets } from '../scaling/zone-sets.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 export { majorityOf, memberId, membersDigest, MAX_MEMBERS } from './fold-members.js';
 export type { Outcome } from './outcome.js';
@@ -81,12 +82,12 @@
 /** Whether a parsed value has the fields of a state. */
 export function isControlState(value: unknown): value is ControlState {
   if (!isJsonObject(value)) return false;
-  for (const key of ['slot', 'version']) if (!Number.isInteger(value[key])) return false;
-  for (const key of ['ledger', 'ticketKey']) if (typeof value[key] !== 'string') return false;
+  for (const key of ['slot', 'version']) if (!Number.isInteger(ownValue(value, key))) return false;
+  for (const key of ['ledger', 'ticketKey']) if (typeof ownValue(value, key) !== 'string') return false;
   for (const key of ['members', 'claimants', 'closed', 'departed', 'operations'])
-    if (!Array.isArray(value[key])) return false;
+    if (!Array.isArray(ownValue(value, key))) return false;
   for (const key of ['configuration', 'evacuated', 'proxies', 'leases', 'orders', 'zoneSets', 'targets'])
-    if (!isJsonObject(value[key])) return false;
+    if (!isJsonObject(ownValue(value, key))) return false;
   return isOperatorHistory(value['history']);
 }
 
@@ -114,7 +115,7 @@
     case 'proxyForgotten':
       return foldProxyForgotten(state, command);
     case 'leaseTaken':
-      state.leases[command.duty] = { holder: command.holder, fence: slot };
+      setOwnValue(state.leases, command.duty, { holder: command.holder, fence: slot });
       return APPLIED;
     case 'controllerUp':
       return APPLIED;
@@ -132,10 +133,10 @@
       for (const step of command.steps) foldScalerCommand(state, slot, { ...entry, cause: step.cause }, step.act);
       return APPLIED;
     case 'zonesMoved':
-      state.zoneSets[command.model] = { active: command.active, preemptive: command.preemptive };
+      setOwnValue(state.zoneSets, command.model, { active: command.active, preemptive: command.preemptive });
       return APPLIED;
     case 'targetChanged':
-      state.targets[command.model] = command.target;
+      setOwnValue(state.targets, command.model, command.target);
       return APPLIED;
     case 'ordersAdopted':
       return foldOrdersAdopted(state, slot, entry, command);
@@ -160,14 +161,14 @@
 
 function foldProxyKnown(state: ControlState, command: Extract<Command, { tag: 'proxyKnown' }>): Outcome {
   const { name, zone, region } = command;
-  const location = state.proxies[name];
+  const location = ownValue(state.proxies, name);
   if (location && location.zone === zone && location.region === region) return unfit('unchanged');
-  state.proxies[name] = { zone, region };
+  setOwnValue(state.proxies, name, { zone, region });
   return APPLIED;
 }
 
 function foldProxyForgotten(state: ControlState, command: Extract<Command, { tag: 'proxyForgotten' }>): Outcome {
-  if (!state.proxies[command.name]) return unfit('unchanged');
+  if (!ownValue(state.proxies, command.name)) return unfit('unchanged');
   delete state.proxies[command.name];
   return APPLIED;
 }
--- a/src/state/consensus/fold-operators.ts
+++ b/src/state/consensus/fold-operators.ts
@@ -10,6 +10,7 @@
 import type { Outcome } from './outcome.js';
 import { inverseChanges, withChanges } from '../configuration/settings-tree.js';
 import type { Configuration } from '../configuration/settings-tree.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** The part of the replicated state that operators change. */
 export type OperatorsState = {
@@ -73,10 +74,10 @@
 ): Outcome {
   const { zone, begun, base } = command;
   const version = zoneVersion(state.history, zone);
-  const isUnchanged = begun === (state.evacuated[zone] !== undefined);
+  const isUnchanged = begun === (ownValue(state.evacuated, zone) !== undefined);
   if (base !== undefined && base !== version) return { tag: 'staleVersion', winner: version };
   if (base === undefined && isUnchanged) return unfit('unchanged');
-  if (!isUnchanged && begun) state.evacuated[zone] = slot;
+  if (!isUnchanged && begun) setOwnValue(state.evacuated, zone, slot);
   if (!isUnchanged && !begun) delete state.evacuated[zone];
   recordZoneOrder(state.history, zone, { request: id, version: slot });
   return APPLIED;
--- a/src/state/consensus/fold-orders.ts
+++ b/src/state/consensus/fold-orders.ts
@@ -4,6 +4,7 @@
 import type { Order, OrderEvent, OrderStatus } from '../scaling/order.js';
 import { APPLIED, unfit } from './outcome.js';
 import type { Outcome } from './outcome.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** Machine orders in the replicated state. */
 export type OrdersState = {
@@ -34,10 +35,10 @@
   entry: Entry,
   command: Extract<Command, { tag: 'orderIntended' }>,
 ): Outcome {
-  if (state.orders[command.order]) return unfit('order');
+  if (ownValue(state.orders, command.order)) return unfit('order');
   const { order: id, model, zone, kind, accelerator } = command;
   const events = [createEvent(slot, entry, 'intended')];
-  state.orders[id] = { id, model, zone, kind, accelerator, status: 'intended', machine: null, events };
+  setOwnValue(state.orders, id, { id, model, zone, kind, accelerator, status: 'intended', machine: null, events });
   return APPLIED;
 }
 
@@ -50,11 +51,11 @@
 ): Outcome {
   const { model, kind } = command;
   for (const { order: id, zone, machine, ready } of command.adopted) {
-    if (state.orders[id]) continue;
+    if (ownValue(state.orders, id)) continue;
     const events = [createEvent(slot, entry, 'placed')];
     if (ready) events.push(createEvent(slot, entry, 'ready'));
     const status = ready ? 'ready' : 'placed';
-    state.orders[id] = { id, model, zone, kind, accelerator: 'any', status, machine, events };
+    setOwnValue(state.orders, id, { id, model, zone, kind, accelerator: 'any', status, machine, events });
   }
   return APPLIED;
 }
@@ -68,11 +69,11 @@
   nextStatus: OrderStatus,
   machine: string | null = null,
 ): Outcome {
-  const order = state.orders[id];
+  const order = ownValue(state.orders, id);
   if (!order || !mayTransition(order.status, nextStatus)) return unfit('order');
   const events = [...order.events, createEvent(slot, entry, nextStatus)];
   const updated: Order = { ...order, status: nextStatus, machine: machine ?? order.machine, events };
-  if (isOpen(nextStatus)) state.orders[id] = updated;
+  if (isOpen(nextStatus)) setOwnValue(state.orders, id, updated);
   else closeOrder(state, updated);
   return APPLIED;
 }
--- a/src/state/consensus/operator-history.ts
+++ b/src/state/consensus/operator-history.ts
@@ -6,6 +6,7 @@
  */
 import { isJsonObject } from '../../base/is-json-object.js';
 import type { ConfigurationChange } from './entry.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** The operator's own revision numbers of a change: the one that it is based on and the one that it creates. */
 export type Revision = { readonly base: number; readonly number: number };
@@ -96,7 +97,7 @@
 
 /** Adds an applied zone order. */
 export function recordZoneOrder(history: OperatorHistory, zone: string, order: AppliedChange): void {
-  history.zoneVersions[zone] = order.version;
+  setOwnValue(history.zoneVersions, zone, order.version);
   if (!isOperatorRequestId(order.request)) return;
   history.zoneOrders.push(order);
   if (history.zoneOrders.length > MAX_ZONE_ORDERS) history.zoneOrders.shift();
@@ -107,7 +108,7 @@
  * the zone was applied in between.
  */
 export function zoneVersion(history: OperatorHistory, zone: string): number {
-  return Object.hasOwn(history.zoneVersions, zone) ? (history.zoneVersions[zone] as number) : NO_ZONE_VERSION;
+  return Object.hasOwn(history.zoneVersions, zone) ? (ownValue(history.zoneVersions, zone) as number) : NO_ZONE_VERSION;
 }
 
 /** Returns the configuration change of a request, or null if it was not applied or is no longer in the history. */
--- a/src/state/consensus/proxy-state.ts
+++ b/src/state/consensus/proxy-state.ts
@@ -1,6 +1,7 @@
 /** The part of the replicated state that proxies need. */
 import type { ControlState } from './control-state.js';
 import type { Order } from '../scaling/order.js';
+import { setOwnValue } from '../../base/own-value.js';
 
 /**
  * Returns the part of the replicated state that a proxy uses, in the same form. A proxy applies later batches to it
@@ -11,6 +12,6 @@
  */
 export function proxyState(state: ControlState): ControlState {
   const orders: Record<string, Order> = {};
-  for (const [id, order] of Object.entries(state.orders)) orders[id] = { ...order, events: [] };
+  for (const [id, order] of Object.entries(state.orders)) setOwnValue(orders, id, { ...order, events: [] });
   return { ...state, orders, closed: [] };
 }
--- a/src/state/discovery/worker-registry.ts
+++ b/src/state/discovery/worker-registry.ts
@@ -14,6 +14,7 @@
 import type { ModelTraits } from '../configuration/serving.js';
 import type { WorkerEntry } from './worker-entry.js';
 import { createWorkerOwners } from './worker-owners.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 export type { SelectingProxy, SelectionRequest } from '../forwarding/placement-cost.js';
 export type { RegistryRow, SharingProxy } from './registry-row.js';
@@ -121,7 +122,7 @@
     coldMs: (model: string) => number,
   ): void {
     for (const zone of Object.keys(this.evacuatedZones)) {
-      if (evacuated[zone] !== undefined) continue;
+      if (ownValue(evacuated, zone) !== undefined) continue;
       for (const row of this.rowsById.values())
         if (row.entry.zone === zone) row.coldUntil = Math.max(row.coldUntil, now + coldMs(row.entry.model));
     }
@@ -130,7 +131,7 @@
   }
 
   private isUsable(row: RegistryRow, request: SelectionRequest): boolean {
-    if (row.leaving || !row.present || this.evacuatedZones[row.entry.zone] !== undefined) return false;
+    if (row.leaving || !row.present || ownValue(this.evacuatedZones, row.entry.zone) !== undefined) return false;
     if (request.homes.length > 0 && !request.homes.includes(row.entry.region)) return false;
     return !request.avoid.has(row.entry.id);
   }
@@ -284,14 +285,14 @@
         ran: row.runs.total(now),
       };
       const { running, unreadTokens, kvTokens, bad, ran } = row.reportedLoad;
-      if (running > 0 || bad > 0) loads[row.entry.id] = [running, unreadTokens, kvTokens, bad, ran];
+      if (running > 0 || bad > 0) setOwnValue(loads, row.entry.id, [running, unreadTokens, kvTokens, bad, ran]);
     }
     return loads;
   }
 
   applyFleetLoad(totals: LoadRows, now: number): void {
     for (const row of this.rowsById.values()) {
-      const total = totals[row.entry.id];
+      const total = ownValue(totals, row.entry.id);
       const previous = row.otherLoad;
       row.otherLoad = total ? loadOfOthers(total, row.reportedLoad) : NO_LOAD;
       if (row.isSuspected && row.otherLoad.ran > previous.ran && row.otherLoad.bad <= previous.bad)
--- a/src/state/discovery/worker-table.ts
+++ b/src/state/discovery/worker-table.ts
@@ -12,6 +12,7 @@
 import type { SampledWorker } from './worker-pools.js';
 import { createWorkerRow, MAX_WINDOW } from './worker-row.js';
 import type { WorkerRow } from './worker-row.js';
+import { ownValue } from '../../base/own-value.js';
 
 /**
  * Updated by the worker list, by probes and by the replicated log. The window of a worker shrinks when it rejects a
@@ -189,7 +190,7 @@
         zone: listed.zone,
         region: listed.region,
         leaving: row.leaving || listed.state === 'draining',
-        evacuated: this.evacuatedZones[listed.zone] !== undefined,
+        evacuated: ownValue(this.evacuatedZones, listed.zone) !== undefined,
         healthy: isResponsive && row.ready,
         respondsToProbes: isResponsive,
         running: row.inFlight >= Math.floor(row.window) ? Math.max(this.loadOf(row), limit) : this.loadOf(row),
--- a/src/state/distribution/fleet-load.test.ts
+++ b/src/state/distribution/fleet-load.test.ts
@@ -18,3 +18,10 @@
   expect(fleetLoad.sums(100)).toEqual({ w: [4, 4, 4, 0, 1] });
   expect(fleetLoad.sums(1_200)).toEqual({});
 });
+
+// Guards against sums that begin with an inherited property: such a worker's load was not a number.
+test.each(['constructor', 'toString'])('the load of a worker named %s is summed', (id) => {
+  const fleetLoad = createFleetLoad(1_000);
+  for (const name of ['a', 'b']) fleetLoad.record({ name, run: 'r', count: 1, rows: { [id]: [1, 2, 3, 0, 1] } }, 0);
+  expect(fleetLoad.sums(0)).toEqual({ [id]: [2, 4, 6, 0, 2] });
+});
--- a/src/state/distribution/fleet-load.ts
+++ b/src/state/distribution/fleet-load.ts
@@ -3,6 +3,7 @@
 import type { Static } from '@sinclair/typebox';
 import { LoadRowsShape, applyRowChanges } from './load-rows.js';
 import type { LoadRow, LoadRows } from './load-rows.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /**
  * The load that one node reports. `run` identifies the process and `count` numbers its reports. A partial report
@@ -66,10 +67,14 @@
 }
 
 function addRow(totals: LoadRows, id: string, row: LoadRow): void {
-  const previous = totals[id];
-  totals[id] = previous
-    ? [previous[0] + row[0], previous[1] + row[1], previous[2] + row[2], previous[3] + row[3], previous[4] + row[4]]
-    : [...row];
+  const previous = ownValue(totals, id);
+  setOwnValue(
+    totals,
+    id,
+    previous
+      ? [previous[0] + row[0], previous[1] + row[1], previous[2] + row[2], previous[3] + row[3], previous[4] + row[4]]
+      : [...row],
+  );
 }
 
 /** Returns the sum of two tables by worker. */
--- a/src/state/distribution/load-changes.ts
+++ b/src/state/distribution/load-changes.ts
@@ -6,6 +6,7 @@
  */
 import { isZeroRow, isEqualRow, ZERO_ROW } from './load-rows.js';
 import type { LoadRow, LoadRows } from './load-rows.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** Tracks the rows that were sent. A worker whose load has ended is sent once, as a row of zeros. */
 export interface LoadChanges {
@@ -35,9 +36,9 @@
     const changedRows: LoadRows = {};
     let bytes = 0;
     for (const id of this.knownIds(sums)) {
-      const row = sums[id] ?? ZERO_ROW;
+      const row = ownValue(sums, id) ?? ZERO_ROW;
       if (!this.isDue(id, row, now)) continue;
-      changedRows[id] = row;
+      setOwnValue(changedRows, id, row);
       bytes += encodedBytes(id, row);
       if (isZeroRow(row)) this.rows.delete(id);
       else this.rows.set(id, { row, at: now });
@@ -49,7 +50,7 @@
 
   told(): LoadRows {
     const rows: LoadRows = {};
-    for (const [id, { row }] of this.rows) rows[id] = row;
+    for (const [id, { row }] of this.rows) setOwnValue(rows, id, row);
     return rows;
   }
 
--- a/src/state/distribution/load-rows.ts
+++ b/src/state/distribution/load-rows.ts
@@ -1,6 +1,7 @@
 /** Tables of the load on workers: their schema, and how changed rows are applied to a table. */
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { setOwnValue } from '../../base/own-value.js';
 
 /** By worker: running requests, prompt tokens still to be processed, tokens in the KV cache, bad runs, and all runs. */
 export const LoadRowsShape = Type.Record(
@@ -31,7 +32,7 @@
   const merged: LoadRows = { ...rows };
   for (const [id, row] of Object.entries(changedRows)) {
     if (isZeroRow(row)) delete merged[id];
-    else merged[id] = row;
+    else setOwnValue(merged, id, row);
   }
   return merged;
 }
--- a/src/state/distribution/reports.ts
+++ b/src/state/distribution/reports.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Report } from './report.js';
+import { ownValue, setOwnValue } from '../../base/own-value.js';
 
 /** The newest report by reporter. */
 export type Reports = Map<string, Report>;
@@ -59,8 +60,9 @@
   const health: Report['health'] = {};
   const removed: string[] = [];
   if (sent.health !== current.health) {
-    for (const [id, status] of Object.entries(current.health)) if (sent.health[id] !== status) health[id] = status;
-    for (const id of Object.keys(sent.health)) if (current.health[id] === undefined) removed.push(id);
+    for (const [id, status] of Object.entries(current.health))
+      if (ownValue(sent.health, id) !== status) setOwnValue(health, id, status);
+    for (const id of Object.keys(sent.health)) if (ownValue(current.health, id) === undefined) removed.push(id);
   }
   return { ...current, since: sent.count, health, ...(removed.length > 0 ? { gone: removed } : {}) };
 }
--- a/src/state/scaling/observed-orders.ts
+++ b/src/state/scaling/observed-orders.ts
@@ -22,6 +22,7 @@
   zonesMovedDecision,
 } from './zone-sets.js';
 import type { ZoneSets } from './zone-sets.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** A model that the scaler manages, with its enabled zones and its settings. */
 export type ScaledModel = {
@@ -81,7 +82,7 @@
 }
 
 function regionOf(cfg: Configuration, model: string): string {
-  for (const [region, branch] of Object.entries(cfg.regions)) if (branch.models?.[model]) return region;
+  for (const [region, branch] of Object.entries(cfg.regions)) if (ownValue(branch.models, model)) return region;
   return '';
 }
 
@@ -121,8 +122,8 @@
     private readonly nextOrderId: () => string,
   ) {
     for (const zone of this.scaledModel.zones)
-      if (this.controlState.evacuated[zone] === undefined) this.zones.push(zone);
-    this.previousSets = this.controlState.zoneSets[this.scaledModel.model];
+      if (ownValue(this.controlState.evacuated, zone) === undefined) this.zones.push(zone);
+    this.previousSets = ownValue(this.controlState.zoneSets, this.scaledModel.model);
     this.zoneSets = this.previousSets ? alignZones(this.previousSets, this.zones) : initialZones(this.zones);
     this.zonesCause = this.previousSets
       ? 'The enabled zones changed.'
@@ -158,7 +159,7 @@
     const { target, decision } = decideTarget(
       model,
       values,
-      this.controlState.targets[model],
+      ownValue(this.controlState.targets, model),
       this.observation.rate,
       this.memory,
       this.observation.now,
--- a/src/state/scaling/rates.ts
+++ b/src/state/scaling/rates.ts
@@ -5,8 +5,9 @@
 
 import type { Report } from '../distribution/report.js';
 import type { Rate } from './target.js';
+import { ownValue } from '../../base/own-value.js';
 
-type Sample = { readonly at: number; readonly totals: Readonly<Record<string, number>>; readonly complete: boolean };
+type Sample = { readonly at: number; readonly totals: ReadonlyMap<string, number>; readonly complete: boolean };
 type LastTotals = { readonly incarnation: number; readonly totals: Readonly<Record<string, number>> };
 
 /** Samples the reports of proxies and computes rates per second. `rate` is null until samples span a whole window. */
@@ -21,17 +22,17 @@
 class SampledRateWindow implements RateWindow {
   private samples: Sample[] = [];
   private lastTotals = new Map<string, LastTotals>();
-  private runningTotals: Record<string, number> = {};
+  private runningTotals: ReadonlyMap<string, number> = new Map();
 
   observe(at: number, reports: Iterable<Report>, complete: boolean): void {
     const isFirst = this.samples.length === 0;
-    const nextTotals: Record<string, number> = { ...this.runningTotals };
+    const nextTotals = new Map(this.runningTotals);
     for (const report of reports) {
       const previous = this.lastTotals.get(report.reporter);
       const restarted = previous !== undefined && previous.incarnation !== report.incarnation;
       for (const [model, count] of Object.entries(report.requests)) {
-        const baseline = restarted ? 0 : previous ? (previous.totals[model] ?? 0) : isFirst ? count : 0;
-        nextTotals[model] = (nextTotals[model] ?? 0) + Math.max(0, count - baseline);
+        const baseline = restarted ? 0 : previous ? (ownValue(previous.totals, model) ?? 0) : isFirst ? count : 0;
+        nextTotals.set(model, (nextTotals.get(model) ?? 0) + Math.max(0, count - baseline));
       }
       this.lastTotals.set(report.reporter, { incarnation: report.incarnation, totals: report.requests });
     }
@@ -57,14 +58,14 @@
       }
     }
     if (!windowStart) return null;
-    const count = (newest.totals[model] ?? 0) - (windowStart.totals[model] ?? 0);
+    const count = (newest.totals.get(model) ?? 0) - (windowStart.totals.get(model) ?? 0);
     return { perSecond: (count * 1_000) / (newest.at - windowStart.at), complete };
   }
 
   reset(): void {
     this.samples = [];
     this.lastTotals = new Map();
-    this.runningTotals = {};
+    this.runningTotals = new Map();
   }
 }
 
--- a/src/state/scaling/scaler-decide.ts
+++ b/src/state/scaling/scaler-decide.ts
@@ -25,6 +25,7 @@
   zonesMovedDecision,
 } from './zone-sets.js';
 import type { ZoneSets } from './zone-sets.js';
+import { ownValue } from '../../base/own-value.js';
 
 /** A command for the log, with its cause for the history of the order. */
 export type Decision = { readonly act: Command; readonly cause: string };
@@ -68,7 +69,7 @@
   ) {
     this.modelMemory = memoryOf(this.memory, this.resolved.model);
     this.zones = usableZones(this.resolved.values.zones, this.controlState);
-    this.previousSets = this.controlState.zoneSets[this.resolved.model];
+    this.previousSets = ownValue(this.controlState.zoneSets, this.resolved.model);
     this.zoneSets = this.previousSets ? alignZones(this.previousSets, this.zones) : initialZones(this.zones);
     this.zonesCause = this.previousSets
       ? 'The enabled zones changed.'
@@ -108,8 +109,8 @@
     const { target, decision } = decideTarget(
       model,
       values,
-      this.controlState.targets[model],
-      this.observation.rates[model] ?? null,
+      ownValue(this.controlState.targets, model),
+      ownValue(this.observation.rates, model) ?? null,
       this.modelMemory,
       this.observation.now,
     );
@@ -137,7 +138,7 @@
         this.recordLoss(order, reason);
         continue;
       }
-      if (this.controlState.evacuated[order.zone] !== undefined && order.status !== 'intended') {
+      if (ownValue(this.controlState.evacuated, order.zone) !== undefined && order.status !== 'intended') {
         this.decisions.push({
           cause: `${order.zone} is being evacuated.`,
           act: { tag: 'orderDraining', order: order.id },
@@ -205,11 +206,11 @@
   }
 
   private spotPrice(zone: string): number {
-    return this.observation.prices[zone]?.spot ?? Number.MAX_VALUE;
+    return ownValue(this.observation.prices, zone)?.spot ?? Number.MAX_VALUE;
   }
 
   private onDemandPrice(zone: string): number {
-    return this.observation.prices[zone]?.onDemand ?? Number.MAX_VALUE;
+    return ownValue(this.observation.prices, zone)?.onDemand ?? Number.MAX_VALUE;
   }
 
   private backoffCheck(kind: MachineKind): (zone: string) => boolean {
@@ -332,6 +333,7 @@
 export function usableZones(zones: readonly string[], controlState: ControlState): string[] {
   const usable: string[] = [];
   for (const zone of zones)
-    if (controlState.evacuated[zone] === undefined && controlState.configuration.zones[zone]) usable.push(zone);
+    if (ownValue(controlState.evacuated, zone) === undefined && ownValue(controlState.configuration.zones, zone))
+      usable.push(zone);
   return usable;
 }
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -14,6 +14,7 @@
 import type { HttpClient, HttpAnswer, HttpCall, HttpError } from './http.js';
 import { splitLines } from './response-lines.js';
 import type { LineLimits } from './response-lines.js';
+import { setOwnValue } from '../base/own-value.js';
 
 /** Limits of what servers answer, in bytes. */
 export type ResponseLimits = {
@@ -38,7 +39,7 @@
 
 function headersOf(res: IncomingMessage): Record<string, string> {
   const out: Record<string, string> = {};
-  for (const [key, value] of Object.entries(res.headers)) if (typeof value === 'string') out[key] = value;
+  for (const [key, value] of Object.entries(res.headers)) if (typeof value === 'string') setOwnValue(out, key, value);
   return out;
 }
 
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -27,6 +27,7 @@
 import type { RequestBodyLimits } from './message-body.js';
 import { answerUnparsable } from './unparsable-request.js';
 import type { Address, WireError } from './wire.js';
+import { setOwnValue } from '../base/own-value.js';
 
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
 /** Time within which a request must have arrived completely. */
@@ -47,8 +48,8 @@
 function firstValues(from: Record<string, unknown>): Record<string, string> {
   const out: Record<string, string> = {};
   for (const [key, value] of Object.entries(from)) {
-    if (typeof value === 'string') out[key] = value;
-    else if (Array.isArray(value) && typeof value[0] === 'string') out[key] = value[0];
+    if (typeof value === 'string') setOwnValue(out, key, value);
+    else if (Array.isArray(value) && typeof value[0] === 'string') setOwnValue(out, key, value[0]);
   }
   return out;
 }
--- a/src/transport/json-body.ts
+++ b/src/transport/json-body.ts
@@ -6,6 +6,7 @@
 import type { MemoryHold } from './memory-budget.js';
 import { readRequestBody } from './message-body.js';
 import type { RequestBodyLimits } from './message-body.js';
+import { ownValue } from '../base/own-value.js';
 
 /** Why a body was not parsed. */
 export type JsonBodyError =
@@ -57,7 +58,7 @@
   if (charset !== undefined && !/^utf-?8$/i.test(charset.trim())) return MALFORMED;
   const encoding = encodingOf(request);
   if (encoding === 'identity') return body;
-  const decoder = DECODERS[encoding];
+  const decoder = ownValue(DECODERS, encoding);
   if (!decoder) return MALFORMED;
   try {
     return await decoder(body, { maxOutputLength: maxBytes });
--- a/src/transport/opaque-exchange.ts
+++ b/src/transport/opaque-exchange.ts
@@ -7,6 +7,7 @@
 import type { MemoryHold } from './memory-budget.js';
 import { readRequestBody } from './message-body.js';
 import type { BodyError, OpaqueRequest, RawHeaders, ResponseWriter } from './opaque-http.js';
+import { ownValue } from '../base/own-value.js';
 
 /** What an exchange needs of its server. */
 export type ExchangeDeps = {
@@ -52,7 +53,7 @@
   }
 
   readonly get = (name: string): string | null => {
-    const value = this.req.headers[name];
+    const value = ownValue(this.req.headers, name);
     return typeof value === 'string' ? value : null;
   };
 
--- a/src/transport/pooled-send.ts
+++ b/src/transport/pooled-send.ts
@@ -10,6 +10,7 @@
 import { hasTokenNames, isFinalStatus } from './http-syntax.js';
 import type { SendEvents, SendError, OutgoingRequest, PendingSend } from './opaque-http.js';
 import type { Address } from './wire.js';
+import { ownValue } from '../base/own-value.js';
 
 /** A connection that is idle between two requests, with the monotonic times of its idle period in milliseconds. */
 export type IdleConnection = {
@@ -95,7 +96,7 @@
     const timeout = typeof keepAliveHeader === 'string' ? /timeout=(\d+)/.exec(keepAliveHeader) : null;
     if (timeout) this.endpoint.keepAliveMs = Number(timeout[1]) * 1_000;
     function get(name: string): string | null {
-      const value = response.headers[name];
+      const value = ownValue(response.headers, name);
       return typeof value === 'string' ? value : null;
     }
 
--- a/src/transport/unparsable-request.ts
+++ b/src/transport/unparsable-request.ts
@@ -2,6 +2,7 @@
 import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { isParsingStoppedError } from './socket-reading.js';
+import { ownValue } from '../base/own-value.js';
 
 /** The body of a response to a malformed request. */
 export const MALFORMED_BODY = JSON.stringify({ error: { tag: 'malformed' } });
@@ -23,7 +24,7 @@
     socket.destroy(error);
     return;
   }
-  const status = REJECTION_STATUSES[error.code ?? ''];
+  const status = ownValue(REJECTION_STATUSES, error.code ?? '');
   const body = status === undefined ? MALFORMED_BODY : '';
   const head = [
     `HTTP/1.1 ${status ?? '400 Bad Request'}`,
