--- a/src/coordination/configuration/operator-http-server.ts
+++ b/src/coordination/configuration/operator-http-server.ts
@@ -17,6 +17,7 @@
 import type { LatencyTargetTracker } from './latency-target-tracker.js';
 import type { RecentProcessPause } from './recent-process-pause.js';
 import type { Ledger } from '../consensus/ledger.js';
+import type { ProposeError } from '../consensus/proposal.js';
 import type { ChangeDistribution } from '../distribution/change-distribution.js';
 
 const OperationId = Type.Optional(Type.String({ minLength: 1, maxLength: 128 }));
@@ -47,6 +48,12 @@
   return { status, ...(status === 503 ? { headers: { 'retry-after': '1' } } : {}), body: { error } };
 }
 
+function proposalErrorReply(error: ProposeError): HttpReply {
+  if (error.tag !== 'cannotWrite') return errorReply(503, { tag: error.tag });
+  if (error.error.tag === 'recordTooLarge') return errorReply(413, { tag: 'tooLarge', bytes: error.error.bytes });
+  return errorReply(503, { tag: 'cannotWrite', fault: error.error });
+}
+
 /** Dependencies of the operators' calls; `status` returns the body of the status response. */
 export type OperatorHttpServerDeps = {
   readonly ledger: Ledger;
@@ -67,13 +74,7 @@
       { ...(operation === undefined ? {} : { id: operatorRequestId(operation) }), cause, act: command },
       AGREEMENT_TIMEOUT_MS,
     );
-    if (!response.ok)
-      return errorReply(
-        503,
-        response.error.tag === 'cannotWrite'
-          ? { tag: 'cannotWrite', fault: response.error.error }
-          : { tag: response.error.tag },
-      );
+    if (!response.ok) return proposalErrorReply(response.error);
     const { slot, outcome } = response.value;
     if (outcome.tag === 'staleVersion') return errorReply(409, { tag: 'staleVersion', winner: outcome.winner });
     if (outcome.tag !== 'applied') return errorReply(409, { tag: 'unchanged' });
--- a/src/coordination/consensus/ledger.ts
+++ b/src/coordination/consensus/ledger.ts
@@ -41,6 +41,7 @@
 import type { SelfBootstrap } from '../membership/self-bootstrap.js';
 import { createLinearizableRead } from './linearizable-read.js';
 import type { SnapshotSender } from './snapshot-sender.js';
+import { snapshotBudget } from './snapshot-budget.js';
 import { openStore } from './store.js';
 import type { Store } from './store.js';
 import { createVoter } from './voter.js';
@@ -124,11 +125,6 @@
 const RECORD_OVERHEAD_BYTES = 4_096;
 /** Space reserved in an entry for its id, author and times. */
 const ENTRY_OVERHEAD_BYTES = 1_024;
-/**
- * The share of a snapshot that a configuration and the changes that lead back from it may take; the rest is left for
- * the remaining state.
- */
-const CONFIGURATION_SHARE = 0.85;
 
 /** Opens the ledger on a disk. The error states why the disk can't be used. */
 export async function createLedger(deps: LedgerDeps): Promise<Result<Ledger, RingError>> {
@@ -172,7 +168,7 @@
   ) {
     this.self = deps.self;
     this.most = {
-      configuration: Math.floor(CONFIGURATION_SHARE * deps.shape.snapshotBytes),
+      configuration: snapshotBudget(deps.shape).configuration,
       change: deps.shape.fileBytes - RECORD_OVERHEAD_BYTES - ENTRY_OVERHEAD_BYTES,
     };
     this.replica = createReplica(this.store, this.deps.self, this.deps.clock, this.deps.log);
--- a/src/coordination/consensus/proposer.ts
+++ b/src/coordination/consensus/proposer.ts
@@ -173,9 +173,16 @@
     };
     const bytes = Buffer.byteLength(JSON.stringify(entry));
     if (bytes > this.deps.maxBatchBytes) return err({ tag: 'cannotWrite', error: { tag: 'recordTooLarge', bytes } });
+    const excessBytes = this.excessBytes(entry);
+    if (excessBytes !== null) return err({ tag: 'cannotWrite', error: { tag: 'recordTooLarge', bytes: excessBytes } });
     return this.proposeUntil(entry, bytes, deadline);
   }
 
+  /** Members would not accept a change that a snapshot can't hold, so it is refused here, before it is proposed. */
+  private excessBytes(entry: Entry): number | null {
+    return entry.act.tag === 'configured' ? this.deps.replica.store.excessBytes({ id: '', entries: [entry] }) : null;
+  }
+
   private async proposeUntil(
     entry: Entry,
     bytes: number,
--- a/src/coordination/consensus/store.ts
+++ b/src/coordination/consensus/store.ts
@@ -20,6 +20,7 @@
 import type { Batch } from '../../state/consensus/entry.js';
 import { createClosedOrders } from '../../state/consensus/closed-orders.js';
 import type { ClosedOrders, SavedClosedOrders } from '../../state/consensus/closed-orders.js';
+import { AcceptanceCheck, snapshotBudget } from './snapshot-budget.js';
 import { createRecentSlots } from '../../state/consensus/recent-slots.js';
 import type { RecentSlot } from '../../state/consensus/recent-slots.js';
 import type { Disk } from '../../transport/disk.js';
@@ -36,7 +37,7 @@
   /** Rewrites the complete state, after which a ring log that failed accepts records again. */
   | { readonly tag: 'rewrite' };
 
-/** The result of a command. The effect of any result but `cannotWrite` is on disk. */
+/** The result of a command. The effect of any result but `cannotWrite` is on disk; a batch too large is not accepted. */
 export type StoreResult =
   | { readonly tag: 'vote'; readonly vote: Vote }
   | { readonly tag: 'folded'; readonly outcomes: readonly Outcome[] }
@@ -71,6 +72,8 @@
   top(): number;
   /** The batch accepted for an unapplied slot, or null. */
   accepted(slot: number): Batch | null;
+  /** The bytes of a snapshot that could not hold this batch on the present state; null if it fits. */
+  excessBytes(batch: Batch): number | null;
   /** False after a failed write, until a later batch of commands succeeds. */
   writable(): boolean;
 }
@@ -86,9 +89,6 @@
   readonly slots: readonly (readonly [number, SlotState])[];
 };
 
-/** The share of the snapshot area that closed orders may take, so that the control state always has room. */
-const CLOSED_ORDERS_SHARE = 1 / 4;
-
 function encode(value: StoredRecord | StoredSnapshot): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
@@ -115,6 +115,7 @@
   private isWritable = true;
   readonly closed: ClosedOrders;
   private readonly ring: Ring;
+  private readonly acceptanceCheck: AcceptanceCheck;
   private readonly queue: BatchQueue<StoreCommand, StoreResult>;
 
   constructor(
@@ -131,10 +132,9 @@
       this.acceptor = createAcceptor(this.currentControlState.slot + 1);
       for (const [slot, state] of storedSnapshot.slots) restoreSlot(this.acceptor, slot, state);
     }
-    this.closed = createClosedOrders(
-      shape.snapshotBytes * CLOSED_ORDERS_SHARE,
-      storedSnapshot ? storedSnapshot.closed : null,
-    );
+    const budget = snapshotBudget(shape);
+    this.acceptanceCheck = new AcceptanceCheck(budget);
+    this.closed = createClosedOrders(budget.closedOrders, storedSnapshot ? storedSnapshot.closed : null);
     for (const recordBuffer of records) {
       const record = JSON.parse(recordBuffer.toString()) as StoredRecord;
       if (record.t === 'slot') restoreSlot(this.acceptor, record.slot, record.state);
@@ -161,6 +161,9 @@
         return { tag: 'vote', vote };
       }
       case 'accept': {
+        const isAccepted = this.accepted(command.slot)?.id === command.batch.id;
+        const bytes = isAccepted ? null : this.excessBytes(command.batch);
+        if (bytes !== null) return { tag: 'cannotWrite', error: { tag: 'recordTooLarge', bytes } };
         const vote = accept(this.acceptor, command.slot, command.ballot, command.batch);
         if (vote.tag === 'accepted')
           appendRecord({ t: 'slot', slot: command.slot, state: slotStateOf(this.acceptor, command.slot) });
@@ -171,11 +174,9 @@
         const outcomes = foldBatch(this.currentControlState, command.slot, command.batch);
         this.addClosedOrders();
         raiseFloor(this.acceptor, command.slot + 1);
-        this.recentSlots.add(
-          command.slot,
-          command.batch,
-          appendRecord({ t: 'chosen', slot: command.slot, batch: command.batch }),
-        );
+        const recordBytes = appendRecord({ t: 'chosen', slot: command.slot, batch: command.batch });
+        this.recentSlots.add(command.slot, command.batch, recordBytes);
+        this.acceptanceCheck.recordApplied(command.batch, recordBytes);
         this.onFold(command.slot, command.batch, outcomes);
         return { tag: 'folded', outcomes };
       }
@@ -186,6 +187,7 @@
         this.addClosedOrders();
         raiseFloor(this.acceptor, this.currentControlState.slot + 1);
         this.recentSlots.clear();
+        this.acceptanceCheck.recordReplaced();
         this.onAdopt();
         return { tag: 'folded', outcomes: [] };
       }
@@ -258,6 +260,10 @@
     return acceptedAt(this.acceptor, slot)?.batch ?? null;
   }
 
+  excessBytes(batch: Batch): number | null {
+    return this.acceptanceCheck.excessBytes(this.currentControlState, batch);
+  }
+
   writable(): boolean {
     return this.isWritable;
   }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -24,6 +24,7 @@
 import type { Lease } from './leases/lease.js';
 import { nextIncarnation } from './membership/incarnation.js';
 import { createLedger } from './consensus/ledger.js';
+import { SNAPSHOT_FILES } from './consensus/snapshot-budget.js';
 import type { Ledger } from './consensus/ledger.js';
 import { targetGroupSize, toleratedLossesOf } from '../state/membership/target-size.js';
 import { createMembership } from './membership/failure-detector.js';
@@ -73,9 +74,9 @@
 
 const MB = 1_048_576;
 
-/** Ring sizes of a controller whose disk is large enough: 96 MB for the ledger and 164 MB for the claims. */
+/** Ring sizes of a controller whose disk is large enough: 200 MB for the ledger and 164 MB for the claims. */
 export const CONTROLLER_SHAPES: ControllerRingShapes = {
-  ledger: { name: 'ledger', files: 6, fileBytes: 8 * MB, snapshotBytes: 48 * MB },
+  ledger: { name: 'ledger', files: 6, fileBytes: 8 * MB, snapshotBytes: 76 * MB },
   claims: { name: 'claims', files: 6, fileBytes: 4 * MB, snapshotBytes: 70 * MB },
 };
 
@@ -83,7 +84,7 @@
 export function ringShapesFor(diskBytes: number): ControllerRingShapes {
   const unit = Math.max(MB / 4, Math.min(8 * MB, Math.floor(diskBytes / 64)));
   return {
-    ledger: { name: 'ledger', files: 4, fileBytes: unit, snapshotBytes: 3 * unit },
+    ledger: { name: 'ledger', files: 4, fileBytes: unit, snapshotBytes: Math.ceil(SNAPSHOT_FILES * unit) },
     claims: { name: 'claims', files: 4, fileBytes: unit, snapshotBytes: 8 * unit },
   };
 }
--- a/src/sim/sim-disk.ts
+++ b/src/sim/sim-disk.ts
@@ -147,6 +147,9 @@
     if (existing && existing.current.length >= size) return Promise.resolve(ok(fileOf(name, existing)));
     if (platter.full) return Promise.resolve(err({ tag: 'diskFull', file: name }));
     const created: FileState = { current: Buffer.alloc(size), synced: Buffer.alloc(size), unsynced: [] };
+    existing?.current.copy(created.current);
+    existing?.synced.copy(created.synced);
+    created.unsynced.push(...(existing?.unsynced ?? []));
     platter.files.set(name, created);
     return Promise.resolve(ok(fileOf(name, created)));
   }
--- a/src/state/consensus/closed-orders.test.ts
+++ b/src/state/consensus/closed-orders.test.ts
@@ -22,6 +22,13 @@
   return orders.map((o) => o.id);
 }
 
+/** The size of one order as a snapshot holds it: its text is JSON inside JSON, with a comma behind it. */
+function storedSize(): number {
+  const orders = createClosedOrders(MAX_BYTES, null);
+  orders.add(closedOrder(1, 'o1'));
+  return JSON.stringify(orders.saved().orders[0]).length + 1;
+}
+
 describe('closed orders', () => {
   test('record who ordered what and why, in the order they were closed, once each', () => {
     const orders = createClosedOrders(MAX_BYTES, null);
@@ -33,12 +40,20 @@
     const many = createClosedOrders(MAX_BYTES, null);
     for (let n = 0; n < MAX_CLOSED_ORDERS + 10; n += 1) many.add(closedOrder(n, `o${n}`));
     expect([many.all().length, many.all()[0]?.id]).toEqual([MAX_CLOSED_ORDERS, 'o10']);
-    const size = JSON.stringify(closedOrder(1, 'o1')).length;
-    const few = createClosedOrders(3 * size, null);
+    const few = createClosedOrders(3 * storedSize(), null);
     for (let n = 0; n < 9; n += 1) few.add(closedOrder(n, `o${n}`));
     expect(ids(few.all())).toEqual(['o6', 'o7', 'o8']);
   });
 
+  // Guards against a bound in characters of the text, which a snapshot stores with its quotes escaped, in up to 3 bytes each.
+  test('take no more of a snapshot than the bound', () => {
+    const maxBytes = 20_000;
+    const orders = createClosedOrders(maxBytes, null);
+    for (let n = 0; n < 200; n += 1) orders.add(closedOrder(n, `o${n}`, 'Größe "日本"'.repeat(5)));
+    expect(Buffer.byteLength(JSON.stringify(orders.saved().orders))).toBeLessThanOrEqual(maxBytes + 2);
+    expect(orders.all().length).toBeGreaterThan(10);
+  });
+
   test('are restored from disk unchanged', () => {
     const orders = createClosedOrders(MAX_BYTES, null);
     orders.add(closedOrder(3, 'c'));
@@ -89,7 +104,7 @@
   });
 
   test('slots are no longer missing once their orders would be older than all that are kept', () => {
-    const orders = createClosedOrders(3 * JSON.stringify(closedOrder(1, 'o1')).length, null);
+    const orders = createClosedOrders(3 * storedSize(), null);
     orders.markMissing({ from: 0, to: 4 });
     for (let n = 5; n < 8; n += 1) orders.add(closedOrder(n, `o${n}`));
     expect(orders.lacking()).toEqual({ from: 0, to: 4 });
--- a/src/state/consensus/closed-orders.ts
+++ b/src/state/consensus/closed-orders.ts
@@ -63,6 +63,11 @@
   return order as Order;
 }
 
+/** The size of a closed order in a snapshot: its text is JSON inside JSON. */
+function storedBytesOf(closed: ClosedOrder): number {
+  return Buffer.byteLength(JSON.stringify(closed)) + 1;
+}
+
 function isWithin(closed: ClosedOrder, slots: SlotRange): boolean {
   return closed.slot >= slots.from && closed.slot <= slots.to;
 }
@@ -70,7 +75,7 @@
 class BoundedClosedOrders implements ClosedOrders {
   private list: ClosedOrder[];
   private missingSlots: SlotRange | null;
-  private textLength = 0;
+  private storedBytes = 0;
 
   constructor(
     private readonly maxBytes: number,
@@ -79,7 +84,7 @@
     this.list = saved ? [...saved.orders] : [];
     this.missingSlots = saved ? saved.lacking : null;
 
-    for (const closed of this.list) this.textLength += closed.text.length;
+    for (const closed of this.list) this.storedBytes += storedBytesOf(closed);
   }
 
   private insert(closed: ClosedOrder): void {
@@ -87,7 +92,7 @@
     while (index > 0 && compareCursors(this.list[index - 1] as ClosedOrder, closed) > 0) index -= 1;
     if (index > 0 && compareCursors(this.list[index - 1] as ClosedOrder, closed) === 0) return;
     this.list.splice(index, 0, closed);
-    this.textLength += closed.text.length;
+    this.storedBytes += storedBytesOf(closed);
   }
 
   /**
@@ -96,8 +101,8 @@
    */
   private trim(): void {
     let dropped = 0;
-    while (this.list.length - dropped > MAX_CLOSED_ORDERS || this.textLength > this.maxBytes) {
-      this.textLength -= (this.list[dropped] as ClosedOrder).text.length;
+    while (this.list.length - dropped > MAX_CLOSED_ORDERS || this.storedBytes > this.maxBytes) {
+      this.storedBytes -= storedBytesOf(this.list[dropped] as ClosedOrder);
       dropped += 1;
     }
     if (dropped === 0) return;
