--- a/src/coordination/membership/group-leave.ts
+++ b/src/coordination/membership/group-leave.ts
@@ -1,11 +1,12 @@
 /**
  * Lets a controller leave the group when it is shut down. An even group, which tolerates no more losses with the member
- * than without it, first agrees on its removal. Then a majority of the other members has to learn everything that it
+ * than without it, and a group above its target size first agree on its removal. In a group of the target size its
+ * place goes back to a member that was removed while silent and may come back with its disk. Then a majority of the other members has to learn everything that it
  * knows, so that nothing exists only on the replica that leaves. Created by `membership-changes.ts`.
  */
 import { majorityOf, memberId } from '../../state/consensus/control-state.js';
 import type { ControlState } from '../../state/consensus/control-state.js';
-import type { Member } from '../../state/consensus/entry.js';
+import type { Command, Member } from '../../state/consensus/entry.js';
 import { otherMembers } from '../../state/consensus/fold-members.js';
 import type { Message } from '../../protocol/messages.js';
 import type { Result } from '../../base/result.js';
@@ -25,6 +26,9 @@
   readonly self: Member;
   readonly controlState: () => ControlState;
   readonly propose: (draft: EntryDraft, waitMs: number) => Promise<Result<CommittedEntry, ProposeError>>;
+  readonly targetSize: number;
+  /** False where run-once claims are kept: an odd group then keeps its members. */
+  readonly mayShrinkOddGroup: boolean;
 };
 
 /** `isHandedOver`: a majority of the other members has learned everything that this controller knows. */
@@ -35,6 +39,8 @@
 const REQUEST_TIMEOUT_MS = 600;
 const HAND_OVER_CHECK_INTERVAL_MS = 30;
 const RETRY_DELAY_MS = 100;
+/** Losses of power last seconds. A machine that has been away for longer is taken for replaced. */
+const RETURN_TIMEOUT_MS = 30_000;
 
 /** Carries out the leave of this controller; created when the controller starts. */
 export class GroupLeave {
@@ -46,9 +52,9 @@
     if (!this.isMember()) return { isMember: false, isHandedOver: true };
     let isHandedOver = false;
     do {
-      await this.leaveEvenGroup(deadline);
+      await this.giveUpPlace(deadline);
       isHandedOver = await this.handOver(deadline);
-    } while (this.isInEvenGroup() && this.deps.clock.mono() < deadline);
+    } while (this.departure() && this.deps.clock.mono() < deadline);
     const outcome = { isMember: this.isMember(), isHandedOver };
     this.deps.log.info('leave ended', outcome);
     return outcome;
@@ -62,23 +68,30 @@
     return this.members().some((member) => memberId(member) === memberId(this.deps.self));
   }
 
-  private isInEvenGroup(): boolean {
-    return this.isMember() && this.members().length % 2 === 0;
+  /** Returns the entry by which this controller gives up its place; null if it is to keep it, or has none. */
+  private departure(): Command | null {
+    if (!this.isMember()) return null;
+    const old = memberId(this.deps.self);
+    const size = this.members().length;
+    if (size % 2 === 0) return { tag: 'memberRemoved', old };
+    if (!this.deps.mayShrinkOddGroup) return null;
+    if (size > this.deps.targetSize) return { tag: 'memberRemoved', old, ifMoreThan: this.deps.targetSize };
+    const returning = this.returningMember();
+    return returning && { tag: 'memberReplaced', old, member: returning };
   }
 
-  private async leaveEvenGroup(deadline: number): Promise<void> {
-    while (this.isInEvenGroup() && this.deps.clock.mono() < deadline) {
-      await this.proposeRemoval(Math.min(PROPOSAL_TIMEOUT_MS, deadline - this.deps.clock.mono()));
-      if (this.isInEvenGroup()) await delay(this.deps.clock, RETRY_DELAY_MS);
-    }
+  /** Returns the member that was removed last while it was silent, if it may still come back. */
+  private returningMember(): Member | null {
+    const last = this.deps.controlState().away?.at(-1);
+    return last && this.deps.clock.wall() - last.removedAt < RETURN_TIMEOUT_MS ? last.member : null;
   }
 
-  private async proposeRemoval(waitMs: number): Promise<void> {
-    const { self } = this.deps;
-    await this.deps.propose(
-      { cause: `${self.name} was told to end.`, act: { tag: 'memberRemoved', old: memberId(self) } },
-      waitMs,
-    );
+  private async giveUpPlace(deadline: number): Promise<void> {
+    for (let command = this.departure(); command && this.deps.clock.mono() < deadline; command = this.departure()) {
+      const waitMs = Math.min(PROPOSAL_TIMEOUT_MS, deadline - this.deps.clock.mono());
+      await this.deps.propose({ cause: `${this.deps.self.name} was told to end.`, act: command }, waitMs);
+      if (this.departure()) await delay(this.deps.clock, RETRY_DELAY_MS);
+    }
   }
 
   private async handOver(deadline: number): Promise<boolean> {
--- a/src/coordination/membership/membership-changes.ts
+++ b/src/coordination/membership/membership-changes.ts
@@ -114,16 +114,25 @@
       if (old.name === joiner.name) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
     for (const old of this.deps.controlState().members)
       if (old.address === joiner.address) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
-    const unresponsive = await this.unresponsiveMembers();
-    if (unresponsive.length === 0)
-      return this.deps.controlState().members.length < MAX_MEMBERS ? { tag: 'memberAdded', member: joiner } : null;
-    for (const old of unresponsive)
-      if (
-        this.deps.memberStatuses.isLeaving(memberId(old)) ||
-        this.deps.memberStatuses.isUnreachableByMajority(memberId(old))
-      )
-        return { tag: 'memberReplaced', old: memberId(old), member: joiner };
-    return null;
+    const leaving = (await this.unresponsiveMembers()).find((old) => this.mayTakePlaceOf(old));
+    if (leaving) return { tag: 'memberReplaced', old: memberId(leaving), member: joiner };
+    return this.isGroupFull() ? null : { tag: 'memberAdded', member: joiner };
+  }
+
+  private isGroupFull(): boolean {
+    return this.deps.controlState().members.length >= MAX_MEMBERS;
+  }
+
+  /**
+   * Whether a joiner may take the place of a member that does not respond. One that is only silent may come back with its
+   * disk, so it keeps its place, unless no further member could ever join.
+   */
+  private mayTakePlaceOf(old: Member): boolean {
+    const id = memberId(old);
+    return (
+      this.deps.memberStatuses.isLeaving(id) ||
+      (this.isGroupFull() && this.deps.memberStatuses.isUnreachableByMajority(id))
+    );
   }
 
   private async onRejoin(message: MessageOf<'rejoin'>): Promise<Message> {
@@ -256,13 +265,27 @@
   }
 
   private async removeDead(): Promise<void> {
-    if (!this.mayRemoveSilent()) return;
     const { members } = this.deps.controlState();
-    const dead = members.find((member) => this.isDead(member) || this.hasShutDown(member));
-    if (!dead) return;
-    const cause = `${dead.name} is silent, and the group of ${members.length} is to have ${this.deps.targetSize} members.`;
-    const command: Command = { tag: 'memberRemoved', old: memberId(dead), ifMoreThan: this.deps.targetSize };
-    if (await this.proposeChange(cause, command)) this.deps.log.info('member removed', { member: memberId(dead) });
+    const shutDown = members.find((member) => this.hasShutDown(member));
+    if (shutDown && (members.length % 2 === 0 || this.mayRemoveSilent())) return this.removeShutDown(shutDown);
+    const dead = this.mayRemoveSilent() ? members.find((member) => this.isDead(member)) : undefined;
+    if (dead) await this.removeSilent(dead);
+  }
+
+  private async removeShutDown(shutDown: Member): Promise<void> {
+    const cause = `${shutDown.name} was told to end.`;
+    await this.proposeRemoval(cause, { tag: 'memberRemoved', old: memberId(shutDown) });
+  }
+
+  private async removeSilent(silent: Member): Promise<void> {
+    const { targetSize } = this.deps;
+    const cause = `${silent.name} is silent, and the group is to have ${targetSize} members.`;
+    const command = { tag: 'memberRemoved', old: memberId(silent), ifMoreThan: targetSize, mayReturn: true } as const;
+    await this.proposeRemoval(cause, command);
+  }
+
+  private async proposeRemoval(cause: string, command: Extract<Command, { tag: 'memberRemoved' }>): Promise<void> {
+    if (await this.proposeChange(cause, command)) this.deps.log.info('member removed', { member: command.old });
   }
 
   private hasMajority(): boolean {
--- a/src/coordination/membership/second-loss.test.ts
+++ b/src/coordination/membership/second-loss.test.ts
@@ -120,6 +120,35 @@
     },
   );
 
+  // Guards against a joiner that takes the place of a dark member, and against a leaving one that keeps its place while the
+  // dark one has none: after the loss of one disk neither of the two that remain with their disks was a majority.
+  test.each([1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12])(
+    'one of three dark while another is replaced as planned, then a disk lost after an order: all is there (seed %i)',
+    async (seed) => {
+      const core = await createBootstrappedCore(seed, ['h1', 'h2', 'h3']);
+      core.powerLoss('h3');
+      await core.world.advance(seed % 2 === 0 ? 100 : 3_500);
+      core.addNode('h4');
+      core.start('h4');
+      expect(await core.until(6_000, () => core.node('h4').controller?.ledger.isMember() === true)).toBe(true);
+      if (seed % 3 === 0) await expectOrderConfirmed(core, 'h4', 'early');
+      await core.world.advance(seed * 400);
+      await core.stop('h2');
+      await core.world.advance(1_900);
+      const lost = seed % 4 < 2 ? 'h1' : 'h4';
+      await expectOrderConfirmed(core, lost, 'a');
+      core.powerLoss(lost);
+      core.wipe(lost);
+      await core.world.advance(500);
+      core.start('h3');
+      await core.world.advance(500);
+      core.start(lost);
+      expect(await core.until(12_000, () => core.whole(['h1', 'h3', 'h4']))).toBe(true);
+      for (const name of ['h1', 'h3', 'h4']) expect(await core.readEvacuatedZones(name)).toContain('a');
+      expect(core.broken).toEqual([]);
+    },
+  );
+
   test.each(SEEDS)(
     'two of five lost where one loss is to be tolerated: both are removed, and a third loss is tolerated (seed %i)',
     async (seed) => {
--- a/src/state/consensus/control-state.ts
+++ b/src/state/consensus/control-state.ts
@@ -100,7 +100,7 @@
     case 'memberAdded':
       return foldMemberAdded(state, command);
     case 'memberRemoved':
-      return foldMemberRemoved(state, command);
+      return foldMemberRemoved(state, command, entry.wall);
     case 'claimsReopened':
       state.claimants = [...command.members];
       return APPLIED;
--- a/src/state/consensus/entry.ts
+++ b/src/state/consensus/entry.ts
@@ -85,6 +85,8 @@
     old: ShortString,
     /** Applied only to a group of more members than this. */
     ifMoreThan: Type.Optional(NonNegativeInteger),
+    /** Whether the member may come back with its disk: it was silent and had not announced its end. */
+    mayReturn: Type.Optional(Type.Boolean()),
   }),
   Type.Object({ tag: Type.Literal('claimsReopened'), members: Type.Array(ShortString) }),
   Type.Object({
--- a/src/state/consensus/fold-members.ts
+++ b/src/state/consensus/fold-members.ts
@@ -13,8 +13,13 @@
   ticketKey: string;
   members: Member[];
   claimants: string[];
+  /** Members that were removed while silent and have not joined again, oldest first; absent in older snapshots. */
+  away?: AwayMember[];
 };
 
+/** A member that was removed while it was silent, and the wall clock time of its removal at the proposer. */
+export type AwayMember = { readonly member: Member; readonly removedAt: number };
+
 /** Maximum number of members of the group. */
 export const MAX_MEMBERS = 9;
 /** A group of odd size is reduced only from this size on. */
@@ -59,6 +64,7 @@
   const index = indexOfMember(state, command.old);
   if (index < 0 || isTaken(state, command.member, index)) return unfit('member');
   state.members = [...state.members.slice(0, index), command.member, ...state.members.slice(index + 1)];
+  forgetAway(state, command.member);
   return APPLIED;
 }
 
@@ -66,6 +72,7 @@
 export function foldMemberAdded(state: MembersState, command: Extract<Command, { tag: 'memberAdded' }>): Outcome {
   if (state.members.length >= MAX_MEMBERS || isTaken(state, command.member, -1)) return unfit('member');
   state.members = [...state.members, command.member];
+  forgetAway(state, command.member);
   return APPLIED;
 }
 
@@ -73,15 +80,30 @@
  * Removes a member, except from an odd group with fewer than MIN_ODD_SIZE_TO_SHRINK members, or from a group that is no
  * larger than the command demands.
  */
-export function foldMemberRemoved(state: MembersState, command: Extract<Command, { tag: 'memberRemoved' }>): Outcome {
+export function foldMemberRemoved(
+  state: MembersState,
+  command: Extract<Command, { tag: 'memberRemoved' }>,
+  wall: number,
+): Outcome {
   const index = indexOfMember(state, command.old);
   const isOdd = state.members.length % 2 !== 0;
   if (index < 0 || (isOdd && state.members.length < MIN_ODD_SIZE_TO_SHRINK)) return unfit('member');
   if (state.members.length <= (command.ifMoreThan ?? 0)) return unfit('member');
+  const removed = state.members[index] as Member;
   state.members = [...state.members.slice(0, index), ...state.members.slice(index + 1)];
+  if (command.mayReturn === true)
+    state.away = [...(state.away ?? []), { member: removed, removedAt: wall }].slice(-MAX_MEMBERS);
   return APPLIED;
 }
 
+/** A machine that is a member again is not away, whether under its former identity or a new one. */
+function forgetAway(state: MembersState, member: Member): void {
+  if (!state.away) return;
+  const others = state.away.filter((away) => away.member.name !== member.name);
+  if (others.length > 0) state.away = others;
+  else delete state.away;
+}
+
 function indexOfMember(state: MembersState, id: string): number {
   for (const [index, member] of state.members.entries()) if (memberId(member) === id) return index;
   return -1;
