A controller's first look-up need not wait once proxies have reported for 0.7 s

Seen: each controller answered its first look-up, and those of the next 0.7 s, with 503, even 12 s after its start.

Cause: the wait for the first reports of all proxies began when the directory was first asked, as nothing else noted when a proxy was first heard.

Change: the exchange of reports notes when the first report arrived, and the directory waits from then on.

The new test in `directory.test.ts` failed before (1 of 1) and passes; 75 tests of the directory and of controllers that are cut off pass.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -52,7 +52,7 @@
 export type Controller = {
   readonly wire: Address;
   readonly http: Address;
-  readonly distribution: Pick<ChangeDistribution, 'reports' | 'lastContactAt' | 'quorate'>;
+  readonly distribution: Pick<ChangeDistribution, 'reports' | 'lastContactAt' | 'firstContactAt' | 'quorate'>;
   readonly ledger: Ledger;
   readonly claimsReady: () => boolean;
   readonly holdsScaler: () => boolean;
--- a/src/coordination/discovery/directory.test.ts
+++ b/src/coordination/discovery/directory.test.ts
@@ -128,6 +128,7 @@
   async function addressesFrom(host: string, callerRegion: string, controllerRegion: string): Promise<string> {
     const world = createWorld(3);
     const clock = world.clockOf(world.startProcess(world.host('core', 'a')));
+    const startedAt = clock.mono();
     const reports = new Map<string, Report>();
     for (const region of ['north', 'south', 'west']) {
       for (const n of [1, 2]) {
@@ -142,12 +143,12 @@
       }
     }
     const directory = createDirectory(
-      { reports: () => reports, lastContactAt: () => clock.mono() },
+      { reports: () => reports, lastContactAt: () => clock.mono(), firstContactAt: () => startedAt },
       () => serving,
       controllerRegion,
       clock,
     );
-    directory.addressesFor({ host, zone: `${callerRegion}-z`, region: callerRegion });
+    expect(directory.addressesFor({ host, zone: `${callerRegion}-z`, region: callerRegion }).addresses).toEqual([]);
     await world.advance(800);
     return directory
       .addressesFor({ host, zone: `${callerRegion}-z`, region: callerRegion })
@@ -162,6 +163,23 @@
     expect(HOMES).toContain((await addressesFrom('bound.example', 'west', 'north')).split('-')[0]);
   });
 
+  // Guards against a wait for first reports that begins with the first look-up: it was refused long after the start.
+  test('is answered at its first look-up if the proxies have reported for long enough', async () => {
+    const world = createWorld(3);
+    const clock = world.clockOf(world.startProcess(world.host('core', 'a')));
+    const startedAt = clock.mono();
+    const report = { reporter: 'p', http: 'p', zone: 'z', region: 'north', ready: true } as Report;
+    const reported = {
+      reports: () => new Map([['p', report]]),
+      lastContactAt: () => clock.mono(),
+      firstContactAt: () => startedAt,
+    };
+    const directory = createDirectory(reported, () => null, 'north', clock);
+    await world.advance(12_000);
+    const answer = directory.addressesFor({ host: 'h.example', zone: 'z', region: 'north' });
+    expect(answer.addresses).toEqual(['p']);
+  });
+
   test('is sent to the region of the controller if the host has no homes', async () => {
     expect(await addressesFrom('free.example', 'north', 'west')).toBe('west-1 west-2');
     expect(await addressesFrom('unknown.example', 'north', 'west')).toBe('west-1 west-2');
--- a/src/coordination/discovery/directory.ts
+++ b/src/coordination/discovery/directory.ts
@@ -148,8 +148,12 @@
   return left.rank - right.rank;
 }
 
-/** The newest report of each proxy, and the time of the last contact with it. */
-export type ProxyReports = { readonly reports: () => Reports; readonly lastContactAt: (name: string) => number | null };
+/** The newest report of each proxy, the time of the last contact with it, and of the first contact with any proxy. */
+export type ProxyReports = {
+  readonly reports: () => Reports;
+  readonly lastContactAt: (name: string) => number | null;
+  readonly firstContactAt: () => number | null;
+};
 
 /** Answers lookups of proxies. */
 export interface Directory {
@@ -180,8 +184,6 @@
 }
 
 class ReportedDirectory implements Directory {
-  private firstContactAt: number | null = null;
-
   constructor(
     private readonly reported: ProxyReports,
     private readonly serving: ServingInForce,
@@ -210,13 +212,10 @@
 
   addressesFor(caller: Caller): DirectoryAnswer {
     const now = this.clock.mono();
-    const proxies = this.proxyStatuses(now);
-    if (proxies.length > 0) this.firstContactAt ??= now;
-    for (const proxy of proxies)
-      if (this.firstContactAt !== null) this.firstContactAt = Math.min(this.firstContactAt, now - proxy.sinceContactMs);
-    if (this.firstContactAt === null || now - this.firstContactAt < this.tuning.warmUpMs)
+    const firstContactAt = this.reported.firstContactAt();
+    if (firstContactAt === null || now - firstContactAt < this.tuning.warmUpMs)
       return { addresses: [], lasting: false };
-    return addressesFor(proxies, caller, this.fallbackRegions(caller), this.tuning);
+    return addressesFor(this.proxyStatuses(now), caller, this.fallbackRegions(caller), this.tuning);
   }
 
   private fallbackRegions(caller: Caller): FallbackRegions {
--- a/src/coordination/distribution/change-distribution.ts
+++ b/src/coordination/distribution/change-distribution.ts
@@ -20,6 +20,8 @@
   reports(): Reports;
   /** When the last report of this proxy arrived, on the monotonic clock; null if none has arrived. */
   lastContactAt(proxy: string): number | null;
+  /** When the first report of any proxy arrived, on the monotonic clock; null if none has arrived. */
+  firstContactAt(): number | null;
   /** The newest slot that this proxy is known to have applied; -1 if none. */
   confirmedSlot(proxy: string): number;
   /** The known proxies that have not applied this slot yet. */
@@ -60,6 +62,10 @@
     return this.exchange.lastContactAt(proxy);
   }
 
+  firstContactAt(): number | null {
+    return this.exchange.firstContactAt();
+  }
+
   confirmedSlot(proxy: string): number {
     return Math.max(this.acknowledgements.acknowledgedSlot(proxy), this.exchange.reports.get(proxy)?.slot ?? -1);
   }
--- a/src/coordination/distribution/report-exchange.ts
+++ b/src/coordination/distribution/report-exchange.ts
@@ -20,6 +20,7 @@
   /** The newest report by proxy. */
   readonly reports: Reports = new Map();
   private readonly lastContacts = new Map<string, number>();
+  private firstReportAt: number | null = null;
   /** By controller: the reports sent to it, which are the bases of the next deltas. */
   private readonly sentReports = new Map<string, Map<string, Report>>();
   /** By controller: the proxies whose reports are due to be forwarded. */
@@ -42,6 +43,11 @@
     return this.lastContacts.get(proxy) ?? null;
   }
 
+  /** Returns when the first report of any proxy arrived (monotonic clock); null if none has. */
+  firstContactAt(): number | null {
+    return this.firstReportAt;
+  }
+
   close(): void {
     this.gossipTimer.cancel();
   }
@@ -63,7 +69,9 @@
 
   /** A report from a proxy goes to all other controllers; a forwarded one goes to one more, in round-robin order. */
   private onMerged(proxy: string, by: string | undefined): void {
-    this.lastContacts.set(proxy, this.clock.mono());
+    const now = this.clock.mono();
+    this.firstReportAt ??= now;
+    this.lastContacts.set(proxy, now);
     this.scheduleRelay(proxy, by === undefined ? this.others() : this.nextMemberExcept(by));
   }
 
