--- a/src/coordination/membership/membership-changes.ts
+++ b/src/coordination/membership/membership-changes.ts
@@ -1,6 +1,6 @@
 /**
- * Manages the membership of the core: admits joining controllers, removes dead members, joins the group, and leaves it
- * before this controller shuts down. Created by `ledger.ts`, which runs one step every half second.
+ * Manages the membership of the core: admits joining controllers, joins the group, and leaves it before this controller
+ * shuts down. Silent members are removed by `silent-members.ts`. Created by `ledger.ts`, which runs one step every half second.
  *
  * Invariants (docs/consistency.md, section 3): each change is one log entry, agreed by a majority of the members before
  * it; no member is removed for being silent from a group of the target size or smaller; a leaving member shuts down only
@@ -11,7 +11,7 @@
 import { memberId, MAX_MEMBERS } from '../../state/consensus/control-state.js';
 import type { ControlState } from '../../state/consensus/control-state.js';
 import type { Command, Member } from '../../state/consensus/entry.js';
-import { delay, withTimeout } from '../../transport/clock.js';
+import { withTimeout } from '../../transport/clock.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import { shuffled } from '../../transport/rng.js';
@@ -22,16 +22,13 @@
 import { GroupLeave } from './group-leave.js';
 import type { LeaveOutcome } from './group-leave.js';
 import type { MemberStatuses } from './member-statuses.js';
+import { SilentMembers } from './silent-members.js';
 
 /** Maintains the membership of the group, as seen by one controller. */
 export interface MembershipChanges {
   /** Runs one step; to be called every half second. */
   tick(): Promise<void>;
-  /**
-   * Removes the members above the target size that do not respond now. Resolves to true once none is left. To be called
-   * before an order is acknowledged: what rests on a majority that counts the vote of a machine that is gone is lost
-   * with fewer disks than the group is meant to tolerate.
-   */
+  /** Removes the silent members above the target size; see `SilentMembers`. */
   removeSilentMembers(withinMs: number): Promise<boolean>;
   /** Leaves the group within the given time; to be called once, before this controller shuts down. */
   leave(withinMs: number): Promise<LeaveOutcome>;
@@ -65,14 +62,6 @@
 const REQUEST_TIMEOUT_MS = 600;
 const AGREEMENT_TIMEOUT_MS = 1_500;
 const ADMISSION_TIMEOUT_MS = 2_500;
-const DEAD_TIMEOUT_MS = 3_000;
-/** Timeout of the question before an acknowledgement; a round trip between regions, and a pause of the process. */
-const SILENCE_TIMEOUT_MS = 400;
-const RETRY_DELAY_MS = 20;
-/** A member that announced its shutdown is removed from an even group sooner than `DEAD_TIMEOUT_MS`. */
-const LEAVING_TIMEOUT_MS = 1_000;
-/** Added per rank, so that reachable members attempt a removal one after another. */
-const STAGGER_MS = 1_000;
 
 class LedgerMembershipChanges implements MembershipChanges {
   // Knowing a ledger does not imply having been a member: a controller that stopped while its admission was being
@@ -82,11 +71,16 @@
   private isLeaving = false;
   private pendingJoin: Promise<void> | null = null;
   private readonly groupLeave: GroupLeave;
+  private readonly silentMembers: SilentMembers;
 
   constructor(private readonly deps: MembershipChangesDeps) {
     this.wasMember = this.deps.wasMember ?? this.deps.controlState().ledger !== '';
     this.isMembershipStored = this.deps.wasMember === true;
     this.groupLeave = new GroupLeave(deps);
+    this.silentMembers = new SilentMembers({
+      ...deps,
+      proposeChange: (cause, command) => this.proposeChange(cause, command),
+    });
 
     this.deps.peers.on('rejoin', (message) => this.onRejoin(message));
   }
@@ -102,28 +96,12 @@
     return response.ok && response.value.outcome.tag === 'applied';
   }
 
-  /** Whether a member responds and does not announce its shutdown. */
-  private async isRespondingAndStaying(member: Member, timeoutMs: number): Promise<boolean> {
-    if (memberId(member) === memberId(this.deps.self)) return true;
-    const response = await this.deps.peers.call(member.address, { kind: 'memberStatusAsk' }, timeoutMs);
-    if (!response.ok || response.value.kind !== 'memberStatus') return false;
-    return response.value.voter === memberId(member) && response.value.leaving !== true;
-  }
-
-  private async unresponsiveMembers(timeoutMs: number): Promise<Member[]> {
-    const members = this.deps.controlState().members;
-    const responded = await Promise.all(members.map((member) => this.isRespondingAndStaying(member, timeoutMs)));
-    const unresponsive: Member[] = [];
-    for (let i = 0; i < members.length; i += 1) if (!responded[i]) unresponsive.push(members[i] as Member);
-    return unresponsive;
-  }
-
   private async admissionCommand(joiner: Member): Promise<Command | null> {
     for (const old of this.deps.controlState().members)
       if (old.name === joiner.name) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
     for (const old of this.deps.controlState().members)
       if (old.address === joiner.address) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
-    const leaving = (await this.unresponsiveMembers(REQUEST_TIMEOUT_MS)).find((old) => this.mayTakePlaceOf(old));
+    const leaving = (await this.silentMembers.unresponsive(REQUEST_TIMEOUT_MS)).find((old) => this.mayTakePlaceOf(old));
     if (leaving) return { tag: 'memberReplaced', old: memberId(leaving), member: joiner };
     return this.isGroupFull() ? null : { tag: 'memberAdded', member: joiner };
   }
@@ -235,91 +213,6 @@
     return this.deps.seeds.includes(status.address);
   }
 
-  private reachableRank(): number {
-    let rank = 0;
-    for (const member of this.deps.controlState().members) {
-      if (memberId(member) === memberId(this.deps.self)) return rank;
-      if (this.deps.memberStatuses.isReachable(memberId(member))) rank += 1;
-    }
-    return rank;
-  }
-
-  private isDead(member: Member): boolean {
-    const id = memberId(member);
-    return (
-      id !== memberId(this.deps.self) &&
-      this.deps.memberStatuses.sinceContactMs(id) >= DEAD_TIMEOUT_MS + STAGGER_MS * this.reachableRank() &&
-      this.deps.memberStatuses.isUnreachableByMajority(id)
-    );
-  }
-
-  /** Whether a member announced its shutdown and has not responded for long enough since. */
-  private hasShutDown(member: Member): boolean {
-    const id = memberId(member);
-    return (
-      id !== memberId(this.deps.self) &&
-      this.deps.memberStatuses.isLeaving(id) &&
-      this.deps.memberStatuses.sinceContactMs(id) >= LEAVING_TIMEOUT_MS + STAGGER_MS * this.reachableRank()
-    );
-  }
-
-  /**
-   * Whether a member may be removed for being silent. A silent member may come back with its disk, and at the target
-   * size the others need that disk after the losses that the group is meant to tolerate. A run-once claim held by three
-   * of five members may be held by only one of three that remain, so an odd group keeps its size where claims are in use.
-   */
-  private mayRemoveSilent(): boolean {
-    const { length } = this.deps.controlState().members;
-    return length > this.deps.targetSize && (length % 2 === 0 || this.deps.mayShrinkOddGroup);
-  }
-
-  private async removeDead(): Promise<void> {
-    const { members } = this.deps.controlState();
-    const shutDown = members.find((member) => this.hasShutDown(member));
-    if (shutDown && (members.length % 2 === 0 || this.mayRemoveSilent())) return this.removeShutDown(shutDown);
-    const dead = this.mayRemoveSilent() ? members.find((member) => this.isDead(member)) : undefined;
-    if (dead) await this.removeSilent(dead);
-  }
-
-  private async removeShutDown(shutDown: Member): Promise<void> {
-    const cause = `${shutDown.name} was told to end.`;
-    await this.proposeRemoval(cause, { tag: 'memberRemoved', old: memberId(shutDown) });
-  }
-
-  private async removeSilent(silent: Member): Promise<void> {
-    const { targetSize } = this.deps;
-    const cause = `${silent.name} is silent, and the group is to have ${targetSize} members.`;
-    const command = { tag: 'memberRemoved', old: memberId(silent), ifMoreThan: targetSize, mayReturn: true } as const;
-    await this.proposeRemoval(cause, command);
-  }
-
-  private async proposeRemoval(cause: string, command: Extract<Command, { tag: 'memberRemoved' }>): Promise<void> {
-    if (await this.proposeChange(cause, command)) this.deps.log.info('member removed', { member: command.old });
-  }
-
-  async removeSilentMembers(withinMs: number): Promise<boolean> {
-    const deadline = this.deps.clock.mono() + withinMs;
-    while (this.mayRemoveSilent()) {
-      const [first, ...others] = await this.unresponsiveMembers(SILENCE_TIMEOUT_MS);
-      if (!first) return true;
-      if (this.deps.clock.mono() >= deadline) return false;
-      await this.removeFirstOf([first, ...others], deadline);
-    }
-    return true;
-  }
-
-  /** Removes one that said that it ends, else the one that has been silent for longest. */
-  private async removeFirstOf(unresponsive: readonly Member[], deadline: number): Promise<void> {
-    const { memberStatuses } = this.deps;
-    const leaving = unresponsive.find((member) => memberStatuses.isLeaving(memberId(member)));
-    if (leaving) return this.removeShutDown(leaving);
-    const bySilence = [...unresponsive].sort(
-      (left, right) => memberStatuses.sinceContactMs(memberId(right)) - memberStatuses.sinceContactMs(memberId(left)),
-    );
-    await this.removeSilent(bySilence[0] as Member);
-    if (this.deps.clock.mono() < deadline) await delay(this.deps.clock, RETRY_DELAY_MS);
-  }
-
   private hasMajority(): boolean {
     let reachableCount = 1;
     for (const member of this.deps.controlState().members)
@@ -328,6 +221,10 @@
     return 2 * reachableCount > this.deps.controlState().members.length;
   }
 
+  removeSilentMembers(withinMs: number): Promise<boolean> {
+    return this.silentMembers.removeAll(withinMs);
+  }
+
   async tick(): Promise<void> {
     if (this.isLeaving) return;
     const ownMember = this.ownMember();
@@ -340,7 +237,8 @@
       this.ownMember()
     )
       await this.publishOwnAddress();
-    if (this.ownMember()?.address === this.deps.self.address && this.hasMajority()) await this.removeDead();
+    if (this.ownMember()?.address === this.deps.self.address && this.hasMajority())
+      await this.silentMembers.removeDead();
     else await this.catchUpAndJoin();
   }
 
