Soak: a series of replacements beside a silent member, then a lost disk

The replaced controller is switched off instead of told to end, or a third one is dark or frozen while another is replaced; then the disk of another one is lost right after an acknowledgement. It overlaps with all other series and has a random stream of its own, so the plans of the other series stay as they were.

--- a/standin-platform/soak/plan.ts
+++ b/standin-platform/soak/plan.ts
@@ -32,6 +32,8 @@
   | { readonly tag: 'held'; readonly core: boolean; readonly signals: number; readonly stopAgainAfterMs: number | null }
   /** Replaces a controller; `wipe` deletes the disk of another one after the next acknowledged configuration. */
   | { readonly tag: 'replace'; readonly wipe: boolean }
+  /** Replaces a controller in a way that leaves a silent member, then deletes the disk of another one. */
+  | { readonly tag: 'succession'; readonly silence: Silence }
   /** A worker that answers without end, or a crowd that sends a node more bodies without end than it holds. */
   | {
       readonly tag: 'endless';
@@ -49,6 +51,12 @@
     }
 );
 
+/**
+ * Which member is silent around a replacement: the replaced one, which is switched off instead of told to end, or a third
+ * one, which is dark or frozen and comes back with its disk.
+ */
+export type Silence = 'replacedOff' | 'otherDark' | 'otherFrozen';
+
 /** All series; a run may play some of them only. */
 export const SERIES = [
   'core',
@@ -61,6 +69,7 @@
   'replace',
   'restart',
   'endless',
+  'succession',
 ] as const;
 /** The name of a series. */
 export type Series = (typeof SERIES)[number];
@@ -86,6 +95,7 @@
   replace: 1_000_000,
   restart: 2_000_000,
   endless: 3_000_000,
+  succession: 4_000_000,
 };
 const STREAMS_PER_SEED = 8;
 const STEP_MEAN_MS = 3_000;
@@ -169,6 +179,8 @@
       };
     case 'replace':
       return { ...common, tag: series, wipe: rng.next() < 0.7 };
+    case 'succession':
+      return { ...common, tag: series, silence: pick(rng, ['replacedOff', 'otherDark', 'otherFrozen'] as const) };
     case 'restart':
       return {
         ...common,
--- a/standin-platform/soak/run.ts
+++ b/standin-platform/soak/run.ts
@@ -89,6 +89,8 @@
         return this.playEndless(step);
       case 'replace':
         return this.replaceController(step);
+      case 'succession':
+        return this.replaceBesideSilence(step);
       case 'restart': {
         if (step.core && this.isReplacing) return;
         const nodes = this.site.nodes.filter((node) => node.core === step.core);
@@ -131,8 +133,36 @@
     await restartWithHazard(this.site, node, this.clock, step.hazard, step.forMs);
   }
 
+  /**
+   * Replaces a controller while a member is silent, and deletes the disk of the one that has acknowledged a configuration
+   * last. One disk is lost, and the machine that is gone has a successor.
+   */
+  private async replaceBesideSilence(step: Extract<Step, { tag: 'succession' }>): Promise<void> {
+    if (this.isReplacing) return;
+    this.isReplacing = true;
+    await this.waitForStableControllers();
+    const cores = this.site.nodes.filter((node) => node.core);
+    const leaving = cores[step.at % cores.length] as SiteNode;
+    const other = cores[(step.at + 1) % cores.length] as SiteNode;
+    const silent = step.silence === 'replacedOff' ? leaving : (cores[(step.at + 2) % cores.length] as SiteNode);
+    if (silent !== leaving) silent.process.signal(step.silence === 'otherDark' ? 'SIGKILL' : 'SIGSTOP');
+    await this.site.addController(leaving.zone)?.restart();
+    await delay(this.clock, SUCCESSOR_SETTLE_MS);
+    leaving.process.signal(silent === leaving ? 'SIGKILL' : 'SIGTERM');
+    await leaving.process.ended();
+    this.site.removeNode(leaving);
+    const isAcknowledged = await this.configure();
+    if (isAcknowledged) other.process.signal('SIGKILL');
+    if (step.silence === 'otherDark') await silent.restart();
+    if (step.silence === 'otherFrozen') silent.process.signal('SIGCONT');
+    if (isAcknowledged) await other.restart(true);
+    await delay(this.clock, SYNC_MS);
+    this.isReplacing = false;
+  }
+
   /** Starts the new controller, stops the old one, and wipes a third one after an acknowledged configuration. */
   private async replaceController(step: Extract<Step, { tag: 'replace' }>): Promise<void> {
+    if (this.isReplacing) return;
     this.isReplacing = true;
     await this.waitForStableControllers();
     const cores = this.site.nodes.filter((node) => node.core);
