Membership, read once more: whose place is given back, and who counts as leaving

A member that was removed while silent is forgotten also when another machine has its address: a leaving member would have proposed it until its time was over. An age is compared without its sign, as the clocks of two controllers differ. A member that answers that it ends counts as leaving though its announcement was lost, so that it is not remembered as one that comes back. The model gives a place back to the member removed last, as the code.

--- a/src/coordination/membership/group-leave.ts
+++ b/src/coordination/membership/group-leave.ts
@@ -83,7 +83,7 @@
   /** Returns the member that was removed last while it was silent, if it may still come back. */
   private returningMember(): Member | null {
     const last = this.deps.controlState().away?.at(-1);
-    return last && this.deps.clock.wall() - last.removedAt < RETURN_TIMEOUT_MS ? last.member : null;
+    return last && Math.abs(this.deps.clock.wall() - last.removedAt) < RETURN_TIMEOUT_MS ? last.member : null;
   }
 
   private async giveUpPlace(deadline: number): Promise<void> {
--- a/src/coordination/membership/membership-changes.ts
+++ b/src/coordination/membership/membership-changes.ts
@@ -23,6 +23,7 @@
 import type { LeaveOutcome } from './group-leave.js';
 import type { MemberStatuses } from './member-statuses.js';
 import { SilentMembers } from './silent-members.js';
+import type { AbsentMember } from './silent-members.js';
 
 /** Maintains the membership of the group, as seen by one controller. */
 export interface MembershipChanges {
@@ -101,8 +102,9 @@
       if (old.name === joiner.name) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
     for (const old of this.deps.controlState().members)
       if (old.address === joiner.address) return { tag: 'memberReplaced', old: memberId(old), member: joiner };
-    const leaving = (await this.silentMembers.unresponsive(REQUEST_TIMEOUT_MS)).find((old) => this.mayTakePlaceOf(old));
-    if (leaving) return { tag: 'memberReplaced', old: memberId(leaving), member: joiner };
+    const absent = await this.silentMembers.absent(REQUEST_TIMEOUT_MS);
+    const replaceable = absent.find((old) => this.mayTakePlaceOf(old));
+    if (replaceable) return { tag: 'memberReplaced', old: memberId(replaceable.member), member: joiner };
     return this.isGroupFull() ? null : { tag: 'memberAdded', member: joiner };
   }
 
@@ -114,12 +116,8 @@
    * Whether a joiner may take the place of a member that does not respond. One that is only silent may come back with its
    * disk, so it keeps its place, unless no further member could ever join.
    */
-  private mayTakePlaceOf(old: Member): boolean {
-    const id = memberId(old);
-    return (
-      this.deps.memberStatuses.isLeaving(id) ||
-      (this.isGroupFull() && this.deps.memberStatuses.isUnreachableByMajority(id))
-    );
+  private mayTakePlaceOf({ member, isLeaving }: AbsentMember): boolean {
+    return isLeaving || (this.isGroupFull() && this.deps.memberStatuses.isUnreachableByMajority(memberId(member)));
   }
 
   private async onRejoin(message: MessageOf<'rejoin'>): Promise<Message> {
--- a/src/coordination/membership/silent-members.ts
+++ b/src/coordination/membership/silent-members.ts
@@ -35,25 +35,34 @@
 const SILENCE_TIMEOUT_MS = 400;
 const RETRY_DELAY_MS = 20;
 
+/** Whether a member responds, responds that it shuts down, or does not respond. */
+type Presence = 'staying' | 'leaving' | 'silent';
+
+/** A member that does not respond or shuts down; `isLeaving` if it has announced that. */
+export type AbsentMember = { readonly member: Member; readonly isLeaving: boolean };
+
 /** Finds the members that do not respond, and removes those that the group may do without. */
 export class SilentMembers {
   constructor(private readonly deps: SilentMembersDeps) {}
 
-  /** Whether a member responds and does not announce its shutdown. */
-  private async isRespondingAndStaying(member: Member, timeoutMs: number): Promise<boolean> {
-    if (memberId(member) === memberId(this.deps.self)) return true;
+  private async presenceOf(member: Member, timeoutMs: number): Promise<Presence> {
+    if (memberId(member) === memberId(this.deps.self)) return 'staying';
     const response = await this.deps.peers.call(member.address, { kind: 'memberStatusAsk' }, timeoutMs);
-    if (!response.ok || response.value.kind !== 'memberStatus') return false;
-    return response.value.voter === memberId(member) && response.value.leaving !== true;
+    if (!response.ok || response.value.kind !== 'memberStatus') return 'silent';
+    if (response.value.voter !== memberId(member)) return 'silent';
+    return response.value.leaving === true ? 'leaving' : 'staying';
   }
 
   /** Returns the members that do not respond within the time-out, or announce their shutdown. */
-  async unresponsive(timeoutMs: number): Promise<Member[]> {
-    const members = this.deps.controlState().members;
-    const responded = await Promise.all(members.map((member) => this.isRespondingAndStaying(member, timeoutMs)));
-    const unresponsive: Member[] = [];
-    for (let i = 0; i < members.length; i += 1) if (!responded[i]) unresponsive.push(members[i] as Member);
-    return unresponsive;
+  async absent(timeoutMs: number): Promise<AbsentMember[]> {
+    const { members } = this.deps.controlState();
+    const presences = await Promise.all(members.map((member) => this.presenceOf(member, timeoutMs)));
+    const absent: AbsentMember[] = [];
+    for (const [index, member] of members.entries()) {
+      const isLeaving = presences[index] === 'leaving' || this.deps.memberStatuses.isLeaving(memberId(member));
+      if (presences[index] !== 'staying') absent.push({ member, isLeaving });
+    }
+    return absent;
   }
 
   private reachableRank(): number {
@@ -127,23 +136,27 @@
   async removeAll(withinMs: number): Promise<boolean> {
     const deadline = this.deps.clock.mono() + withinMs;
     while (this.mayRemoveSilent()) {
-      const [first, ...others] = await this.unresponsive(SILENCE_TIMEOUT_MS);
-      if (!first) return true;
+      const absent = await this.absent(SILENCE_TIMEOUT_MS);
+      if (absent.length === 0) return true;
       if (this.deps.clock.mono() >= deadline) return false;
-      await this.removeFirstOf([first, ...others]);
+      await this.removeFirstOf(absent);
       if (this.mayRemoveSilent()) await delay(this.deps.clock, RETRY_DELAY_MS);
     }
     return true;
   }
 
   /** Removes one that said that it ends, else the one that has been silent for longest. */
-  private async removeFirstOf(unresponsive: readonly Member[]): Promise<void> {
-    const { memberStatuses } = this.deps;
-    const leaving = unresponsive.find((member) => memberStatuses.isLeaving(memberId(member)));
-    if (leaving) return this.removeShutDown(leaving);
-    const bySilence = [...unresponsive].sort(
-      (left, right) => memberStatuses.sinceContactMs(memberId(right)) - memberStatuses.sinceContactMs(memberId(left)),
-    );
-    await this.removeSilent(bySilence[0] as Member);
+  private async removeFirstOf(absent: readonly AbsentMember[]): Promise<void> {
+    const leaving = absent.find(({ isLeaving }) => isLeaving);
+    if (leaving) return this.removeShutDown(leaving.member);
+    const bySilence = absent
+      .map(({ member }) => member)
+      .sort((left, right) => this.silenceOf(right) - this.silenceOf(left));
+    const [longest] = bySilence;
+    if (longest) await this.removeSilent(longest);
+  }
+
+  private silenceOf(member: Member): number {
+    return this.deps.memberStatuses.sinceContactMs(memberId(member));
   }
 }
--- a/src/sim/membership-model/membership-policy.ts
+++ b/src/sim/membership-model/membership-policy.ts
@@ -70,7 +70,7 @@
 
   leave(state: GroupState, leaving: Machine): GroupState {
     if (state.members.length > this.targetSize) return withoutMember(state, leaving);
-    const restored = state.removedSilent[0];
+    const restored = state.removedSilent.at(-1);
     if (!restored) return state;
     const removedSilent = state.removedSilent.filter((other) => !isSameIdentity(other, restored));
     return { ...withReplaced(state, leaving, restored), removedSilent };
--- a/src/state/consensus/control-state.test.ts
+++ b/src/state/consensus/control-state.test.ts
@@ -31,6 +31,40 @@
     expect(fold(state, entry(change(3)))).toEqual([{ tag: 'staleVersion', winner: 1 }]);
   });
 
+  // Guards against a leaving member that gives its place to a machine that can't come back there.
+  test('a member removed while silent is away until its name or its address is a member again', () => {
+    const removed = (): ControlState => {
+      const state = bootstrapped();
+      fold(state, entry({ tag: 'memberAdded', member: { name: 'd', incarnation: '1', address: 'd:1' } }));
+      expect(fold(state, entry({ tag: 'memberRemoved', old: 'c#1', ifMoreThan: 3, mayReturn: true }))).toEqual([
+        applied,
+      ]);
+      expect(state.away).toEqual([{ member: { name: 'c', incarnation: '1', address: 'c:1' }, removedAt: 7 }]);
+      return state;
+    };
+    for (const member of [
+      { name: 'c', incarnation: '2', address: 'e:1' },
+      { name: 'e', incarnation: '1', address: 'c:1' },
+    ]) {
+      const state = removed();
+      expect(fold(state, entry({ tag: 'memberAdded', member }))).toEqual([applied]);
+      expect(state.away).toBeUndefined();
+    }
+    const restored = removed();
+    const [away] = restored.away ?? [];
+    expect(fold(restored, entry({ tag: 'memberReplaced', old: 'b#1', member: away!.member }))).toEqual([applied]);
+    expect([restored.away, restored.members.map(({ name }) => name)]).toEqual([undefined, ['a', 'c', 'd']]);
+  });
+
+  test('a silent member is not removed from a group that is no larger than the entry says', () => {
+    const state = bootstrapped();
+    fold(state, entry({ tag: 'memberAdded', member: { name: 'd', incarnation: '1', address: 'd:1' } }));
+    const removal = { tag: 'memberRemoved', ifMoreThan: 3, mayReturn: true } as const;
+    const outcomes = fold(state, entry({ ...removal, old: 'c#1' }), entry({ ...removal, old: 'd#1' }));
+    expect(outcomes).toEqual([applied, { tag: 'unfit', why: 'member' }]);
+    expect(state.members).toHaveLength(3);
+  });
+
   // Guards against inherited properties taken for entries of a table: such a zone counted as evacuated from the start.
   test.each(['constructor', 'toString'])('a zone, proxy or order named %s is unknown until it is recorded', (name) => {
     const state = bootstrapped();
--- a/src/state/consensus/fold-members.ts
+++ b/src/state/consensus/fold-members.ts
@@ -96,10 +96,12 @@
   return APPLIED;
 }
 
-/** A machine that is a member again is not away, whether under its former identity or a new one. */
+/** A machine that is a member again is not away, and one whose address another machine has does not come back there. */
 function forgetAway(state: MembersState, member: Member): void {
   if (!state.away) return;
-  const others = state.away.filter((away) => away.member.name !== member.name);
+  const others = state.away.filter(
+    (away) => away.member.name !== member.name && away.member.address !== member.address,
+  );
   if (others.length > 0) state.away = others;
   else delete state.away;
 }
